--- a/src/contract/Backoff.h
+++ b/src/base/Backoff.h
@@ -5,7 +5,7 @@
 
 #include "base/Time.h"
 
-namespace coralhoist::contract {
+namespace coralhoist {
 
 /** @return the pause after the given one: twice as long, within the bounds. */
 inline Duration nextBackoff(Duration current, Duration minimum, Duration maximum) {
@@ -18,4 +18,4 @@
     return Duration(static_cast<Duration::rep>(scaled));
 }
 
-}  // namespace coralhoist::contract
+}  // namespace coralhoist
--- /dev/null
+++ b/src/cluster/ClusterCodec.h
@@ -0,0 +1,47 @@
+/** What an adapter supplies to read and write the objects that a cluster keeps in its store. */
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "cluster/EstateImport.h"
+#include "failover/PromotionRecord.h"
+#include "link/socket/HttpClient.h"
+#include "link/store/ObjectProtocol.h"
+#include "pooling/ServerDirectory.h"
+
+namespace coralhoist::cluster {
+
+/** Names of the kinds of objects. */
+struct ClusterKinds {
+    std::string settings;
+    std::string servers;
+    std::string promotions;
+};
+
+/** Turns objects into the product's types and back. Decides nothing. */
+class ClusterCodec {
+public:
+    virtual ~ClusterCodec() = default;
+
+    virtual ClusterKinds kinds() const = 0;
+
+    /** Each returns nothing for an object that can't be understood. */
+    virtual std::optional<EstateImage> readEstate(const store::StoredObject& object) const = 0;
+    virtual std::optional<pooling::ServerAnnouncement> readServer(
+        const store::StoredObject& object) const = 0;
+    virtual std::optional<failover::PromotionRecord> readPromotion(
+        const store::StoredObject& object) const = 0;
+
+    virtual store::StoredObject writePromotion(const GroupName& group,
+                                               const failover::PromotionRecord& record) const = 0;
+
+    /** The call that promotes a server. */
+    virtual socket::HttpCall promoteCall(const GroupName& group, const ServerName& server,
+                                         const NodeName& holder, std::uint64_t fence) const = 0;
+
+    /** How the answer to promoteCall ended. */
+    virtual failover::PromoteOutcome readPromoteAnswer(const socket::HttpAnswer& answer) const = 0;
+};
+
+}  // namespace coralhoist::cluster
--- /dev/null
+++ b/src/cluster/ClusterControl.h
@@ -0,0 +1,92 @@
+/**
+ * Follows the cluster's store and drives what depends on it: settings, servers, promotions, and the
+ * proofs of leadership that reads wait for.
+ */
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "base/Time.h"
+#include "cluster/ClusterCodec.h"
+#include "cluster/EstateImport.h"
+#include "cluster/StoredPromotions.h"
+#include "failover/GroupFailover.h"
+#include "link/store/ObjectWatch.h"
+#include "pooling/ServerDirectory.h"
+#include "pooling/StatementPooler.h"
+#include "settings/SettingsTree.h"
+
+namespace coralhoist::cluster {
+
+/** What the control is made of. All outlive it. */
+struct ClusterDependencies {
+    const Clock& clock;
+    RandomSource& random;
+    socket::HttpClient& storeClient;
+    socket::HttpClient& promotionClient;
+    const store::ObjectProtocol& protocol;
+    const ClusterCodec& codec;
+    pooling::ServerConnector& connector;
+    const failover::ReportParser& reportParser;
+    NodeName self;
+    /** Names this life of this node. */
+    std::string holder;
+};
+
+/** Control of one node. Single-threaded; lives beside the pooler. */
+class ClusterControl {
+public:
+    ClusterControl(ClusterDependencies dependencies, pooling::StatementPooler& pooler);
+    ~ClusterControl();
+
+    /** @return whether settings, servers and promotions are known. */
+    bool isReady() const;
+
+    /** Statements of the group wait for a proof that its primary leads. */
+    void wantLeadershipProof(const GroupName& group);
+
+    void suspectPrimary(const GroupName& group, const ServerName& server,
+                        pooling::SuspicionReason reason);
+
+    void onTick(TimePoint now);
+    std::optional<TimePoint> nextTick() const;
+
+    std::uint64_t settingsVersion() const { return _import.version(); }
+
+private:
+    /** Passes what one watch brings to a method. */
+    class Feed;
+
+    void onSettings(const store::StoredObject& object);
+    void onServersListed(const std::vector<store::StoredObject>& objects, std::uint64_t version);
+    void onServerEvent(const store::ObjectEvent& event);
+    void onPromotion(const store::StoredObject& object);
+    void publishDirectory();
+    void askForProof(TimePoint now);
+    void onProof(const socket::HttpAnswer& answer, TimePoint askedAt);
+    failover::GroupFailover& failoverOf(const GroupName& group);
+
+    ClusterDependencies _dependencies;
+    pooling::StatementPooler& _pooler;
+    settings::SettingsTree _tree;
+    EstateImport _import;
+    bool _settingsKnown = false;
+    pooling::ServerDirectory _directory;
+    StoredPromotions _promotions;
+    std::map<GroupName, std::unique_ptr<failover::GroupFailover>> _failovers;
+    std::vector<std::unique_ptr<Feed>> _feeds;
+    std::vector<std::unique_ptr<store::ObjectWatch>> _watches;
+    /** Version of each group's record that the pooler knows. */
+    std::map<GroupName, std::uint64_t> _toldVersions;
+    std::set<GroupName> _unproven;
+    bool _proofRunning = false;
+    TimePoint _nextProof{};
+    TimePoint _nextExpiry{};
+    std::shared_ptr<bool> _alive;
+};
+
+}  // namespace coralhoist::cluster
--- /dev/null
+++ b/src/cluster/EstateImport.cpp
@@ -0,0 +1,119 @@
+#include "cluster/EstateImport.h"
+
+#include <QJsonDocument>
+#include <QJsonObject>
+#include <algorithm>
+#include <utility>
+
+#include "settings/SettingValue.h"
+
+namespace coralhoist::cluster {
+namespace {
+
+constexpr const char* kAuthor = "import";
+
+std::string compact(const QJsonObject& object) {
+    return QJsonDocument(object).toJson(QJsonDocument::Compact).toStdString();
+}
+
+QString durationText(Duration duration) {
+    return QString::fromStdString(settings::formatDuration(duration));
+}
+
+std::string estateDocument(const EstateImage& image) {
+    QJsonObject document;
+    if (image.idleInTransactionTimeout) {
+        document["timeout.idle_in_transaction"] = durationText(*image.idleInTransactionTimeout);
+    }
+    return compact(document);
+}
+
+std::string groupDocument(const ImportedGroup& group) {
+    QJsonObject document;
+    if (group.connectionsPerServer) {
+        document["pool.connections_per_server"] = static_cast<int>(*group.connectionsPerServer);
+    }
+    return compact(document);
+}
+
+std::string serviceDocument(const ImportedService& service, bool urgent) {
+    QJsonObject document;
+    document["admission.priority"] = urgent ? "urgent" : "ordinary";
+    const bool replica = service.readRouting == settings::ReadRouting::Replica;
+    document["routing.reads"] = replica ? "replica" : "primary";
+    if (service.maxStaleness) {
+        document["consistency.max_staleness"] = durationText(*service.maxStaleness);
+    }
+    if (service.statementTimeout) {
+        document["timeout.statement"] = durationText(*service.statementTimeout);
+    }
+    if (service.latencyObjective) {
+        document["service.latency_objective"] = durationText(*service.latencyObjective);
+    }
+    return compact(document);
+}
+
+/** @return the lowest rank when ranks differ. */
+std::optional<int> urgentRank(const std::vector<ImportedService>& services) {
+    const auto [lowest, highest] =
+        std::minmax_element(services.begin(), services.end(),
+                            [](const auto& a, const auto& b) { return a.rank < b.rank; });
+    if (lowest == services.end() || lowest->rank == highest->rank) {
+        return std::nullopt;
+    }
+    return lowest->rank;
+}
+
+}  // namespace
+
+ImportOutcome EstateImport::apply(const EstateImage& image) {
+    ImportOutcome outcome;
+    if (image.version <= _version) {
+        return outcome;
+    }
+    _version = image.version;
+    const std::set<std::string> before = std::exchange(_paths, {});
+    put("estate", estateDocument(image), outcome);
+    for (const ImportedGroup& group : image.groups) {
+        put(settings::NodePath::ofGroup(group.name).text(), groupDocument(group), outcome);
+    }
+    const std::optional<int> urgent = urgentRank(image.services);
+    for (const ImportedService& service : image.services) {
+        put(settings::NodePath::ofService(service.group, service.name).text(),
+            serviceDocument(service, urgent == service.rank), outcome);
+    }
+    for (const std::string& path : before) {
+        if (!_paths.contains(path)) {
+            settings::SettingsObjectRecord record;
+            record.path = path;
+            record.version = _version;
+            record.deleted = true;
+            record.author = kAuthor;
+            outcome.changed |= _tree.merge(record) == settings::MergeOutcome::Applied;
+        }
+    }
+    return outcome;
+}
+
+void EstateImport::put(const std::string& path, const std::string& document,
+                       ImportOutcome& outcome) {
+    _paths.insert(path);
+    const std::optional<settings::SettingsObjectRecord> known = _tree.find(path);
+    if (known && !known->deleted && known->document == document) {
+        return;
+    }
+    settings::SettingsObjectRecord record;
+    record.path = path;
+    record.version = _version;
+    record.document = document;
+    record.operationId = kAuthor + std::to_string(_version);
+    record.author = kAuthor;
+    const settings::MergeOutcome merged = _tree.merge(record);
+    if (merged == settings::MergeOutcome::Applied) {
+        outcome.changed = true;
+    } else if (merged != settings::MergeOutcome::Unchanged) {
+        outcome.refused.push_back(path);
+    }
+}
+
+}  // namespace coralhoist::cluster
--- /dev/null
+++ b/src/cluster/EstateImport.h
@@ -0,0 +1,73 @@
+/** Brings a configuration that is kept as one object into the settings tree. */
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/Identifier.h"
+#include "base/Time.h"
+#include "settings/EffectiveSettings.h"
+#include "settings/SettingsTree.h"
+
+namespace coralhoist::cluster {
+
+/** A group of the imported configuration. */
+struct ImportedGroup {
+    GroupName name;
+    std::optional<std::uint32_t> connectionsPerServer;
+};
+
+/** A service of the imported configuration. */
+struct ImportedService {
+    ServiceName name;
+    GroupName group;
+    settings::ReadRouting readRouting = settings::ReadRouting::Primary;
+    std::optional<Duration> maxStaleness;
+    std::optional<Duration> statementTimeout;
+    std::optional<Duration> latencyObjective;
+    /** Lower ranks go first. */
+    int rank = 0;
+};
+
+/** One version of the whole configuration. */
+struct EstateImage {
+    /** Version of the object that holds it. */
+    std::uint64_t version = 0;
+    std::optional<Duration> idleInTransactionTimeout;
+    std::vector<ImportedGroup> groups;
+    std::vector<ImportedService> services;
+};
+
+/** What became of an image. */
+struct ImportOutcome {
+    bool changed = false;
+    /** Nodes that the tree refused, each with the reason. */
+    std::vector<std::string> refused;
+};
+
+/**
+ * Merges an image into the tree, node by node: estate, groups, services. Nodes that an earlier
+ * image had and this one lacks are deleted. An image that is older than the newest one is ignored.
+ * Services of the lowest rank are urgent where ranks differ.
+ */
+class EstateImport {
+public:
+    /** @param tree outlives the import. */
+    explicit EstateImport(settings::SettingsTree& tree) : _tree(tree) {}
+
+    ImportOutcome apply(const EstateImage& image);
+
+    std::uint64_t version() const { return _version; }
+
+private:
+    void put(const std::string& path, const std::string& document, ImportOutcome& outcome);
+
+    settings::SettingsTree& _tree;
+    std::set<std::string> _paths;
+    std::uint64_t _version = 0;
+};
+
+}  // namespace coralhoist::cluster
--- a/src/contract/ConnectionPool.cpp
+++ b/src/contract/ConnectionPool.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cassert>
 
-#include "contract/Backoff.h"
+#include "base/Backoff.h"
 
 namespace coralhoist::contract {
 
--- a/src/contract/StatusMonitor.cpp
+++ b/src/contract/StatusMonitor.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "contract/Backoff.h"
+#include "base/Backoff.h"
 #include "contract/StatusQuery.h"
 
 namespace coralhoist::contract {
--- a/src/duty/CallerDuty.h
+++ b/src/duty/CallerDuty.h
@@ -8,7 +8,7 @@
 
 #include "base/SystemTime.h"
 #include "duty/CallerChannel.h"
-#include "duty/DutyThread.h"
+#include "duty/event/DutyThread.h"
 #include "duty/ExecutorChannel.h"
 #include "duty/RingExecutor.h"
 #include "duty/SampleOracle.h"
--- a/src/duty/SettingsControl.h
+++ b/src/duty/SettingsControl.h
@@ -8,7 +8,7 @@
 
 #include "base/Time.h"
 #include "duty/SettingsStore.h"
-#include "duty/TickScheduler.h"
+#include "duty/event/TickScheduler.h"
 #include "link/operator/OperatorService.h"
 #include "link/platform/PlatformClient.h"
 #include "zone/SettingsDistributor.h"
--- a/src/duty/DutyThread.cpp
+++ b/src/duty/event/DutyThread.cpp
@@ -1,4 +1,4 @@
-#include "duty/DutyThread.h"
+#include "duty/event/DutyThread.h"
 
 #include <future>
 #include <utility>
--- a/src/duty/TickScheduler.cpp
+++ b/src/duty/event/TickScheduler.cpp
@@ -1,4 +1,4 @@
-#include "duty/TickScheduler.h"
+#include "duty/event/TickScheduler.h"
 
 #include <QAbstractEventDispatcher>
 #include <algorithm>
--- /dev/null
+++ b/src/duty/pooling/PoolingDuty.cpp
@@ -0,0 +1,148 @@
+#include "duty/pooling/PoolingDuty.h"
+
+#include <utility>
+
+#include "base/Log.h"
+
+namespace coralhoist::duty {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kUnavailable = 503;
+constexpr int kNotFound = 404;
+constexpr const char* kReadyPath = "/ready";
+constexpr std::chrono::milliseconds kDrainStep{50};
+/** New connections may still come until those who send them have seen that it is not ready. */
+constexpr Duration kDrainAccepts = std::chrono::milliseconds(2300);
+/** A session that has been idle for so long is closed while draining. */
+constexpr Duration kDrainIdle = std::chrono::milliseconds(100);
+/** Part of the drain timeout that is kept for the end of the process. */
+constexpr Duration kDrainReserve = std::chrono::milliseconds(700);
+
+pooling::PoolerKnobs makeKnobs(const PoolingOptions& options) {
+    pooling::PoolerKnobs knobs;
+    knobs.zone = options.zone;
+    knobs.connectionsPerServer = options.connectionsPerServer;
+    return knobs;
+}
+
+}  // namespace
+
+PoolingDuty::PoolingDuty(PoolingOptions options, PoolingAdapter adapter,
+                         std::function<void()> stopped)
+    : _options(std::move(options)),
+      _adapter(std::move(adapter)),
+      _stopped(std::move(stopped)),
+      _random(_options.seed),
+      _ticks(_clock),
+      _connector(_poller, _adapter.serverCodec),
+      _pooler(_clock, _connector, *this, makeKnobs(_options)),
+      _callers(_poller, _adapter.callerCodec, _pooler, _options.maximumConnections),
+      _readiness(_poller, [this](const std::string& path) { return answer(path); }),
+      _storeClient(_poller, _clock, _options.store.host, _options.store.port),
+      _promotionClient(_poller, _clock, _options.promotion.host, _options.promotion.port),
+      _control({_clock, _random, _storeClient, _promotionClient, _adapter.objectProtocol,
+                _adapter.clusterCodec, _connector, _adapter.reportParser, _options.name,
+                _options.name.value() + "/" + std::to_string(_options.seed)},
+               _pooler) {}
+
+PoolingDuty::~PoolingDuty() = default;
+
+Status PoolingDuty::start() {
+    Status status = _readiness.listen(_options.readiness.host, _options.readiness.port);
+    if (status.isOk()) {
+        status = _callers.listen(_options.callers.host, _options.callers.port);
+    }
+    if (!status.isOk()) {
+        return status;
+    }
+    addTickSources();
+    QObject::connect(&_drainTimer, &QTimer::timeout, [this] { continueDrain(); });
+    LogEvent("daemon", LogLevel::Info, "daemon.started")
+        .field("node", _options.name)
+        .field("zone", _options.zone)
+        .field("port", _callers.port());
+    return Status::ok();
+}
+
+void PoolingDuty::addTickSources() {
+    _ticks.add([this] { return _pooler.nextTick(); },
+               [this](TimePoint /*now*/) { _pooler.onTick(); });
+    _ticks.add([this] { return _control.nextTick(); },
+               [this](TimePoint now) { _control.onTick(now); });
+    _ticks.add([this] { return _storeClient.nextTick(); },
+               [this](TimePoint now) { _storeClient.onTick(now); });
+    _ticks.add([this] { return _promotionClient.nextTick(); },
+               [this](TimePoint now) { _promotionClient.onTick(now); });
+    _ticks.add([this] { return hasGarbage() ? std::optional<TimePoint>(_clock.now())
+                                            : std::nullopt; },
+               [this](TimePoint /*now*/) { collect(); });
+}
+
+bool PoolingDuty::hasGarbage() const {
+    return _connector.hasClosed() || _callers.hasClosed();
+}
+
+/** Frees closed connections outside their own events. */
+void PoolingDuty::collect() {
+    _connector.collect();
+    _callers.collect();
+    _readiness.collect();
+}
+
+bool PoolingDuty::isReady() const {
+    return !_drainBegan && _control.isReady();
+}
+
+socket::HttpPage PoolingDuty::answer(const std::string& path) const {
+    if (path == kReadyPath) {
+        return isReady() ? socket::HttpPage{kOk, "ready\n"}
+                         : socket::HttpPage{kUnavailable, "not ready\n"};
+    }
+    return {kNotFound, "unknown path\n"};
+}
+
+void PoolingDuty::beginDrain() {
+    if (_drainBegan) {
+        return;
+    }
+    LogEvent("daemon", LogLevel::Info, "daemon.draining")
+        .field("sessions", _pooler.sessionCount());
+    _drainBegan = _clock.now();
+    _drainTimer.start(kDrainStep);
+}
+
+void PoolingDuty::continueDrain() {
+    const Duration elapsed = _clock.now() - *_drainBegan;
+    if (elapsed >= kDrainAccepts) {
+        _callers.stopListening();
+        _pooler.closeIdleSessions(kDrainIdle);
+    }
+    const bool late = elapsed + kDrainReserve >= _options.drainTimeout;
+    if (late || (elapsed >= kDrainAccepts && _callers.connectionCount() == 0)) {
+        LogEvent("daemon", LogLevel::Info, "daemon.drained")
+            .field("sessions", _pooler.sessionCount())
+            .field("late", late);
+        _drainTimer.stop();
+        _stopped();
+    }
+}
+
+void PoolingDuty::reply(SessionId session, pooling::StatementResult result) {
+    _callers.reply(session, result);
+}
+
+void PoolingDuty::closeSession(SessionId session) {
+    _callers.closeSession(session);
+}
+
+void PoolingDuty::wantLeadershipProof(const GroupName& group) {
+    _control.wantLeadershipProof(group);
+}
+
+void PoolingDuty::suspectPrimary(const GroupName& group, const ServerName& server,
+                                 pooling::SuspicionReason reason) {
+    _control.suspectPrimary(group, server, reason);
+}
+
+}  // namespace coralhoist::duty
--- /dev/null
+++ b/src/duty/pooling/PoolingDuty.h
@@ -0,0 +1,106 @@
+/**
+ * The thread that pools sessions over servers that an adapter speaks to: callers, servers, the
+ * cluster's store and failovers share one event loop, because a statement would otherwise pay for
+ * two hops between threads on machines with a part of one core.
+ */
+#pragma once
+
+#include <QTimer>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "base/SystemTime.h"
+#include "cluster/ClusterControl.h"
+#include "duty/event/DutyThread.h"
+#include "duty/event/TickScheduler.h"
+#include "link/session/CallerListener.h"
+#include "link/session/SessionCodec.h"
+#include "link/session/StreamServerConnector.h"
+#include "link/socket/HttpClient.h"
+#include "link/socket/HttpResponder.h"
+#include "link/socket/SocketPoller.h"
+#include "pooling/StatementPooler.h"
+
+namespace coralhoist::duty {
+
+/** What the adapter supplies. All outlive the duty. */
+struct PoolingAdapter {
+    const session::CallerCodec& callerCodec;
+    const session::ServerCodec& serverCodec;
+    const store::ObjectProtocol& objectProtocol;
+    const cluster::ClusterCodec& clusterCodec;
+    failover::ReportParser reportParser;
+};
+
+/** An IP number and a port. */
+struct Endpoint {
+    std::string host;
+    std::uint16_t port = 0;
+};
+
+/** What the duty is started with. */
+struct PoolingOptions {
+    NodeName name;
+    ZoneName zone;
+    Endpoint callers;
+    Endpoint readiness;
+    Endpoint store;
+    Endpoint promotion;
+    std::uint32_t maximumConnections = 20000;
+    std::uint32_t connectionsPerServer = 5;
+    /** Time that a planned stop may take. */
+    Duration drainTimeout{0};
+    std::uint64_t seed = 0;
+};
+
+/** Builds and joins the parts. */
+class PoolingDuty final : public Duty, public pooling::PoolerOutput {
+public:
+    /** @param stopped called on this thread when a planned stop is complete. */
+    PoolingDuty(PoolingOptions options, PoolingAdapter adapter, std::function<void()> stopped);
+    ~PoolingDuty() override;
+
+    Status start() override;
+
+    /** Begins the planned stop: not ready at once, idle sessions are closed, others may end. */
+    void beginDrain();
+
+    /** @return an object of the duty's thread, through which other threads queue calls. */
+    QObject* context() { return &_drainTimer; }
+
+private:
+    void reply(SessionId session, pooling::StatementResult result) override;
+    void closeSession(SessionId session) override;
+    void wantLeadershipProof(const GroupName& group) override;
+    void suspectPrimary(const GroupName& group, const ServerName& server,
+                        pooling::SuspicionReason reason) override;
+
+    socket::HttpPage answer(const std::string& path) const;
+    bool isReady() const;
+    void addTickSources();
+    void collect();
+    bool hasGarbage() const;
+    void continueDrain();
+
+    PoolingOptions _options;
+    PoolingAdapter _adapter;
+    std::function<void()> _stopped;
+    SteadyClock _clock;
+    SeededRandom _random;
+    TickScheduler _ticks;
+    socket::SocketPoller _poller;
+    session::StreamServerConnector _connector;
+    pooling::StatementPooler _pooler;
+    session::CallerListener _callers;
+    socket::HttpResponder _readiness;
+    socket::HttpClient _storeClient;
+    socket::HttpClient _promotionClient;
+    cluster::ClusterControl _control;
+    std::optional<TimePoint> _drainBegan;
+    bool _wasReady = false;
+    QTimer _drainTimer;
+};
+
+}  // namespace coralhoist::duty
--- /dev/null
+++ b/src/failover/GroupFailover.h
@@ -0,0 +1,169 @@
+/** Replaces the primary of one group: detects that it must be, and carries the promotion out. */
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "base/Time.h"
+#include "failover/MemberLink.h"
+#include "failover/PromotionRecord.h"
+#include "pooling/ServerDirectory.h"
+#include "pooling/StatementPooler.h"
+
+namespace coralhoist::failover {
+
+/** Why a primary is replaced. */
+enum class FailoverReason {
+    None,
+    Silent,
+    Unreachable,
+    WritesUnanswered,
+    Leaving,   /**< Its announcement says that it will end. */
+    NoPrimary, /**< No server is known to lead. */
+    Abandoned, /**< Whoever began a promotion has stopped driving it. */
+};
+
+/** @return a word for logs. */
+const char* describe(FailoverReason reason);
+
+/** What a group's failover needs. All outlive it. */
+struct FailoverDependencies {
+    const Clock& clock;
+    RandomSource& random;
+    pooling::ServerConnector& connector;
+    PromotionStore& store;
+    PromotionCaller& caller;
+    const ReportParser& parser;
+    /** Names this life of this node. */
+    std::string holder;
+};
+
+/**
+ * The failover of one group on one node.
+ *
+ * Protocol: (1) take the group's record in the store under its version; (2) make sure that the
+ * former primary acknowledges no further commit: it steps down and tells its position, or every
+ * other server that may receive from it is told to stop receiving; (3) choose a server that has
+ * every acknowledged commit; (4) announce it in the record; the version of that write is the fencing
+ * token; (5) call the promotion within a margin of the announcement; (6) see the successor lead and
+ * close the record.
+ *
+ * Invariants: the record is changed only under the version that was read; a promotion is called
+ * only for the announced successor and within kCallMargin of the announcement, which is shorter
+ * than the time after which another node takes a record over; once a server was told to stop
+ * receiving, the promotion is carried on to its end, so nothing is ever resumed by mistake.
+ */
+class GroupFailover {
+public:
+    GroupFailover(GroupName group, FailoverDependencies dependencies);
+    ~GroupFailover();
+
+    /** Takes the group's servers, removed ones included. */
+    void onDirectory(const pooling::ServerDirectory::Servers& servers);
+
+    /** Takes the record as the store's watch or an own load shows it. */
+    void onRecord(const PromotionRecord& record);
+
+    /** The pooler's current view. */
+    void onPrimary(const std::optional<pooling::Primary>& primary);
+
+    /** The pooler has signs that the server has failed. */
+    void onSuspicion(const ServerName& server, pooling::SuspicionReason reason);
+
+    void onTick(TimePoint now);
+
+    /** @return when onTick must be called next. */
+    TimePoint nextTick() const { return _nextTick; }
+
+    bool isIdle() const { return _phase == Phase::Idle; }
+
+    /** @return promotions carried out by this node. */
+    std::uint64_t promotions() const { return _promotions; }
+
+    const PromotionRecord& record() const { return _record; }
+
+private:
+    enum class Phase {
+        Idle,
+        Checking,   /**< Asks the suspected primary itself. */
+        Loading,    /**< Reads the record. */
+        Claiming,   /**< Writes itself into the record. */
+        Securing,   /**< Keeps the former primary from committing, and chooses. */
+        Announcing, /**< Writes the successor into the record. */
+        Calling,    /**< Calls the promotion. */
+        Confirming, /**< Waits until the successor leads. */
+        Closing,    /**< Writes that the promotion is over. */
+    };
+
+    FailoverReason findReason(TimePoint now) const;
+    bool hasStayingServer() const;
+    bool successorLeads();
+    void begin(FailoverReason reason, TimePoint now);
+    void check(TimePoint now);
+    void load();
+    void onLoaded(const LoadedRecord& loaded, TimePoint askedAt);
+    void claim(TimePoint now);
+    void enterSecuring(TimePoint now);
+    void secure(TimePoint now);
+    void refreshRecord(TimePoint now);
+    bool isFormerHarmless(TimePoint now);
+    void orderFormers();
+    bool pauseReceivers(TimePoint now);
+    bool mustBeHeard(const ServerName& name, const MemberLink& link, TimePoint now) const;
+    std::optional<ServerName> chooseSuccessor(TimePoint now);
+    bool heardAllSince(TimePoint since, TimePoint now);
+    std::optional<ServerName> mostAdvanced() const;
+    Term nextTerm() const;
+    void announce(TimePoint now);
+    void call(TimePoint now);
+    void onCalled(PromoteOutcome outcome);
+    void confirmSuccessor(TimePoint now);
+    void closeRecord();
+    void save(PromotionRecord record, void (GroupFailover::*done)(const SavedRecord&, TimePoint));
+    void onClaimed(const SavedRecord& saved, TimePoint askedAt);
+    void onRefreshed(const SavedRecord& saved, TimePoint askedAt);
+    void onAnnounced(const SavedRecord& saved, TimePoint askedAt);
+    void onClosed(const SavedRecord& saved, TimePoint askedAt);
+    void giveUp(const char* why, Duration pause);
+    void enter(Phase phase);
+    MemberLink& link(const ServerName& server);
+    const pooling::ListedServer* listed(const ServerName& server) const;
+
+    GroupName _group;
+    FailoverDependencies _dependencies;
+    /** Guards callbacks of the store against the object's end. */
+    std::shared_ptr<bool> _alive;
+    pooling::ServerDirectory::Servers _servers;
+    std::optional<pooling::Primary> _primary;
+    std::optional<TimePoint> _withoutPrimarySince;
+    Term _newestTerm = 0;
+    PromotionRecord _record;
+    TimePoint _recordSeenAt{};
+
+    FailoverReason _suspicion = FailoverReason::None;
+    ServerName _suspected;
+    TimePoint _suspectedAt{};
+
+    Phase _phase = Phase::Idle;
+    FailoverReason _reason = FailoverReason::None;
+    TimePoint _phaseSince{};
+    TimePoint _nextTick{};
+    TimePoint _notBefore{};
+    bool _busy = false;
+    /** The server to be replaced, if it is known. */
+    std::optional<ServerName> _former;
+    /** Since when no former primary can acknowledge a commit. */
+    std::optional<TimePoint> _securedAt;
+    std::optional<OpTime> _formerPosition;
+    ServerName _successor;
+    Term _successorTerm = 0;
+    std::map<ServerName, TimePoint> _notRunning;
+    TimePoint _announcedAt{};
+    TimePoint _refreshedAt{};
+    std::map<ServerName, std::unique_ptr<MemberLink>> _links;
+    std::uint64_t _promotions = 0;
+};
+
+}  // namespace coralhoist::failover
--- /dev/null
+++ b/src/failover/MemberLink.cpp
@@ -0,0 +1,148 @@
+#include "failover/MemberLink.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace coralhoist::failover {
+namespace {
+
+using pooling::ServerCommand;
+
+/** A connection or a command may take so long. */
+constexpr Duration kPatience = std::chrono::milliseconds(500);
+constexpr Duration kReconnectPause = std::chrono::milliseconds(100);
+
+}  // namespace
+
+MemberLink::MemberLink(pooling::ServerAddress address, const Clock& clock,
+                       pooling::ServerConnector& connector, const ReportParser& parser)
+    : _address(std::move(address)),
+      _clock(clock),
+      _connector(connector),
+      _parser(parser),
+      _createdAt(clock.now()) {}
+
+MemberLink::~MemberLink() {
+    if (_connection) {
+        _connector.close(*_connection);
+    }
+}
+
+void MemberLink::request(ServerCommand::Kind kind, Term term) {
+    const auto same = [kind](const Awaited& awaited) { return awaited.kind == kind; };
+    if (std::any_of(_waiting.begin(), _waiting.end(), same) ||
+        std::any_of(_sent.begin(), _sent.end(), same)) {
+        return;
+    }
+    const Awaited awaited{kind, term, _clock.now()};
+    if (_opened) {
+        transmit(awaited);
+        return;
+    }
+    _waiting.push_back(awaited);
+    if (!_connection) {
+        open(_clock.now());
+    }
+}
+
+void MemberLink::transmit(const Awaited& awaited) {
+    ServerCommand command;
+    command.kind = awaited.kind;
+    command.term = awaited.term;
+    _sent.push_back({awaited.kind, awaited.term, _clock.now()});
+    _connector.send(*_connection, {command});
+}
+
+void MemberLink::open(TimePoint now) {
+    if (now < _nextAttempt) {
+        return;
+    }
+    _attemptedAt = now;
+    _opened = false;
+    _connection = _connector.open(_address, *this);
+}
+
+void MemberLink::drop() {
+    if (_connection) {
+        _connector.close(*_connection);
+    }
+    _connection.reset();
+    _opened = false;
+    // Orders are idempotent, so what is unanswered is sent again on the next connection.
+    for (const Awaited& awaited : _sent) {
+        _waiting.push_back(awaited);
+    }
+    _sent.clear();
+    _nextAttempt = _clock.now() + kReconnectPause;
+}
+
+void MemberLink::onTick(TimePoint now) {
+    const bool lateOpening = _connection && !_opened && now - _attemptedAt > kPatience;
+    const bool lateAnswer = !_sent.empty() && now - _sent.front().askedAt > kPatience;
+    if (lateOpening || lateAnswer) {
+        drop();
+    }
+    if (!_connection && !_waiting.empty()) {
+        open(now);
+    }
+}
+
+bool MemberLink::isSilentFor(Duration time, TimePoint now) const {
+    return now - _heardAt.value_or(_createdAt) >= time;
+}
+
+void MemberLink::onOpened(ConnectionId /*connection*/, OpTime /*position*/) {
+    _opened = true;
+    _refused = false;
+    _heardAt = _clock.now();
+    std::deque<Awaited> waiting;
+    waiting.swap(_waiting);
+    for (const Awaited& awaited : waiting) {
+        transmit(awaited);
+    }
+}
+
+void MemberLink::onOpenFailed(ConnectionId /*connection*/,
+                              const std::optional<pooling::StatementError>& refusal) {
+    _connection.reset();
+    if (refusal) {
+        _heardAt = _clock.now();
+    }
+    _refused = !refusal;
+    _nextAttempt = _clock.now() + kReconnectPause;
+}
+
+void MemberLink::onResult(ConnectionId /*connection*/, pooling::StatementResult result) {
+    _heardAt = _clock.now();
+    if (_sent.empty()) {
+        drop();
+        return;
+    }
+    const Awaited awaited = _sent.front();
+    _sent.pop_front();
+    if (!result.succeeded() || result.rows.empty()) {
+        return;
+    }
+    if (const std::optional<ServerReport> report = _parser(result.rows.front())) {
+        note(awaited, *report);
+    }
+}
+
+void MemberLink::note(const Awaited& awaited, const ServerReport& report) {
+    const MemberAnswer answer{report, awaited.askedAt};
+    _report = answer;
+    if (awaited.kind == ServerCommand::Kind::Pause) {
+        _paused = answer;
+    } else if (awaited.kind == ServerCommand::Kind::StepDown) {
+        _steppedDown = answer;
+    }
+}
+
+void MemberLink::onLost(ConnectionId /*connection*/) {
+    _connection.reset();
+    drop();
+    // A replica that restarted has forgotten its pause.
+    _paused.reset();
+}
+
+}  // namespace coralhoist::failover
--- /dev/null
+++ b/src/failover/PromotionRecord.h
@@ -0,0 +1,101 @@
+/** The record of a group's promotions in the platform's store, and what promotions need of it. */
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "base/Identifier.h"
+#include "base/OpTime.h"
+#include "pooling/LeadershipTracker.h"
+
+namespace coralhoist::failover {
+
+/**
+ * One group's record. Whoever changes it under its version holds the group's promotion; the version
+ * is the fencing token, because it grows with every change.
+ */
+struct PromotionRecord {
+    pooling::PromotionPhase phase = pooling::PromotionPhase::None;
+    /** Process that last changed it; names one life of a node. */
+    std::string holder;
+    /** Successor of the newest promotion that was announced. */
+    ServerName successor;
+    /** Term of the newest promotion that was announced. */
+    Term term = 0;
+    /** Version in the store; 0 when there is no record. */
+    std::uint64_t version = 0;
+
+    bool operator==(const PromotionRecord&) const = default;
+
+    /** @return what the pooler needs to know of it. */
+    pooling::PromotionNotice notice() const { return {phase, successor, term, version}; }
+};
+
+/** How a call of the store ended. */
+enum class StoreOutcome {
+    Done,
+    Conflict,    /**< The record has another version. */
+    Unavailable, /**< Nothing was done. */
+    Unknown,     /**< It may have been done, or may be done later. */
+};
+
+/** Answer to a load. */
+struct LoadedRecord {
+    StoreOutcome outcome = StoreOutcome::Unavailable;
+    PromotionRecord record;
+};
+
+/** Answer to a save. */
+struct SavedRecord {
+    StoreOutcome outcome = StoreOutcome::Unavailable;
+    /** Version of the record after it was done. */
+    std::uint64_t version = 0;
+};
+
+/** The store. Callbacks come later, on the same thread, once. */
+class PromotionStore {
+public:
+    virtual ~PromotionStore() = default;
+
+    virtual void load(const GroupName& group,
+                      std::function<void(const LoadedRecord&)> callback) = 0;
+
+    /** Writes the record if the store has the version that it names. */
+    virtual void save(const GroupName& group, const PromotionRecord& record,
+                      std::function<void(const SavedRecord&)> callback) = 0;
+};
+
+/** How a promotion call ended. */
+enum class PromoteOutcome {
+    Accepted,   /**< The server leads soon, or leads already. */
+    NotRunning, /**< The server is not running. */
+    Unavailable, /**< Nothing was done. */
+    Unknown,    /**< It may have been carried out, or may be later. */
+};
+
+/** Asks the platform to promote a server. */
+class PromotionCaller {
+public:
+    virtual ~PromotionCaller() = default;
+
+    /** @param fence version of the record that announced this promotion. */
+    virtual void promote(const GroupName& group, const ServerName& server, std::uint64_t fence,
+                         std::function<void(PromoteOutcome)> callback) = 0;
+};
+
+/** What a server reports of itself. */
+struct ServerReport {
+    bool primary = false;
+    Term term = 0;
+    /** Last position that it has received. */
+    OpTime received;
+    /** Term up to which a replica has been told not to receive; 0 when it receives. */
+    Term heldTerm = 0;
+};
+
+/** Reads the row with which a server answers Status, Pause and StepDown. */
+using ReportParser = std::function<std::optional<ServerReport>(const std::string& row)>;
+
+}  // namespace coralhoist::failover
--- a/src/link/caller/CallerConnection.h
+++ b/src/link/caller/CallerConnection.h
@@ -9,10 +9,14 @@
 
 #include "link/caller/CallerContext.h"
 #include "link/caller/CallerSession.h"
-#include "link/caller/SocketPoller.h"
+#include "link/socket/SocketPoller.h"
 
 namespace coralhoist::caller {
 
+using socket::SocketHandler;
+using socket::SocketInterest;
+using socket::SocketPoller;
+
 /** Bounds of one connection. */
 struct ConnectionLimits {
     /** Time from the connection to the end of its start-up phase. */
--- a/src/link/caller/CallerServer.h
+++ b/src/link/caller/CallerServer.h
@@ -19,6 +19,10 @@
 
 namespace coralhoist::caller {
 
+using socket::SocketHandler;
+using socket::SocketInterest;
+using socket::SocketPoller;
+
 /** Bounds and constants of the callers' side of one proxy. */
 struct CallerServerOptions {
     /** Most caller connections of this proxy. */
--- a/src/link/peer/ReconnectBackoff.h
+++ b/src/link/peer/ReconnectBackoff.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "base/Time.h"
-#include "contract/Backoff.h"
+#include "base/Backoff.h"
 
 namespace coralhoist::peer {
 
@@ -15,8 +15,8 @@
 
     /** @return the pause after a failure: between half and all of the current step. */
     Duration onFailure() {
-        const Duration pause = contract::withJitter(_next, *_random);
-        _next = contract::nextBackoff(_next, _minimum, _maximum);
+        const Duration pause = withJitter(_next, *_random);
+        _next = nextBackoff(_next, _minimum, _maximum);
         return pause;
     }
 
--- /dev/null
+++ b/src/link/socket/HttpClient.h
@@ -0,0 +1,97 @@
+/**
+ * Small HTTP/1.1 client on one address: kept connections, a time limit for each call, and an
+ * abortive close, so that a call given up on is not delivered late by a link that heals. A general
+ * client library can't promise that, and may send a call twice.
+ */
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/Time.h"
+#include "link/socket/StreamConnection.h"
+
+namespace coralhoist::socket {
+
+/** One header of a request. */
+struct HttpHeader {
+    std::string name;
+    std::string value;
+};
+
+/** One call. */
+struct HttpCall {
+    std::string method;
+    /** Absolute path with the query. */
+    std::string target;
+    std::string body;
+    std::vector<HttpHeader> headers;
+    /** From sending to the whole answer. */
+    Duration timeout{};
+};
+
+/** How a call ended. */
+struct HttpAnswer {
+    enum class Outcome {
+        Answered, /**< status and body are set. */
+        NotSent,  /**< No connection came to be; nothing was done. */
+        Lost,     /**< No whole answer came; the call may have been carried out. */
+    };
+    Outcome outcome = Outcome::Lost;
+    int status = 0;
+    std::string body;
+};
+
+using HttpCallback = std::function<void(const HttpAnswer&)>;
+
+/** Calls to one server; each runs on a connection of its own, which is kept for later calls. */
+class HttpClient final : public StreamHandler {
+public:
+    /** @param poller, clock outlive the client. */
+    HttpClient(SocketPoller& poller, const Clock& clock, std::string host, std::uint16_t port);
+    ~HttpClient() override;
+
+    /** Starts a call; the callback comes later, once, unless the client is destroyed first. */
+    void call(const HttpCall& call, HttpCallback callback);
+
+    /** Ends calls that have run out of time. */
+    void onTick(TimePoint now);
+
+    std::optional<TimePoint> nextTick() const;
+
+    /** Moves to another address; running calls end as lost. */
+    void redirect(std::string host, std::uint16_t port);
+
+private:
+    struct Exchange {
+        std::unique_ptr<StreamConnection> connection;
+        HttpCallback callback;
+        TimePoint deadline{};
+        bool connected = false;
+        /** The connection has served a call before. */
+        bool reused = false;
+        std::string request;
+    };
+
+    void onConnected(StreamConnection& connection) override;
+    void onBytes(StreamConnection& connection, std::string& buffer) override;
+    void onClosed(StreamConnection& connection) override;
+
+    Exchange* find(const StreamConnection& connection);
+    void finish(Exchange& exchange, const HttpAnswer& answer, bool keep);
+
+    SocketPoller& _poller;
+    const Clock& _clock;
+    std::string _host;
+    std::uint16_t _port;
+    std::vector<std::unique_ptr<Exchange>> _running;
+    std::vector<std::unique_ptr<StreamConnection>> _kept;
+    /** Ended inside a callback of their own; freed at the next tick. */
+    std::vector<std::unique_ptr<StreamConnection>> _ended;
+};
+
+}  // namespace coralhoist::socket
--- a/src/link/caller/SocketPoller.cpp
+++ b/src/link/socket/SocketPoller.cpp
@@ -1,4 +1,4 @@
-#include "link/caller/SocketPoller.h"
+#include "link/socket/SocketPoller.h"
 
 #include <sys/epoll.h>
 #include <unistd.h>
@@ -8,7 +8,7 @@
 #include <cerrno>
 #include <system_error>
 
-namespace coralhoist::caller {
+namespace coralhoist::socket {
 namespace {
 
 /** Events taken in one turn; the rest stays pending for the next. */
@@ -85,4 +85,4 @@
     }
 }
 
-}  // namespace coralhoist::caller
+}  // namespace coralhoist::socket
--- a/src/link/caller/SocketPoller.h
+++ b/src/link/socket/SocketPoller.h
@@ -6,7 +6,7 @@
 #include <memory>
 #include <unordered_map>
 
-namespace coralhoist::caller {
+namespace coralhoist::socket {
 
 /** Told when a socket is ready. */
 class SocketHandler {
@@ -59,4 +59,4 @@
     Registration _last = 0;
 };
 
-}  // namespace coralhoist::caller
+}  // namespace coralhoist::socket
--- /dev/null
+++ b/src/link/store/ObjectProtocol.h
@@ -0,0 +1,66 @@
+/** What an adapter supplies to speak with an object store: how calls and answers look. */
+#pragma once
+
+#include <QJsonObject>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/Time.h"
+#include "link/socket/HttpClient.h"
+
+namespace coralhoist::store {
+
+/** One object of the store. */
+struct StoredObject {
+    std::string name;
+    /** Version of its last change; one growing number for the whole store. */
+    std::uint64_t version = 0;
+    QJsonObject content;
+};
+
+/** Part of a list. */
+struct ObjectPage {
+    std::vector<StoredObject> objects;
+    /** The next page begins after the last object's name. */
+    bool more = false;
+    /** Version of the store that the page shows. */
+    std::uint64_t version = 0;
+};
+
+/** One change. */
+struct ObjectEvent {
+    StoredObject object;
+    bool removed = false;
+};
+
+/** Answer to a watch. */
+struct ObjectEvents {
+    std::vector<ObjectEvent> events;
+    /** Version from which to go on. */
+    std::uint64_t version = 0;
+};
+
+/** Builds calls and reads answers. Holds no connection and decides nothing. */
+class ObjectProtocol {
+public:
+    virtual ~ObjectProtocol() = default;
+
+    virtual socket::HttpCall listCall(const std::string& kind, const std::string& after) const = 0;
+    virtual socket::HttpCall watchCall(const std::string& kind, std::uint64_t version,
+                                       Duration wait) const = 0;
+    virtual socket::HttpCall readCall(const std::string& kind, const std::string& name) const = 0;
+    virtual socket::HttpCall createCall(const std::string& kind,
+                                        const StoredObject& object) const = 0;
+    /** The call that replaces the object if it still has the version that it names. */
+    virtual socket::HttpCall replaceCall(const std::string& kind,
+                                         const StoredObject& object) const = 0;
+
+    /** Each returns nothing for a body that can't be understood. */
+    virtual std::optional<ObjectPage> readPage(const std::string& body) const = 0;
+    virtual std::optional<ObjectEvents> readEvents(const std::string& body) const = 0;
+    virtual std::optional<StoredObject> readObject(const std::string& body) const = 0;
+};
+
+}  // namespace coralhoist::store
--- /dev/null
+++ b/src/link/store/ObjectWatch.cpp
@@ -0,0 +1,132 @@
+#include "link/store/ObjectWatch.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/Log.h"
+#include "base/Backoff.h"
+
+namespace coralhoist::store {
+namespace {
+
+constexpr int kSuccess = 200;
+constexpr int kHistoryGone = 410;
+
+}  // namespace
+
+ObjectWatch::ObjectWatch(std::string kind, socket::HttpClient& client,
+                         const ObjectProtocol& protocol, const Clock& clock, RandomSource& random,
+                         WatchSink& sink, WatchTiming timing)
+    : _kind(std::move(kind)),
+      _client(client),
+      _protocol(protocol),
+      _clock(clock),
+      _random(random),
+      _sink(sink),
+      _timing(timing),
+      _alive(std::make_shared<bool>(true)),
+      _nextCall(clock.now()) {}
+
+ObjectWatch::~ObjectWatch() = default;
+
+std::optional<TimePoint> ObjectWatch::nextTick() const {
+    return _running ? std::nullopt : std::optional<TimePoint>(_nextCall);
+}
+
+void ObjectWatch::onTick(TimePoint now) {
+    if (!_running && now >= _nextCall) {
+        startCall(now);
+    }
+}
+
+void ObjectWatch::startCall(TimePoint now) {
+    socket::HttpCall call = _position ? _protocol.watchCall(_kind, *_position, _timing.wait)
+                                      : _protocol.listCall(_kind, _after);
+    call.timeout = (_position ? _timing.wait : Duration(0)) + _timing.slack;
+    _running = true;
+    _askedAt = now;
+    _client.call(call, [this, alive = std::weak_ptr<bool>(_alive)](
+                           const socket::HttpAnswer& answer) {
+        if (!alive.expired()) {
+            onAnswer(answer);
+        }
+    });
+}
+
+void ObjectWatch::onAnswer(const socket::HttpAnswer& answer) {
+    _running = false;
+    const bool answered = answer.outcome == socket::HttpAnswer::Outcome::Answered;
+    if (answered && answer.status == kHistoryGone) {
+        LogEvent("store.watch", LogLevel::Info, "watch.history_gone")
+            .field("kind", _kind)
+            .field("position", _position.value_or(0));
+        _position.reset();
+        _nextCall = _clock.now();
+        return;
+    }
+    const bool taken = answered && answer.status == kSuccess &&
+                       (_position ? takeEvents(answer) : takePage(answer));
+    if (!taken) {
+        fail(answered ? answer.status : 0);
+        return;
+    }
+    _freshAt = _askedAt;
+    _pause = Duration(0);
+    _nextCall = _clock.now();
+    if (!_reachable) {
+        _reachable = true;
+        LogEvent("store.watch", LogLevel::Info, "store.regained").field("kind", _kind);
+        _sink.onReachable(true);
+    }
+}
+
+void ObjectWatch::fail(int status) {
+    _pause = nextBackoff(_pause, _timing.firstPause, _timing.longestPause);
+    _nextCall = _clock.now() + withJitter(_pause, _random);
+    _after.clear();
+    _pages.clear();
+    _listVersion.reset();
+    if (_reachable) {
+        _reachable = false;
+        LogEvent("store.watch", LogLevel::Warning, "store.lost")
+            .field("kind", _kind)
+            .field("status", status);
+        _sink.onReachable(false);
+    }
+}
+
+bool ObjectWatch::takePage(const socket::HttpAnswer& answer) {
+    std::optional<ObjectPage> page = _protocol.readPage(answer.body);
+    if (!page) {
+        return false;
+    }
+    // Changes after the first page are delivered again by the watch, which begins there.
+    _listVersion = std::min(_listVersion.value_or(page->version), page->version);
+    _pages.insert(_pages.end(), page->objects.begin(), page->objects.end());
+    if (page->more && !page->objects.empty()) {
+        _after = page->objects.back().name;
+        return true;
+    }
+    const std::vector<StoredObject> objects = std::move(_pages);
+    const std::uint64_t version = *_listVersion;
+    _pages.clear();
+    _after.clear();
+    _listVersion.reset();
+    _position = version;
+    _sink.onList(objects, version);
+    return true;
+}
+
+bool ObjectWatch::takeEvents(const socket::HttpAnswer& answer) {
+    const std::optional<ObjectEvents> events = _protocol.readEvents(answer.body);
+    if (!events) {
+        return false;
+    }
+    _position = std::max(*_position, events->version);
+    for (const ObjectEvent& event : events->events) {
+        _sink.onEvent(event);
+    }
+    return true;
+}
+
+}  // namespace coralhoist::store
--- /dev/null
+++ b/src/link/store/ObjectWatch.h
@@ -0,0 +1,88 @@
+/** Follows all objects of one kind: lists them, then waits for changes, and recovers. */
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/Time.h"
+#include "link/store/ObjectProtocol.h"
+
+namespace coralhoist::store {
+
+/** Told what a watch brings. */
+class WatchSink {
+public:
+    virtual ~WatchSink() = default;
+
+    /** All objects of the kind, at one version or a little later. */
+    virtual void onList(const std::vector<StoredObject>& objects, std::uint64_t version) = 0;
+    virtual void onEvent(const ObjectEvent& event) = 0;
+    /** The store answered, or did not; reported on each change. */
+    virtual void onReachable(bool reachable) = 0;
+};
+
+/** How long a watch waits. */
+struct WatchTiming {
+    /** Longest wait of one call for a change. */
+    Duration wait = std::chrono::milliseconds(2500);
+    /** A call is given up on so long after its wait. */
+    Duration slack = std::chrono::milliseconds(700);
+    /** Pause after a call that failed; doubled each time up to the longest. */
+    Duration firstPause = std::chrono::milliseconds(80);
+    Duration longestPause = std::chrono::milliseconds(800);
+};
+
+/**
+ * A watch. Invariants: the position grows only with what was delivered; what the store no longer
+ * remembers leads to a new list; one call runs at a time.
+ */
+class ObjectWatch {
+public:
+    /** References outlive the watch. */
+    ObjectWatch(std::string kind, socket::HttpClient& client, const ObjectProtocol& protocol,
+                const Clock& clock, RandomSource& random, WatchSink& sink, WatchTiming timing);
+    ~ObjectWatch();
+
+    /** Starts calls that are due. */
+    void onTick(TimePoint now);
+    std::optional<TimePoint> nextTick() const;
+
+    /** @return whether the objects have been listed since the start. */
+    bool isListed() const { return _position.has_value(); }
+
+    /** @return when the newest call that was answered well had been sent. */
+    TimePoint freshAt() const { return _freshAt; }
+
+private:
+    void startCall(TimePoint now);
+    void onAnswer(const socket::HttpAnswer& answer);
+    bool takePage(const socket::HttpAnswer& answer);
+    bool takeEvents(const socket::HttpAnswer& answer);
+    void fail(int status);
+
+    std::string _kind;
+    socket::HttpClient& _client;
+    const ObjectProtocol& _protocol;
+    const Clock& _clock;
+    RandomSource& _random;
+    WatchSink& _sink;
+    WatchTiming _timing;
+    std::shared_ptr<bool> _alive;
+    std::optional<std::uint64_t> _position;
+    bool _running = false;
+    bool _reachable = true;
+    TimePoint _askedAt{};
+    TimePoint _freshAt{};
+    TimePoint _nextCall{};
+    Duration _pause{0};
+    /** Pages of the list that is being read. */
+    std::vector<StoredObject> _pages;
+    std::string _after;
+    std::optional<std::uint64_t> _listVersion;
+};
+
+}  // namespace coralhoist::store
--- /dev/null
+++ b/src/pooling/LeadershipTracker.cpp
@@ -0,0 +1,116 @@
+#include "pooling/LeadershipTracker.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace coralhoist::pooling {
+namespace {
+
+/** Time after which a contradicted claim is tried again. */
+constexpr Duration kRefutation = std::chrono::milliseconds(300);
+
+}  // namespace
+
+void LeadershipTracker::onDirectory(const ServerDirectory::Servers& servers, TimePoint now) {
+    for (auto& [name, claim] : _claims) {
+        claim.claims = false;
+        claim.listed = false;
+    }
+    for (const auto& [name, listed] : servers) {
+        Claim& claim = _claims[name];
+        claim.listed = !listed.removed;
+        claim.claims = claim.listed && listed.announcement.role == ServerRole::Primary;
+        claim.version = listed.announcement.version;
+    }
+    std::erase_if(_claims, [&servers](const auto& entry) { return !servers.contains(entry.first); });
+    choose(now);
+}
+
+void LeadershipTracker::onPosition(const ServerName& server, OpTime position, TimePoint now) {
+    Claim& claim = _claims[server];
+    if (position.term <= claim.term) {
+        return;
+    }
+    claim.term = position.term;
+    _newestTerm = std::max(_newestTerm, position.term);
+    choose(now);
+}
+
+void LeadershipTracker::onReadOnly(const ServerName& server, TimePoint now) {
+    Claim& claim = _claims[server];
+    claim.refutedVersion = claim.version;
+    claim.refutedUntil = now + kRefutation;
+    choose(now);
+}
+
+void LeadershipTracker::onNotice(const PromotionNotice& notice, TimePoint now) {
+    if (notice.version < _notice.version) {
+        return;
+    }
+    const bool announced = notice.phase == PromotionPhase::Promoting &&
+                           (_notice.phase != notice.phase || _notice.term != notice.term ||
+                            _notice.successor != notice.successor);
+    _notice = notice;
+    if (announced) {
+        _announcedAt = now;
+        _confirmedAt.reset();
+    }
+    if (notice.phase != PromotionPhase::Preparing) {
+        _newestTerm = std::max(_newestTerm, notice.term);
+    }
+    choose(now);
+}
+
+void LeadershipTracker::confirm(const Primary& primary, TimePoint at) {
+    const bool same = _primary && _primary->server == primary.server;
+    if (same && (!_confirmedAt || *_confirmedAt < at)) {
+        _confirmedAt = at;
+    }
+}
+
+bool LeadershipTracker::isCertainFor(TimePoint arrivedAt) const {
+    return _primary && _confirmedAt && arrivedAt <= *_confirmedAt + kLeadershipLease;
+}
+
+bool LeadershipTracker::mayWrite(TimePoint now) const {
+    return _primary && now >= _writableFrom && _notice.phase != PromotionPhase::Preparing;
+}
+
+bool LeadershipTracker::isUsable(const ServerName& server, const Claim& claim,
+                                 TimePoint now) const {
+    const bool refuted = claim.version != 0 && claim.refutedVersion == claim.version &&
+                         now < claim.refutedUntil;
+    if (refuted || !claim.listed) {
+        return false;
+    }
+    const bool promoted = _notice.term > 0 && _notice.term >= _newestTerm;
+    if (promoted) {
+        const bool finished = _notice.phase != PromotionPhase::Promoting;
+        return server == _notice.successor && (claim.claims || finished);
+    }
+    return claim.claims && (claim.term == 0 || claim.term >= _newestTerm);
+}
+
+void LeadershipTracker::choose(TimePoint now) {
+    std::optional<Primary> best;
+    std::tuple<Term, std::uint64_t> bestRank;
+    for (const auto& [name, claim] : _claims) {
+        if (!isUsable(name, claim, now)) {
+            continue;
+        }
+        const std::tuple<Term, std::uint64_t> rank{claim.term, claim.version};
+        if (!best || rank > bestRank) {
+            best = Primary{name, claim.term};
+            bestRank = rank;
+        }
+    }
+    const bool sameServer = best && _primary && best->server == _primary->server;
+    if (!sameServer) {
+        _confirmedAt.reset();
+        const bool announced = best && _announcedAt && best->server == _notice.successor;
+        _writableFrom = (announced ? *_announcedAt : now) + kLeadershipLease;
+    }
+    _primary = best;
+}
+
+}  // namespace coralhoist::pooling
--- /dev/null
+++ b/src/pooling/PooledSession.h
@@ -0,0 +1,99 @@
+/** State of one caller's session and of the statement it waits for. */
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "base/Identifier.h"
+#include "base/OpTime.h"
+#include "base/Time.h"
+#include "pooling/ServiceCatalog.h"
+#include "pooling/Statement.h"
+
+namespace coralhoist::pooling {
+
+/** Values of a session by name. */
+using SessionValues = std::map<std::string, std::string>;
+
+/** A prepared name of a session. */
+struct PreparedShape {
+    ShapeKind kind = ShapeKind::Read;
+    std::string shape;
+    /** Name under which this process prepares the shape on servers. */
+    std::string serverName;
+};
+
+/** How far a session's transaction has come. */
+enum class TransactionPhase {
+    None,
+    Unstarted, /**< Opened by the caller, not yet at a server. */
+    Open,      /**< Open at a server, on a connection of its own. */
+    Failed,    /**< It will be rolled back; the caller has yet to end it. */
+};
+
+/** A transaction of a session. */
+struct SessionTransaction {
+    TransactionPhase phase = TransactionPhase::None;
+    Statement begin;
+    TimePoint arrivedAt{};
+    TimePoint lastActivity{};
+    /** A write has been sent in it. */
+    bool wrote = false;
+    /** The caller has been told that it failed. */
+    bool failureTold = false;
+    std::optional<ConnectionId> connection;
+};
+
+/** Where a statement is. */
+enum class OperationPhase {
+    Queued,   /**< Not sent; waits for a server. */
+    Beginning, /**< The transaction that it belongs to is being opened at a server. */
+    Sent,     /**< At a server. */
+};
+
+/** The statement that a session waits for. */
+struct Operation {
+    Statement statement;
+    OperationPhase phase = OperationPhase::Queued;
+    /** It may change data when it runs. */
+    bool writes = false;
+    TimePoint arrivedAt{};
+    /** First moment of the statement or of its transaction; consistency counts from here. */
+    TimePoint consistentSince{};
+    TimePoint deadline{};
+    /** Refused as not run when it has not been sent by then. */
+    TimePoint holdUntil{};
+    /** Not tried again before. */
+    TimePoint notBefore{};
+    TimePoint sentAt{};
+    std::uint32_t attempts = 0;
+    std::set<ServerName> avoided;
+    ConnectionId connection;
+    ServerName server;
+    /** Floor that the server had to have reached, for logs. */
+    OpTime floor;
+    /** Why it last did not run, for logs. */
+    const char* lastObstacle = "none";
+    std::uint64_t serial = 0;
+};
+
+/** One caller's session. */
+struct PooledSession {
+    SessionId id;
+    ServiceName service;
+    GroupName group;
+    settings::ServiceSettings settings;
+    SessionValues values;
+    std::map<std::string, PreparedShape> prepared;
+    /** Position of the log that has all commits of this session. */
+    OpTime ownFloor;
+    SessionTransaction transaction;
+    std::optional<Operation> operation;
+    /** When the last statement came or ended. */
+    TimePoint activeAt{};
+};
+
+}  // namespace coralhoist::pooling
--- /dev/null
+++ b/src/pooling/PoolerDispatch.cpp
@@ -0,0 +1,418 @@
+/** Choice of server and connection for statements that wait. */
+#include <algorithm>
+#include <utility>
+
+#include "base/Log.h"
+#include "pooling/StatementPooler.h"
+
+namespace coralhoist::pooling {
+namespace {
+
+constexpr std::uint32_t kPercent = 100;
+/** Cost added to a server that seems to have failed: taken only when there is no other. */
+constexpr Duration kSuspectCost = std::chrono::seconds(1);
+/** Time over which an unused estimate of latency fades to half. */
+constexpr Duration kLatencyFade = std::chrono::milliseconds(500);
+
+}  // namespace
+
+void StatementPooler::enqueue(PooledSession& session) {
+    GroupState& group = groupOf(session);
+    session.operation->phase = OperationPhase::Queued;
+    const bool urgent = session.settings.priority == settings::Priority::Urgent;
+    (urgent ? group.urgent : group.ordinary).push_back(session.id);
+    group.dirty = true;
+    wakeAt(session, session.operation->holdUntil);
+}
+
+void StatementPooler::dispatch(const GroupName& /*name*/, GroupState& group) {
+    dispatchQueue(group, group.urgent);
+    dispatchQueue(group, group.ordinary);
+}
+
+void StatementPooler::dispatchQueue(GroupState& group, std::vector<SessionId>& queue) {
+    std::vector<SessionId> waiting;
+    waiting.swap(queue);
+    for (const SessionId id : waiting) {
+        PooledSession* session = findSession(id);
+        const bool queued = session != nullptr && session->operation &&
+                            session->operation->phase == OperationPhase::Queued &&
+                            session->transaction.phase != TransactionPhase::Open;
+        if (queued && !place(group, *session)) {
+            queue.push_back(id);
+        }
+    }
+}
+
+/** @return whether the statement no longer waits. */
+bool StatementPooler::place(GroupState& group, PooledSession& session) {
+    Operation& operation = *session.operation;
+    if (_clock.now() < operation.notBefore) {
+        return false;
+    }
+    const Requirement requirement = requirementOf(group, session);
+    if (requirement.impossible) {
+        return false;
+    }
+    ServerState* server = chooseServer(group, session, requirement);
+    if (server == nullptr) {
+        return false;
+    }
+    ServerConnection* connection = takeIdle(*server, session);
+    if (connection == nullptr) {
+        operation.lastObstacle = "no_connection";
+        openConnection(*server);
+        return false;
+    }
+    start(group, *server, *connection, session, requirement);
+    return true;
+}
+
+StatementPooler::Requirement StatementPooler::requirementOf(GroupState& group,
+                                                            PooledSession& session) {
+    const bool opensTransaction = session.transaction.phase == TransactionPhase::Unstarted;
+    const bool mayChange =
+        session.operation->writes ||
+        (opensTransaction && session.transaction.begin.verb == StatementVerb::Begin);
+    if (mayChange || session.settings.readRouting == settings::ReadRouting::Primary) {
+        return primaryRequirement(group, session);
+    }
+    const Requirement read = readRequirement(group, session);
+    return read.impossible ? primaryRequirement(group, session) : read;
+}
+
+StatementPooler::Requirement StatementPooler::readRequirement(
+    GroupState& group, const PooledSession& session) const {
+    Requirement requirement;
+    const Duration staleness = session.settings.maxStaleness.value_or(Duration(0));
+    const std::optional<OpTime> floor =
+        group.floors.covering(session.operation->consistentSince - staleness);
+    if (!floor) {
+        requirement.impossible = true;
+        return requirement;
+    }
+    requirement.floor = std::max(*floor, session.ownFloor);
+    return requirement;
+}
+
+StatementPooler::Requirement StatementPooler::primaryRequirement(GroupState& group,
+                                                                 PooledSession& session) {
+    Requirement requirement;
+    requirement.primary = true;
+    Operation& operation = *session.operation;
+    const LeadershipTracker& leadership = group.leadership;
+    if (!leadership.primary()) {
+        operation.lastObstacle = "no_primary";
+        requirement.impossible = true;
+        return requirement;
+    }
+    const bool opensTransaction = session.transaction.phase == TransactionPhase::Unstarted;
+    const bool mayCommit =
+        operation.writes ||
+        (opensTransaction && session.transaction.begin.verb == StatementVerb::Begin);
+    const TimePoint now = _clock.now();
+    if (mayCommit && !leadership.mayWrite(now)) {
+        operation.lastObstacle = "promotion_settling";
+        wakeAt(session, leadership.writableFrom());
+        requirement.impossible = true;
+        return requirement;
+    }
+    const bool reads = opensTransaction || !operation.writes;
+    if (reads && !leadership.isCertainFor(operation.consistentSince)) {
+        operation.lastObstacle = "leadership_unproven";
+        ++_statistics.proofsWanted;
+        _output.wantLeadershipProof(session.group);
+        requirement.impossible = true;
+        return requirement;
+    }
+    if (session.ownFloor.term > 0 && !operation.writes) {
+        requirement.floor = session.ownFloor;
+    }
+    return requirement;
+}
+
+ServerState* StatementPooler::chooseServer(GroupState& group, const PooledSession& session,
+                                           const Requirement& requirement) {
+    ServerState* best = nullptr;
+    Duration bestCost{0};
+    bool anyCandidate = false;
+    for (auto& [name, server] : group.servers) {
+        if (!isCandidate(group, server, session, requirement)) {
+            continue;
+        }
+        anyCandidate = true;
+        if (!hasRoom(server, session)) {
+            continue;
+        }
+        const Duration cost = costOf(group, server, requirement);
+        if (best == nullptr || cost < bestCost) {
+            best = &server;
+            bestCost = cost;
+        }
+    }
+    Operation& operation = *findSession(session.id)->operation;
+    if (best == nullptr) {
+        operation.lastObstacle = anyCandidate ? "no_slot" : "no_server";
+    }
+    if (!anyCandidate && !operation.avoided.empty()) {
+        operation.avoided.clear();
+    }
+    return best;
+}
+
+bool StatementPooler::isCandidate(const GroupState& group, const ServerState& server,
+                                  const PooledSession& session,
+                                  const Requirement& requirement) const {
+    const ServerName& name = server.address.server;
+    if (requirement.primary) {
+        return server.ready && group.leadership.primary()->server == name;
+    }
+    if (!server.ready || session.operation->avoided.contains(name)) {
+        return false;
+    }
+    const TimePoint now = _clock.now();
+    if (server.unreachable && server.idle.empty() && now < server.nextConnect) {
+        return false;
+    }
+    const bool lacks = requirement.floor && now < server.lackedUntil &&
+                       server.position < *requirement.floor && server.lacked <= *requirement.floor;
+    return !lacks;
+}
+
+Duration StatementPooler::costOf(const GroupState& group, const ServerState& server,
+                                 const Requirement& requirement) const {
+    const TimePoint now = _clock.now();
+    Duration cost = server.latency;
+    if (now - server.latencyAt > kLatencyFade) {
+        cost /= 2;
+    }
+    cost += _knobs.inflightPenalty * server.inflight;
+    if (server.zone != _knobs.zone) {
+        cost += _knobs.otherZonePenalty;
+    }
+    const std::optional<Primary>& primary = group.leadership.primary();
+    if (!requirement.primary && primary && primary->server == server.address.server) {
+        cost += _knobs.primaryPenalty;
+    }
+    if (isSuspect(server)) {
+        cost += kSuspectCost;
+    }
+    return cost;
+}
+
+bool StatementPooler::hasRoom(const ServerState& server, const PooledSession& session) const {
+    const bool urgent = session.settings.priority == settings::Priority::Urgent;
+    const std::uint32_t limit =
+        std::max<std::uint32_t>(1, server.slots * _knobs.inflightPercentOfSlots / kPercent) +
+        (urgent ? 1 : 0);
+    return server.inflight < limit && (!server.idle.empty() || mayOpen(server));
+}
+
+bool StatementPooler::isSuspect(const ServerState& server) const {
+    const TimePoint now = _clock.now();
+    const bool silent = server.silentSince && now - *server.silentSince > _knobs.hedgeAfter;
+    return silent || (server.unreachable && server.idle.empty());
+}
+
+bool StatementPooler::mayOpen(const ServerState& server) const {
+    const TimePoint now = _clock.now();
+    const bool refused =
+        server.refusedAbove && now < server.refusedUntil && server.connections >= *server.refusedAbove;
+    return server.ready && !refused && now >= server.nextConnect &&
+           server.connections < _knobs.connectionsPerServer &&
+           server.opening < _knobs.concurrentConnects;
+}
+
+void StatementPooler::openConnection(ServerState& server) {
+    if (!mayOpen(server)) {
+        return;
+    }
+    ++server.opening;
+    ++server.connections;
+    ++_statistics.connectionsOpened;
+    const ConnectionId id = _connector.open(server.address, *this);
+    ServerConnection& connection = _connections[id];
+    connection.id = id;
+    connection.group = server.address.group;
+    connection.server = server.address.server;
+    connection.since = _clock.now();
+}
+
+/** Prefers a connection with the session's values in force, then one without any. */
+ServerConnection* StatementPooler::takeIdle(ServerState& server, const PooledSession& session) {
+    if (server.idle.empty()) {
+        return nullptr;
+    }
+    auto chosen = std::prev(server.idle.end());
+    for (auto candidate = server.idle.begin(); candidate != server.idle.end(); ++candidate) {
+        const SessionValues& values = findConnection(*candidate)->values;
+        if (values == session.values) {
+            chosen = candidate;
+            break;
+        }
+        if (values.empty()) {
+            chosen = candidate;
+        }
+    }
+    ServerConnection* connection = findConnection(*chosen);
+    server.idle.erase(chosen);
+    return connection;
+}
+
+void StatementPooler::start(GroupState& group, ServerState& server, ServerConnection& connection,
+                            PooledSession& session, const Requirement& requirement) {
+    Operation& operation = *session.operation;
+    connection.state = ServerConnection::State::Busy;
+    connection.user = session.id;
+    connection.inflight = true;
+    ++server.inflight;
+    operation.server = server.address.server;
+    operation.connection = connection.id;
+    operation.floor = requirement.floor.value_or(OpTime{});
+    const bool atPrimary = group.leadership.primary() &&
+                           group.leadership.primary()->server == server.address.server;
+    ++(atPrimary ? _statistics.primaryStatements : _statistics.replicaReads);
+    std::vector<ServerCommand> commands = alignValues(connection, session);
+    if (session.transaction.phase != TransactionPhase::Unstarted) {
+        sendStatement(connection, session, std::move(commands));
+        return;
+    }
+    // The statement follows once BEGIN has succeeded: it must not run outside the transaction.
+    operation.phase = OperationPhase::Beginning;
+    operation.sentAt = _clock.now();
+    ServerCommand begin;
+    begin.id = session.transaction.begin.id;
+    begin.text = session.transaction.begin.text;
+    if (operation.floor.term > 0) {
+        begin.after = operation.floor;
+    }
+    commands.push_back(std::move(begin));
+    connection.awaited.push_back(AwaitedResult::Begin);
+    if (!server.silentSince) {
+        server.silentSince = operation.sentAt;
+    }
+    _connector.send(connection.id, commands);
+    wakeAt(session, operation.deadline);
+}
+
+std::vector<ServerCommand> StatementPooler::alignValues(ServerConnection& connection,
+                                                        const PooledSession& session) {
+    std::vector<ServerCommand> commands;
+    const auto isForeign = [&session](const auto& value) {
+        return !session.values.contains(value.first);
+    };
+    const bool crowded = connection.prepared.size() > _knobs.preparedPerConnection;
+    if (!connection.pinned &&
+        (crowded || std::any_of(connection.values.begin(), connection.values.end(), isForeign))) {
+        ServerCommand reset;
+        reset.kind = ServerCommand::Kind::Reset;
+        commands.push_back(std::move(reset));
+        connection.values.clear();
+        connection.prepared.clear();
+    }
+    for (const auto& [name, value] : session.values) {
+        const auto found = connection.values.find(name);
+        if (found != connection.values.end() && found->second == value) {
+            continue;
+        }
+        ServerCommand set;
+        set.kind = ServerCommand::Kind::Set;
+        set.name = name;
+        set.argument = value;
+        commands.push_back(std::move(set));
+    }
+    connection.values = session.values;
+    connection.awaited.insert(connection.awaited.end(), commands.size(),
+                              AwaitedResult::Housekeeping);
+    return commands;
+}
+
+void StatementPooler::alignPrepared(ServerConnection& connection, const PooledSession& session,
+                                    std::vector<ServerCommand>& commands) {
+    const Statement& statement = session.operation->statement;
+    if (statement.verb != StatementVerb::Execute) {
+        return;
+    }
+    const PreparedShape& shape = session.prepared.at(statement.name);
+    if (!connection.prepared.insert(shape.serverName).second) {
+        return;
+    }
+    ServerCommand prepare;
+    prepare.kind = ServerCommand::Kind::Prepare;
+    prepare.name = shape.serverName;
+    prepare.argument = shape.shape;
+    prepare.shapeKind = shape.kind;
+    commands.push_back(std::move(prepare));
+    connection.awaited.push_back(AwaitedResult::Housekeeping);
+}
+
+ServerCommand StatementPooler::callerCommand(const PooledSession& session) const {
+    const Operation& operation = *session.operation;
+    ServerCommand command;
+    command.id = operation.statement.id;
+    command.text = operation.statement.text;
+    if (operation.statement.verb == StatementVerb::Execute) {
+        command.kind = ServerCommand::Kind::Execute;
+        command.name = session.prepared.at(operation.statement.name).serverName;
+        command.argument = operation.statement.argument;
+    }
+    const bool conditional =
+        session.transaction.phase == TransactionPhase::None && !operation.writes;
+    if (conditional && operation.floor.term > 0) {
+        command.after = operation.floor;
+    }
+    return command;
+}
+
+void StatementPooler::sendStatement(ServerConnection& connection, PooledSession& session,
+                                    std::vector<ServerCommand> commands) {
+    Operation& operation = *session.operation;
+    const TimePoint now = _clock.now();
+    alignPrepared(connection, session, commands);
+    commands.push_back(callerCommand(session));
+    connection.awaited.push_back(AwaitedResult::Statement);
+    operation.phase = OperationPhase::Sent;
+    operation.connection = connection.id;
+    operation.server = connection.server;
+    operation.sentAt = now;
+    ServerState* server = serverOf(connection);
+    if (server != nullptr && !server->silentSince) {
+        server->silentSince = now;
+    }
+    const bool commits =
+        session.transaction.phase == TransactionPhase::None
+            ? operation.writes
+            : operation.statement.verb == StatementVerb::Commit && session.transaction.wrote;
+    if (commits) {
+        groupOf(session).pendingWrites[connection.id] = now;
+    }
+    session.transaction.wrote = session.transaction.wrote || operation.writes;
+    _connector.send(connection.id, commands);
+    const bool mayHedge = session.transaction.phase == TransactionPhase::None && !operation.writes;
+    wakeAt(session, mayHedge ? now + _knobs.hedgeAfter : operation.deadline);
+}
+
+void StatementPooler::sendInTransaction(PooledSession& session) {
+    ServerConnection* connection = findConnection(*session.transaction.connection);
+    if (connection == nullptr) {
+        failTransaction(session);
+        replyError(session, StatementFault::Aborted, "the connection of the transaction was lost");
+        return;
+    }
+    if (ServerState* server = serverOf(*connection)) {
+        ++server->inflight;
+        connection->inflight = true;
+    }
+    sendStatement(*connection, session, alignValues(*connection, session));
+}
+
+/** One connection to each server stands ready, also to one that may become the primary. */
+void StatementPooler::keepWarm(GroupState& group) {
+    for (auto& [name, server] : group.servers) {
+        if (server.connections == 0) {
+            openConnection(server);
+        }
+    }
+}
+
+}  // namespace coralhoist::pooling
--- /dev/null
+++ b/src/pooling/PoolerKnobs.h
@@ -0,0 +1,45 @@
+/** Tuning constants of the pooler. */
+#pragma once
+
+#include <cstdint>
+
+#include "base/Identifier.h"
+#include "base/Time.h"
+
+namespace coralhoist::pooling {
+
+/** Defaults fit groups of servers with a few slots each; benchmarks argue for them. */
+struct PoolerKnobs {
+    /** Zone of this process. */
+    ZoneName zone;
+    /** Connections that this process holds to one server at most. */
+    std::uint32_t connectionsPerServer = 8;
+    /** Connections being opened to one server at a time. */
+    std::uint32_t concurrentConnects = 2;
+    /** Statements outside transactions in flight to a server for each of its slots, in percent. */
+    std::uint32_t inflightPercentOfSlots = 100;
+    /** Added to the cost of a server in another zone. */
+    Duration otherZonePenalty = std::chrono::milliseconds(30);
+    /** Added to the cost of the primary for reads that a replica may serve. */
+    Duration primaryPenalty = std::chrono::milliseconds(10);
+    /** Cost of each statement in flight from this process. */
+    Duration inflightPenalty = std::chrono::milliseconds(8);
+    /** A statement unanswered for so long, with no other answer either, makes a server suspect. */
+    Duration suspectAfter = std::chrono::milliseconds(400);
+    /** A read unanswered for so long is also sent to another server, at the least. */
+    Duration hedgeAfter = std::chrono::milliseconds(150);
+    /** Time a connection may take to open. */
+    Duration connectTimeout = std::chrono::milliseconds(600);
+    /** Pause before a server that refused a connection is tried again. */
+    Duration reconnectPause = std::chrono::milliseconds(200);
+    /** Pause before a statement that a server had no capacity for is tried again. */
+    Duration busyPause = std::chrono::milliseconds(15);
+    /** Share of the statement timeout for which an unsent statement is held, in percent. */
+    std::uint32_t holdPercent = 70;
+    /** Abandoned statements are waited for this long before their connection is closed. */
+    Duration abandonedFor = std::chrono::seconds(3);
+    /** Most prepared names on one server connection before it is reset. */
+    std::size_t preparedPerConnection = 400;
+};
+
+}  // namespace coralhoist::pooling
--- /dev/null
+++ b/src/pooling/PoolerResults.cpp
@@ -0,0 +1,482 @@
+/** What servers answer, and what follows from it. */
+#include <algorithm>
+#include <utility>
+
+#include "base/Log.h"
+#include "pooling/StatementPooler.h"
+
+namespace coralhoist::pooling {
+namespace {
+
+/** A statement is given up as not run after so many attempts. */
+constexpr std::uint32_t kMaximumAttempts = 12;
+/** A server that lacked a position is not asked for it again before. */
+constexpr Duration kLackingPause = std::chrono::milliseconds(60);
+/** How long the number of connections at which a server refused holds. */
+constexpr Duration kConnectionLimitPause = std::chrono::seconds(1);
+/** Weight of a new latency: one in so many. */
+constexpr int kLatencySmoothing = 6;
+
+bool isRetryable(StatementFault fault) {
+    switch (fault) {
+        case StatementFault::Busy:
+        case StatementFault::Lagging:
+        case StatementFault::ReadOnly:
+        case StatementFault::WrongServer:
+        case StatementFault::ConnectionLimit:
+        case StatementFault::UnknownName:
+            return true;
+        default:
+            return false;
+    }
+}
+
+}  // namespace
+
+void StatementPooler::onOpened(ConnectionId id, OpTime position) {
+    ServerConnection* connection = findConnection(id);
+    if (connection == nullptr) {
+        return;
+    }
+    connection->state = ServerConnection::State::Idle;
+    if (ServerState* server = serverOf(*connection)) {
+        --server->opening;
+        if (server->unreachable) {
+            LogEvent("pooling", LogLevel::Info, "server.regained").field("server", connection->server);
+        }
+        server->unreachable = false;
+        server->heardAt = _clock.now();
+        server->idle.push_back(id);
+    }
+    notePosition(*connection, position);
+    markDirty(connection->group);
+    settle();
+}
+
+void StatementPooler::onOpenFailed(ConnectionId id, const std::optional<StatementError>& refusal) {
+    ServerConnection* connection = findConnection(id);
+    if (connection == nullptr) {
+        return;
+    }
+    const TimePoint now = _clock.now();
+    if (ServerState* server = serverOf(*connection)) {
+        const bool full = refusal && refusal->fault == StatementFault::ConnectionLimit;
+        if (full) {
+            server->refusedAbove = server->connections - server->opening;
+            server->refusedUntil = now + kConnectionLimitPause;
+        } else if (!server->unreachable) {
+            server->unreachable = true;
+            LogEvent("pooling", LogLevel::Warning, "server.unreachable")
+                .field("group", connection->group)
+                .field("server", connection->server)
+                .field("refusal", refusal ? describe(refusal->fault) : "none");
+        }
+        server->nextConnect = now + _knobs.reconnectPause;
+    }
+    const GroupName group = connection->group;
+    forget(id);
+    markDirty(group);
+    settle();
+}
+
+void StatementPooler::onResult(ConnectionId id, StatementResult result) {
+    ServerConnection* connection = findConnection(id);
+    if (connection == nullptr) {
+        return;
+    }
+    if (connection->awaited.empty()) {
+        onLost(id);
+        _connector.close(id);
+        return;
+    }
+    const AwaitedResult awaited = connection->awaited.front();
+    connection->awaited.pop_front();
+    if (ServerState* server = serverOf(*connection)) {
+        server->heardAt = _clock.now();
+        server->silentSince.reset();
+        if (server->inflight > 1) {
+            server->silentSince = server->heardAt;
+        }
+    }
+    notePosition(*connection, result.position);
+    if (awaited == AwaitedResult::Housekeeping) {
+        connection->poisoned = connection->poisoned || !result.succeeded();
+        return;
+    }
+    _groups[connection->group].pendingWrites.erase(id);
+    PooledSession* session = connection->user ? findSession(*connection->user) : nullptr;
+    if (awaited == AwaitedResult::Rollback || session == nullptr) {
+        const bool usable = !connection->poisoned && result.state == SessionState::Idle;
+        if (usable) {
+            release(*connection, SessionState::Idle);
+        } else if (awaited == AwaitedResult::Rollback) {
+            discard(id);
+        } else {
+            sendRollback(*connection);
+        }
+    } else if (awaited == AwaitedResult::Begin) {
+        onBeginResult(*connection, *session, result);
+    } else {
+        onStatementResult(*connection, *session, std::move(result));
+    }
+    settle();
+}
+
+void StatementPooler::onBeginResult(ServerConnection& connection, PooledSession& session,
+                                    const StatementResult& result) {
+    if (connection.poisoned) {
+        discard(connection.id);
+        requeue(session, "connection_unusable");
+        return;
+    }
+    if (!result.succeeded()) {
+        noteFault(session, result.error->fault);
+        release(connection, result.state);
+        if (isRetryable(result.error->fault)) {
+            requeue(session, describe(result.error->fault));
+            return;
+        }
+        failTransaction(session);
+        replyError(session, StatementFault::Aborted, result.error->message);
+        return;
+    }
+    session.transaction.phase = TransactionPhase::Open;
+    session.transaction.connection = connection.id;
+    connection.pinned = true;
+    sendStatement(connection, session, {});
+}
+
+void StatementPooler::onStatementResult(ServerConnection& connection, PooledSession& session,
+                                        StatementResult result) {
+    const TimePoint now = _clock.now();
+    if (ServerState* server = serverOf(connection)) {
+        const Duration took = now - session.operation->sentAt;
+        server->latency += (took - server->latency) / kLatencySmoothing;
+        server->latencyAt = now;
+    }
+    const bool unsigned_ = result.succeeded() && result.signature.empty();
+    if (connection.poisoned || unsigned_) {
+        discard(connection.id);
+        onSentLost(session, "answers on the connection can't be told apart");
+        return;
+    }
+    if (result.succeeded()) {
+        onSucceeded(connection, session, std::move(result));
+    } else {
+        onRefused(connection, session, std::move(result));
+    }
+}
+
+void StatementPooler::onSucceeded(ServerConnection& connection, PooledSession& session,
+                                  StatementResult result) {
+    noteFreshness(session, result);
+    SessionTransaction& transaction = session.transaction;
+    const bool ends = transaction.phase != TransactionPhase::Open ||
+                      session.operation->statement.verb == StatementVerb::Commit;
+    if (ends) {
+        const SessionState state = result.state;
+        if (transaction.phase == TransactionPhase::Open) {
+            transaction = SessionTransaction{};
+            _openTransactions.erase(session.id);
+        }
+        release(connection, state);
+    } else if (ServerState* server = serverOf(connection); server && connection.inflight) {
+        connection.inflight = false;
+        --server->inflight;
+        markDirty(connection.group);
+    }
+    finishOperation(session, std::move(result));
+}
+
+/** What a success at the primary proves about its leadership and about the log. */
+void StatementPooler::noteFreshness(PooledSession& session, const StatementResult& result) {
+    GroupState& group = groupOf(session);
+    const Operation& operation = *session.operation;
+    const std::optional<Primary>& primary = group.leadership.primary();
+    const bool inTransaction = session.transaction.phase == TransactionPhase::Open;
+    const bool committed =
+        inTransaction ? operation.statement.verb == StatementVerb::Commit && session.transaction.wrote
+                      : operation.writes;
+    if (committed) {
+        session.ownFloor = std::max(session.ownFloor, result.position);
+    }
+    if (!primary || primary->server != operation.server || result.position.term == 0) {
+        return;
+    }
+    if (committed) {
+        // A replica took the commit after it was sent, so none had been kept from it before.
+        group.leadership.confirm(*primary, operation.sentAt);
+    }
+    if (group.leadership.isCertainFor(operation.sentAt)) {
+        group.floors.add(operation.sentAt, result.position);
+    }
+}
+
+void StatementPooler::onRefused(ServerConnection& connection, PooledSession& session,
+                                StatementResult result) {
+    noteFault(session, result.error->fault);
+    if (session.transaction.phase == TransactionPhase::Open) {
+        onTransactionRefused(connection, session, std::move(result));
+        return;
+    }
+    onSingleRefused(connection, session, std::move(result));
+}
+
+void StatementPooler::onSingleRefused(ServerConnection& connection, PooledSession& session,
+                                      StatementResult result) {
+    const StatementFault fault = result.error->fault;
+    if (fault == StatementFault::WrongServer || fault == StatementFault::UnknownName) {
+        discard(connection.id);
+    } else {
+        release(connection, result.state);
+    }
+    if (isRetryable(fault)) {
+        requeue(session, describe(fault));
+        return;
+    }
+    finishOperation(session, std::move(result));
+}
+
+void StatementPooler::onTransactionRefused(ServerConnection& connection, PooledSession& session,
+                                           StatementResult result) {
+    const StatementFault fault = result.error->fault;
+    Operation& operation = *session.operation;
+    const TimePoint now = _clock.now();
+    const bool stillOpen = result.state == SessionState::InTransaction;
+    if (fault == StatementFault::Busy && stillOpen && now + _knobs.busyPause < operation.deadline) {
+        operation.phase = OperationPhase::Queued;
+        operation.notBefore = now + _knobs.busyPause;
+        operation.lastObstacle = describe(fault);
+        ++operation.attempts;
+        if (ServerState* server = serverOf(connection); server && connection.inflight) {
+            connection.inflight = false;
+            --server->inflight;
+        }
+        wakeAt(session, operation.notBefore);
+        return;
+    }
+    const bool commit = operation.statement.verb == StatementVerb::Commit;
+    const bool wrote = session.transaction.wrote;
+    connection.user.reset();
+    sendRollback(connection);
+    if (!commit) {
+        failTransaction(session);
+        replyError(session, StatementFault::Aborted, result.error->message);
+        return;
+    }
+    session.transaction = SessionTransaction{};
+    _openTransactions.erase(session.id);
+    const bool nothingKept = provesNotRun(fault) || !wrote;
+    replyError(session, nothingKept ? StatementFault::Aborted : StatementFault::InDoubt,
+               result.error->message);
+}
+
+void StatementPooler::noteFault(PooledSession& session, StatementFault fault) {
+    GroupState& group = groupOf(session);
+    const Operation& operation = *session.operation;
+    const TimePoint now = _clock.now();
+    const auto server = group.servers.find(operation.server);
+    if (server == group.servers.end()) {
+        return;
+    }
+    switch (fault) {
+        case StatementFault::ReadOnly:
+            group.leadership.onReadOnly(operation.server, now);
+            break;
+        case StatementFault::Lagging:
+            ++_statistics.lagging;
+            server->second.lacked = operation.floor;
+            server->second.lackedUntil = now + kLackingPause;
+            break;
+        case StatementFault::WrongServer:
+            server->second.unreachable = true;
+            server->second.nextConnect = now + _knobs.reconnectPause;
+            break;
+        default:
+            break;
+    }
+}
+
+void StatementPooler::notePosition(const ServerConnection& connection, OpTime position) {
+    if (position.term == 0) {
+        return;
+    }
+    GroupState& group = _groups[connection.group];
+    const Term before = group.leadership.newestTerm();
+    group.leadership.onPosition(connection.server, position, _clock.now());
+    if (group.leadership.newestTerm() != before) {
+        LogEvent("pooling", LogLevel::Info, "term.seen")
+            .field("group", connection.group)
+            .field("server", connection.server)
+            .field("term", position.term);
+        markDirty(connection.group);
+    }
+    if (ServerState* server = serverOf(connection)) {
+        server->position = std::max(server->position, position);
+    }
+}
+
+/** The statement did not run, or only read: it is tried again while there is time. */
+void StatementPooler::requeue(PooledSession& session, const char* obstacle) {
+    Operation& operation = *session.operation;
+    const TimePoint now = _clock.now();
+    ++operation.attempts;
+    ++_statistics.retries;
+    operation.lastObstacle = obstacle;
+    operation.phase = OperationPhase::Queued;
+    if (now >= operation.holdUntil || operation.attempts >= kMaximumAttempts) {
+        if (session.transaction.phase != TransactionPhase::None) {
+            failTransaction(session);
+        }
+        replyError(session, StatementFault::Busy, "no server could take it");
+        return;
+    }
+    operation.avoided.insert(operation.server);
+    operation.notBefore = now + _knobs.busyPause * (operation.attempts - 1);
+    enqueue(session);
+    if (operation.notBefore > now) {
+        wakeAt(session, operation.notBefore);
+    }
+}
+
+/** The user is done with the connection. */
+void StatementPooler::release(ServerConnection& connection, SessionState state) {
+    ServerState* server = serverOf(connection);
+    if (server != nullptr && connection.inflight) {
+        --server->inflight;
+    }
+    connection.inflight = false;
+    connection.user.reset();
+    connection.pinned = false;
+    markDirty(connection.group);
+    if (state != SessionState::Idle) {
+        sendRollback(connection);
+        return;
+    }
+    if (server == nullptr || !server->ready || connection.poisoned) {
+        discard(connection.id);
+        return;
+    }
+    connection.state = ServerConnection::State::Idle;
+    connection.since = _clock.now();
+    server->idle.push_back(connection.id);
+}
+
+/** The user went away; what is unanswered is waited for and dropped. */
+void StatementPooler::abandon(ServerConnection& connection) {
+    connection.user.reset();
+    connection.since = _clock.now();
+    if (connection.awaited.empty()) {
+        sendRollback(connection);
+    }
+}
+
+void StatementPooler::sendRollback(ServerConnection& connection) {
+    ServerState* server = serverOf(connection);
+    if (server != nullptr && connection.inflight) {
+        --server->inflight;
+    }
+    connection.inflight = false;
+    connection.pinned = false;
+    connection.user.reset();
+    connection.since = _clock.now();
+    ServerCommand command;
+    command.kind = ServerCommand::Kind::Rollback;
+    connection.awaited.push_back(AwaitedResult::Rollback);
+    _connector.send(connection.id, {command});
+}
+
+void StatementPooler::discard(ConnectionId id) {
+    _connector.close(id);
+    forget(id);
+}
+
+void StatementPooler::forget(ConnectionId id) {
+    const auto found = _connections.find(id);
+    if (found == _connections.end()) {
+        return;
+    }
+    const ServerConnection& connection = found->second;
+    _groups[connection.group].pendingWrites.erase(id);
+    if (ServerState* server = serverOf(connection)) {
+        --server->connections;
+        server->opening -= connection.state == ServerConnection::State::Opening ? 1 : 0;
+        server->inflight -= connection.inflight ? 1 : 0;
+        std::erase(server->idle, id);
+        if (server->inflight == 0) {
+            server->silentSince.reset();
+        }
+    }
+    markDirty(connection.group);
+    _connections.erase(found);
+}
+
+void StatementPooler::failTransaction(PooledSession& session) {
+    SessionTransaction& transaction = session.transaction;
+    transaction.phase = TransactionPhase::Failed;
+    transaction.connection.reset();
+    transaction.failureTold = session.operation.has_value();
+}
+
+void StatementPooler::onLost(ConnectionId id) {
+    ServerConnection* connection = findConnection(id);
+    if (connection == nullptr) {
+        return;
+    }
+    ++_statistics.connectionsLost;
+    const std::optional<SessionId> user = connection->user;
+    LogEvent("pooling", LogLevel::Info, "connection.lost")
+        .field("group", connection->group)
+        .field("server", connection->server)
+        .field("busy", user.has_value());
+    forget(id);
+    PooledSession* session = user ? findSession(*user) : nullptr;
+    if (session != nullptr) {
+        onUserLost(*session, "the connection to the server broke");
+    }
+    settle();
+}
+
+void StatementPooler::onUserLost(PooledSession& session, const char* reason) {
+    if (!session.operation) {
+        failTransaction(session);
+        return;
+    }
+    switch (session.operation->phase) {
+        case OperationPhase::Beginning:
+            requeue(session, "connection_lost");
+            return;
+        case OperationPhase::Queued:
+            failTransaction(session);
+            replyError(session, StatementFault::Aborted, reason);
+            return;
+        case OperationPhase::Sent:
+            onSentLost(session, reason);
+            return;
+    }
+}
+
+/** A statement was sent and its answer will not come. */
+void StatementPooler::onSentLost(PooledSession& session, const char* reason) {
+    const Operation& operation = *session.operation;
+    SessionTransaction& transaction = session.transaction;
+    if (transaction.phase != TransactionPhase::Open) {
+        if (operation.writes) {
+            replyError(session, StatementFault::InDoubt, reason);
+        } else {
+            requeue(session, "answer_lost");
+        }
+        return;
+    }
+    if (operation.statement.verb != StatementVerb::Commit) {
+        failTransaction(session);
+        replyError(session, StatementFault::Aborted, reason);
+        return;
+    }
+    const bool wrote = transaction.wrote;
+    transaction = SessionTransaction{};
+    _openTransactions.erase(session.id);
+    replyError(session, wrote ? StatementFault::InDoubt : StatementFault::Aborted, reason);
+}
+
+}  // namespace coralhoist::pooling
--- /dev/null
+++ b/src/pooling/PoolerStatements.cpp
@@ -0,0 +1,235 @@
+/** What callers ask: statements that the pooler answers itself, and the start of the others. */
+#include <algorithm>
+#include <utility>
+
+#include "pooling/StatementPooler.h"
+
+namespace coralhoist::pooling {
+namespace {
+
+constexpr std::uint32_t kPercent = 100;
+
+}  // namespace
+
+void StatementPooler::submit(SessionId id, Statement statement) {
+    PooledSession* session = findSession(id);
+    if (session == nullptr || session->operation) {
+        return;
+    }
+    ++_statistics.statements;
+    session->activeAt = _clock.now();
+    session->transaction.lastActivity = session->activeAt;
+    const TransactionPhase phase = session->transaction.phase;
+    if (phase == TransactionPhase::Failed) {
+        endFailedTransaction(*session, statement);
+        settle();
+        return;
+    }
+    switch (statement.verb) {
+        case StatementVerb::Begin:
+        case StatementVerb::BeginReadOnly:
+            beginTransaction(*session, statement);
+            break;
+        case StatementVerb::Set:
+            setValue(*session, statement);
+            break;
+        case StatementVerb::Prepare:
+            prepareShape(*session, statement);
+            break;
+        case StatementVerb::Close:
+            closeShape(*session, statement);
+            break;
+        case StatementVerb::Rollback:
+            rollback(*session);
+            break;
+        case StatementVerb::Commit:
+            if (phase == TransactionPhase::None) {
+                replyError(*session, StatementFault::Malformed, "no transaction is open");
+                break;
+            }
+            startOperation(*session, std::move(statement));
+            break;
+        case StatementVerb::Execute:
+            if (!session->prepared.contains(statement.name)) {
+                replyError(*session, StatementFault::UnknownName,
+                           "no prepared statement of this name");
+                break;
+            }
+            startOperation(*session, std::move(statement));
+            break;
+        case StatementVerb::Read:
+        case StatementVerb::Write:
+            startOperation(*session, std::move(statement));
+            break;
+    }
+    settle();
+}
+
+/** A change of the service's settings binds from its sessions' next transaction on. */
+bool StatementPooler::refreshSettings(PooledSession& session) {
+    const CatalogEntry* entry = _catalog->find(session.service);
+    if (entry == nullptr) {
+        replyError(session, StatementFault::UnknownDatabase, "the service has been removed");
+        _closing.push_back(session.id);
+        return false;
+    }
+    if (entry->group != session.group) {
+        session.group = entry->group;
+        session.ownFloor = OpTime{};
+    }
+    session.settings = entry->settings;
+    return true;
+}
+
+void StatementPooler::beginTransaction(PooledSession& session, const Statement& statement) {
+    if (session.transaction.phase != TransactionPhase::None) {
+        replyError(session, StatementFault::Malformed, "a transaction is open already");
+        return;
+    }
+    if (!refreshSettings(session)) {
+        return;
+    }
+    const TimePoint now = _clock.now();
+    session.transaction = SessionTransaction{};
+    session.transaction.phase = TransactionPhase::Unstarted;
+    session.transaction.begin = statement;
+    session.transaction.arrivedAt = now;
+    session.transaction.lastActivity = now;
+    _openTransactions.insert(session.id);
+    replyCompleted(session);
+}
+
+void StatementPooler::setValue(PooledSession& session, const Statement& statement) {
+    session.values[statement.name] = statement.argument;
+    replyCompleted(session);
+}
+
+void StatementPooler::prepareShape(PooledSession& session, const Statement& statement) {
+    const bool writes = statement.shapeKind == ShapeKind::Write;
+    const std::string key = (writes ? "w " : "r ") + statement.argument;
+    auto [name, added] = _shapeNames.try_emplace(key);
+    if (added) {
+        name->second = "p" + std::to_string(_shapeNames.size());
+    }
+    session.prepared[statement.name] = {statement.shapeKind, statement.argument, name->second};
+    replyCompleted(session);
+}
+
+void StatementPooler::closeShape(PooledSession& session, const Statement& statement) {
+    session.prepared.erase(statement.name);
+    replyCompleted(session);
+}
+
+void StatementPooler::endFailedTransaction(PooledSession& session, const Statement& statement) {
+    SessionTransaction& transaction = session.transaction;
+    if (statement.verb == StatementVerb::Rollback || statement.verb == StatementVerb::Commit) {
+        transaction = SessionTransaction{};
+        _openTransactions.erase(session.id);
+        if (statement.verb == StatementVerb::Commit) {
+            replyError(session, StatementFault::Aborted, "the transaction had failed");
+            return;
+        }
+        replyCompleted(session);
+        return;
+    }
+    if (transaction.failureTold) {
+        replyError(session, StatementFault::Malformed, "the transaction has failed; end it");
+        return;
+    }
+    transaction.failureTold = true;
+    replyError(session, StatementFault::Aborted, "the transaction was rolled back");
+}
+
+void StatementPooler::rollback(PooledSession& session) {
+    ServerConnection* connection = session.transaction.connection
+                                       ? findConnection(*session.transaction.connection)
+                                       : nullptr;
+    session.transaction = SessionTransaction{};
+    _openTransactions.erase(session.id);
+    if (connection != nullptr) {
+        connection->user.reset();
+        sendRollback(*connection);
+    }
+    replyCompleted(session);
+}
+
+bool StatementPooler::isWrite(const PooledSession& session, const Statement& statement) const {
+    if (statement.verb != StatementVerb::Execute) {
+        return statement.verb == StatementVerb::Write;
+    }
+    return session.prepared.at(statement.name).kind == ShapeKind::Write;
+}
+
+void StatementPooler::startOperation(PooledSession& session, Statement statement) {
+    const bool inTransaction = session.transaction.phase != TransactionPhase::None;
+    if (!inTransaction && !refreshSettings(session)) {
+        return;
+    }
+    const TimePoint now = _clock.now();
+    const Duration timeout = session.settings.statementTimeout;
+    Operation operation;
+    operation.statement = std::move(statement);
+    operation.writes = isWrite(session, operation.statement);
+    operation.arrivedAt = now;
+    operation.consistentSince = inTransaction ? session.transaction.arrivedAt : now;
+    operation.deadline = now + timeout;
+    operation.holdUntil = now + timeout * _knobs.holdPercent / kPercent;
+    operation.serial = ++_lastSerial;
+    session.operation = std::move(operation);
+    if (session.transaction.phase == TransactionPhase::Open) {
+        sendInTransaction(session);
+        return;
+    }
+    enqueue(session);
+}
+
+SessionState StatementPooler::stateOf(const PooledSession& session) const {
+    switch (session.transaction.phase) {
+        case TransactionPhase::None:
+            return SessionState::Idle;
+        case TransactionPhase::Unstarted:
+        case TransactionPhase::Open:
+            return SessionState::InTransaction;
+        case TransactionPhase::Failed:
+            return SessionState::Failed;
+    }
+    return SessionState::Idle;
+}
+
+void StatementPooler::replyCompleted(const PooledSession& session) {
+    queueReply(session, StatementResult{});
+}
+
+void StatementPooler::replyError(PooledSession& session, StatementFault fault,
+                                 std::string message) {
+    StatementResult result;
+    result.error = StatementError{fault, std::move(message)};
+    if (session.operation) {
+        finishOperation(session, std::move(result));
+        return;
+    }
+    queueReply(session, std::move(result));
+}
+
+void StatementPooler::queueReply(const PooledSession& session, StatementResult result) {
+    result.state = stateOf(session);
+    _replies.push_back({session.id, std::move(result)});
+}
+
+void StatementPooler::finishOperation(PooledSession& session, StatementResult result) {
+    const TimePoint now = _clock.now();
+    if (result.error) {
+        const StatementFault fault = result.error->fault;
+        ++_statistics.refused;
+        _statistics.inDoubt += fault == StatementFault::InDoubt ? 1 : 0;
+        _statistics.aborted += fault == StatementFault::Aborted ? 1 : 0;
+        logFailure(session, fault, result.error->message);
+    }
+    _statistics.latency.add(now - session.operation->arrivedAt);
+    session.operation.reset();
+    session.activeAt = now;
+    session.transaction.lastActivity = now;
+    queueReply(session, std::move(result));
+}
+
+}  // namespace coralhoist::pooling
--- /dev/null
+++ b/src/pooling/PoolerStatistics.h
@@ -0,0 +1,55 @@
+/** Counters of the pooler, for metrics. */
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+#include "base/Time.h"
+
+namespace coralhoist::pooling {
+
+/** Counts of latencies in buckets of growing width. */
+class LatencyHistogram {
+public:
+    /** Upper bounds of the buckets in milliseconds; one more bucket is above the last. */
+    static constexpr std::array<std::uint32_t, 12> kBoundsMs{1,  2,   5,   10,  25,   50,
+                                                             100, 200, 400, 800, 1500, 3000};
+
+    void add(Duration latency) {
+        const auto milliseconds =
+            std::chrono::duration_cast<std::chrono::milliseconds>(latency).count();
+        std::size_t bucket = 0;
+        while (bucket < kBoundsMs.size() && milliseconds >= kBoundsMs[bucket]) {
+            ++bucket;
+        }
+        ++_counts[bucket];
+        _sum += latency;
+    }
+
+    const std::array<std::uint64_t, kBoundsMs.size() + 1>& counts() const { return _counts; }
+    Duration sum() const { return _sum; }
+
+private:
+    std::array<std::uint64_t, kBoundsMs.size() + 1> _counts{};
+    Duration _sum{0};
+};
+
+/** Grows only. */
+struct PoolerStatistics {
+    std::uint64_t statements = 0;
+    std::uint64_t replicaReads = 0;
+    std::uint64_t primaryStatements = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t inDoubt = 0;
+    std::uint64_t aborted = 0;
+    std::uint64_t retries = 0;
+    std::uint64_t hedges = 0;
+    std::uint64_t lagging = 0;
+    std::uint64_t connectionsOpened = 0;
+    std::uint64_t connectionsLost = 0;
+    std::uint64_t proofsWanted = 0;
+    LatencyHistogram latency;
+};
+
+}  // namespace coralhoist::pooling
--- /dev/null
+++ b/src/pooling/PoolerTimers.cpp
@@ -0,0 +1,197 @@
+/** Deadlines of statements, resting transactions, and signs of failed servers. */
+#include <algorithm>
+
+#include "base/Log.h"
+#include "pooling/StatementPooler.h"
+
+namespace coralhoist::pooling {
+namespace {
+
+/** Time between looks at servers and transactions. */
+constexpr Duration kRound = std::chrono::milliseconds(50);
+/** Samples of freshness older than this serve no read. */
+constexpr Duration kFloorRetention = std::chrono::seconds(10);
+/** A write unanswered for so long shows that the primary can't commit. */
+constexpr Duration kWritePatience = std::chrono::milliseconds(700);
+
+}  // namespace
+
+std::optional<TimePoint> StatementPooler::nextTick() const {
+    TimePoint next = _nextRound;
+    if (!_wakes.empty()) {
+        next = std::min(next, _wakes.top().at);
+    }
+    return next;
+}
+
+void StatementPooler::wakeAt(const PooledSession& session, TimePoint at) {
+    _wakes.push({at, session.id, session.operation ? session.operation->serial : 0});
+}
+
+void StatementPooler::onTick() {
+    const TimePoint now = _clock.now();
+    while (!_wakes.empty() && _wakes.top().at <= now) {
+        const Wake wake = _wakes.top();
+        _wakes.pop();
+        PooledSession* session = findSession(wake.session);
+        if (session != nullptr && session->operation &&
+            session->operation->serial == wake.serial) {
+            review(*session, now);
+        }
+    }
+    if (now >= _nextRound) {
+        _nextRound = now + kRound;
+        everyTick(now);
+    }
+    settle();
+}
+
+void StatementPooler::review(PooledSession& session, TimePoint now) {
+    switch (session.operation->phase) {
+        case OperationPhase::Queued:
+            reviewQueued(session, now);
+            return;
+        case OperationPhase::Beginning:
+        case OperationPhase::Sent:
+            reviewSent(session, now);
+            return;
+    }
+}
+
+void StatementPooler::reviewQueued(PooledSession& session, TimePoint now) {
+    Operation& operation = *session.operation;
+    const bool open = session.transaction.phase == TransactionPhase::Open;
+    if (open && now >= operation.notBefore) {
+        sendInTransaction(session);
+        return;
+    }
+    if (open || now < operation.holdUntil) {
+        markDirty(session.group);
+        return;
+    }
+    if (session.transaction.phase != TransactionPhase::None) {
+        failTransaction(session);
+    }
+    replyError(session, StatementFault::Busy, "no server could take it in time");
+}
+
+void StatementPooler::reviewSent(PooledSession& session, TimePoint now) {
+    Operation& operation = *session.operation;
+    ServerConnection* connection = findConnection(operation.connection);
+    const bool single = session.transaction.phase == TransactionPhase::None;
+    const bool readsOnly = single && !operation.writes;
+    if (now < operation.deadline) {
+        const ServerState* server = connection != nullptr ? serverOf(*connection) : nullptr;
+        const bool silent =
+            server == nullptr ||
+            (server->silentSince && now - *server->silentSince >= _knobs.hedgeAfter);
+        if (readsOnly && silent && operation.attempts == 0 && now < operation.holdUntil) {
+            ++_statistics.hedges;
+            if (connection != nullptr) {
+                abandon(*connection);
+            }
+            requeue(session, "server_silent");
+            return;
+        }
+        wakeAt(session, readsOnly && operation.attempts == 0
+                            ? std::min(operation.deadline, now + _knobs.hedgeAfter / 2)
+                            : operation.deadline);
+        return;
+    }
+    if (operation.phase == OperationPhase::Beginning) {
+        discard(operation.connection);
+        failTransaction(session);
+        replyError(session, StatementFault::Aborted, "the server did not open the transaction");
+        return;
+    }
+    if (readsOnly) {
+        if (connection != nullptr) {
+            abandon(*connection);
+        }
+        replyError(session, StatementFault::Timeout, "no answer within the statement timeout");
+        return;
+    }
+    discard(operation.connection);
+    onSentLost(session, "no answer within the statement timeout");
+}
+
+void StatementPooler::everyTick(TimePoint now) {
+    endRestingTransactions(now);
+    closeLateConnections(now);
+    for (auto& [name, group] : _groups) {
+        group.floors.dropBefore(now - kFloorRetention);
+        watchPrimary(name, group, now);
+        keepWarm(group);
+        if (!group.urgent.empty() || !group.ordinary.empty()) {
+            group.dirty = true;
+        }
+    }
+}
+
+void StatementPooler::endRestingTransactions(TimePoint now) {
+    std::vector<SessionId> resting;
+    for (const SessionId id : _openTransactions) {
+        const PooledSession& session = _sessions.at(id);
+        const Duration rest = now - session.transaction.lastActivity;
+        const bool open = session.transaction.phase == TransactionPhase::Open;
+        if (open && !session.operation && rest > session.settings.idleInTransactionTimeout) {
+            resting.push_back(id);
+        }
+    }
+    for (const SessionId id : resting) {
+        PooledSession& session = _sessions.at(id);
+        ServerConnection* connection = findConnection(*session.transaction.connection);
+        LogEvent("pooling.transaction", LogLevel::Info, "transaction.rested")
+            .field("request", session.transaction.begin.id)
+            .field("group", session.group);
+        failTransaction(session);
+        if (connection != nullptr) {
+            sendRollback(*connection);
+        }
+    }
+}
+
+void StatementPooler::watchPrimary(const GroupName& name, GroupState& group, TimePoint now) {
+    const std::optional<Primary> primary = group.leadership.primary();
+    if (!primary) {
+        return;
+    }
+    const ServerState& server = group.servers[primary->server];
+    if (server.unreachable && server.idle.empty()) {
+        _output.suspectPrimary(name, primary->server, SuspicionReason::Unreachable);
+        return;
+    }
+    if (server.silentSince && now - *server.silentSince > _knobs.suspectAfter) {
+        _output.suspectPrimary(name, primary->server, SuspicionReason::Silent);
+        return;
+    }
+    for (const auto& [connection, sentAt] : group.pendingWrites) {
+        if (now - sentAt > kWritePatience) {
+            _output.suspectPrimary(name, primary->server, SuspicionReason::WritesUnanswered);
+            return;
+        }
+    }
+}
+
+void StatementPooler::closeLateConnections(TimePoint now) {
+    std::vector<ConnectionId> late;
+    for (const auto& [id, connection] : _connections) {
+        const Duration age = now - connection.since;
+        const bool opening = connection.state == ServerConnection::State::Opening;
+        const bool abandoned =
+            connection.state == ServerConnection::State::Busy && !connection.user;
+        if ((opening && age > _knobs.connectTimeout) || (abandoned && age > _knobs.abandonedFor)) {
+            late.push_back(id);
+        }
+    }
+    for (const ConnectionId id : late) {
+        if (findConnection(id)->state == ServerConnection::State::Opening) {
+            _connector.close(id);
+            onOpenFailed(id, std::nullopt);
+            continue;
+        }
+        discard(id);
+    }
+}
+
+}  // namespace coralhoist::pooling
--- /dev/null
+++ b/src/pooling/ServerDirectory.h
@@ -0,0 +1,72 @@
+/** The servers of all groups as their own announcements in the platform's store tell. */
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/Identifier.h"
+#include "base/Time.h"
+#include "pooling/ServerLink.h"
+
+namespace coralhoist::pooling {
+
+/** What a server says it is. */
+enum class ServerRole { Primary, Replica };
+
+/** One server's announcement. */
+struct ServerAnnouncement {
+    ServerAddress address;
+    ZoneName zone;
+    std::uint32_t slots = 1;
+    bool draining = false;
+    ServerRole role = ServerRole::Replica;
+    /** Version of the announcement in the store; a later one is higher. */
+    std::uint64_t version = 0;
+
+    bool operator==(const ServerAnnouncement&) const = default;
+};
+
+/** A server and whether its announcement still stands. */
+struct ListedServer {
+    ServerAnnouncement announcement;
+    /** Whether the announcement has been removed; it is kept for a while. */
+    bool removed = false;
+    TimePoint removedAt{};
+};
+
+/**
+ * Announcements by server. Invariant: an announcement never replaces one of a higher version, so
+ * that late lists and events change nothing back.
+ */
+class ServerDirectory {
+public:
+    using Servers = std::map<ServerName, ListedServer>;
+
+    /** Takes one announcement. @return whether anything changed. */
+    bool put(const ServerAnnouncement& announcement);
+
+    /** An announcement of this or a lower version was removed. @return whether it was known. */
+    bool remove(const ServerName& server, std::uint64_t version, TimePoint now);
+
+    /**
+     * Takes a whole list of the store.
+     * @param version of the list: what it lacks and is older was removed.
+     */
+    void replaceAll(const std::vector<ServerAnnouncement>& announcements, std::uint64_t version,
+                    TimePoint now);
+
+    /** Forgets servers removed for longer than the retention. */
+    void expire(TimePoint now, Duration retention);
+
+    /** @return the servers of a group, removed ones included; empty for an unknown group. */
+    const Servers& serversOf(const GroupName& group) const;
+
+    const std::map<GroupName, Servers>& groups() const { return _groups; }
+
+private:
+    std::map<GroupName, Servers> _groups;
+};
+
+}  // namespace coralhoist::pooling
--- /dev/null
+++ b/src/pooling/ServerState.h
@@ -0,0 +1,76 @@
+/** What the pooler knows of one server and of its connections to it. */
+#pragma once
+
+#include <deque>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "pooling/PooledSession.h"
+#include "pooling/ServerDirectory.h"
+
+namespace coralhoist::pooling {
+
+/** What the next result on a connection answers. */
+enum class AwaitedResult {
+    Housekeeping, /**< A command of the proxy that prepares for a caller's statement. */
+    Rollback,
+    Begin,
+    Statement,
+};
+
+/** One connection to a server. */
+struct ServerConnection {
+    enum class State { Opening, Idle, Busy };
+    ConnectionId id;
+    GroupName group;
+    ServerName server;
+    State state = State::Opening;
+    SessionValues values;
+    std::set<std::string> prepared;
+    std::deque<AwaitedResult> awaited;
+    /** Session whose statement or transaction occupies it; none when abandoned. */
+    std::optional<SessionId> user;
+    /** Holds an open transaction. */
+    bool pinned = false;
+    /** A command of the proxy failed: no later result on it can be trusted. */
+    bool poisoned = false;
+    /** Counts as a statement in flight. */
+    bool inflight = false;
+    TimePoint since{};
+};
+
+/** One server of a group. */
+struct ServerState {
+    ServerAddress address;
+    ZoneName zone;
+    std::uint32_t slots = 1;
+    /** It takes new work. */
+    bool ready = false;
+    /** Idle connections, the one used last at the end. */
+    std::vector<ConnectionId> idle;
+    std::uint32_t connections = 0;
+    std::uint32_t opening = 0;
+    std::uint32_t inflight = 0;
+    /** Smoothed time from sending a statement to its result. */
+    Duration latency = std::chrono::milliseconds(15);
+    TimePoint latencyAt{};
+    /** Last sign of life. */
+    TimePoint heardAt{};
+    /** Oldest moment since which a statement is unanswered; reset by every answer. */
+    std::optional<TimePoint> silentSince;
+    TimePoint nextConnect{};
+    /** The last attempt to connect failed. */
+    bool unreachable = false;
+    /** Connections that the server has room for, as its last refusal showed. */
+    std::optional<std::uint32_t> refusedAbove;
+    TimePoint refusedUntil{};
+    /** Highest position that its log has shown. */
+    OpTime position;
+    /** It lacked this position a moment ago. */
+    OpTime lacked;
+    TimePoint lackedUntil{};
+};
+
+}  // namespace coralhoist::pooling
--- /dev/null
+++ b/src/pooling/Statement.cpp
@@ -0,0 +1,44 @@
+#include "pooling/Statement.h"
+
+namespace coralhoist::pooling {
+
+const char* describe(StatementFault fault) {
+    switch (fault) {
+        case StatementFault::Busy:
+            return "busy";
+        case StatementFault::Aborted:
+            return "aborted";
+        case StatementFault::Lagging:
+            return "lagging";
+        case StatementFault::ReadOnly:
+            return "read_only";
+        case StatementFault::WrongServer:
+            return "wrong_server";
+        case StatementFault::ConnectionLimit:
+            return "connection_limit";
+        case StatementFault::Failed:
+            return "failed";
+        case StatementFault::UnknownName:
+            return "unknown_name";
+        case StatementFault::Timeout:
+            return "timeout";
+        case StatementFault::Unauthorized:
+            return "unauthorized";
+        case StatementFault::UnknownDatabase:
+            return "unknown_database";
+        case StatementFault::TooLarge:
+            return "too_large";
+        case StatementFault::Malformed:
+            return "malformed";
+        case StatementFault::InDoubt:
+            return "in_doubt";
+    }
+    return "unknown";
+}
+
+bool provesNotRun(StatementFault fault) {
+    return fault != StatementFault::Failed && fault != StatementFault::Timeout &&
+           fault != StatementFault::InDoubt;
+}
+
+}  // namespace coralhoist::pooling
--- /dev/null
+++ b/src/pooling/StatementPooler.cpp
@@ -0,0 +1,222 @@
+#include "pooling/StatementPooler.h"
+
+#include <utility>
+
+#include "base/Log.h"
+
+namespace coralhoist::pooling {
+
+const char* describe(SuspicionReason reason) {
+    switch (reason) {
+        case SuspicionReason::Silent:
+            return "silent";
+        case SuspicionReason::Unreachable:
+            return "unreachable";
+        case SuspicionReason::WritesUnanswered:
+            return "writes_unanswered";
+    }
+    return "unknown";
+}
+
+StatementPooler::StatementPooler(const Clock& clock, ServerConnector& connector,
+                                 PoolerOutput& output, PoolerKnobs knobs)
+    : _clock(clock),
+      _connector(connector),
+      _output(output),
+      _knobs(std::move(knobs)),
+      _catalog(std::make_shared<ServiceCatalog>()) {}
+
+void StatementPooler::applyCatalog(std::shared_ptr<const ServiceCatalog> catalog) {
+    _catalog = std::move(catalog);
+    settle();
+}
+
+void StatementPooler::applyDirectory(const ServerDirectory& directory) {
+    const TimePoint now = _clock.now();
+    for (const auto& [name, listed] : directory.groups()) {
+        GroupState& group = _groups[name];
+        group.leadership.onDirectory(listed, now);
+        for (const auto& [serverName, entry] : listed) {
+            ServerState& server = group.servers[serverName];
+            if (!(server.address == entry.announcement.address)) {
+                server.unreachable = false;
+                server.nextConnect = now;
+            }
+            server.address = entry.announcement.address;
+            server.zone = entry.announcement.zone;
+            server.slots = std::max<std::uint32_t>(1, entry.announcement.slots);
+            server.ready = !entry.removed && !entry.announcement.draining;
+        }
+        for (auto& [serverName, server] : group.servers) {
+            server.ready = server.ready && listed.contains(serverName);
+            while (!server.ready && !server.idle.empty()) {
+                discard(server.idle.back());
+            }
+        }
+        group.dirty = true;
+    }
+    settle();
+}
+
+void StatementPooler::applyNotice(const GroupName& group, const PromotionNotice& notice) {
+    GroupState& state = _groups[group];
+    state.leadership.onNotice(notice, _clock.now());
+    state.dirty = true;
+    settle();
+}
+
+void StatementPooler::confirmLeadership(const GroupName& group, TimePoint askedAt) {
+    GroupState& state = _groups[group];
+    if (const std::optional<Primary>& primary = state.leadership.primary()) {
+        state.leadership.confirm(*primary, askedAt);
+        state.dirty = true;
+        settle();
+    }
+}
+
+bool StatementPooler::hasService(const ServiceName& service) const {
+    return _catalog->find(service) != nullptr;
+}
+
+SessionId StatementPooler::openSession(const ServiceName& service) {
+    const CatalogEntry* entry = _catalog->find(service);
+    const SessionId id(++_lastSession);
+    PooledSession& session = _sessions[id];
+    session.id = id;
+    session.service = service;
+    session.activeAt = _clock.now();
+    if (entry != nullptr) {
+        session.group = entry->group;
+        session.settings = entry->settings;
+    }
+    return id;
+}
+
+void StatementPooler::endSession(SessionId id) {
+    PooledSession* session = findSession(id);
+    if (session == nullptr) {
+        return;
+    }
+    std::optional<ConnectionId> connection = session->transaction.connection;
+    if (session->operation && session->operation->phase != OperationPhase::Queued) {
+        connection = session->operation->connection;
+    }
+    _openTransactions.erase(id);
+    _sessions.erase(id);
+    if (ServerConnection* used = connection ? findConnection(*connection) : nullptr) {
+        abandon(*used);
+    }
+    settle();
+}
+
+SessionState StatementPooler::stateOfSession(SessionId id) const {
+    const auto found = _sessions.find(id);
+    return found == _sessions.end() ? SessionState::Idle : stateOf(found->second);
+}
+
+void StatementPooler::closeIdleSessions(Duration idleFor) {
+    const TimePoint now = _clock.now();
+    for (const auto& [id, session] : _sessions) {
+        const bool busy =
+            session.operation || session.transaction.phase != TransactionPhase::None;
+        if (!busy && now - session.activeAt >= idleFor) {
+            _closing.push_back(id);
+        }
+    }
+    settle();
+}
+
+std::optional<Primary> StatementPooler::primaryOf(const GroupName& group) const {
+    const auto found = _groups.find(group);
+    return found == _groups.end() ? std::nullopt : found->second.leadership.primary();
+}
+
+void StatementPooler::settle() {
+    if (_settling) {
+        return;
+    }
+    _settling = true;
+    bool again = true;
+    while (again) {
+        again = false;
+        for (auto& [name, group] : _groups) {
+            if (group.dirty) {
+                group.dirty = false;
+                dispatch(name, group);
+            }
+        }
+        if (!_replies.empty() || !_closing.empty()) {
+            flushReplies();
+            again = true;
+        }
+    }
+    _settling = false;
+}
+
+/** Callers may submit their next statement from within a reply. */
+void StatementPooler::flushReplies() {
+    std::vector<PendingReply> replies;
+    replies.swap(_replies);
+    for (PendingReply& pending : replies) {
+        _output.reply(pending.session, std::move(pending.result));
+    }
+    std::vector<SessionId> closing;
+    closing.swap(_closing);
+    for (const SessionId id : closing) {
+        if (_sessions.contains(id)) {
+            _output.closeSession(id);
+        }
+    }
+}
+
+void StatementPooler::markDirty(const GroupName& group) {
+    _groups[group].dirty = true;
+}
+
+ServerState* StatementPooler::serverOf(const ServerConnection& connection) {
+    const auto group = _groups.find(connection.group);
+    if (group == _groups.end()) {
+        return nullptr;
+    }
+    const auto server = group->second.servers.find(connection.server);
+    return server == group->second.servers.end() ? nullptr : &server->second;
+}
+
+PooledSession* StatementPooler::findSession(SessionId id) {
+    const auto found = _sessions.find(id);
+    return found == _sessions.end() ? nullptr : &found->second;
+}
+
+ServerConnection* StatementPooler::findConnection(ConnectionId id) {
+    const auto found = _connections.find(id);
+    return found == _connections.end() ? nullptr : &found->second;
+}
+
+void StatementPooler::logFailure(const PooledSession& session, StatementFault fault,
+                                 const std::string& message) {
+    if (!session.operation) {
+        return;
+    }
+    const Operation& operation = *session.operation;
+    const TimePoint now = _clock.now();
+    const GroupState& group = _groups[session.group];
+    const std::optional<Primary>& primary = group.leadership.primary();
+    LogEvent(session.transaction.phase == TransactionPhase::None ? "pooling" : "pooling.transaction",
+             LogLevel::Warning, "request.failed")
+        .field("request", operation.statement.id)
+        .field("service", session.service)
+        .field("group", session.group)
+        .field("fault", describe(fault))
+        .field("why", message)
+        .field("obstacle", operation.lastObstacle)
+        .field("server", operation.server)
+        .field("attempts", operation.attempts)
+        .field("age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                             now - operation.arrivedAt)
+                             .count())
+        .field("primary", primary ? primary->server.value() : std::string("none"))
+        .field("term", group.leadership.newestTerm())
+        .field("settings_version", _catalog->version);
+}
+
+}  // namespace coralhoist::pooling
--- /dev/null
+++ b/src/pooling/StatementPooler.h
@@ -0,0 +1,261 @@
+/**
+ * Runs the statements of many callers' sessions over few connections to the servers of replicated
+ * groups, and keeps each session's view consistent.
+ */
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "base/Time.h"
+#include "pooling/FreshnessFloors.h"
+#include "pooling/LeadershipTracker.h"
+#include "pooling/PooledSession.h"
+#include "pooling/PoolerKnobs.h"
+#include "pooling/PoolerStatistics.h"
+#include "pooling/ServerDirectory.h"
+#include "pooling/ServerLink.h"
+#include "pooling/ServerState.h"
+#include "pooling/ServiceCatalog.h"
+#include "pooling/Statement.h"
+
+namespace coralhoist::pooling {
+
+/** Why a server is taken for failed. */
+enum class SuspicionReason { Silent, Unreachable, WritesUnanswered };
+
+/** @return a word for logs. */
+const char* describe(SuspicionReason reason);
+
+/** Where the pooler's decisions go. */
+class PoolerOutput {
+public:
+    virtual ~PoolerOutput() = default;
+
+    /** The session's statement has ended. Exactly one call for each submit. */
+    virtual void reply(SessionId session, StatementResult result) = 0;
+
+    /** The session is to be closed: its service is gone or the process stops. */
+    virtual void closeSession(SessionId session) = 0;
+
+    /** Reads wait for proof that the group's primary still leads; asked again until it comes. */
+    virtual void wantLeadershipProof(const GroupName& group) = 0;
+
+    /** A primary shows signs of failure. Called often while it does. */
+    virtual void suspectPrimary(const GroupName& group, const ServerName& server,
+                                SuspicionReason reason) = 0;
+};
+
+/**
+ * The pooler of one process. Single-threaded, no method blocks.
+ *
+ * Invariants: each submit gets exactly one reply; a statement runs only on a connection with
+ * exactly the session's values; a transaction keeps one connection from its first statement to its
+ * end; a write or COMMIT is sent at most once; a refusal that promises "not run" is given only
+ * before a write was sent or after the server itself said so.
+ */
+class StatementPooler final : public ServerEvents {
+public:
+    /** References outlive the pooler. */
+    StatementPooler(const Clock& clock, ServerConnector& connector, PoolerOutput& output,
+                    PoolerKnobs knobs);
+
+    /** Replaces services and groups. */
+    void applyCatalog(std::shared_ptr<const ServiceCatalog> catalog);
+
+    /** Takes the current announcements of all servers. */
+    void applyDirectory(const ServerDirectory& directory);
+
+    /** Takes the store's record of a group's promotions. */
+    void applyNotice(const GroupName& group, const PromotionNotice& notice);
+
+    /** The store showed no promotion under way for the group at a moment not before askedAt. */
+    void confirmLeadership(const GroupName& group, TimePoint askedAt);
+
+    /** @return whether there is such a service. */
+    bool hasService(const ServiceName& service) const;
+
+    /** Opens a session of a service that exists. */
+    SessionId openSession(const ServiceName& service);
+
+    /** Runs a statement of a session that waits for none. */
+    void submit(SessionId session, Statement statement);
+
+    /** The caller is gone: its transaction is rolled back; no reply follows. */
+    void endSession(SessionId session);
+
+    /** @return the transaction state of a session; Idle when there is none. */
+    SessionState stateOfSession(SessionId session) const;
+
+    /** Closes sessions outside transactions that have been idle for the time given. */
+    void closeIdleSessions(Duration idleFor);
+
+    std::size_t sessionCount() const { return _sessions.size(); }
+
+    void onOpened(ConnectionId connection, OpTime position) override;
+    void onOpenFailed(ConnectionId connection,
+                      const std::optional<StatementError>& refusal) override;
+    void onResult(ConnectionId connection, StatementResult result) override;
+    void onLost(ConnectionId connection) override;
+
+    /** Handles everything that is due. */
+    void onTick();
+
+    /** @return when onTick must be called next. */
+    std::optional<TimePoint> nextTick() const;
+
+    /** @return the primary of a group as taken now. */
+    std::optional<Primary> primaryOf(const GroupName& group) const;
+
+    const PoolerStatistics& statistics() const { return _statistics; }
+
+private:
+    /** Statements that wait for a server of a group, by class. */
+    struct GroupState {
+        LeadershipTracker leadership;
+        FreshnessFloors floors;
+        std::map<ServerName, ServerState> servers;
+        std::vector<SessionId> urgent;
+        std::vector<SessionId> ordinary;
+        bool dirty = false;
+        /** Oldest write that the primary has not answered. */
+        std::unordered_map<ConnectionId, TimePoint> pendingWrites;
+    };
+    /** A moment at which a session's statement must be looked at. */
+    struct Wake {
+        TimePoint at;
+        SessionId session;
+        std::uint64_t serial = 0;
+        bool operator>(const Wake& other) const { return at > other.at; }
+    };
+    /** What a queued statement needs of a server. */
+    struct Requirement {
+        bool primary = false;
+        std::optional<OpTime> floor;
+        /** Nothing can serve it now. */
+        bool impossible = false;
+    };
+    struct PendingReply {
+        SessionId session;
+        StatementResult result;
+    };
+
+    // PoolerStatements.cpp: what callers ask.
+    void beginTransaction(PooledSession& session, const Statement& statement);
+    void setValue(PooledSession& session, const Statement& statement);
+    void prepareShape(PooledSession& session, const Statement& statement);
+    void closeShape(PooledSession& session, const Statement& statement);
+    void endFailedTransaction(PooledSession& session, const Statement& statement);
+    void rollback(PooledSession& session);
+    void startOperation(PooledSession& session, Statement statement);
+    bool refreshSettings(PooledSession& session);
+    bool isWrite(const PooledSession& session, const Statement& statement) const;
+    void replyCompleted(const PooledSession& session);
+    void replyError(PooledSession& session, StatementFault fault, std::string message);
+    void queueReply(const PooledSession& session, StatementResult result);
+    void finishOperation(PooledSession& session, StatementResult result);
+    SessionState stateOf(const PooledSession& session) const;
+
+    // PoolerDispatch.cpp: choice of server and connection.
+    void enqueue(PooledSession& session);
+    void dispatch(const GroupName& name, GroupState& group);
+    void dispatchQueue(GroupState& group, std::vector<SessionId>& queue);
+    bool place(GroupState& group, PooledSession& session);
+    Requirement requirementOf(GroupState& group, PooledSession& session);
+    Requirement readRequirement(GroupState& group, const PooledSession& session) const;
+    Requirement primaryRequirement(GroupState& group, PooledSession& session);
+    ServerState* chooseServer(GroupState& group, const PooledSession& session,
+                              const Requirement& requirement);
+    bool isCandidate(const GroupState& group, const ServerState& server,
+                     const PooledSession& session, const Requirement& requirement) const;
+    Duration costOf(const GroupState& group, const ServerState& server,
+                    const Requirement& requirement) const;
+    bool hasRoom(const ServerState& server, const PooledSession& session) const;
+    bool isSuspect(const ServerState& server) const;
+    bool mayOpen(const ServerState& server) const;
+    void openConnection(ServerState& server);
+    ServerConnection* takeIdle(ServerState& server, const PooledSession& session);
+    void start(GroupState& group, ServerState& server, ServerConnection& connection,
+               PooledSession& session, const Requirement& requirement);
+    void sendStatement(ServerConnection& connection, PooledSession& session,
+                       std::vector<ServerCommand> commands);
+    void sendInTransaction(PooledSession& session);
+    std::vector<ServerCommand> alignValues(ServerConnection& connection,
+                                           const PooledSession& session);
+    void alignPrepared(ServerConnection& connection, const PooledSession& session,
+                       std::vector<ServerCommand>& commands);
+    ServerCommand callerCommand(const PooledSession& session) const;
+    void keepWarm(GroupState& group);
+
+    // PoolerResults.cpp: what servers answer.
+    void onBeginResult(ServerConnection& connection, PooledSession& session,
+                       const StatementResult& result);
+    void onStatementResult(ServerConnection& connection, PooledSession& session,
+                           StatementResult result);
+    void onSucceeded(ServerConnection& connection, PooledSession& session, StatementResult result);
+    void onRefused(ServerConnection& connection, PooledSession& session, StatementResult result);
+    void onSingleRefused(ServerConnection& connection, PooledSession& session,
+                         StatementResult result);
+    void onTransactionRefused(ServerConnection& connection, PooledSession& session,
+                              StatementResult result);
+    void noteFault(PooledSession& session, StatementFault fault);
+    void notePosition(const ServerConnection& connection, OpTime position);
+    void noteFreshness(PooledSession& session, const StatementResult& result);
+    void requeue(PooledSession& session, const char* obstacle);
+    void release(ServerConnection& connection, SessionState state);
+    void abandon(ServerConnection& connection);
+    void discard(ConnectionId connection);
+    void forget(ConnectionId connection);
+    void failTransaction(PooledSession& session);
+    void onUserLost(PooledSession& session, const char* reason);
+    void onSentLost(PooledSession& session, const char* reason);
+    void sendRollback(ServerConnection& connection);
+
+    // PoolerTimers.cpp
+    void wakeAt(const PooledSession& session, TimePoint at);
+    void review(PooledSession& session, TimePoint now);
+    void reviewQueued(PooledSession& session, TimePoint now);
+    void reviewSent(PooledSession& session, TimePoint now);
+    void everyTick(TimePoint now);
+    void endRestingTransactions(TimePoint now);
+    void watchPrimary(const GroupName& name, GroupState& group, TimePoint now);
+    void closeLateConnections(TimePoint now);
+
+    void settle();
+    void flushReplies();
+    void markDirty(const GroupName& group);
+    void logFailure(const PooledSession& session, StatementFault fault,
+                    const std::string& message);
+    GroupState& groupOf(const PooledSession& session) { return _groups[session.group]; }
+    ServerState* serverOf(const ServerConnection& connection);
+    PooledSession* findSession(SessionId id);
+    ServerConnection* findConnection(ConnectionId id);
+
+    const Clock& _clock;
+    ServerConnector& _connector;
+    PoolerOutput& _output;
+    PoolerKnobs _knobs;
+    std::shared_ptr<const ServiceCatalog> _catalog;
+    std::map<GroupName, GroupState> _groups;
+    std::unordered_map<SessionId, PooledSession> _sessions;
+    std::unordered_map<ConnectionId, ServerConnection> _connections;
+    std::unordered_map<std::string, std::string> _shapeNames;
+    std::priority_queue<Wake, std::vector<Wake>, std::greater<>> _wakes;
+    std::vector<PendingReply> _replies;
+    std::vector<SessionId> _closing;
+    std::unordered_set<SessionId> _openTransactions;
+    PoolerStatistics _statistics;
+    TimePoint _nextRound{};
+    std::uint64_t _lastSession = 0;
+    std::uint64_t _lastSerial = 0;
+    bool _settling = false;
+};
+
+}  // namespace coralhoist::pooling
--- a/src/program/Daemon.h
+++ b/src/program/Daemon.h
@@ -9,7 +9,7 @@
 #include "base/Status.h"
 #include "duty/CallerChannel.h"
 #include "duty/CallerDuty.h"
-#include "duty/DutyThread.h"
+#include "duty/event/DutyThread.h"
 #include "duty/ExecutorChannel.h"
 #include "duty/MetricsBoard.h"
 #include "duty/NodeDuty.h"
--- a/src/program/DaemonConfiguration.cpp
+++ b/src/program/DaemonConfiguration.cpp
@@ -16,6 +16,7 @@
 
 constexpr std::int64_t kMaximumPort = 65535;
 constexpr std::int64_t kMaximumCallerConnections = 1000000;
+constexpr std::int64_t kMaximumPoolConnections = 10000;
 constexpr std::int64_t kMinimumMessageBytes = 1024;
 constexpr std::int64_t kMaximumMessageBytes = std::int64_t{1} << 30;
 constexpr std::int64_t kMaximumMilliseconds = 3'600'000;
@@ -152,6 +153,20 @@
     return Status::ok();
 }
 
+/** For a member that holds one IP:PORT. */
+KeyDescription endpointKey(std::string key, std::string meaning,
+                           std::optional<SeedAddress> DaemonConfiguration::*member) {
+    return textKey(std::move(key), std::move(meaning),
+                   [member](DaemonConfiguration& configuration, const std::string& text) {
+                       StatusWith<SeedAddress> endpoint = parseSeed(text);
+                       if (!endpoint.isOk()) {
+                           return endpoint.status();
+                       }
+                       configuration.*member = std::move(endpoint).value();
+                       return Status::ok();
+                   });
+}
+
 Setter millisecondsSetter(std::chrono::milliseconds DaemonConfiguration::*member) {
     return [member](DaemonConfiguration& configuration, const ParsedValue& value) {
         configuration.*member = std::chrono::milliseconds(value.integer);
@@ -193,6 +208,17 @@
                               &DaemonConfiguration::metricsPort));
     keys.push_back(
         textKey("platform.url", "base address of the platform's object API", setPlatformUrl));
+    keys.push_back(endpointKey("pool.listen", "IP:PORT on which pooled sessions are served",
+                               &DaemonConfiguration::poolListen));
+    keys.push_back(integerKey("pool.connections_per_server", 1, kMaximumPoolConnections,
+                              "connections of this proxy to one server of a pooled group",
+                              &DaemonConfiguration::poolConnectionsPerServer));
+    keys.push_back(endpointKey("readiness.listen",
+                               "IP:PORT on which HTTP is asked whether this proxy takes callers",
+                               &DaemonConfiguration::readinessListen));
+    keys.push_back(endpointKey("promotion.address",
+                               "IP:PORT at which the promotion of a server is called",
+                               &DaemonConfiguration::promotionAddress));
     keys.push_back(textKey("log.level", "trace, debug, info, warning or error", setLogLevel));
     return keys;
 }
--- a/src/program/DaemonConfiguration.h
+++ b/src/program/DaemonConfiguration.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -46,6 +47,15 @@
     /** Base address of the platform's object API, e.g. http://127.0.0.1:9400. */
     std::string platformUrl;
     std::vector<SeedAddress> seeds;
+
+    /** Where pooled sessions are served; nothing where only PostgreSQL is spoken. */
+    std::optional<SeedAddress> poolListen;
+    /** Where it is asked over HTTP whether this proxy takes callers. */
+    std::optional<SeedAddress> readinessListen;
+    /** Base address at which a server's promotion is called. */
+    std::optional<SeedAddress> promotionAddress;
+    /** Connections of this proxy to one server of a pooled group at most. */
+    std::uint32_t poolConnectionsPerServer = 5;
     LogLevel logLevel = LogLevel::Info;
 };
 
--- a/src/program/coralhoistd.cpp
+++ b/src/program/coralhoistd.cpp
@@ -42,7 +42,9 @@
     }
     std::printf("%s\n", daemon.listeningReport().c_str());
     std::fflush(stdout);
-    coralhoist::program::SignalWatch signals([&daemon] { daemon.drain(); });
+    coralhoist::program::SignalWatch signals(
+        [&daemon] { daemon.drain(); },
+        [] { LogEvent("daemon", LogLevel::Info, "daemon.reload_ignored"); });
     const int exitCode = QCoreApplication::exec();
     daemon.stop();
     return exitCode;
--- a/src/settings/EffectiveSettings.h
+++ b/src/settings/EffectiveSettings.h
@@ -87,6 +87,8 @@
     std::optional<Duration> maxStaleness;
     /** Time from arrival until a statement is refused or its outcome is declared unknown. */
     Duration statementTimeout = std::chrono::seconds(10);
+    /** Time within which an answer is worth most to the service. */
+    Duration latencyObjective = std::chrono::seconds(1);
     /** Longest time without a statement inside a transaction. */
     Duration idleInTransactionTimeout = std::chrono::seconds(10);
     /** Longest duration of a transaction. */
--- a/src/settings/KeyTable.cpp
+++ b/src/settings/KeyTable.cpp
@@ -258,6 +258,10 @@
         "timeout.statement", seconds(10), milliseconds(1), hours(24),
         "Time from the arrival of a statement until it is refused as not run, or until its outcome"
         " is declared unknown if it was sent."));
+    keys.push_back(makeServiceDuration<&ServiceSettings::latencyObjective>(
+        "service.latency_objective", seconds(1), milliseconds(1), hours(24),
+        "Time within which an answer is worth most to the service. How long a statement is held"
+        " before it is refused follows from it."));
     keys.push_back(makeServiceDuration<&ServiceSettings::idleInTransactionTimeout>(
         "timeout.idle_in_transaction", seconds(10), milliseconds(1), hours(24),
         "Longest time without a statement inside a transaction; then it is rolled back."));
