--- a/src/failover/GroupFailover.cpp
+++ b/src/failover/GroupFailover.cpp
@@ -1,6 +1,7 @@
 #include "failover/GroupFailover.h"
 
 #include <algorithm>
+#include <sstream>
 #include <utility>
 
 #include "base/Log.h"
@@ -540,6 +541,23 @@
     return best;
 }
 
+/** @return what each member has told, for logs: name, role, position, pause. */
+std::string GroupFailover::describeMembers() const {
+    std::ostringstream text;
+    for (const auto& [name, member] : _links) {
+        text << (text.tellp() > 0 ? ";" : "") << name << ':';
+        if (!member->report()) {
+            text << "silent";
+            continue;
+        }
+        const ServerReport& report = member->report()->report;
+        text << (report.primary ? "primary" : "replica") << ',' << report.term << ','
+             << report.received.term << '.' << report.received.position << ",held="
+             << report.heldTerm;
+    }
+    return text.str();
+}
+
 void GroupFailover::announce(TimePoint /*now*/) {
     _successorTerm = nextTerm();
     PromotionRecord record = _record;
@@ -552,7 +570,8 @@
         .field("term", _successorTerm)
         .field("former", _former ? _former->value() : std::string("none"))
         .field("former_position", _formerPosition ? _formerPosition->position : 0)
-        .field("secured_by", _formerPosition ? "step_down" : "paused_receivers");
+        .field("secured_by", _formerPosition ? "step_down" : "paused_receivers")
+        .field("members", describeMembers());
     enter(Phase::Announcing);
     save(record, &GroupFailover::onAnnounced);
 }
--- a/src/failover/GroupFailover.h
+++ b/src/failover/GroupFailover.h
@@ -116,6 +116,7 @@
     bool heardAllSince(TimePoint since, TimePoint now);
     std::optional<ServerName> mostAdvanced() const;
     Term nextTerm() const;
+    std::string describeMembers() const;
     void announce(TimePoint now);
     void call(TimePoint now);
     void onCalled(PromoteOutcome outcome);
