Keep commits of earlier terms through a second promotion, and holders from taking turns

Cause: (1) a primary that had been promoted a moment before was suspected because of writes that its predecessor had never answered; it stepped down, and a replica that lacked commits of the earlier term became primary: what was acknowledged in a term is on a receiver of that term only, which says nothing of earlier terms. (2) Two nodes promoted in turn within three seconds. Ruled out: a wrong choice in the first promotion (positions logged), a late promotion call. Change: the record keeps the successor's position when it was chosen (base); a server without it is never promoted, and the former primary is promoted again when no other has all commits. Writes of an earlier primary raise no suspicion. After a promotion only its holder promotes for 3.3 s. A leaving primary is stopped once a successor has nearly caught up. Reports older than 0.4 s don't count.

--- /dev/null
+++ b/lab/pooled/PooledJudge.cpp
@@ -0,0 +1,97 @@
+#include "lab/pooled/PooledJudge.h"
+
+#include <algorithm>
+
+namespace coralhoist::pooled {
+namespace {
+
+/** Holders must not take turns within this time. */
+constexpr Duration kHolderTime = std::chrono::milliseconds(3000);
+/** A log that lacks an old commit lacks the later ones too: so many of the last are looked at. */
+constexpr std::size_t kLooksBack = 400;
+
+}  // namespace
+
+void PooledJudge::onAcknowledged(CommitId commit, std::uint64_t session, TimePoint now) {
+    _acknowledged[commit] = {session, now};
+    _order.push_back(commit);
+    if (_byReplaced.contains(commit)) {
+        fail("ONE: commit " + std::to_string(commit) + " of a replaced primary was acknowledged");
+    }
+}
+
+void PooledJudge::onCommitted(const LogPlace& place) {
+    if (!_commits.emplace(place.commit, place).second) {
+        fail("TWICE: commit " + std::to_string(place.commit) + " took effect twice");
+    }
+}
+
+void PooledJudge::onReadRan(const ReadRun& read,
+                            const std::function<bool(const LogPlace&)>& isVisible) {
+    ++_reads;
+    const std::size_t first = _order.size() > kLooksBack ? _order.size() - kLooksBack : 0;
+    for (std::size_t index = first; index < _order.size(); ++index) {
+        const auto found = _acknowledged.find(_order[index]);
+        if (found == _acknowledged.end()) {
+            continue;
+        }
+        const auto& [commit, acknowledgement] = *found;
+        const bool own = acknowledgement.session == read.session;
+        const bool strict = read.promise == ReadPromise::Current ||
+                            (own && read.promise == ReadPromise::OwnAndBounded);
+        const TimePoint bound = strict ? read.since : read.since - read.staleness;
+        if (acknowledgement.at < bound && !isVisible(_commits.at(commit))) {
+            fail("STALE: a read of session " + std::to_string(read.session) + " misses commit " +
+                 std::to_string(commit));
+        }
+    }
+}
+
+void PooledJudge::onPromoted(const std::set<CommitId>& commits, TimePoint /*now*/) {
+    for (auto it = _acknowledged.begin(); it != _acknowledged.end();) {
+        if (commits.contains(it->first)) {
+            ++it;
+            continue;
+        }
+        fail("LOST: commit " + std::to_string(it->first) + " isn't in the promoted log");
+        it = _acknowledged.erase(it);
+    }
+}
+
+void PooledJudge::onPromoteCalled(const GroupName& group, const std::string& holder,
+                                  std::uint64_t fence, TimePoint now) {
+    std::vector<Call>& calls = _calls[group];
+    for (const Call& call : calls) {
+        if (call.fence > fence) {
+            fail("ONE: fence " + std::to_string(fence) + " after " + std::to_string(call.fence));
+        }
+        if (call.fence == fence && call.holder != holder) {
+            fail("ONE: two holders used fence " + std::to_string(fence));
+        }
+    }
+    const auto other = std::find_if(calls.rbegin(), calls.rend(),
+                                    [&holder](const Call& call) { return call.holder != holder; });
+    const bool inTurn =
+        other != calls.rend() && std::any_of(other, calls.rend(), [&](const Call& call) {
+            return call.holder == holder && now - call.at < kHolderTime;
+        });
+    if (inTurn) {
+        fail("ONE: holders took turns within the time of a lease");
+    }
+    calls.push_back({holder, fence, now});
+}
+
+void PooledJudge::onEnd(const std::set<CommitId>& commits) {
+    for (const CommitId commit : _promisedNothing) {
+        if (commits.contains(commit)) {
+            fail("REFUSED: commit " + std::to_string(commit) + " was kept against the promise");
+        }
+    }
+    for (const auto& [commit, acknowledgement] : _acknowledged) {
+        if (!commits.contains(commit)) {
+            fail("LOST: commit " + std::to_string(commit) + " is gone at the end");
+        }
+    }
+}
+
+}  // namespace coralhoist::pooled
--- /dev/null
+++ b/lab/pooled/PooledNode.cpp
@@ -0,0 +1,294 @@
+#include "lab/pooled/PooledNode.h"
+
+#include <sstream>
+#include <utility>
+
+namespace coralhoist::pooled {
+namespace {
+
+using pooling::SessionState;
+using pooling::Statement;
+using pooling::StatementFault;
+using pooling::StatementResult;
+using pooling::StatementVerb;
+using std::chrono::milliseconds;
+
+constexpr Duration kStaleness = milliseconds(600);
+constexpr Duration kStatementTimeout = milliseconds(800);
+constexpr Duration kFollowEvery = milliseconds(10);
+constexpr Duration kStoreDelay = milliseconds(4);
+
+std::optional<failover::ServerReport> parseReport(const std::string& row) {
+    std::istringstream text(row);
+    std::string role;
+    failover::ServerReport report;
+    text >> role >> report.term >> report.received.term >> report.received.position >>
+        report.heldTerm;
+    report.primary = role == "primary";
+    return text.fail() ? std::nullopt : std::optional<failover::ServerReport>(report);
+}
+
+Statement makeStatement(PooledWorld& world, StatementVerb verb, const char* text) {
+    Statement statement;
+    statement.id = std::to_string(++world.lastRequest);
+    statement.verb = verb;
+    statement.text = text;
+    return statement;
+}
+
+bool isPromise(StatementFault fault) {
+    return pooling::provesNotRun(fault);
+}
+
+std::map<GroupName, LogGroup*> groupsByName(const std::vector<LogGroup*>& groups) {
+    std::map<GroupName, LogGroup*> result;
+    for (LogGroup* group : groups) {
+        result[group->name()] = group;
+    }
+    return result;
+}
+
+}  // namespace
+
+std::shared_ptr<const pooling::ServiceCatalog> makeWorkloadCatalog(
+    const std::vector<LogGroup*>& groups) {
+    auto catalog = std::make_shared<pooling::ServiceCatalog>();
+    catalog->version = 1;
+    for (const LogGroup* group : groups) {
+        const std::string prefix = group->name().value();
+        settings::ServiceSettings service;
+        service.statementTimeout = kStatementTimeout;
+        service.idleInTransactionTimeout = milliseconds(1000);
+        service.priority = settings::Priority::Urgent;
+        catalog->services[ServiceName(prefix + ".current")] = {group->name(), service};
+        service.priority = settings::Priority::Ordinary;
+        service.readRouting = settings::ReadRouting::Replica;
+        service.maxStaleness = kStaleness;
+        catalog->services[ServiceName(prefix + ".bounded")] = {group->name(), service};
+        catalog->services[ServiceName(prefix + ".own")] = {group->name(), service};
+        catalog->groups[group->name()] = settings::GroupSettings{};
+    }
+    return catalog;
+}
+
+PooledNode::PooledNode(PooledWorld& world, std::string name, std::size_t sessionsPerService)
+    : _world(world),
+      _name(std::move(name)),
+      _activity(std::make_shared<NodeActivity>()),
+      _connector(world.queue, world.random, world.judge, world.book, groupsByName(world.groups),
+                 _activity),
+      _storeClient(world.store, _activity, _name),
+      _parser(parseReport),
+      _pooler(world.queue, _connector, *this, pooling::PoolerKnobs{}) {
+    _pooler.applyCatalog(world.catalog);
+    for (LogGroup* group : world.groups) {
+        _failovers[group->name()] = std::make_unique<failover::GroupFailover>(
+            group->name(),
+            failover::FailoverDependencies{world.queue, world.random, _connector, _storeClient,
+                                           _storeClient, _parser,
+                                           _name + "/" + std::to_string(world.random.next()), _name});
+    }
+    openCallers(sessionsPerService);
+}
+
+PooledNode::~PooledNode() {
+    _activity->end();
+}
+
+void PooledNode::setStoreCut(bool cut) {
+    _storeCut = cut;
+    _storeClient.setCut(cut);
+}
+
+void PooledNode::openCallers(std::size_t sessionsPerService) {
+    for (const auto& [service, entry] : _world.catalog->services) {
+        for (std::size_t index = 0; index < sessionsPerService; ++index) {
+            Caller caller;
+            caller.session = _pooler.openSession(service);
+            caller.number = ++_world.lastSession;
+            caller.service = service;
+            const std::string& name = service.value();
+            const bool current = name.ends_with(".current");
+            caller.promise = current                      ? ReadPromise::Current
+                             : name.ends_with(".bounded") ? ReadPromise::Bounded
+                                                          : ReadPromise::OwnAndBounded;
+            caller.staleness = current ? Duration(0) : kStaleness;
+            caller.nextAt = _world.queue.now() + milliseconds(_world.random.below(60));
+            _callers[caller.session] = caller;
+        }
+    }
+}
+
+void PooledNode::step() {
+    _activity->run([] {});
+    if (_activity->isFrozen() || _activity->hasEnded()) {
+        return;
+    }
+    const TimePoint now = _world.queue.now();
+    _connector.step();
+    follow();
+    if (const auto next = _pooler.nextTick(); next && *next <= now) {
+        _pooler.onTick();
+    }
+    for (const auto& [group, failover] : _failovers) {
+        failover->onPrimary(_pooler.primaryOf(group));
+        if (failover->nextTick() <= now) {
+            failover->onTick(now);
+        }
+        std::uint64_t& told = _toldVersions[group];
+        if (failover->record().version > told) {
+            told = failover->record().version;
+            _pooler.applyNotice(group, failover->record().notice());
+        }
+    }
+    prove();
+    for (auto& [session, caller] : _callers) {
+        if (now >= caller.nextAt) {
+            startOperation(caller);
+        }
+    }
+}
+
+/** What the watches of the store bring. */
+void PooledNode::follow() {
+    const TimePoint now = _world.queue.now();
+    if (now < _nextFollow || _storeCut || _world.store.faults().down) {
+        return;
+    }
+    _nextFollow = now + kFollowEvery;
+    std::vector<pooling::ServerAnnouncement> announcements;
+    std::vector<failover::PromotionRecord> records;
+    for (const LogGroup* group : _world.groups) {
+        for (const pooling::ServerAnnouncement& announcement : group->announcements()) {
+            announcements.push_back(announcement);
+        }
+        records.push_back(_world.store.record(group->name()));
+    }
+    _world.queue.after(kStoreDelay, [this, announcements, records, activity = _activity] {
+        activity->run([this, announcements, records] {
+            bool changed = false;
+            for (const pooling::ServerAnnouncement& announcement : announcements) {
+                changed |= _directory.put(announcement);
+            }
+            for (std::size_t index = 0; index < records.size(); ++index) {
+                const GroupName& group = _world.groups[index]->name();
+                _failovers[group]->onRecord(records[index]);
+            }
+            if (!changed) {
+                return;
+            }
+            for (const auto& [group, servers] : _directory.groups()) {
+                _failovers[group]->onDirectory(servers);
+            }
+            _pooler.applyDirectory(_directory);
+        });
+    });
+}
+
+void PooledNode::wantLeadershipProof(const GroupName& group) {
+    _unproven.insert(group);
+}
+
+void PooledNode::prove() {
+    for (const GroupName& group : _unproven) {
+        if (!_proving.insert(group).second) {
+            continue;
+        }
+        const TimePoint askedAt = _world.queue.now();
+        _storeClient.load(group, [this, group, askedAt](const failover::LoadedRecord& loaded) {
+            _proving.erase(group);
+            if (loaded.outcome != failover::StoreOutcome::Done) {
+                return;
+            }
+            _unproven.erase(group);
+            _failovers[group]->onRecord(loaded.record);
+            _pooler.applyNotice(group, _failovers[group]->record().notice());
+            if (loaded.record.phase == pooling::PromotionPhase::None) {
+                _pooler.confirmLeadership(group, askedAt);
+            }
+        });
+    }
+}
+
+void PooledNode::suspectPrimary(const GroupName& group, const ServerName& server,
+                                pooling::SuspicionReason reason) {
+    _failovers[group]->onSuspicion(server, reason);
+}
+
+void PooledNode::startOperation(Caller& caller) {
+    PooledWorld& world = _world;
+    caller.nextAt = TimePoint::max();
+    caller.since = world.queue.now();
+    caller.remaining.clear();
+    const std::uint64_t kind = world.random.below(10);
+    caller.writes = kind < 3 || kind == 8;
+    caller.commit = caller.writes ? ++world.lastCommit : 0;
+    caller.inTransaction = kind >= 7;
+    if (kind >= 7) {
+        const bool readOnly = kind == 9;
+        caller.remaining.push_back(makeStatement(
+            world, readOnly ? StatementVerb::BeginReadOnly : StatementVerb::Begin,
+            readOnly ? "BEGIN READ" : "BEGIN"));
+        caller.remaining.push_back(makeStatement(world, StatementVerb::Read, "READ"));
+        if (caller.writes) {
+            caller.remaining.push_back(makeStatement(world, StatementVerb::Write, "WRITE"));
+        }
+        caller.remaining.push_back(makeStatement(world, StatementVerb::Commit, "COMMIT"));
+    } else {
+        caller.remaining.push_back(
+            caller.writes ? makeStatement(world, StatementVerb::Write, "WRITE")
+                          : makeStatement(world, StatementVerb::Read, "READ"));
+    }
+    for (const Statement& statement : caller.remaining) {
+        world.book[statement.id] = {caller.number, caller.promise, caller.staleness, caller.since,
+                                    caller.commit};
+    }
+    sendNext(caller);
+}
+
+void PooledNode::sendNext(Caller& caller) {
+    const Statement statement = caller.remaining.front();
+    caller.remaining.erase(caller.remaining.begin());
+    caller.lastText = statement.text;
+    _pooler.submit(caller.session, statement);
+}
+
+void PooledNode::endOperation(Caller& caller) {
+    caller.nextAt = _world.queue.now() + milliseconds(5 + _world.random.below(50));
+}
+
+void PooledNode::reply(SessionId session, StatementResult result) {
+    Caller& caller = _callers.at(session);
+    if (caller.lastText == "ROLLBACK") {
+        endOperation(caller);
+        return;
+    }
+    if (result.succeeded() && !caller.remaining.empty()) {
+        sendNext(caller);
+        return;
+    }
+    judge(caller, result);
+    if (result.state != SessionState::Idle) {
+        caller.remaining.clear();
+        caller.remaining.push_back(makeStatement(_world, StatementVerb::Rollback, "ROLLBACK"));
+        sendNext(caller);
+        return;
+    }
+    endOperation(caller);
+}
+
+void PooledNode::judge(Caller& caller, const StatementResult& result) {
+    if (caller.commit == 0) {
+        return;
+    }
+    if (result.succeeded()) {
+        ++_acknowledged;
+        _world.judge.onAcknowledged(caller.commit, caller.number, _world.queue.now());
+    } else if (isPromise(result.error->fault)) {
+        _world.judge.onPromisedNothing(caller.commit);
+    }
+}
+
+void PooledNode::closeSession(SessionId /*session*/) {}
+
+}  // namespace coralhoist::pooled
--- /dev/null
+++ b/lab/pooled/PooledNode.h
@@ -0,0 +1,105 @@
+/** One simulated node: the real pooler and failovers, and callers' sessions on it. */
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "failover/GroupFailover.h"
+#include "lab/pooled/LogConnector.h"
+#include "lab/pooled/LogGroup.h"
+#include "lab/pooled/PooledJudge.h"
+#include "lab/pooled/RecordStore.h"
+#include "pooling/StatementPooler.h"
+
+namespace coralhoist::pooled {
+
+/** What all nodes of a run share. All outlive the nodes. */
+struct PooledWorld {
+    simulation::EventQueue& queue;
+    SeededRandom& random;
+    PooledJudge& judge;
+    RequestBook& book;
+    RecordStore& store;
+    std::vector<LogGroup*> groups;
+    std::shared_ptr<const pooling::ServiceCatalog> catalog;
+    std::uint64_t lastCommit = 0;
+    std::uint64_t lastRequest = 0;
+    std::uint64_t lastSession = 0;
+};
+
+/** @return the services of a group: current, bounded and own reads. */
+std::shared_ptr<const pooling::ServiceCatalog> makeWorkloadCatalog(
+    const std::vector<LogGroup*>& groups);
+
+/** A node from its start to its end. */
+class PooledNode final : public pooling::PoolerOutput {
+public:
+    PooledNode(PooledWorld& world, std::string name, std::size_t sessionsPerService);
+    ~PooledNode() override;
+
+    /** Called every few milliseconds. */
+    void step();
+
+    /** Ends the node; what is on its way to it is dropped. */
+    void end() { _activity->end(); }
+    void freeze() { _activity->freeze(); }
+    void thaw() { _activity->thaw(); }
+    /** Cuts the node off from the store. */
+    void setStoreCut(bool cut);
+    LogConnector& connector() { return _connector; }
+    std::uint64_t acknowledged() const { return _acknowledged; }
+
+private:
+    /** What a session does. */
+    struct Caller {
+        SessionId session;
+        std::uint64_t number = 0;
+        ServiceName service;
+        ReadPromise promise = ReadPromise::Current;
+        Duration staleness{0};
+        TimePoint nextAt{};
+        /** Statements of the running operation that are still to be sent. */
+        std::vector<pooling::Statement> remaining;
+        bool inTransaction = false;
+        bool writes = false;
+        CommitId commit = 0;
+        TimePoint since{};
+        std::string lastText;
+    };
+
+    void reply(SessionId session, pooling::StatementResult result) override;
+    void closeSession(SessionId session) override;
+    void wantLeadershipProof(const GroupName& group) override;
+    void suspectPrimary(const GroupName& group, const ServerName& server,
+                        pooling::SuspicionReason reason) override;
+
+    void openCallers(std::size_t sessionsPerService);
+    void follow();
+    void prove();
+    void startOperation(Caller& caller);
+    void sendNext(Caller& caller);
+    void endOperation(Caller& caller);
+    void judge(Caller& caller, const pooling::StatementResult& result);
+
+    PooledWorld& _world;
+    std::string _name;
+    std::shared_ptr<NodeActivity> _activity;
+    LogConnector _connector;
+    StoreClient _storeClient;
+    bool _storeCut = false;
+    failover::ReportParser _parser;
+    pooling::ServerDirectory _directory;
+    pooling::StatementPooler _pooler;
+    std::map<GroupName, std::unique_ptr<failover::GroupFailover>> _failovers;
+    std::map<GroupName, std::uint64_t> _toldVersions;
+    std::map<SessionId, Caller> _callers;
+    std::set<GroupName> _unproven;
+    std::set<GroupName> _proving;
+    TimePoint _nextFollow{};
+    std::uint64_t _acknowledged = 0;
+};
+
+}  // namespace coralhoist::pooled
--- /dev/null
+++ b/lab/pooled/RecordStore.h
@@ -0,0 +1,77 @@
+/** Simulated store of promotion records, and the promotion call. */
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "base/SystemTime.h"
+#include "failover/PromotionRecord.h"
+#include "lab/pooled/LogConnector.h"
+#include "lab/pooled/LogGroup.h"
+#include "lab/pooled/PooledJudge.h"
+
+namespace coralhoist::pooled {
+
+/** Faults of the store. */
+struct StoreFaults {
+    bool down = false;
+    /** Share of writes that are done and not answered. */
+    double answersLost = 0;
+    /** Such writes are done so much later, if their condition still holds. */
+    Duration late{0};
+    Duration latency = std::chrono::milliseconds(4);
+};
+
+/** The store: one record for each group, versions that grow with every change. */
+class RecordStore {
+public:
+    RecordStore(simulation::EventQueue& queue, RandomSource& random, PooledJudge& judge)
+        : _queue(queue), _random(random), _judge(judge) {}
+
+    StoreFaults& faults() { return _faults; }
+    const failover::PromotionRecord& record(const GroupName& group) { return _records[group]; }
+    void addGroup(LogGroup& group) { _groups[group.name()] = &group; }
+
+private:
+    friend class StoreClient;
+
+    failover::SavedRecord apply(const GroupName& group, const failover::PromotionRecord& record);
+
+    simulation::EventQueue& _queue;
+    RandomSource& _random;
+    PooledJudge& _judge;
+    StoreFaults _faults;
+    std::map<GroupName, failover::PromotionRecord> _records;
+    std::map<GroupName, LogGroup*> _groups;
+    std::uint64_t _version = 10;
+};
+
+/** One node's access to the store and to the promotion call. */
+class StoreClient final : public failover::PromotionStore, public failover::PromotionCaller {
+public:
+    StoreClient(RecordStore& store, std::shared_ptr<NodeActivity> activity, std::string holder)
+        : _store(store), _activity(std::move(activity)), _holder(std::move(holder)) {}
+
+    /** The node is cut off from the store. */
+    void setCut(bool cut) { _cut = cut; }
+
+    void load(const GroupName& group,
+              std::function<void(const failover::LoadedRecord&)> callback) override;
+    void save(const GroupName& group, const failover::PromotionRecord& record,
+              std::function<void(const failover::SavedRecord&)> callback) override;
+    void promote(const GroupName& group, const ServerName& server, std::uint64_t fence,
+                 std::function<void(failover::PromoteOutcome)> callback) override;
+
+private:
+    bool isDown() const { return _cut || _store._faults.down; }
+    void after(Duration delay, std::function<void()> action);
+
+    RecordStore& _store;
+    std::shared_ptr<NodeActivity> _activity;
+    std::string _holder;
+    bool _cut = false;
+};
+
+}  // namespace coralhoist::pooled
--- a/src/cluster/ClusterControl.cpp
+++ b/src/cluster/ClusterControl.cpp
@@ -161,7 +161,8 @@
         entry = std::make_unique<failover::GroupFailover>(
             group, failover::FailoverDependencies{
                        _dependencies.clock, _dependencies.random, _dependencies.connector,
-                       _promotions, _promotions, _dependencies.reportParser, _dependencies.holder});
+                       _promotions, _promotions, _dependencies.reportParser, _dependencies.holder,
+                       _dependencies.self.value()});
     }
     return *entry;
 }
--- a/src/failover/GroupFailover.cpp
+++ b/src/failover/GroupFailover.cpp
@@ -26,7 +26,17 @@
 /** A server whose announcement is gone need not be heard when it is silent for so long. */
 constexpr Duration kRemovedPatience = milliseconds(700);
 /** A record that its holder has not changed for so long may be taken over. */
-constexpr Duration kTakeOverAfter = milliseconds(2500);
+constexpr Duration kTakeOverAfter = milliseconds(3300);
+/** After a promotion, nobody but its holder promotes for so long: holders don't take turns. */
+constexpr Duration kHolderTime = milliseconds(3300);
+/** What a server has told counts for so long. */
+constexpr Duration kReportHolds = milliseconds(400);
+/** A primary that leaves is not stopped for so long while no successor has caught up with it. */
+constexpr Duration kLeavingPatience = milliseconds(1500);
+/** Records by which a successor may still be behind a primary that leaves. */
+constexpr LogPosition kNearlyCaughtUp = 2;
+/** A former primary is promoted again when no other server has all commits for so long. */
+constexpr Duration kRepromoteAfter = milliseconds(600);
 /** Longest time from asking for the announcement to the call of the promotion. */
 constexpr Duration kCallMargin = milliseconds(800);
 /** Time after which the holder shows in the record that it still drives the promotion. */
@@ -195,9 +205,11 @@
         return FailoverReason::None;
     }
     if (_record.phase != PromotionPhase::None) {
-        const bool own = _record.holder == _dependencies.holder;
         const bool stale = now - _recordSeenAt > kTakeOverAfter;
-        return own || stale ? FailoverReason::Abandoned : FailoverReason::None;
+        return isOwn(_record) || stale ? FailoverReason::Abandoned : FailoverReason::None;
+    }
+    if (mustLeaveToHolder(now)) {
+        return FailoverReason::None;
     }
     if (!_primary) {
         const bool long_ = _withoutPrimarySince && now - *_withoutPrimarySince > kNoPrimaryPatience;
@@ -213,6 +225,16 @@
     return suspected ? _suspicion : FailoverReason::None;
 }
 
+/** @return whether this node, in this life or an earlier one, wrote the record. */
+bool GroupFailover::isOwn(const PromotionRecord& record) const {
+    return record.holder.rfind(_dependencies.node + "/", 0) == 0;
+}
+
+/** @return whether another node has promoted so lately that holders would take turns. */
+bool GroupFailover::mustLeaveToHolder(TimePoint now) const {
+    return _record.term > 0 && !isOwn(_record) && now - _recordSeenAt < kHolderTime;
+}
+
 /** @return whether there is a server to replace the primary. */
 bool GroupFailover::hasStayingServer() const {
     return std::any_of(_servers.begin(), _servers.end(), [this](const auto& entry) {
@@ -290,17 +312,23 @@
         _record = loaded.record;
         _recordSeenAt = now;
     }
+    // A record of an earlier life is taken over by a claim of this one.
     const bool own = _record.holder == _dependencies.holder;
     if (_record.phase == PromotionPhase::None) {
+        if (mustLeaveToHolder(now)) {
+            giveUp("another node has just promoted", kConflictPause);
+            return;
+        }
         claim(now);
     } else if (own && _record.phase == PromotionPhase::Promoting) {
         _successor = _record.successor;
         _successorTerm = _record.term;
+        _successorPosition = _record.base;
         _announcedAt = askedAt;
         enter(Phase::Calling);
     } else if (own) {
         enterSecuring(now);
-    } else if (now - _recordSeenAt > kTakeOverAfter) {
+    } else if (isOwn(_record) || now - _recordSeenAt > kTakeOverAfter) {
         claim(now);
     } else {
         giveUp("another node is at it", kConflictPause);
@@ -393,6 +421,10 @@
             member.request(ServerCommand::Kind::Status);
         }
     }
+    if (_reason == FailoverReason::Leaving && !isSuccessorReady(now) &&
+        now - _phaseSince < kLeavingPatience) {
+        return;
+    }
     orderFormers();
     if (successorLeads()) {
         enter(Phase::Confirming);
@@ -425,6 +457,7 @@
     }
     _successor = _record.successor;
     _successorTerm = report.term;
+    _successorPosition = _record.base;
     return true;
 }
 
@@ -497,24 +530,55 @@
 }
 
 std::optional<ServerName> GroupFailover::chooseSuccessor(TimePoint now) {
-    const std::optional<ServerName> best = mostAdvanced();
-    if (!best) {
-        return std::nullopt;
-    }
-    const OpTime position = _links.at(*best)->report()->report.received;
-    if (_formerPosition && position >= *_formerPosition) {
+    const std::optional<ServerName> best = mostAdvanced(now);
+    const OpTime position = best ? _links.at(*best)->report()->report.received : OpTime{};
+    if (best && _formerPosition && position >= *_formerPosition) {
         return best;
     }
     if (_formerPosition && now - *_securedAt < kCatchUpGrace) {
         return std::nullopt;
     }
-    // What was acknowledged is on a receiver: the most advanced of all of them has it.
-    return heardAllSince(*_securedAt, now) || !_formerPosition ? best : std::nullopt;
+    // What was acknowledged in this term is on a receiver: the most advanced of all has it.
+    const bool complete = !_formerPosition || heardAllSince(*_securedAt, now);
+    if (best && complete && holdsEarlierTerms(position)) {
+        return best;
+    }
+    const bool formerOnly = _formerPosition && now - *_securedAt > kRepromoteAfter &&
+                            isFresh(*_links.at(*_former), now);
+    return formerOnly ? _former : std::nullopt;
+}
+
+/** @return whether a log up to there has all commits acknowledged before the current term. */
+bool GroupFailover::holdsEarlierTerms(const OpTime& position) const {
+    // A successor that is long gone took its log with it; nothing better will come.
+    const bool baseIsGone = !_servers.contains(_record.successor);
+    return baseIsGone || position >= _record.base;
+}
+
+bool GroupFailover::isFresh(const MemberLink& member, TimePoint now) const {
+    return member.report() && now - member.report()->askedAt < kReportHolds;
+}
+
+/** @return whether a server that stays has nearly all that the leaving primary has. */
+bool GroupFailover::isSuccessorReady(TimePoint now) const {
+    const auto former = _former ? _links.find(*_former) : _links.end();
+    if (former == _links.end() || !isFresh(*former->second, now)) {
+        return false;
+    }
+    const OpTime target = former->second->report()->report.received;
+    return std::any_of(_links.begin(), _links.end(), [&](const auto& entry) {
+        const ListedServer* server = listed(entry.first);
+        const bool stays = server != nullptr && !server->removed && !server->announcement.draining;
+        if (!stays || entry.first == *_former || !isFresh(*entry.second, now)) {
+            return false;
+        }
+        const OpTime received = entry.second->report()->report.received;
+        return received.term == target.term && received.position + kNearlyCaughtUp >= target.position;
+    });
 }
 
 /** @return the running server with the longest log; of equals, one that stays. */
-std::optional<ServerName> GroupFailover::mostAdvanced() const {
-    const TimePoint now = _dependencies.clock.now();
+std::optional<ServerName> GroupFailover::mostAdvanced(TimePoint now) const {
     std::optional<ServerName> best;
     OpTime bestPosition;
     bool bestStays = false;
@@ -523,7 +587,7 @@
         const auto stopped = _notRunning.find(name);
         const bool excluded = stopped != _notRunning.end() && now < stopped->second;
         const bool former = _former && name == *_former;
-        if (!member->report() || server == nullptr || excluded || former) {
+        if (!isFresh(*member, now) || server == nullptr || excluded || former) {
             continue;
         }
         const OpTime position = member->report()->report.received;
@@ -560,10 +624,12 @@
 
 void GroupFailover::announce(TimePoint /*now*/) {
     _successorTerm = nextTerm();
+    _successorPosition = link(_successor).report()->report.received;
     PromotionRecord record = _record;
     record.phase = PromotionPhase::Promoting;
     record.successor = _successor;
     record.term = _successorTerm;
+    record.base = _successorPosition;
     LogEvent("failover", LogLevel::Info, "failover.successor_chosen")
         .field("group", _group)
         .field("successor", _successor)
@@ -603,6 +669,7 @@
         record.phase = PromotionPhase::Promoting;
         record.successor = _successor;
         record.term = _successorTerm;
+        record.base = _successorPosition;
         enter(Phase::Announcing);
         save(record, &GroupFailover::onAnnounced);
         return;
@@ -683,6 +750,7 @@
     record.phase = PromotionPhase::None;
     record.successor = _successor;
     record.term = _successorTerm;
+    record.base = _successorPosition;
     save(record, &GroupFailover::onClosed);
 }
 
--- a/src/failover/GroupFailover.h
+++ b/src/failover/GroupFailover.h
@@ -38,6 +38,8 @@
     const ReportParser& parser;
     /** Names this life of this node. */
     std::string holder;
+    /** Names the node through all its lives: what every holder of its begins with. */
+    std::string node;
 };
 
 /**
@@ -50,6 +52,11 @@
  * token; (5) call the promotion within a margin of the announcement; (6) see the successor lead and
  * close the record.
  *
+ * A server has every acknowledged commit when its log has the base of the current term (commits of
+ * earlier terms) and it is at least as long as the former primary's, or as every other receiver's
+ * after the former primary can't acknowledge (commits of the current term). When no other server
+ * has them, the former primary is promoted again once it answers.
+ *
  * Invariants: the record is changed only under the version that was read; a promotion is called
  * only for the announced successor and within kCallMargin of the announcement, which is shorter
  * than the time after which another node takes a record over; once a server was told to stop
@@ -114,7 +121,12 @@
     bool mustBeHeard(const ServerName& name, const MemberLink& link, TimePoint now) const;
     std::optional<ServerName> chooseSuccessor(TimePoint now);
     bool heardAllSince(TimePoint since, TimePoint now);
-    std::optional<ServerName> mostAdvanced() const;
+    std::optional<ServerName> mostAdvanced(TimePoint now) const;
+    bool isFresh(const MemberLink& member, TimePoint now) const;
+    bool holdsEarlierTerms(const OpTime& position) const;
+    bool isSuccessorReady(TimePoint now) const;
+    bool isOwn(const PromotionRecord& record) const;
+    bool mustLeaveToHolder(TimePoint now) const;
     Term nextTerm() const;
     std::string describeMembers() const;
     void announce(TimePoint now);
@@ -160,6 +172,7 @@
     std::optional<OpTime> _formerPosition;
     ServerName _successor;
     Term _successorTerm = 0;
+    OpTime _successorPosition;
     std::map<ServerName, TimePoint> _notRunning;
     TimePoint _announcedAt{};
     TimePoint _refreshedAt{};
--- a/src/failover/PromotionRecord.h
+++ b/src/failover/PromotionRecord.h
@@ -24,6 +24,11 @@
     ServerName successor;
     /** Term of the newest promotion that was announced. */
     Term term = 0;
+    /**
+     * Position of that successor's log when it was chosen. All commits that were acknowledged in
+     * earlier terms are at or below it, so a server that lacks it may lack some of them.
+     */
+    OpTime base;
     /** Version in the store; 0 when there is no record. */
     std::uint64_t version = 0;
 
--- a/src/pooling/PoolerTimers.cpp
+++ b/src/pooling/PoolerTimers.cpp
@@ -165,8 +165,10 @@
         _output.suspectPrimary(name, primary->server, SuspicionReason::Silent);
         return;
     }
-    for (const auto& [connection, sentAt] : group.pendingWrites) {
-        if (now - sentAt > kWritePatience) {
+    for (const auto& [id, sentAt] : group.pendingWrites) {
+        const ServerConnection* connection = findConnection(id);
+        const bool current = connection != nullptr && connection->server == primary->server;
+        if (current && now - sentAt > kWritePatience) {
             _output.suspectPrimary(name, primary->server, SuspicionReason::WritesUnanswered);
             return;
         }
--- /dev/null
+++ b/tests/failover/FailoverFixture.cpp
@@ -0,0 +1,100 @@
+#include "FailoverFixture.h"
+
+#include <sstream>
+
+namespace coralhoist::pooled {
+namespace {
+
+constexpr Duration kStep = std::chrono::milliseconds(2);
+
+std::optional<failover::ServerReport> parse(const std::string& row) {
+    std::istringstream text(row);
+    std::string role;
+    failover::ServerReport report;
+    text >> role >> report.term >> report.received.term >> report.received.position >>
+        report.heldTerm;
+    report.primary = role == "primary";
+    return report;
+}
+
+}  // namespace
+
+FailoverFixture::FailoverFixture(std::size_t count)
+    : group(GroupName("g"), GroupModel{}, queue, judge),
+      store(queue, random, judge),
+      nodes(count),
+      _parser(parse) {
+    store.addGroup(group);
+    for (std::size_t index = 0; index < count; ++index) {
+        FailoverNode& node = nodes[index];
+        const std::string name = "n" + std::to_string(index + 1);
+        node.connector = std::make_unique<LogConnector>(
+            queue, random, judge, book, std::map<GroupName, LogGroup*>{{group.name(), &group}},
+            node.activity);
+        node.client = std::make_unique<StoreClient>(store, node.activity, name);
+        node.failover = std::make_unique<failover::GroupFailover>(
+            group.name(), failover::FailoverDependencies{queue, random, *node.connector,
+                                                         *node.client, *node.client, _parser,
+                                                         name + "/1", name});
+    }
+    step();
+    run(std::chrono::milliseconds(50));
+}
+
+void FailoverFixture::commit(std::size_t count) {
+    for (std::size_t index = 0; index < count; ++index) {
+        for (const auto& server : group.servers()) {
+            if (server->primary && server->running && !group.isReplaced(*server)) {
+                const CommitId id = ++_lastCommit;
+                group.commit(*server, id, [this, id](bool kept) {
+                    if (kept) {
+                        judge.onAcknowledged(id, 1, queue.now());
+                    }
+                });
+                break;
+            }
+        }
+        run(std::chrono::milliseconds(4));
+    }
+}
+
+void FailoverFixture::run(Duration span) {
+    queue.runFor(span);
+}
+
+void FailoverFixture::suspect(std::size_t node, pooling::SuspicionReason reason) {
+    nodes[node].failover->onSuspicion(nodes[node].primary->server, reason);
+}
+
+void FailoverFixture::follow(FailoverNode& node) {
+    pooling::ServerDirectory directory;
+    for (const pooling::ServerAnnouncement& announcement : group.announcements()) {
+        directory.put(announcement);
+    }
+    node.failover->onDirectory(directory.serversOf(group.name()));
+    node.failover->onRecord(store.record(group.name()));
+    node.primary.reset();
+    for (const auto& server : group.servers()) {
+        if (server->primary && (!node.primary || server->term > node.primary->term)) {
+            node.primary = pooling::Primary{server->name, server->term};
+        }
+    }
+    node.failover->onPrimary(node.primary);
+}
+
+void FailoverFixture::step() {
+    group.step();
+    for (FailoverNode& node : nodes) {
+        if (node.activity->isFrozen()) {
+            continue;
+        }
+        node.connector->step();
+        follow(node);
+        if (node.failover->nextTick() <= queue.now()) {
+            node.failover->onTick(queue.now());
+        }
+    }
+    queue.after(kStep, [this] { step(); });
+}
+
+}  // namespace coralhoist::pooled
--- /dev/null
+++ b/tests/failover/FailoverFixture.h
@@ -0,0 +1,59 @@
+/** One group, its store, and failovers of several nodes, in virtual time. */
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "failover/GroupFailover.h"
+#include "lab/pooled/LogConnector.h"
+#include "lab/pooled/LogGroup.h"
+#include "lab/pooled/PooledJudge.h"
+#include "lab/pooled/RecordStore.h"
+
+namespace coralhoist::pooled {
+
+/** The failover of one node and what it is joined to. */
+struct FailoverNode {
+    std::shared_ptr<NodeActivity> activity = std::make_shared<NodeActivity>();
+    std::unique_ptr<LogConnector> connector;
+    std::unique_ptr<StoreClient> client;
+    std::unique_ptr<failover::GroupFailover> failover;
+    std::optional<pooling::Primary> primary;
+};
+
+/** Drives failovers against a simulated group. */
+class FailoverFixture {
+public:
+    explicit FailoverFixture(std::size_t nodes = 1);
+
+    /** Appends commits that a caller has been told of. */
+    void commit(std::size_t count);
+
+    /** Runs for a span of time. */
+    void run(Duration span);
+
+    /** Lets a node suspect the primary that it takes. */
+    void suspect(std::size_t node, pooling::SuspicionReason reason);
+
+    LogServer& server(std::size_t index) { return *group.servers()[index]; }
+    const failover::PromotionRecord& record() { return store.record(group.name()); }
+    failover::GroupFailover& failover(std::size_t node) { return *nodes[node].failover; }
+
+    simulation::EventQueue queue;
+    SeededRandom random{1};
+    PooledJudge judge;
+    RequestBook book;
+    LogGroup group;
+    RecordStore store;
+    std::vector<FailoverNode> nodes;
+
+private:
+    void step();
+    void follow(FailoverNode& node);
+
+    failover::ReportParser _parser;
+    CommitId _lastCommit = 0;
+};
+
+}  // namespace coralhoist::pooled
--- /dev/null
+++ b/tests/failover/GroupFailoverTest.cpp
@@ -0,0 +1,126 @@
+#include <CppUTest/TestHarness.h>
+
+#include "FailoverFixture.h"
+
+namespace coralhoist::pooled {
+namespace {
+
+using pooling::PromotionPhase;
+using pooling::SuspicionReason;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_GROUP(GroupFailover){};
+
+TEST(GroupFailover, PromotesTheMostAdvancedReplicaOfADeadPrimary) {
+    FailoverFixture fixture;
+    fixture.commit(10);
+    fixture.server(1).deaf = true;
+    fixture.commit(10);
+    fixture.group.crash(fixture.server(0));
+    fixture.suspect(0, SuspicionReason::Unreachable);
+    fixture.run(seconds(2));
+    CHECK_TRUE(fixture.server(2).primary);
+    UNSIGNED_LONGS_EQUAL(2, fixture.server(2).term);
+    CHECK_TRUE(fixture.record().phase == PromotionPhase::None);
+    UNSIGNED_LONGS_EQUAL(0, fixture.judge.violations().size());
+}
+
+TEST(GroupFailover, LeavesAPrimaryAloneThatAnswers) {
+    FailoverFixture fixture;
+    fixture.commit(3);
+    fixture.suspect(0, SuspicionReason::Silent);
+    fixture.run(seconds(2));
+    CHECK_TRUE(fixture.server(0).primary);
+    UNSIGNED_LONGS_EQUAL(0, fixture.group.promotions());
+    UNSIGNED_LONGS_EQUAL(0, fixture.record().version);
+}
+
+TEST(GroupFailover, ReplacesAPrimaryThatAnnouncesItsEnd) {
+    FailoverFixture fixture;
+    fixture.commit(5);
+    fixture.server(0).draining = true;
+    fixture.run(seconds(2));
+    CHECK_FALSE(fixture.server(0).primary);
+    UNSIGNED_LONGS_EQUAL(1, fixture.group.promotions());
+    UNSIGNED_LONGS_EQUAL(0, fixture.judge.violations().size());
+}
+
+/** Found on spba-jobgrid, trouble-1 --seed 58618297361: commits of an earlier reign were lost. */
+TEST(GroupFailover, NeverPromotesAServerThatLacksCommitsOfAnEarlierReign) {
+    FailoverFixture fixture;
+    fixture.commit(11);
+    fixture.server(2).deaf = true;
+    fixture.commit(51);
+    fixture.group.crash(fixture.server(0));
+    fixture.suspect(0, SuspicionReason::Unreachable);
+    fixture.run(seconds(2));
+    CHECK_TRUE(fixture.server(1).primary);
+    fixture.suspect(0, SuspicionReason::WritesUnanswered);
+    fixture.run(seconds(4));
+    CHECK_FALSE(fixture.server(2).primary);
+    UNSIGNED_LONGS_EQUAL(0, fixture.judge.violations().size());
+    // The primary that stepped down for nothing leads again.
+    CHECK_TRUE(fixture.server(1).primary);
+}
+
+/** The same when the successor of the first promotion dies before the deaf one has caught up. */
+TEST(GroupFailover, WaitsForTheOnlyServerWithAllCommits) {
+    FailoverFixture fixture;
+    fixture.commit(11);
+    fixture.server(2).deaf = true;
+    fixture.commit(51);
+    fixture.group.crash(fixture.server(0));
+    fixture.suspect(0, SuspicionReason::Unreachable);
+    fixture.run(seconds(2));
+    fixture.group.crash(fixture.server(1));
+    fixture.suspect(0, SuspicionReason::Unreachable);
+    fixture.run(seconds(3));
+    CHECK_FALSE(fixture.server(2).primary);
+    fixture.group.restart(fixture.server(1));
+    fixture.run(seconds(3));
+    CHECK_TRUE(fixture.server(1).primary);
+    UNSIGNED_LONGS_EQUAL(0, fixture.judge.violations().size());
+}
+
+/** Found on spba-jobgrid, hunt-1a0d-39: two nodes promoted in turn within three seconds. */
+TEST(GroupFailover, NodesDoNotPromoteInTurnWithinALease) {
+    FailoverFixture fixture(2);
+    fixture.commit(5);
+    fixture.suspect(0, SuspicionReason::WritesUnanswered);
+    fixture.run(milliseconds(1200));
+    fixture.suspect(1, SuspicionReason::WritesUnanswered);
+    fixture.run(milliseconds(1200));
+    fixture.suspect(0, SuspicionReason::WritesUnanswered);
+    fixture.run(seconds(4));
+    UNSIGNED_LONGS_EQUAL(0, fixture.judge.violations().size());
+}
+
+TEST(GroupFailover, AnotherNodeFinishesWhatADeadNodeBegan) {
+    FailoverFixture fixture(2);
+    fixture.commit(5);
+    fixture.group.crash(fixture.server(0));
+    fixture.suspect(0, SuspicionReason::Unreachable);
+    while (fixture.record().phase == PromotionPhase::None) {
+        fixture.run(milliseconds(2));
+    }
+    fixture.nodes[0].activity->end();
+    fixture.nodes[0].activity->freeze();
+    fixture.run(seconds(6));
+    UNSIGNED_LONGS_EQUAL(1, fixture.group.promotions());
+    CHECK_TRUE(fixture.record().phase == PromotionPhase::None);
+    CHECK_TRUE(fixture.record().holder == "n2/1");
+}
+
+TEST(GroupFailover, NothingIsPromotedWhileTheStoreIsDown) {
+    FailoverFixture fixture;
+    fixture.commit(5);
+    fixture.store.faults().down = true;
+    fixture.group.crash(fixture.server(0));
+    fixture.suspect(0, SuspicionReason::Unreachable);
+    fixture.run(seconds(2));
+    UNSIGNED_LONGS_EQUAL(0, fixture.group.promotions());
+}
+
+}  // namespace
+}  // namespace coralhoist::pooled
