Share server connections by the number of nodes, and follow what servers bear

Cause: (1) after a loss of power of all nodes their connections stand at the servers for 3 s; eight nodes held all 32, so restarted nodes could open none (0.10 served in the 2 s after the restart). (2) Quick refusals lowered a server's estimated latency and drew more to it. (3) Replicas nine seconds behind were asked 200 times in 2 s. (4) In an overload every statement waited until it was late. Ruled out: slow restarts (settings in force 0.2 s after the start), processor time (0.012 cores). Change: nodes register in the store; each takes an equal share of a server's connections less one. The in-flight limit of a server falls with refusals and latency; latency comes from what ran; lagging replicas are asked with a growing pause; statements that can still meet their objective go first.

--- a/src/cluster/ClusterCodec.h
+++ b/src/cluster/ClusterCodec.h
@@ -17,6 +17,7 @@
     std::string settings;
     std::string servers;
     std::string promotions;
+    std::string nodes;
 };
 
 /** Turns objects into the product's types and back. Decides nothing. */
--- a/src/cluster/ClusterControl.cpp
+++ b/src/cluster/ClusterControl.cpp
@@ -27,6 +27,13 @@
     return timing;
 }
 
+/** The registry changes seldom and nothing depends on its freshness. */
+store::WatchTiming registryTiming() {
+    store::WatchTiming timing;
+    timing.wait = std::chrono::milliseconds(25000);
+    return timing;
+}
+
 }  // namespace
 
 class ClusterControl::Feed final : public store::WatchSink {
@@ -34,8 +41,7 @@
     using ListHandler = std::function<void(const std::vector<StoredObject>&, std::uint64_t)>;
     using EventHandler = std::function<void(const ObjectEvent&)>;
 
-    Feed(ListHandler list, EventHandler event)
-        : _list(std::move(list)), _event(std::move(event)) {}
+    Feed(ListHandler list, EventHandler event) : _list(std::move(list)), _event(std::move(event)) {}
 
     void onList(const std::vector<StoredObject>& objects, std::uint64_t version) override {
         _list(objects, version);
@@ -52,8 +58,10 @@
     : _dependencies(std::move(dependencies)),
       _pooler(pooler),
       _import(_tree),
-      _promotions(_dependencies.storeClient, _dependencies.promotionClient,
-                  _dependencies.protocol, _dependencies.codec, _dependencies.self),
+      _promotions(_dependencies.storeClient, _dependencies.promotionClient, _dependencies.protocol,
+                  _dependencies.codec, _dependencies.self),
+      _registry(_dependencies.storeClient, _dependencies.protocol, _dependencies.codec,
+                _dependencies.clock, _dependencies.self),
       _alive(std::make_shared<bool>(true)) {
     const ClusterKinds kinds = _dependencies.codec.kinds();
     const auto follow = [this](const std::string& kind, Feed::ListHandler list,
@@ -83,14 +91,24 @@
                           [this](const StoredObject& object) { onPromotion(object); });
         },
         [this](const ObjectEvent& event) { onPromotion(event.object); }, store::WatchTiming{});
+    follow(
+        kinds.nodes,
+        [this](const std::vector<StoredObject>& objects, std::uint64_t) {
+            _registry.onList(objects);
+            publishNodeCount();
+        },
+        [this](const ObjectEvent& event) {
+            _registry.onEvent(event);
+            publishNodeCount();
+        },
+        registryTiming());
 }
 
 ClusterControl::~ClusterControl() = default;
 
 bool ClusterControl::isReady() const {
-    return _settingsKnown && std::all_of(_watches.begin(), _watches.end(), [](const auto& watch) {
-               return watch->isListed();
-           });
+    return _settingsKnown && std::all_of(_watches.begin(), _watches.end(),
+                                         [](const auto& watch) { return watch->isListed(); });
 }
 
 void ClusterControl::onSettings(const StoredObject& object) {
@@ -148,6 +166,15 @@
     publishDirectory();
 }
 
+void ClusterControl::publishNodeCount() {
+    const std::size_t count = _registry.nodeCount();
+    if (count != _publishedNodes) {
+        _publishedNodes = count;
+        LogEvent("cluster", LogLevel::Info, "nodes.counted").field("nodes", count);
+        _pooler.setNodeCount(count);
+    }
+}
+
 void ClusterControl::publishDirectory() {
     for (const auto& [group, servers] : _directory.groups()) {
         failoverOf(group).onDirectory(servers);
@@ -159,10 +186,10 @@
     std::unique_ptr<failover::GroupFailover>& entry = _failovers[group];
     if (!entry) {
         entry = std::make_unique<failover::GroupFailover>(
-            group, failover::FailoverDependencies{
-                       _dependencies.clock, _dependencies.random, _dependencies.connector,
-                       _promotions, _promotions, _dependencies.reportParser, _dependencies.holder,
-                       _dependencies.self.value()});
+            group, failover::FailoverDependencies{_dependencies.clock, _dependencies.random,
+                                                  _dependencies.connector, _promotions, _promotions,
+                                                  _dependencies.reportParser, _dependencies.holder,
+                                                  _dependencies.self.value()});
     }
     return *entry;
 }
@@ -201,6 +228,7 @@
     for (const auto& watch : _watches) {
         watch->onTick(now);
     }
+    _registry.onTick(now);
     for (const auto& [group, failover] : _failovers) {
         failover->onPrimary(_pooler.primaryOf(group));
         if (failover->nextTick() <= now && isReady()) {
@@ -220,7 +248,7 @@
 }
 
 std::optional<TimePoint> ClusterControl::nextTick() const {
-    TimePoint next = _nextExpiry;
+    TimePoint next = std::min(_nextExpiry, _registry.nextTick());
     for (const auto& watch : _watches) {
         next = std::min(next, watch->nextTick().value_or(next));
     }
--- a/src/cluster/ClusterControl.h
+++ b/src/cluster/ClusterControl.h
@@ -13,6 +13,7 @@
 #include "base/Time.h"
 #include "cluster/ClusterCodec.h"
 #include "cluster/EstateImport.h"
+#include "cluster/NodeRegistry.h"
 #include "cluster/StoredPromotions.h"
 #include "failover/GroupFailover.h"
 #include "link/store/ObjectWatch.h"
@@ -66,6 +67,7 @@
     void onServerEvent(const store::ObjectEvent& event);
     void onPromotion(const store::StoredObject& object);
     void publishDirectory();
+    void publishNodeCount();
     void askForProof(TimePoint now);
     void onProof(const socket::HttpAnswer& answer, TimePoint askedAt);
     failover::GroupFailover& failoverOf(const GroupName& group);
@@ -77,9 +79,11 @@
     bool _settingsKnown = false;
     pooling::ServerDirectory _directory;
     StoredPromotions _promotions;
+    NodeRegistry _registry;
     std::map<GroupName, std::unique_ptr<failover::GroupFailover>> _failovers;
     std::vector<std::unique_ptr<Feed>> _feeds;
     std::vector<std::unique_ptr<store::ObjectWatch>> _watches;
+    std::size_t _publishedNodes = 0;
     /** Version of each group's record that the pooler knows. */
     std::map<GroupName, std::uint64_t> _toldVersions;
     std::set<GroupName> _unproven;
--- a/src/pooling/PoolerDispatch.cpp
+++ b/src/pooling/PoolerDispatch.cpp
@@ -8,7 +8,6 @@
 namespace coralhoist::pooling {
 namespace {
 
-constexpr std::uint32_t kPercent = 100;
 /** Cost added to a server that seems to have failed: taken only when there is no other. */
 constexpr Duration kSuspectCost = std::chrono::seconds(1);
 /** Time over which an unused estimate of latency fades to half. */
@@ -30,18 +29,35 @@
     dispatchQueue(group, group.ordinary);
 }
 
+/**
+ * Statements that can still meet their objective go first, in the order of their arrival; those
+ * that have waited too long for that take what is left. Otherwise an overload would make every
+ * statement late.
+ */
 void StatementPooler::dispatchQueue(GroupState& group, std::vector<SessionId>& queue) {
     std::vector<SessionId> waiting;
     waiting.swap(queue);
+    std::vector<SessionId> late;
     for (const SessionId id : waiting) {
-        PooledSession* session = findSession(id);
-        const bool queued = session != nullptr && session->operation &&
-                            session->operation->phase == OperationPhase::Queued &&
-                            session->transaction.phase != TransactionPhase::Open;
-        if (queued && !place(group, *session)) {
-            queue.push_back(id);
+        const PooledSession* session = findSession(id);
+        if (session == nullptr || !isQueued(*session)) {
+            continue;
         }
+        (isOnTime(*session) ? queue : late).push_back(id);
     }
+    queue.insert(queue.end(), late.begin(), late.end());
+    std::erase_if(queue, [this, &group](SessionId id) { return place(group, *findSession(id)); });
+}
+
+bool StatementPooler::isQueued(const PooledSession& session) const {
+    return session.operation && session.operation->phase == OperationPhase::Queued &&
+           session.transaction.phase != TransactionPhase::Open;
+}
+
+bool StatementPooler::isOnTime(const PooledSession& session) const {
+    const auto allowance = std::chrono::duration_cast<Duration>(session.settings.latencyObjective *
+                                                                _knobs.onTimeShare);
+    return _clock.now() - session.operation->arrivedAt < allowance;
 }
 
 /** @return whether the statement no longer waits. */
@@ -81,8 +97,8 @@
     return read.impossible ? primaryRequirement(group, session) : read;
 }
 
-StatementPooler::Requirement StatementPooler::readRequirement(
-    GroupState& group, const PooledSession& session) const {
+StatementPooler::Requirement StatementPooler::readRequirement(GroupState& group,
+                                                              const PooledSession& session) const {
     Requirement requirement;
     const Duration staleness = session.settings.maxStaleness.value_or(Duration(0));
     const std::optional<OpTime> floor =
@@ -202,10 +218,8 @@
 
 bool StatementPooler::hasRoom(const ServerState& server, const PooledSession& session) const {
     const bool urgent = session.settings.priority == settings::Priority::Urgent;
-    const std::uint32_t limit =
-        std::max<std::uint32_t>(1, server.slots * _knobs.inflightPercentOfSlots / kPercent) +
-        (urgent ? 1 : 0);
-    return server.inflight < limit && (!server.idle.empty() || mayOpen(server));
+    const double limit = server.inflightLimit + (urgent ? 1 : 0);
+    return server.inflight + 1 <= limit && (!server.idle.empty() || mayOpen(server));
 }
 
 bool StatementPooler::isSuspect(const ServerState& server) const {
@@ -214,12 +228,25 @@
     return silent || (server.unreachable && server.idle.empty());
 }
 
+/**
+ * An equal share of what a server takes from all nodes, less one: when all nodes lose power, their
+ * connections stand for seconds, and each needs one that it can open again at once.
+ */
+std::uint32_t StatementPooler::connectionLimit(const GroupName& group) const {
+    const auto found = _catalog->groups.find(group);
+    if (found == _catalog->groups.end()) {
+        return _knobs.connectionsPerServer;
+    }
+    const auto share = static_cast<std::uint32_t>(found->second.connectionsPerServer / _nodeCount);
+    return std::min(_knobs.connectionsPerServer, std::max<std::uint32_t>(share, 2) - 1);
+}
+
 bool StatementPooler::mayOpen(const ServerState& server) const {
     const TimePoint now = _clock.now();
-    const bool refused =
-        server.refusedAbove && now < server.refusedUntil && server.connections >= *server.refusedAbove;
+    const bool refused = server.refusedAbove && now < server.refusedUntil &&
+                         server.connections >= *server.refusedAbove;
     return server.ready && !refused && now >= server.nextConnect &&
-           server.connections < _knobs.connectionsPerServer &&
+           server.connections < connectionLimit(server.address.group) &&
            server.opening < _knobs.concurrentConnects;
 }
 
@@ -269,8 +296,8 @@
     operation.server = server.address.server;
     operation.connection = connection.id;
     operation.floor = requirement.floor.value_or(OpTime{});
-    const bool atPrimary = group.leadership.primary() &&
-                           group.leadership.primary()->server == server.address.server;
+    const bool atPrimary =
+        group.leadership.primary() && group.leadership.primary()->server == server.address.server;
     ++(atPrimary ? _statistics.primaryStatements : _statistics.replicaReads);
     std::vector<ServerCommand> commands = alignValues(connection, session);
     if (session.transaction.phase != TransactionPhase::Unstarted) {
--- a/src/pooling/PoolerKnobs.h
+++ b/src/pooling/PoolerKnobs.h
@@ -16,8 +16,19 @@
     std::uint32_t connectionsPerServer = 8;
     /** Connections being opened to one server at a time. */
     std::uint32_t concurrentConnects = 2;
-    /** Statements outside transactions in flight to a server for each of its slots, in percent. */
-    std::uint32_t inflightPercentOfSlots = 100;
+    /** Most statements outside transactions in flight to a server for each of its slots. */
+    double inflightPerSlot = 1.5;
+    /** Factor of that limit when the server had no capacity, and its growth with each success. */
+    double inflightDecrease = 0.7;
+    double inflightIncrease = 0.1;
+    /** Part of the least latency objective of a group's services above which a server's latency
+     * lowers the limit too, and the factor by which it does. */
+    double latencyTargetShare = 0.4;
+    double latencyDecrease = 0.9;
+    /** Time between two decreases. */
+    Duration inflightDecreasePause = std::chrono::milliseconds(60);
+    /** Part of the latency objective after which a waiting statement gives way to younger ones. */
+    double onTimeShare = 0.5;
     /** Added to the cost of a server in another zone. */
     Duration otherZonePenalty = std::chrono::milliseconds(30);
     /** Added to the cost of the primary for reads that a replica may serve. */
--- a/src/pooling/PoolerResults.cpp
+++ b/src/pooling/PoolerResults.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/Backoff.h"
 #include "base/Log.h"
 #include "pooling/StatementPooler.h"
 
@@ -12,6 +13,7 @@
 constexpr std::uint32_t kMaximumAttempts = 12;
 /** A server that lacked a position is not asked for it again before. */
 constexpr Duration kLackingPause = std::chrono::milliseconds(60);
+constexpr Duration kLongestLackingPause = std::chrono::milliseconds(480);
 /** How long the number of connections at which a server refused holds. */
 constexpr Duration kConnectionLimitPause = std::chrono::seconds(1);
 /** Weight of a new latency: one in so many. */
@@ -42,7 +44,8 @@
     if (ServerState* server = serverOf(*connection)) {
         --server->opening;
         if (server->unreachable) {
-            LogEvent("pooling", LogLevel::Info, "server.regained").field("server", connection->server);
+            LogEvent("pooling", LogLevel::Info, "server.regained")
+                .field("server", connection->server);
         }
         server->unreachable = false;
         server->heardAt = _clock.now();
@@ -148,12 +151,6 @@
 
 void StatementPooler::onStatementResult(ServerConnection& connection, PooledSession& session,
                                         StatementResult result) {
-    const TimePoint now = _clock.now();
-    if (ServerState* server = serverOf(connection)) {
-        const Duration took = now - session.operation->sentAt;
-        server->latency += (took - server->latency) / kLatencySmoothing;
-        server->latencyAt = now;
-    }
     const bool unsigned_ = result.succeeded() && result.signature.empty();
     if (connection.poisoned || unsigned_) {
         discard(connection.id);
@@ -161,12 +158,50 @@
         return;
     }
     if (result.succeeded()) {
+        noteLatency(connection, session);
         onSucceeded(connection, session, std::move(result));
     } else {
         onRefused(connection, session, std::move(result));
     }
 }
 
+/** Only what ran tells how long the server takes; a refusal is quick and tells the opposite. */
+void StatementPooler::noteLatency(ServerConnection& connection, const PooledSession& session) {
+    ServerState* server = serverOf(connection);
+    if (server == nullptr) {
+        return;
+    }
+    const TimePoint now = _clock.now();
+    const Duration took = now - session.operation->sentAt;
+    server->latency += (took - server->latency) / kLatencySmoothing;
+    server->latencyAt = now;
+    ++server->succeeded;
+    server->lackingPause = Duration(0);
+    if (server->latency > groupOf(session).latencyTarget) {
+        lowerLimit(*server, _knobs.latencyDecrease);
+        return;
+    }
+    server->inflightLimit = std::min(server->inflightLimit + _knobs.inflightIncrease,
+                                     std::max(1.0, server->slots * _knobs.inflightPerSlot));
+}
+
+void StatementPooler::lowerLimit(ServerState& server, double factor) {
+    const TimePoint now = _clock.now();
+    if (now >= server.nextLowering) {
+        server.nextLowering = now + _knobs.inflightDecreasePause;
+        server.inflightLimit = std::max(1.0, server.inflightLimit * factor);
+    }
+}
+
+/** A replica that is far behind is asked less and less often. */
+void StatementPooler::noteLagging(ServerState& server, OpTime floor) {
+    ++_statistics.lagging;
+    ++server.refusedLagging;
+    server.lackingPause = nextBackoff(server.lackingPause, kLackingPause, kLongestLackingPause);
+    server.lacked = floor;
+    server.lackedUntil = _clock.now() + server.lackingPause;
+}
+
 void StatementPooler::onSucceeded(ServerConnection& connection, PooledSession& session,
                                   StatementResult result) {
     noteFreshness(session, result);
@@ -194,9 +229,9 @@
     const Operation& operation = *session.operation;
     const std::optional<Primary>& primary = group.leadership.primary();
     const bool inTransaction = session.transaction.phase == TransactionPhase::Open;
-    const bool committed =
-        inTransaction ? operation.statement.verb == StatementVerb::Commit && session.transaction.wrote
-                      : operation.writes;
+    const bool committed = inTransaction ? operation.statement.verb == StatementVerb::Commit &&
+                                               session.transaction.wrote
+                                         : operation.writes;
     if (committed) {
         session.ownFloor = std::max(session.ownFloor, result.position);
     }
@@ -280,13 +315,15 @@
         return;
     }
     switch (fault) {
+        case StatementFault::Busy:
+            ++server->second.refusedBusy;
+            lowerLimit(server->second, _knobs.inflightDecrease);
+            break;
         case StatementFault::ReadOnly:
             group.leadership.onReadOnly(operation.server, now);
             break;
         case StatementFault::Lagging:
-            ++_statistics.lagging;
-            server->second.lacked = operation.floor;
-            server->second.lackedUntil = now + kLackingPause;
+            noteLagging(server->second, operation.floor);
             break;
         case StatementFault::WrongServer:
             server->second.unreachable = true;
--- a/src/pooling/PoolerTimers.cpp
+++ b/src/pooling/PoolerTimers.cpp
@@ -11,6 +11,8 @@
 constexpr Duration kRound = std::chrono::milliseconds(50);
 /** Samples of freshness older than this serve no read. */
 constexpr Duration kFloorRetention = std::chrono::seconds(10);
+/** Time between two reports of servers' loads. */
+constexpr Duration kReportEvery = std::chrono::seconds(2);
 /** A write unanswered for so long shows that the primary can't commit. */
 constexpr Duration kWritePatience = std::chrono::milliseconds(700);
 
@@ -34,8 +36,7 @@
         const Wake wake = _wakes.top();
         _wakes.pop();
         PooledSession* session = findSession(wake.session);
-        if (session != nullptr && session->operation &&
-            session->operation->serial == wake.serial) {
+        if (session != nullptr && session->operation && session->operation->serial == wake.serial) {
             review(*session, now);
         }
     }
@@ -82,9 +83,8 @@
     const bool readsOnly = single && !operation.writes;
     if (now < operation.deadline) {
         const ServerState* server = connection != nullptr ? serverOf(*connection) : nullptr;
-        const bool silent =
-            server == nullptr ||
-            (server->silentSince && now - *server->silentSince >= _knobs.hedgeAfter);
+        const bool silent = server == nullptr || (server->silentSince &&
+                                                  now - *server->silentSince >= _knobs.hedgeAfter);
         if (readsOnly && silent && operation.attempts == 0 && now < operation.holdUntil) {
             ++_statistics.hedges;
             if (connection != nullptr) {
@@ -118,7 +118,12 @@
 void StatementPooler::everyTick(TimePoint now) {
     endRestingTransactions(now);
     closeLateConnections(now);
+    const bool report = now >= _nextReport;
+    _nextReport = report ? now + kReportEvery : _nextReport;
     for (auto& [name, group] : _groups) {
+        if (report) {
+            reportServers(name, group);
+        }
         group.floors.dropBefore(now - kFloorRetention);
         watchPrimary(name, group, now);
         keepWarm(group);
@@ -128,6 +133,32 @@
     }
 }
 
+/** Tells for each server what this process sends there and what becomes of it. */
+void StatementPooler::reportServers(const GroupName& name, GroupState& group) {
+    const std::optional<Primary>& primary = group.leadership.primary();
+    for (auto& [serverName, server] : group.servers) {
+        LogEvent("pooling", LogLevel::Debug, "server.load")
+            .field("group", name)
+            .field("server", serverName)
+            .field("primary", primary && primary->server == serverName)
+            .field("ready", server.ready)
+            .field("connections", server.connections)
+            .field("idle", server.idle.size())
+            .field("inflight", server.inflight)
+            .field("limit", server.inflightLimit)
+            .field("latency_us",
+                   std::chrono::duration_cast<std::chrono::microseconds>(server.latency).count())
+            .field("succeeded", server.succeeded)
+            .field("busy", server.refusedBusy)
+            .field("lagging", server.refusedLagging)
+            .field("urgent_waiting", group.urgent.size())
+            .field("ordinary_waiting", group.ordinary.size());
+        server.succeeded = 0;
+        server.refusedBusy = 0;
+        server.refusedLagging = 0;
+    }
+}
+
 void StatementPooler::endRestingTransactions(TimePoint now) {
     std::vector<SessionId> resting;
     for (const SessionId id : _openTransactions) {
--- a/src/pooling/ServerState.h
+++ b/src/pooling/ServerState.h
@@ -53,6 +53,10 @@
     std::uint32_t connections = 0;
     std::uint32_t opening = 0;
     std::uint32_t inflight = 0;
+    /** Statements outside transactions that may be in flight; follows what the server bears. */
+    double inflightLimit = 0;
+    /** The limit is not lowered again before. */
+    TimePoint nextLowering{};
     /** Smoothed time from sending a statement to its result. */
     Duration latency = std::chrono::milliseconds(15);
     TimePoint latencyAt{};
@@ -66,11 +70,17 @@
     /** Connections that the server has room for, as its last refusal showed. */
     std::optional<std::uint32_t> refusedAbove;
     TimePoint refusedUntil{};
+    /** Results since the last report. */
+    std::uint32_t succeeded = 0;
+    std::uint32_t refusedBusy = 0;
+    std::uint32_t refusedLagging = 0;
     /** Highest position that its log has shown. */
     OpTime position;
     /** It lacked this position a moment ago. */
     OpTime lacked;
     TimePoint lackedUntil{};
+    /** Pause until it is asked again; grows while it lacks what is asked. */
+    Duration lackingPause{0};
 };
 
 }  // namespace coralhoist::pooling
--- a/src/pooling/StatementPooler.cpp
+++ b/src/pooling/StatementPooler.cpp
@@ -28,9 +28,27 @@
 
 void StatementPooler::applyCatalog(std::shared_ptr<const ServiceCatalog> catalog) {
     _catalog = std::move(catalog);
+    setLatencyTargets();
     settle();
 }
 
+void StatementPooler::setLatencyTargets() {
+    std::map<GroupName, Duration> least;
+    for (const auto& [service, entry] : _catalog->services) {
+        Duration& objective =
+            least.try_emplace(entry.group, entry.settings.latencyObjective).first->second;
+        objective = std::min(objective, entry.settings.latencyObjective);
+    }
+    for (const auto& [group, objective] : least) {
+        _groups[group].latencyTarget =
+            std::chrono::duration_cast<Duration>(objective * _knobs.latencyTargetShare);
+    }
+}
+
+void StatementPooler::setNodeCount(std::size_t nodes) {
+    _nodeCount = std::max<std::size_t>(1, nodes);
+}
+
 void StatementPooler::applyDirectory(const ServerDirectory& directory) {
     const TimePoint now = _clock.now();
     for (const auto& [name, listed] : directory.groups()) {
@@ -45,6 +63,9 @@
             server.address = entry.announcement.address;
             server.zone = entry.announcement.zone;
             server.slots = std::max<std::uint32_t>(1, entry.announcement.slots);
+            if (server.inflightLimit < 1) {
+                server.inflightLimit = std::max(1.0, server.slots * _knobs.inflightPerSlot);
+            }
             server.ready = !entry.removed && !entry.announcement.draining;
         }
         for (auto& [serverName, server] : group.servers) {
@@ -117,8 +138,7 @@
 void StatementPooler::closeIdleSessions(Duration idleFor) {
     const TimePoint now = _clock.now();
     for (const auto& [id, session] : _sessions) {
-        const bool busy =
-            session.operation || session.transaction.phase != TransactionPhase::None;
+        const bool busy = session.operation || session.transaction.phase != TransactionPhase::None;
         if (!busy && now - session.activeAt >= idleFor) {
             _closing.push_back(id);
         }
@@ -201,8 +221,9 @@
     const TimePoint now = _clock.now();
     const GroupState& group = _groups[session.group];
     const std::optional<Primary>& primary = group.leadership.primary();
-    LogEvent(session.transaction.phase == TransactionPhase::None ? "pooling" : "pooling.transaction",
-             LogLevel::Warning, "request.failed")
+    LogEvent(
+        session.transaction.phase == TransactionPhase::None ? "pooling" : "pooling.transaction",
+        LogLevel::Warning, "request.failed")
         .field("request", operation.statement.id)
         .field("service", session.service)
         .field("group", session.group)
@@ -211,9 +232,9 @@
         .field("obstacle", operation.lastObstacle)
         .field("server", operation.server)
         .field("attempts", operation.attempts)
-        .field("age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
-                             now - operation.arrivedAt)
-                             .count())
+        .field("age_ms",
+               std::chrono::duration_cast<std::chrono::milliseconds>(now - operation.arrivedAt)
+                   .count())
         .field("primary", primary ? primary->server.value() : std::string("none"))
         .field("term", group.leadership.newestTerm())
         .field("settings_version", _catalog->version);
--- a/src/pooling/StatementPooler.h
+++ b/src/pooling/StatementPooler.h
@@ -70,6 +70,9 @@
     /** Replaces services and groups. */
     void applyCatalog(std::shared_ptr<const ServiceCatalog> catalog);
 
+    /** Takes the number of nodes that share each server's connections. */
+    void setNodeCount(std::size_t nodes);
+
     /** Takes the current announcements of all servers. */
     void applyDirectory(const ServerDirectory& directory);
 
@@ -125,6 +128,8 @@
         std::vector<SessionId> urgent;
         std::vector<SessionId> ordinary;
         bool dirty = false;
+        /** Latency of a server above which less is sent to it. */
+        Duration latencyTarget = std::chrono::milliseconds(100);
         /** Oldest write that the primary has not answered. */
         std::unordered_map<ConnectionId, TimePoint> pendingWrites;
     };
@@ -167,6 +172,8 @@
     void enqueue(PooledSession& session);
     void dispatch(const GroupName& name, GroupState& group);
     void dispatchQueue(GroupState& group, std::vector<SessionId>& queue);
+    bool isQueued(const PooledSession& session) const;
+    bool isOnTime(const PooledSession& session) const;
     bool place(GroupState& group, PooledSession& session);
     Requirement requirementOf(GroupState& group, PooledSession& session);
     Requirement readRequirement(GroupState& group, const PooledSession& session) const;
@@ -179,6 +186,7 @@
                     const Requirement& requirement) const;
     bool hasRoom(const ServerState& server, const PooledSession& session) const;
     bool isSuspect(const ServerState& server) const;
+    std::uint32_t connectionLimit(const GroupName& group) const;
     bool mayOpen(const ServerState& server) const;
     void openConnection(ServerState& server);
     ServerConnection* takeIdle(ServerState& server, const PooledSession& session);
@@ -205,6 +213,10 @@
                          StatementResult result);
     void onTransactionRefused(ServerConnection& connection, PooledSession& session,
                               StatementResult result);
+    void noteLatency(ServerConnection& connection, const PooledSession& session);
+    void lowerLimit(ServerState& server, double factor);
+    void noteLagging(ServerState& server, OpTime floor);
+    void setLatencyTargets();
     void noteFault(PooledSession& session, StatementFault fault);
     void notePosition(const ServerConnection& connection, OpTime position);
     void noteFreshness(PooledSession& session, const StatementResult& result);
@@ -224,6 +236,7 @@
     void reviewQueued(PooledSession& session, TimePoint now);
     void reviewSent(PooledSession& session, TimePoint now);
     void everyTick(TimePoint now);
+    void reportServers(const GroupName& name, GroupState& group);
     void endRestingTransactions(TimePoint now);
     void watchPrimary(const GroupName& name, GroupState& group, TimePoint now);
     void closeLateConnections(TimePoint now);
@@ -231,8 +244,7 @@
     void settle();
     void flushReplies();
     void markDirty(const GroupName& group);
-    void logFailure(const PooledSession& session, StatementFault fault,
-                    const std::string& message);
+    void logFailure(const PooledSession& session, StatementFault fault, const std::string& message);
     GroupState& groupOf(const PooledSession& session) { return _groups[session.group]; }
     ServerState* serverOf(const ServerConnection& connection);
     PooledSession* findSession(SessionId id);
@@ -252,7 +264,9 @@
     std::vector<SessionId> _closing;
     std::unordered_set<SessionId> _openTransactions;
     PoolerStatistics _statistics;
+    std::size_t _nodeCount = 1;
     TimePoint _nextRound{};
+    TimePoint _nextReport{};
     std::uint64_t _lastSession = 0;
     std::uint64_t _lastSerial = 0;
     bool _settling = false;
