Send a statement once that follows a refusal at once

Ruled out: the abandoned statements of hedged reads (their results are dropped). Tests: tests/pooling (20 tests); AStatementSentWithinARefusalRunsOnce failed before (2 sent).

--- /dev/null
+++ b/tests/pooling/PoolerTest.cpp
@@ -0,0 +1,271 @@
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+
+#include "PoolerFixture.h"
+
+namespace coralhoist::pooling {
+namespace {
+
+using std::chrono::milliseconds;
+
+bool hasFault(const RecordedReply& reply, StatementFault fault) {
+    return reply.result.error && reply.result.error->fault == fault;
+}
+
+TEST_GROUP(StatementPooler) {
+    PoolerFixture fixture;
+};
+
+TEST(StatementPooler, PassesAReadOnAsGivenAndReturnsItsSignature) {
+    const SessionId session = fixture.session("current");
+    const std::string id = fixture.submit(session, StatementVerb::Read, "READ 1");
+    STRCMP_EQUAL("s1", fixture.pending().server.value().c_str());
+    STRCMP_EQUAL(id.c_str(), fixture.pending().command.id.c_str());
+    STRCMP_EQUAL("READ 1", fixture.pending().command.text.c_str());
+    fixture.succeed();
+    UNSIGNED_LONGS_EQUAL(1, fixture.replies.size());
+    STRCMP_EQUAL("sig", fixture.replies[0].result.signature.c_str());
+}
+
+TEST(StatementPooler, HoldsACurrentReadUntilTheLeadershipIsProven) {
+    fixture.advance(milliseconds(600));
+    const SessionId session = fixture.session("current");
+    fixture.submit(session, StatementVerb::Read, "READ 1");
+    UNSIGNED_LONGS_EQUAL(0, fixture.pendingCount());
+    CHECK(fixture.proofsWanted > 0);
+    fixture.pooler.confirmLeadership(fixture.group, fixture.clock.now());
+    UNSIGNED_LONGS_EQUAL(1, fixture.pendingCount());
+}
+
+TEST(StatementPooler, AWriteWhoseAnswerIsLostIsInDoubtAtOnce) {
+    const SessionId session = fixture.session("current");
+    fixture.submit(session, StatementVerb::Write, "WRITE 1 a");
+    fixture.pooler.onLost(fixture.pending().connection);
+    UNSIGNED_LONGS_EQUAL(1, fixture.replies.size());
+    CHECK_TRUE(hasFault(fixture.replies[0], StatementFault::InDoubt));
+}
+
+TEST(StatementPooler, AReadWhoseAnswerIsLostGoesToAnotherServer) {
+    const SessionId writer = fixture.session("current");
+    fixture.submit(writer, StatementVerb::Write, "WRITE 1 a");
+    fixture.succeed({1, 50});
+    const SessionId session = fixture.session("bounded");
+    fixture.submit(session, StatementVerb::Read, "READ 1");
+    const ServerName first = fixture.pending().server;
+    const ConnectionId lost = fixture.pending().connection;
+    fixture.connector.sent.clear();
+    fixture.pooler.onLost(lost);
+    UNSIGNED_LONGS_EQUAL(1, fixture.pendingCount());
+    CHECK_FALSE(first == fixture.pending().server);
+    fixture.succeed();
+    UNSIGNED_LONGS_EQUAL(2, fixture.replies.size());
+    CHECK_TRUE(fixture.replies[1].result.succeeded());
+}
+
+TEST(StatementPooler, ABoundedReadCarriesThePositionItNeeds) {
+    const SessionId writer = fixture.session("own");
+    fixture.submit(writer, StatementVerb::Write, "WRITE 1 a");
+    fixture.succeed({1, 50});
+    fixture.submit(writer, StatementVerb::Read, "READ 1");
+    CHECK_TRUE(fixture.pending().command.after.has_value());
+    UNSIGNED_LONGS_EQUAL(50, fixture.pending().command.after->position);
+}
+
+TEST(StatementPooler, ASessionsValuesAreInForceBeforeItsStatement) {
+    const SessionId session = fixture.session("current");
+    fixture.submit(session, StatementVerb::Set, "SET a 1", "a", "1");
+    fixture.submit(session, StatementVerb::Read, "READ 1");
+    UNSIGNED_LONGS_EQUAL(2, fixture.pendingCount());
+    CHECK_TRUE(fixture.pending().command.kind == ServerCommand::Kind::Set);
+    fixture.acknowledge();
+    fixture.succeed();
+    const SessionId other = fixture.session("current");
+    fixture.submit(other, StatementVerb::Read, "READ 1");
+    CHECK_TRUE(fixture.pending().command.kind == ServerCommand::Kind::Reset);
+    UNSIGNED_LONGS_EQUAL(2, fixture.pendingCount());
+}
+
+TEST(StatementPooler, AnAnswerBehindAFailedSettingIsNotTrusted) {
+    const SessionId session = fixture.session("current");
+    fixture.submit(session, StatementVerb::Set, "SET a 1", "a", "1");
+    fixture.submit(session, StatementVerb::Write, "WRITE 1 a");
+    fixture.refuse(StatementFault::Failed);
+    fixture.succeed();
+    UNSIGNED_LONGS_EQUAL(2, fixture.replies.size());
+    CHECK_TRUE(hasFault(fixture.replies[1], StatementFault::InDoubt));
+}
+
+TEST(StatementPooler, AnExecuteUsesTheServersOwnNameOfItsShape) {
+    const SessionId session = fixture.session("current");
+    fixture.submit(session, StatementVerb::Prepare, "PREPARE x READ q", "x", "q");
+    fixture.submit(session, StatementVerb::Execute, "EXECUTE x 7", "x", "7");
+    UNSIGNED_LONGS_EQUAL(2, fixture.pendingCount());
+    CHECK_TRUE(fixture.pending().command.kind == ServerCommand::Kind::Prepare);
+    const std::string name = fixture.pending().command.name;
+    fixture.acknowledge();
+    CHECK_TRUE(fixture.pending().command.kind == ServerCommand::Kind::Execute);
+    STRCMP_EQUAL(name.c_str(), fixture.pending().command.name.c_str());
+    fixture.succeed();
+    fixture.submit(session, StatementVerb::Execute, "EXECUTE x 8", "x", "8");
+    UNSIGNED_LONGS_EQUAL(1, fixture.pendingCount());
+}
+
+TEST(StatementPooler, ATransactionKeepsItsConnection) {
+    const SessionId session = fixture.session("current");
+    fixture.submit(session, StatementVerb::Begin, "BEGIN");
+    UNSIGNED_LONGS_EQUAL(0, fixture.pendingCount());
+    fixture.submit(session, StatementVerb::Read, "READ 1");
+    const ConnectionId connection = fixture.pending().connection;
+    STRCMP_EQUAL("BEGIN", fixture.pending().command.text.c_str());
+    fixture.acknowledge(SessionState::InTransaction);
+    fixture.succeed({1, 100}, SessionState::InTransaction);
+    fixture.submit(session, StatementVerb::Write, "WRITE 1 a");
+    CHECK_TRUE(connection == fixture.pending().connection);
+    fixture.succeed({1, 100}, SessionState::InTransaction);
+    fixture.submit(session, StatementVerb::Commit, "COMMIT");
+    CHECK_TRUE(connection == fixture.pending().connection);
+    fixture.succeed({1, 101});
+    CHECK_TRUE(fixture.replies.back().result.succeeded());
+    CHECK_TRUE(fixture.replies.back().result.state == SessionState::Idle);
+}
+
+TEST(StatementPooler, ATransactionThatLosesItsConnectionIsAborted) {
+    const SessionId session = fixture.session("current");
+    fixture.submit(session, StatementVerb::Begin, "BEGIN");
+    fixture.submit(session, StatementVerb::Write, "WRITE 1 a");
+    const ConnectionId connection = fixture.pending().connection;
+    fixture.acknowledge(SessionState::InTransaction);
+    fixture.pooler.onLost(connection);
+    CHECK_TRUE(hasFault(fixture.replies.back(), StatementFault::Aborted));
+    CHECK_TRUE(fixture.replies.back().result.state == SessionState::Failed);
+    fixture.submit(session, StatementVerb::Rollback, "ROLLBACK");
+    CHECK_TRUE(fixture.replies.back().result.succeeded());
+}
+
+TEST(StatementPooler, ACommitWhoseAnswerIsLostIsInDoubtOnlyIfItWrote) {
+    for (const bool writes : {true, false}) {
+        const SessionId session = fixture.session("current");
+        fixture.submit(session, StatementVerb::Begin, "BEGIN");
+        fixture.submit(session, writes ? StatementVerb::Write : StatementVerb::Read, "X 1");
+        const ConnectionId connection = fixture.pending().connection;
+        fixture.acknowledge(SessionState::InTransaction);
+        fixture.succeed({1, 100}, SessionState::InTransaction);
+        fixture.submit(session, StatementVerb::Commit, "COMMIT");
+        fixture.connector.sent.clear();
+        fixture.pooler.onLost(connection);
+        CHECK_TRUE(hasFault(fixture.replies.back(),
+                            writes ? StatementFault::InDoubt : StatementFault::Aborted));
+        fixture.advance(milliseconds(50));
+        fixture.openConnections();
+    }
+}
+
+TEST(StatementPooler, AStatementOutsideATransactionNeverFollowsARefusedBegin) {
+    const SessionId session = fixture.session("current");
+    fixture.submit(session, StatementVerb::Begin, "BEGIN");
+    fixture.submit(session, StatementVerb::Read, "READ 1");
+    fixture.refuse(StatementFault::ReadOnly);
+    UNSIGNED_LONGS_EQUAL(0, fixture.pendingCount());
+}
+
+/** Found on smea-fuelauth, trouble-1: a refused session stood in the queue twice. */
+TEST(StatementPooler, AStatementSentWithinARefusalRunsOnce) {
+    fixture.advance(milliseconds(600));
+    const SessionId session = fixture.session("current");
+    fixture.submit(session, StatementVerb::Read, "READ 1");
+    fixture.withinReply = [this, session] {
+        fixture.submit(session, StatementVerb::Read, "READ 2");
+    };
+    // Between two rounds of the pooler, in which queues are looked through.
+    fixture.advance(milliseconds(540));
+    fixture.advance(milliseconds(25));
+    UNSIGNED_LONGS_EQUAL(1, fixture.replies.size());
+    CHECK_TRUE(hasFault(fixture.replies.back(), StatementFault::Busy));
+    fixture.pooler.confirmLeadership(fixture.group, fixture.clock.now());
+    fixture.openConnections();
+    UNSIGNED_LONGS_EQUAL(1, fixture.pendingCount());
+    fixture.succeed();
+    UNSIGNED_LONGS_EQUAL(2, fixture.replies.size());
+}
+
+TEST(StatementPooler, WritesOfAReplacedPrimaryRaiseNoSuspicionOfItsSuccessor) {
+    const SessionId session = fixture.session("current");
+    fixture.submit(session, StatementVerb::Write, "WRITE 1 a");
+    fixture.advance(milliseconds(100));
+    fixture.announce("s2", 2);
+    fixture.suspicions.clear();
+    fixture.advance(milliseconds(650));
+    fixture.advance(milliseconds(50));
+    UNSIGNED_LONGS_EQUAL(0, fixture.suspicions.size());
+}
+
+TEST(StatementPooler, AnUnansweredWriteMakesItsPrimarySuspect) {
+    const SessionId session = fixture.session("current");
+    fixture.submit(session, StatementVerb::Write, "WRITE 1 a");
+    fixture.advance(milliseconds(750));
+    CHECK(!fixture.suspicions.empty());
+}
+
+TEST(StatementPooler, ASuccessorTakesNoCommitBeforeTheLeaseHasPassed) {
+    fixture.announce("s2", 2);
+    const SessionId session = fixture.session("current");
+    fixture.submit(session, StatementVerb::Write, "WRITE 1 a");
+    UNSIGNED_LONGS_EQUAL(0, fixture.pendingCount());
+    fixture.advance(kLeadershipLease + milliseconds(1));
+    UNSIGNED_LONGS_EQUAL(1, fixture.pendingCount());
+    STRCMP_EQUAL("s2", fixture.pending().server.value().c_str());
+}
+
+TEST(StatementPooler, UrgentStatementsGoFirst) {
+    std::vector<SessionId> sessions;
+    for (int index = 0; index < 12; ++index) {
+        sessions.push_back(fixture.session("own"));
+        fixture.submit(sessions.back(), StatementVerb::Write, "WRITE 1 a");
+    }
+    fixture.openConnections();
+    const SessionId urgent = fixture.session("current");
+    const std::string id = fixture.submit(urgent, StatementVerb::Write, "WRITE 2 b");
+    const auto isUrgent = [&id](const SentCommand& sent) { return sent.command.id == id; };
+    fixture.succeed();
+    fixture.openConnections();
+    const auto& sent = fixture.connector.sent;
+    CHECK_TRUE(std::any_of(sent.begin(), sent.end(), isUrgent));
+}
+
+TEST(StatementPooler, ASessionOfARemovedServiceIsRefusedAndClosed) {
+    const SessionId session = fixture.session("current");
+    fixture.pooler.applyCatalog(std::make_shared<ServiceCatalog>());
+    fixture.submit(session, StatementVerb::Read, "READ 1");
+    CHECK_TRUE(hasFault(fixture.replies.back(), StatementFault::UnknownDatabase));
+    UNSIGNED_LONGS_EQUAL(1, fixture.closedSessions.size());
+}
+
+TEST(StatementPooler, ATransactionThatRestsTooLongIsRolledBack) {
+    const SessionId session = fixture.session("current");
+    fixture.submit(session, StatementVerb::Begin, "BEGIN");
+    fixture.submit(session, StatementVerb::Read, "READ 1");
+    fixture.acknowledge(SessionState::InTransaction);
+    fixture.succeed({1, 100}, SessionState::InTransaction);
+    const std::size_t before = fixture.replies.size();
+    fixture.advance(milliseconds(1100));
+    UNSIGNED_LONGS_EQUAL(before, fixture.replies.size());
+    CHECK_TRUE(fixture.pending().command.kind == ServerCommand::Kind::Rollback);
+    fixture.submit(session, StatementVerb::Read, "READ 2");
+    CHECK_TRUE(hasFault(fixture.replies.back(), StatementFault::Aborted));
+}
+
+TEST(StatementPooler, EachNodeLeavesConnectionsForARestart) {
+    fixture.pooler.setNodeCount(10);
+    std::vector<SessionId> sessions;
+    for (int index = 0; index < 8; ++index) {
+        sessions.push_back(fixture.session("current"));
+        fixture.submit(sessions.back(), StatementVerb::Write, "WRITE 1 a");
+        fixture.openConnections();
+    }
+    // 30 connections of the server, 10 nodes: three for each, one of them left alone.
+    UNSIGNED_LONGS_EQUAL(2, fixture.pendingCount());
+}
+
+}  // namespace
+}  // namespace coralhoist::pooling
