--- a/src/pooling/PoolerDispatch.cpp
+++ b/src/pooling/PoolerDispatch.cpp
@@ -46,7 +46,12 @@
         (isOnTime(*session) ? queue : late).push_back(id);
     }
     queue.insert(queue.end(), late.begin(), late.end());
-    std::erase_if(queue, [this, &group](SessionId id) { return place(group, *findSession(id)); });
+    // A session that was refused and asked again at once stands here twice: once it is placed, its
+    // other entry is void.
+    std::erase_if(queue, [this, &group](SessionId id) {
+        PooledSession& session = *findSession(id);
+        return !isQueued(session) || place(group, session);
+    });
 }
 
 bool StatementPooler::isQueued(const PooledSession& session) const {
--- a/tests/pooling/PoolerTest.cpp
+++ b/tests/pooling/PoolerTest.cpp
@@ -171,6 +171,13 @@
 
 /** Found on smea-fuelauth, trouble-1: a refused session stood in the queue twice. */
 TEST(StatementPooler, AStatementSentWithinARefusalRunsOnce) {
+    // Two connections to the primary stand idle.
+    fixture.submit(fixture.session("current"), StatementVerb::Write, "WRITE 1 a");
+    fixture.submit(fixture.session("current"), StatementVerb::Write, "WRITE 2 a");
+    fixture.openConnections();
+    fixture.succeed();
+    fixture.succeed();
+    fixture.replies.clear();
     fixture.advance(milliseconds(600));
     const SessionId session = fixture.session("current");
     fixture.submit(session, StatementVerb::Read, "READ 1");
