--- /dev/null
+++ b/tests/cluster/EstateImportTest.cpp
@@ -0,0 +1,89 @@
+#include <CppUTest/TestHarness.h>
+
+#include "cluster/EstateImport.h"
+#include "pooling/ServiceCatalog.h"
+
+namespace coralhoist::cluster {
+namespace {
+
+using std::chrono::milliseconds;
+
+ImportedService service(const char* name, int rank) {
+    ImportedService result;
+    result.name = ServiceName(name);
+    result.group = GroupName("g1");
+    result.readRouting = settings::ReadRouting::Replica;
+    result.maxStaleness = milliseconds(1500);
+    result.statementTimeout = milliseconds(800);
+    result.latencyObjective = milliseconds(250);
+    result.rank = rank;
+    return result;
+}
+
+EstateImage image(std::uint64_t version, std::vector<ImportedService> services) {
+    EstateImage result;
+    result.version = version;
+    result.idleInTransactionTimeout = milliseconds(3000);
+    result.groups.push_back({GroupName("g1"), 34});
+    result.services = std::move(services);
+    return result;
+}
+
+TEST_GROUP(EstateImport) {
+    settings::SettingsTree tree;
+    EstateImport import{tree};
+
+    std::shared_ptr<const pooling::ServiceCatalog> catalog() {
+        return pooling::makeCatalog(*tree.snapshot());
+    }
+};
+
+TEST(EstateImport, PutsServicesIntoTheTreeWithInheritance) {
+    CHECK_TRUE(import.apply(image(5, {service("a", 2), service("b", 1)})).changed);
+    const auto services = catalog();
+    const pooling::CatalogEntry* a = services->find(ServiceName("a"));
+    CHECK(a != nullptr);
+    STRCMP_EQUAL("g1", a->group.value().c_str());
+    CHECK_TRUE(a->settings.statementTimeout == milliseconds(800));
+    CHECK_TRUE(a->settings.maxStaleness == milliseconds(1500));
+    CHECK_TRUE(a->settings.latencyObjective == milliseconds(250));
+    // Set on the estate, inherited by the service.
+    CHECK_TRUE(a->settings.idleInTransactionTimeout == milliseconds(3000));
+    CHECK_TRUE(a->settings.priority == settings::Priority::Ordinary);
+    CHECK_TRUE(services->find(ServiceName("b"))->settings.priority == settings::Priority::Urgent);
+    UNSIGNED_LONGS_EQUAL(34, services->groups.at(GroupName("g1")).connectionsPerServer);
+}
+
+TEST(EstateImport, RemovesWhatANewerImageLacks) {
+    import.apply(image(5, {service("a", 1), service("b", 1)}));
+    CHECK_TRUE(import.apply(image(6, {service("b", 1)})).changed);
+    POINTERS_EQUAL(nullptr, catalog()->find(ServiceName("a")));
+    CHECK(catalog()->find(ServiceName("b")) != nullptr);
+    import.apply(image(7, {service("a", 1)}));
+    CHECK(catalog()->find(ServiceName("a")) != nullptr);
+}
+
+TEST(EstateImport, IgnoresAnOlderImage) {
+    import.apply(image(6, {service("b", 1)}));
+    CHECK_FALSE(import.apply(image(5, {service("a", 1)})).changed);
+    POINTERS_EQUAL(nullptr, catalog()->find(ServiceName("a")));
+}
+
+TEST(EstateImport, NamesTheNodesThatTheTreeRefuses) {
+    ImportedService odd = service("a", 1);
+    odd.statementTimeout = std::chrono::hours(1000);
+    const ImportOutcome outcome = import.apply(image(5, {odd, service("b", 1)}));
+    UNSIGNED_LONGS_EQUAL(1, outcome.refused.size());
+    STRCMP_EQUAL("estate/g1/a", outcome.refused[0].c_str());
+    CHECK(catalog()->find(ServiceName("b")) != nullptr);
+}
+
+TEST(EstateImport, TakesSubMillisecondAndOddDurations) {
+    ImportedService odd = service("a", 1);
+    odd.statementTimeout = milliseconds(1234);
+    import.apply(image(5, {odd}));
+    CHECK_TRUE(catalog()->find(ServiceName("a"))->settings.statementTimeout == milliseconds(1234));
+}
+
+}  // namespace
+}  // namespace coralhoist::cluster
--- /dev/null
+++ b/tests/platform_adapter/CodecTest.cpp
@@ -0,0 +1,149 @@
+#include <CppUTest/TestHarness.h>
+
+#include <QJsonDocument>
+#include <random>
+
+#include "platform/PlatformCodec.h"
+#include "platform/StoreProtocol.h"
+
+namespace coralhoist::platform_adapter {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr const char* kConfiguration =
+    R"({"version":7,"routes":[
+      {"name":"r1","host":"own1","kind":"read_your_writes","timeout_ms":800,"target_ms":250,
+       "priority":2,"service":"g1","max_staleness_ms":2500},
+      {"name":"r2","host":"cur1","kind":"primary","timeout_ms":700,"target_ms":150,"priority":1,
+       "service":"g1"}],
+      "services":[{"name":"g1","max_conns":34,"sync_replicas":1}],
+      "limits":{"tx_idle_ms":3000}})";
+
+store::StoredObject object(const char* name, const char* json) {
+    store::StoredObject result;
+    result.name = name;
+    result.version = 12;
+    result.content = QJsonDocument::fromJson(json).object();
+    return result;
+}
+
+TEST_GROUP(PlatformCodec) {
+    PlatformCodec codec;
+};
+
+TEST(PlatformCodec, ReadsTheConfiguration) {
+    const auto image = codec.readEstate(object("main", kConfiguration));
+    CHECK_TRUE(image.has_value());
+    UNSIGNED_LONGS_EQUAL(12, image->version);
+    CHECK_TRUE(image->idleInTransactionTimeout == milliseconds(3000));
+    UNSIGNED_LONGS_EQUAL(34, *image->groups[0].connectionsPerServer);
+    const cluster::ImportedService& own = image->services[0];
+    STRCMP_EQUAL("own1", own.name.value().c_str());
+    CHECK_TRUE(own.readRouting == settings::ReadRouting::Replica);
+    CHECK_TRUE(own.maxStaleness == milliseconds(2500));
+    const cluster::ImportedService& current = image->services[1];
+    CHECK_TRUE(current.readRouting == settings::ReadRouting::Primary);
+    CHECK_FALSE(current.maxStaleness.has_value());
+    CHECK_TRUE(current.latencyObjective == milliseconds(150));
+    LONGS_EQUAL(1, current.rank);
+}
+
+TEST(PlatformCodec, RefusesWhatIsNoConfiguration) {
+    CHECK_FALSE(codec.readEstate(object("other", kConfiguration)).has_value());
+    CHECK_FALSE(codec.readEstate(object("main", R"({"version":7})")).has_value());
+}
+
+TEST(PlatformCodec, ReadsServers) {
+    const auto server = codec.readServer(
+        object("i-7f", R"({"service":"g1","addr":"10.128.0.9:8080","zone":"z","slots":3,
+                           "state":"draining","db_role":"primary","seq":4})"));
+    CHECK_TRUE(server.has_value());
+    STRCMP_EQUAL("10.128.0.9", server->address.host.c_str());
+    UNSIGNED_LONGS_EQUAL(8080, server->address.port);
+    CHECK_TRUE(server->draining);
+    CHECK_TRUE(server->role == pooling::ServerRole::Primary);
+    CHECK_FALSE(codec.readServer(object("i-7f", R"({"addr":"nowhere"})")).has_value());
+}
+
+TEST(PlatformCodec, PromotionRecordsSurviveTheStore) {
+    failover::PromotionRecord record;
+    record.phase = pooling::PromotionPhase::Promoting;
+    record.holder = "n1/5";
+    record.successor = ServerName("i-7f");
+    record.term = 4;
+    record.base = OpTime{3, 77};
+    record.version = 12;
+    const store::StoredObject written = codec.writePromotion(GroupName("g1"), record);
+    STRCMP_EQUAL("g1", written.name.c_str());
+    CHECK_TRUE(codec.readPromotion(written) == record);
+    CHECK_FALSE(codec.readPromotion(object("g1", R"({"phase":"?"})")).has_value());
+}
+
+TEST(PlatformCodec, CallsAPromotionWithItsFence) {
+    const socket::HttpCall call =
+        codec.promoteCall(GroupName("g1"), ServerName("i-7f"), NodeName("n1"), 31);
+    STRCMP_EQUAL("/failover", call.target.c_str());
+    STRCMP_EQUAL(R"({"id":"i-7f","service":"g1"})", call.body.c_str());
+    STRCMP_EQUAL("n1", call.headers[0].value.c_str());
+    STRCMP_EQUAL("31", call.headers[1].value.c_str());
+}
+
+TEST(PlatformCodec, TellsHowAPromotionCallEnded) {
+    using Outcome = socket::HttpAnswer::Outcome;
+    using failover::PromoteOutcome;
+    CHECK_TRUE(codec.readPromoteAnswer({Outcome::Answered, 200, ""}) == PromoteOutcome::Accepted);
+    CHECK_TRUE(codec.readPromoteAnswer({Outcome::Answered, 409, ""}) ==
+               PromoteOutcome::NotRunning);
+    CHECK_TRUE(codec.readPromoteAnswer({Outcome::Answered, 429, ""}) ==
+               PromoteOutcome::Unavailable);
+    CHECK_TRUE(codec.readPromoteAnswer({Outcome::NotSent, 0, ""}) == PromoteOutcome::Unavailable);
+    CHECK_TRUE(codec.readPromoteAnswer({Outcome::Lost, 0, ""}) == PromoteOutcome::Unknown);
+}
+
+TEST_GROUP(StoreProtocol) {
+    StoreProtocol protocol;
+};
+
+TEST(StoreProtocol, BuildsCalls) {
+    STRCMP_EQUAL("/objects/servers?after=i-7f", protocol.listCall("servers", "i-7f").target.c_str());
+    STRCMP_EQUAL("/objects/servers?watch=530&wait_ms=2500",
+                 protocol.watchCall("servers", 530, milliseconds(2500)).target.c_str());
+    store::StoredObject record;
+    record.name = "g1";
+    record.version = 9;
+    const socket::HttpCall replace = protocol.replaceCall("promotions", record);
+    STRCMP_EQUAL("PUT", replace.method.c_str());
+    STRCMP_EQUAL("/objects/promotions/g1", replace.target.c_str());
+    CHECK(replace.body.find("\"revision\":9") != std::string::npos);
+    const socket::HttpCall create = protocol.createCall("promotions", record);
+    STRCMP_EQUAL("POST", create.method.c_str());
+    CHECK(create.body.find("revision") == std::string::npos);
+}
+
+TEST(StoreProtocol, ReadsPagesAndEvents) {
+    const auto page = protocol.readPage(
+        R"({"items":[{"meta":{"name":"a","revision":5},"spec":{"x":1}}],"has_more":true,"at":8})");
+    CHECK_TRUE(page.has_value());
+    CHECK_TRUE(page->more);
+    UNSIGNED_LONGS_EQUAL(8, page->version);
+    UNSIGNED_LONGS_EQUAL(5, page->objects[0].version);
+    const auto events = protocol.readEvents(
+        R"({"events":[{"expired":true,"object":{"meta":{"name":"a","revision":6}}}],"at":9})");
+    CHECK_TRUE(events.has_value());
+    CHECK_TRUE(events->events[0].removed);
+    UNSIGNED_LONGS_EQUAL(9, events->version);
+}
+
+TEST(StoreProtocol, ReadsNothingFromBrokenBodies) {
+    const std::string whole =
+        R"({"items":[{"meta":{"name":"a","revision":5},"spec":{"x":1}}],"has_more":true,"at":8})";
+    for (std::size_t length = 0; length < whole.size(); ++length) {
+        CHECK_FALSE(protocol.readPage(whole.substr(0, length)).has_value());
+    }
+    CHECK_FALSE(protocol.readEvents("[]").has_value());
+    CHECK_FALSE(protocol.readObject("{}").has_value());
+}
+
+}  // namespace
+}  // namespace coralhoist::platform_adapter
