Hold new sessions until the settings are known

Ruled out: an older list or event replacing a newer one (settings.in_force only grows in the log). Change: connections are accepted and wait for the settings; after 600 ms they are refused as not run, with the time to come back.

--- a/src/duty/pooling/PoolingDuty.cpp
+++ b/src/duty/pooling/PoolingDuty.cpp
@@ -37,7 +37,7 @@
       _ticks(_clock),
       _connector(_poller, _adapter.serverCodec),
       _pooler(_clock, _connector, *this, makeKnobs(_options)),
-      _callers(_poller, _adapter.callerCodec, _pooler, _options.maximumConnections),
+      _callers(_poller, _adapter.callerCodec, _pooler, _clock, _options.maximumConnections),
       _readiness(_poller, [this](const std::string& path) { return answer(path); }),
       _storeClient(_poller, _clock, _options.store.host, _options.store.port),
       _promotionClient(_poller, _clock, _options.promotion.host, _options.promotion.port),
@@ -70,6 +70,9 @@
                [this](TimePoint /*now*/) { _pooler.onTick(); });
     _ticks.add([this] { return _control.nextTick(); },
                [this](TimePoint now) { _control.onTick(now); });
+    _ticks.add([this] { return readyTick(); }, [this](TimePoint /*now*/) { becomeReady(); });
+    _ticks.add([this] { return _callers.nextTick(); },
+               [this](TimePoint now) { _callers.onTick(now); });
     _ticks.add([this] { return _storeClient.nextTick(); },
                [this](TimePoint now) { _storeClient.onTick(now); });
     _ticks.add([this] { return _promotionClient.nextTick(); },
@@ -90,6 +93,19 @@
     _readiness.collect();
 }
 
+/** @return at once when the control has just become ready. */
+std::optional<TimePoint> PoolingDuty::readyTick() const {
+    return !_wasReady && _control.isReady() ? std::optional<TimePoint>(TimePoint::min())
+                                            : std::nullopt;
+}
+
+void PoolingDuty::becomeReady() {
+    _wasReady = true;
+    LogEvent("daemon", LogLevel::Info, "daemon.ready")
+        .field("settings_version", _control.settingsVersion());
+    _callers.startServing();
+}
+
 bool PoolingDuty::isReady() const {
     return !_drainBegan && _control.isReady();
 }
--- a/src/duty/pooling/PoolingDuty.h
+++ b/src/duty/pooling/PoolingDuty.h
@@ -79,6 +79,8 @@
 
     socket::HttpPage answer(const std::string& path) const;
     bool isReady() const;
+    std::optional<TimePoint> readyTick() const;
+    void becomeReady();
     void addTickSources();
     void collect();
     bool hasGarbage() const;
--- a/src/link/session/CallerListener.cpp
+++ b/src/link/session/CallerListener.cpp
@@ -2,6 +2,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace coralhoist::session {
@@ -11,11 +12,20 @@
 using socket::CloseMode;
 using socket::StreamConnection;
 
+namespace {
+
+/** A connection waits so long for the start of serving. */
+constexpr Duration kServingPatience = std::chrono::milliseconds(600);
+
+}  // namespace
+
 CallerListener::CallerListener(socket::SocketPoller& poller, const CallerCodec& codec,
-                               pooling::StatementPooler& pooler, std::size_t connectionLimit)
+                               pooling::StatementPooler& pooler, const Clock& clock,
+                               std::size_t connectionLimit)
     : _poller(poller),
       _codec(codec),
       _pooler(pooler),
+      _clock(clock),
       _connectionLimit(connectionLimit),
       _listener(poller, [this](int descriptor) { accept(descriptor); }) {}
 
@@ -33,6 +43,7 @@
     auto caller = std::make_unique<Caller>();
     caller->stream = std::make_unique<StreamConnection>(_poller, *this);
     caller->stream->adopt(descriptor);
+    caller->acceptedAt = _clock.now();
     _callers[caller->stream.get()] = std::move(caller);
 }
 
@@ -57,8 +68,52 @@
     consume(connection);
 }
 
+void CallerListener::startServing() {
+    if (_serving) {
+        return;
+    }
+    _serving = true;
+    std::vector<const StreamConnection*> waiting;
+    for (const auto& [key, caller] : _callers) {
+        waiting.push_back(key);
+    }
+    for (const StreamConnection* key : waiting) {
+        consume(*key);
+    }
+}
+
+void CallerListener::onTick(TimePoint now) {
+    if (_serving) {
+        return;
+    }
+    std::vector<Caller*> late;
+    for (const auto& [key, caller] : _callers) {
+        if (now - caller->acceptedAt >= kServingPatience) {
+            late.push_back(caller.get());
+        }
+    }
+    for (Caller* caller : late) {
+        refuse(*caller, StatementFault::Busy, "not ready yet; come back in 1000 ms");
+    }
+}
+
+std::optional<TimePoint> CallerListener::nextTick() const {
+    std::optional<TimePoint> next;
+    if (_serving) {
+        return next;
+    }
+    for (const auto& [key, caller] : _callers) {
+        const TimePoint due = caller->acceptedAt + kServingPatience;
+        next = std::min(next.value_or(due), due);
+    }
+    return next;
+}
+
 /** Handles whole messages until one has to wait for its answer. */
 void CallerListener::consume(const StreamConnection& key) {
+    if (!_serving) {
+        return;
+    }
     const StreamConnection* outer = _consuming;
     _consuming = &key;
     while (Caller* caller = find(&key)) {
--- a/src/link/session/CallerListener.h
+++ b/src/link/session/CallerListener.h
@@ -23,11 +23,22 @@
      * @param connectionLimit connections above it are closed at once.
      */
     CallerListener(socket::SocketPoller& poller, const CallerCodec& codec,
-                   pooling::StatementPooler& pooler, std::size_t connectionLimit);
+                   pooling::StatementPooler& pooler, const Clock& clock,
+                   std::size_t connectionLimit);
     ~CallerListener() override;
 
     Status listen(const std::string& host, std::uint16_t port);
 
+    /**
+     * Begins to serve. Until then connections are accepted and wait: without the settings it is not
+     * known which services there are, and "no such database" would be wrong.
+     */
+    void startServing();
+
+    /** Refuses those that have waited too long for startServing. */
+    void onTick(TimePoint now);
+    std::optional<TimePoint> nextTick() const;
+
     /** Accepts no further connection. */
     void stopListening() { _listener.close(); }
 
@@ -50,6 +61,7 @@
         std::string pending;
         /** A statement is being executed; further messages wait. */
         bool waiting = false;
+        TimePoint acceptedAt{};
     };
 
     void accept(int descriptor);
@@ -67,7 +79,9 @@
     socket::SocketPoller& _poller;
     const CallerCodec& _codec;
     pooling::StatementPooler& _pooler;
+    const Clock& _clock;
     std::size_t _connectionLimit;
+    bool _serving = false;
     socket::StreamListener _listener;
     std::unordered_map<const socket::StreamConnection*, std::unique_ptr<Caller>> _callers;
     std::unordered_map<SessionId, const socket::StreamConnection*> _bySession;
