--- a/lab/pooled/LogConnector.cpp
+++ b/lab/pooled/LogConnector.cpp
@@ -144,8 +144,8 @@
     const ServerCommand command = connection->commands.front();
     connection->commands.pop_front();
     connection->running = true;
-    const bool works = command.kind == ServerCommand::Kind::Caller &&
-                       command.text.rfind("BEGIN", 0) != 0;
+    const bool works =
+        command.kind == ServerCommand::Kind::Caller && command.text.rfind("BEGIN", 0) != 0;
     const auto share = static_cast<std::int64_t>(50 + _random.below(150));
     const Duration work = works ? connection->group->model().work * share / 100 : Duration(0);
     _queue.after(work, [this, connection, command, activity = _activity] {
--- a/lab/pooled/PooledNode.cpp
+++ b/lab/pooled/PooledNode.cpp
@@ -83,10 +83,9 @@
     _pooler.applyCatalog(world.catalog);
     for (LogGroup* group : world.groups) {
         _failovers[group->name()] = std::make_unique<failover::GroupFailover>(
-            group->name(),
-            failover::FailoverDependencies{world.queue, world.random, _connector, _storeClient,
-                                           _storeClient, _parser,
-                                           _name + "/" + std::to_string(world.random.next()), _name});
+            group->name(), failover::FailoverDependencies{
+                               world.queue, world.random, _connector, _storeClient, _storeClient,
+                               _parser, _name + "/" + std::to_string(world.random.next()), _name});
     }
     openCallers(sessionsPerService);
 }
@@ -226,18 +225,18 @@
     caller.inTransaction = kind >= 7;
     if (kind >= 7) {
         const bool readOnly = kind == 9;
-        caller.remaining.push_back(makeStatement(
-            world, readOnly ? StatementVerb::BeginReadOnly : StatementVerb::Begin,
-            readOnly ? "BEGIN READ" : "BEGIN"));
+        caller.remaining.push_back(
+            makeStatement(world, readOnly ? StatementVerb::BeginReadOnly : StatementVerb::Begin,
+                          readOnly ? "BEGIN READ" : "BEGIN"));
         caller.remaining.push_back(makeStatement(world, StatementVerb::Read, "READ"));
         if (caller.writes) {
             caller.remaining.push_back(makeStatement(world, StatementVerb::Write, "WRITE"));
         }
         caller.remaining.push_back(makeStatement(world, StatementVerb::Commit, "COMMIT"));
     } else {
-        caller.remaining.push_back(
-            caller.writes ? makeStatement(world, StatementVerb::Write, "WRITE")
-                          : makeStatement(world, StatementVerb::Read, "READ"));
+        caller.remaining.push_back(caller.writes
+                                       ? makeStatement(world, StatementVerb::Write, "WRITE")
+                                       : makeStatement(world, StatementVerb::Read, "READ"));
     }
     for (const Statement& statement : caller.remaining) {
         world.book[statement.id] = {caller.number, caller.promise, caller.staleness, caller.since,
--- a/src/base/Log.cpp
+++ b/src/base/Log.cpp
@@ -1,11 +1,13 @@
 #include "base/Log.h"
 
-#include <log4cplus/consoleappender.h>
+#include <log4cplus/configurator.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
+#include <unistd.h>
 
 #include <memory>
 
+#include "base/BoundedLogAppender.h"
 #include "base/Error.h"
 
 namespace coralhoist {
@@ -45,14 +47,20 @@
     return result;
 }
 
+/** Owned by the library's root logger, which lives as long as the process. */
+BoundedLogAppender*& outputAppender() {
+    static BoundedLogAppender* appender = nullptr;
+    return appender;
+}
+
 }  // namespace
 
-void initializeLogging(LogLevel level) {
+void initializeLogging(LogLevel level, LogStart start) {
     static const log4cplus::Initializer initializer;
-    constexpr bool kLogToStandardError = true;
-    constexpr bool kFlushEachLine = true;
-    log4cplus::SharedAppenderPtr appender(
-        new log4cplus::ConsoleAppender(kLogToStandardError, kFlushEachLine));
+    // The library's own pool of threads serves appenders that this program does not use.
+    log4cplus::setThreadPoolSize(0);
+    outputAppender() = new BoundedLogAppender(STDOUT_FILENO, start == LogStart::Held);
+    log4cplus::SharedAppenderPtr appender(outputAppender());
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>(kLinePattern));
     log4cplus::Logger root = log4cplus::Logger::getRoot();
     root.removeAllAppenders();
@@ -60,6 +68,18 @@
     root.setLogLevel(toLibraryLevel(level));
 }
 
+void releaseLogging() {
+    if (outputAppender() != nullptr) {
+        outputAppender()->release();
+    }
+}
+
+void shutDownLogging() {
+    if (outputAppender() != nullptr) {
+        outputAppender()->close();
+    }
+}
+
 StatusWith<LogLevel> parseLogLevel(std::string_view name) {
     struct NamedLevel {
         std::string_view name;
--- a/src/base/Log.h
+++ b/src/base/Log.h
@@ -19,11 +19,24 @@
 /** Level from which on events are written. */
 enum class LogLevel { Trace, Debug, Info, Warning, Error };
 
+/** When the first lines are written. */
+enum class LogStart {
+    AtOnce,
+    Held, /**< After releaseLogging(): the program prints something of its own first. */
+};
+
 /**
- * Sends all log events to standard error. Call once, before the first event.
+ * Sends all log events to standard output, from a thread of their own: logging never blocks, and
+ * lines beyond a bounded buffer are dropped and counted. Call once, before the first event.
  * @param level events below it are dropped.
  */
-void initializeLogging(LogLevel level);
+void initializeLogging(LogLevel level, LogStart start = LogStart::AtOnce);
+
+/** Lets the lines go out that initializeLogging was told to hold. */
+void releaseLogging();
+
+/** Writes what is buffered and ends the thread; call before the end of main. */
+void shutDownLogging();
 
 /** @return the level of that name (trace, debug, info, warning, error), or InvalidArgument. */
 StatusWith<LogLevel> parseLogLevel(std::string_view name);
--- a/src/cluster/StoredPromotions.cpp
+++ b/src/cluster/StoredPromotions.cpp
@@ -38,8 +38,8 @@
 
 StoredPromotions::StoredPromotions(socket::HttpClient& storeClient,
                                    socket::HttpClient& promotionClient,
-                                   const store::ObjectProtocol& protocol,
-                                   const ClusterCodec& codec, NodeName self)
+                                   const store::ObjectProtocol& protocol, const ClusterCodec& codec,
+                                   NodeName self)
     : _storeClient(storeClient),
       _promotionClient(promotionClient),
       _protocol(protocol),
--- a/src/duty/CallerDuty.h
+++ b/src/duty/CallerDuty.h
@@ -8,10 +8,10 @@
 
 #include "base/SystemTime.h"
 #include "duty/CallerChannel.h"
-#include "duty/event/DutyThread.h"
 #include "duty/ExecutorChannel.h"
 #include "duty/RingExecutor.h"
 #include "duty/SampleOracle.h"
+#include "duty/event/DutyThread.h"
 #include "link/caller/CallerServer.h"
 
 namespace coralhoist::duty {
--- a/src/duty/pooling/PoolingDuty.cpp
+++ b/src/duty/pooling/PoolingDuty.cpp
@@ -77,9 +77,9 @@
                [this](TimePoint now) { _storeClient.onTick(now); });
     _ticks.add([this] { return _promotionClient.nextTick(); },
                [this](TimePoint now) { _promotionClient.onTick(now); });
-    _ticks.add([this] { return hasGarbage() ? std::optional<TimePoint>(TimePoint::min())
-                                            : std::nullopt; },
-               [this](TimePoint /*now*/) { collect(); });
+    _ticks.add(
+        [this] { return hasGarbage() ? std::optional<TimePoint>(TimePoint::min()) : std::nullopt; },
+        [this](TimePoint /*now*/) { collect(); });
 }
 
 bool PoolingDuty::hasGarbage() const {
@@ -122,8 +122,7 @@
     if (_drainBegan) {
         return;
     }
-    LogEvent("daemon", LogLevel::Info, "daemon.draining")
-        .field("sessions", _pooler.sessionCount());
+    LogEvent("daemon", LogLevel::Info, "daemon.draining").field("sessions", _pooler.sessionCount());
     _drainBegan = _clock.now();
     _drainTimer.start(kDrainStep);
 }
--- a/src/failover/GroupFailover.cpp
+++ b/src/failover/GroupFailover.cpp
@@ -220,8 +220,7 @@
         hasStayingServer()) {
         return FailoverReason::Leaving;
     }
-    const bool suspected =
-        _suspected == _primary->server && now - _suspectedAt < kSuspicionHolds;
+    const bool suspected = _suspected == _primary->server && now - _suspectedAt < kSuspicionHolds;
     return suspected ? _suspicion : FailoverReason::None;
 }
 
@@ -239,8 +238,7 @@
 bool GroupFailover::hasStayingServer() const {
     return std::any_of(_servers.begin(), _servers.end(), [this](const auto& entry) {
         const ListedServer& server = entry.second;
-        return !server.removed && !server.announcement.draining &&
-               entry.first != _primary->server;
+        return !server.removed && !server.announcement.draining && entry.first != _primary->server;
     });
 }
 
@@ -340,21 +338,20 @@
     _busy = true;
     record.holder = _dependencies.holder;
     const TimePoint askedAt = _dependencies.clock.now();
-    _dependencies.store.save(
-        _group, record,
-        [this, alive = std::weak_ptr<bool>(_alive), record, done,
-         askedAt](const SavedRecord& saved) {
-            if (alive.expired()) {
-                return;
-            }
-            _busy = false;
-            if (saved.outcome == StoreOutcome::Done) {
-                PromotionRecord written = record;
-                written.version = saved.version;
-                onRecord(written);
-            }
-            (this->*done)(saved, askedAt);
-        });
+    _dependencies.store.save(_group, record,
+                             [this, alive = std::weak_ptr<bool>(_alive), record, done,
+                              askedAt](const SavedRecord& saved) {
+                                 if (alive.expired()) {
+                                     return;
+                                 }
+                                 _busy = false;
+                                 if (saved.outcome == StoreOutcome::Done) {
+                                     PromotionRecord written = record;
+                                     written.version = saved.version;
+                                     onRecord(written);
+                                 }
+                                 (this->*done)(saved, askedAt);
+                             });
 }
 
 void GroupFailover::claim(TimePoint /*now*/) {
@@ -573,7 +570,8 @@
             return false;
         }
         const OpTime received = entry.second->report()->report.received;
-        return received.term == target.term && received.position + kNearlyCaughtUp >= target.position;
+        return received.term == target.term &&
+               received.position + kNearlyCaughtUp >= target.position;
     });
 }
 
@@ -616,8 +614,8 @@
         }
         const ServerReport& report = member->report()->report;
         text << (report.primary ? "primary" : "replica") << ',' << report.term << ','
-             << report.received.term << '.' << report.received.position << ",held="
-             << report.heldTerm;
+             << report.received.term << '.' << report.received.position
+             << ",held=" << report.heldTerm;
     }
     return text.str();
 }
--- a/src/failover/GroupFailover.h
+++ b/src/failover/GroupFailover.h
@@ -48,9 +48,9 @@
  * Protocol: (1) take the group's record in the store under its version; (2) make sure that the
  * former primary acknowledges no further commit: it steps down and tells its position, or every
  * other server that may receive from it is told to stop receiving; (3) choose a server that has
- * every acknowledged commit; (4) announce it in the record; the version of that write is the fencing
- * token; (5) call the promotion within a margin of the announcement; (6) see the successor lead and
- * close the record.
+ * every acknowledged commit; (4) announce it in the record; the version of that write is the
+ * fencing token; (5) call the promotion within a margin of the announcement; (6) see the successor
+ * lead and close the record.
  *
  * A server has every acknowledged commit when its log has the base of the current term (commits of
  * earlier terms) and it is at least as long as the former primary's, or as every other receiver's
--- a/src/failover/PromotionRecord.h
+++ b/src/failover/PromotionRecord.h
@@ -74,10 +74,10 @@
 
 /** How a promotion call ended. */
 enum class PromoteOutcome {
-    Accepted,   /**< The server leads soon, or leads already. */
-    NotRunning, /**< The server is not running. */
+    Accepted,    /**< The server leads soon, or leads already. */
+    NotRunning,  /**< The server is not running. */
     Unavailable, /**< Nothing was done. */
-    Unknown,    /**< It may have been carried out, or may be later. */
+    Unknown,     /**< It may have been carried out, or may be later. */
 };
 
 /** Asks the platform to promote a server. */
--- a/src/link/peer/ReconnectBackoff.h
+++ b/src/link/peer/ReconnectBackoff.h
@@ -1,8 +1,8 @@
 /** Pauses between attempts to open a link. */
 #pragma once
 
-#include "base/Time.h"
 #include "base/Backoff.h"
+#include "base/Time.h"
 
 namespace coralhoist::peer {
 
--- a/src/link/session/StreamServerConnector.cpp
+++ b/src/link/session/StreamServerConnector.cpp
@@ -9,8 +9,7 @@
 using pooling::ServerEvents;
 using pooling::StatementResult;
 
-StreamServerConnector::StreamServerConnector(socket::SocketPoller& poller,
-                                             const ServerCodec& codec)
+StreamServerConnector::StreamServerConnector(socket::SocketPoller& poller, const ServerCodec& codec)
     : _poller(poller), _codec(codec) {}
 
 StreamServerConnector::~StreamServerConnector() = default;
--- a/src/link/socket/HttpClient.cpp
+++ b/src/link/socket/HttpClient.cpp
@@ -1,8 +1,8 @@
 #include "link/socket/HttpClient.h"
 
 #include <algorithm>
-#include <charconv>
 #include <cctype>
+#include <charconv>
 #include <optional>
 #include <utility>
 
@@ -77,8 +77,7 @@
         if (lineEnd == std::string_view::npos) {
             return std::nullopt;
         }
-        const auto size =
-            parseNumber<std::size_t>(bytes.substr(position, lineEnd - position), 16);
+        const auto size = parseNumber<std::size_t>(bytes.substr(position, lineEnd - position), 16);
         position = lineEnd + 2;
         if (size == 0) {
             return body;
--- a/src/link/socket/HttpResponder.cpp
+++ b/src/link/socket/HttpResponder.cpp
@@ -51,10 +51,10 @@
     }
     const HttpPage page = _handler(pathOf(buffer));
     buffer.erase(0, end + 4);
-    std::string answer = "HTTP/1.1 " + std::to_string(page.status) +
-                         (page.status == kOk ? " OK" : " Unavailable") +
-                         "\r\nContent-Type: text/plain\r\nContent-Length: " +
-                         std::to_string(page.body.size()) + "\r\n\r\n" + page.body;
+    std::string answer =
+        "HTTP/1.1 " + std::to_string(page.status) + (page.status == kOk ? " OK" : " Unavailable") +
+        "\r\nContent-Type: text/plain\r\nContent-Length: " + std::to_string(page.body.size()) +
+        "\r\n\r\n" + page.body;
     connection.write(answer);
 }
 
--- a/src/link/socket/StreamListener.cpp
+++ b/src/link/socket/StreamListener.cpp
@@ -67,8 +67,7 @@
 
 void StreamListener::onReadable() {
     while (_descriptor >= 0) {
-        const int accepted =
-            ::accept4(_descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        const int accepted = ::accept4(_descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (accepted < 0) {
             return;
         }
--- a/src/link/store/ObjectWatch.cpp
+++ b/src/link/store/ObjectWatch.cpp
@@ -3,8 +3,8 @@
 #include <algorithm>
 #include <utility>
 
-#include "base/Log.h"
 #include "base/Backoff.h"
+#include "base/Log.h"
 
 namespace coralhoist::store {
 namespace {
@@ -45,12 +45,12 @@
     call.timeout = (_position ? _timing.wait : Duration(0)) + _timing.slack;
     _running = true;
     _askedAt = now;
-    _client.call(call, [this, alive = std::weak_ptr<bool>(_alive)](
-                           const socket::HttpAnswer& answer) {
-        if (!alive.expired()) {
-            onAnswer(answer);
-        }
-    });
+    _client.call(call,
+                 [this, alive = std::weak_ptr<bool>(_alive)](const socket::HttpAnswer& answer) {
+                     if (!alive.expired()) {
+                         onAnswer(answer);
+                     }
+                 });
 }
 
 void ObjectWatch::onAnswer(const socket::HttpAnswer& answer) {
--- a/src/pooling/LeadershipTracker.cpp
+++ b/src/pooling/LeadershipTracker.cpp
@@ -22,7 +22,8 @@
         claim.claims = claim.listed && listed.announcement.role == ServerRole::Primary;
         claim.version = listed.announcement.version;
     }
-    std::erase_if(_claims, [&servers](const auto& entry) { return !servers.contains(entry.first); });
+    std::erase_if(_claims,
+                  [&servers](const auto& entry) { return !servers.contains(entry.first); });
     choose(now);
 }
 
@@ -78,8 +79,8 @@
 
 bool LeadershipTracker::isUsable(const ServerName& server, const Claim& claim,
                                  TimePoint now) const {
-    const bool refuted = claim.version != 0 && claim.refutedVersion == claim.version &&
-                         now < claim.refutedUntil;
+    const bool refuted =
+        claim.version != 0 && claim.refutedVersion == claim.version && now < claim.refutedUntil;
     if (refuted || !claim.listed) {
         return false;
     }
--- a/src/pooling/PooledSession.h
+++ b/src/pooling/PooledSession.h
@@ -49,9 +49,9 @@
 
 /** Where a statement is. */
 enum class OperationPhase {
-    Queued,   /**< Not sent; waits for a server. */
+    Queued,    /**< Not sent; waits for a server. */
     Beginning, /**< The transaction that it belongs to is being opened at a server. */
-    Sent,     /**< At a server. */
+    Sent,      /**< At a server. */
 };
 
 /** The statement that a session waits for. */
--- a/src/pooling/PoolerStatements.cpp
+++ b/src/pooling/PoolerStatements.cpp
@@ -141,9 +141,8 @@
 }
 
 void StatementPooler::rollback(PooledSession& session) {
-    ServerConnection* connection = session.transaction.connection
-                                       ? findConnection(*session.transaction.connection)
-                                       : nullptr;
+    ServerConnection* connection =
+        session.transaction.connection ? findConnection(*session.transaction.connection) : nullptr;
     session.transaction = SessionTransaction{};
     _openTransactions.erase(session.id);
     if (connection != nullptr) {
--- a/src/pooling/PoolerStatistics.h
+++ b/src/pooling/PoolerStatistics.h
@@ -13,7 +13,7 @@
 class LatencyHistogram {
 public:
     /** Upper bounds of the buckets in milliseconds; one more bucket is above the last. */
-    static constexpr std::array<std::uint32_t, 12> kBoundsMs{1,  2,   5,   10,  25,   50,
+    static constexpr std::array<std::uint32_t, 12> kBoundsMs{1,   2,   5,   10,  25,   50,
                                                              100, 200, 400, 800, 1500, 3000};
 
     void add(Duration latency) {
--- a/src/pooling/ServerLink.h
+++ b/src/pooling/ServerLink.h
@@ -29,11 +29,11 @@
 /** One command to a server. */
 struct ServerCommand {
     enum class Kind {
-        Caller,   /**< A caller's statement: `id` and `text` as given, `after` in front of a read. */
-        Execute,  /**< A caller's prepared statement under the server's `name`. */
-        Set,      /**< Of the proxy: value `name` becomes `argument`. */
-        Prepare,  /**< Of the proxy: shape `argument` is prepared as `name`. */
-        Reset,    /**< Of the proxy: values and prepared names are dropped. */
+        Caller,  /**< A caller's statement: `id` and `text` as given, `after` in front of a read. */
+        Execute, /**< A caller's prepared statement under the server's `name`. */
+        Set,     /**< Of the proxy: value `name` becomes `argument`. */
+        Prepare, /**< Of the proxy: shape `argument` is prepared as `name`. */
+        Reset,   /**< Of the proxy: values and prepared names are dropped. */
         Rollback, /**< Of the proxy: ends the open transaction. */
         Status,   /**< Role, term and positions of the server. */
         Pause,    /**< A replica stops receiving, until a promotion into `term` or a Resume. */
--- a/src/program/Daemon.h
+++ b/src/program/Daemon.h
@@ -9,10 +9,10 @@
 #include "base/Status.h"
 #include "duty/CallerChannel.h"
 #include "duty/CallerDuty.h"
-#include "duty/event/DutyThread.h"
 #include "duty/ExecutorChannel.h"
 #include "duty/MetricsBoard.h"
 #include "duty/NodeDuty.h"
+#include "duty/event/DutyThread.h"
 #include "program/DaemonConfiguration.h"
 
 namespace prometheus {
--- a/src/program/SignalWatch.cpp
+++ b/src/program/SignalWatch.cpp
@@ -29,8 +29,7 @@
     std::signal(SIGPIPE, SIG_IGN);  // NOLINT(cert-err33-c): can't fail for SIGPIPE.
 }
 
-SignalWatch::SignalWatch(std::function<void()> stopRequested,
-                         std::function<void()> reloadRequested)
+SignalWatch::SignalWatch(std::function<void()> stopRequested, std::function<void()> reloadRequested)
     : _stopRequested(std::move(stopRequested)), _reloadRequested(std::move(reloadRequested)) {
     const sigset_t signals = watchedSignals();
     _descriptor = signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
--- a/src/program/SignalWatch.h
+++ b/src/program/SignalWatch.h
@@ -7,7 +7,8 @@
 
 namespace coralhoist::program {
 
-/** Calls back when the process is asked to stop or to read its configuration again. Uses signalfd, so no code runs in a handler. */
+/** Calls back when the process is asked to stop or to read its configuration again. Uses signalfd,
+ * so no code runs in a handler. */
 class SignalWatch {
 public:
     /**
--- a/src/program/coralhoistd.cpp
+++ b/src/program/coralhoistd.cpp
@@ -32,21 +32,24 @@
 int runDaemon(int argumentCount, char** arguments, const DaemonConfiguration& configuration) {
     coralhoist::program::SignalWatch::blockSignals();
     QCoreApplication application(argumentCount, arguments);
-    coralhoist::initializeLogging(configuration.logLevel);
+    coralhoist::initializeLogging(configuration.logLevel, coralhoist::LogStart::Held);
     Daemon daemon(configuration, [] { QCoreApplication::exit(kSuccess); });
     const Status started = daemon.start();
     if (!started.isOk()) {
         LogEvent("daemon", LogLevel::Error, "daemon.start_failed")
             .field("reason", started.message());
+        coralhoist::shutDownLogging();
         return kStartFailed;
     }
     std::printf("%s\n", daemon.listeningReport().c_str());
     std::fflush(stdout);
+    coralhoist::releaseLogging();
     coralhoist::program::SignalWatch signals(
         [&daemon] { daemon.drain(); },
         [] { LogEvent("daemon", LogLevel::Info, "daemon.reload_ignored"); });
     const int exitCode = QCoreApplication::exec();
     daemon.stop();
+    coralhoist::shutDownLogging();
     return exitCode;
 }
 
--- a/tests/platform_adapter/CodecTest.cpp
+++ b/tests/platform_adapter/CodecTest.cpp
@@ -93,8 +93,7 @@
     using Outcome = socket::HttpAnswer::Outcome;
     using failover::PromoteOutcome;
     CHECK_TRUE(codec.readPromoteAnswer({Outcome::Answered, 200, ""}) == PromoteOutcome::Accepted);
-    CHECK_TRUE(codec.readPromoteAnswer({Outcome::Answered, 409, ""}) ==
-               PromoteOutcome::NotRunning);
+    CHECK_TRUE(codec.readPromoteAnswer({Outcome::Answered, 409, ""}) == PromoteOutcome::NotRunning);
     CHECK_TRUE(codec.readPromoteAnswer({Outcome::Answered, 429, ""}) ==
                PromoteOutcome::Unavailable);
     CHECK_TRUE(codec.readPromoteAnswer({Outcome::NotSent, 0, ""}) == PromoteOutcome::Unavailable);
@@ -106,7 +105,8 @@
 };
 
 TEST(StoreProtocol, BuildsCalls) {
-    STRCMP_EQUAL("/objects/servers?after=i-7f", protocol.listCall("servers", "i-7f").target.c_str());
+    STRCMP_EQUAL("/objects/servers?after=i-7f",
+                 protocol.listCall("servers", "i-7f").target.c_str());
     STRCMP_EQUAL("/objects/servers?watch=530&wait_ms=2500",
                  protocol.watchCall("servers", 530, milliseconds(2500)).target.c_str());
     store::StoredObject record;
--- a/tests/pooled_simulation/PooledSimulationTest.cpp
+++ b/tests/pooled_simulation/PooledSimulationTest.cpp
@@ -108,13 +108,15 @@
 TEST(PooledSimulation, TheJudgeRejectsServersThatIgnorePauses) {
     GroupModel model;
     model.ignoresPauses = true;
-    CHECK(countRejected(model, {PooledFault::PrimaryCutFromSomeNodes, PooledFault::NodeCutFromStore}) > 0);
+    CHECK(countRejected(model,
+                        {PooledFault::PrimaryCutFromSomeNodes, PooledFault::NodeCutFromStore}) > 0);
 }
 
 TEST(PooledSimulation, TheJudgeRejectsServersThatAnswerBeforeTheyReplicate) {
     GroupModel model;
     model.answersEarly = true;
-    CHECK(countRejected(model, {PooledFault::PrimaryCutFromReplicas, PooledFault::PrimaryCrashes}) > 0);
+    CHECK(countRejected(model, {PooledFault::PrimaryCutFromReplicas, PooledFault::PrimaryCrashes}) >
+          0);
 }
 
 TEST(PooledSimulation, TheSameSeedGivesTheSameRun) {
--- a/tests/pooling/PoolerFixture.cpp
+++ b/tests/pooling/PoolerFixture.cpp
@@ -49,9 +49,8 @@
 void ScriptedConnector::close(ConnectionId connection) {
     closed.push_back(connection);
     std::erase(opening, connection);
-    std::erase_if(sent, [connection](const SentCommand& entry) {
-        return entry.connection == connection;
-    });
+    std::erase_if(
+        sent, [connection](const SentCommand& entry) { return entry.connection == connection; });
 }
 
 PoolerFixture::PoolerFixture() : pooler(clock, connector, *this, makeKnobs()) {
--- a/tests/session/CallerListenerTest.cpp
+++ b/tests/session/CallerListenerTest.cpp
@@ -59,7 +59,9 @@
     void reply(SessionId session, pooling::StatementResult result) override {
         listener.reply(session, result);
     }
-    void closeSession(SessionId session) override { listener.closeSession(session); }
+    void closeSession(SessionId session) override {
+        listener.closeSession(session);
+    }
     void wantLeadershipProof(const GroupName& /*group*/) override {}
     void suspectPrimary(const GroupName& /*group*/, const ServerName& /*server*/,
                         pooling::SuspicionReason /*reason*/) override {}
--- a/tests/socket/HttpTest.cpp
+++ b/tests/socket/HttpTest.cpp
@@ -31,12 +31,15 @@
     SteadyClock clock;
     SocketPoller poller;
     std::vector<std::string> paths;
-    HttpResponder responder{poller, [this](const std::string& path) {
-                                paths.push_back(path);
-                                return HttpPage{path == "/slow" ? kSlowStatus : 200, "body of " + path};
-                            }};
+    HttpResponder responder{
+        poller, [this](const std::string& path) {
+            paths.push_back(path);
+            return HttpPage{path == "/slow" ? kSlowStatus : 200, "body of " + path};
+        }};
 
-    void setup() override { CHECK_TRUE(responder.listen(kHost, 0).isOk()); }
+    void setup() override {
+        CHECK_TRUE(responder.listen(kHost, 0).isOk());
+    }
 };
 
 TEST(Http, AnswersOverAKeptConnection) {
