Serve the pooler's counters and latencies on the metrics address

Cause: the request asks for counters and latency histograms on the metrics address of the settings. Change: PoolingMetrics renders them; failures are counted by fault. An address that is taken costs the metrics, not the proxy. Tests: PoolingMetricsTest.

--- a/src/cluster/ClusterControl.cpp
+++ b/src/cluster/ClusterControl.cpp
@@ -111,6 +111,19 @@
                                          [](const auto& watch) { return watch->isListed(); });
 }
 
+std::uint64_t ClusterControl::promotions() const {
+    std::uint64_t total = 0;
+    for (const auto& [group, failover] : _failovers) {
+        total += failover->promotions();
+    }
+    return total;
+}
+
+bool ClusterControl::isStoreReachable() const {
+    return std::all_of(_watches.begin(), _watches.end(),
+                       [](const auto& watch) { return watch->isReachable(); });
+}
+
 void ClusterControl::onSettings(const StoredObject& object) {
     const std::optional<EstateImage> image = _dependencies.codec.readEstate(object);
     if (!image) {
--- a/src/cluster/ClusterControl.h
+++ b/src/cluster/ClusterControl.h
@@ -56,6 +56,14 @@
     void onTick(TimePoint now);
     std::optional<TimePoint> nextTick() const;
 
+    /** @return promotions carried out by this node. */
+    std::uint64_t promotions() const;
+
+    std::size_t nodeCount() const { return _registry.nodeCount(); }
+
+    /** @return whether the newest call of each watch was answered. */
+    bool isStoreReachable() const;
+
     std::uint64_t settingsVersion() const { return _import.version(); }
 
 private:
--- a/src/duty/pooling/PoolingDuty.cpp
+++ b/src/duty/pooling/PoolingDuty.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "base/Log.h"
+#include "duty/pooling/PoolingMetrics.h"
 
 namespace coralhoist::duty {
 namespace {
@@ -11,6 +12,7 @@
 constexpr int kUnavailable = 503;
 constexpr int kNotFound = 404;
 constexpr const char* kReadyPath = "/ready";
+constexpr const char* kMetricsPath = "/metrics";
 constexpr std::chrono::milliseconds kDrainStep{50};
 /** New connections may still come until those who send them have seen that it is not ready. */
 constexpr Duration kDrainAccepts = std::chrono::milliseconds(2300);
@@ -39,6 +41,7 @@
       _pooler(_clock, _connector, *this, makeKnobs(_options)),
       _callers(_poller, _adapter.callerCodec, _pooler, _clock, _options.maximumConnections),
       _readiness(_poller, [this](const std::string& path) { return answer(path); }),
+      _metrics(_poller, [this](const std::string& path) { return answerMetrics(path); }),
       _storeClient(_poller, _clock, _options.store.host, _options.store.port),
       _promotionClient(_poller, _clock, _options.promotion.host, _options.promotion.port),
       _control({_clock, _random, _storeClient, _promotionClient, _adapter.objectProtocol,
@@ -56,6 +59,7 @@
     if (!status.isOk()) {
         return status;
     }
+    listenForMetrics();
     addTickSources();
     QObject::connect(&_drainTimer, &QTimer::timeout, [this] { continueDrain(); });
     LogEvent("daemon", LogLevel::Info, "daemon.started")
@@ -91,6 +95,7 @@
     _connector.collect();
     _callers.collect();
     _readiness.collect();
+    _metrics.collect();
 }
 
 /** @return at once when the control has just become ready. */
@@ -118,6 +123,30 @@
     return {kNotFound, "unknown path\n"};
 }
 
+/** Without metrics the proxy serves all the same. */
+void PoolingDuty::listenForMetrics() {
+    const Status status = _metrics.listen(_options.metrics.host, _options.metrics.port);
+    if (!status.isOk()) {
+        LogEvent("daemon", LogLevel::Warning, "metrics.unavailable")
+            .field("reason", status.message());
+    }
+}
+
+socket::HttpPage PoolingDuty::answerMetrics(const std::string& path) const {
+    if (path != kMetricsPath) {
+        return {kNotFound, "unknown path\n"};
+    }
+    PoolingFigures figures;
+    figures.pooler = _pooler.statistics();
+    figures.sessions = _pooler.sessionCount();
+    figures.nodes = _control.nodeCount();
+    figures.settingsVersion = _control.settingsVersion();
+    figures.promotions = _control.promotions();
+    figures.ready = isReady();
+    figures.storeReachable = _control.isStoreReachable();
+    return {kOk, renderMetrics(figures)};
+}
+
 void PoolingDuty::beginDrain() {
     if (_drainBegan) {
         return;
--- a/src/duty/pooling/PoolingDuty.h
+++ b/src/duty/pooling/PoolingDuty.h
@@ -48,6 +48,7 @@
     Endpoint readiness;
     Endpoint store;
     Endpoint promotion;
+    Endpoint metrics;
     std::uint32_t maximumConnections = 20000;
     std::uint32_t connectionsPerServer = 5;
     /** Time that a planned stop may take. */
@@ -78,6 +79,8 @@
                         pooling::SuspicionReason reason) override;
 
     socket::HttpPage answer(const std::string& path) const;
+    socket::HttpPage answerMetrics(const std::string& path) const;
+    void listenForMetrics();
     bool isReady() const;
     std::optional<TimePoint> readyTick() const;
     void becomeReady();
@@ -97,6 +100,7 @@
     pooling::StatementPooler _pooler;
     session::CallerListener _callers;
     socket::HttpResponder _readiness;
+    socket::HttpResponder _metrics;
     socket::HttpClient _storeClient;
     socket::HttpClient _promotionClient;
     cluster::ClusterControl _control;
--- /dev/null
+++ b/src/duty/pooling/PoolingMetrics.cpp
@@ -0,0 +1,95 @@
+#include "duty/pooling/PoolingMetrics.h"
+
+#include <array>
+#include <sstream>
+
+#include "pooling/Statement.h"
+
+namespace coralhoist::duty {
+namespace {
+
+using pooling::LatencyHistogram;
+using pooling::PoolerStatistics;
+
+constexpr double kMillisecondsPerSecond = 1000.0;
+
+class Page {
+public:
+    template <typename Value>
+    void metric(const char* type, const char* name, const char* help, Value value) {
+        head(type, name, help);
+        _text << "coralhoist_" << name << ' ' << value << '\n';
+    }
+
+    void head(const char* type, const char* name, const char* help) {
+        _text << "# HELP coralhoist_" << name << ' ' << help << "\n# TYPE coralhoist_" << name << ' '
+              << type << '\n';
+    }
+
+    std::ostringstream& text() { return _text; }
+
+private:
+    std::ostringstream _text;
+};
+
+void appendFaults(Page& page, const PoolerStatistics& statistics) {
+    page.head("counter", "requests_failed_total", "Requests that ended with an error, by fault.");
+    for (std::size_t index = 0; index < statistics.failedByFault.size(); ++index) {
+        const auto fault = static_cast<pooling::StatementFault>(index);
+        page.text() << "coralhoist_requests_failed_total{fault=\"" << pooling::describe(fault)
+                    << "\"} " << statistics.failedByFault[index] << '\n';
+    }
+}
+
+void appendLatency(Page& page, const LatencyHistogram& latency) {
+    page.head("histogram", "request_duration_seconds",
+              "Time from a request's arrival to its answer.");
+    std::uint64_t cumulative = 0;
+    for (std::size_t bucket = 0; bucket < LatencyHistogram::kBoundsMs.size(); ++bucket) {
+        cumulative += latency.counts()[bucket];
+        page.text() << "coralhoist_request_duration_seconds_bucket{le=\""
+                    << LatencyHistogram::kBoundsMs[bucket] / kMillisecondsPerSecond << "\"} "
+                    << cumulative << '\n';
+    }
+    cumulative += latency.counts().back();
+    page.text() << "coralhoist_request_duration_seconds_bucket{le=\"+Inf\"} " << cumulative
+                << "\ncoralhoist_request_duration_seconds_sum "
+                << std::chrono::duration<double>(latency.sum()).count()
+                << "\ncoralhoist_request_duration_seconds_count " << cumulative << '\n';
+}
+
+}  // namespace
+
+std::string renderMetrics(const PoolingFigures& figures) {
+    const PoolerStatistics& pooler = figures.pooler;
+    Page page;
+    page.metric("gauge", "ready", "Whether this proxy takes callers.", figures.ready ? 1 : 0);
+    page.metric("gauge", "store_reachable", "Whether the newest call of each watch was answered.",
+                figures.storeReachable ? 1 : 0);
+    page.metric("gauge", "sessions", "Open sessions.", figures.sessions);
+    page.metric("gauge", "nodes", "Nodes that share the servers' connections.", figures.nodes);
+    page.metric("gauge", "settings_version", "Version of the settings in force.",
+                figures.settingsVersion);
+    page.metric("counter", "promotions_total", "Promotions carried out by this node.",
+                figures.promotions);
+    page.metric("counter", "statements_total", "Statements of callers.", pooler.statements);
+    page.metric("counter", "replica_reads_total", "Statements sent to replicas.",
+                pooler.replicaReads);
+    page.metric("counter", "primary_statements_total", "Statements sent to primaries.",
+                pooler.primaryStatements);
+    page.metric("counter", "retries_total", "Statements tried again.", pooler.retries);
+    page.metric("counter", "hedges_total", "Reads sent to a second server.", pooler.hedges);
+    page.metric("counter", "lagging_total", "Reads that a replica was too far behind for.",
+                pooler.lagging);
+    page.metric("counter", "leadership_proofs_wanted_total",
+                "Times that a statement waited for a proof of leadership.", pooler.proofsWanted);
+    page.metric("counter", "server_connections_opened_total", "Connections opened to servers.",
+                pooler.connectionsOpened);
+    page.metric("counter", "server_connections_lost_total", "Connections that servers broke.",
+                pooler.connectionsLost);
+    appendFaults(page, pooler);
+    appendLatency(page, pooler.latency);
+    return std::move(page.text()).str();
+}
+
+}  // namespace coralhoist::duty
--- /dev/null
+++ b/src/duty/pooling/PoolingMetrics.h
@@ -0,0 +1,25 @@
+/** The pooler's figures as text for a metrics collector. */
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "pooling/PoolerStatistics.h"
+
+namespace coralhoist::duty {
+
+/** What the page shows. */
+struct PoolingFigures {
+    pooling::PoolerStatistics pooler;
+    std::size_t sessions = 0;
+    std::size_t nodes = 0;
+    std::uint64_t settingsVersion = 0;
+    std::uint64_t promotions = 0;
+    bool ready = false;
+    bool storeReachable = false;
+};
+
+/** @return the figures in the text format of Prometheus: counters, gauges and a histogram. */
+std::string renderMetrics(const PoolingFigures& figures);
+
+}  // namespace coralhoist::duty
--- a/src/link/store/ObjectWatch.h
+++ b/src/link/store/ObjectWatch.h
@@ -54,6 +54,9 @@
     /** @return whether the objects have been listed since the start. */
     bool isListed() const { return _position.has_value(); }
 
+    /** @return whether the newest call was answered well. */
+    bool isReachable() const { return _reachable; }
+
     /** @return when the newest call that was answered well had been sent. */
     TimePoint freshAt() const { return _freshAt; }
 
--- a/src/pooling/PoolerStatements.cpp
+++ b/src/pooling/PoolerStatements.cpp
@@ -219,9 +219,7 @@
     const TimePoint now = _clock.now();
     if (result.error) {
         const StatementFault fault = result.error->fault;
-        ++_statistics.refused;
-        _statistics.inDoubt += fault == StatementFault::InDoubt ? 1 : 0;
-        _statistics.aborted += fault == StatementFault::Aborted ? 1 : 0;
+        ++_statistics.failedByFault[static_cast<std::size_t>(fault)];
         logFailure(session, fault, result.error->message);
     }
     _statistics.latency.add(now - session.operation->arrivedAt);
--- a/src/pooling/PoolerStatistics.h
+++ b/src/pooling/PoolerStatistics.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 
 #include "base/Time.h"
+#include "pooling/Statement.h"
 
 namespace coralhoist::pooling {
 
@@ -40,9 +41,8 @@
     std::uint64_t statements = 0;
     std::uint64_t replicaReads = 0;
     std::uint64_t primaryStatements = 0;
-    std::uint64_t refused = 0;
-    std::uint64_t inDoubt = 0;
-    std::uint64_t aborted = 0;
+    /** Requests that ended with an error, by StatementFault. */
+    std::array<std::uint64_t, kStatementFaults> failedByFault{};
     std::uint64_t retries = 0;
     std::uint64_t hedges = 0;
     std::uint64_t lagging = 0;
--- a/src/pooling/Statement.h
+++ b/src/pooling/Statement.h
@@ -64,6 +64,9 @@
     InDoubt,         /**< No promise: it may have committed. */
 };
 
+/** Number of faults. */
+constexpr std::size_t kStatementFaults = static_cast<std::size_t>(StatementFault::InDoubt) + 1;
+
 /** @return the name of the fault in logs, e.g. "in_doubt". */
 const char* describe(StatementFault fault);
 
--- /dev/null
+++ b/tests/duty/PoolingMetricsTest.cpp
@@ -0,0 +1,34 @@
+#include <CppUTest/TestHarness.h>
+
+#include "duty/pooling/PoolingMetrics.h"
+
+namespace coralhoist::duty {
+namespace {
+
+bool contains(const std::string& page, const char* line) {
+    return page.find(line) != std::string::npos;
+}
+
+TEST_GROUP(PoolingMetrics){};
+
+TEST(PoolingMetrics, ShowsCountersByFaultAndCumulativeBuckets) {
+    PoolingFigures figures;
+    figures.ready = true;
+    figures.pooler.statements = 7;
+    figures.pooler.failedByFault[static_cast<std::size_t>(pooling::StatementFault::InDoubt)] = 3;
+    figures.pooler.latency.add(std::chrono::milliseconds(3));
+    figures.pooler.latency.add(std::chrono::milliseconds(30));
+    figures.pooler.latency.add(std::chrono::seconds(9));
+    const std::string page = renderMetrics(figures);
+    CHECK_TRUE(contains(page, "coralhoist_ready 1\n"));
+    CHECK_TRUE(contains(page, "coralhoist_statements_total 7\n"));
+    CHECK_TRUE(contains(page, "coralhoist_requests_failed_total{fault=\"in_doubt\"} 3\n"));
+    CHECK_TRUE(contains(page, "duration_seconds_bucket{le=\"0.002\"} 0\n"));
+    CHECK_TRUE(contains(page, "duration_seconds_bucket{le=\"0.005\"} 1\n"));
+    CHECK_TRUE(contains(page, "duration_seconds_bucket{le=\"0.05\"} 2\n"));
+    CHECK_TRUE(contains(page, "duration_seconds_bucket{le=\"+Inf\"} 3\n"));
+    CHECK_TRUE(contains(page, "duration_seconds_count 3\n"));
+}
+
+}  // namespace
+}  // namespace coralhoist::duty
