--- a/lab/pooled/PooledRun.cpp
+++ b/lab/pooled/PooledRun.cpp
@@ -154,82 +154,91 @@
         heal([this, index] { startNode(index); });
     }
 
+    void isolatePrimary() {
+        const ServerName name = primary().name;
+        _group.setIsolated(name, true);
+        heal([this, name] { _group.setIsolated(name, false); });
+    }
+
+    void deafenReplica() {
+        LogServer& server = replica();
+        server.deaf = true;
+        heal([&server] { server.deaf = false; });
+    }
+
+    void slowReplica() {
+        LogServer& server = replica();
+        server.applyLag = milliseconds(300 + _random.below(900));
+        heal([&server] { server.applyLag = Duration(0); });
+    }
+
+    void cutNodeFromStore() {
+        const std::size_t index = _random.below(_nodes.size());
+        if (!_nodes[index]) {
+            return;
+        }
+        _nodes[index]->setStoreCut(true);
+        heal([this, index] {
+            if (_nodes[index]) {
+                _nodes[index]->setStoreCut(false);
+            }
+        });
+    }
+
+    void stopStore() {
+        _store.faults().down = true;
+        heal([this] { _store.faults().down = false; });
+    }
+
+    void loseStoreAnswers() {
+        _store.faults().answersLost = 0.4;
+        _store.faults().late = milliseconds(_random.below(2) * _random.below(3000));
+        heal([this] { _store.faults().answersLost = 0; });
+    }
+
+    void setAnswersLost(double share) {
+        for (const auto& node : _nodes) {
+            if (node) {
+                node->connector().faults().answersLost = share;
+            }
+        }
+    }
+
+    void loseServerAnswers() {
+        setAnswersLost(0.05);
+        heal([this] { setAnswersLost(0); });
+    }
+
     void begin(PooledFault fault) {
         switch (fault) {
             case PooledFault::PrimaryCrashes:
-                crashFor(primary(), faultTime());
-                return;
-            case PooledFault::PrimaryCutFromReplicas: {
-                const ServerName name = primary().name;
-                _group.setIsolated(name, true);
-                heal([this, name] { _group.setIsolated(name, false); });
-                return;
-            }
+                return crashFor(primary(), faultTime());
+            case PooledFault::PrimaryCutFromReplicas:
+                return isolatePrimary();
             case PooledFault::PrimaryCutFromSomeNodes:
-                cutNodes(false);
-                return;
+                return cutNodes(false);
             case PooledFault::PrimaryCutFromAllNodes:
-                cutNodes(true);
-                return;
+                return cutNodes(true);
             case PooledFault::PrimaryLeaves:
-                leave();
-                return;
-            case PooledFault::ReplicaDeaf: {
-                LogServer& server = replica();
-                server.deaf = true;
-                heal([&server] { server.deaf = false; });
-                return;
-            }
+                return leave();
+            case PooledFault::ReplicaDeaf:
+                return deafenReplica();
             case PooledFault::ReplicaCrashes:
-                crashFor(replica(), faultTime());
-                return;
-            case PooledFault::ReplicaLags: {
-                LogServer& server = replica();
-                server.applyLag = milliseconds(300 + _random.below(900));
-                heal([&server] { server.applyLag = Duration(0); });
-                return;
-            }
+                return crashFor(replica(), faultTime());
+            case PooledFault::ReplicaLags:
+                return slowReplica();
             case PooledFault::NodeFreezes:
-                freezeNode();
-                return;
+                return freezeNode();
             case PooledFault::NodeDies:
-                killNode();
-                return;
-            case PooledFault::NodeCutFromStore: {
-                const std::size_t index = _random.below(_nodes.size());
-                if (_nodes[index]) {
-                    _nodes[index]->setStoreCut(true);
-                    heal([this, index] {
-                        if (_nodes[index]) {
-                            _nodes[index]->setStoreCut(false);
-                        }
-                    });
-                }
-                return;
-            }
+                return killNode();
+            case PooledFault::NodeCutFromStore:
+                return cutNodeFromStore();
             case PooledFault::StoreDown:
-                _store.faults().down = true;
-                heal([this] { _store.faults().down = false; });
-                return;
+                return stopStore();
             case PooledFault::StoreAnswersLost:
-                _store.faults().answersLost = 0.4;
-                _store.faults().late = milliseconds(_random.below(2) * _random.below(3000));
-                heal([this] { _store.faults().answersLost = 0; });
-                return;
+                return loseStoreAnswers();
             case PooledFault::AnswersLost:
-                for (const auto& node : _nodes) {
-                    if (node) {
-                        node->connector().faults().answersLost = 0.05;
-                    }
-                }
-                heal([this] {
-                    for (const auto& node : _nodes) {
-                        if (node) {
-                            node->connector().faults().answersLost = 0;
-                        }
-                    }
-                });
-                return;
+                return loseServerAnswers();
         }
     }
 
--- a/src/duty/pooling/PoolingMetrics.cpp
+++ b/src/duty/pooling/PoolingMetrics.cpp
@@ -22,8 +22,8 @@
     }
 
     void head(const char* type, const char* name, const char* help) {
-        _text << "# HELP coralhoist_" << name << ' ' << help << "\n# TYPE coralhoist_" << name << ' '
-              << type << '\n';
+        _text << "# HELP coralhoist_" << name << ' ' << help << "\n# TYPE coralhoist_" << name
+              << ' ' << type << '\n';
     }
 
     std::ostringstream& text() { return _text; }
--- a/src/failover/GroupFailover.cpp
+++ b/src/failover/GroupFailover.cpp
@@ -212,8 +212,9 @@
         return FailoverReason::None;
     }
     if (!_primary) {
-        const bool long_ = _withoutPrimarySince && now - *_withoutPrimarySince > kNoPrimaryPatience;
-        return long_ ? FailoverReason::NoPrimary : FailoverReason::None;
+        const bool lasting =
+            _withoutPrimarySince && now - *_withoutPrimarySince > kNoPrimaryPatience;
+        return lasting ? FailoverReason::NoPrimary : FailoverReason::None;
     }
     const ListedServer* primary = listed(_primary->server);
     if (primary != nullptr && (primary->announcement.draining || primary->removed) &&
@@ -527,7 +528,7 @@
 }
 
 std::optional<ServerName> GroupFailover::chooseSuccessor(TimePoint now) {
-    const std::optional<ServerName> best = mostAdvanced(now);
+    std::optional<ServerName> best = mostAdvanced(now);
     const OpTime position = best ? _links.at(*best)->report()->report.received : OpTime{};
     if (best && _formerPosition && position >= *_formerPosition) {
         return best;
--- a/src/failover/MemberLink.h
+++ b/src/failover/MemberLink.h
@@ -62,7 +62,7 @@
     void onLost(ConnectionId connection) override;
 
     struct Awaited {
-        pooling::ServerCommand::Kind kind;
+        pooling::ServerCommand::Kind kind = pooling::ServerCommand::Kind::Status;
         Term term = 0;
         TimePoint askedAt{};
     };
--- a/src/pooling/PoolerResults.cpp
+++ b/src/pooling/PoolerResults.cpp
@@ -151,8 +151,8 @@
 
 void StatementPooler::onStatementResult(ServerConnection& connection, PooledSession& session,
                                         StatementResult result) {
-    const bool unsigned_ = result.succeeded() && result.signature.empty();
-    if (connection.poisoned || unsigned_) {
+    const bool lacksSignature = result.succeeded() && result.signature.empty();
+    if (connection.poisoned || lacksSignature) {
         discard(connection.id);
         onSentLost(session, "answers on the connection can't be told apart");
         return;
