Prove a primary's leadership by the servers while the store is silent

Cause: current reads and transactions wait for a proof of leadership; while the store is down, only commits gave it, so that they waited for the next write or were refused. Change: LeadershipProbe asks the primary and a replica for their status; a primary that leads and a listed replica that receives in the same term prove it. Asked only while the store does not answer. A receiver whose announcement is gone is ignored in a promotion only when it refuses connections, or has been gone for 4 s and silent: it may be cut off from the store and this node only.

--- a/lab/pooled/PooledNode.cpp
+++ b/lab/pooled/PooledNode.cpp
@@ -16,6 +16,8 @@
 constexpr Duration kStaleness = milliseconds(600);
 constexpr Duration kStatementTimeout = milliseconds(800);
 constexpr Duration kFollowEvery = milliseconds(10);
+/** Kind of operation that is a single read. */
+constexpr std::uint64_t kPlainRead = 5;
 constexpr Duration kStoreDelay = milliseconds(4);
 
 std::optional<failover::ServerReport> parseReport(const std::string& row) {
@@ -141,6 +143,7 @@
         }
     }
     prove();
+    proveByServers();
     for (auto& [session, caller] : _callers) {
         if (now >= caller.nextAt) {
             startOperation(caller);
@@ -196,6 +199,7 @@
         const TimePoint askedAt = _world.queue.now();
         _storeClient.load(group, [this, group, askedAt](const failover::LoadedRecord& loaded) {
             _proving.erase(group);
+            _storeSilent = loaded.outcome != failover::StoreOutcome::Done;
             if (loaded.outcome != failover::StoreOutcome::Done) {
                 return;
             }
@@ -209,6 +213,31 @@
     }
 }
 
+void PooledNode::proveByServers() {
+    const TimePoint now = _world.queue.now();
+    for (LogGroup* group : _world.groups) {
+        std::unique_ptr<failover::LeadershipProbe>& probe = _probes[group->name()];
+        if (!probe) {
+            probe = std::make_unique<failover::LeadershipProbe>(_world.queue, _connector, _parser);
+        }
+        if (_storeSilent && _unproven.contains(group->name())) {
+            probe->ask(_directory.serversOf(group->name()), now);
+        }
+        if (const auto next = probe->nextTick(); next && *next <= now) {
+            probe->onTick(now);
+        }
+        const std::optional<pooling::Primary> primary = _pooler.primaryOf(group->name());
+        const std::optional<TimePoint> proven = primary ? probe->provenAt(*primary) : std::nullopt;
+        TimePoint& told = _toldProofs[group->name()];
+        if (proven && *proven > told) {
+            told = *proven;
+            ++_provenByServers;
+            _unproven.erase(group->name());
+            _pooler.confirmLeadership(group->name(), *proven);
+        }
+    }
+}
+
 void PooledNode::suspectPrimary(const GroupName& group, const ServerName& server,
                                 pooling::SuspicionReason reason) {
     _failovers[group]->onSuspicion(server, reason);
@@ -219,7 +248,7 @@
     caller.nextAt = TimePoint::max();
     caller.since = world.queue.now();
     caller.remaining.clear();
-    const std::uint64_t kind = world.random.below(10);
+    const std::uint64_t kind = world.readOnly ? kPlainRead : world.random.below(10);
     caller.writes = kind < 3 || kind == 8;
     caller.commit = caller.writes ? ++world.lastCommit : 0;
     caller.inTransaction = kind >= 7;
--- a/lab/pooled/PooledNode.h
+++ b/lab/pooled/PooledNode.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "failover/GroupFailover.h"
+#include "failover/LeadershipProbe.h"
 #include "lab/pooled/LogConnector.h"
 #include "lab/pooled/LogGroup.h"
 #include "lab/pooled/PooledJudge.h"
@@ -25,6 +26,8 @@
     RecordStore& store;
     std::vector<LogGroup*> groups;
     std::shared_ptr<const pooling::ServiceCatalog> catalog;
+    /** Callers only read, so that no commit proves a leadership. */
+    bool readOnly = false;
     std::uint64_t lastCommit = 0;
     std::uint64_t lastRequest = 0;
     std::uint64_t lastSession = 0;
@@ -51,6 +54,8 @@
     void setStoreCut(bool cut);
     LogConnector& connector() { return _connector; }
     std::uint64_t acknowledged() const { return _acknowledged; }
+    /** @return proofs of leadership that the servers gave. */
+    std::uint64_t provenByServers() const { return _provenByServers; }
 
 private:
     /** What a session does. */
@@ -79,6 +84,7 @@
     void openCallers(std::size_t sessionsPerService);
     void follow();
     void prove();
+    void proveByServers();
     void startOperation(Caller& caller);
     void sendNext(Caller& caller);
     void endOperation(Caller& caller);
@@ -98,8 +104,12 @@
     std::map<SessionId, Caller> _callers;
     std::set<GroupName> _unproven;
     std::set<GroupName> _proving;
+    std::map<GroupName, std::unique_ptr<failover::LeadershipProbe>> _probes;
+    std::map<GroupName, TimePoint> _toldProofs;
+    bool _storeSilent = false;
     TimePoint _nextFollow{};
     std::uint64_t _acknowledged = 0;
+    std::uint64_t _provenByServers = 0;
 };
 
 }  // namespace coralhoist::pooled
--- a/lab/pooled/PooledRun.cpp
+++ b/lab/pooled/PooledRun.cpp
@@ -28,7 +28,7 @@
           _random(options.seed),
           _group(GroupName("g"), options.group, _queue, _judge),
           _store(_queue, _random, _judge),
-          _world{_queue, _random, _judge, _book, _store, {&_group}, nullptr} {
+          _world{_queue, _random, _judge, _book, _store, {&_group}, nullptr, options.readOnly} {
         _store.addGroup(_group);
         _world.catalog = makeWorkloadCatalog(_world.groups);
         for (std::size_t index = 0; index < options.nodes; ++index) {
@@ -52,6 +52,9 @@
         report.acknowledgedAfterFaults = report.acknowledged - before;
         report.reads = _judge.reads();
         report.promotions = _group.promotions();
+        for (const auto& node : _nodes) {
+            report.provenByServers += node ? node->provenByServers() : 0;
+        }
         return report;
     }
 
--- a/lab/pooled/PooledRun.h
+++ b/lab/pooled/PooledRun.h
@@ -34,6 +34,7 @@
     std::uint64_t seed = 1;
     std::vector<PooledFault> faults;
     std::size_t nodes = 3;
+    bool readOnly = false;
     GroupModel group;
 };
 
@@ -44,6 +45,8 @@
     std::size_t acknowledgedAfterFaults = 0;
     std::size_t reads = 0;
     std::uint64_t promotions = 0;
+    /** Proofs of leadership that servers gave while the store was silent. */
+    std::uint64_t provenByServers = 0;
 };
 
 /** @return all single faults and all pairs. */
--- a/src/cluster/ClusterControl.cpp
+++ b/src/cluster/ClusterControl.cpp
@@ -17,6 +17,8 @@
 constexpr Duration kRemovedRetention = std::chrono::seconds(15);
 constexpr Duration kExpiryRound = std::chrono::seconds(1);
 constexpr Duration kProofTimeout = std::chrono::milliseconds(400);
+/** The servers are asked sooner when the store has answered so far. */
+constexpr Duration kFirstProofTimeout = std::chrono::milliseconds(120);
 /** Pause after a proof that did not come. */
 constexpr Duration kProofPause = std::chrono::milliseconds(60);
 constexpr int kSuccess = 200;
@@ -254,6 +256,7 @@
         }
     }
     askForProof(now);
+    askServersForProof(now);
     if (now >= _nextExpiry) {
         _nextExpiry = now + kExpiryRound;
         _directory.expire(now, kRemovedRetention);
@@ -271,6 +274,9 @@
     if (!_unproven.empty() && !_proofRunning) {
         next = std::min(next, _nextProof);
     }
+    for (const auto& [group, probe] : _probes) {
+        next = std::min(next, probe->nextTick().value_or(next));
+    }
     return next;
 }
 
@@ -282,7 +288,7 @@
     _proofRunning = true;
     socket::HttpCall call =
         _dependencies.protocol.listCall(_dependencies.codec.kinds().promotions, {});
-    call.timeout = kProofTimeout;
+    call.timeout = _storeSilent ? kProofTimeout : kFirstProofTimeout;
     _dependencies.storeClient.call(
         call, [this, alive = std::weak_ptr<bool>(_alive), now](const socket::HttpAnswer& answer) {
             if (!alive.expired()) {
@@ -292,11 +298,45 @@
         });
 }
 
+/** While the store says nothing, the servers are asked, at the price of a slot of each. */
+void ClusterControl::askServersForProof(TimePoint now) {
+    if (_storeSilent) {
+        for (const GroupName& group : _unproven) {
+            std::unique_ptr<failover::LeadershipProbe>& probe = _probes[group];
+            if (!probe) {
+                probe = std::make_unique<failover::LeadershipProbe>(
+                    _dependencies.clock, _dependencies.connector, _dependencies.reportParser);
+            }
+            probe->ask(_directory.serversOf(group), now);
+        }
+    }
+    for (const auto& [group, probe] : _probes) {
+        if (const auto next = probe->nextTick(); next && *next <= now) {
+            probe->onTick(now);
+        }
+    }
+    takeProofsOfServers();
+}
+
+void ClusterControl::takeProofsOfServers() {
+    for (const auto& [group, probe] : _probes) {
+        const std::optional<pooling::Primary> primary = _pooler.primaryOf(group);
+        const std::optional<TimePoint> proven = primary ? probe->provenAt(*primary) : std::nullopt;
+        TimePoint& told = _toldProofs[group];
+        if (proven && *proven > told) {
+            told = *proven;
+            _unproven.erase(group);
+            _pooler.confirmLeadership(group, *proven);
+        }
+    }
+}
+
 void ClusterControl::onProof(const socket::HttpAnswer& answer, TimePoint askedAt) {
     const bool answered =
         answer.outcome == socket::HttpAnswer::Outcome::Answered && answer.status == kSuccess;
     const std::optional<store::ObjectPage> page =
         answered ? _dependencies.protocol.readPage(answer.body) : std::nullopt;
+    _storeSilent = !page;
     if (!page || page->more) {
         _nextProof = _dependencies.clock.now() + kProofPause;
         return;
--- a/src/cluster/ClusterControl.h
+++ b/src/cluster/ClusterControl.h
@@ -16,6 +16,7 @@
 #include "cluster/NodeRegistry.h"
 #include "cluster/StoredPromotions.h"
 #include "failover/GroupFailover.h"
+#include "failover/LeadershipProbe.h"
 #include "link/store/ObjectWatch.h"
 #include "pooling/ServerDirectory.h"
 #include "pooling/StatementPooler.h"
@@ -77,6 +78,8 @@
     void publishDirectory();
     void publishNodeCount();
     void askForProof(TimePoint now);
+    void askServersForProof(TimePoint now);
+    void takeProofsOfServers();
     void onProof(const socket::HttpAnswer& answer, TimePoint askedAt);
     failover::GroupFailover& failoverOf(const GroupName& group);
 
@@ -89,6 +92,10 @@
     StoredPromotions _promotions;
     NodeRegistry _registry;
     std::map<GroupName, std::unique_ptr<failover::GroupFailover>> _failovers;
+    std::map<GroupName, std::unique_ptr<failover::LeadershipProbe>> _probes;
+    /** The store did not answer the last question for a proof. */
+    bool _storeSilent = false;
+    std::map<GroupName, TimePoint> _toldProofs;
     std::vector<std::unique_ptr<Feed>> _feeds;
     std::vector<std::unique_ptr<store::ObjectWatch>> _watches;
     std::size_t _publishedNodes = 0;
--- a/src/failover/GroupFailover.cpp
+++ b/src/failover/GroupFailover.cpp
@@ -25,6 +25,9 @@
 constexpr Duration kNoPrimaryPatience = milliseconds(600);
 /** A server whose announcement is gone need not be heard when it is silent for so long. */
 constexpr Duration kRemovedPatience = milliseconds(700);
+/** ... and its announcement has been gone for so long, unless it refuses connections: it may only
+ * be cut off from the store and from this node, and still receive. */
+constexpr Duration kRemovedFor = milliseconds(4000);
 /** A record that its holder has not changed for so long may be taken over. */
 constexpr Duration kTakeOverAfter = milliseconds(3300);
 /** After a promotion, nobody but its holder promotes for so long: holders don't take turns. */
@@ -510,8 +513,14 @@
 bool GroupFailover::mustBeHeard(const ServerName& name, const MemberLink& member,
                                 TimePoint now) const {
     const ListedServer* server = listed(name);
-    const bool gone = server == nullptr || server->removed;
-    return !gone || !member.isSilentFor(kRemovedPatience, now);
+    if (server == nullptr) {
+        return false;
+    }
+    if (!server->removed) {
+        return true;
+    }
+    const bool longGone = now - server->removedAt >= kRemovedFor;
+    return !member.isRefused() && !(longGone && member.isSilentFor(kRemovedPatience, now));
 }
 
 bool GroupFailover::heardAllSince(TimePoint since, TimePoint now) {
--- /dev/null
+++ b/src/failover/LeadershipProbe.cpp
@@ -0,0 +1,90 @@
+#include "failover/LeadershipProbe.h"
+
+#include <algorithm>
+
+namespace coralhoist::failover {
+namespace {
+
+using pooling::ListedServer;
+using pooling::ServerCommand;
+
+/** Time between two questions. */
+constexpr Duration kAskEvery = std::chrono::milliseconds(120);
+/** Connections are closed when nobody has asked for so long. */
+constexpr Duration kIdleAfter = std::chrono::seconds(2);
+constexpr Duration kStep = std::chrono::milliseconds(20);
+
+}  // namespace
+
+LeadershipProbe::LeadershipProbe(const Clock& clock, pooling::ServerConnector& connector,
+                                 const ReportParser& parser)
+    : _clock(clock), _connector(connector), _parser(parser) {}
+
+LeadershipProbe::~LeadershipProbe() = default;
+
+void LeadershipProbe::ask(const pooling::ServerDirectory::Servers& servers, TimePoint now) {
+    if (now - _askedAt < kAskEvery) {
+        return;
+    }
+    _askedAt = now;
+    _nextTick = now + kStep;
+    std::erase_if(_links, [&servers](const auto& entry) {
+        const auto listed = servers.find(entry.first);
+        // A removed server may be one that a promoter need not hear.
+        return listed == servers.end() || listed->second.removed;
+    });
+    for (const auto& [name, listed] : servers) {
+        if (listed.removed) {
+            continue;
+        }
+        std::unique_ptr<MemberLink>& link = _links[name];
+        if (!link) {
+            link = std::make_unique<MemberLink>(listed.announcement.address, _clock, _connector,
+                                                _parser);
+        }
+        link->request(ServerCommand::Kind::Status);
+    }
+}
+
+void LeadershipProbe::onTick(TimePoint now) {
+    _nextTick = now + kStep;
+    if (now - _askedAt > kIdleAfter) {
+        _links.clear();
+        return;
+    }
+    for (const auto& [name, link] : _links) {
+        link->onTick(now);
+    }
+}
+
+std::optional<TimePoint> LeadershipProbe::nextTick() const {
+    return _links.empty() ? std::nullopt : std::optional<TimePoint>(_nextTick);
+}
+
+std::optional<TimePoint> LeadershipProbe::provenAt(const pooling::Primary& primary) const {
+    const auto leader = _links.find(primary.server);
+    if (leader == _links.end() || !leader->second->report()) {
+        return std::nullopt;
+    }
+    const MemberAnswer& claim = *leader->second->report();
+    if (!claim.report.primary || claim.report.term < primary.term) {
+        return std::nullopt;
+    }
+    std::optional<TimePoint> proven;
+    for (const auto& [name, link] : _links) {
+        if (name == primary.server || !link->report()) {
+            continue;
+        }
+        const MemberAnswer& follower = *link->report();
+        const bool follows = !follower.report.primary &&
+                             follower.report.term == claim.report.term &&
+                             follower.report.heldTerm <= claim.report.term;
+        if (follows) {
+            const TimePoint at = std::min(claim.askedAt, follower.askedAt);
+            proven = std::max(proven.value_or(at), at);
+        }
+    }
+    return proven;
+}
+
+}  // namespace coralhoist::failover
--- a/tests/pooled_simulation/PooledSimulationTest.cpp
+++ b/tests/pooled_simulation/PooledSimulationTest.cpp
@@ -119,6 +119,20 @@
           0);
 }
 
+TEST(PooledSimulation, ServersProveTheLeadershipWhileTheStoreIsDown) {
+    std::uint64_t proofs = 0;
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        PooledRunOptions options;
+        options.seed = seed;
+        options.faults = {PooledFault::StoreDown};
+        options.readOnly = true;
+        const PooledReport report = runPooled(options);
+        UNSIGNED_LONGS_EQUAL(0, report.violations.size());
+        proofs += report.provenByServers;
+    }
+    CHECK(proofs > 0);
+}
+
 TEST(PooledSimulation, TheSameSeedGivesTheSameRun) {
     PooledRunOptions options;
     options.seed = 7;
