--- a/src/duty/pooling/PoolingDuty.cpp
+++ b/src/duty/pooling/PoolingDuty.cpp
@@ -123,6 +123,22 @@
     return {kNotFound, "unknown path\n"};
 }
 
+void PoolingDuty::reconfigure(const PoolingOptions& options) {
+    const bool needsRestart = !(options.callers == _options.callers) ||
+                              !(options.readiness == _options.readiness) ||
+                              options.name != _options.name || options.zone != _options.zone;
+    _options.store = options.store;
+    _options.promotion = options.promotion;
+    _options.drainTimeout = options.drainTimeout;
+    _options.connectionsPerServer = options.connectionsPerServer;
+    _storeClient.redirect(options.store.host, options.store.port);
+    _promotionClient.redirect(options.promotion.host, options.promotion.port);
+    _pooler.setConnectionBound(options.connectionsPerServer);
+    LogEvent("daemon", LogLevel::Info, "daemon.reloaded")
+        .field("store", options.store.host + ":" + std::to_string(options.store.port))
+        .field("needs_restart", needsRestart);
+}
+
 /** Without metrics the proxy serves all the same. */
 void PoolingDuty::listenForMetrics() {
     const Status status = _metrics.listen(_options.metrics.host, _options.metrics.port);
--- a/src/duty/pooling/PoolingDuty.h
+++ b/src/duty/pooling/PoolingDuty.h
@@ -38,6 +38,8 @@
 struct Endpoint {
     std::string host;
     std::uint16_t port = 0;
+
+    bool operator==(const Endpoint&) const = default;
 };
 
 /** What the duty is started with. */
@@ -65,6 +67,12 @@
 
     Status start() override;
 
+    /**
+     * Takes changed options while it runs: the addresses of store and promotion, the time of a
+     * planned stop, the bound of connections. Others need a restart and are named in the log.
+     */
+    void reconfigure(const PoolingOptions& options);
+
     /** Begins the planned stop: not ready at once, idle sessions are closed, others may end. */
     void beginDrain();
 
--- a/src/pooling/StatementPooler.h
+++ b/src/pooling/StatementPooler.h
@@ -73,6 +73,11 @@
     /** Takes the number of nodes that share each server's connections. */
     void setNodeCount(std::size_t nodes);
 
+    /** Takes the most connections that this process may hold to one server. */
+    void setConnectionBound(std::uint32_t connections) {
+        _knobs.connectionsPerServer = connections;
+    }
+
     /** Takes the current announcements of all servers. */
     void applyDirectory(const ServerDirectory& directory);
 
