Tell refused callers when to come back, and log retried and slow requests

Cause: a refusal named no time to come back; an on-call engineer saw only the end of a request. Change: a request that was not sent is refused with the obstacle and a time (500 ms while a promotion is under way, else 100 ms). request.retried for each attempt that did not run, request.slow for answers beyond the service's objective, with where the time went. Tests: ARefusalSaysWhyAndWhenToComeBack.

--- a/src/pooling/PoolerResults.cpp
+++ b/src/pooling/PoolerResults.cpp
@@ -365,9 +365,15 @@
         if (session.transaction.phase != TransactionPhase::None) {
             failTransaction(session);
         }
-        replyError(session, StatementFault::Busy, "no server could take it");
+        refuseAsBusy(session);
         return;
     }
+    LogEvent("pooling", LogLevel::Info, "request.retried")
+        .field("request", operation.statement.id)
+        .field("group", session.group)
+        .field("server", operation.server)
+        .field("obstacle", obstacle)
+        .field("attempts", operation.attempts);
     operation.avoided.insert(operation.server);
     operation.notBefore = now + _knobs.busyPause * (operation.attempts - 1);
     enqueue(session);
--- a/src/pooling/PoolerStatements.cpp
+++ b/src/pooling/PoolerStatements.cpp
@@ -8,6 +8,9 @@
 namespace {
 
 constexpr std::uint32_t kPercent = 100;
+/** When a refused caller should come back: after a promotion, or when a queue has moved on. */
+constexpr std::chrono::milliseconds kComeBackAfterPromotion{500};
+constexpr std::chrono::milliseconds kComeBackAfterOverload{100};
 
 }  // namespace
 
@@ -210,6 +213,17 @@
     queueReply(session, std::move(result));
 }
 
+/** The statement was not sent: the caller is told when a repetition has a chance. */
+void StatementPooler::refuseAsBusy(PooledSession& session) {
+    const GroupState& group = groupOf(session);
+    const bool leaderless =
+        !group.leadership.primary() || group.leadership.notice().phase != PromotionPhase::None;
+    const auto pause = leaderless ? kComeBackAfterPromotion : kComeBackAfterOverload;
+    replyError(session, StatementFault::Busy,
+               std::string("not run (") + session.operation->lastObstacle + "); come back in " +
+                   std::to_string(pause.count()) + " ms");
+}
+
 void StatementPooler::queueReply(const PooledSession& session, StatementResult result) {
     result.state = stateOf(session);
     _replies.push_back({session.id, std::move(result)});
@@ -221,6 +235,8 @@
         const StatementFault fault = result.error->fault;
         ++_statistics.failedByFault[static_cast<std::size_t>(fault)];
         logFailure(session, fault, result.error->message);
+    } else if (now - session.operation->arrivedAt > session.settings.latencyObjective) {
+        logSlow(session);
     }
     _statistics.latency.add(now - session.operation->arrivedAt);
     session.operation.reset();
--- a/src/pooling/PoolerTimers.cpp
+++ b/src/pooling/PoolerTimers.cpp
@@ -73,7 +73,7 @@
     if (session.transaction.phase != TransactionPhase::None) {
         failTransaction(session);
     }
-    replyError(session, StatementFault::Busy, "no server could take it in time");
+    refuseAsBusy(session);
 }
 
 void StatementPooler::reviewSent(PooledSession& session, TimePoint now) {
--- a/src/pooling/StatementPooler.cpp
+++ b/src/pooling/StatementPooler.cpp
@@ -212,6 +212,29 @@
     return found == _connections.end() ? nullptr : &found->second;
 }
 
+namespace {
+
+std::int64_t milliseconds(Duration duration) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+}  // namespace
+
+/** An answer that came after the service's objective: where the time went. */
+void StatementPooler::logSlow(const PooledSession& session) {
+    const Operation& operation = *session.operation;
+    const TimePoint now = _clock.now();
+    LogEvent("pooling", LogLevel::Info, "request.slow")
+        .field("request", operation.statement.id)
+        .field("service", session.service)
+        .field("group", session.group)
+        .field("server", operation.server)
+        .field("attempts", operation.attempts)
+        .field("obstacle", operation.lastObstacle)
+        .field("waited_ms", milliseconds(operation.sentAt - operation.arrivedAt))
+        .field("server_ms", milliseconds(now - operation.sentAt));
+}
+
 void StatementPooler::logFailure(const PooledSession& session, StatementFault fault,
                                  const std::string& message) {
     if (!session.operation) {
@@ -232,9 +255,7 @@
         .field("obstacle", operation.lastObstacle)
         .field("server", operation.server)
         .field("attempts", operation.attempts)
-        .field("age_ms",
-               std::chrono::duration_cast<std::chrono::milliseconds>(now - operation.arrivedAt)
-                   .count())
+        .field("age_ms", milliseconds(now - operation.arrivedAt))
         .field("primary", primary ? primary->server.value() : std::string("none"))
         .field("term", group.leadership.newestTerm())
         .field("settings_version", _catalog->version);
--- a/src/pooling/StatementPooler.h
+++ b/src/pooling/StatementPooler.h
@@ -169,6 +169,7 @@
     bool isWrite(const PooledSession& session, const Statement& statement) const;
     void replyCompleted(const PooledSession& session);
     void replyError(PooledSession& session, StatementFault fault, std::string message);
+    void refuseAsBusy(PooledSession& session);
     void queueReply(const PooledSession& session, StatementResult result);
     void finishOperation(PooledSession& session, StatementResult result);
     SessionState stateOf(const PooledSession& session) const;
@@ -250,6 +251,7 @@
     void flushReplies();
     void markDirty(const GroupName& group);
     void logFailure(const PooledSession& session, StatementFault fault, const std::string& message);
+    void logSlow(const PooledSession& session);
     GroupState& groupOf(const PooledSession& session) { return _groups[session.group]; }
     ServerState* serverOf(const ServerConnection& connection);
     PooledSession* findSession(SessionId id);
--- a/tests/pooling/PoolerTest.cpp
+++ b/tests/pooling/PoolerTest.cpp
@@ -38,6 +38,16 @@
     UNSIGNED_LONGS_EQUAL(1, fixture.pendingCount());
 }
 
+TEST(StatementPooler, ARefusalSaysWhyAndWhenToComeBack) {
+    fixture.advance(milliseconds(600));
+    const SessionId session = fixture.session("current");
+    fixture.submit(session, StatementVerb::Read, "READ 1");
+    fixture.advance(milliseconds(561));
+    UNSIGNED_LONGS_EQUAL(1, fixture.replies.size());
+    STRCMP_EQUAL("not run (leadership_unproven); come back in 100 ms",
+                 fixture.replies[0].result.error->message.c_str());
+}
+
 TEST(StatementPooler, AWriteWhoseAnswerIsLostIsInDoubtAtOnce) {
     const SessionId session = fixture.session("current");
     fixture.submit(session, StatementVerb::Write, "WRITE 1 a");
