Take the answer of a commit for a proof only in groups that replicate synchronously

Cause: a primary that answers alone proves nothing by its answer; the configuration tells how many replicas have a commit before, and it was not read. Change: key replication.synchronous_replicas (0 to 16, default 1), imported with each group; with 0 the store or nothing proves a leadership. Tests: ACommitProvesTheLeadershipOnlyWhenAReplicaHasIt; import and codec.

--- a/src/cluster/EstateImport.cpp
+++ b/src/cluster/EstateImport.cpp
@@ -33,6 +33,9 @@
     if (group.connectionsPerServer) {
         document["pool.connections_per_server"] = static_cast<int>(*group.connectionsPerServer);
     }
+    if (group.synchronousReplicas) {
+        document["replication.synchronous_replicas"] = static_cast<int>(*group.synchronousReplicas);
+    }
     return compact(document);
 }
 
--- a/src/cluster/EstateImport.h
+++ b/src/cluster/EstateImport.h
@@ -18,6 +18,7 @@
 struct ImportedGroup {
     GroupName name;
     std::optional<std::uint32_t> connectionsPerServer;
+    std::optional<std::uint32_t> synchronousReplicas;
 };
 
 /** A service of the imported configuration. */
--- a/src/pooling/PoolerResults.cpp
+++ b/src/pooling/PoolerResults.cpp
@@ -223,6 +223,11 @@
     finishOperation(session, std::move(result));
 }
 
+bool StatementPooler::replicatesSynchronously(const GroupName& group) const {
+    const auto found = _catalog->groups.find(group);
+    return found != _catalog->groups.end() && found->second.synchronousReplicas > 0;
+}
+
 /** What a success at the primary proves about its leadership and about the log. */
 void StatementPooler::noteFreshness(PooledSession& session, const StatementResult& result) {
     GroupState& group = groupOf(session);
@@ -238,7 +243,7 @@
     if (!primary || primary->server != operation.server || result.position.term == 0) {
         return;
     }
-    if (committed) {
+    if (committed && replicatesSynchronously(session.group)) {
         // A replica took the commit after it was sent, so none had been kept from it before.
         group.leadership.confirm(*primary, operation.sentAt);
     }
--- a/src/pooling/StatementPooler.h
+++ b/src/pooling/StatementPooler.h
@@ -225,6 +225,7 @@
     void setLatencyTargets();
     void noteFault(PooledSession& session, StatementFault fault);
     void notePosition(const ServerConnection& connection, OpTime position);
+    bool replicatesSynchronously(const GroupName& group) const;
     void noteFreshness(PooledSession& session, const StatementResult& result);
     void requeue(PooledSession& session, const char* obstacle);
     void release(ServerConnection& connection, SessionState state);
--- a/src/settings/EffectiveSettings.h
+++ b/src/settings/EffectiveSettings.h
@@ -54,6 +54,8 @@
     std::uint32_t urgentReservedSlots = 1;
     /** Connections that all proxies together may hold to one server. */
     std::uint32_t connectionsPerServer = 30;
+    /** Replicas that have a commit before its primary answers; 0 when it answers alone. */
+    std::uint32_t synchronousReplicas = 1;
     /** Connections opened at the same time to one server by one proxy. */
     std::uint32_t concurrentConnects = 2;
     /** Idle connections kept open to each server, so that a new primary can serve at once. */
--- a/src/settings/KeyTable.cpp
+++ b/src/settings/KeyTable.cpp
@@ -253,6 +253,14 @@
         "Proxies that keep warm connections to take over from an active owner."));
 }
 
+void addReplicationKeys(std::vector<KeyDefinition>& keys) {
+    keys.push_back(makeCount<&GroupSettings::synchronousReplicas>(
+        "replication.synchronous_replicas", "replicas", 1, {0, 16},
+        "Replicas that have a commit before its primary answers. Only with 1 or more does the "
+        "answer"
+        " to a commit prove that the primary still leads. For groups that pooled sessions use."));
+}
+
 void addTimeoutKeys(std::vector<KeyDefinition>& keys) {
     keys.push_back(makeServiceDuration<&ServiceSettings::statementTimeout>(
         "timeout.statement", seconds(10), milliseconds(1), hours(24),
@@ -298,6 +306,7 @@
     addRoutingKeys(keys);
     addAdmissionKeys(keys);
     addPoolKeys(keys);
+    addReplicationKeys(keys);
     addTimeoutKeys(keys);
     addRequestKeys(keys);
     addStatusKeys(keys);
--- a/tests/cluster/EstateImportTest.cpp
+++ b/tests/cluster/EstateImportTest.cpp
@@ -24,7 +24,7 @@
     EstateImage result;
     result.version = version;
     result.idleInTransactionTimeout = milliseconds(3000);
-    result.groups.push_back({GroupName("g1"), 34});
+    result.groups.push_back({GroupName("g1"), 34, 0});
     result.services = std::move(services);
     return result;
 }
@@ -52,6 +52,7 @@
     CHECK_TRUE(a->settings.priority == settings::Priority::Ordinary);
     CHECK_TRUE(services->find(ServiceName("b"))->settings.priority == settings::Priority::Urgent);
     UNSIGNED_LONGS_EQUAL(34, services->groups.at(GroupName("g1")).connectionsPerServer);
+    UNSIGNED_LONGS_EQUAL(0, services->groups.at(GroupName("g1")).synchronousReplicas);
 }
 
 TEST(EstateImport, RemovesWhatANewerImageLacks) {
--- a/tests/platform_adapter/CodecTest.cpp
+++ b/tests/platform_adapter/CodecTest.cpp
@@ -38,6 +38,7 @@
     UNSIGNED_LONGS_EQUAL(12, image->version);
     CHECK_TRUE(image->idleInTransactionTimeout == milliseconds(3000));
     UNSIGNED_LONGS_EQUAL(34, *image->groups[0].connectionsPerServer);
+    UNSIGNED_LONGS_EQUAL(1, *image->groups[0].synchronousReplicas);
     const cluster::ImportedService& own = image->services[0];
     STRCMP_EQUAL("own1", own.name.value().c_str());
     CHECK_TRUE(own.readRouting == settings::ReadRouting::Replica);
--- a/tests/pooling/PoolerFixture.cpp
+++ b/tests/pooling/PoolerFixture.cpp
@@ -8,7 +8,8 @@
 
 using std::chrono::milliseconds;
 
-std::shared_ptr<const ServiceCatalog> makeServices(const GroupName& group) {
+std::shared_ptr<const ServiceCatalog> makeServices(const GroupName& group,
+                                                   const settings::GroupSettings& groupSettings) {
     auto catalog = std::make_shared<ServiceCatalog>();
     settings::ServiceSettings service;
     service.statementTimeout = milliseconds(800);
@@ -21,7 +22,7 @@
     service.maxStaleness = milliseconds(1500);
     catalog->services[ServiceName("bounded")] = {group, service};
     catalog->services[ServiceName("own")] = {group, service};
-    catalog->groups[group] = settings::GroupSettings{};
+    catalog->groups[group] = groupSettings;
     return catalog;
 }
 
@@ -54,7 +55,7 @@
 }
 
 PoolerFixture::PoolerFixture() : pooler(clock, connector, *this, makeKnobs()) {
-    pooler.applyCatalog(makeServices(group));
+    applySettings();
     announce("s1", 1);
     pooler.onTick();
     openConnections();
@@ -62,6 +63,10 @@
     pooler.confirmLeadership(group, clock.now());
 }
 
+void PoolerFixture::applySettings() {
+    pooler.applyCatalog(makeServices(group, groupSettings));
+}
+
 void PoolerFixture::announce(const std::string& primary, std::uint64_t version) {
     for (int index = 1; index <= 3; ++index) {
         const std::string name = "s" + std::to_string(index);
--- a/tests/pooling/PoolerFixture.h
+++ b/tests/pooling/PoolerFixture.h
@@ -56,6 +56,8 @@
     /** Opens all connections that are being opened. */
     void openConnections();
     void advance(Duration span);
+    /** Puts the services in force with groupSettings. */
+    void applySettings();
     /** Announces the servers; the first of the names is the primary. */
     void announce(const std::string& primary, std::uint64_t version);
 
@@ -92,6 +94,7 @@
     std::vector<SessionId> closedSessions;
     std::vector<SuspicionReason> suspicions;
     std::size_t proofsWanted = 0;
+    settings::GroupSettings groupSettings;
     /** Called within each reply, once, when set. */
     std::function<void()> withinReply;
 
--- a/tests/pooling/PoolerTest.cpp
+++ b/tests/pooling/PoolerTest.cpp
@@ -28,6 +28,21 @@
     STRCMP_EQUAL("sig", fixture.replies[0].result.signature.c_str());
 }
 
+TEST(StatementPooler, ACommitProvesTheLeadershipOnlyWhenAReplicaHasIt) {
+    for (const std::uint32_t replicas : {1U, 0U}) {
+        fixture.groupSettings.synchronousReplicas = replicas;
+        fixture.applySettings();
+        fixture.advance(milliseconds(600));
+        fixture.submit(fixture.session("current"), StatementVerb::Write, "WRITE 1 a");
+        fixture.succeed();
+        fixture.submit(fixture.session("current"), StatementVerb::Read, "READ 1");
+        UNSIGNED_LONGS_EQUAL(replicas, fixture.pendingCount());
+        if (replicas > 0) {
+            fixture.succeed();
+        }
+    }
+}
+
 TEST(StatementPooler, HoldsACurrentReadUntilTheLeadershipIsProven) {
     fixture.advance(milliseconds(600));
     const SessionId session = fixture.session("current");
