--- /dev/null
+++ b/src/pooling/PoolerConnections.cpp
@@ -0,0 +1,203 @@
+/** Connections to servers: opened, released, abandoned, lost. */
+#include <algorithm>
+#include <utility>
+
+#include "base/Log.h"
+#include "pooling/StatementPooler.h"
+
+namespace coralhoist::pooling {
+namespace {
+
+/** How long the number of connections at which a server refused holds. */
+constexpr Duration kConnectionLimitPause = std::chrono::seconds(1);
+
+}  // namespace
+
+void StatementPooler::onOpened(ConnectionId id, OpTime position) {
+    ServerConnection* connection = findConnection(id);
+    if (connection == nullptr) {
+        return;
+    }
+    connection->state = ServerConnection::State::Idle;
+    if (ServerState* server = serverOf(*connection)) {
+        --server->opening;
+        if (server->unreachable) {
+            LogEvent("pooling", LogLevel::Info, "server.regained")
+                .field("server", connection->server);
+        }
+        server->unreachable = false;
+        server->heardAt = _clock.now();
+        server->idle.push_back(id);
+    }
+    notePosition(*connection, position);
+    markDirty(connection->group);
+    settle();
+}
+
+void StatementPooler::onOpenFailed(ConnectionId id, const std::optional<StatementError>& refusal) {
+    ServerConnection* connection = findConnection(id);
+    if (connection == nullptr) {
+        return;
+    }
+    const TimePoint now = _clock.now();
+    if (ServerState* server = serverOf(*connection)) {
+        const bool full = refusal && refusal->fault == StatementFault::ConnectionLimit;
+        if (full) {
+            server->refusedAbove = server->connections - server->opening;
+            server->refusedUntil = now + kConnectionLimitPause;
+        } else if (!server->unreachable) {
+            server->unreachable = true;
+            LogEvent("pooling", LogLevel::Warning, "server.unreachable")
+                .field("group", connection->group)
+                .field("server", connection->server)
+                .field("refusal", refusal ? describe(refusal->fault) : "none");
+        }
+        server->nextConnect = now + _knobs.reconnectPause;
+    }
+    const GroupName group = connection->group;
+    forget(id);
+    markDirty(group);
+    settle();
+}
+
+/** The user is done with the connection. */
+void StatementPooler::release(ServerConnection& connection, SessionState state) {
+    ServerState* server = serverOf(connection);
+    if (server != nullptr && connection.inflight) {
+        --server->inflight;
+    }
+    connection.inflight = false;
+    connection.user.reset();
+    connection.pinned = false;
+    markDirty(connection.group);
+    if (state != SessionState::Idle) {
+        sendRollback(connection);
+        return;
+    }
+    if (server == nullptr || !server->ready || connection.poisoned) {
+        discard(connection.id);
+        return;
+    }
+    connection.state = ServerConnection::State::Idle;
+    connection.since = _clock.now();
+    server->idle.push_back(connection.id);
+}
+
+/** The user went away; what is unanswered is waited for and dropped. */
+void StatementPooler::abandon(ServerConnection& connection) {
+    connection.user.reset();
+    connection.since = _clock.now();
+    if (connection.awaited.empty()) {
+        sendRollback(connection);
+    }
+}
+
+void StatementPooler::sendRollback(ServerConnection& connection) {
+    ServerState* server = serverOf(connection);
+    if (server != nullptr && connection.inflight) {
+        --server->inflight;
+    }
+    connection.inflight = false;
+    connection.pinned = false;
+    connection.user.reset();
+    connection.since = _clock.now();
+    ServerCommand command;
+    command.kind = ServerCommand::Kind::Rollback;
+    connection.awaited.push_back(AwaitedResult::Rollback);
+    _connector.send(connection.id, {command});
+}
+
+void StatementPooler::discard(ConnectionId id) {
+    _connector.close(id);
+    forget(id);
+}
+
+void StatementPooler::forget(ConnectionId id) {
+    const auto found = _connections.find(id);
+    if (found == _connections.end()) {
+        return;
+    }
+    const ServerConnection& connection = found->second;
+    _groups[connection.group].pendingWrites.erase(id);
+    if (ServerState* server = serverOf(connection)) {
+        --server->connections;
+        server->opening -= connection.state == ServerConnection::State::Opening ? 1 : 0;
+        server->inflight -= connection.inflight ? 1 : 0;
+        std::erase(server->idle, id);
+        if (server->inflight == 0) {
+            server->silentSince.reset();
+        }
+    }
+    markDirty(connection.group);
+    _connections.erase(found);
+}
+
+void StatementPooler::failTransaction(PooledSession& session) {
+    SessionTransaction& transaction = session.transaction;
+    transaction.phase = TransactionPhase::Failed;
+    transaction.connection.reset();
+    transaction.failureTold = session.operation.has_value();
+}
+
+void StatementPooler::onLost(ConnectionId id) {
+    ServerConnection* connection = findConnection(id);
+    if (connection == nullptr) {
+        return;
+    }
+    ++_statistics.connectionsLost;
+    const std::optional<SessionId> user = connection->user;
+    LogEvent("pooling", LogLevel::Info, "connection.lost")
+        .field("group", connection->group)
+        .field("server", connection->server)
+        .field("busy", user.has_value());
+    forget(id);
+    PooledSession* session = user ? findSession(*user) : nullptr;
+    if (session != nullptr) {
+        onUserLost(*session, "the connection to the server broke");
+    }
+    settle();
+}
+
+void StatementPooler::onUserLost(PooledSession& session, const char* reason) {
+    if (!session.operation) {
+        failTransaction(session);
+        return;
+    }
+    switch (session.operation->phase) {
+        case OperationPhase::Beginning:
+            requeue(session, "connection_lost");
+            return;
+        case OperationPhase::Queued:
+            failTransaction(session);
+            replyError(session, StatementFault::Aborted, reason);
+            return;
+        case OperationPhase::Sent:
+            onSentLost(session, reason);
+            return;
+    }
+}
+
+/** A statement was sent and its answer will not come. */
+void StatementPooler::onSentLost(PooledSession& session, const char* reason) {
+    const Operation& operation = *session.operation;
+    SessionTransaction& transaction = session.transaction;
+    if (transaction.phase != TransactionPhase::Open) {
+        if (operation.writes) {
+            replyError(session, StatementFault::InDoubt, reason);
+        } else {
+            requeue(session, "answer_lost");
+        }
+        return;
+    }
+    if (operation.statement.verb != StatementVerb::Commit) {
+        failTransaction(session);
+        replyError(session, StatementFault::Aborted, reason);
+        return;
+    }
+    const bool wrote = transaction.wrote;
+    transaction = SessionTransaction{};
+    _openTransactions.erase(session.id);
+    replyError(session, wrote ? StatementFault::InDoubt : StatementFault::Aborted, reason);
+}
+
+}  // namespace coralhoist::pooling
