--- a/lab/pooled/LogConnector.cpp
+++ b/lab/pooled/LogConnector.cpp
@@ -1,5 +1,6 @@
 #include "lab/pooled/LogConnector.h"
 
+#include <sstream>
 #include <utility>
 
 namespace coralhoist::pooled {
@@ -36,6 +37,16 @@
            std::to_string(server.received().position) + ' ' + std::to_string(server.heldTerm);
 }
 
+std::optional<failover::ServerReport> readReport(const std::string& row) {
+    std::istringstream text(row);
+    std::string role;
+    failover::ServerReport report;
+    text >> role >> report.term >> report.received.term >> report.received.position >>
+        report.heldTerm;
+    report.primary = role == "primary";
+    return text.fail() ? std::nullopt : std::optional<failover::ServerReport>(report);
+}
+
 LogConnector::LogConnector(simulation::EventQueue& queue, RandomSource& random, PooledJudge& judge,
                            RequestBook& book, std::map<GroupName, LogGroup*> groups,
                            std::shared_ptr<NodeActivity> activity)
--- a/lab/pooled/LogConnector.h
+++ b/lab/pooled/LogConnector.h
@@ -5,11 +5,13 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
 
 #include "base/SystemTime.h"
+#include "failover/PromotionRecord.h"
 #include "lab/pooled/LogGroup.h"
 #include "lab/pooled/PooledJudge.h"
 #include "lab/simulation/EventQueue.h"
@@ -129,4 +131,7 @@
 /** Writes a report as LogConnector's servers do. */
 std::string writeReport(const LogServer& server);
 
+/** Reads what writeReport has written. */
+std::optional<failover::ServerReport> readReport(const std::string& row);
+
 }  // namespace coralhoist::pooled
--- a/lab/pooled/PooledNode.cpp
+++ b/lab/pooled/PooledNode.cpp
@@ -1,6 +1,5 @@
 #include "lab/pooled/PooledNode.h"
 
-#include <sstream>
 #include <utility>
 
 namespace coralhoist::pooled {
@@ -20,16 +19,6 @@
 constexpr std::uint64_t kPlainRead = 5;
 constexpr Duration kStoreDelay = milliseconds(4);
 
-std::optional<failover::ServerReport> parseReport(const std::string& row) {
-    std::istringstream text(row);
-    std::string role;
-    failover::ServerReport report;
-    text >> role >> report.term >> report.received.term >> report.received.position >>
-        report.heldTerm;
-    report.primary = role == "primary";
-    return text.fail() ? std::nullopt : std::optional<failover::ServerReport>(report);
-}
-
 Statement makeStatement(PooledWorld& world, StatementVerb verb, const char* text) {
     Statement statement;
     statement.id = std::to_string(++world.lastRequest);
@@ -80,7 +69,7 @@
       _connector(world.queue, world.random, world.judge, world.book, groupsByName(world.groups),
                  _activity),
       _storeClient(world.store, _activity, _name),
-      _parser(parseReport),
+      _parser(readReport),
       _pooler(world.queue, _connector, *this, pooling::PoolerKnobs{}) {
     _pooler.applyCatalog(world.catalog);
     for (LogGroup* group : world.groups) {
--- a/src/failover/GroupFailover.cpp
+++ b/src/failover/GroupFailover.cpp
@@ -417,14 +417,20 @@
     }
 }
 
-void GroupFailover::announce(TimePoint /*now*/) {
-    _successorTerm = nextTerm();
-    _successorPosition = link(_successor).report()->report.received;
+/** @return the record under the known version, with the chosen successor. */
+PromotionRecord GroupFailover::recordOfSuccessor(PromotionPhase phase) const {
     PromotionRecord record = _record;
-    record.phase = PromotionPhase::Promoting;
+    record.phase = phase;
     record.successor = _successor;
     record.term = _successorTerm;
     record.base = _successorPosition;
+    return record;
+}
+
+void GroupFailover::announce(TimePoint /*now*/) {
+    _successorTerm = nextTerm();
+    _successorPosition = link(_successor).report()->report.received;
+    const PromotionRecord record = recordOfSuccessor(PromotionPhase::Promoting);
     LogEvent("failover", LogLevel::Info, "failover.successor_chosen")
         .field("group", _group)
         .field("successor", _successor)
@@ -460,11 +466,7 @@
         return;
     }
     if (now - _announcedAt > kCallMargin) {
-        PromotionRecord record = _record;
-        record.phase = PromotionPhase::Promoting;
-        record.successor = _successor;
-        record.term = _successorTerm;
-        record.base = _successorPosition;
+        const PromotionRecord record = recordOfSuccessor(PromotionPhase::Promoting);
         enter(Phase::Announcing);
         save(record, &GroupFailover::onAnnounced);
         return;
@@ -541,11 +543,7 @@
     if (_busy) {
         return;
     }
-    PromotionRecord record = _record;
-    record.phase = PromotionPhase::None;
-    record.successor = _successor;
-    record.term = _successorTerm;
-    record.base = _successorPosition;
+    const PromotionRecord record = recordOfSuccessor(PromotionPhase::None);
     save(record, &GroupFailover::onClosed);
 }
 
--- a/src/failover/GroupFailover.h
+++ b/src/failover/GroupFailover.h
@@ -129,6 +129,7 @@
     bool mustLeaveToHolder(TimePoint now) const;
     Term nextTerm() const;
     std::string describeMembers() const;
+    PromotionRecord recordOfSuccessor(pooling::PromotionPhase phase) const;
     void announce(TimePoint now);
     void call(TimePoint now);
     void onCalled(PromoteOutcome outcome);
--- a/src/link/store/ObjectWatch.cpp
+++ b/src/link/store/ObjectWatch.cpp
@@ -35,16 +35,15 @@
 
 void ObjectWatch::onTick(TimePoint now) {
     if (!_running && now >= _nextCall) {
-        startCall(now);
+        startCall();
     }
 }
 
-void ObjectWatch::startCall(TimePoint now) {
+void ObjectWatch::startCall() {
     socket::HttpCall call = _position ? _protocol.watchCall(_kind, *_position, _timing.wait)
                                       : _protocol.listCall(_kind, _after);
     call.timeout = (_position ? _timing.wait : Duration(0)) + _timing.slack;
     _running = true;
-    _askedAt = now;
     _client.call(call,
                  [this, alive = std::weak_ptr<bool>(_alive)](const socket::HttpAnswer& answer) {
                      if (!alive.expired()) {
@@ -70,7 +69,6 @@
         fail(answered ? answer.status : 0);
         return;
     }
-    _freshAt = _askedAt;
     _pause = Duration(0);
     _nextCall = _clock.now();
     if (!_reachable) {
--- a/src/link/store/ObjectWatch.h
+++ b/src/link/store/ObjectWatch.h
@@ -57,11 +57,8 @@
     /** @return whether the newest call was answered well. */
     bool isReachable() const { return _reachable; }
 
-    /** @return when the newest call that was answered well had been sent. */
-    TimePoint freshAt() const { return _freshAt; }
-
 private:
-    void startCall(TimePoint now);
+    void startCall();
     void onAnswer(const socket::HttpAnswer& answer);
     bool takePage(const socket::HttpAnswer& answer);
     bool takeEvents(const socket::HttpAnswer& answer);
@@ -78,8 +75,6 @@
     std::optional<std::uint64_t> _position;
     bool _running = false;
     bool _reachable = true;
-    TimePoint _askedAt{};
-    TimePoint _freshAt{};
     TimePoint _nextCall{};
     Duration _pause{0};
     /** Pages of the list that is being read. */
--- a/tests/failover/FailoverFixture.cpp
+++ b/tests/failover/FailoverFixture.cpp
@@ -1,29 +1,17 @@
 #include "FailoverFixture.h"
 
-#include <sstream>
-
 namespace coralhoist::pooled {
 namespace {
 
 constexpr Duration kStep = std::chrono::milliseconds(2);
 
-std::optional<failover::ServerReport> parse(const std::string& row) {
-    std::istringstream text(row);
-    std::string role;
-    failover::ServerReport report;
-    text >> role >> report.term >> report.received.term >> report.received.position >>
-        report.heldTerm;
-    report.primary = role == "primary";
-    return report;
-}
-
 }  // namespace
 
 FailoverFixture::FailoverFixture(std::size_t count)
     : group(GroupName("g"), GroupModel{}, queue, judge),
       store(queue, random, judge),
       nodes(count),
-      _parser(parse) {
+      _parser(readReport) {
     store.addGroup(group);
     for (std::size_t index = 0; index < count; ++index) {
         FailoverNode& node = nodes[index];
