--- /dev/null
+++ b/gen/unit.thrift
@@ -0,0 +1,69 @@
+// Messages on the TCP link between two proxies that pool sessions: units of work that one node takes
+// from its callers and another executes. The protocol is described in src/link/forwarding/README.md.
+namespace cpp coralhoist.gen
+
+struct UnitPosition {
+  1: required i64 term
+  2: required i64 number
+}
+
+struct UnitCommand {
+  1: required string id
+  2: required i32 verb               // pooling::StatementVerb
+  3: required string text
+  4: optional string name
+  5: optional string argument
+}
+
+struct UnitShape {
+  1: required bool writes
+  2: required string shape
+}
+
+// What the executing node needs to know of the session and of its service.
+struct UnitContext {
+  1: required string serviceName
+  2: required string groupName
+  3: required bool primaryOnly
+  4: required bool urgent
+  5: optional i64 maximumStalenessUs
+  6: required i64 timeoutUs
+  7: required i64 objectiveUs
+  8: required i64 idleInTransactionUs
+  9: required UnitPosition ownFloor
+  10: optional UnitCommand opener    // BEGIN, when the unit is a transaction
+}
+
+// A statement of a unit. The first one of a unit carries the context.
+struct UnitRequest {
+  1: required i64 unit
+  2: optional UnitContext context
+  3: required UnitCommand command
+  4: required map<string, string> values
+  5: optional UnitShape shape        // for the execution of a prepared statement
+}
+
+struct UnitError {
+  1: required i32 fault              // pooling::StatementFault
+  2: required string message
+}
+
+struct UnitAnswer {
+  1: required i64 unit
+  2: required list<string> rows
+  3: required string signature
+  4: optional UnitError error
+  5: required i32 state              // pooling::SessionState
+  6: required UnitPosition ownFloor
+  // The node takes no new unit; nothing of this one has run.
+  7: required bool notTaken
+}
+
+// One frame holds exactly one of these.
+struct UnitFrame {
+  1: optional UnitRequest request
+  2: optional UnitAnswer answer
+  3: optional i64 ended              // the unit is given up; no answer is expected
+  4: optional bool heartbeat         // true asks for one in return
+  5: optional bool leaving           // the sender takes no new units
+}
--- a/src/base/Identifier.h
+++ b/src/base/Identifier.h
@@ -49,6 +49,8 @@
 using TransactionId = Identifier<struct TransactionIdTag, std::uint64_t>;
 /** Number of one back-end connection, unique within one process and never reused. */
 using ConnectionId = Identifier<struct ConnectionIdTag, std::uint64_t>;
+/** Number of one forwarded unit of work, unique within the process that forwards it. */
+using UnitId = Identifier<struct UnitIdTag, std::uint64_t>;
 
 }  // namespace coralhoist
 
--- a/src/cluster/ClusterCodec.h
+++ b/src/cluster/ClusterCodec.h
@@ -8,6 +8,7 @@
 #include "failover/PromotionRecord.h"
 #include "link/socket/HttpClient.h"
 #include "link/store/ObjectProtocol.h"
+#include "pooling/ExecutorPlacement.h"
 #include "pooling/ServerDirectory.h"
 
 namespace coralhoist::cluster {
@@ -34,6 +35,12 @@
     virtual std::optional<failover::PromotionRecord> readPromotion(
         const store::StoredObject& object) const = 0;
 
+    virtual std::optional<pooling::ProxyNode> readNode(const store::StoredObject& object) const = 0;
+
+    /** @param renewals grows, so that each writing changes the object. */
+    virtual store::StoredObject writeNode(const pooling::ProxyNode& node,
+                                          std::uint64_t renewals) const = 0;
+
     virtual store::StoredObject writePromotion(const GroupName& group,
                                                const failover::PromotionRecord& record) const = 0;
 
--- a/src/cluster/ClusterControl.cpp
+++ b/src/cluster/ClusterControl.cpp
@@ -29,13 +29,6 @@
     return timing;
 }
 
-/** The registry changes seldom and nothing depends on its freshness. */
-store::WatchTiming registryTiming() {
-    store::WatchTiming timing;
-    timing.wait = std::chrono::milliseconds(25000);
-    return timing;
-}
-
 }  // namespace
 
 class ClusterControl::Feed final : public store::WatchSink {
@@ -61,9 +54,9 @@
       _pooler(pooler),
       _import(_tree),
       _promotions(_dependencies.storeClient, _dependencies.promotionClient, _dependencies.protocol,
-                  _dependencies.codec, _dependencies.self),
+                  _dependencies.codec, _dependencies.self.name),
       _registry(_dependencies.storeClient, _dependencies.protocol, _dependencies.codec,
-                _dependencies.clock, _dependencies.self),
+                _dependencies.clock, _dependencies.random, _dependencies.self),
       _alive(std::make_shared<bool>(true)) {
     const ClusterKinds kinds = _dependencies.codec.kinds();
     const auto follow = [this](const std::string& kind, Feed::ListHandler list,
@@ -93,24 +86,14 @@
                           [this](const StoredObject& object) { onPromotion(object); });
         },
         [this](const ObjectEvent& event) { onPromotion(event.object); }, store::WatchTiming{});
-    follow(
-        kinds.nodes,
-        [this](const std::vector<StoredObject>& objects, std::uint64_t) {
-            _registry.onList(objects);
-            publishNodeCount();
-        },
-        [this](const ObjectEvent& event) {
-            _registry.onEvent(event);
-            publishNodeCount();
-        },
-        registryTiming());
 }
 
 ClusterControl::~ClusterControl() = default;
 
 bool ClusterControl::isReady() const {
-    return _settingsKnown && std::all_of(_watches.begin(), _watches.end(),
-                                         [](const auto& watch) { return watch->isListed(); });
+    return _settingsKnown && _registry.isListed() &&
+           std::all_of(_watches.begin(), _watches.end(),
+                       [](const auto& watch) { return watch->isListed(); });
 }
 
 std::uint64_t ClusterControl::promotions() const {
@@ -181,13 +164,15 @@
     publishDirectory();
 }
 
-void ClusterControl::publishNodeCount() {
-    const std::size_t count = _registry.nodeCount();
-    if (count != _publishedNodes) {
-        _publishedNodes = count;
-        LogEvent("cluster", LogLevel::Info, "nodes.counted").field("nodes", count);
-        _pooler.setNodeCount(count);
+void ClusterControl::publishNodes() {
+    std::vector<pooling::ProxyNode> nodes = _registry.nodes();
+    if (nodes == _publishedNodes) {
+        return;
     }
+    _publishedNodes = std::move(nodes);
+    LogEvent("cluster", LogLevel::Info, "nodes.counted").field("nodes", _publishedNodes.size());
+    _pooler.applyNodes(_publishedNodes);
+    _dependencies.onNodes(_publishedNodes);
 }
 
 void ClusterControl::publishDirectory() {
@@ -204,7 +189,7 @@
             group, failover::FailoverDependencies{_dependencies.clock, _dependencies.random,
                                                   _dependencies.connector, _promotions, _promotions,
                                                   _dependencies.reportParser, _dependencies.holder,
-                                                  _dependencies.self.value()});
+                                                  _dependencies.self.name.value()});
     }
     return *entry;
 }
@@ -244,6 +229,7 @@
         watch->onTick(now);
     }
     _registry.onTick(now);
+    publishNodes();
     for (const auto& [group, failover] : _failovers) {
         failover->onPrimary(_pooler.primaryOf(group));
         if (failover->nextTick() <= now && isReady()) {
--- a/src/cluster/ClusterControl.h
+++ b/src/cluster/ClusterControl.h
@@ -4,11 +4,13 @@
  */
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "base/Time.h"
 #include "cluster/ClusterCodec.h"
@@ -34,7 +36,10 @@
     const ClusterCodec& codec;
     pooling::ServerConnector& connector;
     const failover::ReportParser& reportParser;
-    NodeName self;
+    /** This node as the others are to know it. */
+    pooling::ProxyNode self;
+    /** Told of the nodes whenever they change. */
+    std::function<void(const std::vector<pooling::ProxyNode>&)> onNodes;
     /** Names this life of this node. */
     std::string holder;
 };
@@ -60,7 +65,7 @@
     /** @return promotions carried out by this node. */
     std::uint64_t promotions() const;
 
-    std::size_t nodeCount() const { return _registry.nodeCount(); }
+    std::size_t nodeCount() const { return _publishedNodes.size(); }
 
     /** @return whether the newest call of each watch was answered. */
     bool isStoreReachable() const;
@@ -76,7 +81,7 @@
     void onServerEvent(const store::ObjectEvent& event);
     void onPromotion(const store::StoredObject& object);
     void publishDirectory();
-    void publishNodeCount();
+    void publishNodes();
     void askForProof(TimePoint now);
     void askServersForProof(TimePoint now);
     void takeProofsOfServers();
@@ -98,7 +103,7 @@
     std::map<GroupName, TimePoint> _toldProofs;
     std::vector<std::unique_ptr<Feed>> _feeds;
     std::vector<std::unique_ptr<store::ObjectWatch>> _watches;
-    std::size_t _publishedNodes = 0;
+    std::vector<pooling::ProxyNode> _publishedNodes;
     /** Version of each group's record that the pooler knows. */
     std::map<GroupName, std::uint64_t> _toldVersions;
     std::set<GroupName> _unproven;
--- a/src/cluster/NodeRegistry.cpp
+++ b/src/cluster/NodeRegistry.cpp
@@ -1,16 +1,26 @@
 #include "cluster/NodeRegistry.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
+#include "base/Backoff.h"
+
 namespace coralhoist::cluster {
 namespace {
 
-/** A registration is written again after this time, and counts for the second one. */
-constexpr Duration kRefreshEvery = std::chrono::seconds(60);
+using store::StoredObject;
+
+/** A registration is renewed after this time, and counts for the second one without renewal. */
+constexpr Duration kRenewEvery = std::chrono::seconds(60);
 constexpr Duration kCountsFor = std::chrono::seconds(200);
 constexpr Duration kRetryPause = std::chrono::seconds(1);
 constexpr Duration kTimeout = std::chrono::milliseconds(800);
+/** Pauses before the lists that follow the first: all nodes of a cluster may start together. */
+constexpr std::array<Duration, 4> kFirstListPauses{
+    std::chrono::milliseconds(700), std::chrono::milliseconds(1000),
+    std::chrono::milliseconds(2000), std::chrono::milliseconds(4000)};
+constexpr Duration kListEvery = std::chrono::seconds(12);
 constexpr int kSuccess = 200;
 constexpr int kCreated = 201;
 constexpr int kNotFound = 404;
@@ -19,87 +29,149 @@
 }  // namespace
 
 NodeRegistry::NodeRegistry(socket::HttpClient& client, const store::ObjectProtocol& protocol,
-                           const ClusterCodec& codec, const Clock& clock, NodeName self)
+                           const ClusterCodec& codec, const Clock& clock, RandomSource& random,
+                           pooling::ProxyNode self)
     : _client(client),
       _protocol(protocol),
       _codec(codec),
       _clock(clock),
+      _random(random),
       _self(std::move(self)),
-      _nextCall(clock.now()),
+      _nextRegistration(clock.now()),
+      _nextListing(clock.now()),
       _alive(std::make_shared<bool>(true)) {}
 
 NodeRegistry::~NodeRegistry() = default;
 
-void NodeRegistry::see(const store::StoredObject& object) {
-    Registration& registration = _nodes[object.name];
-    if (object.version > registration.version) {
-        registration = {object.version, _clock.now()};
+std::vector<pooling::ProxyNode> NodeRegistry::nodes() const {
+    const TimePoint now = _clock.now();
+    std::vector<pooling::ProxyNode> result{_self};
+    for (const auto& [name, registration] : _nodes) {
+        if (name != _self.name.value() && now - registration.seenAt < kCountsFor) {
+            result.push_back(registration.node);
+        }
     }
+    return result;
 }
 
-void NodeRegistry::onList(const std::vector<store::StoredObject>& objects) {
-    std::map<std::string, Registration> known = std::exchange(_nodes, {});
-    for (const store::StoredObject& object : objects) {
-        const auto before = known.find(object.name);
-        if (before != known.end()) {
-            _nodes.insert(*before);
-        }
-        see(object);
+TimePoint NodeRegistry::nextTick() const {
+    TimePoint next = TimePoint::max();
+    if (!_registering) {
+        next = std::min(next, _nextRegistration);
     }
+    if (!_listing) {
+        next = std::min(next, _nextListing);
+    }
+    return next;
 }
 
-void NodeRegistry::onEvent(const store::ObjectEvent& event) {
-    if (event.removed) {
-        _nodes.erase(event.object.name);
-        return;
+void NodeRegistry::onTick(TimePoint now) {
+    if (!_registering && now >= _nextRegistration) {
+        startRegistration(now);
+    }
+    if (!_listing && now >= _nextListing) {
+        startListing(now);
     }
-    see(event.object);
 }
 
-std::size_t NodeRegistry::nodeCount() const {
-    const TimePoint now = _clock.now();
-    const auto counted = std::count_if(_nodes.begin(), _nodes.end(), [&](const auto& entry) {
-        return entry.first != _self.value() && now - entry.second.seenAt < kCountsFor;
-    });
-    return static_cast<std::size_t>(counted) + 1;
+void NodeRegistry::startRegistration(TimePoint now) {
+    const std::string kind = _codec.kinds().nodes;
+    StoredObject object = _codec.writeNode(_self, _renewals);
+    object.version = _ownVersion;
+    socket::HttpCall call =
+        _ownVersion == 0 ? _protocol.createCall(kind, object) : _protocol.replaceCall(kind, object);
+    call.timeout = kTimeout;
+    _registering = true;
+    _nextRegistration = now + kRetryPause;
+    _client.call(call,
+                 [this, alive = std::weak_ptr<bool>(_alive)](const socket::HttpAnswer& answer) {
+                     if (!alive.expired()) {
+                         onRegistered(answer);
+                     }
+                 });
 }
 
-void NodeRegistry::onTick(TimePoint now) {
-    if (_running || now < _nextCall) {
+void NodeRegistry::onRegistered(const socket::HttpAnswer& answer) {
+    _registering = false;
+    if (answer.outcome != socket::HttpAnswer::Outcome::Answered) {
         return;
     }
-    const auto own = _nodes.find(_self.value());
-    const std::string kind = _codec.kinds().nodes;
-    store::StoredObject object;
-    object.name = _self.value();
-    object.version = own == _nodes.end() ? 0 : own->second.version;
-    socket::HttpCall call = object.version == 0 ? _protocol.createCall(kind, object)
-                                                : _protocol.replaceCall(kind, object);
+    if (answer.status == kNotFound) {
+        _ownVersion = 0;
+        return;
+    }
+    const std::optional<StoredObject> object = _protocol.readObject(answer.body);
+    if (!object) {
+        return;
+    }
+    const bool written = answer.status == kSuccess || answer.status == kCreated;
+    if (!written && answer.status != kConflict) {
+        return;
+    }
+    _ownVersion = object->version;
+    // A conflict shows the registration of an earlier life, which serves if it says the same.
+    const std::optional<pooling::ProxyNode> node = _codec.readNode(*object);
+    if (written || (node && *node == _self)) {
+        ++_renewals;
+        _nextRegistration = _clock.now() + kRenewEvery;
+    }
+}
+
+void NodeRegistry::startListing(TimePoint now) {
+    socket::HttpCall call = _protocol.recentListCall(_codec.kinds().nodes, _after);
     call.timeout = kTimeout;
-    _running = true;
-    _nextCall = now + kRetryPause;
+    _listing = true;
+    _nextListing = now + kRetryPause;
     _client.call(call,
                  [this, alive = std::weak_ptr<bool>(_alive)](const socket::HttpAnswer& answer) {
                      if (!alive.expired()) {
-                         onAnswer(answer);
+                         onListed(answer);
                      }
                  });
 }
 
-void NodeRegistry::onAnswer(const socket::HttpAnswer& answer) {
-    _running = false;
-    if (answer.outcome != socket::HttpAnswer::Outcome::Answered) {
+void NodeRegistry::onListed(const socket::HttpAnswer& answer) {
+    _listing = false;
+    if (!takePage(answer)) {
+        _pages.clear();
+        _after.clear();
         return;
     }
-    const bool written = answer.status == kSuccess || answer.status == kCreated;
-    if (written || answer.status == kConflict) {
-        // A conflict shows the registration of an earlier life, which counts as well.
-        if (const auto object = _protocol.readObject(answer.body)) {
-            see(*object);
+    if (!_after.empty()) {
+        _nextListing = _clock.now();
+        return;
+    }
+    replaceNodes();
+    const Duration pause = _lists < kFirstListPauses.size() ? kFirstListPauses[_lists] : kListEvery;
+    _nextListing = _clock.now() + withJitter(pause, _random);
+    ++_lists;
+    _listed = true;
+}
+
+/** @return whether the page could be read; `_after` names what the next one begins with, if any. */
+bool NodeRegistry::takePage(const socket::HttpAnswer& answer) {
+    const bool answered = answer.outcome == socket::HttpAnswer::Outcome::Answered;
+    const std::optional<store::ObjectPage> page =
+        answered && answer.status == kSuccess ? _protocol.readPage(answer.body) : std::nullopt;
+    if (!page) {
+        return false;
+    }
+    _pages.insert(_pages.end(), page->objects.begin(), page->objects.end());
+    _after = page->more && !page->objects.empty() ? page->objects.back().name : std::string();
+    return true;
+}
+
+void NodeRegistry::replaceNodes() {
+    const std::map<std::string, Registration> before = std::exchange(_nodes, {});
+    for (const StoredObject& object : std::exchange(_pages, {})) {
+        const std::optional<pooling::ProxyNode> node = _codec.readNode(object);
+        if (!node) {
+            continue;
         }
-        _nextCall = _clock.now() + kRefreshEvery;
-    } else if (answer.status == kNotFound) {
-        _nodes.erase(_self.value());
+        const auto known = before.find(object.name);
+        const bool unchanged = known != before.end() && known->second.version >= object.version;
+        _nodes[object.name] =
+            unchanged ? known->second : Registration{*node, object.version, _clock.now()};
     }
 }
 
--- a/src/cluster/NodeRegistry.h
+++ b/src/cluster/NodeRegistry.h
@@ -12,49 +12,65 @@
 #include "cluster/ClusterCodec.h"
 #include "link/socket/HttpClient.h"
 #include "link/store/ObjectProtocol.h"
+#include "pooling/ExecutorPlacement.h"
 
 namespace coralhoist::cluster {
 
 /**
- * Keeps this node's registration fresh and counts the nodes. A registration that has not changed
- * for long no longer counts. Only shares of connections rest on the count, so that a wrong one
- * costs speed and no promise.
+ * Keeps this node's registration fresh and lists the others'. A registration that has not been
+ * renewed for long no longer counts. The list is read seldom and may be old: only the choice of
+ * executors rests on it, so that a wrong one costs speed and no promise.
  */
 class NodeRegistry {
 public:
-    /** References outlive the registry. */
+    /** References outlive the registry. @param self as the other nodes are to know this one. */
     NodeRegistry(socket::HttpClient& client, const store::ObjectProtocol& protocol,
-                 const ClusterCodec& codec, const Clock& clock, NodeName self);
+                 const ClusterCodec& codec, const Clock& clock, RandomSource& random,
+                 pooling::ProxyNode self);
     ~NodeRegistry();
 
-    /** Takes a list of all registrations. */
-    void onList(const std::vector<store::StoredObject>& objects);
-    void onEvent(const store::ObjectEvent& event);
-
-    /** Registers this node, and again at intervals. */
+    /** Registers this node, and lists all nodes, when either is due. */
     void onTick(TimePoint now);
-    TimePoint nextTick() const { return _nextCall; }
+    TimePoint nextTick() const;
+
+    /** @return whether the nodes have been listed since the start. */
+    bool isListed() const { return _listed; }
 
     /** @return the nodes that count, this one included. */
-    std::size_t nodeCount() const;
+    std::vector<pooling::ProxyNode> nodes() const;
 
 private:
     struct Registration {
+        pooling::ProxyNode node;
         std::uint64_t version = 0;
         TimePoint seenAt{};
     };
 
-    void see(const store::StoredObject& object);
-    void onAnswer(const socket::HttpAnswer& answer);
+    void startRegistration(TimePoint now);
+    void startListing(TimePoint now);
+    void onRegistered(const socket::HttpAnswer& answer);
+    void onListed(const socket::HttpAnswer& answer);
+    bool takePage(const socket::HttpAnswer& answer);
+    void replaceNodes();
 
     socket::HttpClient& _client;
     const store::ObjectProtocol& _protocol;
     const ClusterCodec& _codec;
     const Clock& _clock;
-    NodeName _self;
+    RandomSource& _random;
+    pooling::ProxyNode _self;
     std::map<std::string, Registration> _nodes;
-    TimePoint _nextCall{};
-    bool _running = false;
+    /** Version of this node's registration; 0 while it is not known to be there. */
+    std::uint64_t _ownVersion = 0;
+    std::uint64_t _renewals = 0;
+    bool _registering = false;
+    TimePoint _nextRegistration{};
+    bool _listing = false;
+    bool _listed = false;
+    std::size_t _lists = 0;
+    TimePoint _nextListing{};
+    std::vector<store::StoredObject> _pages;
+    std::string _after;
     std::shared_ptr<bool> _alive;
 };
 
--- a/src/duty/pooling/PoolingDuty.cpp
+++ b/src/duty/pooling/PoolingDuty.cpp
@@ -23,6 +23,7 @@
 
 pooling::PoolerKnobs makeKnobs(const PoolingOptions& options) {
     pooling::PoolerKnobs knobs;
+    knobs.node = options.name;
     knobs.zone = options.zone;
     knobs.connectionsPerServer = options.connectionsPerServer;
     return knobs;
@@ -39,26 +40,46 @@
       _ticks(_clock),
       _connector(_poller, _adapter.serverCodec),
       _pooler(_clock, _connector, *this, makeKnobs(_options)),
+      _unitLinks(_poller, _clock, _pooler),
+      _unitService(_poller, _pooler),
       _callers(_poller, _adapter.callerCodec, _pooler, _clock, _options.maximumConnections),
       _readiness(_poller, [this](const std::string& path) { return answer(path); }),
       _metrics(_poller, [this](const std::string& path) { return answerMetrics(path); }),
       _storeClient(_poller, _clock, _options.store.host, _options.store.port),
-      _promotionClient(_poller, _clock, _options.promotion.host, _options.promotion.port),
-      _control({_clock, _random, _storeClient, _promotionClient, _adapter.objectProtocol,
-                _adapter.clusterCodec, _connector, _adapter.reportParser, _options.name,
-                _options.name.value() + "/" + std::to_string(_options.seed)},
-               _pooler) {}
+      _promotionClient(_poller, _clock, _options.promotion.host, _options.promotion.port) {
+    _pooler.setForwarder(_unitLinks);
+}
+
+cluster::ClusterDependencies PoolingDuty::controlDependencies() {
+    const pooling::ProxyNode self{_options.name, _options.zone, _options.forwarding.host,
+                                  _unitService.port()};
+    return {_clock,
+            _random,
+            _storeClient,
+            _promotionClient,
+            _adapter.objectProtocol,
+            _adapter.clusterCodec,
+            _connector,
+            _adapter.reportParser,
+            self,
+            [this](const std::vector<pooling::ProxyNode>& nodes) { _unitLinks.applyNodes(nodes); },
+            _options.name.value() + "/" + std::to_string(_options.seed)};
+}
 
 PoolingDuty::~PoolingDuty() = default;
 
 Status PoolingDuty::start() {
     Status status = _readiness.listen(_options.readiness.host, _options.readiness.port);
+    if (status.isOk()) {
+        status = _unitService.listen(_options.forwarding.host, _options.forwarding.port);
+    }
     if (status.isOk()) {
         status = _callers.listen(_options.callers.host, _options.callers.port);
     }
     if (!status.isOk()) {
         return status;
     }
+    _control = std::make_unique<cluster::ClusterControl>(controlDependencies(), _pooler);
     listenForMetrics();
     addTickSources();
     QObject::connect(&_drainTimer, &QTimer::timeout, [this] { continueDrain(); });
@@ -72,9 +93,11 @@
 void PoolingDuty::addTickSources() {
     _ticks.add([this] { return _pooler.nextTick(); },
                [this](TimePoint /*now*/) { _pooler.onTick(); });
-    _ticks.add([this] { return _control.nextTick(); },
-               [this](TimePoint now) { _control.onTick(now); });
+    _ticks.add([this] { return _control->nextTick(); },
+               [this](TimePoint now) { _control->onTick(now); });
     _ticks.add([this] { return readyTick(); }, [this](TimePoint /*now*/) { becomeReady(); });
+    _ticks.add([this] { return _unitLinks.nextTick(); },
+               [this](TimePoint now) { _unitLinks.onTick(now); });
     _ticks.add([this] { return _callers.nextTick(); },
                [this](TimePoint now) { _callers.onTick(now); });
     _ticks.add([this] { return _storeClient.nextTick(); },
@@ -87,12 +110,15 @@
 }
 
 bool PoolingDuty::hasGarbage() const {
-    return _connector.hasClosed() || _callers.hasClosed();
+    return _connector.hasClosed() || _callers.hasClosed() || _unitLinks.hasClosed() ||
+           _unitService.hasClosed();
 }
 
 /** Frees closed connections outside their own events. */
 void PoolingDuty::collect() {
     _connector.collect();
+    _unitLinks.collect();
+    _unitService.collect();
     _callers.collect();
     _readiness.collect();
     _metrics.collect();
@@ -100,19 +126,22 @@
 
 /** @return at once when the control has just become ready. */
 std::optional<TimePoint> PoolingDuty::readyTick() const {
-    return !_wasReady && _control.isReady() ? std::optional<TimePoint>(TimePoint::min())
-                                            : std::nullopt;
+    return !_wasReady && _control->isReady() ? std::optional<TimePoint>(TimePoint::min())
+                                             : std::nullopt;
 }
 
 void PoolingDuty::becomeReady() {
     _wasReady = true;
     LogEvent("daemon", LogLevel::Info, "daemon.ready")
-        .field("settings_version", _control.settingsVersion());
+        .field("settings_version", _control->settingsVersion());
     _callers.startServing();
+    if (!_drainBegan) {
+        _unitService.startServing();
+    }
 }
 
 bool PoolingDuty::isReady() const {
-    return !_drainBegan && _control.isReady();
+    return !_drainBegan && _control->isReady();
 }
 
 socket::HttpPage PoolingDuty::answer(const std::string& path) const {
@@ -155,11 +184,11 @@
     PoolingFigures figures;
     figures.pooler = _pooler.statistics();
     figures.sessions = _pooler.sessionCount();
-    figures.nodes = _control.nodeCount();
-    figures.settingsVersion = _control.settingsVersion();
-    figures.promotions = _control.promotions();
+    figures.nodes = _control->nodeCount();
+    figures.settingsVersion = _control->settingsVersion();
+    figures.promotions = _control->promotions();
     figures.ready = isReady();
-    figures.storeReachable = _control.isStoreReachable();
+    figures.storeReachable = _control->isStoreReachable();
     return {kOk, renderMetrics(figures)};
 }
 
@@ -169,6 +198,7 @@
     }
     LogEvent("daemon", LogLevel::Info, "daemon.draining").field("sessions", _pooler.sessionCount());
     _drainBegan = _clock.now();
+    _unitService.beginLeaving();
     _drainTimer.start(kDrainStep);
 }
 
@@ -179,7 +209,8 @@
         _pooler.closeIdleSessions(kDrainIdle);
     }
     const bool late = elapsed + kDrainReserve >= _options.drainTimeout;
-    if (late || (elapsed >= kDrainAccepts && _callers.connectionCount() == 0)) {
+    const bool empty = _callers.connectionCount() == 0 && _unitService.unitCount() == 0;
+    if (late || (elapsed >= kDrainAccepts && empty)) {
         LogEvent("daemon", LogLevel::Info, "daemon.drained")
             .field("sessions", _pooler.sessionCount())
             .field("late", late);
@@ -189,7 +220,9 @@
 }
 
 void PoolingDuty::reply(SessionId session, pooling::StatementResult result) {
-    _callers.reply(session, result);
+    if (!_unitService.reply(session, result)) {
+        _callers.reply(session, result);
+    }
 }
 
 void PoolingDuty::closeSession(SessionId session) {
@@ -197,12 +230,12 @@
 }
 
 void PoolingDuty::wantLeadershipProof(const GroupName& group) {
-    _control.wantLeadershipProof(group);
+    _control->wantLeadershipProof(group);
 }
 
 void PoolingDuty::suspectPrimary(const GroupName& group, const ServerName& server,
                                  pooling::SuspicionReason reason) {
-    _control.suspectPrimary(group, server, reason);
+    _control->suspectPrimary(group, server, reason);
 }
 
 }  // namespace coralhoist::duty
--- a/src/duty/pooling/PoolingDuty.h
+++ b/src/duty/pooling/PoolingDuty.h
@@ -15,6 +15,8 @@
 #include "cluster/ClusterControl.h"
 #include "duty/event/DutyThread.h"
 #include "duty/event/TickScheduler.h"
+#include "link/forwarding/UnitLinks.h"
+#include "link/forwarding/UnitService.h"
 #include "link/session/CallerListener.h"
 #include "link/session/SessionCodec.h"
 #include "link/session/StreamServerConnector.h"
@@ -47,6 +49,8 @@
     NodeName name;
     ZoneName zone;
     Endpoint callers;
+    /** Where other nodes forward units of work to; port 0 lets the kernel choose. */
+    Endpoint forwarding;
     Endpoint readiness;
     Endpoint store;
     Endpoint promotion;
@@ -96,6 +100,7 @@
     void collect();
     bool hasGarbage() const;
     void continueDrain();
+    cluster::ClusterDependencies controlDependencies();
 
     PoolingOptions _options;
     PoolingAdapter _adapter;
@@ -106,12 +111,15 @@
     socket::SocketPoller _poller;
     session::StreamServerConnector _connector;
     pooling::StatementPooler _pooler;
+    forwarding::UnitLinks _unitLinks;
+    forwarding::UnitService _unitService;
     session::CallerListener _callers;
     socket::HttpResponder _readiness;
     socket::HttpResponder _metrics;
     socket::HttpClient _storeClient;
     socket::HttpClient _promotionClient;
-    cluster::ClusterControl _control;
+    /** Made by start(): it needs to know the port on which units are taken. */
+    std::unique_ptr<cluster::ClusterControl> _control;
     std::optional<TimePoint> _drainBegan;
     bool _wasReady = false;
     QTimer _drainTimer;
--- a/src/duty/pooling/PoolingMetrics.cpp
+++ b/src/duty/pooling/PoolingMetrics.cpp
@@ -83,6 +83,10 @@
                 pooler.lagging);
     page.metric("counter", "leadership_proofs_wanted_total",
                 "Times that a statement waited for a proof of leadership.", pooler.proofsWanted);
+    page.metric("counter", "forwarded_total", "Statements that other nodes executed.",
+                pooler.forwarded);
+    page.metric("counter", "executed_for_others_total", "Statements executed for other nodes.",
+                pooler.executedForOthers);
     page.metric("counter", "server_connections_opened_total", "Connections opened to servers.",
                 pooler.connectionsOpened);
     page.metric("counter", "server_connections_lost_total", "Connections that servers broke.",
--- /dev/null
+++ b/src/link/forwarding/UnitLinks.cpp
@@ -0,0 +1,312 @@
+#include "link/forwarding/UnitLinks.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/Backoff.h"
+#include "base/Log.h"
+
+namespace coralhoist::forwarding {
+
+using pooling::ProxyNode;
+using pooling::UnitLoss;
+using pooling::UnitOpening;
+using pooling::UnitStatement;
+using socket::CloseMode;
+using socket::StreamConnection;
+
+namespace {
+
+/** A connection may take so long to open. */
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(250);
+/** While a statement is unanswered, a sign of life is asked for when none came for so long. */
+constexpr Duration kHeartbeatAfter = std::chrono::milliseconds(150);
+/** A link that shows no sign of life for so long is given up. */
+constexpr Duration kSilenceTimeout = std::chrono::milliseconds(500);
+/** Pause before a node that was lost is tried again; doubled each time. */
+constexpr Duration kFirstPause = std::chrono::milliseconds(200);
+constexpr Duration kLongestPause = std::chrono::milliseconds(2000);
+/** A node that declined a unit is not asked before. */
+constexpr Duration kDeclinedPause = std::chrono::milliseconds(300);
+
+UnitMessage messageOf(UnitMessage::Kind kind, UnitId unit = {}) {
+    UnitMessage message;
+    message.kind = kind;
+    message.unit = unit;
+    return message;
+}
+
+}  // namespace
+
+UnitLinks::UnitLinks(socket::SocketPoller& poller, const Clock& clock, pooling::UnitEvents& events)
+    : _poller(poller), _clock(clock), _events(events) {}
+
+UnitLinks::~UnitLinks() = default;
+
+void UnitLinks::applyNodes(const std::vector<ProxyNode>& nodes) {
+    std::map<NodeName, ProxyNode> current;
+    for (const ProxyNode& node : nodes) {
+        current[node.name] = node;
+    }
+    std::vector<NodeName> gone;
+    for (auto& [name, link] : _links) {
+        const auto found = current.find(name);
+        if (found == current.end() || !(found->second == link.node)) {
+            gone.push_back(name);
+        }
+    }
+    for (const NodeName& name : gone) {
+        drop(_links[name], "node_moved");
+        _links.erase(name);
+    }
+    for (const auto& [name, node] : current) {
+        _links[name].node = node;
+    }
+}
+
+bool UnitLinks::canReach(const NodeName& node) const {
+    const auto found = _links.find(node);
+    return found != _links.end() && found->second.node.port != 0 && !found->second.leaving &&
+           _clock.now() >= found->second.usableFrom;
+}
+
+void UnitLinks::connect(Link& link) {
+    link.stream = std::make_unique<StreamConnection>(_poller, *this);
+    link.connected = false;
+    link.leaving = false;
+    link.waitingSince = _clock.now();
+    _nodeOf[link.stream.get()] = link.node.name;
+    // A failure at once leaves a connection that never opens; the time limit ends it.
+    link.stream->connectTo(link.node.host, link.node.port);
+}
+
+void UnitLinks::open(UnitId unit, const NodeName& node, const UnitOpening& opening,
+                     const UnitStatement& statement) {
+    Link& link = _links[node];
+    if (!link.stream) {
+        connect(link);
+    }
+    _units[unit] = node;
+    link.units[unit] = false;
+    noteSent(link, unit);
+    UnitMessage message = messageOf(UnitMessage::Kind::Request, unit);
+    message.opening = opening;
+    message.statement = statement;
+    send(link, message);
+}
+
+void UnitLinks::submit(UnitId unit, const UnitStatement& statement) {
+    Link* link = linkOf(unit);
+    if (link == nullptr) {
+        return;
+    }
+    noteSent(*link, unit);
+    UnitMessage message = messageOf(UnitMessage::Kind::Request, unit);
+    message.statement = statement;
+    send(*link, message);
+}
+
+void UnitLinks::end(UnitId unit) {
+    Link* link = linkOf(unit);
+    if (link == nullptr) {
+        return;
+    }
+    forget(*link, unit);
+    send(*link, messageOf(UnitMessage::Kind::Ended, unit));
+}
+
+void UnitLinks::send(Link& link, const UnitMessage& message) {
+    std::string bytes;
+    encode(bytes, message);
+    link.stream->write(bytes);
+}
+
+void UnitLinks::noteSent(Link& link, UnitId unit) {
+    if (link.unanswered == 0 && link.connected) {
+        link.waitingSince = _clock.now();
+    }
+    link.units[unit] = true;
+    ++link.unanswered;
+}
+
+void UnitLinks::noteAnswered(Link& link, UnitId unit) {
+    const auto found = link.units.find(unit);
+    if (found != link.units.end() && found->second) {
+        found->second = false;
+        --link.unanswered;
+    }
+}
+
+void UnitLinks::forget(Link& link, UnitId unit) {
+    noteAnswered(link, unit);
+    link.units.erase(unit);
+    _units.erase(unit);
+}
+
+void UnitLinks::onConnected(StreamConnection& connection) {
+    Link* link = linkOf(connection);
+    if (link == nullptr) {
+        return;
+    }
+    link->connected = true;
+    link->pause = Duration(0);
+    link->heardAt = _clock.now();
+    link->waitingSince = link->heardAt;
+    LogEvent("forwarding", LogLevel::Info, "executor.connected").field("node", link->node.name);
+}
+
+void UnitLinks::onBytes(StreamConnection& connection, std::string& buffer) {
+    if (Link* link = linkOf(connection)) {
+        link->heardAt = _clock.now();
+    }
+    while (Link* link = linkOf(connection)) {
+        std::optional<StatusWith<UnitMessage>> taken = takeMessage(buffer);
+        if (!taken) {
+            return;
+        }
+        if (!taken->isOk()) {
+            drop(*link, "protocol_violation");
+            return;
+        }
+        onMessage(*link, std::move(*taken).value());
+    }
+}
+
+void UnitLinks::onMessage(Link& link, UnitMessage message) {
+    switch (message.kind) {
+        case UnitMessage::Kind::Answer:
+            onAnswer(link, std::move(message));
+            return;
+        case UnitMessage::Kind::Declined:
+            onDeclined(link, message.unit);
+            return;
+        case UnitMessage::Kind::Leaving:
+            link.leaving = true;
+            LogEvent("forwarding", LogLevel::Info, "executor.leaving")
+                .field("node", link.node.name);
+            return;
+        case UnitMessage::Kind::HeartbeatAsked:
+            send(link, messageOf(UnitMessage::Kind::Heartbeat));
+            return;
+        case UnitMessage::Kind::Request:
+        case UnitMessage::Kind::Ended:
+        case UnitMessage::Kind::Heartbeat:
+            return;
+    }
+}
+
+void UnitLinks::onAnswer(Link& link, UnitMessage message) {
+    if (!link.units.contains(message.unit)) {
+        return;
+    }
+    noteAnswered(link, message.unit);
+    if (message.result.result.state != pooling::SessionState::InTransaction) {
+        forget(link, message.unit);
+    }
+    _events.onUnitResult(message.unit, std::move(message.result));
+}
+
+void UnitLinks::onDeclined(Link& link, UnitId unit) {
+    if (!link.units.contains(unit)) {
+        return;
+    }
+    forget(link, unit);
+    link.usableFrom = _clock.now() + kDeclinedPause;
+    _events.onUnitLost(unit, UnitLoss::NotTaken);
+}
+
+void UnitLinks::onClosed(StreamConnection& connection) {
+    if (Link* link = linkOf(connection)) {
+        drop(*link, "closed");
+    }
+}
+
+/** Closes the connection; its units are lost. */
+void UnitLinks::drop(Link& link, const char* reason) {
+    if (!link.stream) {
+        return;
+    }
+    const UnitLoss loss = link.connected ? UnitLoss::Unanswered : UnitLoss::NotTaken;
+    LogEvent("forwarding", LogLevel::Warning, "executor.lost")
+        .field("node", link.node.name)
+        .field("reason", reason)
+        .field("units", link.units.size())
+        .field("connected", link.connected);
+    link.pause = nextBackoff(link.pause, kFirstPause, kLongestPause);
+    link.usableFrom = _clock.now() + link.pause;
+    link.leaving = false;
+    link.connected = false;
+    link.unanswered = 0;
+    _nodeOf.erase(link.stream.get());
+    link.stream->close(CloseMode::Abort);
+    _closed.push_back(std::move(link.stream));
+    const std::map<UnitId, bool> units = std::exchange(link.units, {});
+    for (const auto& [unit, waiting] : units) {
+        _units.erase(unit);
+    }
+    for (const auto& [unit, waiting] : units) {
+        _events.onUnitLost(unit, loss);
+    }
+}
+
+/** @return when the link must be looked at; nothing while it is not waited for. */
+std::optional<TimePoint> UnitLinks::dueAt(const Link& link) const {
+    if (!link.stream) {
+        return std::nullopt;
+    }
+    if (!link.connected) {
+        return link.waitingSince + kConnectTimeout;
+    }
+    if (link.unanswered == 0) {
+        return std::nullopt;
+    }
+    const TimePoint quietSince = std::max(link.heardAt, link.waitingSince);
+    const TimePoint askAt = std::max(quietSince, link.askedAt) + kHeartbeatAfter;
+    return std::min(askAt, quietSince + kSilenceTimeout);
+}
+
+void UnitLinks::onTick(TimePoint now) {
+    std::vector<NodeName> due;
+    for (const auto& [name, link] : _links) {
+        const std::optional<TimePoint> at = dueAt(link);
+        if (at && *at <= now) {
+            due.push_back(name);
+        }
+    }
+    for (const NodeName& name : due) {
+        const auto found = _links.find(name);
+        if (found == _links.end() || !found->second.stream) {
+            continue;
+        }
+        Link& link = found->second;
+        const TimePoint quietSince = std::max(link.heardAt, link.waitingSince);
+        if (!link.connected || now - quietSince >= kSilenceTimeout) {
+            drop(link, link.connected ? "silent" : "unreachable");
+            continue;
+        }
+        link.askedAt = now;
+        send(link, messageOf(UnitMessage::Kind::HeartbeatAsked));
+    }
+}
+
+std::optional<TimePoint> UnitLinks::nextTick() const {
+    std::optional<TimePoint> next;
+    for (const auto& [name, link] : _links) {
+        if (const std::optional<TimePoint> at = dueAt(link)) {
+            next = std::min(next.value_or(*at), *at);
+        }
+    }
+    return next;
+}
+
+UnitLinks::Link* UnitLinks::linkOf(const StreamConnection& connection) {
+    const auto found = _nodeOf.find(&connection);
+    return found == _nodeOf.end() ? nullptr : &_links[found->second];
+}
+
+UnitLinks::Link* UnitLinks::linkOf(UnitId unit) {
+    const auto found = _units.find(unit);
+    return found == _units.end() ? nullptr : &_links[found->second];
+}
+
+}  // namespace coralhoist::forwarding
--- a/src/link/store/ObjectProtocol.h
+++ b/src/link/store/ObjectProtocol.h
@@ -48,6 +48,9 @@
     virtual ~ObjectProtocol() = default;
 
     virtual socket::HttpCall listCall(const std::string& kind, const std::string& after) const = 0;
+    /** A list that is cheap and may show the objects as they were seconds ago. */
+    virtual socket::HttpCall recentListCall(const std::string& kind,
+                                            const std::string& after) const = 0;
     virtual socket::HttpCall watchCall(const std::string& kind, std::uint64_t version,
                                        Duration wait) const = 0;
     virtual socket::HttpCall readCall(const std::string& kind, const std::string& name) const = 0;
--- /dev/null
+++ b/src/pooling/ExecutorPlacement.h
@@ -0,0 +1,66 @@
+/** Which proxy nodes execute the statements of a group. */
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/Identifier.h"
+
+namespace coralhoist::pooling {
+
+/** A proxy node as the others know it. */
+struct ProxyNode {
+    NodeName name;
+    ZoneName zone;
+    /** Where it takes forwarded units of work; port 0 when that is not known. */
+    std::string host;
+    std::uint16_t port = 0;
+
+    bool operator==(const ProxyNode&) const = default;
+};
+
+/**
+ * Rendezvous hashing over the nodes of each zone. A few executors share a server's connections, so
+ * that their number does not grow with the number of nodes; other nodes forward to them. Nodes with
+ * the same view choose the same executors; nothing but speed depends on that.
+ */
+class ExecutorPlacement {
+public:
+    /** @param executorsPerZone nodes of a zone that execute a group's statements. */
+    ExecutorPlacement(NodeName self, ZoneName zone, std::uint32_t executorsPerZone);
+
+    /** Replaces the nodes that are known. This node counts whether it is among them or not. */
+    void applyNodes(const std::vector<ProxyNode>& nodes);
+
+    /** @return whether this node is an executor of the group. */
+    bool executesHere(const GroupName& group) const;
+
+    /** @return the number of executors of the group; 1 at least. */
+    std::size_t executorCount(const GroupName& group) const;
+
+    /**
+     * @return the other executors in the order in which this node asks them: those of its own zone
+     * first, different nodes beginning with different ones.
+     */
+    const std::vector<NodeName>& preferenceOf(const GroupName& group) const;
+
+private:
+    struct Executors {
+        bool here = false;
+        std::size_t count = 0;
+        std::vector<NodeName> others;
+    };
+
+    const Executors& executorsOf(const GroupName& group) const;
+    Executors compute(const GroupName& group) const;
+
+    NodeName _self;
+    ZoneName _zone;
+    std::uint32_t _executorsPerZone;
+    std::map<ZoneName, std::vector<NodeName>> _nodes;
+    mutable std::map<GroupName, Executors> _cache;
+};
+
+}  // namespace coralhoist::pooling
--- a/src/pooling/PooledSession.h
+++ b/src/pooling/PooledSession.h
@@ -44,7 +44,9 @@
     bool wrote = false;
     /** The caller has been told that it failed. */
     bool failureTold = false;
+    /** Where it is open: on a connection of this node, or in a unit that another node executes. */
     std::optional<ConnectionId> connection;
+    std::optional<UnitId> unit;
 };
 
 /** Where a statement is. */
@@ -73,6 +75,10 @@
     std::set<ServerName> avoided;
     ConnectionId connection;
     ServerName server;
+    /** The unit in which another node executes it, that node, and nodes that did not take it. */
+    std::optional<UnitId> unit;
+    NodeName executor;
+    std::set<NodeName> avoidedExecutors;
     /** Floor that the server had to have reached, for logs. */
     OpTime floor;
     /** Why it last did not run, for logs. */
@@ -94,6 +100,8 @@
     std::optional<Operation> operation;
     /** When the last statement came or ended. */
     TimePoint activeAt{};
+    /** It stands for a unit that another node forwarded and whose settings that node decides. */
+    bool forwarded = false;
 };
 
 }  // namespace coralhoist::pooling
--- a/src/pooling/PoolerConnections.cpp
+++ b/src/pooling/PoolerConnections.cpp
@@ -135,6 +135,7 @@
 void StatementPooler::failTransaction(PooledSession& session) {
     SessionTransaction& transaction = session.transaction;
     transaction.phase = TransactionPhase::Failed;
+    endUnit(transaction.unit);
     transaction.connection.reset();
     transaction.failureTold = session.operation.has_value();
 }
--- a/src/pooling/PoolerDispatch.cpp
+++ b/src/pooling/PoolerDispatch.cpp
@@ -16,6 +16,9 @@
 }  // namespace
 
 void StatementPooler::enqueue(PooledSession& session) {
+    if (forward(session)) {
+        return;
+    }
     GroupState& group = groupOf(session);
     session.operation->phase = OperationPhase::Queued;
     const bool urgent = session.settings.priority == settings::Priority::Urgent;
@@ -242,7 +245,8 @@
     if (found == _catalog->groups.end()) {
         return _knobs.connectionsPerServer;
     }
-    const auto share = static_cast<std::uint32_t>(found->second.connectionsPerServer / _nodeCount);
+    const auto share = static_cast<std::uint32_t>(found->second.connectionsPerServer /
+                                                  _placement.executorCount(group));
     return std::min(_knobs.connectionsPerServer, std::max<std::uint32_t>(share, 2) - 1);
 }
 
@@ -438,6 +442,18 @@
     sendStatement(*connection, session, alignValues(*connection, session));
 }
 
+/** Closes what this node keeps open to servers whose statements other nodes execute. */
+void StatementPooler::releaseUnused(GroupState& group, TimePoint now) {
+    for (auto& [name, server] : group.servers) {
+        const std::vector<ConnectionId> idle = server.idle;
+        for (const ConnectionId id : idle) {
+            if (now - findConnection(id)->since > _knobs.unusedFor) {
+                discard(id);
+            }
+        }
+    }
+}
+
 /** One connection to each server stands ready, also to one that may become the primary. */
 void StatementPooler::keepWarm(GroupState& group) {
     for (auto& [name, server] : group.servers) {
--- a/src/pooling/PoolerKnobs.h
+++ b/src/pooling/PoolerKnobs.h
@@ -10,8 +10,15 @@
 
 /** Defaults fit groups of servers with a few slots each; benchmarks argue for them. */
 struct PoolerKnobs {
-    /** Zone of this process. */
+    /** Name and zone of this process. */
+    NodeName node;
     ZoneName zone;
+    /** Nodes of each zone that execute a group's statements; the others forward to them. */
+    std::uint32_t executorsPerZone = 2;
+    /** The executing node gives up so long before the node that forwarded. */
+    Duration forwardingMargin = std::chrono::milliseconds(20);
+    /** Idle connections of a node that is no longer an executor are closed after this time. */
+    Duration unusedFor = std::chrono::seconds(2);
     /** Connections that this process holds to one server at most. */
     std::uint32_t connectionsPerServer = 8;
     /** Connections being opened to one server at a time. */
--- a/src/pooling/PoolerStatements.cpp
+++ b/src/pooling/PoolerStatements.cpp
@@ -70,6 +70,9 @@
 
 /** A change of the service's settings binds from its sessions' next transaction on. */
 bool StatementPooler::refreshSettings(PooledSession& session) {
+    if (session.forwarded) {
+        return true;
+    }
     const CatalogEntry* entry = _catalog->find(session.service);
     if (entry == nullptr) {
         replyError(session, StatementFault::UnknownDatabase, "the service has been removed");
@@ -92,14 +95,18 @@
     if (!refreshSettings(session)) {
         return;
     }
+    startTransaction(session, statement);
+    replyCompleted(session);
+}
+
+void StatementPooler::startTransaction(PooledSession& session, const Statement& begin) {
     const TimePoint now = _clock.now();
     session.transaction = SessionTransaction{};
     session.transaction.phase = TransactionPhase::Unstarted;
-    session.transaction.begin = statement;
+    session.transaction.begin = begin;
     session.transaction.arrivedAt = now;
     session.transaction.lastActivity = now;
     _openTransactions.insert(session.id);
-    replyCompleted(session);
 }
 
 void StatementPooler::setValue(PooledSession& session, const Statement& statement) {
@@ -108,14 +115,18 @@
 }
 
 void StatementPooler::prepareShape(PooledSession& session, const Statement& statement) {
-    const bool writes = statement.shapeKind == ShapeKind::Write;
-    const std::string key = (writes ? "w " : "r ") + statement.argument;
+    session.prepared[statement.name] = shapeOf(statement.shapeKind, statement.argument);
+    replyCompleted(session);
+}
+
+/** @return the shape with the name under which this process prepares it on servers. */
+PreparedShape StatementPooler::shapeOf(ShapeKind kind, const std::string& shape) {
+    const std::string key = (kind == ShapeKind::Write ? "w " : "r ") + shape;
     auto [name, added] = _shapeNames.try_emplace(key);
     if (added) {
         name->second = "p" + std::to_string(_shapeNames.size());
     }
-    session.prepared[statement.name] = {statement.shapeKind, statement.argument, name->second};
-    replyCompleted(session);
+    return {kind, shape, name->second};
 }
 
 void StatementPooler::closeShape(PooledSession& session, const Statement& statement) {
@@ -146,6 +157,7 @@
 void StatementPooler::rollback(PooledSession& session) {
     ServerConnection* connection =
         session.transaction.connection ? findConnection(*session.transaction.connection) : nullptr;
+    endUnit(session.transaction.unit);
     session.transaction = SessionTransaction{};
     _openTransactions.erase(session.id);
     if (connection != nullptr) {
@@ -178,6 +190,10 @@
     operation.holdUntil = now + timeout * _knobs.holdPercent / kPercent;
     operation.serial = ++_lastSerial;
     session.operation = std::move(operation);
+    if (session.transaction.unit) {
+        forwardInTransaction(session);
+        return;
+    }
     if (session.transaction.phase == TransactionPhase::Open) {
         sendInTransaction(session);
         return;
--- a/src/pooling/PoolerStatistics.h
+++ b/src/pooling/PoolerStatistics.h
@@ -49,6 +49,9 @@
     std::uint64_t connectionsOpened = 0;
     std::uint64_t connectionsLost = 0;
     std::uint64_t proofsWanted = 0;
+    /** Statements sent to other nodes, and executed for them. */
+    std::uint64_t forwarded = 0;
+    std::uint64_t executedForOthers = 0;
     LatencyHistogram latency;
 };
 
--- a/src/pooling/PoolerTimers.cpp
+++ b/src/pooling/PoolerTimers.cpp
@@ -54,7 +54,11 @@
             return;
         case OperationPhase::Beginning:
         case OperationPhase::Sent:
-            reviewSent(session, now);
+            if (session.operation->unit) {
+                reviewForwarded(session, now);
+            } else {
+                reviewSent(session, now);
+            }
             return;
     }
 }
@@ -126,7 +130,11 @@
         }
         group.floors.dropBefore(now - kFloorRetention);
         watchPrimary(name, group, now);
-        keepWarm(group);
+        if (executesHere(name)) {
+            keepWarm(group);
+        } else {
+            releaseUnused(group, now);
+        }
         if (!group.urgent.empty() || !group.ordinary.empty()) {
             group.dirty = true;
         }
@@ -171,7 +179,9 @@
     }
     for (const SessionId id : resting) {
         PooledSession& session = _sessions.at(id);
-        ServerConnection* connection = findConnection(*session.transaction.connection);
+        ServerConnection* connection = session.transaction.connection
+                                           ? findConnection(*session.transaction.connection)
+                                           : nullptr;
         LogEvent("pooling.transaction", LogLevel::Info, "transaction.rested")
             .field("request", session.transaction.begin.id)
             .field("group", session.group);
--- a/src/pooling/StatementPooler.cpp
+++ b/src/pooling/StatementPooler.cpp
@@ -24,7 +24,8 @@
       _connector(connector),
       _output(output),
       _knobs(std::move(knobs)),
-      _catalog(std::make_shared<ServiceCatalog>()) {}
+      _catalog(std::make_shared<ServiceCatalog>()),
+      _placement(_knobs.node, _knobs.zone, _knobs.executorsPerZone) {}
 
 void StatementPooler::applyCatalog(std::shared_ptr<const ServiceCatalog> catalog) {
     _catalog = std::move(catalog);
@@ -45,8 +46,12 @@
     }
 }
 
-void StatementPooler::setNodeCount(std::size_t nodes) {
-    _nodeCount = std::max<std::size_t>(1, nodes);
+void StatementPooler::applyNodes(const std::vector<ProxyNode>& nodes) {
+    _placement.applyNodes(nodes);
+}
+
+bool StatementPooler::executesHere(const GroupName& group) const {
+    return _forwarder == nullptr || _placement.executesHere(group);
 }
 
 void StatementPooler::applyDirectory(const ServerDirectory& directory) {
@@ -122,6 +127,7 @@
     if (session->operation && session->operation->phase != OperationPhase::Queued) {
         connection = session->operation->connection;
     }
+    endUnit(session->operation ? session->operation->unit : session->transaction.unit);
     _openTransactions.erase(id);
     _sessions.erase(id);
     if (ServerConnection* used = connection ? findConnection(*connection) : nullptr) {
--- a/src/pooling/StatementPooler.h
+++ b/src/pooling/StatementPooler.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "base/Time.h"
+#include "pooling/ExecutorPlacement.h"
 #include "pooling/FreshnessFloors.h"
 #include "pooling/LeadershipTracker.h"
 #include "pooling/PooledSession.h"
@@ -25,6 +26,7 @@
 #include "pooling/ServerState.h"
 #include "pooling/ServiceCatalog.h"
 #include "pooling/Statement.h"
+#include "pooling/UnitForwarding.h"
 
 namespace coralhoist::pooling {
 
@@ -61,7 +63,7 @@
  * end; a write or COMMIT is sent at most once; a refusal that promises "not run" is given only
  * before a write was sent or after the server itself said so.
  */
-class StatementPooler final : public ServerEvents {
+class StatementPooler final : public ServerEvents, public UnitEvents {
 public:
     /** References outlive the pooler. */
     StatementPooler(const Clock& clock, ServerConnector& connector, PoolerOutput& output,
@@ -70,8 +72,14 @@
     /** Replaces services and groups. */
     void applyCatalog(std::shared_ptr<const ServiceCatalog> catalog);
 
-    /** Takes the number of nodes that share each server's connections. */
-    void setNodeCount(std::size_t nodes);
+    /** Takes the nodes among which executors are chosen. */
+    void applyNodes(const std::vector<ProxyNode>& nodes);
+
+    /** Forwards from now on what other nodes execute. @param forwarder outlives the pooler. */
+    void setForwarder(UnitForwarder& forwarder) { _forwarder = &forwarder; }
+
+    /** @return whether this node executes the group's statements. */
+    bool executesHere(const GroupName& group) const;
 
     /** Takes the most connections that this process may hold to one server. */
     void setConnectionBound(std::uint32_t connections) {
@@ -93,6 +101,15 @@
     /** Opens a session of a service that exists. */
     SessionId openSession(const ServiceName& service);
 
+    /** Opens a session for a unit of work that another node forwards. */
+    SessionId openUnit(const UnitOpening& opening);
+
+    /** Runs a statement of a forwarded unit that waits for none. */
+    void submitUnit(SessionId session, UnitStatement statement);
+
+    /** @return the position that covers the session's own commits. */
+    OpTime ownFloorOf(SessionId session) const;
+
     /** Runs a statement of a session that waits for none. */
     void submit(SessionId session, Statement statement);
 
@@ -113,6 +130,9 @@
     void onResult(ConnectionId connection, StatementResult result) override;
     void onLost(ConnectionId connection) override;
 
+    void onUnitResult(UnitId unit, UnitResult result) override;
+    void onUnitLost(UnitId unit, UnitLoss loss) override;
+
     /** Handles everything that is due. */
     void onTick();
 
@@ -159,8 +179,10 @@
 
     // PoolerStatements.cpp: what callers ask.
     void beginTransaction(PooledSession& session, const Statement& statement);
+    void startTransaction(PooledSession& session, const Statement& begin);
     void setValue(PooledSession& session, const Statement& statement);
     void prepareShape(PooledSession& session, const Statement& statement);
+    PreparedShape shapeOf(ShapeKind kind, const std::string& shape);
     void closeShape(PooledSession& session, const Statement& statement);
     void endFailedTransaction(PooledSession& session, const Statement& statement);
     void rollback(PooledSession& session);
@@ -207,6 +229,7 @@
                        std::vector<ServerCommand>& commands);
     ServerCommand callerCommand(const PooledSession& session) const;
     void keepWarm(GroupState& group);
+    void releaseUnused(GroupState& group, TimePoint now);
 
     // PoolerResults.cpp: what servers answer.
     void onBeginResult(ServerConnection& connection, PooledSession& session,
@@ -237,6 +260,16 @@
     void onSentLost(PooledSession& session, const char* reason);
     void sendRollback(ServerConnection& connection);
 
+    // PoolerForwarding.cpp: what other nodes execute.
+    bool forward(PooledSession& session);
+    std::optional<NodeName> chooseExecutor(const PooledSession& session) const;
+    void forwardInTransaction(PooledSession& session);
+    void noteForwarded(PooledSession& session);
+    UnitStatement unitStatement(const PooledSession& session) const;
+    UnitOpening unitOpening(const PooledSession& session) const;
+    void reviewForwarded(PooledSession& session, TimePoint now);
+    void endUnit(std::optional<UnitId>& unit);
+
     // PoolerTimers.cpp
     void wakeAt(const PooledSession& session, TimePoint at);
     void review(PooledSession& session, TimePoint now);
@@ -272,7 +305,10 @@
     std::vector<SessionId> _closing;
     std::unordered_set<SessionId> _openTransactions;
     PoolerStatistics _statistics;
-    std::size_t _nodeCount = 1;
+    ExecutorPlacement _placement;
+    UnitForwarder* _forwarder = nullptr;
+    std::unordered_map<UnitId, SessionId> _units;
+    std::uint64_t _lastUnit = 0;
     TimePoint _nextRound{};
     TimePoint _nextReport{};
     std::uint64_t _lastSession = 0;
--- /dev/null
+++ b/tests/forwarding/UnitLinkTest.cpp
@@ -0,0 +1,274 @@
+#include <CppUTest/TestHarness.h>
+
+#include <QCoreApplication>
+#include <QEventLoop>
+#include <QTcpServer>
+#include <QTcpSocket>
+#include <functional>
+#include <map>
+#include <vector>
+
+#include "link/forwarding/UnitLinks.h"
+#include "link/forwarding/UnitService.h"
+
+namespace coralhoist::forwarding {
+namespace {
+
+using pooling::StatementFault;
+using pooling::StatementVerb;
+using pooling::UnitLoss;
+using std::chrono::milliseconds;
+
+constexpr const char* kHost = "127.0.0.1";
+
+class ManualClock final : public Clock {
+public:
+    TimePoint now() const override { return _now; }
+    void advance(Duration span) { _now += span; }
+
+private:
+    TimePoint _now{std::chrono::hours(1)};
+};
+
+/** Opens at once; each caller's command is answered when the test says so. */
+class ManualServers final : public pooling::ServerConnector {
+public:
+    ConnectionId open(const pooling::ServerAddress& /*address*/,
+                      pooling::ServerEvents& /*events*/) override {
+        opening.emplace_back(opening.size() + 1);
+        return opening.back();
+    }
+    void send(ConnectionId connection, const std::vector<pooling::ServerCommand>& batch) override {
+        for (const pooling::ServerCommand& command : batch) {
+            commands.emplace_back(connection, command);
+        }
+    }
+    void close(ConnectionId /*connection*/) override {}
+
+    std::vector<ConnectionId> opening;
+    std::vector<std::pair<ConnectionId, pooling::ServerCommand>> commands;
+};
+
+/** What became of forwarded units. */
+class Recorder final : public pooling::UnitEvents {
+public:
+    void onUnitResult(UnitId unit, pooling::UnitResult result) override {
+        results[unit].push_back(std::move(result));
+    }
+    void onUnitLost(UnitId unit, UnitLoss loss) override { losses[unit].push_back(loss); }
+
+    std::map<UnitId, std::vector<pooling::UnitResult>> results;
+    std::map<UnitId, std::vector<UnitLoss>> losses;
+};
+
+pooling::UnitStatement statement(StatementVerb verb, const std::string& text) {
+    return {{"r-" + text, verb, text, {}, {}, pooling::ShapeKind::Read}, {}, std::nullopt};
+}
+
+TEST_GROUP(UnitLink), public pooling::PoolerOutput {
+    int count = 1;
+    char name[8] = "test";
+    char* arguments[1] = {name};
+    QCoreApplication application{count, arguments};
+    ManualClock clock;
+    ManualServers servers;
+    socket::SocketPoller poller;
+    pooling::StatementPooler pooler{clock, servers, *this, {}};
+    UnitService service{poller, pooler};
+    Recorder recorder;
+    UnitLinks links{poller, clock, recorder};
+    NodeName executor{"executor"};
+    GroupName group{"g"};
+
+    void setup() override {
+        CHECK_TRUE(service.listen(kHost, 0).isOk());
+        links.applyNodes({{executor, ZoneName("z"), kHost, service.port()}});
+        auto catalog = std::make_shared<pooling::ServiceCatalog>();
+        catalog->groups[group] = {};
+        pooler.applyCatalog(catalog);
+        pooling::ServerDirectory directory;
+        pooling::ServerAnnouncement primary;
+        primary.address = {group, ServerName("s1"), kHost, 1};
+        primary.slots = 3;
+        primary.role = pooling::ServerRole::Primary;
+        primary.version = 1;
+        directory.put(primary);
+        pooler.applyDirectory(directory);
+        pooler.onTick();
+        pooler.onOpened(servers.opening.at(0), {1, 1});
+        clock.advance(milliseconds(600));
+        pooler.confirmLeadership(group, clock.now());
+    }
+
+    void reply(SessionId session, pooling::StatementResult result) override {
+        CHECK_TRUE(service.reply(session, result));
+    }
+    void closeSession(SessionId /*session*/) override {}
+    void wantLeadershipProof(const GroupName& /*group*/) override {}
+    void suspectPrimary(const GroupName& /*group*/, const ServerName& /*server*/,
+                        pooling::SuspicionReason /*reason*/) override {}
+
+    void waitFor(const std::function<bool()>& condition) {
+        while (!condition()) {
+            QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents, 20);
+        }
+    }
+
+    void open(std::uint64_t unit, StatementVerb verb, const std::string& text,
+              bool transaction = false) {
+        pooling::UnitOpening opening;
+        opening.service = ServiceName("s");
+        opening.group = group;
+        opening.settings.statementTimeout = milliseconds(800);
+        if (transaction) {
+            opening.begin = statement(StatementVerb::Begin, "BEGIN").statement;
+        }
+        links.open(UnitId(unit), executor, opening, statement(verb, text));
+    }
+
+    void succeed(pooling::SessionState state) {
+        pooling::StatementResult result;
+        result.signature = "sig";
+        result.state = state;
+        result.position = {1, 50};
+        const ConnectionId connection = servers.commands.front().first;
+        servers.commands.erase(servers.commands.begin());
+        pooler.onResult(connection, result);
+    }
+};
+
+TEST(UnitLink, AStatementIsExecutedAndAnswered) {
+    service.startServing();
+    open(1, StatementVerb::Write, "WRITE 1 a");
+    waitFor([this] { return !servers.commands.empty(); });
+    STRCMP_EQUAL("r-WRITE 1 a", servers.commands.front().second.id.c_str());
+    succeed(pooling::SessionState::Idle);
+    waitFor([this] { return recorder.results.contains(UnitId(1)); });
+    STRCMP_EQUAL("sig", recorder.results[UnitId(1)][0].result.signature.c_str());
+    CHECK_TRUE(recorder.results[UnitId(1)][0].ownFloor == (OpTime{1, 50}));
+    UNSIGNED_LONGS_EQUAL(0, service.unitCount());
+    CHECK_FALSE(links.nextTick().has_value());
+}
+
+TEST(UnitLink, ATransactionEndsWithItsCommit) {
+    service.startServing();
+    open(1, StatementVerb::Write, "WRITE 1 a", true);
+    waitFor([this] { return !servers.commands.empty(); });
+    succeed(pooling::SessionState::InTransaction);
+    waitFor([this] { return !servers.commands.empty(); });
+    succeed(pooling::SessionState::InTransaction);
+    waitFor([this] { return recorder.results[UnitId(1)].size() == 1; });
+    UNSIGNED_LONGS_EQUAL(1, service.unitCount());
+    links.submit(UnitId(1), statement(StatementVerb::Commit, "COMMIT"));
+    waitFor([this] { return !servers.commands.empty(); });
+    succeed(pooling::SessionState::Idle);
+    waitFor([this] { return recorder.results[UnitId(1)].size() == 2; });
+    UNSIGNED_LONGS_EQUAL(0, service.unitCount());
+}
+
+TEST(UnitLink, AUnitThatIsGivenUpIsRolledBack) {
+    service.startServing();
+    open(1, StatementVerb::Write, "WRITE 1 a", true);
+    waitFor([this] { return !servers.commands.empty(); });
+    succeed(pooling::SessionState::InTransaction);
+    succeed(pooling::SessionState::InTransaction);
+    waitFor([this] { return recorder.results[UnitId(1)].size() == 1; });
+    links.end(UnitId(1));
+    waitFor([this] { return !servers.commands.empty(); });
+    CHECK_TRUE(servers.commands.front().second.kind == pooling::ServerCommand::Kind::Rollback);
+    UNSIGNED_LONGS_EQUAL(0, service.unitCount());
+}
+
+TEST(UnitLink, ANodeThatDoesNotServeYetDeclines) {
+    open(1, StatementVerb::Write, "WRITE 1 a");
+    waitFor([this] { return recorder.losses.contains(UnitId(1)); });
+    CHECK_TRUE(recorder.losses[UnitId(1)].front() == UnitLoss::NotTaken);
+    CHECK_FALSE(links.canReach(executor));
+    clock.advance(milliseconds(301));
+    CHECK_TRUE(links.canReach(executor));
+    UNSIGNED_LONGS_EQUAL(0, servers.commands.size());
+}
+
+TEST(UnitLink, ALeavingNodeIsNotAskedAndEndsWhatItHasTaken) {
+    service.startServing();
+    open(1, StatementVerb::Write, "WRITE 1 a");
+    waitFor([this] { return !servers.commands.empty(); });
+    service.beginLeaving();
+    waitFor([this] { return !links.canReach(executor); });
+    succeed(pooling::SessionState::Idle);
+    waitFor([this] { return recorder.results.contains(UnitId(1)); });
+    CHECK_TRUE(recorder.losses.empty());
+}
+
+TEST(UnitLink, TheUnitsOfALostLinkAreLostAndRolledBack) {
+    service.startServing();
+    open(1, StatementVerb::Write, "WRITE 1 a", true);
+    waitFor([this] { return !servers.commands.empty(); });
+    succeed(pooling::SessionState::InTransaction);
+    succeed(pooling::SessionState::InTransaction);
+    waitFor([this] { return recorder.results[UnitId(1)].size() == 1; });
+    links.applyNodes({});
+    CHECK_TRUE(recorder.losses[UnitId(1)].front() == UnitLoss::Unanswered);
+    waitFor([this] { return !servers.commands.empty(); });
+    CHECK_TRUE(servers.commands.front().second.kind == pooling::ServerCommand::Kind::Rollback);
+    UNSIGNED_LONGS_EQUAL(0, service.unitCount());
+}
+
+TEST(UnitLink, ANodeThatCanNotBeReachedHasTakenNothing) {
+    QTcpServer taken;
+    CHECK_TRUE(taken.listen(QHostAddress::LocalHost, 0));
+    const std::uint16_t freePort = taken.serverPort();
+    taken.close();
+    links.applyNodes({{executor, ZoneName("z"), kHost, freePort}});
+    open(1, StatementVerb::Write, "WRITE 1 a");
+    waitFor([this] { return recorder.losses.contains(UnitId(1)); });
+    CHECK_TRUE(recorder.losses[UnitId(1)].front() == UnitLoss::NotTaken);
+    CHECK_FALSE(links.canReach(executor));
+}
+
+TEST(UnitLink, ASilentNodeIsGivenUpAndItsAnswersAreDropped) {
+    service.startServing();
+    open(1, StatementVerb::Write, "WRITE 1 a");
+    waitFor([this] { return !servers.commands.empty(); });
+    waitFor([this] { return links.nextTick() == clock.now() + milliseconds(150); });
+    // The event loop does not run from here on: the heartbeat stays unanswered.
+    clock.advance(milliseconds(150));
+    links.onTick(clock.now());
+    CHECK_TRUE(recorder.losses.empty());
+    clock.advance(milliseconds(350));
+    links.onTick(clock.now());
+    CHECK_TRUE(recorder.losses[UnitId(1)].front() == UnitLoss::Unanswered);
+    succeed(pooling::SessionState::Idle);
+    waitFor([this] { return service.unitCount() == 0; });
+    CHECK_TRUE(recorder.results.empty());
+}
+
+TEST(UnitLink, AHeartbeatKeepsASlowAnswerAlive) {
+    service.startServing();
+    open(1, StatementVerb::Write, "WRITE 1 a");
+    waitFor([this] { return !servers.commands.empty(); });
+    for (int round = 0; round < 8; ++round) {
+        clock.advance(milliseconds(150));
+        links.onTick(clock.now());
+        waitFor([this] { return links.nextTick() == clock.now() + milliseconds(150); });
+    }
+    succeed(pooling::SessionState::Idle);
+    waitFor([this] { return recorder.results.contains(UnitId(1)); });
+    CHECK_TRUE(recorder.losses.empty());
+}
+
+TEST(UnitLink, AFrameThatCanNotBeReadEndsTheLinkAndNothingElse) {
+    service.startServing();
+    QTcpSocket stranger;
+    stranger.connectToHost(kHost, service.port());
+    waitFor([&] { return stranger.state() == QAbstractSocket::ConnectedState; });
+    stranger.write("GET / HTTP/1.1\r\n\r\n");
+    waitFor([&] { return stranger.state() == QAbstractSocket::UnconnectedState; });
+    open(1, StatementVerb::Write, "WRITE 1 a");
+    waitFor([this] { return !servers.commands.empty(); });
+    succeed(pooling::SessionState::Idle);
+    waitFor([this] { return recorder.results.contains(UnitId(1)); });
+}
+
+}  // namespace
+}  // namespace coralhoist::forwarding
--- /dev/null
+++ b/tests/pooling/ExecutorPlacementTest.cpp
@@ -0,0 +1,126 @@
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <set>
+
+#include "pooling/ExecutorPlacement.h"
+
+namespace coralhoist::pooling {
+namespace {
+
+constexpr int kZones = 3;
+constexpr std::uint16_t kPort = 7433;
+
+ProxyNode node(int index) {
+    return {NodeName("n" + std::to_string(index)), ZoneName("z" + std::to_string(index % kZones)),
+            "10.0.0." + std::to_string(index), kPort};
+}
+
+std::vector<ProxyNode> nodes(int count) {
+    std::vector<ProxyNode> result;
+    for (int index = 0; index < count; ++index) {
+        result.push_back(node(index));
+    }
+    return result;
+}
+
+ExecutorPlacement placementOf(int self, const std::vector<ProxyNode>& view) {
+    ExecutorPlacement placement(node(self).name, node(self).zone, 2);
+    placement.applyNodes(view);
+    return placement;
+}
+
+/** @return the nodes that take themselves for executors. */
+std::set<int> executors(const GroupName& group, int count) {
+    std::set<int> result;
+    for (int index = 0; index < count; ++index) {
+        if (placementOf(index, nodes(count)).executesHere(group)) {
+            result.insert(index);
+        }
+    }
+    return result;
+}
+
+TEST_GROUP(ExecutorPlacement) {
+    GroupName group{"ledger"};
+};
+
+TEST(ExecutorPlacement, AllNodesOfASmallClusterExecute) {
+    UNSIGNED_LONGS_EQUAL(6, executors(group, 6).size());
+    UNSIGNED_LONGS_EQUAL(6, placementOf(0, nodes(6)).executorCount(group));
+}
+
+TEST(ExecutorPlacement, ANodeAloneExecutes) {
+    CHECK_TRUE(placementOf(0, {}).executesHere(group));
+    UNSIGNED_LONGS_EQUAL(1, placementOf(0, {}).executorCount(group));
+    CHECK_TRUE(placementOf(0, {}).preferenceOf(group).empty());
+}
+
+TEST(ExecutorPlacement, TheNumberOfExecutorsDoesNotGrowWithTheNodes) {
+    const std::set<int> chosen = executors(group, 60);
+    UNSIGNED_LONGS_EQUAL(6, chosen.size());
+    for (int zone = 0; zone < kZones; ++zone) {
+        LONGS_EQUAL(2, std::count_if(chosen.begin(), chosen.end(),
+                                     [zone](int index) { return index % kZones == zone; }));
+    }
+}
+
+TEST(ExecutorPlacement, EveryNodeForwardsToThoseThatTakeThemselvesForExecutors) {
+    const std::set<int> chosen = executors(group, 60);
+    for (int index = 0; index < 60; ++index) {
+        const ExecutorPlacement placement = placementOf(index, nodes(60));
+        UNSIGNED_LONGS_EQUAL(chosen.contains(index) ? 5 : 6, placement.preferenceOf(group).size());
+        for (const NodeName& name : placement.preferenceOf(group)) {
+            CHECK_TRUE(chosen.contains(std::stoi(name.value().substr(1))));
+        }
+    }
+}
+
+TEST(ExecutorPlacement, ExecutorsOfTheOwnZoneComeFirstAndShareTheLoad) {
+    const std::set<int> chosen = executors(group, 60);
+    std::map<NodeName, int> firstChoices;
+    for (int index = 0; index < 60; index += kZones) {
+        if (chosen.contains(index)) {
+            continue;
+        }
+        const ExecutorPlacement placement = placementOf(index, nodes(60));
+        const std::vector<NodeName>& preference = placement.preferenceOf(group);
+        for (std::size_t rank = 0; rank < 2; ++rank) {
+            LONGS_EQUAL(0, std::stoi(preference[rank].value().substr(1)) % kZones);
+        }
+        ++firstChoices[preference.front()];
+    }
+    UNSIGNED_LONGS_EQUAL(2, firstChoices.size());
+    for (const auto& [name, count] : firstChoices) {
+        CHECK(count >= 3);
+    }
+}
+
+TEST(ExecutorPlacement, TheLossOfANodeMovesOnlyItsOwnGroups) {
+    const std::vector<ProxyNode> all = nodes(60);
+    std::vector<ProxyNode> fewer = all;
+    fewer.pop_back();
+    int moved = 0;
+    constexpr int kGroups = 200;
+    for (int index = 0; index < kGroups; ++index) {
+        const GroupName name("g" + std::to_string(index));
+        const bool wasExecutor = placementOf(59, all).executesHere(name);
+        for (int other = 2; other < 59; other += kZones) {
+            const bool before = placementOf(other, all).executesHere(name);
+            const bool after = placementOf(other, fewer).executesHere(name);
+            CHECK_TRUE(before == after || (wasExecutor && after));
+            moved += before == after ? 0 : 1;
+        }
+    }
+    CHECK(moved > 0);
+    CHECK(moved < kGroups / 4);
+}
+
+TEST(ExecutorPlacement, ANodeWithoutAnAddressIsNoExecutor) {
+    std::vector<ProxyNode> view = nodes(2);
+    view[1].port = 0;
+    UNSIGNED_LONGS_EQUAL(1, placementOf(0, view).executorCount(group));
+}
+
+}  // namespace
+}  // namespace coralhoist::pooling
--- a/tests/pooling/PoolerFixture.cpp
+++ b/tests/pooling/PoolerFixture.cpp
@@ -28,6 +28,7 @@
 
 PoolerKnobs makeKnobs() {
     PoolerKnobs knobs;
+    knobs.node = NodeName("n0");
     knobs.zone = ZoneName("z1");
     return knobs;
 }
--- a/tests/pooling/PoolerTest.cpp
+++ b/tests/pooling/PoolerTest.cpp
@@ -288,14 +288,21 @@
 }
 
 TEST(StatementPooler, EachNodeLeavesConnectionsForARestart) {
-    fixture.pooler.setNodeCount(10);
+    // Ten executors with this node, which stands in z1: two in each of five zones.
+    const std::vector<std::string> zones{"z0", "z0", "z1", "z2", "z2", "z3", "z3", "z4", "z4"};
+    std::vector<ProxyNode> nodes;
+    for (const std::string& zone : zones) {
+        const std::string name = "n" + std::to_string(nodes.size() + 1);
+        nodes.push_back({NodeName(name), ZoneName(zone), "10.0.0.1", 7000});
+    }
+    fixture.pooler.applyNodes(nodes);
     std::vector<SessionId> sessions;
     for (int index = 0; index < 8; ++index) {
         sessions.push_back(fixture.session("current"));
         fixture.submit(sessions.back(), StatementVerb::Write, "WRITE 1 a");
         fixture.openConnections();
     }
-    // 30 connections of the server, 10 nodes: three for each, one of them left alone.
+    // 30 connections of the server, 10 executors: three for each, one of them left alone.
     UNSIGNED_LONGS_EQUAL(2, fixture.pendingCount());
 }
 
