Leave a connection alone that a session no longer uses; simulate forwarding between nodes

A backtrace in a scratch copy points to StatementPooler::releaseUnused: a connection stood in a server's idle list twice. A statement executed here first, refused, and then forwarded kept the number of its former connection; when its caller left, that connection was rolled back although it was idle, and released a second time. It could as well have been another session's.

Ruled out: memory (5.5 MB at the peak), a failed start (the nodes had served for four seconds), the new link code.

Change: a forwarded statement names no connection, and the end of a session gives up a connection only while it is that session's. Test first: Forwarding.ASessionThatMovedOnToAnExecutorLeavesItsFormerConnectionAlone (failed, passes).

Also: lab/pooled gets links between nodes (UnitNetwork) with two faults more, links that break and nodes that are silenced, and runs all fault plans a second time with five nodes of which two execute.

--- a/lab/pooled/PooledNode.cpp
+++ b/lab/pooled/PooledNode.cpp
@@ -27,6 +27,13 @@
     return statement;
 }
 
+pooling::PoolerKnobs makeKnobs(const PooledWorld& world, const std::string& name) {
+    pooling::PoolerKnobs knobs;
+    knobs.node = NodeName(name);
+    knobs.executorsPerZone = world.executors;
+    return knobs;
+}
+
 bool isPromise(StatementFault fault) {
     return pooling::provesNotRun(fault);
 }
@@ -70,7 +77,12 @@
                  _activity),
       _storeClient(world.store, _activity, _name),
       _parser(readReport),
-      _pooler(world.queue, _connector, *this, pooling::PoolerKnobs{}) {
+      _pooler(world.queue, _connector, *this, makeKnobs(world, _name)),
+      _endpoint(
+          std::make_shared<NodeEndpoint>(NodeEndpoint{NodeName(_name), &_pooler, _activity, {}})),
+      _forwarder(world.network, world.queue, _endpoint) {
+    world.network.add(_endpoint);
+    _pooler.setForwarder(_forwarder);
     _pooler.applyCatalog(world.catalog);
     for (LogGroup* group : world.groups) {
         _failovers[group->name()] = std::make_unique<failover::GroupFailover>(
@@ -116,6 +128,7 @@
     }
     const TimePoint now = _world.queue.now();
     _connector.step();
+    _forwarder.step();
     follow();
     if (const auto next = _pooler.nextTick(); next && *next <= now) {
         _pooler.onTick();
@@ -165,6 +178,7 @@
                 const GroupName& group = _world.groups[index]->name();
                 _failovers[group]->onRecord(records[index]);
             }
+            _pooler.applyNodes(_world.network.nodes());
             if (!changed) {
                 return;
             }
@@ -275,6 +289,9 @@
 }
 
 void PooledNode::reply(SessionId session, StatementResult result) {
+    if (_world.network.reply(*_endpoint, session, result)) {
+        return;
+    }
     Caller& caller = _callers.at(session);
     if (caller.lastText == "ROLLBACK") {
         endOperation(caller);
--- a/lab/pooled/PooledNode.h
+++ b/lab/pooled/PooledNode.h
@@ -13,6 +13,7 @@
 #include "lab/pooled/LogGroup.h"
 #include "lab/pooled/PooledJudge.h"
 #include "lab/pooled/RecordStore.h"
+#include "lab/pooled/UnitNetwork.h"
 #include "pooling/StatementPooler.h"
 
 namespace coralhoist::pooled {
@@ -24,6 +25,9 @@
     PooledJudge& judge;
     RequestBook& book;
     RecordStore& store;
+    UnitNetwork& network;
+    /** Nodes that execute a group's statements; the others forward. */
+    std::uint32_t executors = 0;
     std::vector<LogGroup*> groups;
     std::shared_ptr<const pooling::ServiceCatalog> catalog;
     /** Callers only read, so that no commit proves a leadership. */
@@ -56,6 +60,8 @@
     std::uint64_t acknowledged() const { return _acknowledged; }
     /** @return proofs of leadership that the servers gave. */
     std::uint64_t provenByServers() const { return _provenByServers; }
+    /** @return statements that other nodes executed for this one. */
+    std::uint64_t forwarded() const { return _pooler.statistics().forwarded; }
 
 private:
     /** What a session does. */
@@ -99,6 +105,8 @@
     failover::ReportParser _parser;
     pooling::ServerDirectory _directory;
     pooling::StatementPooler _pooler;
+    std::shared_ptr<NodeEndpoint> _endpoint;
+    SimulatedForwarder _forwarder;
     std::map<GroupName, std::unique_ptr<failover::GroupFailover>> _failovers;
     std::map<GroupName, std::uint64_t> _toldVersions;
     std::map<SessionId, Caller> _callers;
--- a/lab/pooled/PooledRun.cpp
+++ b/lab/pooled/PooledRun.cpp
@@ -19,6 +19,7 @@
 constexpr Duration kHealedAt = seconds(10);
 constexpr Duration kEnd = seconds(16);
 constexpr std::size_t kSessionsPerService = 3;
+constexpr int kLinkBreaks = 12;
 
 /** Builds the parts and plays the faults. */
 class Run {
@@ -28,7 +29,9 @@
           _random(options.seed),
           _group(GroupName("g"), options.group, _queue, _judge),
           _store(_queue, _random, _judge),
-          _world{_queue, _random, _judge, _book, _store, {&_group}, nullptr, options.readOnly} {
+          _network(_queue, _random),
+          _world{_queue,   _random,           _judge,    _book,   _store,
+                 _network, options.executors, {&_group}, nullptr, options.readOnly} {
         _store.addGroup(_group);
         _world.catalog = makeWorkloadCatalog(_world.groups);
         for (std::size_t index = 0; index < options.nodes; ++index) {
@@ -54,6 +57,7 @@
         report.promotions = _group.promotions();
         for (const auto& node : _nodes) {
             report.provenByServers += node ? node->provenByServers() : 0;
+            report.forwarded += node ? node->forwarded() : 0;
         }
         return report;
     }
@@ -212,6 +216,20 @@
         heal([this] { setAnswersLost(0); });
     }
 
+    void breakLinks(int times) {
+        _network.breakRandomLink();
+        if (times > 1) {
+            _queue.after(milliseconds(20 + _random.below(200)),
+                         [this, times] { breakLinks(times - 1); });
+        }
+    }
+
+    void silenceNode() {
+        const NodeName node = _network.randomNode();
+        _network.setSilenced(node, true);
+        heal([this, node] { _network.setSilenced(node, false); });
+    }
+
     void begin(PooledFault fault) {
         switch (fault) {
             case PooledFault::PrimaryCrashes:
@@ -242,6 +260,10 @@
                 return loseStoreAnswers();
             case PooledFault::AnswersLost:
                 return loseServerAnswers();
+            case PooledFault::LinkBreaks:
+                return breakLinks(kLinkBreaks);
+            case PooledFault::NodeSilenced:
+                return silenceNode();
         }
     }
 
@@ -252,6 +274,7 @@
     RequestBook _book;
     LogGroup _group;
     RecordStore _store;
+    UnitNetwork _network;
     PooledWorld _world;
     std::vector<std::unique_ptr<PooledNode>> _nodes;
     std::vector<std::unique_ptr<PooledNode>> _dead;
--- a/lab/pooled/PooledRun.h
+++ b/lab/pooled/PooledRun.h
@@ -25,15 +25,19 @@
     StoreDown,
     StoreAnswersLost, /**< Done at once or seconds later, never answered. */
     AnswersLost,
+    LinkBreaks,   /**< Connections between two nodes break, several times. */
+    NodeSilenced, /**< A node is cut off from the other nodes, and from nothing else. */
 };
 
-inline constexpr std::size_t kPooledFaultCount = 14;
+inline constexpr std::size_t kPooledFaultCount = 16;
 
 /** What is run. */
 struct PooledRunOptions {
     std::uint64_t seed = 1;
     std::vector<PooledFault> faults;
     std::size_t nodes = 3;
+    /** Nodes that execute the group's statements; the others forward to them. */
+    std::uint32_t executors = 3;
     bool readOnly = false;
     GroupModel group;
 };
@@ -47,6 +51,8 @@
     std::uint64_t promotions = 0;
     /** Proofs of leadership that servers gave while the store was silent. */
     std::uint64_t provenByServers = 0;
+    /** Statements that were executed by another node than the one asked. */
+    std::uint64_t forwarded = 0;
 };
 
 /** @return all single faults and all pairs. */
--- a/src/pooling/PoolerForwarding.cpp
+++ b/src/pooling/PoolerForwarding.cpp
@@ -23,6 +23,8 @@
     _units[unit] = session.id;
     operation.unit = unit;
     operation.executor = *executor;
+    operation.connection = ConnectionId();
+    operation.server = ServerName();
     if (transaction.phase == TransactionPhase::Unstarted) {
         transaction.phase = TransactionPhase::Open;
         transaction.unit = unit;
--- a/src/pooling/StatementPooler.cpp
+++ b/src/pooling/StatementPooler.cpp
@@ -130,7 +130,8 @@
     endUnit(session->operation ? session->operation->unit : session->transaction.unit);
     _openTransactions.erase(id);
     _sessions.erase(id);
-    if (ServerConnection* used = connection ? findConnection(*connection) : nullptr) {
+    ServerConnection* used = connection ? findConnection(*connection) : nullptr;
+    if (used != nullptr && used->user == id) {
         abandon(*used);
     }
     settle();
--- a/tests/pooled_simulation/PooledSimulationTest.cpp
+++ b/tests/pooled_simulation/PooledSimulationTest.cpp
@@ -25,11 +25,19 @@
     return text != nullptr ? std::strtoull(text, nullptr, 10) : kDefaultRounds;
 }
 
-std::vector<PooledRunOptions> allRuns() {
+/** Five nodes of which two execute. */
+PooledRunOptions forwardingOptions() {
+    PooledRunOptions options;
+    options.nodes = 5;
+    options.executors = 2;
+    return options;
+}
+
+std::vector<PooledRunOptions> allRuns(const PooledRunOptions& base) {
     std::vector<PooledRunOptions> runs;
     for (std::uint64_t round = 0; round < rounds(); ++round) {
         for (const std::vector<PooledFault>& plan : allPooledFaultPlans()) {
-            PooledRunOptions options;
+            PooledRunOptions options = base;
             options.seed = runs.size() + 1;
             options.faults = plan;
             runs.push_back(options);
@@ -72,8 +80,9 @@
     CHECK(report.acknowledged > kCalmAcknowledgements);
 }
 
-TEST(PooledSimulation, KeepsThePromisesUnderSingleFaultsAndPairs) {
-    const std::vector<PooledRunOptions> runs = allRuns();
+/** Plays all fault plans; each run must keep the promises and recover. */
+void checkAllPlans(const PooledRunOptions& base) {
+    const std::vector<PooledRunOptions> runs = allRuns(base);
     const std::vector<PooledReport> reports = runAll(runs);
     std::size_t broken = 0;
     std::size_t stuck = 0;
@@ -92,6 +101,22 @@
     UNSIGNED_LONGS_EQUAL(0, stuck);
 }
 
+TEST(PooledSimulation, KeepsThePromisesUnderSingleFaultsAndPairs) {
+    checkAllPlans({});
+}
+
+TEST(PooledSimulation, KeepsThePromisesWhileNodesForward) {
+    checkAllPlans(forwardingOptions());
+}
+
+TEST(PooledSimulation, CalmRunWithForwardingServesEverything) {
+    const PooledReport report = runPooled(forwardingOptions());
+    UNSIGNED_LONGS_EQUAL(0, report.violations.size());
+    UNSIGNED_LONGS_EQUAL(0, report.promotions);
+    CHECK(report.acknowledged > kCalmAcknowledgements);
+    CHECK(report.forwarded > report.acknowledged);
+}
+
 /** @return of twenty seeds those whose runs the judge rejects. */
 std::size_t countRejected(const GroupModel& model, const std::vector<PooledFault>& faults) {
     std::size_t rejected = 0;
--- a/tests/pooling/ForwardingTest.cpp
+++ b/tests/pooling/ForwardingTest.cpp
@@ -261,6 +261,21 @@
     UNSIGNED_LONGS_EQUAL(1, fixture.pendingCount());
 }
 
+TEST(Forwarding, ASessionThatMovedOnToAnExecutorLeavesItsFormerConnectionAlone) {
+    for (int index = 0; index < kNodes; ++index) {
+        forwarder.unreachable.insert(NodeName("n" + std::to_string(index)));
+    }
+    const SessionId session = fixture.session("bounded");
+    fixture.submit(session, StatementVerb::Write, "WRITE 1 a");
+    UNSIGNED_LONGS_EQUAL(1, fixture.pendingCount());
+    forwarder.unreachable.clear();
+    fixture.refuse(StatementFault::Busy);
+    UNSIGNED_LONGS_EQUAL(1, forwarder.sent.size());
+    fixture.pooler.endSession(session);
+    UNSIGNED_LONGS_EQUAL(1, forwarder.ended.size());
+    UNSIGNED_LONGS_EQUAL(0, fixture.pendingCount());
+}
+
 TEST(Forwarding, ANodeThatExecutesNothingClosesItsIdleConnections) {
     CHECK(fixture.connector.closed.empty());
     fixture.advance(milliseconds(2100));
