Soak: real proxies under randomized faults from outside, judged while they run

Ruled out: the PostgreSQL end-to-end harness (other wire, other store, fixed scenarios); a second model of the servers (the simulated groups and their judge run in real time instead).

Change: coralhoist-lab soak. Proxies are killed, paused, stopped; links to servers, store and other proxies are delayed, reset, silenced both ways or one way; the store refuses, loses answers, forgets; primaries crash or are isolated, replicas are deaf or lag; the configuration changes. Callers roam, leave midway and report what they were told.

Before -> after: no soak existed.

Clocks are not moved from outside: nothing rests on the time of day.

--- a/lab/Main.cpp
+++ b/lab/Main.cpp
@@ -7,6 +7,7 @@
 #include "lab/experiment/Commands.h"
 #include "lab/platform/PlatformCommand.h"
 #include "lab/scale/ScaleCommand.h"
+#include "lab/soak/SoakCommand.h"
 
 namespace {
 
@@ -28,6 +29,8 @@
      coralhoist::scale::runScaleCommand},
     {"run", "experiment: both measures and latencies beside baselines, in simulated time",
      coralhoist::experiment::runRunCommand},
+    {"soak", "real proxies under faults from outside, judged by what callers and servers see",
+     coralhoist::soak::runSoakCommand},
     {"compare", "what changed between two reports of run, and whether beyond noise",
      coralhoist::experiment::runCompareCommand},
 };
--- /dev/null
+++ b/lab/soak/FaultyRelay.h
@@ -0,0 +1,60 @@
+/** A TCP relay on loopback that delays, silences and resets what passes through it. */
+#pragma once
+
+#include <QPointer>
+#include <QTcpServer>
+#include <QTcpSocket>
+#include <QTimer>
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+#include "base/Time.h"
+
+namespace coralhoist::soak {
+
+/** What a relay does to the bytes of its connections. */
+struct RelayFaults {
+    /** Bytes wait for so long in each direction. */
+    std::chrono::milliseconds delay{0};
+    /** Bytes in a direction wait until it is healed, as behind a partition. */
+    bool silenceToTarget = false;
+    bool silenceToCaller = false;
+};
+
+/** Listens on a port of its own and passes bytes to a target on loopback, in order. */
+class FaultyRelay final : public QObject {
+public:
+    explicit FaultyRelay(std::uint16_t targetPort);
+    ~FaultyRelay() override;
+
+    std::uint16_t port() const { return _server.serverPort(); }
+    void setTarget(std::uint16_t port) { _targetPort = port; }
+
+    /** Takes new faults; bytes that waited and may pass are sent. */
+    void setFaults(const RelayFaults& faults);
+
+    /** Resets all connections; bytes on the way are lost. */
+    void resetAll();
+
+private:
+    /** One direction of one connection. */
+    struct Direction {
+        QPointer<QTcpSocket> from;
+        QPointer<QTcpSocket> to;
+        bool toTarget = false;
+        QByteArray waiting;
+    };
+
+    void accept();
+    void receive(const std::shared_ptr<Direction>& direction);
+    void flush(Direction& direction);
+    bool isSilent(const Direction& direction) const;
+
+    QTcpServer _server;
+    std::uint16_t _targetPort;
+    RelayFaults _faults;
+    std::vector<std::shared_ptr<Direction>> _directions;
+};
+
+}  // namespace coralhoist::soak
--- /dev/null
+++ b/lab/soak/ProxyProcess.cpp
@@ -0,0 +1,102 @@
+#include "lab/soak/ProxyProcess.h"
+
+#include <signal.h>
+
+#include <QFile>
+#include <QHostAddress>
+#include <QTcpServer>
+#include <QTextStream>
+#include <QTimer>
+#include <utility>
+
+namespace coralhoist::soak {
+namespace {
+
+constexpr int kEndWaitMs = 3000;
+constexpr const char* kSettingsName = "/proxy.toml";
+
+}  // namespace
+
+std::uint16_t freePort() {
+    QTcpServer server;
+    server.listen(QHostAddress::LocalHost, 0);
+    return server.serverPort();
+}
+
+ProxyProcess::ProxyProcess(std::string program, ProxySurroundings surroundings, std::string logFile,
+                           std::function<void(int)> unexpectedEnd)
+    : _program(std::move(program)),
+      _surroundings(std::move(surroundings)),
+      _unexpectedEnd(std::move(unexpectedEnd)) {
+    _process.setProcessChannelMode(QProcess::MergedChannels);
+    _process.setStandardOutputFile(QString::fromStdString(logFile), QIODevice::Append);
+    connect(&_process, &QProcess::finished, this, [this](int exitCode) {
+        if (!_endExpected) {
+            _unexpectedEnd(exitCode);
+        }
+    });
+    writeSettings();
+}
+
+ProxyProcess::~ProxyProcess() {
+    _endExpected = true;
+    _process.kill();
+    _process.waitForFinished(kEndWaitMs);
+}
+
+void ProxyProcess::writeSettings() const {
+    QFile file(_folder.path() + kSettingsName);
+    if (!file.open(QIODevice::WriteOnly)) {
+        return;
+    }
+    const auto address = [](std::uint16_t port) {
+        return "\"127.0.0.1:" + QString::number(port) + "\"";
+    };
+    QTextStream out(&file);
+    out << "[node]\nname = \"" << QString::fromStdString(_surroundings.name.value())
+        << "\"\nzone = \"" << QString::fromStdString(_surroundings.zone.value())
+        << "\"\naddress = \"127.0.0.1\"\ndrain_timeout_ms = 6000\n"
+        << "[peer]\nport = 0\n[metrics]\nport = 0\n[pool]\nlisten = "
+        << address(_surroundings.callerPort)
+        << "\n[readiness]\nlisten = " << address(_surroundings.readinessPort)
+        << "\n[platform]\nurl = \"http://127.0.0.1:" << _surroundings.storePort
+        << "\"\n[promotion]\naddress = " << address(_surroundings.storePort) << "\n";
+}
+
+void ProxyProcess::start() {
+    _endExpected = false;
+    _process.start(QString::fromStdString(_program),
+                   {"--settings", _folder.path() + kSettingsName});
+}
+
+void ProxyProcess::sendSignal(int number) const {
+    if (_process.processId() > 0) {
+        ::kill(static_cast<pid_t>(_process.processId()), number);
+    }
+}
+
+void ProxyProcess::kill() {
+    _endExpected = true;
+    sendSignal(SIGKILL);
+    _process.waitForFinished(kEndWaitMs);
+}
+
+void ProxyProcess::stop(std::chrono::milliseconds grace) {
+    _endExpected = true;
+    sendSignal(SIGTERM);
+    QTimer::singleShot(grace, this, [this] {
+        if (_endExpected && isRunning()) {
+            kill();
+        }
+    });
+}
+
+void ProxyProcess::pause() {
+    sendSignal(SIGSTOP);
+}
+
+void ProxyProcess::resume() {
+    sendSignal(SIGCONT);
+}
+
+}  // namespace coralhoist::soak
--- /dev/null
+++ b/lab/soak/ProxyProcess.h
@@ -0,0 +1,63 @@
+/** A proxy program run as a process of its own, which the soak starts, signals and ends. */
+#pragma once
+
+#include <QProcess>
+#include <QTemporaryDir>
+#include <cstdint>
+#include <functional>
+#include <string>
+
+#include "base/Identifier.h"
+
+namespace coralhoist::soak {
+
+/** Where a proxy finds what it needs. */
+struct ProxySurroundings {
+    NodeName name;
+    ZoneName zone;
+    /** Ports on loopback. */
+    std::uint16_t callerPort = 0;
+    std::uint16_t readinessPort = 0;
+    std::uint16_t storePort = 0;
+};
+
+/** Restarts are asked for by the owner; an end that nobody asked for is reported. */
+class ProxyProcess final : public QObject {
+public:
+    /**
+     * @param program path of the proxy's program.
+     * @param logFile takes what the process writes, of all its lives.
+     * @param unexpectedEnd called when the process ends by itself.
+     */
+    ProxyProcess(std::string program, ProxySurroundings surroundings, std::string logFile,
+                 std::function<void(int exitCode)> unexpectedEnd);
+    ~ProxyProcess() override;
+
+    void start();
+    /** SIGKILL. */
+    void kill();
+    /** SIGTERM; the process is killed if it is still there after the time given. */
+    void stop(std::chrono::milliseconds grace);
+    /** SIGSTOP and SIGCONT. */
+    void pause();
+    void resume();
+
+    bool isRunning() const { return _process.state() != QProcess::NotRunning; }
+    const ProxySurroundings& surroundings() const { return _surroundings; }
+
+private:
+    void writeSettings() const;
+    void sendSignal(int number) const;
+
+    std::string _program;
+    ProxySurroundings _surroundings;
+    std::function<void(int)> _unexpectedEnd;
+    QTemporaryDir _folder;
+    QProcess _process;
+    bool _endExpected = false;
+};
+
+/** @return a port on loopback that was free a moment ago. */
+std::uint16_t freePort();
+
+}  // namespace coralhoist::soak
--- /dev/null
+++ b/lab/soak/SoakCommand.cpp
@@ -0,0 +1,139 @@
+#include "lab/soak/SoakCommand.h"
+
+#include <popt.h>
+
+#include <QCoreApplication>
+#include <cstdio>
+#include <cstdlib>
+#include <memory>
+#include <string>
+
+#include "base/Log.h"
+#include "lab/soak/SoakRun.h"
+
+namespace coralhoist::soak {
+namespace {
+
+constexpr int kKept = 0;
+constexpr int kBroken = 1;
+constexpr int kBadCommandLine = 2;
+/** Commits that must be acknowledged in the two seconds after everything has healed. */
+constexpr std::size_t kRecovered = 40;
+
+struct PoptContextFree {
+    void operator()(poptContext context) const { poptFreeContext(context); }
+};
+using PoptContext = std::unique_ptr<std::remove_pointer_t<poptContext>, PoptContextFree>;
+
+/** Values of the flags; popt writes into them. */
+struct SoakFlags {
+    long seed = 1;
+    int runs = 1;
+    int seconds = 20;
+    int proxies = 4;
+    int callers = 24;
+    int calm = 0;
+    int answersEarly = 0;
+    std::string program;
+    std::string logFolder = ".";
+};
+
+/** Takes over a string that popt has allocated. */
+void assign(std::string& target, char* value) {
+    if (value != nullptr) {
+        target = value;
+    }
+    free(value);  // NOLINT(cppcoreguidelines-no-malloc): popt allocates with malloc.
+}
+
+bool parseFlags(int argumentCount, char** arguments, SoakFlags& flags) {
+    char* program = nullptr;
+    char* logFolder = nullptr;
+    const poptOption options[] = {
+        {"seed", 's', POPT_ARG_LONG, &flags.seed, 0, "seed of the first run", "N"},
+        {"runs", 'r', POPT_ARG_INT, &flags.runs, 0, "runs, each with the next seed", "N"},
+        {"seconds", 't', POPT_ARG_INT, &flags.seconds, 0, "seconds with faults in each run", "S"},
+        {"proxies", 'p', POPT_ARG_INT, &flags.proxies, 0, "proxies to start", "N"},
+        {"callers", 'c', POPT_ARG_INT, &flags.callers, 0, "sessions at a time", "N"},
+        {"calm", 0, POPT_ARG_NONE, &flags.calm, 0, "no faults", nullptr},
+        {"answers-early", 0, POPT_ARG_NONE, &flags.answersEarly, 0,
+         "servers answer commits before a replica has them: the judge must object", nullptr},
+        {"program", 'P', POPT_ARG_STRING, &program, 0, "the proxy's program", "FILE"},
+        {"logs", 'l', POPT_ARG_STRING, &logFolder, 0, "folder for the proxies' logs", "DIR"},
+        POPT_AUTOHELP POPT_TABLEEND};
+    const PoptContext context(poptGetContext("coralhoist-lab soak", argumentCount,
+                                             const_cast<const char**>(arguments), options, 0));
+    const int result = poptGetNextOpt(context.get());
+    assign(flags.program, program);
+    assign(flags.logFolder, logFolder);
+    if (result < -1) {
+        std::fprintf(stderr, "coralhoist-lab soak: %s: %s\n",
+                     poptBadOption(context.get(), POPT_BADOPTION_NOALIAS), poptStrerror(result));
+        return false;
+    }
+    const bool sensible =
+        flags.runs > 0 && flags.seconds > 0 && flags.proxies > 0 && flags.callers > 0;
+    if (!sensible || flags.program.empty()) {
+        std::fprintf(stderr, "coralhoist-lab soak: %s\n",
+                     sensible ? "--program must be given" : "numbers must be above 0");
+        return false;
+    }
+    return true;
+}
+
+/** @return whether the run kept every promise and recovered. */
+bool print(const SoakOptions& options, const SoakReport& report) {
+    const bool recovered = report.acknowledgedAfterFaults >= kRecovered;
+    const bool kept = report.violations.empty() && recovered;
+    std::printf(
+        "seed %llu: %s; %llu answers, %llu failed, %zu commits, %zu in the last 2 s, "
+        "%llu promotions, %zu faults\n",
+        static_cast<unsigned long long>(options.seed), kept ? "kept" : "BROKEN",
+        static_cast<unsigned long long>(report.answered),
+        static_cast<unsigned long long>(report.failed), report.acknowledged,
+        report.acknowledgedAfterFaults, static_cast<unsigned long long>(report.promotions),
+        report.faults.size());
+    if (!kept) {
+        for (const std::string& violation : report.violations) {
+            std::printf("  %s\n", violation.c_str());
+        }
+        std::printf("%s", recovered ? "" : "  did not recover\n");
+        for (const std::string& fault : report.faults) {
+            std::printf("    %s\n", fault.c_str());
+        }
+    }
+    std::fflush(stdout);
+    return kept;
+}
+
+}  // namespace
+
+int runSoakCommand(int argumentCount, char** arguments) {
+    SoakFlags flags;
+    if (!parseFlags(argumentCount, arguments, flags)) {
+        return kBadCommandLine;
+    }
+    QCoreApplication application(argumentCount, arguments);
+    int broken = 0;
+    for (int run = 0; run < flags.runs; ++run) {
+        SoakOptions options;
+        options.seed = static_cast<std::uint64_t>(flags.seed + run);
+        options.seconds = static_cast<std::uint32_t>(flags.seconds);
+        options.proxies = static_cast<std::uint32_t>(flags.proxies);
+        options.callers = static_cast<std::uint32_t>(flags.callers);
+        options.faults = flags.calm == 0;
+        options.program = flags.program;
+        options.logFolder = flags.logFolder;
+        options.group.answersEarly = flags.answersEarly != 0;
+        const SoakReport report = runSoak(options);
+        if (!report.problem.empty()) {
+            std::fprintf(stderr, "coralhoist-lab soak: %s\n", report.problem.c_str());
+            return kBadCommandLine;
+        }
+        broken += print(options, report) ? 0 : 1;
+    }
+    std::printf("%d runs, %d broken\n", flags.runs, broken);
+    return broken == 0 ? kKept : kBroken;
+}
+
+}  // namespace coralhoist::soak
--- /dev/null
+++ b/lab/soak/SoakRun.h
@@ -0,0 +1,46 @@
+/** A randomized soak of real proxy processes on one machine under faults from outside them. */
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "lab/pooled/LogGroup.h"
+
+namespace coralhoist::soak {
+
+/** What is run. */
+struct SoakOptions {
+    std::uint64_t seed = 1;
+    /** Time with faults, in seconds; start and recovery come on top. */
+    std::uint32_t seconds = 20;
+    std::uint32_t proxies = 4;
+    std::uint32_t callers = 24;
+    bool faults = true;
+    /** Path of the proxy's program. */
+    std::string program;
+    /** Folder for the logs of the proxies. */
+    std::string logFolder = ".";
+    /** A model that breaks a promise on purpose shows that the judge sees it. */
+    pooled::GroupModel group;
+};
+
+/** What came of it. */
+struct SoakReport {
+    /** Why the run could not be carried out; empty when it was. */
+    std::string problem;
+    std::vector<std::string> violations;
+    /** What was done, with times in milliseconds from the start. */
+    std::vector<std::string> faults;
+    std::uint64_t answered = 0;
+    std::uint64_t failed = 0;
+    std::size_t acknowledged = 0;
+    /** Commits acknowledged after everything had healed. */
+    std::size_t acknowledgedAfterFaults = 0;
+    std::uint64_t promotions = 0;
+};
+
+/** Runs to the end on the Qt event loop of the calling thread. */
+SoakReport runSoak(const SoakOptions& options);
+
+}  // namespace coralhoist::soak
--- /dev/null
+++ b/lab/soak/StandInStore.cpp
@@ -0,0 +1,278 @@
+#include "lab/soak/StandInStore.h"
+
+#include <QHostAddress>
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QStringList>
+#include <QTimer>
+#include <QUrl>
+#include <QUrlQuery>
+#include <algorithm>
+#include <utility>
+
+namespace coralhoist::soak {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kCreated = 201;
+constexpr int kNotFound = 404;
+constexpr int kConflict = 409;
+constexpr int kGone = 410;
+constexpr int kUnavailable = 503;
+constexpr std::chrono::milliseconds kLatency{2};
+constexpr const char* kObjectsPrefix = "/objects/";
+constexpr const char* kPromotionPath = "/failover";
+
+std::uint64_t numberOf(const std::string& text) {
+    return text.empty() ? 0 : std::stoull(text);
+}
+
+}  // namespace
+
+StandInStore::StandInStore(simulation::EventQueue& queue, RandomSource& random, View view,
+                           Promote promote)
+    : _queue(queue), _random(random), _view(std::move(view)), _promote(std::move(promote)) {}
+
+StandInStore::~StandInStore() {
+    for (const auto& [socket, buffer] : _buffers) {
+        socket->disconnect(this);
+    }
+}
+
+std::uint16_t StandInStore::addProxy() {
+    const std::size_t proxy = _servers.size();
+    _servers.push_back(std::make_unique<QTcpServer>());
+    connect(_servers.back().get(), &QTcpServer::newConnection, this,
+            [this, proxy] { accept(proxy); });
+    _servers.back()->listen(QHostAddress::LocalHost, 0);
+    return _servers.back()->serverPort();
+}
+
+void StandInStore::accept(std::size_t proxy) {
+    while (QTcpSocket* socket = _servers[proxy]->nextPendingConnection()) {
+        _buffers[socket];
+        connect(socket, &QTcpSocket::readyRead, this,
+                [this, proxy, socket] { read(proxy, socket); });
+        connect(socket, &QTcpSocket::disconnected, this, [this, socket] {
+            std::erase_if(_watches,
+                          [socket](const Watch& watch) { return watch.socket == socket; });
+            _buffers.erase(socket);
+            socket->deleteLater();
+        });
+    }
+}
+
+void StandInStore::read(std::size_t proxy, QTcpSocket* socket) {
+    QByteArray& buffer = _buffers[socket];
+    buffer += socket->readAll();
+    const qsizetype headEnd = buffer.indexOf("\r\n\r\n");
+    if (headEnd < 0) {
+        return;
+    }
+    const QStringList lines = QString::fromUtf8(buffer.left(headEnd)).split("\r\n");
+    Request request;
+    for (const QString& line : lines.mid(1)) {
+        request.headers[line.section(':', 0, 0).trimmed().toLower().toStdString()] =
+            line.section(':', 1).trimmed().toStdString();
+    }
+    const auto length = static_cast<qsizetype>(numberOf(request.headers["content-length"]));
+    const qsizetype whole = headEnd + 4 + length;
+    if (buffer.size() < whole) {
+        return;
+    }
+    request.body = QJsonDocument::fromJson(buffer.mid(headEnd + 4, length)).object();
+    buffer.remove(0, whole);
+    const QStringList words = lines.first().split(' ');
+    request.method = words.value(0).toStdString();
+    const QUrl url(words.value(1));
+    request.path = url.path().toStdString();
+    for (const auto& [key, value] : QUrlQuery(url).queryItems()) {
+        request.query[key.toStdString()] = value.toStdString();
+    }
+    if (_faults.silent) {
+        return;
+    }
+    QTimer::singleShot(kLatency, this, [this, proxy, socket, request] {
+        if (_buffers.contains(socket)) {
+            handle(proxy, socket, request);
+        }
+    });
+}
+
+void StandInStore::handle(std::size_t proxy, QTcpSocket* socket, const Request& request) {
+    if (_faults.refuses) {
+        answer(socket, kUnavailable, {});
+    } else if (request.path == kPromotionPath) {
+        handlePromotion(socket, request);
+    } else {
+        handleObjects(proxy, socket, request);
+    }
+}
+
+void StandInStore::handlePromotion(QTcpSocket* socket, const Request& request) {
+    const auto header = [&request](const char* name) {
+        const auto found = request.headers.find(name);
+        return found == request.headers.end() ? std::string() : found->second;
+    };
+    const int status = _promote(request.body["service"].toString().toStdString(),
+                                request.body["id"].toString().toStdString(),
+                                header("x-lease-holder"), numberOf(header("x-fencing-token")));
+    answerWrite(socket, status, {});
+}
+
+void StandInStore::handleObjects(std::size_t proxy, QTcpSocket* socket, const Request& request) {
+    const std::string rest = request.path.substr(std::string(kObjectsPrefix).size());
+    const std::size_t slash = rest.find('/');
+    const std::string kind = rest.substr(0, slash);
+    const std::string name = slash == std::string::npos ? std::string() : rest.substr(slash + 1);
+    if (request.method == "POST") {
+        create(proxy, socket, kind, request);
+    } else if (request.method == "PUT") {
+        replace(proxy, socket, kind, name, request);
+    } else if (request.query.contains("watch")) {
+        startWatch(proxy, socket, kind, request);
+    } else if (name.empty()) {
+        list(proxy, socket, kind);
+    } else if (const auto found = _objects[kind].find(name); found != _objects[kind].end()) {
+        answer(socket, kOk, json(proxy, kind, name, found->second));
+    } else {
+        answer(socket, kNotFound, {});
+    }
+}
+
+QJsonObject StandInStore::json(std::size_t proxy, const std::string& kind, const std::string& name,
+                               const Object& object) const {
+    QJsonObject meta;
+    meta["name"] = QString::fromStdString(name);
+    meta["revision"] = static_cast<qint64>(object.version);
+    QJsonObject result;
+    result["meta"] = meta;
+    result["spec"] = _view(proxy, kind, name, object.spec);
+    return result;
+}
+
+void StandInStore::list(std::size_t proxy, QTcpSocket* socket, const std::string& kind) {
+    QJsonArray items;
+    for (const auto& [name, object] : _objects[kind]) {
+        items.append(json(proxy, kind, name, object));
+    }
+    answer(socket, kOk,
+           {{"items", items}, {"has_more", false}, {"at", static_cast<qint64>(_version)}});
+}
+
+void StandInStore::create(std::size_t proxy, QTcpSocket* socket, const std::string& kind,
+                          const Request& request) {
+    const std::string name = request.body["meta"].toObject()["name"].toString().toStdString();
+    const auto found = _objects[kind].find(name);
+    if (found != _objects[kind].end()) {
+        answer(socket, kConflict, json(proxy, kind, name, found->second));
+        return;
+    }
+    store(kind, name, request.body["spec"].toObject());
+    answerWrite(socket, kCreated, json(proxy, kind, name, _objects[kind][name]));
+}
+
+void StandInStore::replace(std::size_t proxy, QTcpSocket* socket, const std::string& kind,
+                           const std::string& name, const Request& request) {
+    const auto found = _objects[kind].find(name);
+    if (found == _objects[kind].end()) {
+        answer(socket, kNotFound, {});
+        return;
+    }
+    const QJsonValue expected = request.body["meta"].toObject()["revision"];
+    if (!expected.isUndefined() &&
+        static_cast<std::uint64_t>(expected.toInteger()) != found->second.version) {
+        answer(socket, kConflict, json(proxy, kind, name, found->second));
+        return;
+    }
+    store(kind, name, request.body["spec"].toObject());
+    answerWrite(socket, kOk, json(proxy, kind, name, _objects[kind][name]));
+}
+
+void StandInStore::put(const std::string& kind, const std::string& name, const QJsonObject& spec) {
+    store(kind, name, spec);
+}
+
+void StandInStore::store(const std::string& kind, const std::string& name,
+                         const QJsonObject& spec) {
+    Object& object = _objects[kind][name];
+    if (object.version != 0 && object.spec == spec) {
+        return;
+    }
+    object = {spec, ++_version};
+    _events.push_back({kind, name, object, false});
+    serveWatches();
+}
+
+void StandInStore::remove(const std::string& kind, const std::string& name) {
+    const auto found = _objects[kind].find(name);
+    if (found == _objects[kind].end()) {
+        return;
+    }
+    Object object = found->second;
+    object.version = ++_version;
+    _objects[kind].erase(found);
+    _events.push_back({kind, name, object, true});
+    serveWatches();
+}
+
+void StandInStore::startWatch(std::size_t proxy, QTcpSocket* socket, const std::string& kind,
+                              const Request& request) {
+    if (_faults.forgotten) {
+        _oldest = _version;
+        _faults.forgotten = false;
+    }
+    Watch watch{socket, proxy, kind, numberOf(request.query.at("watch")), _queue.now()};
+    if (watch.from < _oldest) {
+        answer(socket, kGone, {});
+        return;
+    }
+    const auto wait = std::chrono::milliseconds(numberOf(request.query.at("wait_ms")));
+    watch.until += wait;
+    if (answerWatch(watch)) {
+        return;
+    }
+    _watches.push_back(watch);
+    QTimer::singleShot(wait, this, [this] { serveWatches(); });
+}
+
+/** @return whether the watch is over. */
+bool StandInStore::answerWatch(const Watch& watch) {
+    QJsonArray events;
+    for (const Event& event : _events) {
+        if (event.kind == watch.kind && event.object.version > watch.from) {
+            events.append(
+                QJsonObject{{"object", json(watch.proxy, event.kind, event.name, event.object)},
+                            {"expired", event.removed}});
+        }
+    }
+    if (events.isEmpty() && _queue.now() < watch.until) {
+        return false;
+    }
+    answer(watch.socket, kOk, {{"events", events}, {"at", static_cast<qint64>(_version)}});
+    return true;
+}
+
+void StandInStore::serveWatches() {
+    if (!_faults.silent) {
+        std::erase_if(_watches, [this](const Watch& watch) { return answerWatch(watch); });
+    }
+}
+
+void StandInStore::answer(QTcpSocket* socket, int status, const QJsonObject& body) {
+    if (socket->state() != QAbstractSocket::ConnectedState) {
+        return;
+    }
+    const QByteArray text = QJsonDocument(body).toJson(QJsonDocument::Compact);
+    socket->write("HTTP/1.1 " + QByteArray::number(status) +
+                  " .\r\nContent-Type: application/json\r\nContent-Length: " +
+                  QByteArray::number(text.size()) + "\r\n\r\n" + text);
+}
+
+void StandInStore::answerWrite(QTcpSocket* socket, int status, const QJsonObject& body) {
+    if (_random.fraction() >= _faults.answersLost) {
+        answer(socket, status, body);
+    }
+}
+
+}  // namespace coralhoist::soak
