Let the cost of control grow less with nodes and groups; open nothing before the nodes are known

A proxy before a stand-in store with 300 nodes and 80 groups, under perf: the list of all nodes was built at each look at the failovers, each group's failover was due at a moment of its own, each server's event applied the servers of all groups (about 1 ms an event), and a starting node took itself for the executor of every group until it had listed the others, and connected to all their servers.

Ruled out: the store's client and the codecs (6% of the samples), logging.

Change: nodes are published when a list was read; failovers are due in the same moments; a server's event applies its group; links are looked at only while they are open; no connection is kept warm before the list of nodes is settled (it shows the own registration, or was read three times), and the node is not ready before.

Test first: Forwarding.NoConnectionIsOpenedBeforeTheOtherNodesAreKnown. The soak's relay no longer writes to sockets that are not connected.

--- a/lab/soak/FaultyRelay.cpp
+++ b/lab/soak/FaultyRelay.cpp
@@ -40,6 +40,7 @@
                 direction->from->deleteLater();
             });
         }
+        connect(target, &QTcpSocket::connected, this, [this] { setFaults(_faults); });
         connect(target, &QTcpSocket::errorOccurred, caller, [caller] { caller->abort(); });
     }
     std::erase_if(_directions, [](const auto& direction) { return !direction->from; });
--- a/src/cluster/ClusterControl.cpp
+++ b/src/cluster/ClusterControl.cpp
@@ -91,7 +91,7 @@
 ClusterControl::~ClusterControl() = default;
 
 bool ClusterControl::isReady() const {
-    return _settingsKnown && _registry.isListed() &&
+    return _settingsKnown && _registry.isSettled() &&
            std::all_of(_watches.begin(), _watches.end(),
                        [](const auto& watch) { return watch->isListed(); });
 }
@@ -146,6 +146,9 @@
     const std::optional<pooling::ServerAnnouncement> announcement =
         _dependencies.codec.readServer(event.object);
     bool changed = false;
+    const GroupName group = event.removed  ? _directory.groupOf(ServerName(event.object.name))
+                            : announcement ? announcement->address.group
+                                           : GroupName();
     if (event.removed) {
         changed = _directory.remove(ServerName(event.object.name), event.object.version,
                                     _dependencies.clock.now());
@@ -161,10 +164,14 @@
         .field("removed", event.removed)
         .field("draining", announcement && announcement->draining)
         .field("primary", announcement && announcement->role == pooling::ServerRole::Primary);
-    publishDirectory();
+    publishGroup(group);
 }
 
 void ClusterControl::publishNodes() {
+    if (!_registry.isSettled() || _registry.listsRead() == _publishedList) {
+        return;
+    }
+    _publishedList = _registry.listsRead();
     std::vector<pooling::ProxyNode> nodes = _registry.nodes();
     if (nodes == _publishedNodes) {
         return;
@@ -177,9 +184,14 @@
 
 void ClusterControl::publishDirectory() {
     for (const auto& [group, servers] : _directory.groups()) {
-        failoverOf(group).onDirectory(servers);
+        publishGroup(group);
     }
-    _pooler.applyDirectory(_directory);
+}
+
+void ClusterControl::publishGroup(const GroupName& group) {
+    const pooling::ServerDirectory::Servers& servers = _directory.serversOf(group);
+    failoverOf(group).onDirectory(servers);
+    _pooler.applyServers(group, servers);
 }
 
 failover::GroupFailover& ClusterControl::failoverOf(const GroupName& group) {
--- a/src/cluster/ClusterControl.h
+++ b/src/cluster/ClusterControl.h
@@ -81,6 +81,7 @@
     void onServerEvent(const store::ObjectEvent& event);
     void onPromotion(const store::StoredObject& object);
     void publishDirectory();
+    void publishGroup(const GroupName& group);
     void publishNodes();
     void askForProof(TimePoint now);
     void askServersForProof(TimePoint now);
@@ -104,6 +105,8 @@
     std::vector<std::unique_ptr<Feed>> _feeds;
     std::vector<std::unique_ptr<store::ObjectWatch>> _watches;
     std::vector<pooling::ProxyNode> _publishedNodes;
+    /** Number of the list from which the nodes were published last. */
+    std::size_t _publishedList = 0;
     /** Version of each group's record that the pooler knows. */
     std::map<GroupName, std::uint64_t> _toldVersions;
     std::set<GroupName> _unproven;
--- a/src/cluster/NodeRegistry.cpp
+++ b/src/cluster/NodeRegistry.cpp
@@ -20,6 +20,8 @@
 constexpr std::array<Duration, 4> kFirstListPauses{
     std::chrono::milliseconds(700), std::chrono::milliseconds(1000),
     std::chrono::milliseconds(2000), std::chrono::milliseconds(4000)};
+/** A list without this node's registration is relied on when it has been read so often. */
+constexpr std::size_t kSettledAfterLists = 3;
 constexpr Duration kListEvery = std::chrono::seconds(12);
 constexpr int kSuccess = 200;
 constexpr int kCreated = 201;
@@ -145,7 +147,7 @@
     const Duration pause = _lists < kFirstListPauses.size() ? kFirstListPauses[_lists] : kListEvery;
     _nextListing = _clock.now() + withJitter(pause, _random);
     ++_lists;
-    _listed = true;
+    _settled = _settled || _lists >= kSettledAfterLists || _nodes.contains(_self.name.value());
 }
 
 /** @return whether the page could be read; `_after` names what the next one begins with, if any. */
--- a/src/cluster/NodeRegistry.h
+++ b/src/cluster/NodeRegistry.h
@@ -33,8 +33,14 @@
     void onTick(TimePoint now);
     TimePoint nextTick() const;
 
-    /** @return whether the nodes have been listed since the start. */
-    bool isListed() const { return _listed; }
+    /**
+     * @return whether the list can be relied on: it shows this node's own registration, or has been
+     * read several times. When all nodes start together the first lists lack most of them.
+     */
+    bool isSettled() const { return _settled; }
+
+    /** @return a number that grows with every list that was read. */
+    std::size_t listsRead() const { return _lists; }
 
     /** @return the nodes that count, this one included. */
     std::vector<pooling::ProxyNode> nodes() const;
@@ -66,7 +72,7 @@
     bool _registering = false;
     TimePoint _nextRegistration{};
     bool _listing = false;
-    bool _listed = false;
+    bool _settled = false;
     std::size_t _lists = 0;
     TimePoint _nextListing{};
     std::vector<store::StoredObject> _pages;
--- a/src/failover/GroupFailover.cpp
+++ b/src/failover/GroupFailover.cpp
@@ -69,6 +69,16 @@
     return "unknown";
 }
 
+namespace {
+
+/** All groups of a node are looked at in the same moments, so that their number costs no wake-ups.
+ */
+TimePoint nextIdleTick(TimePoint now) {
+    return now - now.time_since_epoch() % kIdleStep + kIdleStep;
+}
+
+}  // namespace
+
 GroupFailover::GroupFailover(GroupName group, FailoverDependencies dependencies)
     : _group(std::move(group)),
       _dependencies(std::move(dependencies)),
@@ -152,7 +162,7 @@
 }
 
 void GroupFailover::onTick(TimePoint now) {
-    _nextTick = now + (_phase == Phase::Idle ? kIdleStep : kBusyStep);
+    _nextTick = _phase == Phase::Idle ? nextIdleTick(now) : now + kBusyStep;
     for (const auto& [name, link] : _links) {
         link->onTick(now);
     }
--- a/src/link/forwarding/UnitLinks.cpp
+++ b/src/link/forwarding/UnitLinks.cpp
@@ -267,8 +267,8 @@
 
 void UnitLinks::onTick(TimePoint now) {
     std::vector<NodeName> due;
-    for (const auto& [name, link] : _links) {
-        const std::optional<TimePoint> at = dueAt(link);
+    for (const auto& [stream, name] : _nodeOf) {
+        const std::optional<TimePoint> at = dueAt(_links.at(name));
         if (at && *at <= now) {
             due.push_back(name);
         }
@@ -291,8 +291,8 @@
 
 std::optional<TimePoint> UnitLinks::nextTick() const {
     std::optional<TimePoint> next;
-    for (const auto& [name, link] : _links) {
-        if (const std::optional<TimePoint> at = dueAt(link)) {
+    for (const auto& [stream, name] : _nodeOf) {
+        if (const std::optional<TimePoint> at = dueAt(_links.at(name))) {
             next = std::min(next.value_or(*at), *at);
         }
     }
--- a/src/pooling/PoolerDispatch.cpp
+++ b/src/pooling/PoolerDispatch.cpp
@@ -442,6 +442,10 @@
     sendStatement(*connection, session, alignValues(*connection, session));
 }
 
+bool StatementPooler::keepsWarm(const GroupName& group) const {
+    return _forwarder == nullptr || (_nodesKnown && _placement.executesHere(group));
+}
+
 /** Closes what this node keeps open to servers whose statements other nodes execute. */
 void StatementPooler::releaseUnused(GroupState& group, TimePoint now) {
     for (auto& [name, server] : group.servers) {
--- a/src/pooling/PoolerTimers.cpp
+++ b/src/pooling/PoolerTimers.cpp
@@ -130,7 +130,7 @@
         }
         group.floors.dropBefore(now - kFloorRetention);
         watchPrimary(name, group, now);
-        if (executesHere(name)) {
+        if (keepsWarm(name)) {
             keepWarm(group);
         } else {
             releaseUnused(group, now);
--- a/src/pooling/ServerDirectory.cpp
+++ b/src/pooling/ServerDirectory.cpp
@@ -55,6 +55,15 @@
     }
 }
 
+GroupName ServerDirectory::groupOf(const ServerName& server) const {
+    for (const auto& [group, servers] : _groups) {
+        if (servers.contains(server)) {
+            return group;
+        }
+    }
+    return {};
+}
+
 const ServerDirectory::Servers& ServerDirectory::serversOf(const GroupName& group) const {
     static const Servers kNone;
     const auto found = _groups.find(group);
--- a/src/pooling/ServerDirectory.h
+++ b/src/pooling/ServerDirectory.h
@@ -63,6 +63,9 @@
     /** @return the servers of a group, removed ones included; empty for an unknown group. */
     const Servers& serversOf(const GroupName& group) const;
 
+    /** @return the group of a server, removed or not; an empty name for one that is not known. */
+    GroupName groupOf(const ServerName& server) const;
+
     const std::map<GroupName, Servers>& groups() const { return _groups; }
 
 private:
--- a/src/pooling/StatementPooler.cpp
+++ b/src/pooling/StatementPooler.cpp
@@ -48,6 +48,7 @@
 
 void StatementPooler::applyNodes(const std::vector<ProxyNode>& nodes) {
     _placement.applyNodes(nodes);
+    _nodesKnown = true;
 }
 
 bool StatementPooler::executesHere(const GroupName& group) const {
@@ -55,32 +56,36 @@
 }
 
 void StatementPooler::applyDirectory(const ServerDirectory& directory) {
-    const TimePoint now = _clock.now();
     for (const auto& [name, listed] : directory.groups()) {
-        GroupState& group = _groups[name];
-        group.leadership.onDirectory(listed, now);
-        for (const auto& [serverName, entry] : listed) {
-            ServerState& server = group.servers[serverName];
-            if (!(server.address == entry.announcement.address)) {
-                server.unreachable = false;
-                server.nextConnect = now;
-            }
-            server.address = entry.announcement.address;
-            server.zone = entry.announcement.zone;
-            server.slots = std::max<std::uint32_t>(1, entry.announcement.slots);
-            if (server.inflightLimit < 1) {
-                server.inflightLimit = std::max(1.0, server.slots * _knobs.inflightPerSlot);
-            }
-            server.ready = !entry.removed && !entry.announcement.draining;
+        applyServers(name, listed);
+    }
+}
+
+void StatementPooler::applyServers(const GroupName& name, const ServerDirectory::Servers& listed) {
+    const TimePoint now = _clock.now();
+    GroupState& group = _groups[name];
+    group.leadership.onDirectory(listed, now);
+    for (const auto& [serverName, entry] : listed) {
+        ServerState& server = group.servers[serverName];
+        if (!(server.address == entry.announcement.address)) {
+            server.unreachable = false;
+            server.nextConnect = now;
         }
-        for (auto& [serverName, server] : group.servers) {
-            server.ready = server.ready && listed.contains(serverName);
-            while (!server.ready && !server.idle.empty()) {
-                discard(server.idle.back());
-            }
+        server.address = entry.announcement.address;
+        server.zone = entry.announcement.zone;
+        server.slots = std::max<std::uint32_t>(1, entry.announcement.slots);
+        if (server.inflightLimit < 1) {
+            server.inflightLimit = std::max(1.0, server.slots * _knobs.inflightPerSlot);
+        }
+        server.ready = !entry.removed && !entry.announcement.draining;
+    }
+    for (auto& [serverName, server] : group.servers) {
+        server.ready = server.ready && listed.contains(serverName);
+        while (!server.ready && !server.idle.empty()) {
+            discard(server.idle.back());
         }
-        group.dirty = true;
     }
+    group.dirty = true;
     settle();
 }
 
--- a/src/pooling/StatementPooler.h
+++ b/src/pooling/StatementPooler.h
@@ -89,6 +89,9 @@
     /** Takes the current announcements of all servers. */
     void applyDirectory(const ServerDirectory& directory);
 
+    /** Takes the current announcements of one group's servers. */
+    void applyServers(const GroupName& group, const ServerDirectory::Servers& listed);
+
     /** Takes the store's record of a group's promotions. */
     void applyNotice(const GroupName& group, const PromotionNotice& notice);
 
@@ -229,6 +232,7 @@
                        std::vector<ServerCommand>& commands);
     ServerCommand callerCommand(const PooledSession& session) const;
     void keepWarm(GroupState& group);
+    bool keepsWarm(const GroupName& group) const;
     void releaseUnused(GroupState& group, TimePoint now);
 
     // PoolerResults.cpp: what servers answer.
@@ -307,6 +311,8 @@
     PoolerStatistics _statistics;
     ExecutorPlacement _placement;
     UnitForwarder* _forwarder = nullptr;
+    /** The other nodes are known; before, this one alone seems to execute everything. */
+    bool _nodesKnown = false;
     std::unordered_map<UnitId, SessionId> _units;
     std::uint64_t _lastUnit = 0;
     TimePoint _nextRound{};
--- a/tests/pooling/ForwardingTest.cpp
+++ b/tests/pooling/ForwardingTest.cpp
@@ -284,6 +284,22 @@
     CHECK(fixture.connector.opening.empty());
 }
 
+TEST(Forwarding, NoConnectionIsOpenedBeforeTheOtherNodesAreKnown) {
+    PoolerKnobs knobs;
+    knobs.node = NodeName("n0");
+    knobs.zone = ZoneName("z1");
+    ScriptedConnector connector;
+    StatementPooler pooler(fixture.clock, connector, fixture, knobs);
+    pooler.setForwarder(forwarder);
+    pooler.applyDirectory(fixture.directory);
+    pooler.onTick();
+    UNSIGNED_LONGS_EQUAL(0, connector.opening.size());
+    pooler.applyNodes({});
+    fixture.clock.advance(milliseconds(100));
+    pooler.onTick();
+    UNSIGNED_LONGS_EQUAL(3, connector.opening.size());
+}
+
 TEST(Forwarding, AForwardedUnitIsExecutedHereWhateverThePlacementSays) {
     UnitOpening opening;
     opening.service = ServiceName("unknown here");
