--- a/lab/pooled/UnitNetwork.cpp
+++ b/lab/pooled/UnitNetwork.cpp
@@ -164,7 +164,8 @@
     }
 }
 
-void SimulatedForwarder::send(UnitId unit, const NodeName& node, std::optional<UnitOpening> opening,
+void SimulatedForwarder::send(UnitId unit, const NodeName& node,
+                              const std::optional<UnitOpening>& opening,
                               const UnitStatement& statement) {
     const NodeName from = _self->name;
     const std::uint64_t epoch = _network.epochOf(from, node);
--- a/lab/pooled/UnitNetwork.h
+++ b/lab/pooled/UnitNetwork.h
@@ -108,7 +108,7 @@
     };
 
     void onBroken(const NodeName& node);
-    void send(UnitId unit, const NodeName& node, std::optional<pooling::UnitOpening> opening,
+    void send(UnitId unit, const NodeName& node, const std::optional<pooling::UnitOpening>& opening,
               const pooling::UnitStatement& statement);
 
     UnitNetwork& _network;
--- a/lab/soak/ProxyProcess.cpp
+++ b/lab/soak/ProxyProcess.cpp
@@ -1,12 +1,11 @@
 #include "lab/soak/ProxyProcess.h"
 
-#include <signal.h>
-
 #include <QFile>
 #include <QHostAddress>
 #include <QTcpServer>
 #include <QTextStream>
 #include <QTimer>
+#include <csignal>
 #include <utility>
 
 namespace coralhoist::soak {
@@ -23,8 +22,8 @@
     return server.serverPort();
 }
 
-ProxyProcess::ProxyProcess(std::string program, ProxySurroundings surroundings, std::string logFile,
-                           std::function<void(int)> unexpectedEnd)
+ProxyProcess::ProxyProcess(std::string program, ProxySurroundings surroundings,
+                           const std::string& logFile, std::function<void(int)> unexpectedEnd)
     : _program(std::move(program)),
       _surroundings(std::move(surroundings)),
       _unexpectedEnd(std::move(unexpectedEnd)) {
--- a/lab/soak/ProxyProcess.h
+++ b/lab/soak/ProxyProcess.h
@@ -29,7 +29,7 @@
      * @param logFile takes what the process writes, of all its lives.
      * @param unexpectedEnd called when the process ends by itself.
      */
-    ProxyProcess(std::string program, ProxySurroundings surroundings, std::string logFile,
+    ProxyProcess(std::string program, ProxySurroundings surroundings, const std::string& logFile,
                  std::function<void(int exitCode)> unexpectedEnd);
     ~ProxyProcess() override;
 
--- a/lab/soak/WireServer.cpp
+++ b/lab/soak/WireServer.cpp
@@ -183,12 +183,21 @@
         for (const std::string& row : result.rows) {
             // A report: role, term, position received as two numbers, term held.
             std::string_view rest = row;
-            const std::string role(takeField(rest));
-            const std::string term(takeField(rest));
-            const std::string receivedTerm(takeField(rest));
-            const std::string received(takeField(rest));
-            out += "ROW " + role + ' ' + term + ' ' + receivedTerm + '.' + received + ' ' +
-                   std::string(rest) + " 0 0 0";
+            const std::string_view role = takeField(rest);
+            const std::string_view term = takeField(rest);
+            const std::string_view receivedTerm = takeField(rest);
+            const std::string_view received = takeField(rest);
+            out += "ROW ";
+            out += role;
+            out += ' ';
+            out += term;
+            out += ' ';
+            out += receivedTerm;
+            out += '.';
+            out += received;
+            out += ' ';
+            out += rest;
+            out += " 0 0 0";
             out += kLineEnd;
         }
         out += "COMPLETE " + (result.signature.empty() ? std::string("-") : result.signature);
