--- a/src/duty/pooling/PoolingDuty.cpp
+++ b/src/duty/pooling/PoolingDuty.cpp
@@ -22,10 +22,9 @@
 constexpr Duration kDrainReserve = std::chrono::milliseconds(700);
 
 pooling::PoolerKnobs makeKnobs(const PoolingOptions& options) {
-    pooling::PoolerKnobs knobs;
+    pooling::PoolerKnobs knobs = options.pooler;
     knobs.node = options.name;
     knobs.zone = options.zone;
-    knobs.connectionsPerServer = options.connectionsPerServer;
     return knobs;
 }
 
@@ -159,10 +158,10 @@
     _options.store = options.store;
     _options.promotion = options.promotion;
     _options.drainTimeout = options.drainTimeout;
-    _options.connectionsPerServer = options.connectionsPerServer;
+    _options.pooler = options.pooler;
     _storeClient.redirect(options.store.host, options.store.port);
     _promotionClient.redirect(options.promotion.host, options.promotion.port);
-    _pooler.setConnectionBound(options.connectionsPerServer);
+    _pooler.setConnectionBound(options.pooler.connectionsPerServer);
     LogEvent("daemon", LogLevel::Info, "daemon.reloaded")
         .field("store", options.store.host + ":" + std::to_string(options.store.port))
         .field("needs_restart", needsRestart);
--- a/src/duty/pooling/PoolingDuty.h
+++ b/src/duty/pooling/PoolingDuty.h
@@ -56,7 +56,8 @@
     Endpoint promotion;
     Endpoint metrics;
     std::uint32_t maximumConnections = 20000;
-    std::uint32_t connectionsPerServer = 5;
+    /** How statements are placed; node and zone are those of above. */
+    pooling::PoolerKnobs pooler;
     /** Time that a planned stop may take. */
     Duration drainTimeout{0};
     std::uint64_t seed = 0;
--- a/src/pooling/PoolerKnobs.h
+++ b/src/pooling/PoolerKnobs.h
@@ -20,7 +20,7 @@
     /** Idle connections of a node that is no longer an executor are closed after this time. */
     Duration unusedFor = std::chrono::seconds(2);
     /** Connections that this process holds to one server at most. */
-    std::uint32_t connectionsPerServer = 8;
+    std::uint32_t connectionsPerServer = 5;
     /** Connections being opened to one server at a time. */
     std::uint32_t concurrentConnects = 2;
     /** Most statements outside transactions in flight to a server for each of its slots. */
@@ -32,6 +32,8 @@
      * lowers the limit too, and the factor by which it does. */
     double latencyTargetShare = 0.4;
     double latencyDecrease = 0.9;
+    /** Statements that may be in flight above the limit when they are urgent. */
+    std::uint32_t urgentHeadroom = 1;
     /** Time between two decreases. */
     Duration inflightDecreasePause = std::chrono::milliseconds(60);
     /** Part of the latency objective after which a waiting statement gives way to younger ones. */
@@ -52,6 +54,10 @@
     Duration reconnectPause = std::chrono::milliseconds(200);
     /** Pause before a statement that a server had no capacity for is tried again. */
     Duration busyPause = std::chrono::milliseconds(15);
+    /** Pause before a server that lacked a position is asked for it again, and its bound: it grows
+     * while the server lacks what it is asked for. */
+    Duration laggingPause = std::chrono::milliseconds(60);
+    Duration longestLaggingPause = std::chrono::milliseconds(480);
     /** Share of the statement timeout for which an unsent statement is held, in percent. */
     std::uint32_t holdPercent = 70;
     /** Abandoned statements are waited for this long before their connection is closed. */
--- a/src/pooling/PoolerResults.cpp
+++ b/src/pooling/PoolerResults.cpp
@@ -11,9 +11,6 @@
 
 /** A statement is given up as not run after so many attempts. */
 constexpr std::uint32_t kMaximumAttempts = 12;
-/** A server that lacked a position is not asked for it again before. */
-constexpr Duration kLackingPause = std::chrono::milliseconds(60);
-constexpr Duration kLongestLackingPause = std::chrono::milliseconds(480);
 /** Weight of a new latency: one in so many. */
 constexpr int kLatencySmoothing = 6;
 
@@ -148,7 +145,7 @@
 void StatementPooler::noteLagging(ServerState& server, OpTime floor) {
     ++_statistics.lagging;
     ++server.refusedLagging;
-    server.lackingPause = nextBackoff(server.lackingPause, kLackingPause, kLongestLackingPause);
+    server.lackingPause = nextBackoff(server.lackingPause, _knobs.laggingPause, _knobs.longestLaggingPause);
     server.lacked = floor;
     server.lackedUntil = _clock.now() + server.lackingPause;
 }
--- a/src/program/DaemonConfiguration.cpp
+++ b/src/program/DaemonConfiguration.cpp
@@ -5,18 +5,17 @@
 
 #include <algorithm>
 #include <charconv>
-#include <functional>
 #include <limits>
 #include <sstream>
 
 #include "base/Error.h"
+#include "program/PoolerKeys.h"
 
 namespace coralhoist::program {
 namespace {
 
 constexpr std::int64_t kMaximumPort = 65535;
 constexpr std::int64_t kMaximumCallerConnections = 1000000;
-constexpr std::int64_t kMaximumPoolConnections = 10000;
 constexpr std::int64_t kMinimumMessageBytes = 1024;
 constexpr std::int64_t kMaximumMessageBytes = std::int64_t{1} << 30;
 constexpr std::int64_t kMaximumMilliseconds = 3'600'000;
@@ -53,28 +52,6 @@
     return seed;
 }
 
-/** The TOML type of a key. */
-enum class ValueType { Integer, Text, TextList };
-
-/** A value of the file or of a flag, already of the key's type. */
-struct ParsedValue {
-    std::int64_t integer = 0;
-    std::string text;
-    std::vector<std::string> list;
-};
-
-using Setter = std::function<Status(DaemonConfiguration&, const ParsedValue&)>;
-
-/** One key of the file: its type, range, meaning and destination. */
-struct KeyDescription {
-    std::string key;
-    ValueType type;
-    std::int64_t minimum;
-    std::int64_t maximum;
-    std::string meaning;
-    Setter set;
-};
-
 template <typename Integer>
 KeyDescription integerKey(std::string key, std::int64_t minimum, std::int64_t maximum,
                           std::string meaning, Integer DaemonConfiguration::*member) {
@@ -210,9 +187,9 @@
         textKey("platform.url", "base address of the platform's object API", setPlatformUrl));
     keys.push_back(endpointKey("pool.listen", "IP:PORT on which pooled sessions are served",
                                &DaemonConfiguration::poolListen));
-    keys.push_back(integerKey("pool.connections_per_server", 1, kMaximumPoolConnections,
-                              "connections of this proxy to one server of a pooled group",
-                              &DaemonConfiguration::poolConnectionsPerServer));
+    for (KeyDescription& key : poolerKeys()) {
+        keys.push_back(std::move(key));
+    }
     keys.push_back(endpointKey("readiness.listen",
                                "IP:PORT on which HTTP is asked whether this proxy takes callers",
                                &DaemonConfiguration::readinessListen));
--- a/src/program/DaemonConfiguration.h
+++ b/src/program/DaemonConfiguration.h
@@ -13,6 +13,7 @@
 #include "base/Identifier.h"
 #include "base/Log.h"
 #include "base/Status.h"
+#include "pooling/PoolerKnobs.h"
 
 namespace coralhoist::program {
 
@@ -54,8 +55,8 @@
     std::optional<SeedAddress> readinessListen;
     /** Base address at which a server's promotion is called. */
     std::optional<SeedAddress> promotionAddress;
-    /** Connections of this proxy to one server of a pooled group at most. */
-    std::uint32_t poolConnectionsPerServer = 5;
+    /** How pooled statements are placed; node and zone are those of above. */
+    pooling::PoolerKnobs pooler;
     LogLevel logLevel = LogLevel::Info;
 };
 
