--- a/src/pooling/PooledSession.h
+++ b/src/pooling/PooledSession.h
@@ -40,6 +40,8 @@
     Statement begin;
     TimePoint arrivedAt{};
     TimePoint lastActivity{};
+    /** Time for which its statements have occupied a slot. */
+    Duration slotTime{0};
     /** A write has been sent in it. */
     bool wrote = false;
     /** The caller has been told that it failed. */
--- a/src/pooling/PoolerDispatch.cpp
+++ b/src/pooling/PoolerDispatch.cpp
@@ -32,23 +32,49 @@
     dispatchQueue(group, group.ordinary);
 }
 
+UnitKind StatementPooler::unitKindOf(const PooledSession& session) {
+    if (session.transaction.phase != TransactionPhase::None) {
+        return UnitKind::Transaction;
+    }
+    return session.operation->writes ? UnitKind::Write : UnitKind::Read;
+}
+
 /**
- * Statements that can still meet their objective go first, in the order of their arrival; those
- * that have waited too long for that take what is left. Otherwise an overload would make every
- * statement late.
+ * Statements that can still meet their objective go first; those that have waited too long for that
+ * take what is left. Otherwise an overload would make every statement late. Among the former, those
+ * that are expected to occupy a slot for the least time go first, so that an overload leaves the
+ * fewest unserved.
  */
-void StatementPooler::dispatchQueue(GroupState& group, std::vector<SessionId>& queue) {
-    std::vector<SessionId> waiting;
-    waiting.swap(queue);
-    std::vector<SessionId> late;
-    for (const SessionId id : waiting) {
+void StatementPooler::sortQueue(const GroupState& group, std::vector<SessionId>& queue) {
+    struct Entry {
+        bool late = false;
+        Duration expected{0};
+        SessionId session;
+    };
+    std::vector<Entry> entries;
+    entries.reserve(queue.size());
+    for (const SessionId id : queue) {
         const PooledSession* session = findSession(id);
         if (session == nullptr || !isQueued(*session)) {
             continue;
         }
-        (isOnTime(*session) ? queue : late).push_back(id);
+        Entry entry{!isOnTime(*session), Duration(0), id};
+        if (_knobs.orderBySlotTime > 0 && !entry.late) {
+            entry.expected = group.slotTimes.expected(session->service, unitKindOf(*session));
+        }
+        entries.push_back(entry);
     }
-    queue.insert(queue.end(), late.begin(), late.end());
+    std::stable_sort(entries.begin(), entries.end(), [](const Entry& left, const Entry& right) {
+        return left.late != right.late ? right.late : left.expected < right.expected;
+    });
+    queue.clear();
+    for (const Entry& entry : entries) {
+        queue.push_back(entry.session);
+    }
+}
+
+void StatementPooler::dispatchQueue(GroupState& group, std::vector<SessionId>& queue) {
+    sortQueue(group, queue);
     // A session that was refused and asked again at once stands here twice: once it is placed, its
     // other entry is void.
     std::erase_if(queue, [this, &group](SessionId id) {
--- a/src/pooling/PoolerKnobs.h
+++ b/src/pooling/PoolerKnobs.h
@@ -38,6 +38,8 @@
     Duration inflightDecreasePause = std::chrono::milliseconds(60);
     /** Part of the latency objective after which a waiting statement gives way to younger ones. */
     double onTimeShare = 0.5;
+    /** Not 0: of those that are on time, statements that occupy a slot for less time go first. */
+    std::uint32_t orderBySlotTime = 1;
     /** Added to the cost of a server in another zone. */
     Duration otherZonePenalty = std::chrono::milliseconds(30);
     /** Added to the cost of the primary for reads that a replica may serve. */
--- a/src/pooling/PoolerResults.cpp
+++ b/src/pooling/PoolerResults.cpp
@@ -114,7 +114,7 @@
 }
 
 /** Only what ran tells how long the server takes; a refusal is quick and tells the opposite. */
-void StatementPooler::noteLatency(ServerConnection& connection, const PooledSession& session) {
+void StatementPooler::noteLatency(ServerConnection& connection, PooledSession& session) {
     ServerState* server = serverOf(connection);
     if (server == nullptr) {
         return;
@@ -122,6 +122,7 @@
     const TimePoint now = _clock.now();
     const Duration took = now - session.operation->sentAt;
     server->latency += (took - server->latency) / kLatencySmoothing;
+    noteSlotTime(session, took);
     server->latencyAt = now;
     ++server->succeeded;
     server->lackingPause = Duration(0);
@@ -133,6 +134,23 @@
                                      std::max(1.0, server->slots * _knobs.inflightPerSlot));
 }
 
+void StatementPooler::noteSlotTime(PooledSession& session, Duration took) {
+    const UnitKind kind = unitKindOf(session);
+    if (kind == UnitKind::Transaction) {
+        session.transaction.slotTime += took;
+        return;
+    }
+    groupOf(session).slotTimes.add(session.service, kind, took);
+}
+
+/** A transaction has ended, whatever became of it. */
+void StatementPooler::noteTransactionTime(const PooledSession& session) {
+    if (session.transaction.slotTime > Duration(0)) {
+        groupOf(session).slotTimes.add(session.service, UnitKind::Transaction,
+                                       session.transaction.slotTime);
+    }
+}
+
 void StatementPooler::lowerLimit(ServerState& server, double factor) {
     const TimePoint now = _clock.now();
     if (now >= server.nextLowering) {
@@ -159,6 +177,7 @@
     if (ends) {
         const SessionState state = result.state;
         if (transaction.phase == TransactionPhase::Open) {
+            noteTransactionTime(session);
             transaction = SessionTransaction{};
             _openTransactions.erase(session.id);
         }
--- a/src/pooling/PoolerStatements.cpp
+++ b/src/pooling/PoolerStatements.cpp
@@ -158,6 +158,7 @@
     ServerConnection* connection =
         session.transaction.connection ? findConnection(*session.transaction.connection) : nullptr;
     endUnit(session.transaction.unit);
+    noteTransactionTime(session);
     session.transaction = SessionTransaction{};
     _openTransactions.erase(session.id);
     if (connection != nullptr) {
--- a/src/pooling/StatementPooler.h
+++ b/src/pooling/StatementPooler.h
@@ -25,6 +25,7 @@
 #include "pooling/ServerLink.h"
 #include "pooling/ServerState.h"
 #include "pooling/ServiceCatalog.h"
+#include "pooling/SlotTimeEstimates.h"
 #include "pooling/Statement.h"
 #include "pooling/UnitForwarding.h"
 
@@ -152,6 +153,7 @@
     struct GroupState {
         LeadershipTracker leadership;
         FreshnessFloors floors;
+        SlotTimeEstimates slotTimes;
         std::map<ServerName, ServerState> servers;
         std::vector<SessionId> urgent;
         std::vector<SessionId> ordinary;
@@ -203,6 +205,8 @@
     void enqueue(PooledSession& session);
     void dispatch(const GroupName& name, GroupState& group);
     void dispatchQueue(GroupState& group, std::vector<SessionId>& queue);
+    void sortQueue(const GroupState& group, std::vector<SessionId>& queue);
+    static UnitKind unitKindOf(const PooledSession& session);
     bool isQueued(const PooledSession& session) const;
     bool isOnTime(const PooledSession& session) const;
     bool place(GroupState& group, PooledSession& session);
@@ -246,7 +250,9 @@
                          StatementResult result);
     void onTransactionRefused(ServerConnection& connection, PooledSession& session,
                               StatementResult result);
-    void noteLatency(ServerConnection& connection, const PooledSession& session);
+    void noteLatency(ServerConnection& connection, PooledSession& session);
+    void noteSlotTime(PooledSession& session, Duration took);
+    void noteTransactionTime(const PooledSession& session);
     void lowerLimit(ServerState& server, double factor);
     void noteLagging(ServerState& server, OpTime floor);
     void setLatencyTargets();
--- a/tests/program/DaemonConfigurationTest.cpp
+++ b/tests/program/DaemonConfigurationTest.cpp
@@ -49,6 +49,22 @@
     LONGS_EQUAL(2, configuration.value().seeds.size());
 }
 
+TEST(DaemonConfiguration, ThePoolersConstantsAreKeys) {
+    const TemporaryFile file(std::string(kMinimal) +
+                             "[pool]\nexecutors_per_zone = 3\nhedge_after_ms = 250\n"
+                             "on_time_percent = 60\norder_by_slot_time = 0\n");
+    const auto configuration = loadDaemonConfiguration(file.path(), {});
+    CHECK_TRUE(configuration.isOk());
+    const pooling::PoolerKnobs& knobs = configuration.value().pooler;
+    UNSIGNED_LONGS_EQUAL(3, knobs.executorsPerZone);
+    CHECK(knobs.hedgeAfter == std::chrono::milliseconds(250));
+    DOUBLES_EQUAL(0.6, knobs.onTimeShare, 1e-9);
+    UNSIGNED_LONGS_EQUAL(0, knobs.orderBySlotTime);
+    CHECK(knobs.suspectAfter == pooling::PoolerKnobs{}.suspectAfter);
+    STRCMP_EQUAL(":6: pool.executors_per_zone: 0 is out of range (1 to 10000)",
+                 refusal(std::string(kMinimal) + "[pool]\nexecutors_per_zone = 0\n").c_str());
+}
+
 TEST(DaemonConfiguration, EachFaultNamesFileLineAndKey) {
     const std::string head = kMinimal;
     STRCMP_EQUAL(":6: caller.prot: unknown key (see coralhoistd --help)",
