After a start, take a closed record for a proof, open one connection first, and forward when refused

Servers keep the 10 connections of the dark for 3 s, cap 16; the first three nodes to start took two each.

--- a/lab/pooled/PooledNode.cpp
+++ b/lab/pooled/PooledNode.cpp
@@ -85,6 +85,7 @@
     _pooler.setForwarder(_forwarder);
     _pooler.applyCatalog(world.catalog);
     for (LogGroup* group : world.groups) {
+        _unproven.insert(group->name());
         _failovers[group->name()] = std::make_unique<failover::GroupFailover>(
             group->name(), failover::FailoverDependencies{
                                world.queue, world.random, _connector, _storeClient, _storeClient,
@@ -210,7 +211,7 @@
             _failovers[group]->onRecord(loaded.record);
             _pooler.applyNotice(group, _failovers[group]->record().notice());
             if (loaded.record.phase == pooling::PromotionPhase::None) {
-                _pooler.confirmLeadership(group, askedAt);
+                _pooler.confirmByRecord(group, loaded.record.version, askedAt);
             }
         });
     }
--- a/src/cluster/ClusterControl.cpp
+++ b/src/cluster/ClusterControl.cpp
@@ -242,6 +242,7 @@
     }
     _registry.onTick(now);
     publishNodes();
+    proveAtStart();
     for (const auto& [group, failover] : _failovers) {
         failover->onPrimary(_pooler.primaryOf(group));
         if (failover->nextTick() <= now && isReady()) {
@@ -278,6 +279,17 @@
     return next;
 }
 
+/** A node that has just started may neither read nor write at primaries before it has a proof. */
+void ClusterControl::proveAtStart() {
+    if (_provenAtStart || !isReady()) {
+        return;
+    }
+    _provenAtStart = true;
+    for (const auto& [group, servers] : _directory.groups()) {
+        _unproven.insert(group);
+    }
+}
+
 /** One list of all promotions proves the leadership of every group without one under way. */
 void ClusterControl::askForProof(TimePoint now) {
     if (_unproven.empty() || _proofRunning || now < _nextProof) {
@@ -341,16 +353,20 @@
     }
     _unproven.clear();
     std::set<GroupName> underWay;
+    std::map<GroupName, std::uint64_t> closedVersions;
     for (const StoredObject& object : page->objects) {
         onPromotion(object);
+        const GroupName group(object.name);
         const auto record = _dependencies.codec.readPromotion(object);
-        if (!record || record->phase != PromotionPhase::None) {
-            underWay.insert(GroupName(object.name));
+        if (record && record->phase == PromotionPhase::None) {
+            closedVersions[group] = record->version;
+        } else {
+            underWay.insert(group);
         }
     }
     for (const auto& [group, servers] : _directory.groups()) {
         if (!underWay.contains(group)) {
-            _pooler.confirmLeadership(group, askedAt);
+            _pooler.confirmByRecord(group, closedVersions[group], askedAt);
         }
     }
 }
--- a/src/cluster/ClusterControl.h
+++ b/src/cluster/ClusterControl.h
@@ -83,6 +83,7 @@
     void publishDirectory();
     void publishGroup(const GroupName& group);
     void publishNodes();
+    void proveAtStart();
     void askForProof(TimePoint now);
     void askServersForProof(TimePoint now);
     void takeProofsOfServers();
@@ -110,6 +111,8 @@
     /** Version of each group's record that the pooler knows. */
     std::map<GroupName, std::uint64_t> _toldVersions;
     std::set<GroupName> _unproven;
+    /** The proof that a start needs has been asked for. */
+    bool _provenAtStart = false;
     bool _proofRunning = false;
     TimePoint _nextProof{};
     TimePoint _nextExpiry{};
--- a/src/failover/GroupFailover.cpp
+++ b/src/failover/GroupFailover.cpp
@@ -96,8 +96,15 @@
     if (record.version <= _record.version) {
         return;
     }
+    const bool announces =
+        record.phase == PromotionPhase::Promoting &&
+        (_record.phase != record.phase || _record.successor != record.successor ||
+         _record.term != record.term);
     _record = record;
     _recordSeenAt = _dependencies.clock.now();
+    if (announces) {
+        _announcementSeenAt = _recordSeenAt;
+    }
 }
 
 void GroupFailover::onPrimary(const std::optional<pooling::Primary>& primary) {
@@ -189,7 +196,7 @@
             confirmSuccessor(now);
             return;
         case Phase::Closing:
-            closeRecord();
+            closeRecord(now);
             return;
         case Phase::Claiming:
         case Phase::Announcing:
@@ -549,8 +556,12 @@
     }
 }
 
-void GroupFailover::closeRecord() {
-    if (_busy) {
+/**
+ * Not before the announcement is older than the lease: whoever sees the closed record may conclude
+ * that no proof of an earlier primary's leadership is left (LeadershipTracker::confirmByRecord).
+ */
+void GroupFailover::closeRecord(TimePoint now) {
+    if (_busy || now < _announcementSeenAt + pooling::kLeadershipLease) {
         return;
     }
     const PromotionRecord record = recordOfSuccessor(PromotionPhase::None);
--- a/src/failover/GroupFailover.h
+++ b/src/failover/GroupFailover.h
@@ -134,7 +134,7 @@
     void call(TimePoint now);
     void onCalled(PromoteOutcome outcome);
     void confirmSuccessor(TimePoint now);
-    void closeRecord();
+    void closeRecord(TimePoint now);
     void save(PromotionRecord record, void (GroupFailover::*done)(const SavedRecord&, TimePoint));
     void onClaimed(const SavedRecord& saved, TimePoint askedAt);
     void onRefreshed(const SavedRecord& saved, TimePoint askedAt);
@@ -176,6 +176,8 @@
     OpTime _successorPosition;
     std::map<ServerName, TimePoint> _notRunning;
     TimePoint _announcedAt{};
+    /** When this node learnt of the newest announcement; never before it was written. */
+    TimePoint _announcementSeenAt{};
     TimePoint _refreshedAt{};
     std::map<ServerName, std::unique_ptr<MemberLink>> _links;
     std::uint64_t _promotions = 0;
--- a/src/pooling/LeadershipTracker.cpp
+++ b/src/pooling/LeadershipTracker.cpp
@@ -69,6 +69,15 @@
     }
 }
 
+void LeadershipTracker::confirmByRecord(std::uint64_t recordVersion, TimePoint at) {
+    const bool newest = _notice.version == recordVersion && _notice.phase == PromotionPhase::None;
+    if (!_primary || !newest) {
+        return;
+    }
+    confirm(*_primary, at);
+    _writableFrom = std::min(_writableFrom, at);
+}
+
 bool LeadershipTracker::isCertainFor(TimePoint arrivedAt) const {
     return _primary && _confirmedAt && arrivedAt <= *_confirmedAt + kLeadershipLease;
 }
--- a/src/pooling/LeadershipTracker.h
+++ b/src/pooling/LeadershipTracker.h
@@ -72,6 +72,16 @@
      */
     void confirm(const Primary& primary, TimePoint at);
 
+    /**
+     * The store's record showed no promotion under way at a moment. A record is closed only when
+     * its announcement is older than the lease, so every proof that an earlier primary led has run
+     * out by then, and the primary may be written to at once. Nothing follows from a record that is
+     * not the newest one known.
+     * @param recordVersion version of the record; 0 when there was none.
+     * @param at a time not later than that moment.
+     */
+    void confirmByRecord(std::uint64_t recordVersion, TimePoint at);
+
     /** @return the primary; nothing while none is known. */
     const std::optional<Primary>& primary() const { return _primary; }
 
--- a/src/pooling/PoolerDispatch.cpp
+++ b/src/pooling/PoolerDispatch.cpp
@@ -106,7 +106,7 @@
     }
     ServerState* server = chooseServer(group, session, requirement);
     if (server == nullptr) {
-        return false;
+        return requirement.primary && isShutOut(group) && forwardToOther(session);
     }
     ServerConnection* connection = takeIdle(*server, session);
     if (connection == nullptr) {
@@ -256,6 +256,16 @@
     return server.inflight + 1 <= limit && (!server.idle.empty() || mayOpen(server));
 }
 
+/** @return whether the primary has no connection left for this process. */
+bool StatementPooler::isShutOut(const GroupState& group) const {
+    const auto found = group.servers.find(group.leadership.primary()->server);
+    if (_knobs.forwardWhenRefused == 0 || found == group.servers.end()) {
+        return false;
+    }
+    const ServerState& server = found->second;
+    return server.connections == 0 && server.refusedAbove && _clock.now() < server.refusedUntil;
+}
+
 bool StatementPooler::isSuspect(const ServerState& server) const {
     const TimePoint now = _clock.now();
     const bool silent = server.silentSince && now - *server.silentSince > _knobs.hedgeAfter;
@@ -271,6 +281,9 @@
     if (found == _catalog->groups.end()) {
         return _knobs.connectionsPerServer;
     }
+    if (_clock.now() < _startedAt + _knobs.singleConnectionFor) {
+        return 1;
+    }
     const auto share = static_cast<std::uint32_t>(found->second.connectionsPerServer /
                                                   _placement.executorCount(group));
     return std::min(_knobs.connectionsPerServer, std::max<std::uint32_t>(share, 2) - 1);
--- a/src/pooling/PoolerForwarding.cpp
+++ b/src/pooling/PoolerForwarding.cpp
@@ -9,7 +9,12 @@
 
 /** @return whether another node executes the statement, or the transaction that it opens. */
 bool StatementPooler::forward(PooledSession& session) {
-    if (session.forwarded || executesHere(session.group)) {
+    return !executesHere(session.group) && forwardToOther(session);
+}
+
+/** @return whether another executor has been found; what was forwarded here stays here. */
+bool StatementPooler::forwardToOther(PooledSession& session) {
+    if (session.forwarded || _forwarder == nullptr) {
         return false;
     }
     const std::optional<NodeName> executor = chooseExecutor(session);
--- a/src/pooling/StatementPooler.cpp
+++ b/src/pooling/StatementPooler.cpp
@@ -25,7 +25,8 @@
       _output(output),
       _knobs(std::move(knobs)),
       _catalog(std::make_shared<ServiceCatalog>()),
-      _placement(_knobs.node, _knobs.zone, _knobs.executorsPerZone) {}
+      _placement(_knobs.node, _knobs.zone, _knobs.executorsPerZone),
+      _startedAt(_clock.now()) {}
 
 void StatementPooler::applyCatalog(std::shared_ptr<const ServiceCatalog> catalog) {
     _catalog = std::move(catalog);
@@ -105,6 +106,14 @@
     }
 }
 
+void StatementPooler::confirmByRecord(const GroupName& group, std::uint64_t recordVersion,
+                                      TimePoint askedAt) {
+    GroupState& state = _groups[group];
+    state.leadership.confirmByRecord(recordVersion, askedAt);
+    state.dirty = true;
+    settle();
+}
+
 bool StatementPooler::hasService(const ServiceName& service) const {
     return _catalog->find(service) != nullptr;
 }
--- a/src/pooling/StatementPooler.h
+++ b/src/pooling/StatementPooler.h
@@ -96,9 +96,15 @@
     /** Takes the store's record of a group's promotions. */
     void applyNotice(const GroupName& group, const PromotionNotice& notice);
 
-    /** The store showed no promotion under way for the group at a moment not before askedAt. */
+    /** The group's primary, as taken now, was proven to lead at a moment not before askedAt. */
     void confirmLeadership(const GroupName& group, TimePoint askedAt);
 
+    /**
+     * The store showed that no promotion of the group was under way at a moment not before askedAt.
+     * @param recordVersion version of the group's record; 0 when there is none.
+     */
+    void confirmByRecord(const GroupName& group, std::uint64_t recordVersion, TimePoint askedAt);
+
     /** @return whether there is such a service. */
     bool hasService(const ServiceName& service) const;
 
@@ -220,6 +226,7 @@
     Duration costOf(const GroupState& group, const ServerState& server,
                     const Requirement& requirement) const;
     bool hasRoom(const ServerState& server, const PooledSession& session) const;
+    bool isShutOut(const GroupState& group) const;
     bool isSuspect(const ServerState& server) const;
     std::uint32_t connectionLimit(const GroupName& group) const;
     bool mayOpen(const ServerState& server) const;
@@ -272,6 +279,7 @@
 
     // PoolerForwarding.cpp: what other nodes execute.
     bool forward(PooledSession& session);
+    bool forwardToOther(PooledSession& session);
     std::optional<NodeName> chooseExecutor(const PooledSession& session) const;
     void forwardInTransaction(PooledSession& session);
     void noteForwarded(PooledSession& session);
@@ -321,6 +329,7 @@
     bool _nodesKnown = false;
     std::unordered_map<UnitId, SessionId> _units;
     std::uint64_t _lastUnit = 0;
+    TimePoint _startedAt;
     TimePoint _nextRound{};
     TimePoint _nextReport{};
     std::uint64_t _lastSession = 0;
--- a/tests/failover/GroupFailoverTest.cpp
+++ b/tests/failover/GroupFailoverTest.cpp
@@ -26,6 +26,24 @@
     UNSIGNED_LONGS_EQUAL(0, fixture.judge.violations().size());
 }
 
+/** A closed record lets nodes that start write at once, so no older proof may be left by then. */
+TEST(GroupFailover, ClosesTheRecordOnlyWhenItsAnnouncementIsOlderThanTheLease) {
+    FailoverFixture fixture;
+    fixture.commit(10);
+    fixture.group.crash(fixture.server(0));
+    fixture.suspect(0, SuspicionReason::Unreachable);
+    const auto runUntil = [&fixture](PromotionPhase phase) {
+        for (int step = 0; step < 400 && fixture.record().phase != phase; ++step) {
+            fixture.run(milliseconds(5));
+        }
+        CHECK_TRUE(fixture.record().phase == phase);
+        return fixture.queue.now();
+    };
+    const TimePoint announcedAt = runUntil(PromotionPhase::Promoting);
+    const TimePoint closedAt = runUntil(PromotionPhase::None);
+    CHECK_TRUE(closedAt - announcedAt >= pooling::kLeadershipLease);
+}
+
 TEST(GroupFailover, LeavesAPrimaryAloneThatAnswers) {
     FailoverFixture fixture;
     fixture.commit(3);
