--- a/src/pooling/PoolerDispatch.cpp
+++ b/src/pooling/PoolerDispatch.cpp
@@ -10,6 +10,8 @@
 
 /** Cost added to a server that seems to have failed: taken only when there is no other. */
 constexpr Duration kSuspectCost = std::chrono::seconds(1);
+/** A statement that has waited for a proof of leadership for so long goes to another node. */
+constexpr Duration kProofPatience = std::chrono::milliseconds(100);
 /** Time over which an unused estimate of latency fades to half. */
 constexpr Duration kLatencyFade = std::chrono::milliseconds(500);
 
@@ -101,12 +103,15 @@
         return false;
     }
     const Requirement requirement = requirementOf(group, session);
+    if (requirement.primary && isBetterElsewhere(group, operation) && forwardToOther(session)) {
+        return true;
+    }
     if (requirement.impossible) {
         return false;
     }
     ServerState* server = chooseServer(group, session, requirement);
     if (server == nullptr) {
-        return requirement.primary && isShutOut(group) && forwardToOther(session);
+        return false;
     }
     ServerConnection* connection = takeIdle(*server, session);
     if (connection == nullptr) {
@@ -256,14 +261,28 @@
     return server.inflight + 1 <= limit && (!server.idle.empty() || mayOpen(server));
 }
 
-/** @return whether the primary has no connection left for this process. */
-bool StatementPooler::isShutOut(const GroupState& group) const {
+/**
+ * @return whether a statement that needs the primary may fare better on another node: the primary
+ * is silent or out of reach from here, has no connection left for this process, or its leadership
+ * can't be proven here. The others may see the same, but then nothing is lost.
+ */
+bool StatementPooler::isBetterElsewhere(const GroupState& group,
+                                        const Operation& operation) const {
+    if (_knobs.forwardWhenRefused == 0 || !group.leadership.primary()) {
+        return false;
+    }
+    const TimePoint now = _clock.now();
+    if (!operation.writes && !group.leadership.isCertainFor(operation.consistentSince)) {
+        return now - operation.arrivedAt > kProofPatience;
+    }
     const auto found = group.servers.find(group.leadership.primary()->server);
-    if (_knobs.forwardWhenRefused == 0 || found == group.servers.end()) {
+    if (found == group.servers.end()) {
         return false;
     }
     const ServerState& server = found->second;
-    return server.connections == 0 && server.refusedAbove && _clock.now() < server.refusedUntil;
+    const bool refused =
+        server.connections == 0 && server.refusedAbove && now < server.refusedUntil;
+    return refused || isSuspect(server);
 }
 
 bool StatementPooler::isSuspect(const ServerState& server) const {
--- a/src/pooling/StatementPooler.h
+++ b/src/pooling/StatementPooler.h
@@ -226,7 +226,7 @@
     Duration costOf(const GroupState& group, const ServerState& server,
                     const Requirement& requirement) const;
     bool hasRoom(const ServerState& server, const PooledSession& session) const;
-    bool isShutOut(const GroupState& group) const;
+    bool isBetterElsewhere(const GroupState& group, const Operation& operation) const;
     bool isSuspect(const ServerState& server) const;
     std::uint32_t connectionLimit(const GroupName& group) const;
     bool mayOpen(const ServerState& server) const;
--- a/tests/pooling/ForwardingTest.cpp
+++ b/tests/pooling/ForwardingTest.cpp
@@ -276,6 +276,87 @@
     UNSIGNED_LONGS_EQUAL(0, fixture.pendingCount());
 }
 
+/** This node executes; another one does so as well. */
+TEST_GROUP(ForwardingOfExecutors) {
+    PoolerFixture fixture;
+    ScriptedForwarder forwarder;
+
+    void setup() override {
+        fixture.pooler.setForwarder(forwarder);
+        fixture.pooler.applyNodes({{NodeName("n1"), ZoneName("z2"), "10.0.0.1", 7000}});
+        CHECK_TRUE(fixture.pooler.executesHere(fixture.group));
+    }
+
+    void losePrimaryConnections() {
+        for (const auto& [id, server] : fixture.connector.serverOf) {
+            if (server == ServerName("s1")) {
+                fixture.pooler.onLost(id);
+            }
+        }
+    }
+
+    void refuseConnections(StatementFault fault) {
+        fixture.advance(milliseconds(60));
+        std::vector<ConnectionId> opening;
+        opening.swap(fixture.connector.opening);
+        CHECK_FALSE(opening.empty());
+        for (const ConnectionId id : opening) {
+            fixture.pooler.onOpenFailed(id, StatementError{fault, "for the test"});
+        }
+    }
+};
+
+/** Found on dk-booking, trouble-1: 2 s after a restart a node had no connection to the primary. */
+TEST(ForwardingOfExecutors, WhatNeedsAPrimaryThatRefusesConnectionsGoesToAnotherNode) {
+    losePrimaryConnections();
+    refuseConnections(StatementFault::ConnectionLimit);
+    const std::string id =
+        fixture.submit(fixture.session("current"), StatementVerb::Write, "WRITE 1 a");
+    UNSIGNED_LONGS_EQUAL(1, forwarder.sent.size());
+    STRCMP_EQUAL(id.c_str(), forwarder.sent.back().statement.statement.id.c_str());
+    fixture.pooler.onUnitResult(forwarder.sent.back().unit, success());
+    STRCMP_EQUAL("sig", fixture.replies.back().result.signature.c_str());
+}
+
+TEST(ForwardingOfExecutors, AStatementThatWasForwardedHereIsNotForwardedAgain) {
+    losePrimaryConnections();
+    refuseConnections(StatementFault::ConnectionLimit);
+    UnitOpening opening;
+    opening.service = ServiceName("current");
+    opening.group = fixture.group;
+    opening.settings.statementTimeout = milliseconds(800);
+    const SessionId unit = fixture.pooler.openUnit(opening);
+    UnitStatement statement;
+    statement.statement.id = "forwarded";
+    statement.statement.verb = StatementVerb::Write;
+    statement.statement.text = "WRITE 1 a";
+    fixture.pooler.submitUnit(unit, statement);
+    UNSIGNED_LONGS_EQUAL(0, forwarder.sent.size());
+}
+
+TEST(ForwardingOfExecutors, WhatNeedsASilentPrimaryGoesToAnotherNode) {
+    fixture.submit(fixture.session("current"), StatementVerb::Write, "WRITE 1 a");
+    UNSIGNED_LONGS_EQUAL(1, fixture.pendingCount());
+    fixture.advance(milliseconds(200));
+    fixture.submit(fixture.session("current"), StatementVerb::Write, "WRITE 2 a");
+    UNSIGNED_LONGS_EQUAL(1, forwarder.sent.size());
+}
+
+TEST(ForwardingOfExecutors, AReadWhoseProofDoesNotComeGoesToAnotherNode) {
+    fixture.advance(milliseconds(600));
+    fixture.submit(fixture.session("current"), StatementVerb::Read, "READ 1");
+    UNSIGNED_LONGS_EQUAL(0, forwarder.sent.size());
+    fixture.advance(milliseconds(101));
+    UNSIGNED_LONGS_EQUAL(1, forwarder.sent.size());
+    UNSIGNED_LONGS_EQUAL(0, fixture.pendingCount());
+}
+
+TEST(ForwardingOfExecutors, AnExecutorServesItselfWhatItCan) {
+    fixture.submit(fixture.session("current"), StatementVerb::Write, "WRITE 1 a");
+    UNSIGNED_LONGS_EQUAL(0, forwarder.sent.size());
+    UNSIGNED_LONGS_EQUAL(1, fixture.pendingCount());
+}
+
 TEST(Forwarding, ANodeThatExecutesNothingClosesItsIdleConnections) {
     CHECK(fixture.connector.closed.empty());
     fixture.advance(milliseconds(2100));
--- a/tests/pooling/PoolerTest.cpp
+++ b/tests/pooling/PoolerTest.cpp
@@ -265,6 +265,87 @@
     CHECK_TRUE(std::any_of(sent.begin(), sent.end(), isUrgent));
 }
 
+/** Found on a deployment whose servers have two slots: in an overload all kinds were late alike. */
+TEST(StatementPooler, OfTheStatementsThatAreOnTimeThoseThatTakeLessGoFirst) {
+    const auto write = [this](const char* service) {
+        const SessionId session = fixture.session(service);
+        return fixture.submit(session, StatementVerb::Write, "WRITE 1 a");
+    };
+    write("own");
+    fixture.clock.advance(milliseconds(40));
+    fixture.succeed();
+    write("bounded");
+    fixture.clock.advance(milliseconds(4));
+    fixture.succeed();
+    const std::string occupying = write("own");
+    std::vector<std::string> dear;
+    for (int index = 0; index < 6; ++index) {
+        dear.push_back(write("own"));
+    }
+    const std::string cheap = write("bounded");
+    STRCMP_EQUAL(occupying.c_str(), fixture.pending().command.id.c_str());
+    UNSIGNED_LONGS_EQUAL(1, fixture.pendingCount());
+    fixture.succeed();
+    STRCMP_EQUAL(cheap.c_str(), fixture.pending().command.id.c_str());
+    fixture.succeed();
+    STRCMP_EQUAL(dear.front().c_str(), fixture.pending().command.id.c_str());
+}
+
+TEST(StatementPooler, AStatementThatIsNoLongerOnTimeGivesWayHoweverLittleItTakes) {
+    const auto write = [this](const char* service) {
+        const SessionId session = fixture.session(service);
+        return fixture.submit(session, StatementVerb::Write, "WRITE 1 a");
+    };
+    write("own");
+    fixture.clock.advance(milliseconds(40));
+    fixture.succeed();
+    write("bounded");
+    fixture.clock.advance(milliseconds(4));
+    fixture.succeed();
+    write("own");
+    const std::string late = write("bounded");
+    fixture.clock.advance(milliseconds(101));
+    const std::string onTime = write("own");
+    fixture.succeed();
+    STRCMP_EQUAL(onTime.c_str(), fixture.pending().command.id.c_str());
+    fixture.succeed();
+    STRCMP_EQUAL(late.c_str(), fixture.pending().command.id.c_str());
+}
+
+/** Found on dk-booking, trouble-1: after a loss of power two nodes got no connection for 2 s. */
+TEST(StatementPooler, AfterAStartANodeOpensOneConnectionToEachServer) {
+    PoolerKnobs knobs;
+    knobs.node = NodeName("n0");
+    knobs.zone = ZoneName("z1");
+    ScriptedConnector connector;
+    StatementPooler pooler(fixture.clock, connector, fixture, knobs);
+    pooler.applyDirectory(fixture.directory);
+    pooler.onTick();
+    UNSIGNED_LONGS_EQUAL(3, connector.opening.size());
+    const std::vector<ConnectionId> opening = std::move(connector.opening);
+    connector.opening.clear();
+    for (const ConnectionId id : opening) {
+        pooler.onOpened(id, OpTime{1, 1});
+    }
+    auto catalog = std::make_shared<ServiceCatalog>();
+    catalog->services[ServiceName("current")] = {fixture.group, settings::ServiceSettings{}};
+    catalog->groups[fixture.group] = settings::GroupSettings{};
+    pooler.applyCatalog(catalog);
+    pooler.confirmByRecord(fixture.group, 0, fixture.clock.now());
+    for (int index = 0; index < 2; ++index) {
+        Statement write;
+        write.id = std::to_string(index);
+        write.verb = StatementVerb::Write;
+        write.text = "WRITE 1 a";
+        pooler.submit(pooler.openSession(ServiceName("current")), write);
+    }
+    UNSIGNED_LONGS_EQUAL(1, connector.sent.size());
+    UNSIGNED_LONGS_EQUAL(0, connector.opening.size());
+    fixture.clock.advance(knobs.singleConnectionFor);
+    pooler.onTick();
+    UNSIGNED_LONGS_EQUAL(1, connector.opening.size());
+}
+
 TEST(StatementPooler, ASessionOfARemovedServiceIsRefusedAndClosed) {
     const SessionId session = fixture.session("current");
     fixture.pooler.applyCatalog(std::make_shared<ServiceCatalog>());
