--- a/src/failover/GroupFailover.cpp
+++ b/src/failover/GroupFailover.cpp
@@ -96,10 +96,9 @@
     if (record.version <= _record.version) {
         return;
     }
-    const bool announces =
-        record.phase == PromotionPhase::Promoting &&
-        (_record.phase != record.phase || _record.successor != record.successor ||
-         _record.term != record.term);
+    const bool announces = record.phase == PromotionPhase::Promoting &&
+                           (_record.phase != record.phase ||
+                            _record.successor != record.successor || _record.term != record.term);
     _record = record;
     _recordSeenAt = _dependencies.clock.now();
     if (announces) {
--- a/src/pooling/PoolerConnections.cpp
+++ b/src/pooling/PoolerConnections.cpp
@@ -201,4 +201,29 @@
     replyError(session, wrote ? StatementFault::InDoubt : StatementFault::Aborted, reason);
 }
 
+bool StatementPooler::keepsWarm(const GroupName& group) const {
+    return _forwarder == nullptr || (_nodesKnown && _placement.executesHere(group));
+}
+
+/** Closes what this node keeps open to servers whose statements other nodes execute. */
+void StatementPooler::releaseUnused(GroupState& group, TimePoint now) {
+    for (auto& [name, server] : group.servers) {
+        const std::vector<ConnectionId> idle = server.idle;
+        for (const ConnectionId id : idle) {
+            if (now - findConnection(id)->since > _knobs.unusedFor) {
+                discard(id);
+            }
+        }
+    }
+}
+
+/** One connection to each server stands ready, also to one that may become the primary. */
+void StatementPooler::keepWarm(GroupState& group) {
+    for (auto& [name, server] : group.servers) {
+        if (server.connections == 0) {
+            openConnection(server);
+        }
+    }
+}
+
 }  // namespace coralhoist::pooling
--- a/src/pooling/PoolerKnobs.h
+++ b/src/pooling/PoolerKnobs.h
@@ -21,9 +21,9 @@
     Duration unusedFor = std::chrono::seconds(2);
     /** Connections that this process holds to one server at most. */
     std::uint32_t connectionsPerServer = 5;
-    /** After its start a process opens one connection to each server, and more only after this time:
-     * when all processes have lost power, servers keep their former connections for seconds, and
-     * what is left must do for a first one of each. */
+    /** After its start a process opens one connection to each server, and more only after this
+     * time: when all processes have lost power, servers keep their former connections for seconds,
+     * and what is left must do for a first one of each. */
     Duration singleConnectionFor = std::chrono::milliseconds(500);
     /** Not 0: what needs a server that has no connection left for this process goes to another. */
     std::uint32_t forwardWhenRefused = 1;
--- /dev/null
+++ b/src/pooling/PoolerQueue.cpp
@@ -0,0 +1,207 @@
+/** Statements that wait: their order, what each needs of a server, and its placement. */
+#include <algorithm>
+#include <utility>
+
+#include "pooling/StatementPooler.h"
+
+namespace coralhoist::pooling {
+namespace {
+
+/** A statement that has waited for a proof of leadership for so long goes to another node. */
+constexpr Duration kProofPatience = std::chrono::milliseconds(100);
+
+}  // namespace
+
+void StatementPooler::enqueue(PooledSession& session) {
+    if (forward(session)) {
+        return;
+    }
+    GroupState& group = groupOf(session);
+    session.operation->phase = OperationPhase::Queued;
+    const bool urgent = session.settings.priority == settings::Priority::Urgent;
+    (urgent ? group.urgent : group.ordinary).push_back(session.id);
+    group.dirty = true;
+    wakeAt(session, session.operation->holdUntil);
+}
+
+void StatementPooler::dispatch(const GroupName& /*name*/, GroupState& group) {
+    dispatchQueue(group, group.urgent);
+    dispatchQueue(group, group.ordinary);
+}
+
+UnitKind StatementPooler::unitKindOf(const PooledSession& session) {
+    if (session.transaction.phase != TransactionPhase::None) {
+        return UnitKind::Transaction;
+    }
+    return session.operation->writes ? UnitKind::Write : UnitKind::Read;
+}
+
+/**
+ * Statements that can still meet their objective go first; those that have waited too long for that
+ * take what is left. Otherwise an overload would make every statement late. Among the former, those
+ * that are expected to occupy a slot for the least time go first, so that an overload leaves the
+ * fewest unserved.
+ */
+void StatementPooler::sortQueue(const GroupState& group, std::vector<SessionId>& queue) {
+    struct Entry {
+        bool late = false;
+        Duration expected{0};
+        SessionId session;
+    };
+    std::vector<Entry> entries;
+    entries.reserve(queue.size());
+    for (const SessionId id : queue) {
+        const PooledSession* session = findSession(id);
+        if (session == nullptr || !isQueued(*session)) {
+            continue;
+        }
+        Entry entry{!isOnTime(*session), Duration(0), id};
+        if (_knobs.orderBySlotTime > 0 && !entry.late) {
+            entry.expected = group.slotTimes.expected(session->service, unitKindOf(*session));
+        }
+        entries.push_back(entry);
+    }
+    std::stable_sort(entries.begin(), entries.end(), [](const Entry& left, const Entry& right) {
+        return left.late != right.late ? right.late : left.expected < right.expected;
+    });
+    queue.clear();
+    for (const Entry& entry : entries) {
+        queue.push_back(entry.session);
+    }
+}
+
+void StatementPooler::dispatchQueue(GroupState& group, std::vector<SessionId>& queue) {
+    sortQueue(group, queue);
+    // A session that was refused and asked again at once stands here twice: once it is placed, its
+    // other entry is void.
+    std::erase_if(queue, [this, &group](SessionId id) {
+        PooledSession& session = *findSession(id);
+        return !isQueued(session) || place(group, session);
+    });
+}
+
+bool StatementPooler::isQueued(const PooledSession& session) const {
+    return session.operation && session.operation->phase == OperationPhase::Queued &&
+           session.transaction.phase != TransactionPhase::Open;
+}
+
+bool StatementPooler::isOnTime(const PooledSession& session) const {
+    const auto allowance = std::chrono::duration_cast<Duration>(session.settings.latencyObjective *
+                                                                _knobs.onTimeShare);
+    return _clock.now() - session.operation->arrivedAt < allowance;
+}
+
+/** @return whether the statement no longer waits. */
+bool StatementPooler::place(GroupState& group, PooledSession& session) {
+    Operation& operation = *session.operation;
+    if (_clock.now() < operation.notBefore) {
+        return false;
+    }
+    const Requirement requirement = requirementOf(group, session);
+    if (requirement.primary && isBetterElsewhere(group, operation) && forwardToOther(session)) {
+        return true;
+    }
+    if (requirement.impossible) {
+        return false;
+    }
+    ServerState* server = chooseServer(group, session, requirement);
+    if (server == nullptr) {
+        return false;
+    }
+    ServerConnection* connection = takeIdle(*server, session);
+    if (connection == nullptr) {
+        operation.lastObstacle = "no_connection";
+        openConnection(*server);
+        return false;
+    }
+    start(group, *server, *connection, session, requirement);
+    return true;
+}
+
+StatementPooler::Requirement StatementPooler::requirementOf(GroupState& group,
+                                                            PooledSession& session) {
+    const bool opensTransaction = session.transaction.phase == TransactionPhase::Unstarted;
+    const bool mayChange =
+        session.operation->writes ||
+        (opensTransaction && session.transaction.begin.verb == StatementVerb::Begin);
+    if (mayChange || session.settings.readRouting == settings::ReadRouting::Primary) {
+        return primaryRequirement(group, session);
+    }
+    const Requirement read = readRequirement(group, session);
+    return read.impossible ? primaryRequirement(group, session) : read;
+}
+
+StatementPooler::Requirement StatementPooler::readRequirement(GroupState& group,
+                                                              const PooledSession& session) const {
+    Requirement requirement;
+    const Duration staleness = session.settings.maxStaleness.value_or(Duration(0));
+    const std::optional<OpTime> floor =
+        group.floors.covering(session.operation->consistentSince - staleness);
+    if (!floor) {
+        requirement.impossible = true;
+        return requirement;
+    }
+    requirement.floor = std::max(*floor, session.ownFloor);
+    return requirement;
+}
+
+StatementPooler::Requirement StatementPooler::primaryRequirement(GroupState& group,
+                                                                 PooledSession& session) {
+    Requirement requirement;
+    requirement.primary = true;
+    Operation& operation = *session.operation;
+    const LeadershipTracker& leadership = group.leadership;
+    if (!leadership.primary()) {
+        operation.lastObstacle = "no_primary";
+        requirement.impossible = true;
+        return requirement;
+    }
+    const bool opensTransaction = session.transaction.phase == TransactionPhase::Unstarted;
+    const bool mayCommit =
+        operation.writes ||
+        (opensTransaction && session.transaction.begin.verb == StatementVerb::Begin);
+    const TimePoint now = _clock.now();
+    if (mayCommit && !leadership.mayWrite(now)) {
+        operation.lastObstacle = "promotion_settling";
+        wakeAt(session, leadership.writableFrom());
+        requirement.impossible = true;
+        return requirement;
+    }
+    const bool reads = opensTransaction || !operation.writes;
+    if (reads && !leadership.isCertainFor(operation.consistentSince)) {
+        operation.lastObstacle = "leadership_unproven";
+        ++_statistics.proofsWanted;
+        _output.wantLeadershipProof(session.group);
+        requirement.impossible = true;
+        return requirement;
+    }
+    if (session.ownFloor.term > 0 && !operation.writes) {
+        requirement.floor = session.ownFloor;
+    }
+    return requirement;
+}
+
+/**
+ * @return whether a statement that needs the primary may fare better on another node: the primary
+ * is silent or out of reach from here, has no connection left for this process, or its leadership
+ * can't be proven here. The others may see the same, but then nothing is lost.
+ */
+bool StatementPooler::isBetterElsewhere(const GroupState& group, const Operation& operation) const {
+    if (_knobs.forwardWhenRefused == 0 || !group.leadership.primary()) {
+        return false;
+    }
+    const TimePoint now = _clock.now();
+    if (!operation.writes && !group.leadership.isCertainFor(operation.consistentSince)) {
+        return now - operation.arrivedAt > kProofPatience;
+    }
+    const auto found = group.servers.find(group.leadership.primary()->server);
+    if (found == group.servers.end()) {
+        return false;
+    }
+    const ServerState& server = found->second;
+    const bool refused =
+        server.connections == 0 && server.refusedAbove && now < server.refusedUntil;
+    return refused || isSuspect(server);
+}
+
+}  // namespace coralhoist::pooling
--- a/src/pooling/PoolerResults.cpp
+++ b/src/pooling/PoolerResults.cpp
@@ -163,7 +163,8 @@
 void StatementPooler::noteLagging(ServerState& server, OpTime floor) {
     ++_statistics.lagging;
     ++server.refusedLagging;
-    server.lackingPause = nextBackoff(server.lackingPause, _knobs.laggingPause, _knobs.longestLaggingPause);
+    server.lackingPause =
+        nextBackoff(server.lackingPause, _knobs.laggingPause, _knobs.longestLaggingPause);
     server.lacked = floor;
     server.lackedUntil = _clock.now() + server.lackingPause;
 }
--- /dev/null
+++ b/src/pooling/PoolerSending.cpp
@@ -0,0 +1,156 @@
+/** What is sent on a connection: session values, prepared shapes, transactions, statements. */
+#include <algorithm>
+#include <utility>
+
+#include "pooling/StatementPooler.h"
+
+namespace coralhoist::pooling {
+
+void StatementPooler::start(GroupState& group, ServerState& server, ServerConnection& connection,
+                            PooledSession& session, const Requirement& requirement) {
+    Operation& operation = *session.operation;
+    connection.state = ServerConnection::State::Busy;
+    connection.user = session.id;
+    connection.inflight = true;
+    ++server.inflight;
+    operation.server = server.address.server;
+    operation.connection = connection.id;
+    operation.floor = requirement.floor.value_or(OpTime{});
+    const bool atPrimary =
+        group.leadership.primary() && group.leadership.primary()->server == server.address.server;
+    ++(atPrimary ? _statistics.primaryStatements : _statistics.replicaReads);
+    std::vector<ServerCommand> commands = alignValues(connection, session);
+    if (session.transaction.phase != TransactionPhase::Unstarted) {
+        sendStatement(connection, session, std::move(commands));
+        return;
+    }
+    // The statement follows once BEGIN has succeeded: it must not run outside the transaction.
+    operation.phase = OperationPhase::Beginning;
+    operation.sentAt = _clock.now();
+    ServerCommand begin;
+    begin.id = session.transaction.begin.id;
+    begin.text = session.transaction.begin.text;
+    if (operation.floor.term > 0) {
+        begin.after = operation.floor;
+    }
+    commands.push_back(std::move(begin));
+    connection.awaited.push_back(AwaitedResult::Begin);
+    if (!server.silentSince) {
+        server.silentSince = operation.sentAt;
+    }
+    _connector.send(connection.id, commands);
+    wakeAt(session, operation.deadline);
+}
+
+std::vector<ServerCommand> StatementPooler::alignValues(ServerConnection& connection,
+                                                        const PooledSession& session) {
+    std::vector<ServerCommand> commands;
+    const auto isForeign = [&session](const auto& value) {
+        return !session.values.contains(value.first);
+    };
+    const bool crowded = connection.prepared.size() > _knobs.preparedPerConnection;
+    if (!connection.pinned &&
+        (crowded || std::any_of(connection.values.begin(), connection.values.end(), isForeign))) {
+        ServerCommand reset;
+        reset.kind = ServerCommand::Kind::Reset;
+        commands.push_back(std::move(reset));
+        connection.values.clear();
+        connection.prepared.clear();
+    }
+    for (const auto& [name, value] : session.values) {
+        const auto found = connection.values.find(name);
+        if (found != connection.values.end() && found->second == value) {
+            continue;
+        }
+        ServerCommand set;
+        set.kind = ServerCommand::Kind::Set;
+        set.name = name;
+        set.argument = value;
+        commands.push_back(std::move(set));
+    }
+    connection.values = session.values;
+    connection.awaited.insert(connection.awaited.end(), commands.size(),
+                              AwaitedResult::Housekeeping);
+    return commands;
+}
+
+void StatementPooler::alignPrepared(ServerConnection& connection, const PooledSession& session,
+                                    std::vector<ServerCommand>& commands) {
+    const Statement& statement = session.operation->statement;
+    if (statement.verb != StatementVerb::Execute) {
+        return;
+    }
+    const PreparedShape& shape = session.prepared.at(statement.name);
+    if (!connection.prepared.insert(shape.serverName).second) {
+        return;
+    }
+    ServerCommand prepare;
+    prepare.kind = ServerCommand::Kind::Prepare;
+    prepare.name = shape.serverName;
+    prepare.argument = shape.shape;
+    prepare.shapeKind = shape.kind;
+    commands.push_back(std::move(prepare));
+    connection.awaited.push_back(AwaitedResult::Housekeeping);
+}
+
+ServerCommand StatementPooler::callerCommand(const PooledSession& session) const {
+    const Operation& operation = *session.operation;
+    ServerCommand command;
+    command.id = operation.statement.id;
+    command.text = operation.statement.text;
+    if (operation.statement.verb == StatementVerb::Execute) {
+        command.kind = ServerCommand::Kind::Execute;
+        command.name = session.prepared.at(operation.statement.name).serverName;
+        command.argument = operation.statement.argument;
+    }
+    const bool conditional =
+        session.transaction.phase == TransactionPhase::None && !operation.writes;
+    if (conditional && operation.floor.term > 0) {
+        command.after = operation.floor;
+    }
+    return command;
+}
+
+void StatementPooler::sendStatement(ServerConnection& connection, PooledSession& session,
+                                    std::vector<ServerCommand> commands) {
+    Operation& operation = *session.operation;
+    const TimePoint now = _clock.now();
+    alignPrepared(connection, session, commands);
+    commands.push_back(callerCommand(session));
+    connection.awaited.push_back(AwaitedResult::Statement);
+    operation.phase = OperationPhase::Sent;
+    operation.connection = connection.id;
+    operation.server = connection.server;
+    operation.sentAt = now;
+    ServerState* server = serverOf(connection);
+    if (server != nullptr && !server->silentSince) {
+        server->silentSince = now;
+    }
+    const bool commits =
+        session.transaction.phase == TransactionPhase::None
+            ? operation.writes
+            : operation.statement.verb == StatementVerb::Commit && session.transaction.wrote;
+    if (commits) {
+        groupOf(session).pendingWrites[connection.id] = now;
+    }
+    session.transaction.wrote = session.transaction.wrote || operation.writes;
+    _connector.send(connection.id, commands);
+    const bool mayHedge = session.transaction.phase == TransactionPhase::None && !operation.writes;
+    wakeAt(session, mayHedge ? now + _knobs.hedgeAfter : operation.deadline);
+}
+
+void StatementPooler::sendInTransaction(PooledSession& session) {
+    ServerConnection* connection = findConnection(*session.transaction.connection);
+    if (connection == nullptr) {
+        failTransaction(session);
+        replyError(session, StatementFault::Aborted, "the connection of the transaction was lost");
+        return;
+    }
+    if (ServerState* server = serverOf(*connection)) {
+        ++server->inflight;
+        connection->inflight = true;
+    }
+    sendStatement(*connection, session, alignValues(*connection, session));
+}
+
+}  // namespace coralhoist::pooling
--- a/src/pooling/StatementPooler.h
+++ b/src/pooling/StatementPooler.h
@@ -207,7 +207,7 @@
     void finishOperation(PooledSession& session, StatementResult result);
     SessionState stateOf(const PooledSession& session) const;
 
-    // PoolerDispatch.cpp: choice of server and connection.
+    // PoolerQueue.cpp: statements that wait, and what each needs of a server.
     void enqueue(PooledSession& session);
     void dispatch(const GroupName& name, GroupState& group);
     void dispatchQueue(GroupState& group, std::vector<SessionId>& queue);
@@ -219,6 +219,9 @@
     Requirement requirementOf(GroupState& group, PooledSession& session);
     Requirement readRequirement(GroupState& group, const PooledSession& session) const;
     Requirement primaryRequirement(GroupState& group, PooledSession& session);
+    bool isBetterElsewhere(const GroupState& group, const Operation& operation) const;
+
+    // PoolerDispatch.cpp: choice of server and connection.
     ServerState* chooseServer(GroupState& group, const PooledSession& session,
                               const Requirement& requirement);
     bool isCandidate(const GroupState& group, const ServerState& server,
@@ -226,12 +229,13 @@
     Duration costOf(const GroupState& group, const ServerState& server,
                     const Requirement& requirement) const;
     bool hasRoom(const ServerState& server, const PooledSession& session) const;
-    bool isBetterElsewhere(const GroupState& group, const Operation& operation) const;
     bool isSuspect(const ServerState& server) const;
     std::uint32_t connectionLimit(const GroupName& group) const;
     bool mayOpen(const ServerState& server) const;
     void openConnection(ServerState& server);
     ServerConnection* takeIdle(ServerState& server, const PooledSession& session);
+
+    // PoolerSending.cpp: what is sent on a connection.
     void start(GroupState& group, ServerState& server, ServerConnection& connection,
                PooledSession& session, const Requirement& requirement);
     void sendStatement(ServerConnection& connection, PooledSession& session,
@@ -242,9 +246,6 @@
     void alignPrepared(ServerConnection& connection, const PooledSession& session,
                        std::vector<ServerCommand>& commands);
     ServerCommand callerCommand(const PooledSession& session) const;
-    void keepWarm(GroupState& group);
-    bool keepsWarm(const GroupName& group) const;
-    void releaseUnused(GroupState& group, TimePoint now);
 
     // PoolerResults.cpp: what servers answer.
     void onBeginResult(ServerConnection& connection, PooledSession& session,
@@ -276,6 +277,9 @@
     void onUserLost(PooledSession& session, const char* reason);
     void onSentLost(PooledSession& session, const char* reason);
     void sendRollback(ServerConnection& connection);
+    void keepWarm(GroupState& group);
+    bool keepsWarm(const GroupName& group) const;
+    void releaseUnused(GroupState& group, TimePoint now);
 
     // PoolerForwarding.cpp: what other nodes execute.
     bool forward(PooledSession& session);
--- a/tests/pooling/LeadershipTrackerTest.cpp
+++ b/tests/pooling/LeadershipTrackerTest.cpp
@@ -1,7 +1,7 @@
-#include "pooling/LeadershipTracker.h"
-
 #include <CppUTest/TestHarness.h>
 
+#include "pooling/LeadershipTracker.h"
+
 namespace coralhoist::pooling {
 namespace {
 
--- a/tests/pooling/PoolerTest.cpp
+++ b/tests/pooling/PoolerTest.cpp
@@ -15,6 +15,20 @@
 
 TEST_GROUP(StatementPooler) {
     PoolerFixture fixture;
+
+    std::string write(const char* service) {
+        return fixture.submit(fixture.session(service), StatementVerb::Write, "WRITE 1 a");
+    }
+
+    /** A write of "own" has been seen to take ten times as long as one of "bounded". */
+    void observeSlotTimes() {
+        write("own");
+        fixture.clock.advance(milliseconds(40));
+        fixture.succeed();
+        write("bounded");
+        fixture.clock.advance(milliseconds(4));
+        fixture.succeed();
+    }
 };
 
 TEST(StatementPooler, PassesAReadOnAsGivenAndReturnsItsSignature) {
@@ -267,16 +281,7 @@
 
 /** Found on a deployment whose servers have two slots: in an overload all kinds were late alike. */
 TEST(StatementPooler, OfTheStatementsThatAreOnTimeThoseThatTakeLessGoFirst) {
-    const auto write = [this](const char* service) {
-        const SessionId session = fixture.session(service);
-        return fixture.submit(session, StatementVerb::Write, "WRITE 1 a");
-    };
-    write("own");
-    fixture.clock.advance(milliseconds(40));
-    fixture.succeed();
-    write("bounded");
-    fixture.clock.advance(milliseconds(4));
-    fixture.succeed();
+    observeSlotTimes();
     const std::string occupying = write("own");
     std::vector<std::string> dear;
     for (int index = 0; index < 6; ++index) {
@@ -292,16 +297,7 @@
 }
 
 TEST(StatementPooler, AStatementThatIsNoLongerOnTimeGivesWayHoweverLittleItTakes) {
-    const auto write = [this](const char* service) {
-        const SessionId session = fixture.session(service);
-        return fixture.submit(session, StatementVerb::Write, "WRITE 1 a");
-    };
-    write("own");
-    fixture.clock.advance(milliseconds(40));
-    fixture.succeed();
-    write("bounded");
-    fixture.clock.advance(milliseconds(4));
-    fixture.succeed();
+    observeSlotTimes();
     write("own");
     const std::string late = write("bounded");
     fixture.clock.advance(milliseconds(101));
--- a/tests/pooling/SlotTimeEstimatesTest.cpp
+++ b/tests/pooling/SlotTimeEstimatesTest.cpp
@@ -1,7 +1,7 @@
-#include "pooling/SlotTimeEstimates.h"
-
 #include <CppUTest/TestHarness.h>
 
+#include "pooling/SlotTimeEstimates.h"
+
 namespace coralhoist::pooling {
 namespace {
 
