--- a/src/pooling/PoolerKnobs.h
+++ b/src/pooling/PoolerKnobs.h
@@ -56,6 +56,10 @@
     Duration suspectAfter = std::chrono::milliseconds(400);
     /** A read unanswered for so long is also sent to another server, at the least. */
     Duration hedgeAfter = std::chrono::milliseconds(150);
+    /** The same for a read that takes so many times as long as others at a server that answers. */
+    std::uint32_t hedgeAfterLatencies = 4;
+    /** Times that one read is sent again for want of an answer. */
+    std::uint32_t hedgesPerRead = 2;
     /** Time a connection may take to open. */
     Duration connectTimeout = std::chrono::milliseconds(600);
     /** Pause before a server that refused a connection is tried again. */
@@ -69,7 +73,7 @@
     /** Share of the statement timeout for which an unsent statement is held, in percent. */
     std::uint32_t holdPercent = 70;
     /** Abandoned statements are waited for this long before their connection is closed. */
-    Duration abandonedFor = std::chrono::seconds(3);
+    Duration abandonedFor = std::chrono::milliseconds(600);
     /** Most prepared names on one server connection before it is reset. */
     std::size_t preparedPerConnection = 400;
 };
--- a/src/pooling/PoolerTimers.cpp
+++ b/src/pooling/PoolerTimers.cpp
@@ -80,6 +80,21 @@
     refuseAsBusy(session);
 }
 
+/**
+ * The server answers nothing at all, or it answers others while this statement takes several times
+ * as long as they do: then its answer is lost, or its connection.
+ */
+bool StatementPooler::isAnswerOverdue(const Operation& operation, const ServerState* server) const {
+    if (server == nullptr) {
+        return true;
+    }
+    const TimePoint now = _clock.now();
+    const bool silent = server->silentSince && now - *server->silentSince >= _knobs.hedgeAfter;
+    const Duration patience =
+        std::max(_knobs.hedgeAfter, server->latency * _knobs.hedgeAfterLatencies);
+    return silent || now - operation.sentAt >= patience;
+}
+
 void StatementPooler::reviewSent(PooledSession& session, TimePoint now) {
     Operation& operation = *session.operation;
     ServerConnection* connection = findConnection(operation.connection);
@@ -87,9 +102,8 @@
     const bool readsOnly = single && !operation.writes;
     if (now < operation.deadline) {
         const ServerState* server = connection != nullptr ? serverOf(*connection) : nullptr;
-        const bool silent = server == nullptr || (server->silentSince &&
-                                                  now - *server->silentSince >= _knobs.hedgeAfter);
-        if (readsOnly && silent && operation.attempts == 0 && now < operation.holdUntil) {
+        const bool mayHedge = readsOnly && operation.attempts < _knobs.hedgesPerRead;
+        if (mayHedge && isAnswerOverdue(operation, server) && now < operation.holdUntil) {
             ++_statistics.hedges;
             if (connection != nullptr) {
                 abandon(*connection);
@@ -97,9 +111,8 @@
             requeue(session, "server_silent");
             return;
         }
-        wakeAt(session, readsOnly && operation.attempts == 0
-                            ? std::min(operation.deadline, now + _knobs.hedgeAfter / 2)
-                            : operation.deadline);
+        wakeAt(session, mayHedge ? std::min(operation.deadline, now + _knobs.hedgeAfter / 2)
+                                 : operation.deadline);
         return;
     }
     if (operation.phase == OperationPhase::Beginning) {
--- a/src/pooling/StatementPooler.h
+++ b/src/pooling/StatementPooler.h
@@ -296,6 +296,7 @@
     void wakeAt(const PooledSession& session, TimePoint at);
     void review(PooledSession& session, TimePoint now);
     void reviewQueued(PooledSession& session, TimePoint now);
+    bool isAnswerOverdue(const Operation& operation, const ServerState* server) const;
     void reviewSent(PooledSession& session, TimePoint now);
     void everyTick(TimePoint now);
     void reportServers(const GroupName& name, GroupState& group);
--- a/tests/pooling/PoolerTest.cpp
+++ b/tests/pooling/PoolerTest.cpp
@@ -308,6 +308,33 @@
     STRCMP_EQUAL(late.c_str(), fixture.pending().command.id.c_str());
 }
 
+/** Found on dk-booking, scale-1: a primary lost one answer in five, and those reads timed out. */
+TEST(StatementPooler, AReadWhoseAnswerIsLostIsSentAgainWhileTheServerAnswersOthers) {
+    const std::string lost =
+        fixture.submit(fixture.session("current"), StatementVerb::Read, "READ 1");
+    const ConnectionId connection = fixture.pending().connection;
+    fixture.connector.sent.clear();
+    for (int step = 0; step < 4; ++step) {
+        fixture.advance(milliseconds(50));
+        fixture.openConnections();
+        if (fixture.pendingCount() > 0) {
+            break;
+        }
+        write("current");
+        fixture.openConnections();
+        fixture.succeed();
+    }
+    UNSIGNED_LONGS_EQUAL(1, fixture.pendingCount());
+    STRCMP_EQUAL(lost.c_str(), fixture.pending().command.id.c_str());
+    CHECK_FALSE(fixture.pending().connection == connection);
+    fixture.succeed();
+    CHECK_FALSE(fixture.replies.back().result.error.has_value());
+    fixture.advance(milliseconds(601));
+    fixture.advance(milliseconds(60));
+    const std::vector<ConnectionId>& closed = fixture.connector.closed;
+    CHECK_TRUE(std::find(closed.begin(), closed.end(), connection) != closed.end());
+}
+
 /** Found on dk-booking, trouble-1: after a loss of power two nodes got no connection for 2 s. */
 TEST(StatementPooler, AfterAStartANodeOpensOneConnectionToEachServer) {
     PoolerKnobs knobs;
