--- a/src/pooling/PoolerQueue.cpp
+++ b/src/pooling/PoolerQueue.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/Log.h"
 #include "pooling/StatementPooler.h"
 
 namespace coralhoist::pooling {
@@ -98,7 +99,7 @@
         return false;
     }
     const Requirement requirement = requirementOf(group, session);
-    if (requirement.primary && isBetterElsewhere(group, operation) && forwardToOther(session)) {
+    if (requirement.primary && moveToOther(group, session)) {
         return true;
     }
     if (requirement.impossible) {
@@ -118,6 +119,20 @@
     return true;
 }
 
+/** @return whether another node executes the statement because this one can't use the primary. */
+bool StatementPooler::moveToOther(const GroupState& group, PooledSession& session) {
+    const char* obstacle = obstacleHere(group, *session.operation);
+    if (obstacle == nullptr || !forwardToOther(session)) {
+        return false;
+    }
+    LogEvent("pooling", LogLevel::Info, "request.moved")
+        .field("request", session.operation->statement.id)
+        .field("group", session.group)
+        .field("executor", session.operation->executor)
+        .field("obstacle", obstacle);
+    return true;
+}
+
 StatementPooler::Requirement StatementPooler::requirementOf(GroupState& group,
                                                             PooledSession& session) {
     const bool opensTransaction = session.transaction.phase == TransactionPhase::Unstarted;
@@ -182,26 +197,30 @@
 }
 
 /**
- * @return whether a statement that needs the primary may fare better on another node: the primary
- * is silent or out of reach from here, has no connection left for this process, or its leadership
- * can't be proven here. The others may see the same, but then nothing is lost.
+ * A statement that needs the primary may fare better on another node when the primary is silent or
+ * out of reach from here, has no connection left for this process, or can't be proven to lead here.
+ * The others may see the same, but then nothing is lost.
+ * @return a word for logs; null when this node can serve it.
  */
-bool StatementPooler::isBetterElsewhere(const GroupState& group, const Operation& operation) const {
+const char* StatementPooler::obstacleHere(const GroupState& group,
+                                          const Operation& operation) const {
     if (_knobs.forwardWhenRefused == 0 || !group.leadership.primary()) {
-        return false;
+        return nullptr;
     }
     const TimePoint now = _clock.now();
     if (!operation.writes && !group.leadership.isCertainFor(operation.consistentSince)) {
-        return now - operation.arrivedAt > kProofPatience;
+        const bool overdue = now - operation.arrivedAt > kProofPatience;
+        return overdue ? "leadership_unproven" : nullptr;
     }
     const auto found = group.servers.find(group.leadership.primary()->server);
     if (found == group.servers.end()) {
-        return false;
+        return nullptr;
     }
     const ServerState& server = found->second;
-    const bool refused =
-        server.connections == 0 && server.refusedAbove && now < server.refusedUntil;
-    return refused || isSuspect(server);
+    if (server.connections == 0 && server.refusedAbove && now < server.refusedUntil) {
+        return "connections_refused";
+    }
+    return isSuspect(server) ? "primary_suspect" : nullptr;
 }
 
 }  // namespace coralhoist::pooling
--- a/src/pooling/StatementPooler.h
+++ b/src/pooling/StatementPooler.h
@@ -219,7 +219,8 @@
     Requirement requirementOf(GroupState& group, PooledSession& session);
     Requirement readRequirement(GroupState& group, const PooledSession& session) const;
     Requirement primaryRequirement(GroupState& group, PooledSession& session);
-    bool isBetterElsewhere(const GroupState& group, const Operation& operation) const;
+    const char* obstacleHere(const GroupState& group, const Operation& operation) const;
+    bool moveToOther(const GroupState& group, PooledSession& session);
 
     // PoolerDispatch.cpp: choice of server and connection.
     ServerState* chooseServer(GroupState& group, const PooledSession& session,
