--- a/src/pooling/PoolerKnobs.h
+++ b/src/pooling/PoolerKnobs.h
@@ -25,8 +25,8 @@
      * time: when all processes have lost power, servers keep their former connections for seconds,
      * and what is left must do for a first one of each. */
     Duration singleConnectionFor = std::chrono::milliseconds(500);
-    /** Not 0: what needs a server that has no connection left for this process goes to another. */
-    std::uint32_t forwardWhenRefused = 1;
+    /** Not 0: what needs a primary that this process can't use goes to another executor, once. */
+    std::uint32_t moveToOthers = 1;
     /** Connections being opened to one server at a time. */
     std::uint32_t concurrentConnects = 2;
     /** Most statements outside transactions in flight to a server for each of its slots. */
--- a/src/pooling/PoolerQueue.cpp
+++ b/src/pooling/PoolerQueue.cpp
@@ -204,7 +204,7 @@
  */
 const char* StatementPooler::obstacleHere(const GroupState& group,
                                           const Operation& operation) const {
-    if (_knobs.forwardWhenRefused == 0 || !group.leadership.primary()) {
+    if (_knobs.moveToOthers == 0 || !group.leadership.primary()) {
         return nullptr;
     }
     const TimePoint now = _clock.now();
