Say once what a new announcement is, what a single read is, and how a session leaves its transaction

cause: reading the change again: the test for a new announcement stood in LeadershipTracker and GroupFailover, that for a single read in four places, the end of a session's transaction in six. ClusterControl::onProof decided by the record's phase what LeadershipTracker::confirmByRecord decides again, and read each record twice.

--- a/lab/pooled/PooledNode.cpp
+++ b/lab/pooled/PooledNode.cpp
@@ -210,9 +210,7 @@
             _unproven.erase(group);
             _failovers[group]->onRecord(loaded.record);
             _pooler.applyNotice(group, _failovers[group]->record().notice());
-            if (loaded.record.phase == pooling::PromotionPhase::None) {
-                _pooler.confirmByRecord(group, loaded.record.version, askedAt);
-            }
+            _pooler.confirmByRecord(group, loaded.record.version, askedAt);
         });
     }
 }
--- a/src/cluster/ClusterControl.cpp
+++ b/src/cluster/ClusterControl.cpp
@@ -9,7 +9,6 @@
 namespace coralhoist::cluster {
 namespace {
 
-using pooling::PromotionPhase;
 using store::ObjectEvent;
 using store::StoredObject;
 
@@ -352,22 +351,13 @@
         return;
     }
     _unproven.clear();
-    std::set<GroupName> underWay;
-    std::map<GroupName, std::uint64_t> closedVersions;
+    std::map<GroupName, std::uint64_t> versions;
     for (const StoredObject& object : page->objects) {
         onPromotion(object);
-        const GroupName group(object.name);
-        const auto record = _dependencies.codec.readPromotion(object);
-        if (record && record->phase == PromotionPhase::None) {
-            closedVersions[group] = record->version;
-        } else {
-            underWay.insert(group);
-        }
+        versions[GroupName(object.name)] = object.version;
     }
     for (const auto& [group, servers] : _directory.groups()) {
-        if (!underWay.contains(group)) {
-            _pooler.confirmByRecord(group, closedVersions[group], askedAt);
-        }
+        _pooler.confirmByRecord(group, versions[group], askedAt);
     }
 }
 
--- a/src/failover/GroupFailover.cpp
+++ b/src/failover/GroupFailover.cpp
@@ -96,9 +96,7 @@
     if (record.version <= _record.version) {
         return;
     }
-    const bool announces = record.phase == PromotionPhase::Promoting &&
-                           (_record.phase != record.phase ||
-                            _record.successor != record.successor || _record.term != record.term);
+    const bool announces = pooling::announcesAnew(_record.notice(), record.notice());
     _record = record;
     _recordSeenAt = _dependencies.clock.now();
     if (announces) {
--- a/src/pooling/LeadershipTracker.cpp
+++ b/src/pooling/LeadershipTracker.cpp
@@ -11,6 +11,12 @@
 
 }  // namespace
 
+bool announcesAnew(const PromotionNotice& before, const PromotionNotice& after) {
+    return after.phase == PromotionPhase::Promoting &&
+           (before.phase != after.phase || before.term != after.term ||
+            before.successor != after.successor);
+}
+
 void LeadershipTracker::onDirectory(const ServerDirectory::Servers& servers, TimePoint now) {
     for (auto& [name, claim] : _claims) {
         claim.claims = false;
@@ -48,9 +54,7 @@
     if (notice.version < _notice.version) {
         return;
     }
-    const bool announced = notice.phase == PromotionPhase::Promoting &&
-                           (_notice.phase != notice.phase || _notice.term != notice.term ||
-                            _notice.successor != notice.successor);
+    const bool announced = announcesAnew(_notice, notice);
     _notice = notice;
     if (announced) {
         _announcedAt = now;
--- a/src/pooling/LeadershipTracker.h
+++ b/src/pooling/LeadershipTracker.h
@@ -48,6 +48,9 @@
     bool operator==(const PromotionNotice&) const = default;
 };
 
+/** @return whether the later notice announces a successor that the earlier one does not. */
+bool announcesAnew(const PromotionNotice& before, const PromotionNotice& after);
+
 /**
  * Leadership of one group. Invariants: the newest term seen never decreases; a server that has not
  * shown that term is not taken for the primary once another one has claimed it.
@@ -73,10 +76,10 @@
     void confirm(const Primary& primary, TimePoint at);
 
     /**
-     * The store's record showed no promotion under way at a moment. A record is closed only when
+     * The store showed this version of the record at a moment. A record is closed only when
      * its announcement is older than the lease, so every proof that an earlier primary led has run
-     * out by then, and the primary may be written to at once. Nothing follows from a record that is
-     * not the newest one known.
+     * out by then, and the primary may be written to at once. Nothing follows from a record that
+     * shows a promotion under way or is not the newest one known.
      * @param recordVersion version of the record; 0 when there was none.
      * @param at a time not later than that moment.
      */
--- a/src/pooling/PoolerConnections.cpp
+++ b/src/pooling/PoolerConnections.cpp
@@ -178,6 +178,12 @@
     }
 }
 
+/** The session is outside any transaction from now on; what it had open is ended elsewhere. */
+void StatementPooler::forgetTransaction(PooledSession& session) {
+    session.transaction = SessionTransaction{};
+    _openTransactions.erase(session.id);
+}
+
 /** A statement was sent and its answer will not come. */
 void StatementPooler::onSentLost(PooledSession& session, const char* reason) {
     const Operation& operation = *session.operation;
@@ -196,8 +202,7 @@
         return;
     }
     const bool wrote = transaction.wrote;
-    transaction = SessionTransaction{};
-    _openTransactions.erase(session.id);
+    forgetTransaction(session);
     replyError(session, wrote ? StatementFault::InDoubt : StatementFault::Aborted, reason);
 }
 
--- a/src/pooling/PoolerForwarding.cpp
+++ b/src/pooling/PoolerForwarding.cpp
@@ -106,8 +106,7 @@
     if (result.result.state == SessionState::Failed) {
         failTransaction(*session);
     } else if (ended && transaction.phase == TransactionPhase::Open) {
-        transaction = SessionTransaction{};
-        _openTransactions.erase(session->id);
+        forgetTransaction(*session);
     }
     finishOperation(*session, std::move(result.result));
     settle();
@@ -153,10 +152,9 @@
         wakeAt(session, operation.deadline);
         return;
     }
-    const bool readsOnly = session.transaction.phase == TransactionPhase::None && !operation.writes;
     endUnit(session.operation->unit);
     session.transaction.unit.reset();
-    if (readsOnly) {
+    if (isSingleRead(session)) {
         replyError(session, StatementFault::Timeout, "no answer within the statement timeout");
         return;
     }
--- a/src/pooling/PoolerQueue.cpp
+++ b/src/pooling/PoolerQueue.cpp
@@ -25,7 +25,7 @@
     wakeAt(session, session.operation->holdUntil);
 }
 
-void StatementPooler::dispatch(const GroupName& /*name*/, GroupState& group) {
+void StatementPooler::dispatch(GroupState& group) {
     dispatchQueue(group, group.urgent);
     dispatchQueue(group, group.ordinary);
 }
@@ -37,6 +37,10 @@
     return session.operation->writes ? UnitKind::Write : UnitKind::Read;
 }
 
+bool StatementPooler::isSingleRead(const PooledSession& session) {
+    return unitKindOf(session) == UnitKind::Read;
+}
+
 /**
  * Statements that can still meet their objective go first; those that have waited too long for that
  * take what is left. Otherwise an overload would make every statement late. Among the former, those
--- a/src/pooling/PoolerResults.cpp
+++ b/src/pooling/PoolerResults.cpp
@@ -143,7 +143,7 @@
     groupOf(session).slotTimes.add(session.service, kind, took);
 }
 
-/** A transaction has ended, whatever became of it. */
+/** A transaction was committed or rolled back by its caller. */
 void StatementPooler::noteTransactionTime(const PooledSession& session) {
     if (session.transaction.slotTime > Duration(0)) {
         groupOf(session).slotTimes.add(session.service, UnitKind::Transaction,
@@ -179,8 +179,7 @@
         const SessionState state = result.state;
         if (transaction.phase == TransactionPhase::Open) {
             noteTransactionTime(session);
-            transaction = SessionTransaction{};
-            _openTransactions.erase(session.id);
+            forgetTransaction(session);
         }
         release(connection, state);
     } else if (ServerState* server = serverOf(connection); server && connection.inflight) {
@@ -272,8 +271,7 @@
         replyError(session, StatementFault::Aborted, result.error->message);
         return;
     }
-    session.transaction = SessionTransaction{};
-    _openTransactions.erase(session.id);
+    forgetTransaction(session);
     const bool nothingKept = provesNotRun(fault) || !wrote;
     replyError(session, nothingKept ? StatementFault::Aborted : StatementFault::InDoubt,
                result.error->message);
--- a/src/pooling/PoolerSending.cpp
+++ b/src/pooling/PoolerSending.cpp
@@ -103,9 +103,7 @@
         command.name = session.prepared.at(operation.statement.name).serverName;
         command.argument = operation.statement.argument;
     }
-    const bool conditional =
-        session.transaction.phase == TransactionPhase::None && !operation.writes;
-    if (conditional && operation.floor.term > 0) {
+    if (isSingleRead(session) && operation.floor.term > 0) {
         command.after = operation.floor;
     }
     return command;
@@ -135,8 +133,7 @@
     }
     session.transaction.wrote = session.transaction.wrote || operation.writes;
     _connector.send(connection.id, commands);
-    const bool mayHedge = session.transaction.phase == TransactionPhase::None && !operation.writes;
-    wakeAt(session, mayHedge ? now + _knobs.hedgeAfter : operation.deadline);
+    wakeAt(session, isSingleRead(session) ? now + _knobs.hedgeAfter : operation.deadline);
 }
 
 void StatementPooler::sendInTransaction(PooledSession& session) {
--- a/src/pooling/PoolerStatements.cpp
+++ b/src/pooling/PoolerStatements.cpp
@@ -137,8 +137,7 @@
 void StatementPooler::endFailedTransaction(PooledSession& session, const Statement& statement) {
     SessionTransaction& transaction = session.transaction;
     if (statement.verb == StatementVerb::Rollback || statement.verb == StatementVerb::Commit) {
-        transaction = SessionTransaction{};
-        _openTransactions.erase(session.id);
+        forgetTransaction(session);
         if (statement.verb == StatementVerb::Commit) {
             replyError(session, StatementFault::Aborted, "the transaction had failed");
             return;
@@ -159,8 +158,7 @@
         session.transaction.connection ? findConnection(*session.transaction.connection) : nullptr;
     endUnit(session.transaction.unit);
     noteTransactionTime(session);
-    session.transaction = SessionTransaction{};
-    _openTransactions.erase(session.id);
+    forgetTransaction(session);
     if (connection != nullptr) {
         connection->user.reset();
         sendRollback(*connection);
--- a/src/pooling/PoolerTimers.cpp
+++ b/src/pooling/PoolerTimers.cpp
@@ -98,8 +98,7 @@
 void StatementPooler::reviewSent(PooledSession& session, TimePoint now) {
     Operation& operation = *session.operation;
     ServerConnection* connection = findConnection(operation.connection);
-    const bool single = session.transaction.phase == TransactionPhase::None;
-    const bool readsOnly = single && !operation.writes;
+    const bool readsOnly = isSingleRead(session);
     if (now < operation.deadline) {
         const ServerState* server = connection != nullptr ? serverOf(*connection) : nullptr;
         const bool mayHedge = readsOnly && operation.attempts < _knobs.hedgesPerRead;
--- a/src/pooling/StatementPooler.cpp
+++ b/src/pooling/StatementPooler.cpp
@@ -183,7 +183,7 @@
         for (auto& [name, group] : _groups) {
             if (group.dirty) {
                 group.dirty = false;
-                dispatch(name, group);
+                dispatch(group);
             }
         }
         if (!_replies.empty() || !_closing.empty()) {
--- a/src/pooling/StatementPooler.h
+++ b/src/pooling/StatementPooler.h
@@ -100,8 +100,9 @@
     void confirmLeadership(const GroupName& group, TimePoint askedAt);
 
     /**
-     * The store showed that no promotion of the group was under way at a moment not before askedAt.
-     * @param recordVersion version of the group's record; 0 when there is none.
+     * The store showed this version of the group's record at a moment not before askedAt; it proves
+     * the primary's leadership when it shows no promotion under way.
+     * @param recordVersion 0 when there is no record.
      */
     void confirmByRecord(const GroupName& group, std::uint64_t recordVersion, TimePoint askedAt);
 
@@ -209,10 +210,11 @@
 
     // PoolerQueue.cpp: statements that wait, and what each needs of a server.
     void enqueue(PooledSession& session);
-    void dispatch(const GroupName& name, GroupState& group);
+    void dispatch(GroupState& group);
     void dispatchQueue(GroupState& group, std::vector<SessionId>& queue);
     void sortQueue(const GroupState& group, std::vector<SessionId>& queue);
     static UnitKind unitKindOf(const PooledSession& session);
+    static bool isSingleRead(const PooledSession& session);
     bool isQueued(const PooledSession& session) const;
     bool isOnTime(const PooledSession& session) const;
     bool place(GroupState& group, PooledSession& session);
@@ -276,6 +278,7 @@
     void forget(ConnectionId connection);
     void failTransaction(PooledSession& session);
     void onUserLost(PooledSession& session, const char* reason);
+    void forgetTransaction(PooledSession& session);
     void onSentLost(PooledSession& session, const char* reason);
     void sendRollback(ServerConnection& connection);
     void keepWarm(GroupState& group);
