--- a/lab/benchmark/BenchmarkCommand.cpp
+++ b/lab/benchmark/BenchmarkCommand.cpp
@@ -1,15 +1,13 @@
 #include "lab/benchmark/BenchmarkCommand.h"
 
-#include <popt.h>
-
 #include <charconv>
 #include <cstdio>
-#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "lab/benchmark/PointReadBenchmark.h"
+#include "program/PoptContext.h"
 
 namespace coralhoist::lab {
 namespace {
@@ -29,11 +27,6 @@
     int rounds = 3;
 };
 
-struct PoptContextDeleter {
-    void operator()(poptContext context) const { poptFreeContext(context); }
-};
-using PoptContextPointer = std::unique_ptr<std::remove_pointer_t<poptContext>, PoptContextDeleter>;
-
 bool parseFlags(int argumentCount, char** arguments, BenchmarkFlags& flags) {
     const poptOption options[] = {
         {"direct", 0, POPT_ARG_STRING, &flags.direct, 0, "a server of the group", "IP:PORT"},
@@ -44,9 +37,9 @@
         {"reads", 0, POPT_ARG_INT, &flags.reads, 0, "reads on each connection", "COUNT"},
         {"rounds", 0, POPT_ARG_INT, &flags.rounds, 0, "times both are measured in turn", "COUNT"},
         POPT_AUTOHELP POPT_TABLEEND};
-    const PoptContextPointer context(poptGetContext("coralhoist-lab benchmark", argumentCount,
-                                                    const_cast<const char**>(arguments), options,
-                                                    0));
+    const program::PoptContext context(poptGetContext("coralhoist-lab benchmark", argumentCount,
+                                                      const_cast<const char**>(arguments), options,
+                                                      0));
     const int result = poptGetNextOpt(context.get());
     if (result < -1) {
         std::fprintf(stderr, "coralhoist-lab benchmark: %s: %s\n",
--- a/lab/database/DatabaseCommand.cpp
+++ b/lab/database/DatabaseCommand.cpp
@@ -1,19 +1,17 @@
 #include "lab/database/DatabaseCommand.h"
 
-#include <popt.h>
-
 #include <QCoreApplication>
 #include <QFile>
 #include <QJsonArray>
 #include <QJsonDocument>
 #include <QStringList>
 #include <cstdio>
-#include <memory>
 
 #include "base/Error.h"
 #include "lab/TerminationSignal.h"
 #include "lab/database/ControlServer.h"
 #include "lab/database/DatabaseGroup.h"
+#include "program/PoptContext.h"
 
 namespace coralhoist::lab::database {
 namespace {
@@ -210,10 +208,8 @@
          "silence of the primary before an election", "MILLISECONDS"},
         {"seed", 0, POPT_ARG_INT, &raw.seed, 0, "of random()", "NUMBER"},
         POPT_AUTOHELP POPT_TABLEEND};
-    const std::unique_ptr<poptContext_s, decltype(&poptFreeContext)> context(
-        poptGetContext("coralhoist-lab database", argumentCount,
-                       const_cast<const char**>(arguments), table, 0),
-        &poptFreeContext);
+    const program::PoptContext context(poptGetContext(
+        "coralhoist-lab database", argumentCount, const_cast<const char**>(arguments), table, 0));
     const int code = poptGetNextOpt(context.get());
     if (code < -1) {
         std::fprintf(stderr, "coralhoist-lab database: %s: %s\n",
--- a/lab/experiment/RunCommand.cpp
+++ b/lab/experiment/RunCommand.cpp
@@ -1,10 +1,7 @@
-#include <popt.h>
 
 #include <QSaveFile>
 #include <algorithm>
 #include <cstdio>
-#include <cstdlib>
-#include <memory>
 #include <string>
 
 #include "base/Error.h"
@@ -14,6 +11,7 @@
 #include "lab/experiment/JsonReport.h"
 #include "lab/experiment/ScenarioFile.h"
 #include "lab/experiment/TextReport.h"
+#include "program/PoptContext.h"
 
 namespace coralhoist::experiment {
 namespace {
@@ -32,25 +30,9 @@
     bool onlyCoralhoist = false;
 };
 
-struct PoptContextFree {
-    void operator()(poptContext context) const { poptFreeContext(context); }
-};
-using PoptContext = std::unique_ptr<std::remove_pointer_t<poptContext>, PoptContextFree>;
-
-/** A text that popt has allocated. */
-struct PoptText {
-    char* text = nullptr;
-    PoptText() = default;
-    PoptText(const PoptText&) = delete;
-    PoptText& operator=(const PoptText&) = delete;
-    // NOLINTNEXTLINE(cppcoreguidelines-no-malloc): popt allocates its strings with malloc.
-    ~PoptText() { std::free(text); }
-    std::string value() const { return text == nullptr ? "" : text; }
-};
-
 Status parseFlags(int argumentCount, char** arguments, RunFlags& flags) {
-    PoptText json;
-    PoptText html;
+    program::PoptText json;
+    program::PoptText html;
     int onlyCoralhoist = 0;
     const poptOption options[] = {
         {"seed", 's', POPT_ARG_INT, &flags.seed, 0, "seed of the first run", "NUMBER"},
@@ -60,8 +42,8 @@
         {"html", 0, POPT_ARG_STRING, &html.text, 0, "write a report with plots", "FILE"},
         {"no-baselines", 0, POPT_ARG_NONE, &onlyCoralhoist, 0, "run coralhoist alone", nullptr},
         POPT_AUTOHELP POPT_TABLEEND};
-    const PoptContext context(poptGetContext("coralhoist-lab run", argumentCount,
-                                             const_cast<const char**>(arguments), options, 0));
+    const program::PoptContext context(poptGetContext(
+        "coralhoist-lab run", argumentCount, const_cast<const char**>(arguments), options, 0));
     poptSetOtherOptionHelp(context.get(), "SCENARIO.toml [FLAGS]");
     const int result = poptGetNextOpt(context.get());
     if (result < -1) {
@@ -78,8 +60,8 @@
                                                 std::to_string(kMostRepeats) + ")"};
     }
     flags.scenarioFile = scenario;
-    flags.jsonFile = json.value();
-    flags.htmlFile = html.value();
+    flags.jsonFile = json.valueOr("");
+    flags.htmlFile = html.valueOr("");
     flags.onlyCoralhoist = onlyCoralhoist != 0;
     return Status::ok();
 }
--- a/lab/platform/PlatformCommand.cpp
+++ b/lab/platform/PlatformCommand.cpp
@@ -1,16 +1,14 @@
 #include "lab/platform/PlatformCommand.h"
 
-#include <popt.h>
-
 #include <QCoreApplication>
 #include <QFile>
 #include <QJsonDocument>
 #include <cstdio>
-#include <memory>
 #include <string>
 
 #include "base/Error.h"
 #include "lab/platform/PlatformServer.h"
+#include "program/PoptContext.h"
 
 namespace coralhoist::lab {
 namespace {
@@ -27,36 +25,25 @@
     int bookmarkMilliseconds = 1000;
 };
 
-struct PoptContextFree {
-    void operator()(poptContext context) const { poptFreeContext(context); }
-};
-using PoptContext = std::unique_ptr<std::remove_pointer_t<poptContext>, PoptContextFree>;
-
 /** @return whether the command line is valid; a fault has been printed otherwise. */
 bool parseFlags(int argumentCount, char** arguments, PlatformFlags& flags) {
-    char* listen = nullptr;
-    char* initialFile = nullptr;
+    program::PoptText listen;
+    program::PoptText initialFile;
     const poptOption options[] = {
-        {"listen", 'l', POPT_ARG_STRING, &listen, 0, "IP number to listen on", "IP"},
+        {"listen", 'l', POPT_ARG_STRING, &listen.text, 0, "IP number to listen on", "IP"},
         {"port", 'p', POPT_ARG_INT, &flags.port, 0, "port; 0 lets the kernel choose", "PORT"},
-        {"initial", 'i', POPT_ARG_STRING, &initialFile, 0, "JSON file of initial objects", "FILE"},
+        {"initial", 'i', POPT_ARG_STRING, &initialFile.text, 0, "JSON file of initial objects",
+         "FILE"},
         {"machine-lag", 0, POPT_ARG_INT, &flags.machineLagMilliseconds, 0,
          "lag of the machine list in milliseconds", "MS"},
         {"bookmark-interval", 0, POPT_ARG_INT, &flags.bookmarkMilliseconds, 0,
          "time between bookmarks in milliseconds", "MS"},
         POPT_AUTOHELP POPT_TABLEEND};
-    const PoptContext context(poptGetContext("coralhoist-lab platform", argumentCount,
-                                             const_cast<const char**>(arguments), options, 0));
+    const program::PoptContext context(poptGetContext(
+        "coralhoist-lab platform", argumentCount, const_cast<const char**>(arguments), options, 0));
     const int result = poptGetNextOpt(context.get());
-    if (listen != nullptr) {
-        flags.listen = listen;
-    }
-    if (initialFile != nullptr) {
-        flags.initialFile = initialFile;
-    }
-    // NOLINTNEXTLINE(cppcoreguidelines-no-malloc): popt allocates its strings with malloc.
-    free(listen);
-    free(initialFile);  // NOLINT(cppcoreguidelines-no-malloc)
+    flags.listen = listen.valueOr(flags.listen);
+    flags.initialFile = initialFile.valueOr(flags.initialFile);
     if (result < -1) {
         std::fprintf(stderr, "coralhoist-lab platform: %s: %s\n",
                      poptBadOption(context.get(), POPT_BADOPTION_NOALIAS), poptStrerror(result));
--- a/lab/scale/ScaleCommand.cpp
+++ b/lab/scale/ScaleCommand.cpp
@@ -1,19 +1,16 @@
 #include "lab/scale/ScaleCommand.h"
 
 #include <malloc.h>
-#include <popt.h>
 
 #include <algorithm>
 #include <cstdio>
-#include <cstdlib>
 #include <functional>
-#include <memory>
 #include <string>
-#include <type_traits>
 #include <utility>
 #include <vector>
 
 #include "lab/scale/ScaleReport.h"
+#include "program/PoptContext.h"
 
 namespace coralhoist::scale {
 namespace {
@@ -46,28 +43,20 @@
     std::size_t placementGroups = 0;
 };
 
-struct PoptContextFree {
-    void operator()(poptContext context) const { poptFreeContext(context); }
-};
-using PoptContext = std::unique_ptr<std::remove_pointer_t<poptContext>, PoptContextFree>;
-
 /** @return whether the command line is valid; a fault has been printed otherwise. */
 bool parseFlags(int argumentCount, char** arguments, ScaleFlags& flags) {
-    char* only = nullptr;
+    program::PoptText only;
     const poptOption options[] = {
-        {"only", 'o', POPT_ARG_STRING, &only, 0,
+        {"only", 'o', POPT_ARG_STRING, &only.text, 0,
          "one part: nodes, groups, services, changes, restarts or join", "PART"},
         {"seed", 's', POPT_ARG_INT, &flags.seed, 0, "seed of the whole run", "NUMBER"},
         {"quick", 'q', POPT_ARG_NONE, &flags.quick, 0, "small sizes only", nullptr},
         {"json", 'j', POPT_ARG_NONE, &flags.json, 0, "print JSON instead of tables", nullptr},
         POPT_AUTOHELP POPT_TABLEEND};
-    const PoptContext context(poptGetContext("coralhoist-lab scale", argumentCount,
-                                             const_cast<const char**>(arguments), options, 0));
+    const program::PoptContext context(poptGetContext(
+        "coralhoist-lab scale", argumentCount, const_cast<const char**>(arguments), options, 0));
     const int result = poptGetNextOpt(context.get());
-    if (only != nullptr) {
-        flags.only = only;
-    }
-    free(only);  // NOLINT(cppcoreguidelines-no-malloc): popt allocates its strings with malloc.
+    flags.only = only.valueOr(flags.only);
     if (result < -1) {
         std::fprintf(stderr, "coralhoist-lab scale: %s: %s\n",
                      poptBadOption(context.get(), POPT_BADOPTION_NOALIAS), poptStrerror(result));
--- a/lab/soak/SoakCommand.cpp
+++ b/lab/soak/SoakCommand.cpp
@@ -1,15 +1,12 @@
 #include "lab/soak/SoakCommand.h"
 
-#include <popt.h>
-
 #include <QCoreApplication>
 #include <cstdio>
-#include <cstdlib>
-#include <memory>
 #include <string>
 
 #include "base/Log.h"
 #include "lab/soak/SoakRun.h"
+#include "program/PoptContext.h"
 
 namespace coralhoist::soak {
 namespace {
@@ -20,11 +17,6 @@
 /** Commits that must be acknowledged in the two seconds after everything has healed. */
 constexpr std::size_t kRecovered = 40;
 
-struct PoptContextFree {
-    void operator()(poptContext context) const { poptFreeContext(context); }
-};
-using PoptContext = std::unique_ptr<std::remove_pointer_t<poptContext>, PoptContextFree>;
-
 /** Values of the flags; popt writes into them. */
 struct SoakFlags {
     long seed = 1;
@@ -38,17 +30,9 @@
     std::string logFolder = ".";
 };
 
-/** Takes over a string that popt has allocated. */
-void assign(std::string& target, char* value) {
-    if (value != nullptr) {
-        target = value;
-    }
-    free(value);  // NOLINT(cppcoreguidelines-no-malloc): popt allocates with malloc.
-}
-
 bool parseFlags(int argumentCount, char** arguments, SoakFlags& flags) {
-    char* program = nullptr;
-    char* logFolder = nullptr;
+    program::PoptText programFile;
+    program::PoptText logFolder;
     const poptOption options[] = {
         {"seed", 's', POPT_ARG_LONG, &flags.seed, 0, "seed of the first run", "N"},
         {"runs", 'r', POPT_ARG_INT, &flags.runs, 0, "runs, each with the next seed", "N"},
@@ -58,14 +42,14 @@
         {"calm", 0, POPT_ARG_NONE, &flags.calm, 0, "no faults", nullptr},
         {"answers-early", 0, POPT_ARG_NONE, &flags.answersEarly, 0,
          "servers answer commits before a replica has them: the judge must object", nullptr},
-        {"program", 'P', POPT_ARG_STRING, &program, 0, "the proxy's program", "FILE"},
-        {"logs", 'l', POPT_ARG_STRING, &logFolder, 0, "folder for the proxies' logs", "DIR"},
+        {"program", 'P', POPT_ARG_STRING, &programFile.text, 0, "the proxy's program", "FILE"},
+        {"logs", 'l', POPT_ARG_STRING, &logFolder.text, 0, "folder for the proxies' logs", "DIR"},
         POPT_AUTOHELP POPT_TABLEEND};
-    const PoptContext context(poptGetContext("coralhoist-lab soak", argumentCount,
-                                             const_cast<const char**>(arguments), options, 0));
+    const program::PoptContext context(poptGetContext(
+        "coralhoist-lab soak", argumentCount, const_cast<const char**>(arguments), options, 0));
     const int result = poptGetNextOpt(context.get());
-    assign(flags.program, program);
-    assign(flags.logFolder, logFolder);
+    flags.program = programFile.valueOr(flags.program);
+    flags.logFolder = logFolder.valueOr(flags.logFolder);
     if (result < -1) {
         std::fprintf(stderr, "coralhoist-lab soak: %s: %s\n",
                      poptBadOption(context.get(), POPT_BADOPTION_NOALIAS), poptStrerror(result));
--- a/src/program/ConfigurationKey.h
+++ b/src/program/ConfigurationKey.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/Status.h"
@@ -33,4 +34,22 @@
     Setter set;
 };
 
+/** Longest time that a key may give: an hour. */
+constexpr std::int64_t kMaximumMilliseconds = 3'600'000;
+
+/** @return a key whose value is a whole number; the setter gets it once its range was checked. */
+inline KeyDescription numberKey(std::string key, std::int64_t minimum, std::int64_t maximum,
+                                std::string meaning,
+                                std::function<void(DaemonConfiguration&, std::int64_t)> set) {
+    return {std::move(key),
+            ValueType::Integer,
+            minimum,
+            maximum,
+            std::move(meaning),
+            [set = std::move(set)](DaemonConfiguration& configuration, const ParsedValue& value) {
+                set(configuration, value.integer);
+                return Status::ok();
+            }};
+}
+
 }  // namespace coralhoist::program
--- a/src/program/DaemonCommandLine.cpp
+++ b/src/program/DaemonCommandLine.cpp
@@ -1,12 +1,9 @@
 #include "program/DaemonCommandLine.h"
 
-#include <popt.h>
-
 #include <array>
-#include <cstdlib>
-#include <memory>
 
 #include "base/Error.h"
+#include "program/PoptContext.h"
 
 namespace coralhoist::program {
 namespace {
@@ -106,23 +103,11 @@
     return Status::ok();
 }
 
-struct ContextDeleter {
-    void operator()(poptContext context) const { poptFreeContext(context); }
-};
-using ContextPointer = std::unique_ptr<std::remove_pointer_t<poptContext>, ContextDeleter>;
-
-std::string takeArgument(poptContext context) {
-    char* text = poptGetOptArg(context);
-    std::string result = text == nullptr ? "" : text;
-    std::free(text);  // NOLINT(cppcoreguidelines-no-malloc): popt allocates it with malloc.
-    return result;
-}
-
 }  // namespace
 
 StatusWith<DaemonCommandLine> parseDaemonCommandLine(int argumentCount, const char** arguments) {
     const std::vector<poptOption> options = makeOptions();
-    const ContextPointer context(
+    const PoptContext context(
         poptGetContext("coralhoistd", argumentCount, arguments, options.data(), 0));
     DaemonCommandLine commandLine;
     int option = 0;
--- a/src/program/DaemonConfiguration.cpp
+++ b/src/program/DaemonConfiguration.cpp
@@ -18,7 +18,6 @@
 constexpr std::int64_t kMaximumCallerConnections = 1000000;
 constexpr std::int64_t kMinimumMessageBytes = 1024;
 constexpr std::int64_t kMaximumMessageBytes = std::int64_t{1} << 30;
-constexpr std::int64_t kMaximumMilliseconds = 3'600'000;
 
 Status invalid(std::string message) {
     return {ErrorCode::InvalidArgument, std::move(message)};
@@ -55,15 +54,15 @@
 template <typename Integer>
 KeyDescription integerKey(std::string key, std::int64_t minimum, std::int64_t maximum,
                           std::string meaning, Integer DaemonConfiguration::*member) {
-    return {std::move(key),
-            ValueType::Integer,
-            minimum,
-            maximum,
-            std::move(meaning),
-            [member](DaemonConfiguration& configuration, const ParsedValue& value) {
-                configuration.*member = static_cast<Integer>(value.integer);
-                return Status::ok();
-            }};
+    return numberKey(std::move(key), minimum, maximum, std::move(meaning),
+                     [member](DaemonConfiguration& configuration, std::int64_t value) {
+                         configuration.*member = static_cast<Integer>(value);
+                     });
+}
+
+KeyDescription millisecondsKey(std::string key, std::int64_t minimum, std::string meaning,
+                               std::chrono::milliseconds DaemonConfiguration::*member) {
+    return integerKey(std::move(key), minimum, kMaximumMilliseconds, std::move(meaning), member);
 }
 
 KeyDescription textKey(std::string key, std::string meaning,
@@ -144,13 +143,6 @@
                    });
 }
 
-Setter millisecondsSetter(std::chrono::milliseconds DaemonConfiguration::*member) {
-    return [member](DaemonConfiguration& configuration, const ParsedValue& value) {
-        configuration.*member = std::chrono::milliseconds(value.integer);
-        return Status::ok();
-    };
-}
-
 std::vector<KeyDescription> makeNodeKeys() {
     return {
         nameKey("node.name", "name of this proxy, unique in the estate",
@@ -165,11 +157,11 @@
         integerKey("caller.maximum_message_bytes", kMinimumMessageBytes, kMaximumMessageBytes,
                    "largest message taken from a caller",
                    &DaemonConfiguration::maximumMessageBytes),
-        {"caller.startup_timeout_ms", ValueType::Integer, 1, kMaximumMilliseconds,
-         "time for a caller's start-up", millisecondsSetter(&DaemonConfiguration::startupTimeout)},
-        {"node.drain_timeout_ms", ValueType::Integer, 0, kMaximumMilliseconds,
-         "longest wait for transactions in flight at a planned stop",
-         millisecondsSetter(&DaemonConfiguration::drainTimeout)},
+        millisecondsKey("caller.startup_timeout_ms", 1, "time for a caller's start-up",
+                        &DaemonConfiguration::startupTimeout),
+        millisecondsKey("node.drain_timeout_ms", 0,
+                        "longest wait for transactions in flight at a planned stop",
+                        &DaemonConfiguration::drainTimeout),
     };
 }
 
--- a/src/program/PoolerKeys.cpp
+++ b/src/program/PoolerKeys.cpp
@@ -9,21 +9,16 @@
 using pooling::PoolerKnobs;
 
 constexpr std::int64_t kMaximumCount = 10000;
-constexpr std::int64_t kMaximumMilliseconds = 3'600'000;
 constexpr std::int64_t kMaximumPercent = 1'000'000;
 constexpr double kPercent = 100;
 
 KeyDescription key(std::string name, std::int64_t minimum, std::int64_t maximum,
                    std::string meaning, std::function<void(PoolerKnobs&, std::int64_t)> set) {
-    return {std::move(name),
-            ValueType::Integer,
-            minimum,
-            maximum,
-            std::move(meaning),
-            [set = std::move(set)](DaemonConfiguration& configuration, const ParsedValue& value) {
-                set(configuration.pooler, value.integer);
-                return Status::ok();
-            }};
+    return numberKey(
+        std::move(name), minimum, maximum, std::move(meaning),
+        [set = std::move(set)](DaemonConfiguration& configuration, std::int64_t value) {
+            set(configuration.pooler, value);
+        });
 }
 
 KeyDescription count(std::string name, std::int64_t minimum, std::string meaning,
--- a/src/program/coralhoistctl/CommandLine.cpp
+++ b/src/program/coralhoistctl/CommandLine.cpp
@@ -1,15 +1,13 @@
 #include "program/coralhoistctl/CommandLine.h"
 
-#include <popt.h>
-
 #include <QSysInfo>
 #include <array>
 #include <charconv>
 #include <cstdlib>
 #include <limits>
-#include <memory>
 
 #include "base/Error.h"
+#include "program/PoptContext.h"
 #include "settings/SettingValue.h"
 #include "settings/Suggestion.h"
 
@@ -69,18 +67,6 @@
     return table;
 }
 
-struct ContextDeleter {
-    void operator()(poptContext context) const { poptFreeContext(context); }
-};
-using ContextPointer = std::unique_ptr<std::remove_pointer_t<poptContext>, ContextDeleter>;
-
-std::string takeArgument(poptContext context) {
-    char* text = poptGetOptArg(context);
-    std::string result = text == nullptr ? "" : text;
-    std::free(text);  // NOLINT(cppcoreguidelines-no-malloc): popt allocates it with malloc.
-    return result;
-}
-
 Status invalid(const std::string& message) {
     return {ErrorCode::InvalidArgument, message};
 }
@@ -202,11 +188,11 @@
         }
     }
     const std::vector<poptOption> table = makePoptTable();
-    const ContextPointer context(
+    const program::PoptContext context(
         poptGetContext("coralhoistctl", argumentCount, arguments, table.data(), 0));
     int option = 0;
     while ((option = poptGetNextOpt(context.get())) > 0) {
-        const std::string text = takeArgument(context.get());
+        const std::string text = program::takeArgument(context.get());
         if (Status status = applyOption(static_cast<OptionValue>(option), text, commandLine);
             !status.isOk()) {
             return status;
--- a/tests/forwarding/UnitLinkTest.cpp
+++ b/tests/forwarding/UnitLinkTest.cpp
@@ -10,6 +10,7 @@
 
 #include "link/forwarding/UnitLinks.h"
 #include "link/forwarding/UnitService.h"
+#include "tests/support/ManualClock.h"
 
 namespace coralhoist::forwarding {
 namespace {
@@ -21,15 +22,6 @@
 
 constexpr const char* kHost = "127.0.0.1";
 
-class ManualClock final : public Clock {
-public:
-    TimePoint now() const override { return _now; }
-    void advance(Duration span) { _now += span; }
-
-private:
-    TimePoint _now{std::chrono::hours(1)};
-};
-
 /** Opens at once; each caller's command is answered when the test says so. */
 class ManualServers final : public pooling::ServerConnector {
 public:
@@ -70,7 +62,7 @@
     char name[8] = "test";
     char* arguments[1] = {name};
     QCoreApplication application{count, arguments};
-    ManualClock clock;
+    testing::ManualClock clock;
     ManualServers servers;
     socket::SocketPoller poller;
     pooling::StatementPooler pooler{clock, servers, *this, {}};
--- a/tests/pooling/PoolerFixture.h
+++ b/tests/pooling/PoolerFixture.h
@@ -9,19 +9,10 @@
 #include <vector>
 
 #include "pooling/StatementPooler.h"
+#include "tests/support/ManualClock.h"
 
 namespace coralhoist::pooling {
 
-/** A clock that the test moves. */
-class TestClock final : public Clock {
-public:
-    TimePoint now() const override { return _now; }
-    void advance(Duration span) { _now += span; }
-
-private:
-    TimePoint _now{std::chrono::hours(1)};
-};
-
 /** What was sent to a server and awaits its answer. */
 struct SentCommand {
     ConnectionId connection;
@@ -85,7 +76,7 @@
     void suspectPrimary(const GroupName& group, const ServerName& server,
                         SuspicionReason reason) override;
 
-    TestClock clock;
+    testing::ManualClock clock;
     ScriptedConnector connector;
     StatementPooler pooler;
     ServerDirectory directory;
--- a/tests/session/CallerListenerTest.cpp
+++ b/tests/session/CallerListenerTest.cpp
@@ -7,6 +7,7 @@
 
 #include "link/session/CallerListener.h"
 #include "platform/CallerWire.h"
+#include "tests/support/ManualClock.h"
 
 namespace coralhoist::session {
 namespace {
@@ -15,15 +16,6 @@
 
 constexpr const char* kHost = "127.0.0.1";
 
-class ManualClock final : public Clock {
-public:
-    TimePoint now() const override { return _now; }
-    void advance(Duration span) { _now += span; }
-
-private:
-    TimePoint _now{std::chrono::hours(1)};
-};
-
 /** No server can be reached. */
 class NoServers final : public pooling::ServerConnector {
 public:
@@ -41,7 +33,7 @@
     char name[8] = "test";
     char* arguments[1] = {name};
     QCoreApplication application{count, arguments};
-    ManualClock clock;
+    testing::ManualClock clock;
     NoServers servers;
     socket::SocketPoller poller;
     platform_adapter::CallerWire wire;
