--- a/lab/soak/SoakRun.cpp
+++ b/lab/soak/SoakRun.cpp
@@ -11,9 +11,7 @@
 #include <utility>
 
 #include "base/SystemTime.h"
-#include "lab/soak/FaultyRelay.h"
-#include "lab/soak/ProxyProcess.h"
-#include "lab/soak/StandInStore.h"
+#include "lab/soak/SoakFaults.h"
 #include "lab/soak/WireCaller.h"
 #include "lab/soak/WireServer.h"
 
@@ -32,11 +30,6 @@
 constexpr Duration kRecovery = seconds(6);
 constexpr Duration kRecoveryJudged = seconds(2);
 constexpr Duration kDrainCallers = seconds(1);
-constexpr std::uint64_t kShortestGapMs = 200;
-constexpr std::uint64_t kGapSpreadMs = 900;
-constexpr std::uint64_t kShortestFaultMs = 200;
-constexpr std::uint64_t kFaultSpreadMs = 3500;
-constexpr milliseconds kStopGrace{6000};
 constexpr int kConnectionsPerServer = 30;
 constexpr int kStatementTimeoutMs = 800;
 constexpr Duration kStaleness = milliseconds(600);
@@ -47,42 +40,7 @@
 constexpr const char* kServers = "servers";
 constexpr const char* kNodes = "proxies";
 
-/** Kinds of faults; one is drawn at a time and healed later. */
-enum class SoakFault {
-    ProxyKilled,
-    ProxyPaused,
-    ProxyStopped,
-    ServerLinkDelayed,
-    ServerLinkReset,
-    ServerLinkSilent,
-    ServerLinkOneWay,
-    StoreLinkSilent,
-    StoreLinkReset,
-    PeerLinkSilent,
-    PeerLinkReset,
-    PeerLinkDelayed,
-    StoreRefuses,
-    StoreAnswersLost,
-    StoreForgets,
-    PrimaryCrashes,
-    PrimaryIsolated,
-    ReplicaDeaf,
-    ReplicaLags,
-    ConfigurationChanges,
-    Count
-};
-
-const char* describe(SoakFault fault) {
-    constexpr const char* kNames[] = {
-        "proxy killed",      "proxy paused",       "proxy stopped",       "server link delayed",
-        "server link reset", "server link silent", "server link one way", "store link silent",
-        "store link reset",  "peer link silent",   "peer link reset",     "peer link delayed",
-        "store refuses",     "store answers lost", "store forgets",       "primary crashes",
-        "primary isolated",  "replica deaf",       "replica lags",        "configuration changes"};
-    return kNames[static_cast<std::size_t>(fault)];
-}
-
-/** Builds the parts, plays the faults, asks the judge. */
+/** Builds the parts, lets the faults play, asks the judge. */
 class Soak {
 public:
     explicit Soak(const SoakOptions& options)
@@ -97,7 +55,10 @@
                      QJsonObject spec) { return view(proxy, kind, name, std::move(spec)); },
               [this](const std::string& group, const std::string& server, const std::string& holder,
                      std::uint64_t fence) { return promote(group, server, holder, fence); }),
-          _callerWorld{_queue, _random, _judge, _book, [this] { return choosePort(); }} {}
+          _callerWorld{_queue, _random, _judge, _book, [this] { return choosePort(); }},
+          _faults(_queue, _random,
+                  {_group, _store.faults(), _proxies, _storeRelays, _serverRelays, _peerRelays,
+                   [this] { writeConfiguration(); }}) {}
 
     SoakReport run() {
         startServers();
@@ -109,10 +70,10 @@
         pump.start(std::chrono::duration_cast<milliseconds>(kPump));
         _queue.after(kStart, [this] { startCallers(); });
         if (_options.faults) {
-            _queue.after(kStart, [this] { playFaults(); });
+            _queue.after(kStart, [this] { _faults.play(); });
         }
         const Duration faultsEnd = kStart + seconds(_options.seconds);
-        _queue.after(faultsEnd, [this] { healAll(); });
+        _queue.after(faultsEnd, [this] { _faults.healAll(); });
         _queue.after(faultsEnd + kRecovery - kRecoveryJudged,
                      [this] { _acknowledgedBefore = _judge.acknowledged(); });
         _queue.after(faultsEnd + kRecovery, [this] { retire(); });
@@ -257,196 +218,6 @@
         return _group.promote(ServerName(server)) ? kOk : kConflict;
     }
 
-    /** Draws one fault after another; several may stand at a time. */
-    void playFaults() {
-        if (_healed) {
-            return;
-        }
-        const auto fault =
-            static_cast<SoakFault>(_random.below(static_cast<std::uint64_t>(SoakFault::Count)));
-        const auto at = std::chrono::duration_cast<milliseconds>(_queue.now() - _queueStart);
-        _played.push_back(std::to_string(at.count()) + " " + describe(fault));
-        begin(fault);
-        _queue.after(milliseconds(kShortestGapMs + _random.below(kGapSpreadMs)),
-                     [this] { playFaults(); });
-    }
-
-    void heal(std::function<void()> action) {
-        const std::uint64_t number = ++_lastHealing;
-        _healings[number] = std::move(action);
-        _queue.after(milliseconds(kShortestFaultMs + _random.below(kFaultSpreadMs)),
-                     [this, number] { runHealing(number); });
-    }
-
-    void runHealing(std::uint64_t number) {
-        const auto found = _healings.find(number);
-        if (found != _healings.end()) {
-            const std::function<void()> action = std::move(found->second);
-            _healings.erase(found);
-            action();
-        }
-    }
-
-    void healAll() {
-        _healed = true;
-        while (!_healings.empty()) {
-            runHealing(_healings.begin()->first);
-        }
-    }
-
-    ProxyProcess& randomProxy() { return *_proxies[_random.below(_proxies.size())]; }
-
-    template <typename Relays>
-    FaultyRelay* randomRelay(Relays& relays) {
-        if (relays.empty()) {
-            return nullptr;
-        }
-        auto chosen = relays.begin();
-        std::advance(chosen, static_cast<long>(_random.below(relays.size())));
-        if constexpr (requires { chosen->second; }) {
-            return chosen->second.get();
-        } else {
-            return chosen->get();
-        }
-    }
-
-    void disturb(FaultyRelay* relay, const RelayFaults& faults) {
-        if (relay != nullptr) {
-            relay->setFaults(faults);
-            heal([relay] { relay->setFaults({}); });
-        }
-    }
-
-    static void reset(FaultyRelay* relay) {
-        if (relay != nullptr) {
-            relay->resetAll();
-        }
-    }
-
-    pooled::LogServer& primary() {
-        pooled::LogServer* best = _group.servers().front().get();
-        for (const auto& server : _group.servers()) {
-            if (server->primary && server->term >= best->term) {
-                best = server.get();
-            }
-        }
-        return *best;
-    }
-
-    pooled::LogServer& replica() {
-        std::vector<pooled::LogServer*> replicas;
-        for (const auto& server : _group.servers()) {
-            if (!server->primary) {
-                replicas.push_back(server.get());
-            }
-        }
-        return replicas.empty() ? primary() : *replicas[_random.below(replicas.size())];
-    }
-
-    void killProxy() {
-        ProxyProcess& proxy = randomProxy();
-        if (!proxy.isRunning()) {
-            return;
-        }
-        proxy.kill();
-        heal([&proxy] { proxy.start(); });
-    }
-
-    void pauseProxy() {
-        ProxyProcess& proxy = randomProxy();
-        proxy.pause();
-        heal([&proxy] { proxy.resume(); });
-    }
-
-    void stopProxy() {
-        ProxyProcess& proxy = randomProxy();
-        if (!proxy.isRunning()) {
-            return;
-        }
-        proxy.stop(kStopGrace);
-        heal([&proxy] {
-            if (proxy.isRunning()) {
-                proxy.kill();
-            }
-            proxy.start();
-        });
-    }
-
-    void crashPrimary() {
-        pooled::LogServer& server = primary();
-        if (server.running) {
-            _group.crash(server);
-            heal([this, &server] { _group.restart(server); });
-        }
-    }
-
-    void isolatePrimary() {
-        const ServerName name = primary().name;
-        _group.setIsolated(name, true);
-        heal([this, name] { _group.setIsolated(name, false); });
-    }
-
-    void begin(SoakFault fault) {
-        StoreFaults& store = _store.faults();
-        const RelayFaults delayed{milliseconds(20 + _random.below(200)), false, false};
-        const RelayFaults silent{milliseconds(0), true, true};
-        const bool forward = _random.below(2) == 0;
-        const RelayFaults oneWay{milliseconds(0), forward, !forward};
-        switch (fault) {
-            case SoakFault::ProxyKilled:
-                return killProxy();
-            case SoakFault::ProxyPaused:
-                return pauseProxy();
-            case SoakFault::ProxyStopped:
-                return stopProxy();
-            case SoakFault::ServerLinkDelayed:
-                return disturb(randomRelay(_serverRelays), delayed);
-            case SoakFault::ServerLinkReset:
-                return reset(randomRelay(_serverRelays));
-            case SoakFault::ServerLinkSilent:
-                return disturb(randomRelay(_serverRelays), silent);
-            case SoakFault::ServerLinkOneWay:
-                return disturb(randomRelay(_serverRelays), oneWay);
-            case SoakFault::StoreLinkSilent:
-                return disturb(randomRelay(_storeRelays), silent);
-            case SoakFault::StoreLinkReset:
-                return reset(randomRelay(_storeRelays));
-            case SoakFault::PeerLinkSilent:
-                return disturb(randomRelay(_peerRelays), silent);
-            case SoakFault::PeerLinkReset:
-                return reset(randomRelay(_peerRelays));
-            case SoakFault::PeerLinkDelayed:
-                return disturb(randomRelay(_peerRelays), delayed);
-            case SoakFault::StoreRefuses:
-                store.refuses = true;
-                return heal([&store] { store.refuses = false; });
-            case SoakFault::StoreAnswersLost:
-                store.answersLost = 0.4;
-                return heal([&store] { store.answersLost = 0; });
-            case SoakFault::StoreForgets:
-                store.forgotten = true;
-                return;
-            case SoakFault::PrimaryCrashes:
-                return crashPrimary();
-            case SoakFault::PrimaryIsolated:
-                return isolatePrimary();
-            case SoakFault::ReplicaDeaf: {
-                pooled::LogServer& server = replica();
-                server.deaf = true;
-                return heal([&server] { server.deaf = false; });
-            }
-            case SoakFault::ReplicaLags: {
-                pooled::LogServer& server = replica();
-                server.applyLag = milliseconds(300 + _random.below(900));
-                return heal([&server] { server.applyLag = Duration(0); });
-            }
-            case SoakFault::ConfigurationChanges:
-                return writeConfiguration();
-            case SoakFault::Count:
-                return;
-        }
-    }
-
     void retire() {
         _acknowledgedAfter = _judge.acknowledged() - _acknowledgedBefore;
         for (const auto& caller : _callers) {
@@ -458,7 +229,7 @@
         _judge.onEnd(_group.finalCommits());
         SoakReport report;
         report.violations = _judge.violations();
-        report.faults = _played;
+        report.faults = _faults.played();
         report.answered = _callerWorld.answered;
         report.failed = _callerWorld.failed;
         report.acknowledged = _judge.acknowledged();
@@ -482,16 +253,12 @@
     std::map<std::string, std::uint16_t> _serverPorts;
     StandInStore _store;
     std::vector<std::unique_ptr<FaultyRelay>> _storeRelays;
-    /** Relays by the number of the proxy that uses them and the name of what they lead to. */
-    std::map<std::pair<std::size_t, std::string>, std::unique_ptr<FaultyRelay>> _serverRelays;
-    std::map<std::pair<std::size_t, std::string>, std::unique_ptr<FaultyRelay>> _peerRelays;
+    RelaysByName _serverRelays;
+    RelaysByName _peerRelays;
     std::vector<std::unique_ptr<ProxyProcess>> _proxies;
     CallerWorld _callerWorld;
     std::vector<std::unique_ptr<WireCaller>> _callers;
-    std::map<std::uint64_t, std::function<void()>> _healings;
-    std::uint64_t _lastHealing = 0;
-    bool _healed = false;
-    std::vector<std::string> _played;
+    SoakFaults _faults;
     int _configuration = 0;
     std::size_t _acknowledgedBefore = 0;
     std::size_t _acknowledgedAfter = 0;
--- /dev/null
+++ b/src/failover/PromotionSteps.cpp
@@ -0,0 +1,163 @@
+/** Steps of a promotion once the former primary is kept from committing: announce, call, close. */
+#include <utility>
+
+#include "base/Log.h"
+#include "failover/FailoverTiming.h"
+#include "failover/GroupFailover.h"
+
+namespace coralhoist::failover {
+namespace {
+
+using pooling::ListedServer;
+using pooling::PromotionPhase;
+using pooling::ServerCommand;
+
+}  // namespace
+
+/** @return the record under the known version, with the chosen successor. */
+PromotionRecord GroupFailover::recordOfSuccessor(PromotionPhase phase) const {
+    PromotionRecord record = _record;
+    record.phase = phase;
+    record.successor = _successor;
+    record.term = _successorTerm;
+    record.base = _successorPosition;
+    return record;
+}
+
+void GroupFailover::announce(TimePoint /*now*/) {
+    _successorTerm = nextTerm();
+    _successorPosition = link(_successor).report()->report.received;
+    const PromotionRecord record = recordOfSuccessor(PromotionPhase::Promoting);
+    LogEvent("failover", LogLevel::Info, "failover.successor_chosen")
+        .field("group", _group)
+        .field("successor", _successor)
+        .field("term", _successorTerm)
+        .field("former", _former ? _former->value() : std::string("none"))
+        .field("former_position", _formerPosition ? _formerPosition->position : 0)
+        .field("secured_by", _formerPosition ? "step_down" : "paused_receivers")
+        .field("members", describeMembers());
+    enter(Phase::Announcing);
+    save(record, &GroupFailover::onAnnounced);
+}
+
+void GroupFailover::onAnnounced(const SavedRecord& saved, TimePoint askedAt) {
+    switch (saved.outcome) {
+        case StoreOutcome::Done:
+            _announcedAt = askedAt;
+            enter(Phase::Calling);
+            return;
+        case StoreOutcome::Conflict:
+            // It may have been written by a call whose answer was lost.
+            enter(Phase::Loading);
+            return;
+        case StoreOutcome::Unavailable:
+        case StoreOutcome::Unknown:
+            enter(Phase::Loading);
+            _nextTick = _dependencies.clock.now() + kStorePause;
+            return;
+    }
+}
+
+void GroupFailover::call(TimePoint now) {
+    if (_busy) {
+        return;
+    }
+    if (now - _announcedAt > kCallMargin) {
+        const PromotionRecord record = recordOfSuccessor(PromotionPhase::Promoting);
+        enter(Phase::Announcing);
+        save(record, &GroupFailover::onAnnounced);
+        return;
+    }
+    _busy = true;
+    LogEvent("failover", LogLevel::Info, "failover.promote_called")
+        .field("group", _group)
+        .field("successor", _successor)
+        .field("fence", _record.version);
+    _dependencies.caller.promote(
+        _group, _successor, _record.version,
+        [this, alive = std::weak_ptr<bool>(_alive)](PromoteOutcome outcome) {
+            if (!alive.expired()) {
+                _busy = false;
+                onCalled(outcome);
+            }
+        });
+}
+
+void GroupFailover::onCalled(PromoteOutcome outcome) {
+    const TimePoint now = _dependencies.clock.now();
+    switch (outcome) {
+        case PromoteOutcome::Accepted:
+            enter(Phase::Confirming);
+            return;
+        case PromoteOutcome::NotRunning:
+            LogEvent("failover", LogLevel::Warning, "failover.successor_not_running")
+                .field("group", _group)
+                .field("successor", _successor);
+            _notRunning[_successor] = now + kNotRunningPause;
+            enterSecuring(now);
+            return;
+        case PromoteOutcome::Unavailable:
+        case PromoteOutcome::Unknown:
+            _nextTick = now + kBusyStep * 3;
+            return;
+    }
+}
+
+void GroupFailover::confirmSuccessor(TimePoint now) {
+    if (!_servers.contains(_successor)) {
+        enterSecuring(now);
+        return;
+    }
+    MemberLink& successor = link(_successor);
+    const std::optional<MemberAnswer>& report = successor.report();
+    const ListedServer* server = listed(_successor);
+    const bool announced = server != nullptr && !server->removed &&
+                           server->announcement.role == pooling::ServerRole::Primary;
+    if (announced || (report && report->report.primary && report->askedAt >= _phaseSince)) {
+        if (report && report->report.primary) {
+            _successorTerm = report->report.term;
+        }
+        ++_promotions;
+        LogEvent("failover", LogLevel::Info, "failover.successor_leads")
+            .field("group", _group)
+            .field("successor", _successor)
+            .field("term", _successorTerm);
+        enter(Phase::Closing);
+        return;
+    }
+    if (now - _phaseSince > kConfirmPatience) {
+        _notRunning[_successor] = now + kNotRunningPause;
+        enterSecuring(now);
+        return;
+    }
+    const bool due = !report || now - report->askedAt > kBusyStep * 3;
+    if (due) {
+        successor.request(ServerCommand::Kind::Status);
+    }
+}
+
+/**
+ * Not before the announcement is older than the lease: whoever sees the closed record may conclude
+ * that no proof of an earlier primary's leadership is left (LeadershipTracker::confirmByRecord).
+ */
+void GroupFailover::closeRecord(TimePoint now) {
+    if (_busy || now < _announcementSeenAt + pooling::kLeadershipLease) {
+        return;
+    }
+    const PromotionRecord record = recordOfSuccessor(PromotionPhase::None);
+    save(record, &GroupFailover::onClosed);
+}
+
+void GroupFailover::onClosed(const SavedRecord& saved, TimePoint /*askedAt*/) {
+    if (saved.outcome == StoreOutcome::Done) {
+        giveUp("done", kHealthyPause);
+        return;
+    }
+    if (saved.outcome == StoreOutcome::Conflict) {
+        giveUp("the record was changed", kConflictPause);
+        return;
+    }
+    _nextTick = _dependencies.clock.now() + kStorePause;
+}
+
+}  // namespace coralhoist::failover
--- a/tests/forwarding/UnitLinkTest.cpp
+++ b/tests/forwarding/UnitLinkTest.cpp
@@ -1,7 +1,6 @@
 #include <CppUTest/TestHarness.h>
 
 #include <QCoreApplication>
-#include <QEventLoop>
 #include <QTcpServer>
 #include <QTcpSocket>
 #include <functional>
@@ -11,6 +10,7 @@
 #include "link/forwarding/UnitLinks.h"
 #include "link/forwarding/UnitService.h"
 #include "tests/support/ManualClock.h"
+#include "tests/support/QtTestLoop.h"
 
 namespace coralhoist::forwarding {
 namespace {
@@ -101,9 +101,7 @@
                         pooling::SuspicionReason /*reason*/) override {}
 
     void waitFor(const std::function<bool()>& condition) {
-        while (!condition()) {
-            QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents, 20);
-        }
+        CHECK_TRUE(testing::waitUntil(condition));
     }
 
     void open(std::uint64_t unit, StatementVerb verb, const std::string& text,
--- a/tests/soak/SoakPartsTest.cpp
+++ b/tests/soak/SoakPartsTest.cpp
@@ -1,13 +1,13 @@
 #include <CppUTest/TestHarness.h>
 
 #include <QCoreApplication>
-#include <QEventLoop>
 #include <QTcpServer>
 #include <QTcpSocket>
 #include <functional>
 
 #include "lab/soak/FaultyRelay.h"
 #include "lab/soak/StandInStore.h"
+#include "tests/support/QtTestLoop.h"
 
 namespace coralhoist::soak {
 namespace {
@@ -15,9 +15,7 @@
 using std::chrono::milliseconds;
 
 void waitFor(const std::function<bool()>& condition) {
-    while (!condition()) {
-        QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents, 20);
-    }
+    CHECK_TRUE(testing::waitUntil(condition));
 }
 
 TEST_GROUP(FaultyRelay) {
