End a stopped process without waiting for threads of the logging library

Cause: the logging library starts its pool of threads before main and waits for them, without bound, in a static destructor. setThreadPoolSize(0) leaves one of them. Traced with marks between the last log line and the end: application, control, sockets and logs are gone 0.5 ms after daemon.stopped; the destructor of the library's initializer does not return. Ruled out: Qt's objects, the log writer's thread (joined), the order of exit handlers (the same when the library is ended inside main).

--- a/src/program/coralhoistd.cpp
+++ b/src/program/coralhoistd.cpp
@@ -3,6 +3,7 @@
 #include <cstdio>
 
 #include "base/Log.h"
+#include "base/ProcessEnd.h"
 #include "contract/RefusalDocumentation.h"
 #include "link/backend/ConnectionParameters.h"
 #include "program/Daemon.h"
@@ -53,9 +54,7 @@
     return exitCode;
 }
 
-}  // namespace
-
-int main(int argumentCount, char** arguments) {
+int runProgram(int argumentCount, char** arguments) {
     // Before any thread: nothing in the environment may redirect back-end connections.
     coralhoist::backend::clearLibpqEnvironment();
     const auto commandLine = coralhoist::program::parseDaemonCommandLine(
@@ -87,3 +86,9 @@
     }
     return runDaemon(argumentCount, arguments, configuration.value());
 }
+
+}  // namespace
+
+int main(int argumentCount, char** arguments) {
+    coralhoist::endProcess(runProgram(argumentCount, arguments));
+}
