--- a/gen/unit.thrift
+++ b/gen/unit.thrift
@@ -59,6 +59,59 @@
   7: required bool notTaken
 }
 
+// Version of a group's promotion record in the store.
+struct RecordVersion {
+  1: required string groupName
+  2: required i64 version
+}
+
+// Asks for a proof of leadership: the versions of all promotion records at one moment.
+struct ProofRequest {
+  1: required i64 question           // chosen by the asking node, repeated in the reply
+  2: required i64 newestVersion      // newest record version that the asking node knows
+  3: required i64 maximumAgeUs       // age that the proof may have
+}
+
+struct ProofReply {
+  1: required i64 question
+  2: optional i64 ageUs              // age of the proof when this is written; absent: there is none
+  3: required list<RecordVersion> versions  // groups without a record are absent
+}
+
+// Asks for changes of the store's objects.
+struct KindPosition {
+  1: optional i64 position           // absent: the asking node knows no object of the kind
+}
+
+struct ChangesRequest {
+  1: required i64 question
+  2: required list<KindPosition> positions  // in the order of the kinds that all nodes follow
+  3: required string origin          // node from which the asking node's knowledge came
+}
+
+struct ObjectChange {
+  1: required string name
+  2: required i64 version
+  3: required bool removed
+  4: required binary content         // CBOR of the object's JSON; absent when removed
+  5: required bool compressed        // the content is in zlib's format behind its length
+}
+
+struct ChangesOfKind {
+  1: required i32 kind
+  2: required bool complete          // these are all objects
+  3: required i64 position
+  4: required list<ObjectChange> changes
+}
+
+struct ChangesReply {
+  1: required i64 question
+  2: required bool known             // false: the node can't tell
+  3: required string origin
+  4: required i64 ageWhenAskedUs     // negative when complete knowledge came while it waited
+  5: required list<ChangesOfKind> kinds
+}
+
 // One frame holds exactly one of these.
 struct UnitFrame {
   1: optional UnitRequest request
@@ -66,4 +119,8 @@
   3: optional i64 ended              // the unit is given up; no answer is expected
   4: optional bool heartbeat         // true asks for one in return
   5: optional bool leaving           // the sender takes no new units
+  6: optional ProofRequest proofRequest
+  7: optional ProofReply proofReply
+  8: optional ChangesRequest changesRequest
+  9: optional ChangesReply changesReply
 }
--- a/gen/unit_types.cpp
+++ b/gen/unit_types.cpp
@@ -1414,6 +1414,1336 @@
 }
 
 
+RecordVersion::~RecordVersion() noexcept {
+}
+
+
+void RecordVersion::__set_groupName(const std::string& val) {
+  this->groupName = val;
+}
+
+void RecordVersion::__set_version(const int64_t val) {
+  this->version = val;
+}
+std::ostream& operator<<(std::ostream& out, const RecordVersion& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RecordVersion::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_groupName = false;
+  bool isset_version = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->groupName);
+          isset_groupName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          isset_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_groupName)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_version)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t RecordVersion::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RecordVersion");
+
+  xfer += oprot->writeFieldBegin("groupName", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->groupName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RecordVersion &a, RecordVersion &b) {
+  using ::std::swap;
+  swap(a.groupName, b.groupName);
+  swap(a.version, b.version);
+}
+
+RecordVersion::RecordVersion(const RecordVersion& other42) {
+  groupName = other42.groupName;
+  version = other42.version;
+}
+RecordVersion::RecordVersion(RecordVersion&& other43) noexcept {
+  groupName = std::move(other43.groupName);
+  version = other43.version;
+}
+RecordVersion& RecordVersion::operator=(const RecordVersion& other44) {
+  groupName = other44.groupName;
+  version = other44.version;
+  return *this;
+}
+RecordVersion& RecordVersion::operator=(RecordVersion&& other45) noexcept {
+  groupName = std::move(other45.groupName);
+  version = other45.version;
+  return *this;
+}
+void RecordVersion::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RecordVersion(";
+  out << "groupName=" << to_string(groupName);
+  out << ", " << "version=" << to_string(version);
+  out << ")";
+}
+
+
+ProofRequest::~ProofRequest() noexcept {
+}
+
+
+void ProofRequest::__set_question(const int64_t val) {
+  this->question = val;
+}
+
+void ProofRequest::__set_newestVersion(const int64_t val) {
+  this->newestVersion = val;
+}
+
+void ProofRequest::__set_maximumAgeUs(const int64_t val) {
+  this->maximumAgeUs = val;
+}
+std::ostream& operator<<(std::ostream& out, const ProofRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ProofRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_question = false;
+  bool isset_newestVersion = false;
+  bool isset_maximumAgeUs = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->question);
+          isset_question = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->newestVersion);
+          isset_newestVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->maximumAgeUs);
+          isset_maximumAgeUs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_question)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_newestVersion)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_maximumAgeUs)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t ProofRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ProofRequest");
+
+  xfer += oprot->writeFieldBegin("question", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->question);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("newestVersion", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->newestVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("maximumAgeUs", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->maximumAgeUs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ProofRequest &a, ProofRequest &b) {
+  using ::std::swap;
+  swap(a.question, b.question);
+  swap(a.newestVersion, b.newestVersion);
+  swap(a.maximumAgeUs, b.maximumAgeUs);
+}
+
+ProofRequest::ProofRequest(const ProofRequest& other46) noexcept {
+  question = other46.question;
+  newestVersion = other46.newestVersion;
+  maximumAgeUs = other46.maximumAgeUs;
+}
+ProofRequest::ProofRequest(ProofRequest&& other47) noexcept {
+  question = other47.question;
+  newestVersion = other47.newestVersion;
+  maximumAgeUs = other47.maximumAgeUs;
+}
+ProofRequest& ProofRequest::operator=(const ProofRequest& other48) noexcept {
+  question = other48.question;
+  newestVersion = other48.newestVersion;
+  maximumAgeUs = other48.maximumAgeUs;
+  return *this;
+}
+ProofRequest& ProofRequest::operator=(ProofRequest&& other49) noexcept {
+  question = other49.question;
+  newestVersion = other49.newestVersion;
+  maximumAgeUs = other49.maximumAgeUs;
+  return *this;
+}
+void ProofRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ProofRequest(";
+  out << "question=" << to_string(question);
+  out << ", " << "newestVersion=" << to_string(newestVersion);
+  out << ", " << "maximumAgeUs=" << to_string(maximumAgeUs);
+  out << ")";
+}
+
+
+ProofReply::~ProofReply() noexcept {
+}
+
+
+void ProofReply::__set_question(const int64_t val) {
+  this->question = val;
+}
+
+void ProofReply::__set_ageUs(const int64_t val) {
+  this->ageUs = val;
+__isset.ageUs = true;
+}
+
+void ProofReply::__set_versions(const std::vector<RecordVersion> & val) {
+  this->versions = val;
+}
+std::ostream& operator<<(std::ostream& out, const ProofReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ProofReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_question = false;
+  bool isset_versions = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->question);
+          isset_question = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ageUs);
+          this->__isset.ageUs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->versions.clear();
+            uint32_t _size50;
+            ::apache::thrift::protocol::TType _etype53;
+            xfer += iprot->readListBegin(_etype53, _size50);
+            this->versions.resize(_size50);
+            uint32_t _i54;
+            for (_i54 = 0; _i54 < _size50; ++_i54)
+            {
+              xfer += this->versions[_i54].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_versions = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_question)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_versions)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t ProofReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ProofReply");
+
+  xfer += oprot->writeFieldBegin("question", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->question);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.ageUs) {
+    xfer += oprot->writeFieldBegin("ageUs", ::apache::thrift::protocol::T_I64, 2);
+    xfer += oprot->writeI64(this->ageUs);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("versions", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->versions.size()));
+    std::vector<RecordVersion> ::const_iterator _iter55;
+    for (_iter55 = this->versions.begin(); _iter55 != this->versions.end(); ++_iter55)
+    {
+      xfer += (*_iter55).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ProofReply &a, ProofReply &b) {
+  using ::std::swap;
+  swap(a.question, b.question);
+  swap(a.ageUs, b.ageUs);
+  swap(a.versions, b.versions);
+  swap(a.__isset, b.__isset);
+}
+
+ProofReply::ProofReply(const ProofReply& other56) {
+  question = other56.question;
+  ageUs = other56.ageUs;
+  versions = other56.versions;
+  __isset = other56.__isset;
+}
+ProofReply::ProofReply(ProofReply&& other57) noexcept {
+  question = other57.question;
+  ageUs = other57.ageUs;
+  versions = std::move(other57.versions);
+  __isset = other57.__isset;
+}
+ProofReply& ProofReply::operator=(const ProofReply& other58) {
+  question = other58.question;
+  ageUs = other58.ageUs;
+  versions = other58.versions;
+  __isset = other58.__isset;
+  return *this;
+}
+ProofReply& ProofReply::operator=(ProofReply&& other59) noexcept {
+  question = other59.question;
+  ageUs = other59.ageUs;
+  versions = std::move(other59.versions);
+  __isset = other59.__isset;
+  return *this;
+}
+void ProofReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ProofReply(";
+  out << "question=" << to_string(question);
+  out << ", " << "ageUs="; (__isset.ageUs ? (out << to_string(ageUs)) : (out << "<null>"));
+  out << ", " << "versions=" << to_string(versions);
+  out << ")";
+}
+
+
+KindPosition::~KindPosition() noexcept {
+}
+
+
+void KindPosition::__set_position(const int64_t val) {
+  this->position = val;
+__isset.position = true;
+}
+std::ostream& operator<<(std::ostream& out, const KindPosition& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t KindPosition::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->position);
+          this->__isset.position = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t KindPosition::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("KindPosition");
+
+  if (this->__isset.position) {
+    xfer += oprot->writeFieldBegin("position", ::apache::thrift::protocol::T_I64, 1);
+    xfer += oprot->writeI64(this->position);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(KindPosition &a, KindPosition &b) {
+  using ::std::swap;
+  swap(a.position, b.position);
+  swap(a.__isset, b.__isset);
+}
+
+KindPosition::KindPosition(const KindPosition& other60) noexcept {
+  position = other60.position;
+  __isset = other60.__isset;
+}
+KindPosition::KindPosition(KindPosition&& other61) noexcept {
+  position = other61.position;
+  __isset = other61.__isset;
+}
+KindPosition& KindPosition::operator=(const KindPosition& other62) noexcept {
+  position = other62.position;
+  __isset = other62.__isset;
+  return *this;
+}
+KindPosition& KindPosition::operator=(KindPosition&& other63) noexcept {
+  position = other63.position;
+  __isset = other63.__isset;
+  return *this;
+}
+void KindPosition::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "KindPosition(";
+  out << "position="; (__isset.position ? (out << to_string(position)) : (out << "<null>"));
+  out << ")";
+}
+
+
+ChangesRequest::~ChangesRequest() noexcept {
+}
+
+
+void ChangesRequest::__set_question(const int64_t val) {
+  this->question = val;
+}
+
+void ChangesRequest::__set_positions(const std::vector<KindPosition> & val) {
+  this->positions = val;
+}
+
+void ChangesRequest::__set_origin(const std::string& val) {
+  this->origin = val;
+}
+std::ostream& operator<<(std::ostream& out, const ChangesRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ChangesRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_question = false;
+  bool isset_positions = false;
+  bool isset_origin = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->question);
+          isset_question = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->positions.clear();
+            uint32_t _size64;
+            ::apache::thrift::protocol::TType _etype67;
+            xfer += iprot->readListBegin(_etype67, _size64);
+            this->positions.resize(_size64);
+            uint32_t _i68;
+            for (_i68 = 0; _i68 < _size64; ++_i68)
+            {
+              xfer += this->positions[_i68].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_positions = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->origin);
+          isset_origin = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_question)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_positions)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_origin)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t ChangesRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ChangesRequest");
+
+  xfer += oprot->writeFieldBegin("question", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->question);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("positions", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->positions.size()));
+    std::vector<KindPosition> ::const_iterator _iter69;
+    for (_iter69 = this->positions.begin(); _iter69 != this->positions.end(); ++_iter69)
+    {
+      xfer += (*_iter69).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("origin", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->origin);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ChangesRequest &a, ChangesRequest &b) {
+  using ::std::swap;
+  swap(a.question, b.question);
+  swap(a.positions, b.positions);
+  swap(a.origin, b.origin);
+}
+
+ChangesRequest::ChangesRequest(const ChangesRequest& other70) {
+  question = other70.question;
+  positions = other70.positions;
+  origin = other70.origin;
+}
+ChangesRequest::ChangesRequest(ChangesRequest&& other71) noexcept {
+  question = other71.question;
+  positions = std::move(other71.positions);
+  origin = std::move(other71.origin);
+}
+ChangesRequest& ChangesRequest::operator=(const ChangesRequest& other72) {
+  question = other72.question;
+  positions = other72.positions;
+  origin = other72.origin;
+  return *this;
+}
+ChangesRequest& ChangesRequest::operator=(ChangesRequest&& other73) noexcept {
+  question = other73.question;
+  positions = std::move(other73.positions);
+  origin = std::move(other73.origin);
+  return *this;
+}
+void ChangesRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ChangesRequest(";
+  out << "question=" << to_string(question);
+  out << ", " << "positions=" << to_string(positions);
+  out << ", " << "origin=" << to_string(origin);
+  out << ")";
+}
+
+
+ObjectChange::~ObjectChange() noexcept {
+}
+
+
+void ObjectChange::__set_name(const std::string& val) {
+  this->name = val;
+}
+
+void ObjectChange::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void ObjectChange::__set_removed(const bool val) {
+  this->removed = val;
+}
+
+void ObjectChange::__set_content(const std::string& val) {
+  this->content = val;
+}
+
+void ObjectChange::__set_compressed(const bool val) {
+  this->compressed = val;
+}
+std::ostream& operator<<(std::ostream& out, const ObjectChange& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ObjectChange::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_name = false;
+  bool isset_version = false;
+  bool isset_removed = false;
+  bool isset_content = false;
+  bool isset_compressed = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          isset_name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          isset_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->removed);
+          isset_removed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->content);
+          isset_content = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->compressed);
+          isset_compressed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_name)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_version)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_removed)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_content)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_compressed)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t ObjectChange::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ObjectChange");
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->removed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("content", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeBinary(this->content);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("compressed", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->compressed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ObjectChange &a, ObjectChange &b) {
+  using ::std::swap;
+  swap(a.name, b.name);
+  swap(a.version, b.version);
+  swap(a.removed, b.removed);
+  swap(a.content, b.content);
+  swap(a.compressed, b.compressed);
+}
+
+ObjectChange::ObjectChange(const ObjectChange& other74) {
+  name = other74.name;
+  version = other74.version;
+  removed = other74.removed;
+  content = other74.content;
+  compressed = other74.compressed;
+}
+ObjectChange::ObjectChange(ObjectChange&& other75) noexcept {
+  name = std::move(other75.name);
+  version = other75.version;
+  removed = other75.removed;
+  content = std::move(other75.content);
+  compressed = other75.compressed;
+}
+ObjectChange& ObjectChange::operator=(const ObjectChange& other76) {
+  name = other76.name;
+  version = other76.version;
+  removed = other76.removed;
+  content = other76.content;
+  compressed = other76.compressed;
+  return *this;
+}
+ObjectChange& ObjectChange::operator=(ObjectChange&& other77) noexcept {
+  name = std::move(other77.name);
+  version = other77.version;
+  removed = other77.removed;
+  content = std::move(other77.content);
+  compressed = other77.compressed;
+  return *this;
+}
+void ObjectChange::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ObjectChange(";
+  out << "name=" << to_string(name);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "removed=" << to_string(removed);
+  out << ", " << "content=" << to_string(content);
+  out << ", " << "compressed=" << to_string(compressed);
+  out << ")";
+}
+
+
+ChangesOfKind::~ChangesOfKind() noexcept {
+}
+
+
+void ChangesOfKind::__set_kind(const int32_t val) {
+  this->kind = val;
+}
+
+void ChangesOfKind::__set_complete(const bool val) {
+  this->complete = val;
+}
+
+void ChangesOfKind::__set_position(const int64_t val) {
+  this->position = val;
+}
+
+void ChangesOfKind::__set_changes(const std::vector<ObjectChange> & val) {
+  this->changes = val;
+}
+std::ostream& operator<<(std::ostream& out, const ChangesOfKind& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ChangesOfKind::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_kind = false;
+  bool isset_complete = false;
+  bool isset_position = false;
+  bool isset_changes = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->kind);
+          isset_kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->complete);
+          isset_complete = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->position);
+          isset_position = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->changes.clear();
+            uint32_t _size78;
+            ::apache::thrift::protocol::TType _etype81;
+            xfer += iprot->readListBegin(_etype81, _size78);
+            this->changes.resize(_size78);
+            uint32_t _i82;
+            for (_i82 = 0; _i82 < _size78; ++_i82)
+            {
+              xfer += this->changes[_i82].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_changes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_kind)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_complete)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_position)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_changes)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t ChangesOfKind::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ChangesOfKind");
+
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->kind);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("complete", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->complete);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("position", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->position);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
+    std::vector<ObjectChange> ::const_iterator _iter83;
+    for (_iter83 = this->changes.begin(); _iter83 != this->changes.end(); ++_iter83)
+    {
+      xfer += (*_iter83).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ChangesOfKind &a, ChangesOfKind &b) {
+  using ::std::swap;
+  swap(a.kind, b.kind);
+  swap(a.complete, b.complete);
+  swap(a.position, b.position);
+  swap(a.changes, b.changes);
+}
+
+ChangesOfKind::ChangesOfKind(const ChangesOfKind& other84) {
+  kind = other84.kind;
+  complete = other84.complete;
+  position = other84.position;
+  changes = other84.changes;
+}
+ChangesOfKind::ChangesOfKind(ChangesOfKind&& other85) noexcept {
+  kind = other85.kind;
+  complete = other85.complete;
+  position = other85.position;
+  changes = std::move(other85.changes);
+}
+ChangesOfKind& ChangesOfKind::operator=(const ChangesOfKind& other86) {
+  kind = other86.kind;
+  complete = other86.complete;
+  position = other86.position;
+  changes = other86.changes;
+  return *this;
+}
+ChangesOfKind& ChangesOfKind::operator=(ChangesOfKind&& other87) noexcept {
+  kind = other87.kind;
+  complete = other87.complete;
+  position = other87.position;
+  changes = std::move(other87.changes);
+  return *this;
+}
+void ChangesOfKind::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ChangesOfKind(";
+  out << "kind=" << to_string(kind);
+  out << ", " << "complete=" << to_string(complete);
+  out << ", " << "position=" << to_string(position);
+  out << ", " << "changes=" << to_string(changes);
+  out << ")";
+}
+
+
+ChangesReply::~ChangesReply() noexcept {
+}
+
+
+void ChangesReply::__set_question(const int64_t val) {
+  this->question = val;
+}
+
+void ChangesReply::__set_known(const bool val) {
+  this->known = val;
+}
+
+void ChangesReply::__set_origin(const std::string& val) {
+  this->origin = val;
+}
+
+void ChangesReply::__set_ageWhenAskedUs(const int64_t val) {
+  this->ageWhenAskedUs = val;
+}
+
+void ChangesReply::__set_kinds(const std::vector<ChangesOfKind> & val) {
+  this->kinds = val;
+}
+std::ostream& operator<<(std::ostream& out, const ChangesReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ChangesReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_question = false;
+  bool isset_known = false;
+  bool isset_origin = false;
+  bool isset_ageWhenAskedUs = false;
+  bool isset_kinds = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->question);
+          isset_question = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->known);
+          isset_known = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->origin);
+          isset_origin = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ageWhenAskedUs);
+          isset_ageWhenAskedUs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->kinds.clear();
+            uint32_t _size88;
+            ::apache::thrift::protocol::TType _etype91;
+            xfer += iprot->readListBegin(_etype91, _size88);
+            this->kinds.resize(_size88);
+            uint32_t _i92;
+            for (_i92 = 0; _i92 < _size88; ++_i92)
+            {
+              xfer += this->kinds[_i92].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_kinds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_question)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_known)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_origin)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_ageWhenAskedUs)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_kinds)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t ChangesReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ChangesReply");
+
+  xfer += oprot->writeFieldBegin("question", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->question);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->known);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("origin", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->origin);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ageWhenAskedUs", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->ageWhenAskedUs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("kinds", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->kinds.size()));
+    std::vector<ChangesOfKind> ::const_iterator _iter93;
+    for (_iter93 = this->kinds.begin(); _iter93 != this->kinds.end(); ++_iter93)
+    {
+      xfer += (*_iter93).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ChangesReply &a, ChangesReply &b) {
+  using ::std::swap;
+  swap(a.question, b.question);
+  swap(a.known, b.known);
+  swap(a.origin, b.origin);
+  swap(a.ageWhenAskedUs, b.ageWhenAskedUs);
+  swap(a.kinds, b.kinds);
+}
+
+ChangesReply::ChangesReply(const ChangesReply& other94) {
+  question = other94.question;
+  known = other94.known;
+  origin = other94.origin;
+  ageWhenAskedUs = other94.ageWhenAskedUs;
+  kinds = other94.kinds;
+}
+ChangesReply::ChangesReply(ChangesReply&& other95) noexcept {
+  question = other95.question;
+  known = other95.known;
+  origin = std::move(other95.origin);
+  ageWhenAskedUs = other95.ageWhenAskedUs;
+  kinds = std::move(other95.kinds);
+}
+ChangesReply& ChangesReply::operator=(const ChangesReply& other96) {
+  question = other96.question;
+  known = other96.known;
+  origin = other96.origin;
+  ageWhenAskedUs = other96.ageWhenAskedUs;
+  kinds = other96.kinds;
+  return *this;
+}
+ChangesReply& ChangesReply::operator=(ChangesReply&& other97) noexcept {
+  question = other97.question;
+  known = other97.known;
+  origin = std::move(other97.origin);
+  ageWhenAskedUs = other97.ageWhenAskedUs;
+  kinds = std::move(other97.kinds);
+  return *this;
+}
+void ChangesReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ChangesReply(";
+  out << "question=" << to_string(question);
+  out << ", " << "known=" << to_string(known);
+  out << ", " << "origin=" << to_string(origin);
+  out << ", " << "ageWhenAskedUs=" << to_string(ageWhenAskedUs);
+  out << ", " << "kinds=" << to_string(kinds);
+  out << ")";
+}
+
+
 UnitFrame::~UnitFrame() noexcept {
 }
 
@@ -1442,6 +2772,26 @@
   this->leaving = val;
 __isset.leaving = true;
 }
+
+void UnitFrame::__set_proofRequest(const ProofRequest& val) {
+  this->proofRequest = val;
+__isset.proofRequest = true;
+}
+
+void UnitFrame::__set_proofReply(const ProofReply& val) {
+  this->proofReply = val;
+__isset.proofReply = true;
+}
+
+void UnitFrame::__set_changesRequest(const ChangesRequest& val) {
+  this->changesRequest = val;
+__isset.changesRequest = true;
+}
+
+void UnitFrame::__set_changesReply(const ChangesReply& val) {
+  this->changesReply = val;
+__isset.changesReply = true;
+}
 std::ostream& operator<<(std::ostream& out, const UnitFrame& obj)
 {
   obj.printTo(out);
@@ -1510,6 +2860,38 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->proofRequest.read(iprot);
+          this->__isset.proofRequest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->proofReply.read(iprot);
+          this->__isset.proofReply = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->changesRequest.read(iprot);
+          this->__isset.changesRequest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->changesReply.read(iprot);
+          this->__isset.changesReply = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1552,6 +2934,26 @@
     xfer += oprot->writeBool(this->leaving);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.proofRequest) {
+    xfer += oprot->writeFieldBegin("proofRequest", ::apache::thrift::protocol::T_STRUCT, 6);
+    xfer += this->proofRequest.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.proofReply) {
+    xfer += oprot->writeFieldBegin("proofReply", ::apache::thrift::protocol::T_STRUCT, 7);
+    xfer += this->proofReply.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.changesRequest) {
+    xfer += oprot->writeFieldBegin("changesRequest", ::apache::thrift::protocol::T_STRUCT, 8);
+    xfer += this->changesRequest.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.changesReply) {
+    xfer += oprot->writeFieldBegin("changesReply", ::apache::thrift::protocol::T_STRUCT, 9);
+    xfer += this->changesReply.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1564,41 +2966,61 @@
   swap(a.ended, b.ended);
   swap(a.heartbeat, b.heartbeat);
   swap(a.leaving, b.leaving);
+  swap(a.proofRequest, b.proofRequest);
+  swap(a.proofReply, b.proofReply);
+  swap(a.changesRequest, b.changesRequest);
+  swap(a.changesReply, b.changesReply);
   swap(a.__isset, b.__isset);
 }
 
-UnitFrame::UnitFrame(const UnitFrame& other42) {
-  request = other42.request;
-  answer = other42.answer;
-  ended = other42.ended;
-  heartbeat = other42.heartbeat;
-  leaving = other42.leaving;
-  __isset = other42.__isset;
-}
-UnitFrame::UnitFrame(UnitFrame&& other43) noexcept {
-  request = std::move(other43.request);
-  answer = std::move(other43.answer);
-  ended = other43.ended;
-  heartbeat = other43.heartbeat;
-  leaving = other43.leaving;
-  __isset = other43.__isset;
-}
-UnitFrame& UnitFrame::operator=(const UnitFrame& other44) {
-  request = other44.request;
-  answer = other44.answer;
-  ended = other44.ended;
-  heartbeat = other44.heartbeat;
-  leaving = other44.leaving;
-  __isset = other44.__isset;
+UnitFrame::UnitFrame(const UnitFrame& other98) {
+  request = other98.request;
+  answer = other98.answer;
+  ended = other98.ended;
+  heartbeat = other98.heartbeat;
+  leaving = other98.leaving;
+  proofRequest = other98.proofRequest;
+  proofReply = other98.proofReply;
+  changesRequest = other98.changesRequest;
+  changesReply = other98.changesReply;
+  __isset = other98.__isset;
+}
+UnitFrame::UnitFrame(UnitFrame&& other99) noexcept {
+  request = std::move(other99.request);
+  answer = std::move(other99.answer);
+  ended = other99.ended;
+  heartbeat = other99.heartbeat;
+  leaving = other99.leaving;
+  proofRequest = std::move(other99.proofRequest);
+  proofReply = std::move(other99.proofReply);
+  changesRequest = std::move(other99.changesRequest);
+  changesReply = std::move(other99.changesReply);
+  __isset = other99.__isset;
+}
+UnitFrame& UnitFrame::operator=(const UnitFrame& other100) {
+  request = other100.request;
+  answer = other100.answer;
+  ended = other100.ended;
+  heartbeat = other100.heartbeat;
+  leaving = other100.leaving;
+  proofRequest = other100.proofRequest;
+  proofReply = other100.proofReply;
+  changesRequest = other100.changesRequest;
+  changesReply = other100.changesReply;
+  __isset = other100.__isset;
   return *this;
 }
-UnitFrame& UnitFrame::operator=(UnitFrame&& other45) noexcept {
-  request = std::move(other45.request);
-  answer = std::move(other45.answer);
-  ended = other45.ended;
-  heartbeat = other45.heartbeat;
-  leaving = other45.leaving;
-  __isset = other45.__isset;
+UnitFrame& UnitFrame::operator=(UnitFrame&& other101) noexcept {
+  request = std::move(other101.request);
+  answer = std::move(other101.answer);
+  ended = other101.ended;
+  heartbeat = other101.heartbeat;
+  leaving = other101.leaving;
+  proofRequest = std::move(other101.proofRequest);
+  proofReply = std::move(other101.proofReply);
+  changesRequest = std::move(other101.changesRequest);
+  changesReply = std::move(other101.changesReply);
+  __isset = other101.__isset;
   return *this;
 }
 void UnitFrame::printTo(std::ostream& out) const {
@@ -1609,6 +3031,10 @@
   out << ", " << "ended="; (__isset.ended ? (out << to_string(ended)) : (out << "<null>"));
   out << ", " << "heartbeat="; (__isset.heartbeat ? (out << to_string(heartbeat)) : (out << "<null>"));
   out << ", " << "leaving="; (__isset.leaving ? (out << to_string(leaving)) : (out << "<null>"));
+  out << ", " << "proofRequest="; (__isset.proofRequest ? (out << to_string(proofRequest)) : (out << "<null>"));
+  out << ", " << "proofReply="; (__isset.proofReply ? (out << to_string(proofReply)) : (out << "<null>"));
+  out << ", " << "changesRequest="; (__isset.changesRequest ? (out << to_string(changesRequest)) : (out << "<null>"));
+  out << ", " << "changesReply="; (__isset.changesReply ? (out << to_string(changesReply)) : (out << "<null>"));
   out << ")";
 }
 
--- a/gen/unit_types.h
+++ b/gen/unit_types.h
@@ -35,6 +35,22 @@
 
 class UnitAnswer;
 
+class RecordVersion;
+
+class ProofRequest;
+
+class ProofReply;
+
+class KindPosition;
+
+class ChangesRequest;
+
+class ObjectChange;
+
+class ChangesOfKind;
+
+class ChangesReply;
+
 class UnitFrame;
 
 
@@ -498,13 +514,449 @@
 
 std::ostream& operator<<(std::ostream& out, const UnitAnswer& obj);
 
+
+class RecordVersion : public virtual ::apache::thrift::TBase {
+ public:
+
+  RecordVersion(const RecordVersion&);
+  RecordVersion(RecordVersion&&) noexcept;
+  RecordVersion& operator=(const RecordVersion&);
+  RecordVersion& operator=(RecordVersion&&) noexcept;
+  RecordVersion() noexcept
+                : groupName(),
+                  version(0) {
+  }
+
+  virtual ~RecordVersion() noexcept;
+  std::string groupName;
+  int64_t version;
+
+  void __set_groupName(const std::string& val);
+
+  void __set_version(const int64_t val);
+
+  bool operator == (const RecordVersion & rhs) const
+  {
+    if (!(groupName == rhs.groupName))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    return true;
+  }
+  bool operator != (const RecordVersion &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RecordVersion & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RecordVersion &a, RecordVersion &b);
+
+std::ostream& operator<<(std::ostream& out, const RecordVersion& obj);
+
+
+class ProofRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  ProofRequest(const ProofRequest&) noexcept;
+  ProofRequest(ProofRequest&&) noexcept;
+  ProofRequest& operator=(const ProofRequest&) noexcept;
+  ProofRequest& operator=(ProofRequest&&) noexcept;
+  ProofRequest() noexcept
+               : question(0),
+                 newestVersion(0),
+                 maximumAgeUs(0) {
+  }
+
+  virtual ~ProofRequest() noexcept;
+  int64_t question;
+  int64_t newestVersion;
+  int64_t maximumAgeUs;
+
+  void __set_question(const int64_t val);
+
+  void __set_newestVersion(const int64_t val);
+
+  void __set_maximumAgeUs(const int64_t val);
+
+  bool operator == (const ProofRequest & rhs) const
+  {
+    if (!(question == rhs.question))
+      return false;
+    if (!(newestVersion == rhs.newestVersion))
+      return false;
+    if (!(maximumAgeUs == rhs.maximumAgeUs))
+      return false;
+    return true;
+  }
+  bool operator != (const ProofRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ProofRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ProofRequest &a, ProofRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const ProofRequest& obj);
+
+typedef struct _ProofReply__isset {
+  _ProofReply__isset() : ageUs(false) {}
+  bool ageUs :1;
+} _ProofReply__isset;
+
+class ProofReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  ProofReply(const ProofReply&);
+  ProofReply(ProofReply&&) noexcept;
+  ProofReply& operator=(const ProofReply&);
+  ProofReply& operator=(ProofReply&&) noexcept;
+  ProofReply() noexcept
+             : question(0),
+               ageUs(0) {
+  }
+
+  virtual ~ProofReply() noexcept;
+  int64_t question;
+  int64_t ageUs;
+  std::vector<RecordVersion>  versions;
+
+  _ProofReply__isset __isset;
+
+  void __set_question(const int64_t val);
+
+  void __set_ageUs(const int64_t val);
+
+  void __set_versions(const std::vector<RecordVersion> & val);
+
+  bool operator == (const ProofReply & rhs) const
+  {
+    if (!(question == rhs.question))
+      return false;
+    if (__isset.ageUs != rhs.__isset.ageUs)
+      return false;
+    else if (__isset.ageUs && !(ageUs == rhs.ageUs))
+      return false;
+    if (!(versions == rhs.versions))
+      return false;
+    return true;
+  }
+  bool operator != (const ProofReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ProofReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ProofReply &a, ProofReply &b);
+
+std::ostream& operator<<(std::ostream& out, const ProofReply& obj);
+
+typedef struct _KindPosition__isset {
+  _KindPosition__isset() : position(false) {}
+  bool position :1;
+} _KindPosition__isset;
+
+class KindPosition : public virtual ::apache::thrift::TBase {
+ public:
+
+  KindPosition(const KindPosition&) noexcept;
+  KindPosition(KindPosition&&) noexcept;
+  KindPosition& operator=(const KindPosition&) noexcept;
+  KindPosition& operator=(KindPosition&&) noexcept;
+  KindPosition() noexcept
+               : position(0) {
+  }
+
+  virtual ~KindPosition() noexcept;
+  int64_t position;
+
+  _KindPosition__isset __isset;
+
+  void __set_position(const int64_t val);
+
+  bool operator == (const KindPosition & rhs) const
+  {
+    if (__isset.position != rhs.__isset.position)
+      return false;
+    else if (__isset.position && !(position == rhs.position))
+      return false;
+    return true;
+  }
+  bool operator != (const KindPosition &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const KindPosition & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(KindPosition &a, KindPosition &b);
+
+std::ostream& operator<<(std::ostream& out, const KindPosition& obj);
+
+
+class ChangesRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  ChangesRequest(const ChangesRequest&);
+  ChangesRequest(ChangesRequest&&) noexcept;
+  ChangesRequest& operator=(const ChangesRequest&);
+  ChangesRequest& operator=(ChangesRequest&&) noexcept;
+  ChangesRequest() noexcept
+                 : question(0),
+                   origin() {
+  }
+
+  virtual ~ChangesRequest() noexcept;
+  int64_t question;
+  std::vector<KindPosition>  positions;
+  std::string origin;
+
+  void __set_question(const int64_t val);
+
+  void __set_positions(const std::vector<KindPosition> & val);
+
+  void __set_origin(const std::string& val);
+
+  bool operator == (const ChangesRequest & rhs) const
+  {
+    if (!(question == rhs.question))
+      return false;
+    if (!(positions == rhs.positions))
+      return false;
+    if (!(origin == rhs.origin))
+      return false;
+    return true;
+  }
+  bool operator != (const ChangesRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ChangesRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ChangesRequest &a, ChangesRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const ChangesRequest& obj);
+
+
+class ObjectChange : public virtual ::apache::thrift::TBase {
+ public:
+
+  ObjectChange(const ObjectChange&);
+  ObjectChange(ObjectChange&&) noexcept;
+  ObjectChange& operator=(const ObjectChange&);
+  ObjectChange& operator=(ObjectChange&&) noexcept;
+  ObjectChange() noexcept
+               : name(),
+                 version(0),
+                 removed(0),
+                 content(),
+                 compressed(0) {
+  }
+
+  virtual ~ObjectChange() noexcept;
+  std::string name;
+  int64_t version;
+  bool removed;
+  std::string content;
+  bool compressed;
+
+  void __set_name(const std::string& val);
+
+  void __set_version(const int64_t val);
+
+  void __set_removed(const bool val);
+
+  void __set_content(const std::string& val);
+
+  void __set_compressed(const bool val);
+
+  bool operator == (const ObjectChange & rhs) const
+  {
+    if (!(name == rhs.name))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    if (!(removed == rhs.removed))
+      return false;
+    if (!(content == rhs.content))
+      return false;
+    if (!(compressed == rhs.compressed))
+      return false;
+    return true;
+  }
+  bool operator != (const ObjectChange &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ObjectChange & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ObjectChange &a, ObjectChange &b);
+
+std::ostream& operator<<(std::ostream& out, const ObjectChange& obj);
+
+
+class ChangesOfKind : public virtual ::apache::thrift::TBase {
+ public:
+
+  ChangesOfKind(const ChangesOfKind&);
+  ChangesOfKind(ChangesOfKind&&) noexcept;
+  ChangesOfKind& operator=(const ChangesOfKind&);
+  ChangesOfKind& operator=(ChangesOfKind&&) noexcept;
+  ChangesOfKind() noexcept
+                : kind(0),
+                  complete(0),
+                  position(0) {
+  }
+
+  virtual ~ChangesOfKind() noexcept;
+  int32_t kind;
+  bool complete;
+  int64_t position;
+  std::vector<ObjectChange>  changes;
+
+  void __set_kind(const int32_t val);
+
+  void __set_complete(const bool val);
+
+  void __set_position(const int64_t val);
+
+  void __set_changes(const std::vector<ObjectChange> & val);
+
+  bool operator == (const ChangesOfKind & rhs) const
+  {
+    if (!(kind == rhs.kind))
+      return false;
+    if (!(complete == rhs.complete))
+      return false;
+    if (!(position == rhs.position))
+      return false;
+    if (!(changes == rhs.changes))
+      return false;
+    return true;
+  }
+  bool operator != (const ChangesOfKind &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ChangesOfKind & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ChangesOfKind &a, ChangesOfKind &b);
+
+std::ostream& operator<<(std::ostream& out, const ChangesOfKind& obj);
+
+
+class ChangesReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  ChangesReply(const ChangesReply&);
+  ChangesReply(ChangesReply&&) noexcept;
+  ChangesReply& operator=(const ChangesReply&);
+  ChangesReply& operator=(ChangesReply&&) noexcept;
+  ChangesReply() noexcept
+               : question(0),
+                 known(0),
+                 origin(),
+                 ageWhenAskedUs(0) {
+  }
+
+  virtual ~ChangesReply() noexcept;
+  int64_t question;
+  bool known;
+  std::string origin;
+  int64_t ageWhenAskedUs;
+  std::vector<ChangesOfKind>  kinds;
+
+  void __set_question(const int64_t val);
+
+  void __set_known(const bool val);
+
+  void __set_origin(const std::string& val);
+
+  void __set_ageWhenAskedUs(const int64_t val);
+
+  void __set_kinds(const std::vector<ChangesOfKind> & val);
+
+  bool operator == (const ChangesReply & rhs) const
+  {
+    if (!(question == rhs.question))
+      return false;
+    if (!(known == rhs.known))
+      return false;
+    if (!(origin == rhs.origin))
+      return false;
+    if (!(ageWhenAskedUs == rhs.ageWhenAskedUs))
+      return false;
+    if (!(kinds == rhs.kinds))
+      return false;
+    return true;
+  }
+  bool operator != (const ChangesReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ChangesReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ChangesReply &a, ChangesReply &b);
+
+std::ostream& operator<<(std::ostream& out, const ChangesReply& obj);
+
 typedef struct _UnitFrame__isset {
-  _UnitFrame__isset() : request(false), answer(false), ended(false), heartbeat(false), leaving(false) {}
+  _UnitFrame__isset() : request(false), answer(false), ended(false), heartbeat(false), leaving(false), proofRequest(false), proofReply(false), changesRequest(false), changesReply(false) {}
   bool request :1;
   bool answer :1;
   bool ended :1;
   bool heartbeat :1;
   bool leaving :1;
+  bool proofRequest :1;
+  bool proofReply :1;
+  bool changesRequest :1;
+  bool changesReply :1;
 } _UnitFrame__isset;
 
 class UnitFrame : public virtual ::apache::thrift::TBase {
@@ -526,6 +978,10 @@
   int64_t ended;
   bool heartbeat;
   bool leaving;
+  ProofRequest proofRequest;
+  ProofReply proofReply;
+  ChangesRequest changesRequest;
+  ChangesReply changesReply;
 
   _UnitFrame__isset __isset;
 
@@ -539,6 +995,14 @@
 
   void __set_leaving(const bool val);
 
+  void __set_proofRequest(const ProofRequest& val);
+
+  void __set_proofReply(const ProofReply& val);
+
+  void __set_changesRequest(const ChangesRequest& val);
+
+  void __set_changesReply(const ChangesReply& val);
+
   bool operator == (const UnitFrame & rhs) const
   {
     if (__isset.request != rhs.__isset.request)
@@ -561,6 +1025,22 @@
       return false;
     else if (__isset.leaving && !(leaving == rhs.leaving))
       return false;
+    if (__isset.proofRequest != rhs.__isset.proofRequest)
+      return false;
+    else if (__isset.proofRequest && !(proofRequest == rhs.proofRequest))
+      return false;
+    if (__isset.proofReply != rhs.__isset.proofReply)
+      return false;
+    else if (__isset.proofReply && !(proofReply == rhs.proofReply))
+      return false;
+    if (__isset.changesRequest != rhs.__isset.changesRequest)
+      return false;
+    else if (__isset.changesRequest && !(changesRequest == rhs.changesRequest))
+      return false;
+    if (__isset.changesReply != rhs.__isset.changesReply)
+      return false;
+    else if (__isset.changesReply && !(changesReply == rhs.changesReply))
+      return false;
     return true;
   }
   bool operator != (const UnitFrame &rhs) const {
--- a/lab/pooled/PooledNode.cpp
+++ b/lab/pooled/PooledNode.cpp
@@ -78,18 +78,27 @@
       _storeClient(world.store, _activity, _name),
       _parser(readReport),
       _pooler(world.queue, _connector, *this, makeKnobs(world, _name)),
-      _endpoint(
-          std::make_shared<NodeEndpoint>(NodeEndpoint{NodeName(_name), &_pooler, _activity, {}})),
-      _forwarder(world.network, world.queue, _endpoint) {
+      _endpoint(std::make_shared<NodeEndpoint>(
+          NodeEndpoint{NodeName(_name), &_pooler, _activity, nullptr, nullptr, {}})),
+      _forwarder(world.network, world.queue, _endpoint),
+      _proofLinks(world.network, _forwarder, _endpoint),
+      _readers(NodeName(_name), ZoneName()),
+      _proofs({world.queue, world.random, *this, _proofLinks, _proofLinks,
+               [this](const pooling::LeadershipProof& proof) { onProof(proof); }},
+              _readers) {
+    _endpoint->proofs = &_proofs;
+    _endpoint->proofLinks = &_proofLinks;
     world.network.add(_endpoint);
     _pooler.setForwarder(_forwarder);
     _pooler.applyCatalog(world.catalog);
     for (LogGroup* group : world.groups) {
-        _unproven.insert(group->name());
+        wantLeadershipProof(group->name());
         _failovers[group->name()] = std::make_unique<failover::GroupFailover>(
-            group->name(), failover::FailoverDependencies{
-                               world.queue, world.random, _connector, _storeClient, _storeClient,
-                               _parser, _name + "/" + std::to_string(world.random.next()), _name});
+            group->name(),
+            failover::FailoverDependencies{
+                world.queue, world.random, _connector, _storeClient, _storeClient, _parser,
+                _name + "/" + std::to_string(world.random.next()), _name,
+                [this](const GroupName& named) { return _readers.turnOf(named.value()); }});
     }
     openCallers(sessionsPerService);
 }
@@ -142,10 +151,11 @@
         std::uint64_t& told = _toldVersions[group];
         if (failover->record().version > told) {
             told = failover->record().version;
+            _proofs.noteRecord(told);
             _pooler.applyNotice(group, failover->record().notice());
         }
     }
-    prove();
+    _proofs.onTick(now);
     proveByServers();
     for (auto& [session, caller] : _callers) {
         if (now >= caller.nextAt) {
@@ -180,6 +190,7 @@
                 _failovers[group]->onRecord(records[index]);
             }
             _pooler.applyNodes(_world.network.nodes());
+            _readers.applyNodes(_world.network.nodes());
             if (!changed) {
                 return;
             }
@@ -193,28 +204,40 @@
 
 void PooledNode::wantLeadershipProof(const GroupName& group) {
     _unproven.insert(group);
+    _proofs.want();
 }
 
-void PooledNode::prove() {
-    for (const GroupName& group : _unproven) {
-        if (!_proving.insert(group).second) {
-            continue;
-        }
-        const TimePoint askedAt = _world.queue.now();
-        _storeClient.load(group, [this, group, askedAt](const failover::LoadedRecord& loaded) {
-            _proving.erase(group);
-            _storeSilent = loaded.outcome != failover::StoreOutcome::Done;
-            if (loaded.outcome != failover::StoreOutcome::Done) {
-                return;
+/** Reads the groups one after the other; the versions are those of a moment after the call. */
+void PooledNode::readRecords(Callback callback) {
+    ++_recordReadings;
+    const auto versions = std::make_shared<pooling::RecordVersions>();
+    const auto left = std::make_shared<std::size_t>(_world.groups.size());
+    const auto failed = std::make_shared<bool>(false);
+    for (LogGroup* entry : _world.groups) {
+        const GroupName group = entry->name();
+        _storeClient.load(group, [this, group, versions, left, failed,
+                                  callback](const failover::LoadedRecord& loaded) {
+            if (loaded.outcome == failover::StoreOutcome::Done) {
+                _failovers[group]->onRecord(loaded.record);
+                _pooler.applyNotice(group, _failovers[group]->record().notice());
+                (*versions)[group] = loaded.record.version;
+            } else {
+                *failed = true;
+            }
+            if (--*left == 0) {
+                callback(*failed ? std::nullopt : std::optional(*versions));
             }
-            _unproven.erase(group);
-            _failovers[group]->onRecord(loaded.record);
-            _pooler.applyNotice(group, _failovers[group]->record().notice());
-            _pooler.confirmByRecord(group, loaded.record.version, askedAt);
         });
     }
 }
 
+void PooledNode::onProof(const pooling::LeadershipProof& proof) {
+    _unproven.clear();
+    for (const auto& [group, version] : proof.recordVersions) {
+        _pooler.confirmByRecord(group, version, proof.provenAt);
+    }
+}
+
 void PooledNode::proveByServers() {
     const TimePoint now = _world.queue.now();
     for (LogGroup* group : _world.groups) {
@@ -222,7 +245,7 @@
         if (!probe) {
             probe = std::make_unique<failover::LeadershipProbe>(_world.queue, _connector, _parser);
         }
-        if (_storeSilent && _unproven.contains(group->name())) {
+        if (_proofs.hasFailed() && _unproven.contains(group->name())) {
             probe->ask(_directory.serversOf(group->name()), now);
         }
         if (const auto next = probe->nextTick(); next && *next <= now) {
--- a/lab/pooled/PooledNode.h
+++ b/lab/pooled/PooledNode.h
@@ -14,6 +14,7 @@
 #include "lab/pooled/PooledJudge.h"
 #include "lab/pooled/RecordStore.h"
 #include "lab/pooled/UnitNetwork.h"
+#include "pooling/ProofExchange.h"
 #include "pooling/StatementPooler.h"
 
 namespace coralhoist::pooled {
@@ -42,7 +43,7 @@
     const std::vector<LogGroup*>& groups);
 
 /** A node from its start to its end. */
-class PooledNode final : public pooling::PoolerOutput {
+class PooledNode final : public pooling::PoolerOutput, public pooling::RecordReader {
 public:
     PooledNode(PooledWorld& world, std::string name, std::size_t sessionsPerService);
     ~PooledNode() override;
@@ -60,6 +61,8 @@
     std::uint64_t acknowledged() const { return _acknowledged; }
     /** @return proofs of leadership that the servers gave. */
     std::uint64_t provenByServers() const { return _provenByServers; }
+    /** @return readings of the store for proofs of leadership. */
+    std::uint64_t recordReadings() const { return _recordReadings; }
     /** @return statements that other nodes executed for this one. */
     std::uint64_t forwarded() const { return _pooler.statistics().forwarded; }
 
@@ -89,7 +92,8 @@
 
     void openCallers(std::size_t sessionsPerService);
     void follow();
-    void prove();
+    void readRecords(Callback callback) override;
+    void onProof(const pooling::LeadershipProof& proof);
     void proveByServers();
     void startOperation(Caller& caller);
     void sendNext(Caller& caller);
@@ -107,17 +111,19 @@
     pooling::StatementPooler _pooler;
     std::shared_ptr<NodeEndpoint> _endpoint;
     SimulatedForwarder _forwarder;
+    SimulatedProofLinks _proofLinks;
+    pooling::ReaderTree _readers;
+    pooling::ProofExchange _proofs;
     std::map<GroupName, std::unique_ptr<failover::GroupFailover>> _failovers;
     std::map<GroupName, std::uint64_t> _toldVersions;
     std::map<SessionId, Caller> _callers;
     std::set<GroupName> _unproven;
-    std::set<GroupName> _proving;
     std::map<GroupName, std::unique_ptr<failover::LeadershipProbe>> _probes;
     std::map<GroupName, TimePoint> _toldProofs;
-    bool _storeSilent = false;
     TimePoint _nextFollow{};
     std::uint64_t _acknowledged = 0;
     std::uint64_t _provenByServers = 0;
+    std::uint64_t _recordReadings = 0;
 };
 
 }  // namespace coralhoist::pooled
--- a/lab/pooled/UnitNetwork.cpp
+++ b/lab/pooled/UnitNetwork.cpp
@@ -232,4 +232,31 @@
     }
 }
 
+SimulatedProofLinks::SimulatedProofLinks(UnitNetwork& network, const SimulatedForwarder& forwarder,
+                                         std::shared_ptr<NodeEndpoint> self)
+    : _network(network), _forwarder(forwarder), _self(std::move(self)) {}
+
+void SimulatedProofLinks::askForProof(const NodeName& node, std::uint64_t question,
+                                      const pooling::ProofNeed& need) {
+    const NodeName from = _self->name;
+    _network.deliver(from, node, node, [from, question, need](NodeEndpoint& receiver) {
+        receiver.proofs->onProofAsked({receiver.proofLinks->take(from, question), need});
+    });
+}
+
+std::uint64_t SimulatedProofLinks::take(const NodeName& from, std::uint64_t question) {
+    _askers[++_lastAsker] = {from, question};
+    return _lastAsker;
+}
+
+void SimulatedProofLinks::answerProof(std::uint64_t asker,
+                                      const std::optional<pooling::HandedProof>& proof) {
+    const Asker answered = _askers.at(asker);
+    _askers.erase(asker);
+    _network.deliver(answered.node, _self->name, answered.node,
+                     [question = answered.question, proof](NodeEndpoint& receiver) {
+                         receiver.proofs->onProofAnswer(question, proof);
+                     });
+}
+
 }  // namespace coralhoist::pooled
--- a/lab/pooled/UnitNetwork.h
+++ b/lab/pooled/UnitNetwork.h
@@ -11,16 +11,21 @@
 #include "base/SystemTime.h"
 #include "lab/pooled/LogConnector.h"
 #include "lab/simulation/EventQueue.h"
+#include "pooling/LeadershipProof.h"
 #include "pooling/StatementPooler.h"
 #include "pooling/UnitForwarding.h"
 
 namespace coralhoist::pooled {
 
+class SimulatedProofLinks;
+
 /** What a node shows to the network; lives as long as the node. */
 struct NodeEndpoint {
     NodeName name;
     pooling::StatementPooler* pooler = nullptr;
     std::shared_ptr<NodeActivity> activity;
+    pooling::ProofEvents* proofs = nullptr;
+    SimulatedProofLinks* proofLinks = nullptr;
     /** Sessions of the node's pooler that execute units of other nodes. */
     struct Unit {
         NodeName from;
@@ -118,4 +123,33 @@
     std::map<UnitId, NodeName> _nodeOf;
 };
 
+/** Proofs of leadership between one node and the others, over the same links. */
+class SimulatedProofLinks final : public pooling::ProofQuestions, public pooling::ProofAnswers {
+public:
+    /** References outlive the links. */
+    SimulatedProofLinks(UnitNetwork& network, const SimulatedForwarder& forwarder,
+                        std::shared_ptr<NodeEndpoint> self);
+
+    bool canReach(const NodeName& node) const override { return _forwarder.canReach(node); }
+    void askForProof(const NodeName& node, std::uint64_t question,
+                     const pooling::ProofNeed& need) override;
+    void answerProof(std::uint64_t asker,
+                     const std::optional<pooling::HandedProof>& proof) override;
+
+    /** Another node asks. @return the name of its question on this node. */
+    std::uint64_t take(const NodeName& from, std::uint64_t question);
+
+private:
+    struct Asker {
+        NodeName node;
+        std::uint64_t question = 0;
+    };
+
+    UnitNetwork& _network;
+    const SimulatedForwarder& _forwarder;
+    std::shared_ptr<NodeEndpoint> _self;
+    std::map<std::uint64_t, Asker> _askers;
+    std::uint64_t _lastAsker = 0;
+};
+
 }  // namespace coralhoist::pooled
--- a/src/cluster/ClusterControl.cpp
+++ b/src/cluster/ClusterControl.cpp
@@ -15,27 +15,35 @@
 /** Servers whose announcements are gone are remembered for so long. */
 constexpr Duration kRemovedRetention = std::chrono::seconds(15);
 constexpr Duration kExpiryRound = std::chrono::seconds(1);
-constexpr Duration kProofTimeout = std::chrono::milliseconds(400);
-/** The servers are asked sooner when the store has answered so far. */
-constexpr Duration kFirstProofTimeout = std::chrono::milliseconds(120);
-/** Pause after a proof that did not come. */
-constexpr Duration kProofPause = std::chrono::milliseconds(60);
-constexpr int kSuccess = 200;
-
-store::WatchTiming settingsTiming() {
+
+/** Few nodes watch the store, so that short waits cost little: a watch that hangs is given up 0.7 s
+ * after its wait, within the shortest bound for configurations (3 s). */
+store::WatchTiming watchTiming(Duration wait) {
     store::WatchTiming timing;
-    timing.wait = std::chrono::milliseconds(3000);
+    timing.wait = wait;
+    return timing;
+}
+
+constexpr Duration kSettingsWait = std::chrono::milliseconds(2000);
+constexpr Duration kOtherWait = std::chrono::milliseconds(3000);
+
+/** Servers announce themselves one by one when an estate starts. */
+store::WatchTiming serversTiming() {
+    store::WatchTiming timing = watchTiming(kOtherWait);
+    timing.firstGather = std::chrono::milliseconds(100);
+    timing.longestGather = std::chrono::milliseconds(400);
     return timing;
 }
 
 }  // namespace
 
-class ClusterControl::Feed final : public store::WatchSink {
+class ClusterControl::KindSink final : public store::WatchSink {
 public:
     using ListHandler = std::function<void(const std::vector<StoredObject>&, std::uint64_t)>;
     using EventHandler = std::function<void(const ObjectEvent&)>;
 
-    Feed(ListHandler list, EventHandler event) : _list(std::move(list)), _event(std::move(event)) {}
+    KindSink(ListHandler list, EventHandler event)
+        : _list(std::move(list)), _event(std::move(event)) {}
 
     void onList(const std::vector<StoredObject>& objects, std::uint64_t version) override {
         _list(objects, version);
@@ -56,43 +64,49 @@
                   _dependencies.codec, _dependencies.self.name),
       _registry(_dependencies.storeClient, _dependencies.protocol, _dependencies.codec,
                 _dependencies.clock, _dependencies.random, _dependencies.self),
-      _alive(std::make_shared<bool>(true)) {
-    const ClusterKinds kinds = _dependencies.codec.kinds();
-    const auto follow = [this](const std::string& kind, Feed::ListHandler list,
-                               Feed::EventHandler event, store::WatchTiming timing) {
-        _feeds.push_back(std::make_unique<Feed>(std::move(list), std::move(event)));
-        _watches.push_back(std::make_unique<store::ObjectWatch>(
-            kind, _dependencies.storeClient, _dependencies.protocol, _dependencies.clock,
-            _dependencies.random, *_feeds.back(), timing));
+      _recordReader(_dependencies.storeClient, _dependencies.protocol, _dependencies.codec,
+                    [this](const StoredObject& object) { onPromotion(object); }),
+      _readers(_dependencies.self.name, _dependencies.self.zone),
+      _proofs({_dependencies.clock, _dependencies.random, _recordReader,
+               _dependencies.proofQuestions, _dependencies.proofAnswers,
+               [this](const pooling::LeadershipProof& proof) { onProof(proof); }},
+              _readers) {
+    followKinds();
+}
+
+void ClusterControl::followKinds() {
+    const auto onEach = [](auto handler) {
+        return [handler](const std::vector<StoredObject>& objects, std::uint64_t) {
+            std::for_each(objects.begin(), objects.end(), handler);
+        };
     };
-    follow(
-        kinds.settings,
-        [this](const std::vector<StoredObject>& objects, std::uint64_t) {
-            std::for_each(objects.begin(), objects.end(),
-                          [this](const StoredObject& object) { onSettings(object); });
-        },
-        [this](const ObjectEvent& event) { onSettings(event.object); }, settingsTiming());
-    follow(
-        kinds.servers,
+    const auto settings = [this](const StoredObject& object) { onSettings(object); };
+    const auto promotion = [this](const StoredObject& object) { onPromotion(object); };
+    _sinks.push_back(std::make_unique<KindSink>(
+        onEach(settings), [settings](const ObjectEvent& event) { settings(event.object); }));
+    _sinks.push_back(std::make_unique<KindSink>(
         [this](const std::vector<StoredObject>& objects, std::uint64_t version) {
             onServersListed(objects, version);
         },
-        [this](const ObjectEvent& event) { onServerEvent(event); }, store::WatchTiming{});
-    follow(
-        kinds.promotions,
-        [this](const std::vector<StoredObject>& objects, std::uint64_t) {
-            std::for_each(objects.begin(), objects.end(),
-                          [this](const StoredObject& object) { onPromotion(object); });
-        },
-        [this](const ObjectEvent& event) { onPromotion(event.object); }, store::WatchTiming{});
+        [this](const ObjectEvent& event) { onServerEvent(event); }));
+    _sinks.push_back(std::make_unique<KindSink>(
+        onEach(promotion), [promotion](const ObjectEvent& event) { promotion(event.object); }));
+    const ClusterKinds kinds = _dependencies.codec.kinds();
+    _follower = std::make_unique<StoreFollower>(
+        FollowerDependencies{_dependencies.clock, _dependencies.random, _dependencies.storeClient,
+                             _dependencies.protocol, _dependencies.feedQuestions,
+                             _dependencies.feedAnswers, _readers, _dependencies.self.name},
+        std::vector<FollowedKind>{
+            {kinds.settings, watchTiming(kSettingsWait), *_sinks[0]},
+            {kinds.servers, serversTiming(), *_sinks[1]},
+            {kinds.promotions, watchTiming(kOtherWait), *_sinks[2]},
+        });
 }
 
 ClusterControl::~ClusterControl() = default;
 
 bool ClusterControl::isReady() const {
-    return _settingsKnown && _registry.isSettled() &&
-           std::all_of(_watches.begin(), _watches.end(),
-                       [](const auto& watch) { return watch->isListed(); });
+    return _settingsKnown && _registry.isSettled() && _follower->isListed();
 }
 
 std::uint64_t ClusterControl::promotions() const {
@@ -103,11 +117,6 @@
     return total;
 }
 
-bool ClusterControl::isStoreReachable() const {
-    return std::all_of(_watches.begin(), _watches.end(),
-                       [](const auto& watch) { return watch->isReachable(); });
-}
-
 void ClusterControl::onSettings(const StoredObject& object) {
     const std::optional<EstateImage> image = _dependencies.codec.readEstate(object);
     if (!image) {
@@ -178,6 +187,7 @@
     _publishedNodes = std::move(nodes);
     LogEvent("cluster", LogLevel::Info, "nodes.counted").field("nodes", _publishedNodes.size());
     _pooler.applyNodes(_publishedNodes);
+    _readers.applyNodes(_publishedNodes);
     _dependencies.onNodes(_publishedNodes);
 }
 
@@ -197,10 +207,11 @@
     std::unique_ptr<failover::GroupFailover>& entry = _failovers[group];
     if (!entry) {
         entry = std::make_unique<failover::GroupFailover>(
-            group, failover::FailoverDependencies{_dependencies.clock, _dependencies.random,
-                                                  _dependencies.connector, _promotions, _promotions,
-                                                  _dependencies.reportParser, _dependencies.holder,
-                                                  _dependencies.self.name.value()});
+            group, failover::FailoverDependencies{
+                       _dependencies.clock, _dependencies.random, _dependencies.connector,
+                       _promotions, _promotions, _dependencies.reportParser, _dependencies.holder,
+                       _dependencies.self.name.value(),
+                       [this](const GroupName& name) { return _readers.turnOf(name.value()); }});
     }
     return *entry;
 }
@@ -223,11 +234,13 @@
             .field("version", record->version);
     }
     failover.onRecord(*record);
+    _proofs.noteRecord(record->version);
     _pooler.applyNotice(group, failover.record().notice());
 }
 
 void ClusterControl::wantLeadershipProof(const GroupName& group) {
     _unproven.insert(group);
+    _proofs.want();
 }
 
 void ClusterControl::suspectPrimary(const GroupName& group, const ServerName& server,
@@ -236,9 +249,7 @@
 }
 
 void ClusterControl::onTick(TimePoint now) {
-    for (const auto& watch : _watches) {
-        watch->onTick(now);
-    }
+    _follower->onTick(now);
     _registry.onTick(now);
     publishNodes();
     proveAtStart();
@@ -250,10 +261,11 @@
         std::uint64_t& told = _toldVersions[group];
         if (failover->record().version > told) {
             told = failover->record().version;
+            _proofs.noteRecord(told);
             _pooler.applyNotice(group, failover->record().notice());
         }
     }
-    askForProof(now);
+    _proofs.onTick(now);
     askServersForProof(now);
     if (now >= _nextExpiry) {
         _nextExpiry = now + kExpiryRound;
@@ -263,15 +275,11 @@
 
 std::optional<TimePoint> ClusterControl::nextTick() const {
     TimePoint next = std::min(_nextExpiry, _registry.nextTick());
-    for (const auto& watch : _watches) {
-        next = std::min(next, watch->nextTick().value_or(next));
-    }
+    next = std::min(next, _follower->nextTick().value_or(next));
     for (const auto& [group, failover] : _failovers) {
         next = isReady() ? std::min(next, failover->nextTick()) : next;
     }
-    if (!_unproven.empty() && !_proofRunning) {
-        next = std::min(next, _nextProof);
-    }
+    next = std::min(next, _proofs.nextTick().value_or(next));
     for (const auto& [group, probe] : _probes) {
         next = std::min(next, probe->nextTick().value_or(next));
     }
@@ -285,31 +293,14 @@
     }
     _provenAtStart = true;
     for (const auto& [group, servers] : _directory.groups()) {
-        _unproven.insert(group);
+        wantLeadershipProof(group);
     }
 }
 
-/** One list of all promotions proves the leadership of every group without one under way. */
-void ClusterControl::askForProof(TimePoint now) {
-    if (_unproven.empty() || _proofRunning || now < _nextProof) {
-        return;
-    }
-    _proofRunning = true;
-    socket::HttpCall call =
-        _dependencies.protocol.listCall(_dependencies.codec.kinds().promotions, {});
-    call.timeout = _storeSilent ? kProofTimeout : kFirstProofTimeout;
-    _dependencies.storeClient.call(
-        call, [this, alive = std::weak_ptr<bool>(_alive), now](const socket::HttpAnswer& answer) {
-            if (!alive.expired()) {
-                _proofRunning = false;
-                onProof(answer, now);
-            }
-        });
-}
-
-/** While the store says nothing, the servers are asked, at the price of a slot of each. */
+/** While neither the store nor a node gives proofs, the servers are asked, at the price of a slot
+ * of each. */
 void ClusterControl::askServersForProof(TimePoint now) {
-    if (_storeSilent) {
+    if (_proofs.hasFailed()) {
         for (const GroupName& group : _unproven) {
             std::unique_ptr<failover::LeadershipProbe>& probe = _probes[group];
             if (!probe) {
@@ -340,24 +331,13 @@
     }
 }
 
-void ClusterControl::onProof(const socket::HttpAnswer& answer, TimePoint askedAt) {
-    const bool answered =
-        answer.outcome == socket::HttpAnswer::Outcome::Answered && answer.status == kSuccess;
-    const std::optional<store::ObjectPage> page =
-        answered ? _dependencies.protocol.readPage(answer.body) : std::nullopt;
-    _storeSilent = !page;
-    if (!page || page->more) {
-        _nextProof = _dependencies.clock.now() + kProofPause;
-        return;
-    }
+/** Proves the leadership of every group without a promotion under way. */
+void ClusterControl::onProof(const pooling::LeadershipProof& proof) {
     _unproven.clear();
-    std::map<GroupName, std::uint64_t> versions;
-    for (const StoredObject& object : page->objects) {
-        onPromotion(object);
-        versions[GroupName(object.name)] = object.version;
-    }
     for (const auto& [group, servers] : _directory.groups()) {
-        _pooler.confirmByRecord(group, versions[group], askedAt);
+        const auto record = proof.recordVersions.find(group);
+        const std::uint64_t version = record == proof.recordVersions.end() ? 0 : record->second;
+        _pooler.confirmByRecord(group, version, proof.provenAt);
     }
 }
 
--- a/src/cluster/ClusterControl.h
+++ b/src/cluster/ClusterControl.h
@@ -16,10 +16,13 @@
 #include "cluster/ClusterCodec.h"
 #include "cluster/EstateImport.h"
 #include "cluster/NodeRegistry.h"
+#include "cluster/PromotionRecordReader.h"
+#include "cluster/StoreFollower.h"
 #include "cluster/StoredPromotions.h"
 #include "failover/GroupFailover.h"
 #include "failover/LeadershipProbe.h"
 #include "link/store/ObjectWatch.h"
+#include "pooling/ProofExchange.h"
 #include "pooling/ServerDirectory.h"
 #include "pooling/StatementPooler.h"
 #include "settings/SettingsTree.h"
@@ -36,6 +39,10 @@
     const ClusterCodec& codec;
     pooling::ServerConnector& connector;
     const failover::ReportParser& reportParser;
+    pooling::ProofQuestions& proofQuestions;
+    pooling::ProofAnswers& proofAnswers;
+    store::FeedQuestions& feedQuestions;
+    store::FeedAnswers& feedAnswers;
     /** This node as the others are to know it. */
     pooling::ProxyNode self;
     /** Told of the nodes whenever they change. */
@@ -56,6 +63,10 @@
     /** Statements of the group wait for a proof that its primary leads. */
     void wantLeadershipProof(const GroupName& group);
 
+    /** @return what takes other nodes' questions and their answers. */
+    pooling::ProofEvents& proofEvents() { return _proofs; }
+    store::FeedEvents& feedEvents() { return *_follower; }
+
     void suspectPrimary(const GroupName& group, const ServerName& server,
                         pooling::SuspicionReason reason);
 
@@ -67,14 +78,16 @@
 
     std::size_t nodeCount() const { return _publishedNodes.size(); }
 
-    /** @return whether the newest call of each watch was answered. */
-    bool isStoreReachable() const;
+    /** @return whether another node tells of changes, or the newest call of each watch was
+     * answered. */
+    bool isStoreReachable() const { return _follower->isReachable(); }
 
     std::uint64_t settingsVersion() const { return _import.version(); }
 
 private:
-    /** Passes what one watch brings to a method. */
-    class Feed;
+    /** Passes what is known of one kind of objects to methods. */
+    class KindSink;
+    void followKinds();
 
     void onSettings(const store::StoredObject& object);
     void onServersListed(const std::vector<store::StoredObject>& objects, std::uint64_t version);
@@ -84,10 +97,9 @@
     void publishGroup(const GroupName& group);
     void publishNodes();
     void proveAtStart();
-    void askForProof(TimePoint now);
     void askServersForProof(TimePoint now);
     void takeProofsOfServers();
-    void onProof(const socket::HttpAnswer& answer, TimePoint askedAt);
+    void onProof(const pooling::LeadershipProof& proof);
     failover::GroupFailover& failoverOf(const GroupName& group);
 
     ClusterDependencies _dependencies;
@@ -100,11 +112,12 @@
     NodeRegistry _registry;
     std::map<GroupName, std::unique_ptr<failover::GroupFailover>> _failovers;
     std::map<GroupName, std::unique_ptr<failover::LeadershipProbe>> _probes;
-    /** The store did not answer the last question for a proof. */
-    bool _storeSilent = false;
+    PromotionRecordReader _recordReader;
+    pooling::ReaderTree _readers;
+    pooling::ProofExchange _proofs;
     std::map<GroupName, TimePoint> _toldProofs;
-    std::vector<std::unique_ptr<Feed>> _feeds;
-    std::vector<std::unique_ptr<store::ObjectWatch>> _watches;
+    std::vector<std::unique_ptr<KindSink>> _sinks;
+    std::unique_ptr<StoreFollower> _follower;
     std::vector<pooling::ProxyNode> _publishedNodes;
     /** Number of the list from which the nodes were published last. */
     std::size_t _publishedList = 0;
@@ -113,10 +126,7 @@
     std::set<GroupName> _unproven;
     /** The proof that a start needs has been asked for. */
     bool _provenAtStart = false;
-    bool _proofRunning = false;
-    TimePoint _nextProof{};
     TimePoint _nextExpiry{};
-    std::shared_ptr<bool> _alive;
 };
 
 }  // namespace coralhoist::cluster
--- /dev/null
+++ b/src/cluster/PromotionRecordReader.cpp
@@ -0,0 +1,71 @@
+#include "cluster/PromotionRecordReader.h"
+
+#include <optional>
+#include <utility>
+
+namespace coralhoist::cluster {
+namespace {
+
+/** The servers are asked for proofs soon when a store that answered so far does not: thirty times a
+ * calm answer (4 ms). A silent store may be slow, and is given more time. */
+constexpr Duration kFirstTimeout = std::chrono::milliseconds(120);
+constexpr Duration kTimeout = std::chrono::milliseconds(400);
+constexpr int kSuccess = 200;
+
+}  // namespace
+
+PromotionRecordReader::PromotionRecordReader(socket::HttpClient& client,
+                                             const store::ObjectProtocol& protocol,
+                                             const ClusterCodec& codec, RecordHandler onRecord)
+    : _client(client),
+      _protocol(protocol),
+      _codec(codec),
+      _onRecord(std::move(onRecord)),
+      _alive(std::make_shared<bool>(true)) {}
+
+PromotionRecordReader::~PromotionRecordReader() = default;
+
+void PromotionRecordReader::readRecords(Callback callback) {
+    _callback = std::move(callback);
+    _versions.clear();
+    readPage({});
+}
+
+void PromotionRecordReader::readPage(const std::string& after) {
+    socket::HttpCall call = _protocol.listCall(_codec.kinds().promotions, after);
+    call.timeout = _answered ? kFirstTimeout : kTimeout;
+    _client.call(call,
+                 [this, alive = std::weak_ptr<bool>(_alive)](const socket::HttpAnswer& answer) {
+                     if (!alive.expired()) {
+                         onPage(answer);
+                     }
+                 });
+}
+
+void PromotionRecordReader::onPage(const socket::HttpAnswer& answer) {
+    const bool answered =
+        answer.outcome == socket::HttpAnswer::Outcome::Answered && answer.status == kSuccess;
+    const std::optional<store::ObjectPage> page =
+        answered ? _protocol.readPage(answer.body) : std::nullopt;
+    if (!page) {
+        finish(false);
+        return;
+    }
+    for (const store::StoredObject& object : page->objects) {
+        _onRecord(object);
+        _versions[GroupName(object.name)] = object.version;
+    }
+    if (page->more && !page->objects.empty()) {
+        readPage(page->objects.back().name);
+        return;
+    }
+    finish(true);
+}
+
+void PromotionRecordReader::finish(bool succeeded) {
+    _answered = succeeded;
+    const Callback callback = std::exchange(_callback, {});
+    callback(succeeded ? std::optional<pooling::RecordVersions>(_versions) : std::nullopt);
+}
+
+}  // namespace coralhoist::cluster
--- /dev/null
+++ b/src/cluster/PromotionRecordReader.h
@@ -0,0 +1,48 @@
+/** Reads all promotion records of the store at once. */
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "base/Time.h"
+#include "cluster/ClusterCodec.h"
+#include "link/socket/HttpClient.h"
+#include "link/store/ObjectProtocol.h"
+#include "pooling/LeadershipProof.h"
+
+namespace coralhoist::cluster {
+
+/** Lists the records, page by page, with linearizable calls. One reading runs at a time. */
+class PromotionRecordReader final : public pooling::RecordReader {
+public:
+    using RecordHandler = std::function<void(const store::StoredObject&)>;
+
+    /**
+     * References outlive the reader.
+     * @param onRecord told of each record that is read, before the callback of the reading.
+     */
+    PromotionRecordReader(socket::HttpClient& client, const store::ObjectProtocol& protocol,
+                          const ClusterCodec& codec, RecordHandler onRecord);
+    ~PromotionRecordReader() override;
+
+    void readRecords(Callback callback) override;
+
+private:
+    void readPage(const std::string& after);
+    void onPage(const socket::HttpAnswer& answer);
+    void finish(bool succeeded);
+
+    socket::HttpClient& _client;
+    const store::ObjectProtocol& _protocol;
+    const ClusterCodec& _codec;
+    RecordHandler _onRecord;
+    Callback _callback;
+    pooling::RecordVersions _versions;
+    /** The store answered the last reading; it is given more time when it did not. */
+    bool _answered = true;
+    std::shared_ptr<bool> _alive;
+};
+
+}  // namespace coralhoist::cluster
--- a/src/duty/pooling/PoolingDuty.cpp
+++ b/src/duty/pooling/PoolingDuty.cpp
@@ -60,6 +60,10 @@
             _adapter.clusterCodec,
             _connector,
             _adapter.reportParser,
+            _unitLinks,
+            _unitService,
+            _unitLinks,
+            _unitService,
             self,
             [this](const std::vector<pooling::ProxyNode>& nodes) { _unitLinks.applyNodes(nodes); },
             _options.name.value() + "/" + std::to_string(_options.seed)};
@@ -79,6 +83,8 @@
         return status;
     }
     _control = std::make_unique<cluster::ClusterControl>(controlDependencies(), _pooler);
+    _unitLinks.setQuestionEvents(_control->proofEvents(), _control->feedEvents());
+    _unitService.setQuestionEvents(_control->proofEvents(), _control->feedEvents());
     listenForMetrics();
     addTickSources();
     QObject::connect(&_drainTimer, &QTimer::timeout, [this] { continueDrain(); });
--- a/src/failover/FailoverTiming.h
+++ b/src/failover/FailoverTiming.h
@@ -35,6 +35,10 @@
 constexpr Duration kStorePause = std::chrono::milliseconds(150);
 /** Random part of the delay before a record is claimed: nodes see the same signs at once. */
 constexpr std::uint64_t kClaimJitterMs = 60;
+/** What all nodes see at once is taken up in turn: each waits so much longer than the one before,
+ * which is twice the time in which a claim reaches the others, up to so many turns. */
+constexpr Duration kTurn = std::chrono::milliseconds(100);
+constexpr std::size_t kLastTurn = 10;
 /** Suspicions older than this no longer count. */
 constexpr Duration kSuspicionHolds = std::chrono::milliseconds(250);
 
--- a/src/failover/GroupFailover.cpp
+++ b/src/failover/GroupFailover.cpp
@@ -144,7 +144,7 @@
     switch (_phase) {
         case Phase::Idle:
             if (const FailoverReason reason = findReason(now);
-                reason != FailoverReason::None && now >= _notBefore) {
+                isOwnTurn(reason, now) && now >= _notBefore) {
                 begin(reason, now);
             }
             return;
@@ -172,6 +172,35 @@
     }
 }
 
+/**
+ * What all nodes see, they would all claim at once; so they wait for their turns, and most find
+ * that another one has claimed. What a node alone may have seen, it takes up at once.
+ * @return whether this node acts on the reason now.
+ */
+bool GroupFailover::isOwnTurn(FailoverReason reason, TimePoint now) {
+    if (reason != _found) {
+        _found = reason;
+        _foundSince = now;
+    }
+    switch (reason) {
+        case FailoverReason::None:
+            return false;
+        case FailoverReason::Silent:
+        case FailoverReason::Unreachable:
+        case FailoverReason::WritesUnanswered:
+            return true;
+        case FailoverReason::Leaving:
+        case FailoverReason::NoPrimary:
+        case FailoverReason::Abandoned:
+            break;
+    }
+    if (isOwn(_record) && reason == FailoverReason::Abandoned) {
+        return true;
+    }
+    const std::size_t turn = std::min(_dependencies.turn(_group), kLastTurn);
+    return now - _foundSince >= kTurn * turn;
+}
+
 FailoverReason GroupFailover::findReason(TimePoint now) const {
     if (_servers.empty()) {
         return FailoverReason::None;
--- a/src/failover/GroupFailover.h
+++ b/src/failover/GroupFailover.h
@@ -1,6 +1,7 @@
 /** Replaces the primary of one group: detects that it must be, and carries the promotion out. */
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -40,6 +41,8 @@
     std::string holder;
     /** Names the node through all its lives: what every holder of its begins with. */
     std::string node;
+    /** This node's place in the order in which nodes take up what all see; 0 is the first. */
+    std::function<std::size_t(const GroupName&)> turn;
 };
 
 /**
@@ -105,6 +108,7 @@
     };
 
     FailoverReason findReason(TimePoint now) const;
+    bool isOwnTurn(FailoverReason reason, TimePoint now);
     bool hasStayingServer() const;
     bool successorLeads();
     void begin(FailoverReason reason, TimePoint now);
@@ -162,6 +166,9 @@
 
     Phase _phase = Phase::Idle;
     FailoverReason _reason = FailoverReason::None;
+    /** The reason that was found last, and since when it holds. */
+    FailoverReason _found = FailoverReason::None;
+    TimePoint _foundSince{};
     TimePoint _phaseSince{};
     TimePoint _nextTick{};
     TimePoint _notBefore{};
--- a/src/link/forwarding/UnitCodec.cpp
+++ b/src/link/forwarding/UnitCodec.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "gen/unit_types.h"
+#include "link/forwarding/QuestionCodec.h"
 #include "link/frame/ThriftCodec.h"
 
 namespace coralhoist::forwarding {
@@ -200,6 +201,9 @@
     if (frame.__isset.answer) {
         return readAnswer(frame.answer);
     }
+    if (isQuestionFrame(frame)) {
+        return readQuestionFrame(frame);
+    }
     UnitMessage message;
     if (frame.__isset.ended) {
         message.kind = UnitMessage::Kind::Ended;
@@ -240,6 +244,12 @@
         case UnitMessage::Kind::Leaving:
             frame.__set_leaving(true);
             break;
+        case UnitMessage::Kind::ProofAsked:
+        case UnitMessage::Kind::Proof:
+        case UnitMessage::Kind::ChangesAsked:
+        case UnitMessage::Kind::Changes:
+            writeQuestionFrame(message, frame);
+            break;
     }
     return frame;
 }
--- a/src/link/forwarding/UnitCodec.h
+++ b/src/link/forwarding/UnitCodec.h
@@ -1,4 +1,5 @@
-/** Frames of the link on which nodes forward units of work: Thrift structs behind a length. */
+/** Frames of the link between two nodes, for units of work, proofs of leadership and changes of the
+ * store: Thrift structs behind a length. */
 #pragma once
 
 #include <optional>
@@ -6,6 +7,8 @@
 #include <string_view>
 
 #include "base/Status.h"
+#include "link/store/FeedMessages.h"
+#include "pooling/LeadershipProof.h"
 #include "pooling/UnitForwarding.h"
 
 namespace coralhoist::forwarding {
@@ -22,13 +25,23 @@
         Ended,          /**< `unit` is given up. */
         HeartbeatAsked, /**< To be answered with Heartbeat. */
         Heartbeat,
-        Leaving, /**< The sender takes no new units. */
+        Leaving,      /**< The sender takes no new units. */
+        ProofAsked,   /**< `question` and `proofNeed`. */
+        Proof,        /**< `question` and `proof`, if there is one. */
+        ChangesAsked, /**< `question` and `feedQuestion`. */
+        Changes,      /**< `question` and `feedAnswer`, if there is one. */
     };
     Kind kind = Kind::Heartbeat;
     UnitId unit;
     std::optional<pooling::UnitOpening> opening;
     pooling::UnitStatement statement;
     pooling::UnitResult result;
+    /** Number that the asking node gave its question for a proof of leadership or for changes. */
+    std::uint64_t question = 0;
+    pooling::ProofNeed proofNeed;
+    std::optional<pooling::HandedProof> proof;
+    store::FeedQuestion feedQuestion;
+    std::optional<store::FeedAnswer> feedAnswer;
 };
 
 /** Appends one frame. */
--- a/src/link/forwarding/UnitLinks.cpp
+++ b/src/link/forwarding/UnitLinks.cpp
@@ -80,12 +80,18 @@
     link.stream->connectTo(link.node.host, link.node.port);
 }
 
-void UnitLinks::open(UnitId unit, const NodeName& node, const UnitOpening& opening,
-                     const UnitStatement& statement) {
+/** @return the link to the node, which is connected or being connected. */
+UnitLinks::Link& UnitLinks::connectedLink(const NodeName& node) {
     Link& link = _links[node];
     if (!link.stream) {
         connect(link);
     }
+    return link;
+}
+
+void UnitLinks::open(UnitId unit, const NodeName& node, const UnitOpening& opening,
+                     const UnitStatement& statement) {
+    Link& link = connectedLink(node);
     _units[unit] = node;
     link.units[unit] = false;
     noteSent(link, unit);
@@ -121,10 +127,37 @@
     link.stream->write(bytes);
 }
 
-void UnitLinks::noteSent(Link& link, UnitId unit) {
-    if (link.unanswered == 0 && link.connected) {
+void UnitLinks::askForProof(const NodeName& node, std::uint64_t question,
+                            const pooling::ProofNeed& need) {
+    Link& link = connectedLink(node);
+    noteWaiting(link);
+    link.proofQuestion = question;
+    UnitMessage message = messageOf(UnitMessage::Kind::ProofAsked);
+    message.question = question;
+    message.proofNeed = need;
+    send(link, message);
+}
+
+void UnitLinks::askForChanges(const NodeName& node, std::uint64_t question,
+                              const store::FeedQuestion& asked) {
+    Link& link = connectedLink(node);
+    link.feedQuestion = question;
+    UnitMessage message = messageOf(UnitMessage::Kind::ChangesAsked);
+    message.question = question;
+    message.feedQuestion = asked;
+    send(link, message);
+}
+
+/** Something is about to be sent that the other node must answer. */
+void UnitLinks::noteWaiting(Link& link) {
+    const bool waits = link.unanswered > 0 || link.proofQuestion;
+    if (!waits && link.connected) {
         link.waitingSince = _clock.now();
     }
+}
+
+void UnitLinks::noteSent(Link& link, UnitId unit) {
+    noteWaiting(link);
     link.units[unit] = true;
     ++link.unanswered;
 }
@@ -188,13 +221,39 @@
         case UnitMessage::Kind::HeartbeatAsked:
             send(link, messageOf(UnitMessage::Kind::Heartbeat));
             return;
+        case UnitMessage::Kind::Proof:
+            onProof(link, message);
+            return;
+        case UnitMessage::Kind::Changes:
+            onChanges(link, message);
+            return;
         case UnitMessage::Kind::Request:
         case UnitMessage::Kind::Ended:
         case UnitMessage::Kind::Heartbeat:
+        case UnitMessage::Kind::ProofAsked:
+        case UnitMessage::Kind::ChangesAsked:
             return;
     }
 }
 
+void UnitLinks::onProof(Link& link, const UnitMessage& message) {
+    if (link.proofQuestion == message.question) {
+        link.proofQuestion.reset();
+    }
+    if (_proofEvents != nullptr) {
+        _proofEvents->onProofAnswer(message.question, message.proof);
+    }
+}
+
+void UnitLinks::onChanges(Link& link, const UnitMessage& message) {
+    if (link.feedQuestion == message.question) {
+        link.feedQuestion.reset();
+    }
+    if (_feedEvents != nullptr) {
+        _feedEvents->onFeedAnswer(message.question, message.feedAnswer);
+    }
+}
+
 void UnitLinks::onAnswer(Link& link, UnitMessage message) {
     if (!link.units.contains(message.unit)) {
         return;
@@ -237,6 +296,8 @@
     link.leaving = false;
     link.connected = false;
     link.unanswered = 0;
+    const auto proofQuestion = std::exchange(link.proofQuestion, std::nullopt);
+    const auto feedQuestion = std::exchange(link.feedQuestion, std::nullopt);
     _nodeOf.erase(link.stream.get());
     link.stream->close(CloseMode::Abort);
     _closed.push_back(std::move(link.stream));
@@ -247,6 +308,12 @@
     for (const auto& [unit, waiting] : units) {
         _events.onUnitLost(unit, loss);
     }
+    if (proofQuestion && _proofEvents != nullptr) {
+        _proofEvents->onProofAnswer(*proofQuestion, std::nullopt);
+    }
+    if (feedQuestion && _feedEvents != nullptr) {
+        _feedEvents->onFeedAnswer(*feedQuestion, std::nullopt);
+    }
 }
 
 /** @return when the link must be looked at; nothing while it is not waited for. */
@@ -257,7 +324,7 @@
     if (!link.connected) {
         return link.waitingSince + kConnectTimeout;
     }
-    if (link.unanswered == 0) {
+    if (link.unanswered == 0 && !link.proofQuestion) {
         return std::nullopt;
     }
     const TimePoint quietSince = std::max(link.heardAt, link.waitingSince);
--- a/src/link/forwarding/UnitLinks.h
+++ b/src/link/forwarding/UnitLinks.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -10,6 +11,7 @@
 #include "link/forwarding/UnitCodec.h"
 #include "link/socket/StreamConnection.h"
 #include "pooling/ExecutorPlacement.h"
+#include "pooling/LeadershipProof.h"
 #include "pooling/UnitForwarding.h"
 
 namespace coralhoist::forwarding {
@@ -22,7 +24,10 @@
  * ended gets its results, or one onUnitLost. NotTaken is reported only when no byte of the unit
  * left this process, or when the other node says so.
  */
-class UnitLinks final : public pooling::UnitForwarder, public socket::StreamHandler {
+class UnitLinks final : public pooling::UnitForwarder,
+                        public pooling::ProofQuestions,
+                        public store::FeedQuestions,
+                        public socket::StreamHandler {
 public:
     /** References outlive the links. */
     UnitLinks(socket::SocketPoller& poller, const Clock& clock, pooling::UnitEvents& events);
@@ -36,6 +41,17 @@
               const pooling::UnitStatement& statement) override;
     void submit(UnitId unit, const pooling::UnitStatement& statement) override;
     void end(UnitId unit) override;
+    void askForProof(const NodeName& node, std::uint64_t question,
+                     const pooling::ProofNeed& need) override;
+
+    void askForChanges(const NodeName& node, std::uint64_t question,
+                       const store::FeedQuestion& asked) override;
+
+    /** Passes answers to questions on from now on. Both outlive the links' use. */
+    void setQuestionEvents(pooling::ProofEvents& proofs, store::FeedEvents& feed) {
+        _proofEvents = &proofs;
+        _feedEvents = &feed;
+    }
 
     /** Asks for signs of life and gives up links that show none. */
     void onTick(TimePoint now);
@@ -55,6 +71,10 @@
         /** Units that are open; true while a statement of the unit is unanswered. */
         std::map<UnitId, bool> units;
         std::size_t unanswered = 0;
+        /** Question for a proof that is not answered; an older one is no longer waited for. */
+        std::optional<std::uint64_t> proofQuestion;
+        /** The same for changes of the store. It may wait long, so no sign of life is asked for. */
+        std::optional<std::uint64_t> feedQuestion;
         /** When the connection was begun, or the first of the unanswered statements was sent. */
         TimePoint waitingSince{};
         TimePoint heardAt{};
@@ -70,10 +90,14 @@
     void onMessage(Link& link, UnitMessage message);
     void connect(Link& link);
     void send(Link& link, const UnitMessage& message);
+    void noteWaiting(Link& link);
     void noteSent(Link& link, UnitId unit);
     void noteAnswered(Link& link, UnitId unit);
     void onAnswer(Link& link, UnitMessage message);
     void onDeclined(Link& link, UnitId unit);
+    void onProof(Link& link, const UnitMessage& message);
+    void onChanges(Link& link, const UnitMessage& message);
+    Link& connectedLink(const NodeName& node);
     void forget(Link& link, UnitId unit);
     void drop(Link& link, const char* reason);
     std::optional<TimePoint> dueAt(const Link& link) const;
@@ -83,6 +107,8 @@
     socket::SocketPoller& _poller;
     const Clock& _clock;
     pooling::UnitEvents& _events;
+    pooling::ProofEvents* _proofEvents = nullptr;
+    store::FeedEvents* _feedEvents = nullptr;
     std::map<NodeName, Link> _links;
     std::map<const socket::StreamConnection*, NodeName> _nodeOf;
     std::map<UnitId, NodeName> _units;
--- a/src/link/forwarding/UnitService.cpp
+++ b/src/link/forwarding/UnitService.cpp
@@ -85,10 +85,18 @@
             send(link.stream, heartbeat);
             return;
         }
+        case UnitMessage::Kind::ProofAsked:
+            onProofAsked(link, message);
+            return;
+        case UnitMessage::Kind::ChangesAsked:
+            onChangesAsked(link, message);
+            return;
         case UnitMessage::Kind::Answer:
         case UnitMessage::Kind::Declined:
         case UnitMessage::Kind::Heartbeat:
         case UnitMessage::Kind::Leaving:
+        case UnitMessage::Kind::Proof:
+        case UnitMessage::Kind::Changes:
             return;
     }
 }
@@ -109,6 +117,58 @@
     }
 }
 
+/** @return the name of the question on this node. */
+std::uint64_t UnitService::noteQuestion(const Link& link, const UnitMessage& message) {
+    const std::uint64_t asker = ++_lastQuestion;
+    _questions[asker] = {link.stream.get(), message.question};
+    return asker;
+}
+
+void UnitService::onProofAsked(const Link& link, const UnitMessage& message) {
+    const std::uint64_t asker = noteQuestion(link, message);
+    if (_proofEvents == nullptr) {
+        answerProof(asker, std::nullopt);
+        return;
+    }
+    _proofEvents->onProofAsked({asker, message.proofNeed});
+}
+
+void UnitService::onChangesAsked(const Link& link, const UnitMessage& message) {
+    const std::uint64_t asker = noteQuestion(link, message);
+    if (_feedEvents == nullptr) {
+        answerFeed(asker, std::nullopt);
+        return;
+    }
+    _feedEvents->onFeedAsked(asker, message.feedQuestion);
+}
+
+void UnitService::answerProof(std::uint64_t asker,
+                              const std::optional<pooling::HandedProof>& proof) {
+    UnitMessage answer;
+    answer.kind = UnitMessage::Kind::Proof;
+    answer.proof = proof;
+    answerQuestion(asker, std::move(answer));
+}
+
+void UnitService::answerFeed(std::uint64_t asker, const std::optional<store::FeedAnswer>& reply) {
+    UnitMessage answer;
+    answer.kind = UnitMessage::Kind::Changes;
+    answer.feedAnswer = reply;
+    answerQuestion(asker, std::move(answer));
+}
+
+/** The asking node's link may be gone by now; then there is nobody to answer. */
+void UnitService::answerQuestion(std::uint64_t asker, UnitMessage answer) {
+    const auto found = _questions.find(asker);
+    if (found == _questions.end()) {
+        return;
+    }
+    answer.question = found->second.number;
+    const socket::StreamConnection* link = found->second.link;
+    _questions.erase(found);
+    send(_links.at(link).stream, answer);
+}
+
 void UnitService::decline(Link& link, UnitId unit) {
     UnitMessage answer;
     answer.kind = UnitMessage::Kind::Declined;
@@ -156,6 +216,8 @@
     }
     Link link = std::move(found->second);
     _links.erase(found);
+    std::erase_if(_questions,
+                  [&connection](const auto& entry) { return entry.second.link == &connection; });
     link.stream->close(CloseMode::Abort);
     _closed.push_back(std::move(link.stream));
     for (const auto& [unit, session] : link.sessions) {
--- a/src/link/forwarding/UnitService.h
+++ b/src/link/forwarding/UnitService.h
@@ -1,14 +1,16 @@
-/** Executes units of work that other nodes forward to this one. */
+/** Executes units of work that other nodes forward to this one, and takes their other questions. */
 #pragma once
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "link/forwarding/UnitCodec.h"
 #include "link/socket/StreamConnection.h"
 #include "link/socket/StreamListener.h"
+#include "pooling/LeadershipProof.h"
 #include "pooling/StatementPooler.h"
 
 namespace coralhoist::forwarding {
@@ -19,7 +21,9 @@
  *
  * Invariants: a unit that is declined has not run; what a lost link leaves open is rolled back.
  */
-class UnitService final : public socket::StreamHandler {
+class UnitService final : public socket::StreamHandler,
+                          public pooling::ProofAnswers,
+                          public store::FeedAnswers {
 public:
     /** References outlive the service. */
     UnitService(socket::SocketPoller& poller, pooling::StatementPooler& pooler);
@@ -39,6 +43,17 @@
      */
     bool reply(SessionId session, const pooling::StatementResult& result);
 
+    void answerProof(std::uint64_t asker,
+                     const std::optional<pooling::HandedProof>& proof) override;
+
+    void answerFeed(std::uint64_t asker, const std::optional<store::FeedAnswer>& answer) override;
+
+    /** Passes questions on from now on. Both outlive the service's use. */
+    void setQuestionEvents(pooling::ProofEvents& proofs, store::FeedEvents& feed) {
+        _proofEvents = &proofs;
+        _feedEvents = &feed;
+    }
+
     /** @return units that are open. */
     std::size_t unitCount() const { return _units.size(); }
     std::uint16_t port() const { return _listener.port(); }
@@ -57,6 +72,11 @@
         const socket::StreamConnection* link = nullptr;
         UnitId number;
     };
+    /** A question is known by its link and the number that the other node gave it. */
+    struct Question {
+        const socket::StreamConnection* link = nullptr;
+        std::uint64_t number = 0;
+    };
 
     void accept(int descriptor);
     void onConnected(socket::StreamConnection& connection) override;
@@ -64,6 +84,10 @@
     void onClosed(socket::StreamConnection& connection) override;
     void onMessage(Link& link, UnitMessage message);
     void onRequest(Link& link, UnitMessage message);
+    std::uint64_t noteQuestion(const Link& link, const UnitMessage& message);
+    void onProofAsked(const Link& link, const UnitMessage& message);
+    void onChangesAsked(const Link& link, const UnitMessage& message);
+    void answerQuestion(std::uint64_t asker, UnitMessage answer);
     void decline(Link& link, UnitId unit);
     void endUnit(Link& link, UnitId unit);
     void drop(const socket::StreamConnection& connection);
@@ -75,6 +99,10 @@
     bool _serving = false;
     std::map<const socket::StreamConnection*, Link> _links;
     std::map<SessionId, Unit> _units;
+    pooling::ProofEvents* _proofEvents = nullptr;
+    store::FeedEvents* _feedEvents = nullptr;
+    std::map<std::uint64_t, Question> _questions;
+    std::uint64_t _lastQuestion = 0;
     std::vector<std::unique_ptr<socket::StreamConnection>> _closed;
 };
 
--- /dev/null
+++ b/src/link/store/ObjectTable.cpp
@@ -0,0 +1,107 @@
+#include "link/store/ObjectTable.h"
+
+#include <algorithm>
+#include <set>
+
+namespace coralhoist::store {
+namespace {
+
+/** Removed objects that are remembered at most; each takes about 100 bytes. */
+constexpr std::size_t kRememberedRemovals = 1000;
+
+}  // namespace
+
+void ObjectTable::takeList(const std::vector<StoredObject>& objects, std::uint64_t position) {
+    std::set<std::string> present;
+    for (const StoredObject& object : objects) {
+        present.insert(object.name);
+        takeEvent({object, false});
+    }
+    for (auto& [name, known] : _objects) {
+        if (!known.removed && known.object.version <= position && !present.contains(name)) {
+            known.removed = true;
+            known.object.version = position;
+            known.object.content = {};
+            ++_removals;
+        }
+    }
+    if (!_position) {
+        _completeSince = position;
+    }
+    forgetOldRemovals();
+    advanceTo(position);
+}
+
+void ObjectTable::takeEvent(const ObjectEvent& event) {
+    const auto [entry, added] = _objects.try_emplace(event.object.name, event);
+    ObjectEvent& known = entry->second;
+    if (!added && event.object.version <= known.object.version) {
+        return;
+    }
+    _removals -= !added && known.removed ? 1 : 0;
+    _removals += event.removed ? 1 : 0;
+    known = event;
+    if (event.removed) {
+        known.object.content = {};
+        forgetOldRemovals();
+    }
+}
+
+void ObjectTable::advanceTo(std::uint64_t position) {
+    _position = std::max(_position.value_or(0), position);
+}
+
+void ObjectTable::takeChanges(const ObjectChanges& changes) {
+    if (changes.complete) {
+        std::vector<StoredObject> objects;
+        for (const ObjectEvent& event : changes.events) {
+            objects.push_back(event.object);
+        }
+        takeList(objects, changes.position);
+        return;
+    }
+    for (const ObjectEvent& event : changes.events) {
+        takeEvent(event);
+    }
+    advanceTo(changes.position);
+}
+
+std::optional<ObjectChanges> ObjectTable::changesAfter(
+    std::optional<std::uint64_t> position) const {
+    ObjectChanges changes;
+    changes.complete = !position || *position < _completeSince;
+    changes.position = this->position();
+    for (const auto& [name, known] : _objects) {
+        const bool lacking = changes.complete ? !known.removed : known.object.version > *position;
+        if (lacking) {
+            changes.events.push_back(known);
+        }
+    }
+    if (!changes.complete && changes.events.empty()) {
+        return std::nullopt;
+    }
+    std::sort(changes.events.begin(), changes.events.end(),
+              [](const ObjectEvent& left, const ObjectEvent& right) {
+                  return left.object.version < right.object.version;
+              });
+    return changes;
+}
+
+/** Those who know less than what is forgotten get all objects. */
+void ObjectTable::forgetOldRemovals() {
+    while (_removals > kRememberedRemovals) {
+        auto oldest = _objects.end();
+        for (auto entry = _objects.begin(); entry != _objects.end(); ++entry) {
+            const bool older = oldest == _objects.end() ||
+                               entry->second.object.version < oldest->second.object.version;
+            if (entry->second.removed && older) {
+                oldest = entry;
+            }
+        }
+        _completeSince = std::max(_completeSince, oldest->second.object.version);
+        _objects.erase(oldest);
+        --_removals;
+    }
+}
+
+}  // namespace coralhoist::store
--- a/src/link/store/ObjectWatch.cpp
+++ b/src/link/store/ObjectWatch.cpp
@@ -11,6 +11,8 @@
 
 constexpr int kSuccess = 200;
 constexpr int kHistoryGone = 410;
+/** Changes that follow each other within this time come in quick succession. */
+constexpr Duration kQuickSuccession = std::chrono::milliseconds(1000);
 
 }  // namespace
 
@@ -44,6 +46,9 @@
                                       : _protocol.listCall(_kind, _after);
     call.timeout = (_position ? _timing.wait : Duration(0)) + _timing.slack;
     _running = true;
+    if (_after.empty()) {
+        _askedAt = _clock.now();
+    }
     _client.call(call,
                  [this, alive = std::weak_ptr<bool>(_alive)](const socket::HttpAnswer& answer) {
                      if (!alive.expired()) {
@@ -63,6 +68,7 @@
         _nextCall = _clock.now();
         return;
     }
+    _nextCall = _clock.now();
     const bool taken = answered && answer.status == kSuccess &&
                        (_position ? takeEvents(answer) : takePage(answer));
     if (!taken) {
@@ -70,7 +76,7 @@
         return;
     }
     _pause = Duration(0);
-    _nextCall = _clock.now();
+    _nextCall = std::max(_nextCall, _clock.now());
     if (!_reachable) {
         _reachable = true;
         LogEvent("store.watch", LogLevel::Info, "store.regained").field("kind", _kind);
@@ -110,17 +116,37 @@
     _pages.clear();
     _after.clear();
     _listVersion.reset();
-    _position = version;
+    _position = std::max(_position.value_or(0), version);
+    _confirmedAt = _askedAt;
     _sink.onList(objects, version);
     return true;
 }
 
+void ObjectWatch::gatherMore(TimePoint now) {
+    const bool quick = now - _changedAt < kQuickSuccession;
+    _changedAt = now;
+    _gather =
+        quick ? nextBackoff(_gather, _timing.firstGather, _timing.longestGather) : Duration(0);
+    _nextCall = now + _gather;
+}
+
+void ObjectWatch::resumeFrom(std::uint64_t position) {
+    _position = std::max(_position.value_or(0), position);
+    _nextCall = _clock.now();
+}
+
 bool ObjectWatch::takeEvents(const socket::HttpAnswer& answer) {
     const std::optional<ObjectEvents> events = _protocol.readEvents(answer.body);
     if (!events) {
         return false;
     }
     _position = std::max(*_position, events->version);
+    const TimePoint now = _clock.now();
+    const bool waited = events->events.empty() && now >= _askedAt + _timing.wait;
+    _confirmedAt = waited ? _askedAt + _timing.wait : _askedAt;
+    if (!events->events.empty()) {
+        gatherMore(now);
+    }
     for (const ObjectEvent& event : events->events) {
         _sink.onEvent(event);
     }
--- a/src/link/store/ObjectWatch.h
+++ b/src/link/store/ObjectWatch.h
@@ -33,7 +33,11 @@
     Duration slack = std::chrono::milliseconds(700);
     /** Pause after a call that failed; doubled each time up to the longest. */
     Duration firstPause = std::chrono::milliseconds(80);
-    Duration longestPause = std::chrono::milliseconds(800);
+    Duration longestPause = std::chrono::milliseconds(1600);
+    /** Changes that come in quick succession are fetched together: the pause after an answer with
+     * changes that came soon after the last; doubled each time up to the longest. */
+    Duration firstGather = std::chrono::milliseconds(0);
+    Duration longestGather = std::chrono::milliseconds(0);
 };
 
 /**
@@ -57,10 +61,23 @@
     /** @return whether the newest call was answered well. */
     bool isReachable() const { return _reachable; }
 
+    /**
+     * @return a time not later than the moment up to which all changes were delivered. A call that
+     * ended without changes after its whole wait confirms that wait.
+     */
+    TimePoint confirmedAt() const { return _confirmedAt; }
+
+    /** @return up to which position all changes were delivered; none before the first list. */
+    std::optional<std::uint64_t> position() const { return _position; }
+
+    /** The changes up to the position came another way; the next call goes on from there. */
+    void resumeFrom(std::uint64_t position);
+
 private:
     void startCall();
     void onAnswer(const socket::HttpAnswer& answer);
     bool takePage(const socket::HttpAnswer& answer);
+    void gatherMore(TimePoint now);
     bool takeEvents(const socket::HttpAnswer& answer);
     void fail(int status);
 
@@ -77,6 +94,10 @@
     bool _reachable = true;
     TimePoint _nextCall{};
     Duration _pause{0};
+    Duration _gather{0};
+    TimePoint _changedAt{};
+    TimePoint _confirmedAt{};
+    TimePoint _askedAt{};
     /** Pages of the list that is being read. */
     std::vector<StoredObject> _pages;
     std::string _after;
--- a/src/pooling/ExecutorPlacement.cpp
+++ b/src/pooling/ExecutorPlacement.cpp
@@ -1,41 +1,15 @@
 #include "pooling/ExecutorPlacement.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <utility>
 
+#include "pooling/NodeRanking.h"
+
 namespace coralhoist::pooling {
 namespace {
 
-/** A node and its rank for a key; the highest ranks are chosen. */
-struct RankedNode {
-    std::uint64_t rank = 0;
-    NodeName name;
-};
-
-std::uint64_t rankOf(const std::string& key, const NodeName& node) {
-    const std::string text = key + '\0' + node.value();
-    return XXH3_64bits(text.data(), text.size());
-}
-
-/** @return the nodes by descending rank for the key. */
-std::vector<RankedNode> ranked(const std::string& key, const std::vector<NodeName>& nodes) {
-    std::vector<RankedNode> result;
-    result.reserve(nodes.size());
-    for (const NodeName& node : nodes) {
-        result.push_back({rankOf(key, node), node});
-    }
-    std::sort(result.begin(), result.end(), [](const RankedNode& left, const RankedNode& right) {
-        return left.rank != right.rank ? left.rank > right.rank : left.name < right.name;
-    });
-    return result;
-}
-
-void appendNames(const std::vector<RankedNode>& from, std::vector<NodeName>& to) {
-    for (const RankedNode& node : from) {
-        to.push_back(node.name);
-    }
+void appendNames(const std::vector<NodeName>& from, std::vector<NodeName>& to) {
+    to.insert(to.end(), from.begin(), from.end());
 }
 
 }  // namespace
@@ -79,7 +53,7 @@
     std::vector<NodeName> near;
     std::vector<NodeName> far;
     for (const auto& [zone, nodes] : _nodes) {
-        std::vector<RankedNode> chosen = ranked(group.value(), nodes);
+        std::vector<NodeName> chosen = rankedNodes(group.value(), nodes);
         chosen.resize(std::min<std::size_t>(chosen.size(), _executorsPerZone));
         result.count += chosen.size();
         appendNames(chosen, zone == _zone ? near : far);
@@ -87,8 +61,8 @@
     result.here = std::erase(near, _self) > 0;
     // Ranked again by a key of this node, so that the load of a zone spreads over its executors.
     const std::string ownKey = group.value() + '\0' + _self.value();
-    appendNames(ranked(ownKey, near), result.others);
-    appendNames(ranked(ownKey, far), result.others);
+    appendNames(rankedNodes(ownKey, near), result.others);
+    appendNames(rankedNodes(ownKey, far), result.others);
     return result;
 }
 
--- /dev/null
+++ b/src/pooling/ProofExchange.cpp
@@ -0,0 +1,187 @@
+#include "pooling/ProofExchange.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "base/Backoff.h"
+
+namespace coralhoist::pooling {
+namespace {
+
+using std::chrono::milliseconds;
+
+/** Age of a proof that this node can use: what is left of the lease (500 ms) is time for reads. */
+constexpr Duration kUsableAge = milliseconds(300);
+/** A node that asks for others wants a proof that is younger by this factor. */
+constexpr int kAgePerLevel = 2;
+/** A node that has not answered for so long is passed over: twenty times a calm answer, and less
+ * than a third of the shortest latency objective in use (120 ms). */
+constexpr Duration kSourcePatience = milliseconds(40);
+/** Pause after a proof or a failure; reads that a proof did not help would ask without end. */
+constexpr Duration kAttemptPause = milliseconds(50);
+/** Pause after a call that the store did not answer; doubled each time, with jitter. */
+constexpr Duration kFirstReadPause = milliseconds(60);
+constexpr Duration kLongestReadPause = milliseconds(1000);
+
+}  // namespace
+
+ProofExchange::ProofExchange(ProofDependencies dependencies, const ReaderTree& readers)
+    : _dependencies(std::move(dependencies)),
+      _readers(readers),
+      _choice(_dependencies.random),
+      _alive(std::make_shared<bool>(true)) {}
+
+ProofExchange::~ProofExchange() = default;
+
+void ProofExchange::noteRecord(std::uint64_t version) {
+    if (version > _newestKnown) {
+        _newestKnown = version;
+        // A record that was closed is proven at once.
+        _nextAttempt = std::min(_nextAttempt, _dependencies.clock.now());
+    }
+}
+
+void ProofExchange::onProofAsked(const ProofAsker& asker) {
+    _askers.push_back(asker);
+    const bool outdated = !_newest || newestOf(_newest->recordVersions) < asker.need.newestVersion;
+    if (outdated && !_failed) {
+        _nextAttempt = std::min(_nextAttempt, _dependencies.clock.now());
+    }
+}
+
+bool ProofExchange::isGoodFor(const ProofAsker& asker, TimePoint now) const {
+    return _newest && now - _newest->provenAt <= asker.need.maximumAge &&
+           newestOf(_newest->recordVersions) >= asker.need.newestVersion;
+}
+
+/** @return what a proof must be to help this node and all that have asked it. */
+ProofNeed ProofExchange::ownNeed() const {
+    ProofNeed need{_newestKnown, kUsableAge};
+    for (const ProofAsker& asker : _askers) {
+        need.newestVersion = std::max(need.newestVersion, asker.need.newestVersion);
+        need.maximumAge = std::min(need.maximumAge, asker.need.maximumAge / kAgePerLevel);
+    }
+    return need;
+}
+
+void ProofExchange::handOut(TimePoint now) {
+    std::erase_if(_askers, [this, now](const ProofAsker& asker) {
+        if (!isGoodFor(asker, now)) {
+            return false;
+        }
+        _dependencies.answers.answerProof(
+            asker.id, HandedProof{now - _newest->provenAt, _newest->recordVersions});
+        return true;
+    });
+}
+
+void ProofExchange::onTick(TimePoint now) {
+    handOut(now);
+    if (!isNeeded() || _reading) {
+        return;
+    }
+    if (_question) {
+        if (now < _question->askedAt + kSourcePatience) {
+            return;
+        }
+        _choice.passOver(_question->node, now);
+        _question.reset();
+    } else if (now < _nextAttempt) {
+        return;
+    } else if (const std::optional<NodeName> source = chooseSource(now)) {
+        ask(*source, now);
+        return;
+    }
+    readStore(now);
+}
+
+std::optional<TimePoint> ProofExchange::nextTick() const {
+    if (!isNeeded() || _reading) {
+        return std::nullopt;
+    }
+    const bool handsOut = std::any_of(
+        _askers.begin(), _askers.end(),
+        [this](const ProofAsker& asker) { return isGoodFor(asker, _dependencies.clock.now()); });
+    if (handsOut) {
+        return TimePoint::min();
+    }
+    return _question ? _question->askedAt + kSourcePatience : _nextAttempt;
+}
+
+std::optional<NodeName> ProofExchange::chooseSource(TimePoint now) const {
+    return _choice.choose(
+        _readers.candidates(),
+        [this](const NodeName& node) { return _dependencies.questions.canReach(node); }, now);
+}
+
+void ProofExchange::ask(const NodeName& node, TimePoint now) {
+    _question = Question{++_lastQuestion, node, now};
+    _dependencies.questions.askForProof(node, _question->number, ownNeed());
+}
+
+void ProofExchange::onProofAnswer(std::uint64_t question, const std::optional<HandedProof>& proof) {
+    if (!_question || _question->number != question) {
+        return;
+    }
+    const TimePoint now = _dependencies.clock.now();
+    const Question answered = *_question;
+    _question.reset();
+    if (!proof) {
+        _choice.passOver(answered.node, now);
+        readStore(now);
+        return;
+    }
+    _choice.noteGood(answered.node);
+    accept({answered.askedAt - proof->age, proof->recordVersions}, now);
+}
+
+void ProofExchange::readStore(TimePoint now) {
+    if (now < _nextRead) {
+        fail(now);
+        return;
+    }
+    _reading = true;
+    _dependencies.reader.readRecords([this, alive = std::weak_ptr<bool>(_alive),
+                                      now](const std::optional<RecordVersions>& versions) {
+        if (!alive.expired()) {
+            onRead(versions, now);
+        }
+    });
+}
+
+void ProofExchange::onRead(const std::optional<RecordVersions>& versions, TimePoint askedAt) {
+    const TimePoint now = _dependencies.clock.now();
+    _reading = false;
+    if (!versions) {
+        _readPause = nextBackoff(_readPause, kFirstReadPause, kLongestReadPause);
+        _nextRead = now + withJitter(_readPause, _dependencies.random);
+        fail(now);
+        return;
+    }
+    _readPause = Duration(0);
+    accept({askedAt, *versions}, now);
+}
+
+void ProofExchange::accept(LeadershipProof proof, TimePoint now) {
+    _failed = false;
+    _wanted = false;
+    _nextAttempt = now + kAttemptPause;
+    if (!_newest || proof.provenAt > _newest->provenAt) {
+        _newest = proof;
+    }
+    handOut(now);
+    // Reads that it does not help may ask again from within.
+    _dependencies.onProof(proof);
+}
+
+/** Those who wait are told at once, so that they can turn to others or to the servers. */
+void ProofExchange::fail(TimePoint now) {
+    _failed = true;
+    _nextAttempt = std::max(_nextAttempt, now + kAttemptPause);
+    for (const ProofAsker& asker : std::exchange(_askers, {})) {
+        _dependencies.answers.answerProof(asker.id, std::nullopt);
+    }
+}
+
+}  // namespace coralhoist::pooling
--- /dev/null
+++ b/src/pooling/ReaderTree.cpp
@@ -0,0 +1,83 @@
+#include "pooling/ReaderTree.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+#include "pooling/NodeRanking.h"
+
+namespace coralhoist::pooling {
+namespace {
+
+/** A zone has one reader for so many nodes: each of them asks up to about five times a second, and
+ * an answer costs a node some 50 us of processor time (measured on the users' bench). */
+constexpr std::size_t kNodesPerReader = 32;
+/** Nodes that a reader may ask, so that the loss of one is bridged without the store. */
+constexpr std::size_t kCandidatesOfReader = 2;
+constexpr const char* kZoneKey = "readers of a zone";
+constexpr const char* kEstateKey = "readers of the estate";
+
+std::size_t readersOf(std::size_t nodes) {
+    return (nodes + kNodesPerReader - 1) / kNodesPerReader;
+}
+
+/** @return the zone's nodes by rank, cut to its readers and one more that stands in for them. */
+std::vector<NodeName> zoneReaders(const std::vector<NodeName>& nodes, std::size_t spare) {
+    std::vector<NodeName> ranked = rankedNodes(kZoneKey, nodes);
+    ranked.resize(std::min(ranked.size(), readersOf(nodes.size()) + spare));
+    return ranked;
+}
+
+/** @return the readers of all zones that rank above this one. */
+std::vector<NodeName> readersAbove(const NodeName& self,
+                                   const std::map<ZoneName, std::vector<NodeName>>& zones) {
+    std::vector<NodeName> readers;
+    for (const auto& [zone, nodes] : zones) {
+        const std::vector<NodeName> chosen = zoneReaders(nodes, 0);
+        readers.insert(readers.end(), chosen.begin(), chosen.end());
+    }
+    std::vector<NodeName> ranked = rankedNodes(kEstateKey, readers);
+    const auto own = std::find(ranked.begin(), ranked.end(), self);
+    const auto above = static_cast<std::size_t>(own - ranked.begin());
+    ranked.resize(std::min(above, kCandidatesOfReader));
+    return ranked;
+}
+
+/** @return the zone's readers, different nodes beginning with different ones, then the stand-in. */
+std::vector<NodeName> readersFor(const NodeName& self, std::vector<NodeName> readers,
+                                 std::vector<NodeName> withSpare) {
+    std::vector<NodeName> candidates = rankedNodes(self.value(), readers);
+    if (withSpare.size() > readers.size() && withSpare.back() != self) {
+        candidates.push_back(withSpare.back());
+    }
+    return candidates;
+}
+
+}  // namespace
+
+ReaderTree::ReaderTree(NodeName self, ZoneName zone)
+    : _self(std::move(self)), _zone(std::move(zone)), _nodes{_self} {}
+
+void ReaderTree::applyNodes(const std::vector<ProxyNode>& nodes) {
+    std::map<ZoneName, std::vector<NodeName>> zones;
+    zones[_zone].push_back(_self);
+    _nodes = {_self};
+    for (const ProxyNode& node : nodes) {
+        if (node.name != _self && node.port != 0) {
+            zones[node.zone].push_back(node.name);
+            _nodes.push_back(node.name);
+        }
+    }
+    const std::vector<NodeName> readers = zoneReaders(zones[_zone], 0);
+    const bool isReader = std::find(readers.begin(), readers.end(), _self) != readers.end();
+    _candidates = isReader ? readersAbove(_self, zones)
+                           : readersFor(_self, readers, zoneReaders(zones[_zone], 1));
+}
+
+std::size_t ReaderTree::turnOf(const std::string& key) const {
+    const std::vector<NodeName> ranked = rankedNodes(key, _nodes);
+    return static_cast<std::size_t>(std::find(ranked.begin(), ranked.end(), _self) -
+                                    ranked.begin());
+}
+
+}  // namespace coralhoist::pooling
--- /dev/null
+++ b/src/pooling/ReaderTree.h
@@ -0,0 +1,38 @@
+/** Which nodes a node asks for what the store holds before it asks the store itself. */
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+#include "base/Identifier.h"
+#include "pooling/ExecutorPlacement.h"
+
+namespace coralhoist::pooling {
+
+/**
+ * A tree of readers: the nodes of a zone ask one of the zone's readers, the zones' readers ask the
+ * one that ranks first among them, and that one reads the store. Nodes with the same view form the
+ * same tree; nodes with different views may ask each other in a circle, which their patience ends.
+ */
+class ReaderTree {
+public:
+    ReaderTree(NodeName self, ZoneName zone);
+
+    /** Replaces the nodes that are known. This node counts whether it is among them or not. */
+    void applyNodes(const std::vector<ProxyNode>& nodes);
+
+    /** @return the nodes to ask, the preferred one first; none when this node reads the store. */
+    const std::vector<NodeName>& candidates() const { return _candidates; }
+
+    /** @return this node's place in the order of all nodes for a key; 0 is the first. */
+    std::size_t turnOf(const std::string& key) const;
+
+private:
+    NodeName _self;
+    ZoneName _zone;
+    std::vector<NodeName> _nodes;
+    std::vector<NodeName> _candidates;
+};
+
+}  // namespace coralhoist::pooling
--- /dev/null
+++ b/tests/cluster/StoreFollowerTest.cpp
@@ -0,0 +1,280 @@
+#include <CppUTest/TestHarness.h>
+
+#include <QCoreApplication>
+#include <deque>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "base/SystemTime.h"
+#include "cluster/StoreFollower.h"
+#include "link/socket/HttpResponder.h"
+#include "platform/StoreProtocol.h"
+#include "tests/support/ManualClock.h"
+#include "tests/support/QtTestLoop.h"
+
+namespace coralhoist::cluster {
+namespace {
+
+using std::chrono::milliseconds;
+using store::FeedAnswer;
+using store::FeedQuestion;
+using store::ObjectEvent;
+using store::StoredObject;
+
+constexpr const char* kHost = "127.0.0.1";
+constexpr int kUnavailable = 503;
+const NodeName kSelf{"self"};
+
+class RecordingSink final : public store::WatchSink {
+public:
+    void onList(const std::vector<StoredObject>& objects, std::uint64_t /*version*/) override {
+        for (const StoredObject& object : objects) {
+            seen += " " + object.name + "@" + std::to_string(object.version);
+        }
+    }
+    void onEvent(const ObjectEvent& event) override {
+        seen += (event.removed ? " -" : " ") + event.object.name + "@" +
+                std::to_string(event.object.version);
+    }
+    void onReachable(bool /*reachable*/) override {}
+
+    std::string seen;
+};
+
+struct AskedQuestion {
+    NodeName node;
+    std::uint64_t number = 0;
+    FeedQuestion question;
+};
+
+struct GivenAnswer {
+    std::uint64_t asker = 0;
+    std::optional<FeedAnswer> answer;
+};
+
+/** The store lists object "a" at position 10 and answers no watch. */
+TEST_GROUP(StoreFollower), public store::FeedQuestions, public store::FeedAnswers {
+    int count = 1;
+    char name[8] = "test";
+    char* arguments[1] = {name};
+    QCoreApplication application{count, arguments};
+    testing::ManualClock clock;
+    SeededRandom random{1};
+    socket::SocketPoller poller;
+    std::vector<std::string> paths;
+    socket::HttpResponder responder{poller, [this](const std::string& path) { return next(path); }};
+    platform_adapter::StoreProtocol protocol;
+    RecordingSink sink;
+    std::unique_ptr<socket::HttpClient> client;
+    std::unique_ptr<pooling::ReaderTree> readers;
+    std::unique_ptr<StoreFollower> follower;
+    std::vector<AskedQuestion> questions;
+    std::vector<GivenAnswer> answers;
+
+    void setup() override {
+        CHECK_TRUE(responder.listen(kHost, 0).isOk());
+        client = std::make_unique<socket::HttpClient>(poller, clock, kHost, responder.port());
+    }
+
+    socket::HttpPage next(const std::string& path) {
+        paths.push_back(path);
+        const bool watch = path.find("watch=") != std::string::npos;
+        return watch
+                   ? socket::HttpPage{kUnavailable, ""}
+                   : socket::HttpPage{
+                         200,
+                         R"({"items":[{"meta":{"name":"a","revision":3}}],"has_more":false,"at":10})"};
+    }
+
+    bool canReach(const NodeName& /*node*/) const override {
+        return true;
+    }
+    void askForChanges(const NodeName& node, std::uint64_t number, const FeedQuestion& question)
+        override {
+        questions.push_back({node, number, question});
+    }
+    void answerFeed(std::uint64_t asker, const std::optional<FeedAnswer>& answer) override {
+        answers.push_back({asker, answer});
+    }
+
+    /** @param others names of nodes, some of which rank above this one. */
+    void start(const std::vector<std::string>& others) {
+        readers = std::make_unique<pooling::ReaderTree>(kSelf, ZoneName("z"));
+        std::vector<pooling::ProxyNode> nodes;
+        for (const std::string& other : others) {
+            nodes.push_back({NodeName(other), ZoneName("z"), kHost, 1});
+        }
+        readers->applyNodes(nodes);
+        follower = std::make_unique<StoreFollower>(
+            FollowerDependencies{clock, random, *client, protocol, *this, *this, *readers, kSelf},
+            std::vector<FollowedKind>{{"things", {}, sink}});
+        tick();
+        CHECK_TRUE(testing::waitUntil([this] {
+            tick();
+            return follower->isListed();
+        }));
+        tick();
+    }
+
+    /** With many others, this node is no reader. */
+    void startWithSource() {
+        start({"n1", "n2", "n3", "n4", "n5", "n6", "n7"});
+        UNSIGNED_LONGS_EQUAL(1, questions.size());
+    }
+
+    void tick() {
+        client->onTick(clock.now());
+        follower->onTick(clock.now());
+    }
+
+    void advance(Duration span) {
+        clock.advance(span);
+        tick();
+    }
+
+    static FeedAnswer answerOf(const std::string& origin, Duration age,
+                               std::vector<ObjectEvent> events, std::uint64_t position) {
+        FeedAnswer answer;
+        answer.origin = NodeName(origin);
+        answer.ageWhenAsked = age;
+        if (!events.empty()) {
+            answer.kinds.push_back({0, {false, position, std::move(events)}});
+        }
+        return answer;
+    }
+
+    void answerQuestion(const std::optional<FeedAnswer>& answer) {
+        follower->onFeedAnswer(questions.back().number, answer);
+        tick();
+    }
+
+    /** Runs the event loop and counts the store's calls in it. */
+    std::size_t callsWithin(int turns) {
+        const std::size_t before = paths.size();
+        for (int turn = 0; turn < turns; ++turn) {
+            advance(milliseconds(50));
+            QCoreApplication::processEvents(QEventLoop::AllEvents, 2);
+        }
+        return paths.size() - before;
+    }
+};
+
+TEST(StoreFollower, ANodeWithoutOthersWatchesTheStore) {
+    start({});
+    STRCMP_EQUAL(" a@3", sink.seen.c_str());
+    CHECK_TRUE(testing::waitUntil([this] {
+        advance(milliseconds(10));
+        return paths.size() >= 3;
+    }));
+    CHECK(paths[1].find("watch=10&") != std::string::npos);
+    UNSIGNED_LONGS_EQUAL(0, questions.size());
+}
+
+TEST(StoreFollower, ANodeThatIsToldOfChangesDoesNotCallTheStore) {
+    startWithSource();
+    CHECK_TRUE(questions[0].question.positions[0] == 10);
+    answerQuestion(answerOf("n9", milliseconds(0), {{{"b", 12, {}}, false}}, 12));
+    CHECK_TRUE(follower->isFed());
+    STRCMP_EQUAL(" a@3 b@12", sink.seen.c_str());
+    UNSIGNED_LONGS_EQUAL(2, questions.size());
+    CHECK_TRUE(questions[1].question.positions[0] == 12);
+    callsWithin(4);
+    UNSIGNED_LONGS_EQUAL(0, callsWithin(20));
+}
+
+TEST(StoreFollower, TheWatchGoesOnWhereALostNodeEnded) {
+    startWithSource();
+    answerQuestion(answerOf("n9", milliseconds(0), {{{"b", 12, {}}, false}}, 12));
+    callsWithin(4);
+    answerQuestion(std::nullopt);
+    CHECK_FALSE(follower->isFed());
+    const std::size_t before = paths.size();
+    CHECK_TRUE(testing::waitUntil([this, before] {
+        advance(milliseconds(10));
+        return paths.size() > before;
+    }));
+    CHECK(paths[before].find("watch=12&") != std::string::npos);
+}
+
+TEST(StoreFollower, ASilentNodeIsLostAfterItsPatience) {
+    startWithSource();
+    answerQuestion(answerOf("n9", milliseconds(0), {}, 0));
+    CHECK_TRUE(follower->isFed());
+    advance(milliseconds(1499));
+    CHECK_TRUE(follower->isFed());
+    advance(milliseconds(1));
+    CHECK_FALSE(follower->isFed());
+}
+
+TEST(StoreFollower, KnowledgeThatIsTooOldIsNotTaken) {
+    startWithSource();
+    answerQuestion(answerOf("n9", milliseconds(6001), {{{"b", 12, {}}, false}}, 12));
+    CHECK_FALSE(follower->isFed());
+    STRCMP_EQUAL(" a@3", sink.seen.c_str());
+}
+
+TEST(StoreFollower, OwnKnowledgeThatComesBackIsNotTaken) {
+    startWithSource();
+    answerQuestion(answerOf(kSelf.value(), milliseconds(0), {{{"b", 12, {}}, false}}, 12));
+    CHECK_FALSE(follower->isFed());
+}
+
+TEST(StoreFollower, AnAnswerToAnEarlierQuestionChangesNothing) {
+    startWithSource();
+    advance(milliseconds(1500));
+    follower->onFeedAnswer(questions[0].number,
+                           answerOf("n9", milliseconds(0), {{{"b", 12, {}}, false}}, 12));
+    STRCMP_EQUAL(" a@3", sink.seen.c_str());
+}
+
+TEST(StoreFollower, AnotherNodeIsToldOfChangesAsTheyCome) {
+    startWithSource();
+    answerQuestion(answerOf("n9", milliseconds(0), {}, 0));
+    follower->onFeedAsked(71, {{std::optional<std::uint64_t>(10)}, NodeName("n9")});
+    tick();
+    UNSIGNED_LONGS_EQUAL(0, answers.size());
+    answerQuestion(answerOf("n9", milliseconds(0), {{{"b", 12, {}}, false}}, 12));
+    UNSIGNED_LONGS_EQUAL(1, answers.size());
+    UNSIGNED_LONGS_EQUAL(71, answers[0].asker);
+    STRCMP_EQUAL("b", answers[0].answer->kinds.at(0).changes.events.at(0).object.name.c_str());
+}
+
+TEST(StoreFollower, WithoutChangesAnotherNodeIsAnsweredAfterASecond) {
+    startWithSource();
+    answerQuestion(answerOf("n9", milliseconds(0), {}, 0));
+    const TimePoint confirmedAt = clock.now();
+    clock.advance(milliseconds(300));
+    follower->onFeedAsked(71, {{std::optional<std::uint64_t>(10)}, NodeName("n9")});
+    tick();
+    advance(milliseconds(999));
+    UNSIGNED_LONGS_EQUAL(0, answers.size());
+    advance(milliseconds(1));
+    UNSIGNED_LONGS_EQUAL(1, answers.size());
+    CHECK_TRUE(answers[0].answer->kinds.empty());
+    // Nothing was confirmed since 300 ms before the question.
+    CHECK_TRUE(answers[0].answer->ageWhenAsked == milliseconds(300));
+    CHECK_TRUE(confirmedAt + milliseconds(1300) == clock.now());
+}
+
+TEST(StoreFollower, AnotherOriginIsNews) {
+    startWithSource();
+    answerQuestion(answerOf("n9", milliseconds(0), {}, 0));
+    follower->onFeedAsked(71, {{std::optional<std::uint64_t>(10)}, NodeName("n8")});
+    tick();
+    UNSIGNED_LONGS_EQUAL(1, answers.size());
+    STRCMP_EQUAL("n9", answers[0].answer->origin.value().c_str());
+}
+
+TEST(StoreFollower, ANodeThatKnowsNothingYetSaysSo) {
+    readers = std::make_unique<pooling::ReaderTree>(kSelf, ZoneName("z"));
+    follower = std::make_unique<StoreFollower>(
+        FollowerDependencies{clock, random, *client, protocol, *this, *this, *readers, kSelf},
+        std::vector<FollowedKind>{{"things", {}, sink}});
+    follower->onFeedAsked(71, {{std::nullopt}, NodeName("n8")});
+    UNSIGNED_LONGS_EQUAL(1, answers.size());
+    CHECK_FALSE(answers[0].answer.has_value());
+}
+
+}  // namespace
+}  // namespace coralhoist::cluster
--- a/tests/failover/FailoverFixture.cpp
+++ b/tests/failover/FailoverFixture.cpp
@@ -21,9 +21,9 @@
             node.activity);
         node.client = std::make_unique<StoreClient>(store, node.activity, name);
         node.failover = std::make_unique<failover::GroupFailover>(
-            group.name(),
-            failover::FailoverDependencies{queue, random, *node.connector, *node.client,
-                                           *node.client, _parser, name + "/1", name});
+            group.name(), failover::FailoverDependencies{
+                              queue, random, *node.connector, *node.client, *node.client, _parser,
+                              name + "/1", name, [index](const GroupName&) { return index; }});
     }
     step();
     run(std::chrono::milliseconds(50));
--- a/tests/failover/GroupFailoverTest.cpp
+++ b/tests/failover/GroupFailoverTest.cpp
@@ -64,6 +64,31 @@
     UNSIGNED_LONGS_EQUAL(0, fixture.judge.violations().size());
 }
 
+TEST(GroupFailover, OneOfManyNodesTakesUpWhatAllSee) {
+    constexpr std::size_t kNodes = 8;
+    FailoverFixture fixture(kNodes);
+    fixture.commit(5);
+    fixture.server(0).draining = true;
+    for (int step = 0; step < 400; ++step) {
+        fixture.run(milliseconds(5));
+        for (std::size_t node = 1; node < kNodes; ++node) {
+            CHECK_TRUE(fixture.failover(node).isIdle());
+        }
+    }
+    CHECK_FALSE(fixture.server(0).primary);
+    UNSIGNED_LONGS_EQUAL(1, fixture.failover(0).promotions());
+}
+
+TEST(GroupFailover, TheNextNodeTakesUpWhatADeadOneLeaves) {
+    FailoverFixture fixture(3);
+    fixture.commit(5);
+    fixture.nodes[0].activity->end();
+    fixture.nodes[1].activity->end();
+    fixture.server(0).draining = true;
+    fixture.run(seconds(2));
+    UNSIGNED_LONGS_EQUAL(1, fixture.failover(2).promotions());
+}
+
 /** Found on spba-jobgrid, trouble-1 --seed 58618297361: commits of an earlier reign were lost. */
 TEST(GroupFailover, NeverPromotesAServerThatLacksCommitsOfAnEarlierReign) {
     FailoverFixture fixture;
--- a/tests/forwarding/UnitCodecTest.cpp
+++ b/tests/forwarding/UnitCodecTest.cpp
@@ -1,5 +1,7 @@
 #include <CppUTest/TestHarness.h>
 
+#include <QJsonArray>
+#include <QJsonObject>
 #include <random>
 
 #include "link/forwarding/UnitCodec.h"
@@ -117,6 +119,97 @@
     }
 }
 
+TEST(UnitCodec, AQuestionForAProofKeepsItsNeed) {
+    UnitMessage message;
+    message.kind = UnitMessage::Kind::ProofAsked;
+    message.question = 41;
+    message.proofNeed = {77, std::chrono::milliseconds(150)};
+    const UnitMessage result = decoded(bytesOf(message));
+    CHECK_TRUE(result.kind == UnitMessage::Kind::ProofAsked);
+    UNSIGNED_LONGS_EQUAL(41, result.question);
+    CHECK_TRUE(result.proofNeed == message.proofNeed);
+}
+
+TEST(UnitCodec, AProofNeverSeemsYoungerThanItIs) {
+    UnitMessage message;
+    message.kind = UnitMessage::Kind::Proof;
+    message.question = 41;
+    message.proof = pooling::HandedProof{std::chrono::nanoseconds(1'500'300),
+                                         {{GroupName("g"), 12}, {GroupName("h"), 70}}};
+    const UnitMessage result = decoded(bytesOf(message));
+    CHECK_TRUE(result.proof.has_value());
+    CHECK_TRUE(result.proof->age >= message.proof->age);
+    CHECK_TRUE(result.proof->recordVersions == message.proof->recordVersions);
+}
+
+TEST(UnitCodec, AnAnswerMaySayThatThereIsNoProof) {
+    UnitMessage message;
+    message.kind = UnitMessage::Kind::Proof;
+    message.question = 41;
+    const UnitMessage result = decoded(bytesOf(message));
+    CHECK_TRUE(result.kind == UnitMessage::Kind::Proof);
+    CHECK_FALSE(result.proof.has_value());
+}
+
+TEST(UnitCodec, AQuestionForChangesKeepsItsPositions) {
+    UnitMessage message;
+    message.kind = UnitMessage::Kind::ChangesAsked;
+    message.question = 42;
+    message.feedQuestion = {{std::optional<std::uint64_t>(7), std::nullopt}, NodeName("n1")};
+    const UnitMessage result = decoded(bytesOf(message));
+    CHECK_TRUE(result.kind == UnitMessage::Kind::ChangesAsked);
+    CHECK_TRUE(result.feedQuestion.positions == message.feedQuestion.positions);
+    STRCMP_EQUAL("n1", result.feedQuestion.origin.value().c_str());
+}
+
+TEST(UnitCodec, ChangesKeepTheirObjects) {
+    const QJsonObject small{{"a", 1}, {"b", QJsonArray{true, "x"}}};
+    const QJsonObject large{{"text", QString(20000, 'x')}};
+    UnitMessage message;
+    message.kind = UnitMessage::Kind::Changes;
+    message.question = 42;
+    message.feedAnswer.emplace();
+    message.feedAnswer->origin = NodeName("n1");
+    message.feedAnswer->ageWhenAsked = -std::chrono::milliseconds(700);
+    message.feedAnswer->kinds.push_back(
+        {1,
+         {true, 99, {{{"s", 5, small}, false}, {{"l", 6, large}, false}, {{"r", 7, {}}, true}}}});
+    const std::string bytes = bytesOf(message);
+    CHECK_TRUE(bytes.size() < 2000);
+    const UnitMessage result = decoded(bytes);
+    CHECK_TRUE(result.feedAnswer.has_value());
+    CHECK_TRUE(result.feedAnswer->ageWhenAsked >= message.feedAnswer->ageWhenAsked);
+    CHECK_TRUE(result.feedAnswer->ageWhenAsked < -std::chrono::milliseconds(699));
+    const store::KindChanges& kind = result.feedAnswer->kinds.at(0);
+    UNSIGNED_LONGS_EQUAL(1, kind.kind);
+    CHECK_TRUE(kind.changes.complete);
+    UNSIGNED_LONGS_EQUAL(99, kind.changes.position);
+    CHECK_TRUE(kind.changes.events.at(0).object.content == small);
+    CHECK_TRUE(kind.changes.events.at(1).object.content == large);
+    CHECK_TRUE(kind.changes.events.at(2).removed);
+}
+
+TEST(UnitCodec, DamagedChangesNeverEndTheProcess) {
+    std::mt19937 random(11);  // NOLINT: the seed is fixed so that the test repeats itself.
+    UnitMessage message;
+    message.kind = UnitMessage::Kind::Changes;
+    message.feedAnswer.emplace();
+    message.feedAnswer->kinds.push_back(
+        {1, {false, 9, {{{"l", 6, {{"text", QString(3000, 'x')}}}, false}}}});
+    const std::string whole = bytesOf(message);
+    int refused = 0;
+    for (int round = 0; round < 4000; ++round) {
+        std::string bytes = whole;
+        for (int change = 0; change < 3; ++change) {
+            bytes[4 + random() % (bytes.size() - 4)] = static_cast<char>(random());
+        }
+        const auto taken = takeMessage(bytes);
+        CHECK_TRUE(taken.has_value());
+        refused += taken->isOk() ? 0 : 1;
+    }
+    CHECK(refused > 0);
+}
+
 TEST(UnitCodec, AnIncompleteFrameWaits) {
     const std::string whole = bytesOf(request());
     for (std::size_t size = 0; size < whole.size(); ++size) {
--- a/tests/forwarding/UnitLinkTest.cpp
+++ b/tests/forwarding/UnitLinkTest.cpp
@@ -53,6 +53,28 @@
     std::map<UnitId, std::vector<UnitLoss>> losses;
 };
 
+/** Takes questions and answers of other nodes. */
+class QuestionRecorder final : public pooling::ProofEvents, public store::FeedEvents {
+public:
+    void onProofAsked(const pooling::ProofAsker& asker) override { proofAskers.push_back(asker); }
+    void onProofAnswer(std::uint64_t question,
+                       const std::optional<pooling::HandedProof>& proof) override {
+        proofAnswers.emplace_back(question, proof);
+    }
+    void onFeedAsked(std::uint64_t asker, const store::FeedQuestion& question) override {
+        feedAskers.emplace_back(asker, question);
+    }
+    void onFeedAnswer(std::uint64_t question,
+                      const std::optional<store::FeedAnswer>& answer) override {
+        feedAnswers.emplace_back(question, answer);
+    }
+
+    std::vector<pooling::ProofAsker> proofAskers;
+    std::vector<std::pair<std::uint64_t, std::optional<pooling::HandedProof>>> proofAnswers;
+    std::vector<std::pair<std::uint64_t, store::FeedQuestion>> feedAskers;
+    std::vector<std::pair<std::uint64_t, std::optional<store::FeedAnswer>>> feedAnswers;
+};
+
 pooling::UnitStatement statement(StatementVerb verb, const std::string& text) {
     return {{"r-" + text, verb, text, {}, {}, pooling::ShapeKind::Read}, {}, std::nullopt};
 }
@@ -247,6 +269,41 @@
     CHECK_TRUE(recorder.losses.empty());
 }
 
+TEST(UnitLink, QuestionsAreAnsweredOverTheSameLink) {
+    QuestionRecorder here;
+    QuestionRecorder there;
+    links.setQuestionEvents(here, here);
+    service.setQuestionEvents(there, there);
+    links.askForProof(executor, 5, {9, milliseconds(150)});
+    links.askForChanges(executor, 6, {{std::optional<std::uint64_t>(3)}, NodeName("n")});
+    waitFor([&] { return there.proofAskers.size() == 1 && there.feedAskers.size() == 1; });
+    CHECK_TRUE(there.proofAskers[0].need == (pooling::ProofNeed{9, milliseconds(150)}));
+    service.answerFeed(there.feedAskers[0].first, std::nullopt);
+    service.answerProof(there.proofAskers[0].id,
+                        pooling::HandedProof{milliseconds(2), {{group, 9}}});
+    waitFor([&] { return here.proofAnswers.size() == 1 && here.feedAnswers.size() == 1; });
+    UNSIGNED_LONGS_EQUAL(5, here.proofAnswers[0].first);
+    CHECK_TRUE(here.proofAnswers[0].second->recordVersions.at(group) == 9);
+    UNSIGNED_LONGS_EQUAL(6, here.feedAnswers[0].first);
+    CHECK_FALSE(here.feedAnswers[0].second.has_value());
+}
+
+TEST(UnitLink, QuestionsOfALostLinkAreAnsweredWithNothing) {
+    QuestionRecorder here;
+    QuestionRecorder there;
+    links.setQuestionEvents(here, here);
+    service.setQuestionEvents(there, there);
+    links.askForProof(executor, 5, {9, milliseconds(150)});
+    links.askForChanges(executor, 6, {{std::optional<std::uint64_t>(3)}, NodeName("n")});
+    waitFor([&] { return there.proofAskers.size() == 1 && there.feedAskers.size() == 1; });
+    links.applyNodes({});
+    UNSIGNED_LONGS_EQUAL(1, here.proofAnswers.size());
+    CHECK_FALSE(here.proofAnswers[0].second.has_value());
+    UNSIGNED_LONGS_EQUAL(1, here.feedAnswers.size());
+    // The asking node's link is gone: there is nobody to answer, and nothing happens.
+    service.answerProof(there.proofAskers[0].id, std::nullopt);
+}
+
 TEST(UnitLink, AFrameThatCanNotBeReadEndsTheLinkAndNothingElse) {
     service.startServing();
     QTcpSocket stranger;
--- /dev/null
+++ b/tests/store/ObjectTableTest.cpp
@@ -0,0 +1,104 @@
+#include <CppUTest/TestHarness.h>
+
+#include <string>
+
+#include "link/store/ObjectTable.h"
+
+namespace coralhoist::store {
+namespace {
+
+StoredObject object(const std::string& name, std::uint64_t version) {
+    return {name, version, {{"v", static_cast<qint64>(version)}}};
+}
+
+TEST_GROUP(ObjectTable) {
+    ObjectTable table;
+
+    /** @return names and versions of the changes, removed ones marked. */
+    std::string changesAfter(std::optional<std::uint64_t> position) const {
+        const std::optional<ObjectChanges> changes = table.changesAfter(position);
+        if (!changes) {
+            return "none";
+        }
+        std::string text = changes->complete ? "all:" : "";
+        for (const ObjectEvent& event : changes->events) {
+            text += (event.removed ? " -" : " ") + event.object.name + "@" +
+                    std::to_string(event.object.version);
+        }
+        return text;
+    }
+};
+
+TEST(ObjectTable, WhoKnowsNothingGetsAllObjects) {
+    table.takeList({object("a", 3), object("b", 5)}, 10);
+    STRCMP_EQUAL("all: a@3 b@5", changesAfter(std::nullopt).c_str());
+    UNSIGNED_LONGS_EQUAL(10, table.changesAfter(std::nullopt)->position);
+}
+
+TEST(ObjectTable, ChangesFollowTheirVersions) {
+    table.takeList({object("a", 3), object("b", 5)}, 10);
+    table.takeEvent({object("b", 14), false});
+    table.takeEvent({object("a", 12), true});
+    table.advanceTo(14);
+    STRCMP_EQUAL(" -a@12 b@14", changesAfter(10).c_str());
+    STRCMP_EQUAL(" b@14", changesAfter(12).c_str());
+    STRCMP_EQUAL("none", changesAfter(14).c_str());
+    STRCMP_EQUAL("none", changesAfter(99).c_str());
+}
+
+TEST(ObjectTable, WhatAListLacksWasRemoved) {
+    table.takeList({object("a", 3), object("b", 5)}, 10);
+    table.takeList({object("b", 5)}, 20);
+    STRCMP_EQUAL(" -a@20", changesAfter(10).c_str());
+    STRCMP_EQUAL("all: b@5", changesAfter(std::nullopt).c_str());
+}
+
+TEST(ObjectTable, WhoKnowsLessThanTheFirstListGetsAllObjects) {
+    table.takeList({object("b", 5)}, 10);
+    STRCMP_EQUAL("all: b@5", changesAfter(9).c_str());
+    STRCMP_EQUAL("none", changesAfter(10).c_str());
+}
+
+TEST(ObjectTable, NothingIsReplacedByAnOlderVersion) {
+    table.takeList({object("a", 30)}, 30);
+    table.takeEvent({object("a", 20), true});
+    table.takeList({object("a", 20)}, 25);
+    STRCMP_EQUAL("all: a@30", changesAfter(std::nullopt).c_str());
+    UNSIGNED_LONGS_EQUAL(30, table.position());
+}
+
+TEST(ObjectTable, AnObjectNewerThanAnOldListStays) {
+    table.takeList({}, 10);
+    table.takeEvent({object("a", 15), false});
+    table.takeList({}, 12);
+    STRCMP_EQUAL("all: a@15", changesAfter(std::nullopt).c_str());
+}
+
+TEST(ObjectTable, ForgottenRemovalsLeadToAllObjects) {
+    table.takeList({object("kept", 1)}, 1);
+    constexpr std::uint64_t kMany = 1200;
+    for (std::uint64_t version = 2; version < 2 + kMany; ++version) {
+        table.takeEvent({object("n" + std::to_string(version), version), true});
+    }
+    table.advanceTo(2 + kMany);
+    STRCMP_EQUAL("all: kept@1", changesAfter(1).c_str());
+    UNSIGNED_LONGS_EQUAL(1, table.changesAfter(kMany)->events.size());
+}
+
+TEST(ObjectTable, OneTableTakesTheChangesOfAnother) {
+    ObjectTable copy;
+    table.takeList({object("a", 3), object("b", 5)}, 10);
+    copy.takeChanges(*table.changesAfter(std::nullopt));
+    table.takeEvent({object("a", 12), true});
+    table.takeEvent({object("c", 13), false});
+    table.advanceTo(13);
+    copy.takeChanges(*table.changesAfter(copy.position()));
+    UNSIGNED_LONGS_EQUAL(13, copy.position());
+    const ObjectChanges all = *copy.changesAfter(std::nullopt);
+    UNSIGNED_LONGS_EQUAL(2, all.events.size());
+    STRCMP_EQUAL("b", all.events[0].object.name.c_str());
+    STRCMP_EQUAL("c", all.events[1].object.name.c_str());
+}
+
+}  // namespace
+}  // namespace coralhoist::store
