Try lost nodes without statements; replace a primary that breaks each connection

And a primary that takes connections and resets each in place of an answer was never suspected: the loss of a connection ends its unanswered writes, and new ones open. Change: a lost node is offered nothing before a new connection to it has opened, which the link tries by itself. Five connections in a row that break in place of an answer, within 0.5 s at least, raise a suspicion. The pause after a record that the store can't give grows to 0.8 s.

--- a/src/failover/FailoverTiming.h
+++ b/src/failover/FailoverTiming.h
@@ -33,6 +33,9 @@
 constexpr Duration kHealthyPause = std::chrono::milliseconds(600);
 constexpr Duration kConflictPause = std::chrono::milliseconds(250);
 constexpr Duration kStorePause = std::chrono::milliseconds(150);
+/** Bound of the pause after readings that the store did not answer: all executors of a group may
+ * see the same signs while it is away, and each of their calls is priced. */
+constexpr Duration kLongestStorePause = std::chrono::milliseconds(800);
 /** Random part of the delay before a record is claimed: nodes see the same signs at once. */
 constexpr std::uint64_t kClaimJitterMs = 60;
 /** What all nodes see at once is taken up in turn: each waits so much longer than the one before,
--- a/src/failover/GroupFailover.cpp
+++ b/src/failover/GroupFailover.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/Backoff.h"
 #include "base/Log.h"
 #include "failover/FailoverTiming.h"
 
@@ -30,6 +31,8 @@
             return "unreachable";
         case FailoverReason::WritesUnanswered:
             return "writes_unanswered";
+        case FailoverReason::StatementsLost:
+            return "statements_lost";
         case FailoverReason::Leaving:
             return "leaving";
         case FailoverReason::NoPrimary:
@@ -98,6 +101,9 @@
         case pooling::SuspicionReason::WritesUnanswered:
             _suspicion = FailoverReason::WritesUnanswered;
             return;
+        case pooling::SuspicionReason::StatementsLost:
+            _suspicion = FailoverReason::StatementsLost;
+            return;
     }
 }
 
@@ -188,6 +194,7 @@
         case FailoverReason::Silent:
         case FailoverReason::Unreachable:
         case FailoverReason::WritesUnanswered:
+        case FailoverReason::StatementsLost:
             return true;
         case FailoverReason::Leaving:
         case FailoverReason::NoPrimary:
@@ -304,9 +311,11 @@
     const TimePoint now = _dependencies.clock.now();
     if (loaded.outcome != StoreOutcome::Done) {
         // Without the store nothing is promoted: nobody could know who may.
-        giveUp("the store can't be read", kStorePause);
+        _storePause = nextBackoff(_storePause, kStorePause, kLongestStorePause);
+        giveUp("the store can't be read", _storePause);
         return;
     }
+    _storePause = Duration(0);
     const bool changed = loaded.record.version > _record.version;
     if (changed) {
         _record = loaded.record;
--- a/src/failover/GroupFailover.h
+++ b/src/failover/GroupFailover.h
@@ -21,6 +21,7 @@
     Silent,
     Unreachable,
     WritesUnanswered,
+    StatementsLost,
     Leaving,   /**< Its announcement says that it will end. */
     NoPrimary, /**< No server is known to lead. */
     Abandoned, /**< Whoever began a promotion has stopped driving it. */
@@ -173,6 +174,8 @@
     TimePoint _nextTick{};
     TimePoint _notBefore{};
     bool _busy = false;
+    /** Pause after a reading that the store did not answer; grows while it does not. */
+    Duration _storePause{0};
     /** The server to be replaced, if it is known. */
     std::optional<ServerName> _former;
     /** Since when no former primary can acknowledge a commit. */
--- a/src/link/forwarding/UnitLinks.cpp
+++ b/src/link/forwarding/UnitLinks.cpp
@@ -58,16 +58,18 @@
     for (const NodeName& name : gone) {
         drop(_links[name], "node_moved");
         _links.erase(name);
+        _failed.erase(name);
     }
     for (const auto& [name, node] : current) {
         _links[name].node = node;
     }
 }
 
+/** A node that was lost is tried by a connection of its own, not at the price of a statement. */
 bool UnitLinks::canReach(const NodeName& node) const {
     const auto found = _links.find(node);
     return found != _links.end() && found->second.node.port != 0 && !found->second.leaving &&
-           _clock.now() >= found->second.usableFrom;
+           !_failed.contains(node) && _clock.now() >= found->second.usableFrom;
 }
 
 void UnitLinks::connect(Link& link) {
@@ -182,6 +184,7 @@
         return;
     }
     link->connected = true;
+    _failed.erase(link->node.name);
     link->pause = Duration(0);
     link->heardAt = _clock.now();
     link->waitingSince = link->heardAt;
@@ -293,6 +296,7 @@
         .field("connected", link.connected);
     link.pause = nextBackoff(link.pause, kFirstPause, kLongestPause);
     link.usableFrom = _clock.now() + link.pause;
+    _failed.insert(link.node.name);
     link.leaving = false;
     link.connected = false;
     link.unanswered = 0;
@@ -332,7 +336,18 @@
     return std::min(askAt, quietSince + kSilenceTimeout);
 }
 
+/** Opens connections to nodes that were lost, so that they can be used again. */
+void UnitLinks::retryFailed(TimePoint now) {
+    for (const NodeName& name : _failed) {
+        Link& link = _links.at(name);
+        if (!link.stream && now >= link.usableFrom) {
+            connect(link);
+        }
+    }
+}
+
 void UnitLinks::onTick(TimePoint now) {
+    retryFailed(now);
     std::vector<NodeName> due;
     for (const auto& [stream, name] : _nodeOf) {
         const std::optional<TimePoint> at = dueAt(_links.at(name));
@@ -358,6 +373,12 @@
 
 std::optional<TimePoint> UnitLinks::nextTick() const {
     std::optional<TimePoint> next;
+    for (const NodeName& name : _failed) {
+        const Link& link = _links.at(name);
+        if (!link.stream) {
+            next = std::min(next.value_or(link.usableFrom), link.usableFrom);
+        }
+    }
     for (const auto& [stream, name] : _nodeOf) {
         if (const std::optional<TimePoint> at = dueAt(_links.at(name))) {
             next = std::min(next.value_or(*at), *at);
--- a/src/link/forwarding/UnitLinks.h
+++ b/src/link/forwarding/UnitLinks.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -89,6 +90,7 @@
     void onClosed(socket::StreamConnection& connection) override;
     void onMessage(Link& link, UnitMessage message);
     void connect(Link& link);
+    void retryFailed(TimePoint now);
     void send(Link& link, const UnitMessage& message);
     void noteWaiting(Link& link);
     void noteSent(Link& link, UnitId unit);
@@ -112,6 +114,8 @@
     std::map<NodeName, Link> _links;
     std::map<const socket::StreamConnection*, NodeName> _nodeOf;
     std::map<UnitId, NodeName> _units;
+    /** Nodes whose last connection was lost: nothing is sent before a new one has opened. */
+    std::set<NodeName> _failed;
     std::vector<std::unique_ptr<socket::StreamConnection>> _closed;
 };
 
--- a/src/pooling/PoolerConnections.cpp
+++ b/src/pooling/PoolerConnections.cpp
@@ -147,6 +147,7 @@
     }
     ++_statistics.connectionsLost;
     const std::optional<SessionId> user = connection->user;
+    noteLoss(*connection);
     LogEvent("pooling", LogLevel::Info, "connection.lost")
         .field("group", connection->group)
         .field("server", connection->server)
@@ -159,6 +160,18 @@
     settle();
 }
 
+/** A connection that nobody waited for may have been idle for long: it tells nothing. */
+void StatementPooler::noteLoss(const ServerConnection& connection) {
+    ServerState* server = serverOf(connection);
+    if (server == nullptr || connection.awaited.empty()) {
+        return;
+    }
+    if (server->lostInRow == 0) {
+        server->losingSince = _clock.now();
+    }
+    ++server->lostInRow;
+}
+
 void StatementPooler::onUserLost(PooledSession& session, const char* reason) {
     if (!session.operation) {
         failTransaction(session);
--- a/src/pooling/PoolerTimers.cpp
+++ b/src/pooling/PoolerTimers.cpp
@@ -15,6 +15,10 @@
 constexpr Duration kReportEvery = std::chrono::seconds(2);
 /** A write unanswered for so long shows that the primary can't commit. */
 constexpr Duration kWritePatience = std::chrono::milliseconds(700);
+/** So many connections that break in place of an answer, without any answer for so long, show that
+ * the primary serves nobody. Connections that are all reset at one moment break within less. */
+constexpr std::uint32_t kLostInRow = 5;
+constexpr Duration kLossPatience = std::chrono::milliseconds(500);
 
 }  // namespace
 
@@ -218,6 +222,10 @@
         _output.suspectPrimary(name, primary->server, SuspicionReason::Silent);
         return;
     }
+    if (server.lostInRow >= kLostInRow && now - server.losingSince > kLossPatience) {
+        _output.suspectPrimary(name, primary->server, SuspicionReason::StatementsLost);
+        return;
+    }
     for (const auto& [id, sentAt] : group.pendingWrites) {
         const ServerConnection* connection = findConnection(id);
         const bool current = connection != nullptr && connection->server == primary->server;
--- a/src/pooling/ServerState.h
+++ b/src/pooling/ServerState.h
@@ -67,6 +67,9 @@
     TimePoint heardAt{};
     /** Oldest moment since which a statement is unanswered; reset by every answer. */
     std::optional<TimePoint> silentSince;
+    /** Connections that broke in place of an answer since the last answer, and since when. */
+    std::uint32_t lostInRow = 0;
+    TimePoint losingSince{};
     TimePoint nextConnect{};
     /** The last attempt to connect failed. */
     bool unreachable = false;
--- a/src/pooling/StatementPooler.cpp
+++ b/src/pooling/StatementPooler.cpp
@@ -14,6 +14,8 @@
             return "unreachable";
         case SuspicionReason::WritesUnanswered:
             return "writes_unanswered";
+        case SuspicionReason::StatementsLost:
+            return "statements_lost";
     }
     return "unknown";
 }
--- a/src/pooling/StatementPooler.h
+++ b/src/pooling/StatementPooler.h
@@ -32,7 +32,12 @@
 namespace coralhoist::pooling {
 
 /** Why a server is taken for failed. */
-enum class SuspicionReason { Silent, Unreachable, WritesUnanswered };
+enum class SuspicionReason {
+    Silent,
+    Unreachable,
+    WritesUnanswered,
+    StatementsLost, /**< It takes connections and breaks each in place of an answer. */
+};
 
 /** @return a word for logs. */
 const char* describe(SuspicionReason reason);
@@ -278,6 +283,7 @@
     void abandon(ServerConnection& connection);
     void discard(ConnectionId connection);
     void forget(ConnectionId connection);
+    void noteLoss(const ServerConnection& connection);
     void failTransaction(PooledSession& session);
     void onUserLost(PooledSession& session, const char* reason);
     void forgetTransaction(PooledSession& session);
--- a/tests/forwarding/UnitLinkTest.cpp
+++ b/tests/forwarding/UnitLinkTest.cpp
@@ -238,6 +238,26 @@
     CHECK_FALSE(links.canReach(executor));
 }
 
+/** Statements used to wait for connections to nodes that were known to be lost (2,400 on one day).
+ */
+TEST(UnitLink, ALostNodeIsTriedWithoutAStatement) {
+    QTcpServer taken;
+    CHECK_TRUE(taken.listen(QHostAddress::LocalHost, 0));
+    const std::uint16_t port = taken.serverPort();
+    taken.close();
+    links.applyNodes({{executor, ZoneName("z"), kHost, port}});
+    open(1, StatementVerb::Write, "WRITE 1 a");
+    waitFor([this] { return recorder.losses.contains(UnitId(1)); });
+    clock.advance(milliseconds(250));
+    // The pause is over, yet the node is not offered statements before a connection has opened.
+    CHECK_FALSE(links.canReach(executor));
+    CHECK_TRUE(links.nextTick() <= clock.now());
+    CHECK_TRUE(taken.listen(QHostAddress::LocalHost, port));
+    links.onTick(clock.now());
+    waitFor([this] { return links.canReach(executor); });
+    UNSIGNED_LONGS_EQUAL(1, recorder.losses.size());
+}
+
 TEST(UnitLink, ASilentNodeIsGivenUpAndItsAnswersAreDropped) {
     service.startServing();
     open(1, StatementVerb::Write, "WRITE 1 a");
--- a/tests/pooling/PoolerTest.cpp
+++ b/tests/pooling/PoolerTest.cpp
@@ -253,6 +253,101 @@
     CHECK(!fixture.suspicions.empty());
 }
 
+/** As on smea-fuelauth-large, trouble-1: for 8 s a primary reset each connection that sent
+ * something. */
+TEST(StatementPooler, APrimaryThatBreaksEachConnectionBecomesSuspect) {
+    for (int loss = 0; loss < 8; ++loss) {
+        CHECK_TRUE(loss > 4 || fixture.suspicions.empty());
+        write("own");
+        fixture.clock.advance(milliseconds(60));
+        const ConnectionId broken = fixture.pending().connection;
+        fixture.connector.sent.clear();
+        fixture.pooler.onLost(broken);
+        fixture.advance(milliseconds(30));
+        fixture.openConnections();
+    }
+    CHECK_FALSE(fixture.suspicions.empty());
+    CHECK_TRUE(fixture.suspicions[0] == SuspicionReason::StatementsLost);
+}
+
+TEST(StatementPooler, LostAnswersAmongOthersRaiseNoSuspicion) {
+    for (int loss = 0; loss < 20; ++loss) {
+        write("own");
+        fixture.clock.advance(milliseconds(30));
+        const ConnectionId broken = fixture.pending().connection;
+        fixture.connector.sent.clear();
+        fixture.pooler.onLost(broken);
+        fixture.advance(milliseconds(30));
+        fixture.openConnections();
+        if (loss % 3 == 0) {
+            write("own");
+            fixture.succeed();
+        }
+    }
+    CHECK_TRUE(fixture.suspicions.empty());
+}
+
+TEST(StatementPooler, ConnectionsThatAreResetAtOneMomentRaiseNoSuspicion) {
+    for (int loss = 0; loss < 3; ++loss) {
+        write("own");
+    }
+    std::vector<ConnectionId> broken;
+    for (const SentCommand& sent : fixture.connector.sent) {
+        broken.push_back(sent.connection);
+    }
+    fixture.connector.sent.clear();
+    for (const ConnectionId connection : broken) {
+        fixture.pooler.onLost(connection);
+    }
+    fixture.openConnections();
+    fixture.advance(milliseconds(50));
+    fixture.openConnections();
+    fixture.advance(milliseconds(900));
+    CHECK_TRUE(fixture.suspicions.empty());
+}
+
+TEST(StatementPooler, AServerThatRefusesIsSentNothingForAWhileThatGrows) {
+    Duration lastPause{0};
+    for (int refusal = 0; refusal < 5; ++refusal) {
+        write("own");
+        fixture.refuse(StatementFault::Busy);
+        const TimePoint refusedAt = fixture.clock.now();
+        // One that was not refused itself has no pause of its own.
+        write("own");
+        while (fixture.pendingCount() == 0) {
+            fixture.advance(milliseconds(5));
+        }
+        const Duration pause = fixture.clock.now() - refusedAt;
+        CHECK_TRUE(pause >= milliseconds(15));
+        CHECK_TRUE(pause >= lastPause);
+        CHECK_TRUE(pause <= milliseconds(180));
+        lastPause = pause;
+        while (fixture.pendingCount() > 0) {
+            fixture.refuse(StatementFault::Busy);
+        }
+        fixture.advance(milliseconds(1000));
+        while (fixture.pendingCount() > 0) {
+            fixture.refuse(StatementFault::Busy);
+        }
+    }
+    CHECK_TRUE(lastPause >= milliseconds(120));
+}
+
+TEST(StatementPooler, TheFirstLimitIsAShareOfWhatTheServerBears) {
+    // Three slots, four statements in flight at most; with six executors one each to begin with.
+    std::vector<ProxyNode> nodes;
+    for (const char* name : {"n1", "n2", "n3", "n4", "n5"}) {
+        nodes.push_back({NodeName(name), ZoneName(name), "10.0.0.1", 7000});
+    }
+    fixture.pooler.applyNodes(nodes);
+    for (int round = 0; round < 4; ++round) {
+        write("own");
+        fixture.openConnections();
+        fixture.advance(milliseconds(5));
+    }
+    UNSIGNED_LONGS_EQUAL(1, fixture.pendingCount());
+}
+
 TEST(StatementPooler, ASuccessorTakesNoCommitBeforeTheLeaseHasPassed) {
     fixture.announce("s2", 2);
     const SessionId session = fixture.session("current");
