Count a primary's answers to callers alone as signs that it serves

Change: only answers to callers' statements end it. Test extended first (it fails without the change).

--- a/src/pooling/PoolerResults.cpp
+++ b/src/pooling/PoolerResults.cpp
@@ -44,7 +44,10 @@
     connection->awaited.pop_front();
     if (ServerState* server = serverOf(*connection)) {
         server->heardAt = _clock.now();
-        server->lostInRow = 0;
+        if (awaited == AwaitedResult::Statement) {
+            // Answers to the proxy's own commands do not show that it serves callers.
+            server->lostInRow = 0;
+        }
         server->silentSince.reset();
         if (server->inflight > 1) {
             server->silentSince = server->heardAt;
--- a/tests/pooling/PoolerTest.cpp
+++ b/tests/pooling/PoolerTest.cpp
@@ -258,7 +258,11 @@
 TEST(StatementPooler, APrimaryThatBreaksEachConnectionBecomesSuspect) {
     for (int loss = 0; loss < 8; ++loss) {
         CHECK_TRUE(loss > 4 || fixture.suspicions.empty());
-        write("own");
+        const SessionId session = fixture.session("own");
+        fixture.submit(session, StatementVerb::Set, "SET a b", "a", "b");
+        fixture.submit(session, StatementVerb::Write, "WRITE 1 a");
+        // It takes the session's value, and answers nothing to the statement.
+        fixture.acknowledge();
         fixture.clock.advance(milliseconds(60));
         const ConnectionId broken = fixture.pending().connection;
         fixture.connector.sent.clear();
