--- a/lab/scale/HollowPlatform.cpp
+++ b/lab/estate/SimulatedPlatform.cpp
@@ -1,8 +1,8 @@
-#include "lab/scale/HollowPlatform.h"
+#include "lab/estate/SimulatedPlatform.h"
 
 #include <utility>
 
-namespace coralhoist::scale {
+namespace coralhoist::estate {
 namespace {
 
 /** Time from a change until a watch delivers it. */
@@ -12,8 +12,8 @@
 
 }  // namespace
 
-std::uint64_t HollowPlatform::commit(const std::string& path, const std::string& document,
-                                     bool deleted) {
+std::uint64_t SimulatedPlatform::commit(const std::string& path, const std::string& document,
+                                        bool deleted) {
     ++_version;
     _lastPath = path;
     if (_objects.find(path) == nullptr) {
@@ -35,7 +35,7 @@
     return _version;
 }
 
-void HollowPlatform::forgetTombstones() {
+void SimulatedPlatform::forgetTombstones() {
     for (const std::string& path : _paths) {
         if (_objects.find(path)->deleted) {
             _forgotten[path] = true;
@@ -44,7 +44,7 @@
     _list = nullptr;
 }
 
-void HollowPlatform::serve(simulation::HostId host, zone::SettingsDistributor& distributor) {
+void SimulatedPlatform::serve(simulation::HostId host, zone::SettingsDistributor& distributor) {
     const bool wanted = reaches(host) && distributor.shouldReadPlatform(_simulation.now());
     const auto found = _watches.find(host);
     if (!wanted) {
@@ -61,7 +61,8 @@
     enqueue(host, {_simulation.now() + kDeliveryDelay, {}, _version, Delivery::Kind::Progress});
 }
 
-HollowPlatform::Delivery HollowPlatform::listFor(const zone::SettingsDistributor& distributor) {
+SimulatedPlatform::Delivery SimulatedPlatform::listFor(
+    const zone::SettingsDistributor& distributor) {
     Delivery list;
     list.due = _simulation.now() + kDeliveryDelay;
     list.version = _version;
@@ -76,7 +77,8 @@
     return list;
 }
 
-std::shared_ptr<const std::vector<settings::SettingsObjectRecord>> HollowPlatform::currentList() {
+std::shared_ptr<const std::vector<settings::SettingsObjectRecord>>
+SimulatedPlatform::currentList() {
     if (_list != nullptr && _listVersion == _version) {
         return _list;
     }
@@ -91,18 +93,18 @@
     return _list;
 }
 
-bool HollowPlatform::reaches(simulation::HostId host) const {
+bool SimulatedPlatform::reaches(simulation::HostId host) const {
     const auto cutOff = _cutOff.find(host);
     return _reachable && (cutOff == _cutOff.end() || !cutOff->second);
 }
 
-void HollowPlatform::enqueue(simulation::HostId host, Delivery delivery) {
+void SimulatedPlatform::enqueue(simulation::HostId host, Delivery delivery) {
     const TimePoint due = delivery.due;
     _watches[host].deliveries.push_back(std::move(delivery));
     _simulation.queue().at(due, [this, host] { pump(host); });
 }
 
-void HollowPlatform::pump(simulation::HostId host) {
+void SimulatedPlatform::pump(simulation::HostId host) {
     const auto found = _watches.find(host);
     if (found == _watches.end()) {
         return;
@@ -120,8 +122,8 @@
     _simulation.rearm(host);
 }
 
-void HollowPlatform::deliver(zone::SettingsDistributor& distributor,
-                             const Delivery& delivery) const {
+void SimulatedPlatform::deliver(zone::SettingsDistributor& distributor,
+                                const Delivery& delivery) const {
     const TimePoint now = _simulation.now();
     switch (delivery.kind) {
         case Delivery::Kind::List:
@@ -136,4 +138,4 @@
     }
 }
 
-}  // namespace coralhoist::scale
+}  // namespace coralhoist::estate
--- a/lab/scale/HollowPlatform.h
+++ b/lab/estate/SimulatedPlatform.h
@@ -7,20 +7,20 @@
 #include <string>
 #include <vector>
 
-#include "lab/scale/HollowReplica.h"
+#include "lab/estate/SimulatedReplica.h"
 #include "lab/simulation/Simulation.h"
 #include "zone/SettingsDistributor.h"
 
-namespace coralhoist::scale {
+namespace coralhoist::estate {
 
 /**
  * Holds the objects with one growing version and delivers lists, changes and progress in order to
  * each watching node, after a delay. Can be unreachable for all or for some hosts, and can forget
  * its tombstones.
  */
-class HollowPlatform {
+class SimulatedPlatform {
 public:
-    HollowPlatform(simulation::Simulation& simulation, RecordPool& pool)
+    SimulatedPlatform(simulation::Simulation& simulation, RecordPool& pool)
         : _simulation(simulation), _pool(pool) {}
 
     /** Puts a change in force. @return its version. */
@@ -83,4 +83,4 @@
     std::uint64_t _listVersion = 0;
 };
 
-}  // namespace coralhoist::scale
+}  // namespace coralhoist::estate
--- a/lab/scale/HollowReplica.cpp
+++ b/lab/estate/SimulatedReplica.cpp
@@ -1,11 +1,11 @@
-#include "lab/scale/HollowReplica.h"
+#include "lab/estate/SimulatedReplica.h"
 
 #include <xxhash.h>
 
 #include <algorithm>
 #include <utility>
 
-namespace coralhoist::scale {
+namespace coralhoist::estate {
 namespace {
 
 std::size_t bucketOf(const std::string& path) {
@@ -44,7 +44,7 @@
     return held;
 }
 
-HollowReplica::HollowReplica(std::shared_ptr<const RecordIndex> base, RecordPool& pool)
+SimulatedReplica::SimulatedReplica(std::shared_ptr<const RecordIndex> base, RecordPool& pool)
     : _base(std::move(base)), _pool(pool) {
     if (_base != nullptr) {
         _sums = _base->sums();
@@ -52,7 +52,7 @@
     }
 }
 
-bool HollowReplica::merge(const settings::SettingsObjectRecord& record) {
+bool SimulatedReplica::merge(const settings::SettingsObjectRecord& record) {
     const RecordPointer held = find(record.path);
     if (held != nullptr && held->version >= record.version) {
         return false;
@@ -67,7 +67,7 @@
     return true;
 }
 
-RecordPointer HollowReplica::find(const std::string& path) const {
+RecordPointer SimulatedReplica::find(const std::string& path) const {
     const auto learnt = _learnt.find(path);
     if (learnt != _learnt.end()) {
         return learnt->second;
@@ -75,23 +75,24 @@
     return _base == nullptr ? nullptr : _base->find(path);
 }
 
-std::uint64_t HollowReplica::newestVersion(const std::string& path) const {
+std::uint64_t SimulatedReplica::newestVersion(const std::string& path) const {
     const RecordPointer held = find(path);
     return held == nullptr ? 0 : held->version;
 }
 
-std::uint64_t HollowReplica::versionInForce(const std::string& path) const {
+std::uint64_t SimulatedReplica::versionInForce(const std::string& path) const {
     return newestVersion(path);
 }
 
-std::vector<settings::SettingsObjectRecord> HollowReplica::records(const std::string& path) const {
+std::vector<settings::SettingsObjectRecord> SimulatedReplica::records(
+    const std::string& path) const {
     const RecordPointer held = find(path);
     return held == nullptr ? std::vector<settings::SettingsObjectRecord>{}
                            : std::vector<settings::SettingsObjectRecord>{*held};
 }
 
 template <typename Visit>
-void HollowReplica::forEachOfBucket(std::size_t bucket, Visit visit) const {
+void SimulatedReplica::forEachOfBucket(std::size_t bucket, Visit visit) const {
     if (_base != nullptr) {
         for (const std::string& path : _base->pathsOf(bucket)) {
             visit(find(path));
@@ -105,14 +106,14 @@
     }
 }
 
-std::vector<settings::SettingsObjectRecord> HollowReplica::recordsOfBucket(
+std::vector<settings::SettingsObjectRecord> SimulatedReplica::recordsOfBucket(
     std::size_t bucket) const {
     std::vector<settings::SettingsObjectRecord> records;
     forEachOfBucket(bucket, [&](const RecordPointer& record) { records.push_back(*record); });
     return records;
 }
 
-std::vector<zone::ObjectVersion> HollowReplica::versionsOfBucket(std::size_t bucket) const {
+std::vector<zone::ObjectVersion> SimulatedReplica::versionsOfBucket(std::size_t bucket) const {
     std::vector<zone::ObjectVersion> versions;
     forEachOfBucket(bucket, [&](const RecordPointer& record) {
         versions.push_back({record->path, record->version});
@@ -120,8 +121,8 @@
     return versions;
 }
 
-std::uint64_t HollowReplica::digest() const {
+std::uint64_t SimulatedReplica::digest() const {
     return XXH3_64bits(_sums.data(), sizeof _sums);
 }
 
-}  // namespace coralhoist::scale
+}  // namespace coralhoist::estate
--- a/lab/scale/HollowReplica.h
+++ b/lab/estate/SimulatedReplica.h
@@ -1,4 +1,4 @@
-/** Settings of a hollow node, which share what most nodes have in common. */
+/** Settings of a simulated node, which share what most nodes have in common. */
 #pragma once
 
 #include <array>
@@ -10,7 +10,7 @@
 
 #include "zone/SettingsReplica.h"
 
-namespace coralhoist::scale {
+namespace coralhoist::estate {
 
 using RecordPointer = std::shared_ptr<const settings::SettingsObjectRecord>;
 
@@ -46,10 +46,10 @@
  * A replica that is an unchanging base, shared by all nodes that began with it, and what the node
  * has learnt since. It keeps the same versions as SettingsTree, without documents to interpret.
  */
-class HollowReplica final : public zone::SettingsReplica {
+class SimulatedReplica final : public zone::SettingsReplica {
 public:
     /** @param base what the node knows at its start, or null for nothing. */
-    HollowReplica(std::shared_ptr<const RecordIndex> base, RecordPool& pool);
+    SimulatedReplica(std::shared_ptr<const RecordIndex> base, RecordPool& pool);
 
     bool merge(const settings::SettingsObjectRecord& record) override;
     std::uint64_t newestVersion(const std::string& path) const override;
@@ -77,4 +77,4 @@
     std::uint64_t _freshest = 0;
 };
 
-}  // namespace coralhoist::scale
+}  // namespace coralhoist::estate
