Ask servers for proofs after a start only where statements wait

Cause: a node that became ready wanted proofs of all groups. When the store was slow (270 ms an answer, reading given up after 120 ms), each of 110 nodes opened a connection to each of 60 servers: 6,600 questions within 0.3 s, and with the pools' own connections 12,000 opened in half a second, each of which takes 27 ms of one of two slots. Change: a start asks nodes and store for a proof; the servers only for groups whose statements wait. Test first (ClusterControl.AStartAsksServersForProofsOnlyWhereStatementsWait: 8 connections before, none now).

--- a/src/cluster/ClusterControl.cpp
+++ b/src/cluster/ClusterControl.cpp
@@ -287,15 +287,17 @@
     return next;
 }
 
-/** A node that has just started may neither read nor write at primaries before it has a proof. */
+/**
+ * A node that has just started may neither read nor write at primaries before it has a proof. The
+ * servers are asked for one only where statements wait: all nodes may start at once, and each
+ * question to a server costs it a connection and a slot.
+ */
 void ClusterControl::proveAtStart() {
     if (_provenAtStart || !isReady()) {
         return;
     }
     _provenAtStart = true;
-    for (const auto& [group, servers] : _directory.groups()) {
-        wantLeadershipProof(group);
-    }
+    _proofs.want();
 }
 
 /** While neither the store nor a node gives proofs, the servers are asked, at the price of a slot
--- /dev/null
+++ b/tests/cluster/ClusterControlTest.cpp
@@ -0,0 +1,164 @@
+#include <CppUTest/TestHarness.h>
+
+#include <QCoreApplication>
+#include <string>
+#include <vector>
+
+#include "base/SystemTime.h"
+#include "cluster/ClusterControl.h"
+#include "link/socket/HttpResponder.h"
+#include "platform/PlatformCodec.h"
+#include "platform/ServerWire.h"
+#include "platform/StoreProtocol.h"
+#include "tests/support/ManualClock.h"
+#include "tests/support/QtTestLoop.h"
+
+namespace coralhoist::cluster {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr const char* kHost = "127.0.0.1";
+constexpr int kUnavailable = 503;
+
+/** Counts the connections that are opened; none ever opens. */
+class CountingConnector final : public pooling::ServerConnector {
+public:
+    ConnectionId open(const pooling::ServerAddress& /*address*/,
+                      pooling::ServerEvents& /*events*/) override {
+        return ConnectionId(++opened);
+    }
+    void send(ConnectionId /*connection*/,
+              const std::vector<pooling::ServerCommand>& /*commands*/) override {}
+    void close(ConnectionId /*connection*/) override {}
+
+    std::uint64_t opened = 0;
+};
+
+/** A node alone, whose store lists everything once and then gives no records for proofs. */
+TEST_GROUP(ClusterControl), public pooling::PoolerOutput, public pooling::ProofQuestions,
+    public pooling::ProofAnswers, public store::FeedQuestions, public store::FeedAnswers {
+    int count = 1;
+    char name[8] = "test";
+    char* arguments[1] = {name};
+    QCoreApplication application{count, arguments};
+    testing::ManualClock clock;
+    SeededRandom random{1};
+    socket::SocketPoller poller;
+    socket::HttpResponder responder{poller, [this](const std::string& path) { return next(path); }};
+    platform_adapter::StoreProtocol protocol;
+    platform_adapter::PlatformCodec codec;
+    CountingConnector connector;
+    failover::ReportParser parser = platform_adapter::readReport;
+    std::unique_ptr<pooling::StatementPooler> pooler;
+    std::unique_ptr<socket::HttpClient> client;
+    std::unique_ptr<ClusterControl> control;
+    std::size_t recordLists = 0;
+
+    void setup() override {
+        CHECK_TRUE(responder.listen(kHost, 0).isOk());
+        pooling::PoolerKnobs knobs;
+        knobs.node = NodeName("self");
+        knobs.zone = ZoneName("z");
+        pooler = std::make_unique<pooling::StatementPooler>(clock, connector, *this, knobs);
+        client = std::make_unique<socket::HttpClient>(poller, clock, kHost, responder.port());
+        control = std::make_unique<ClusterControl>(
+            ClusterDependencies{clock, random, *client, *client, protocol, codec, connector, parser,
+                                *this, *this, *this, *this,
+                                pooling::ProxyNode{NodeName("self"), ZoneName("z"), kHost, 1},
+                                [](const std::vector<pooling::ProxyNode>&) {}, "self/1"},
+            *pooler);
+    }
+
+    void teardown() override {
+        control.reset();
+        client.reset();
+    }
+
+    socket::HttpPage next(const std::string& path) {
+        if (path.find("watch=") != std::string::npos) {
+            return {kUnavailable, ""};
+        }
+        if (path.rfind("/objects/config", 0) == 0) {
+            return {200,
+                    R"({"items":[{"meta":{"name":"main","revision":5},"spec":{"routes":[
+                    {"host":"a","service":"g1","kind":"primary","timeout_ms":800,"target_ms":150},
+                    {"host":"b","service":"g2","kind":"primary","timeout_ms":800,"target_ms":150}],
+                    "services":[{"name":"g1","max_conns":60,"sync_replicas":1},
+                    {"name":"g2","max_conns":60,"sync_replicas":1}],"limits":{}}}],
+                    "has_more":false,"at":10})"};
+        }
+        if (path.rfind("/objects/servers", 0) == 0) {
+            return {200, R"({"items":[)" + server("s1", "g1", "primary") + "," +
+                             server("s2", "g1", "replica") + "," + server("s3", "g2", "primary") +
+                             "," + server("s4", "g2", "replica") +
+                             R"(],"has_more":false,"at":10})"};
+        }
+        if (path.rfind("/objects/promotions", 0) == 0 && ++recordLists > 1) {
+            return {kUnavailable, ""};
+        }
+        if (path.rfind("/objects/proxies", 0) == 0) {
+            return {200,
+                    R"({"items":[{"meta":{"name":"self","revision":6},"spec":{"zone":"z",
+                    "addr":"127.0.0.1:1"}}],"has_more":false,"at":10})"};
+        }
+        return {200, R"({"items":[],"has_more":false,"at":10})"};
+    }
+
+    static std::string server(const std::string& id, const std::string& group,
+                              const std::string& role) {
+        return R"({"meta":{"name":")" + id + R"(","revision":4},"spec":{"service":")" + group +
+               R"(","addr":"127.0.0.1:1","zone":"z","slots":2,"state":"ready","db_role":")" + role +
+               R"("}})";
+    }
+
+    void run(Duration span) {
+        for (Duration passed{0}; passed < span; passed += milliseconds(10)) {
+            clock.advance(milliseconds(10));
+            client->onTick(clock.now());
+            control->onTick(clock.now());
+            QCoreApplication::processEvents(QEventLoop::AllEvents, 1);
+        }
+    }
+
+    void reply(SessionId /*session*/, pooling::StatementResult /*result*/) override {}
+    void closeSession(SessionId /*session*/) override {}
+    void wantLeadershipProof(const GroupName& group) override {
+        control->wantLeadershipProof(group);
+    }
+    void suspectPrimary(const GroupName& /*group*/, const ServerName& /*server*/,
+                        pooling::SuspicionReason /*reason*/) override {}
+    bool canReach(const NodeName& /*node*/) const override {
+        return false;
+    }
+    void askForProof(const NodeName& /*node*/, std::uint64_t /*question*/,
+                     const pooling::ProofNeed& /*need*/) override {}
+    void answerProof(std::uint64_t /*asker*/, const std::optional<pooling::HandedProof>& /*proof*/)
+        override {}
+    void askForChanges(const NodeName& /*node*/, std::uint64_t /*question*/,
+                       const store::FeedQuestion& /*asked*/) override {}
+    void answerFeed(std::uint64_t /*asker*/, const std::optional<store::FeedAnswer>& /*answer*/)
+        override {}
+};
+
+/**
+ * Found on spba-jobgrid-large, trouble-2: after a loss of power with a slow store each of 110 nodes
+ * opened a connection to each of 60 servers, and the servers' slots were taken for two seconds.
+ */
+TEST(ClusterControl, AStartAsksServersForProofsOnlyWhereStatementsWait) {
+    CHECK_TRUE(testing::waitUntil([this] {
+        run(milliseconds(10));
+        return control->isReady();
+    }));
+    run(milliseconds(1000));
+    CHECK_TRUE(recordLists > 1);
+    UNSIGNED_LONGS_EQUAL(0, connector.opened);
+    control->wantLeadershipProof(GroupName("g1"));
+    run(milliseconds(1000));
+    // The two servers of the one group, and not again while they do not answer.
+    CHECK_TRUE(connector.opened >= 2);
+    CHECK_TRUE(connector.opened <= 8);
+}
+
+}  // namespace
+}  // namespace coralhoist::cluster
