Pack contents once for all receivers; remember a node's turn for each group

Cause: a reader packed and compressed a configuration anew for each node that it told, and a node ranked all nodes at each look at a group without a primary: 63 groups at 300 nodes, 17 looks a second, until the servers have announced themselves. Change: ObjectTable keeps the packed content, also what another node packed; the place in the order of nodes is kept until the nodes change.

--- a/gen/unit.thrift
+++ b/gen/unit.thrift
@@ -93,8 +93,7 @@
   1: required string name
   2: required i64 version
   3: required bool removed
-  4: required binary content         // CBOR of the object's JSON; absent when removed
-  5: required bool compressed        // the content is in zlib's format behind its length
+  4: required binary content         // as store::packContent makes it; empty when removed
 }
 
 struct ChangesOfKind {
--- a/gen/unit_types.cpp
+++ b/gen/unit_types.cpp
@@ -2151,10 +2151,6 @@
 void ObjectChange::__set_content(const std::string& val) {
   this->content = val;
 }
-
-void ObjectChange::__set_compressed(const bool val) {
-  this->compressed = val;
-}
 std::ostream& operator<<(std::ostream& out, const ObjectChange& obj)
 {
   obj.printTo(out);
@@ -2178,7 +2174,6 @@
   bool isset_version = false;
   bool isset_removed = false;
   bool isset_content = false;
-  bool isset_compressed = false;
 
   while (true)
   {
@@ -2220,14 +2215,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->compressed);
-          isset_compressed = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2245,8 +2232,6 @@
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_content)
     throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_compressed)
-    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
@@ -2271,10 +2256,6 @@
   xfer += oprot->writeBinary(this->content);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("compressed", ::apache::thrift::protocol::T_BOOL, 5);
-  xfer += oprot->writeBool(this->compressed);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2286,7 +2267,6 @@
   swap(a.version, b.version);
   swap(a.removed, b.removed);
   swap(a.content, b.content);
-  swap(a.compressed, b.compressed);
 }
 
 ObjectChange::ObjectChange(const ObjectChange& other74) {
@@ -2294,21 +2274,18 @@
   version = other74.version;
   removed = other74.removed;
   content = other74.content;
-  compressed = other74.compressed;
 }
 ObjectChange::ObjectChange(ObjectChange&& other75) noexcept {
   name = std::move(other75.name);
   version = other75.version;
   removed = other75.removed;
   content = std::move(other75.content);
-  compressed = other75.compressed;
 }
 ObjectChange& ObjectChange::operator=(const ObjectChange& other76) {
   name = other76.name;
   version = other76.version;
   removed = other76.removed;
   content = other76.content;
-  compressed = other76.compressed;
   return *this;
 }
 ObjectChange& ObjectChange::operator=(ObjectChange&& other77) noexcept {
@@ -2316,7 +2293,6 @@
   version = other77.version;
   removed = other77.removed;
   content = std::move(other77.content);
-  compressed = other77.compressed;
   return *this;
 }
 void ObjectChange::printTo(std::ostream& out) const {
@@ -2326,7 +2302,6 @@
   out << ", " << "version=" << to_string(version);
   out << ", " << "removed=" << to_string(removed);
   out << ", " << "content=" << to_string(content);
-  out << ", " << "compressed=" << to_string(compressed);
   out << ")";
 }
 
--- a/gen/unit_types.h
+++ b/gen/unit_types.h
@@ -777,8 +777,7 @@
                : name(),
                  version(0),
                  removed(0),
-                 content(),
-                 compressed(0) {
+                 content() {
   }
 
   virtual ~ObjectChange() noexcept;
@@ -786,7 +785,6 @@
   int64_t version;
   bool removed;
   std::string content;
-  bool compressed;
 
   void __set_name(const std::string& val);
 
@@ -796,8 +794,6 @@
 
   void __set_content(const std::string& val);
 
-  void __set_compressed(const bool val);
-
   bool operator == (const ObjectChange & rhs) const
   {
     if (!(name == rhs.name))
@@ -808,8 +804,6 @@
       return false;
     if (!(content == rhs.content))
       return false;
-    if (!(compressed == rhs.compressed))
-      return false;
     return true;
   }
   bool operator != (const ObjectChange &rhs) const {
--- a/lab/pooled/PooledNode.cpp
+++ b/lab/pooled/PooledNode.cpp
@@ -94,11 +94,10 @@
     for (LogGroup* group : world.groups) {
         wantLeadershipProof(group->name());
         _failovers[group->name()] = std::make_unique<failover::GroupFailover>(
-            group->name(),
-            failover::FailoverDependencies{
-                world.queue, world.random, _connector, _storeClient, _storeClient, _parser,
-                _name + "/" + std::to_string(world.random.next()), _name,
-                [this](const GroupName& named) { return _readers.turnOf(named.value()); }});
+            group->name(), failover::FailoverDependencies{
+                               world.queue, world.random, _connector, _storeClient, _storeClient,
+                               _parser, _name + "/" + std::to_string(world.random.next()), _name,
+                               [this](const GroupName& named) { return _readers.turnOf(named); }});
     }
     openCallers(sessionsPerService);
 }
--- a/src/cluster/ClusterControl.cpp
+++ b/src/cluster/ClusterControl.cpp
@@ -212,7 +212,7 @@
                        _dependencies.clock, _dependencies.random, _dependencies.connector,
                        _promotions, _promotions, _dependencies.reportParser, _dependencies.holder,
                        _dependencies.self.name.value(),
-                       [this](const GroupName& name) { return _readers.turnOf(name.value()); }});
+                       [this](const GroupName& name) { return _readers.turnOf(name); }});
     }
     return *entry;
 }
--- a/src/link/forwarding/QuestionCodec.cpp
+++ b/src/link/forwarding/QuestionCodec.cpp
@@ -1,26 +1,17 @@
 #include "link/forwarding/QuestionCodec.h"
 
-#include <QByteArray>
-#include <QCborMap>
-#include <QCborValue>
-#include <QtEndian>
 #include <chrono>
+#include <memory>
 #include <utility>
 
+#include "link/store/ObjectPacking.h"
+
 namespace coralhoist::forwarding {
 namespace {
 
 using std::chrono::microseconds;
 using store::ObjectEvent;
 
-/** Larger contents are compressed: configurations repeat themselves, and bytes between zones are
- * dear. Smaller ones would not gain from it. */
-constexpr qsizetype kCompressedFrom = 1024;
-/** No object of a store is larger; a claim beyond it is damage and must not cost memory. */
-constexpr std::uint32_t kLargestContent = 16U << 20U;
-/** Fast rather than small. */
-constexpr int kCompressionLevel = 1;
-
 std::int64_t toMicroseconds(Duration duration) {
     return std::chrono::duration_cast<microseconds>(duration).count();
 }
@@ -115,25 +106,12 @@
     record.name = event.object.name;
     record.version = static_cast<std::int64_t>(event.object.version);
     record.removed = event.removed;
-    record.compressed = false;
-    if (event.removed) {
-        return record;
-    }
-    QByteArray content = QCborMap::fromJsonObject(event.object.content).toCborValue().toCbor();
-    if (content.size() >= kCompressedFrom) {
-        content = qCompress(content, kCompressionLevel);
-        record.compressed = true;
+    if (!event.removed) {
+        record.content = event.packed ? *event.packed : store::packContent(event.object.content);
     }
-    record.content = content.toStdString();
     return record;
 }
 
-/** @return the size that compressed content claims to have: four bytes, the highest first. */
-std::uint32_t uncompressedSize(const QByteArray& content) {
-    constexpr qsizetype kPrefixBytes = 4;
-    return content.size() < kPrefixBytes ? 0 : qFromBigEndian<std::uint32_t>(content.constData());
-}
-
 std::optional<ObjectEvent> readChange(const gen::ObjectChange& record) {
     ObjectEvent event;
     event.object.name = record.name;
@@ -142,18 +120,13 @@
     if (event.removed) {
         return event;
     }
-    QByteArray content = QByteArray::fromStdString(record.content);
-    if (record.compressed) {
-        if (uncompressedSize(content) > kLargestContent) {
-            return std::nullopt;
-        }
-        content = qUncompress(content);
-    }
-    const QCborValue value = QCborValue::fromCbor(content);
-    if (!value.isMap()) {
+    std::optional<QJsonObject> content = store::unpackContent(record.content);
+    if (!content) {
         return std::nullopt;
     }
-    event.object.content = value.toMap().toJsonObject();
+    event.object.content = std::move(*content);
+    // Kept, so that the node can hand it on without packing it again.
+    event.packed = std::make_shared<const std::string>(record.content);
     return event;
 }
 
--- a/src/link/store/ObjectProtocol.h
+++ b/src/link/store/ObjectProtocol.h
@@ -3,6 +3,7 @@
 
 #include <QJsonObject>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -33,6 +34,8 @@
 struct ObjectEvent {
     StoredObject object;
     bool removed = false;
+    /** The content as nodes hand it on, made when it is first needed; see ObjectPacking. */
+    std::shared_ptr<const std::string> packed = nullptr;
 };
 
 /** Answer to a watch. */
--- a/src/link/store/ObjectTable.cpp
+++ b/src/link/store/ObjectTable.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <set>
 
+#include "link/store/ObjectPacking.h"
+
 namespace coralhoist::store {
 namespace {
 
@@ -15,13 +17,14 @@
     std::set<std::string> present;
     for (const StoredObject& object : objects) {
         present.insert(object.name);
-        takeEvent({object, false});
+        takeEvent({object, false, nullptr});
     }
     for (auto& [name, known] : _objects) {
         if (!known.removed && known.object.version <= position && !present.contains(name)) {
             known.removed = true;
             known.object.version = position;
             known.object.content = {};
+            known.packed.reset();
             ++_removals;
         }
     }
@@ -43,6 +46,7 @@
     known = event;
     if (event.removed) {
         known.object.content = {};
+        known.packed.reset();
         forgetOldRemovals();
     }
 }
@@ -55,6 +59,7 @@
     if (changes.complete) {
         std::vector<StoredObject> objects;
         for (const ObjectEvent& event : changes.events) {
+            takeEvent(event);
             objects.push_back(event.object);
         }
         takeList(objects, changes.position);
@@ -71,11 +76,15 @@
     ObjectChanges changes;
     changes.complete = !position || *position < _completeSince;
     changes.position = this->position();
-    for (const auto& [name, known] : _objects) {
+    for (auto& [name, known] : _objects) {
         const bool lacking = changes.complete ? !known.removed : known.object.version > *position;
-        if (lacking) {
-            changes.events.push_back(known);
+        if (!lacking) {
+            continue;
+        }
+        if (!known.removed && !known.packed) {
+            known.packed = std::make_shared<const std::string>(packContent(known.object.content));
         }
+        changes.events.push_back(known);
     }
     if (!changes.complete && changes.events.empty()) {
         return std::nullopt;
--- a/src/link/store/ObjectTable.h
+++ b/src/link/store/ObjectTable.h
@@ -49,7 +49,8 @@
 private:
     void forgetOldRemovals();
 
-    std::map<std::string, ObjectEvent> _objects;
+    /** Contents are packed when they are first told, once for all receivers. */
+    mutable std::map<std::string, ObjectEvent> _objects;
     std::optional<std::uint64_t> _position;
     /** Removals before this position are not remembered. */
     std::uint64_t _completeSince = 0;
--- a/src/pooling/ReaderTree.cpp
+++ b/src/pooling/ReaderTree.cpp
@@ -62,6 +62,7 @@
     std::map<ZoneName, std::vector<NodeName>> zones;
     zones[_zone].push_back(_self);
     _nodes = {_self};
+    _turns.clear();
     for (const ProxyNode& node : nodes) {
         if (node.name != _self && node.port != 0) {
             zones[node.zone].push_back(node.name);
@@ -75,10 +76,14 @@
                              : readersFor(_self, readers, zoneReaders(zones[_zone], 1));
 }
 
-std::size_t ReaderTree::turnOf(const std::string& key) const {
-    const std::vector<NodeName> ranked = rankedNodes(key, _nodes);
-    return static_cast<std::size_t>(std::find(ranked.begin(), ranked.end(), _self) -
-                                    ranked.begin());
+std::size_t ReaderTree::turnOf(const GroupName& group) const {
+    const auto [turn, added] = _turns.try_emplace(group, 0);
+    if (added) {
+        const std::vector<NodeName> ranked = rankedNodes(group.value(), _nodes);
+        const auto own = std::find(ranked.begin(), ranked.end(), _self);
+        turn->second = static_cast<std::size_t>(own - ranked.begin());
+    }
+    return turn->second;
 }
 
 }  // namespace coralhoist::pooling
--- a/src/pooling/ReaderTree.h
+++ b/src/pooling/ReaderTree.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include <cstddef>
-#include <string>
+#include <map>
 #include <vector>
 
 #include "base/Identifier.h"
@@ -28,13 +28,14 @@
     /** @return whether other nodes ask this one when they see the same nodes. */
     bool isReader() const { return _isReader; }
 
-    /** @return this node's place in the order of all nodes for a key; 0 is the first. */
-    std::size_t turnOf(const std::string& key) const;
+    /** @return this node's place in the order of all nodes for a group; 0 is the first. */
+    std::size_t turnOf(const GroupName& group) const;
 
 private:
     NodeName _self;
     ZoneName _zone;
     std::vector<NodeName> _nodes;
+    mutable std::map<GroupName, std::size_t> _turns;
     std::vector<NodeName> _candidates;
     bool _isReader = false;
 };
