--- a/src/cluster/StoreFollower.cpp
+++ b/src/cluster/StoreFollower.cpp
@@ -100,7 +100,8 @@
     bool& _news;
 };
 
-StoreFollower::StoreFollower(FollowerDependencies dependencies, std::vector<FollowedKind> kinds)
+StoreFollower::StoreFollower(FollowerDependencies dependencies,
+                             const std::vector<FollowedKind>& kinds)
     : _dependencies(std::move(dependencies)), _choice(_dependencies.random) {
     for (const FollowedKind& kind : kinds) {
         _kinds.push_back(std::make_unique<KindFollower>(kind, _dependencies, _news));
--- a/src/cluster/StoreFollower.h
+++ b/src/cluster/StoreFollower.h
@@ -49,7 +49,7 @@
  */
 class StoreFollower final : public store::FeedEvents {
 public:
-    StoreFollower(FollowerDependencies dependencies, std::vector<FollowedKind> kinds);
+    StoreFollower(FollowerDependencies dependencies, const std::vector<FollowedKind>& kinds);
     ~StoreFollower() override;
 
     /** @return whether the objects of all kinds have been listed since the start. */
--- a/src/pooling/ProofExchange.cpp
+++ b/src/pooling/ProofExchange.cpp
@@ -190,7 +190,7 @@
     accept({askedAt, *versions}, now);
 }
 
-void ProofExchange::accept(LeadershipProof proof, TimePoint now) {
+void ProofExchange::accept(const LeadershipProof& proof, TimePoint now) {
     _failed = false;
     _wanted = false;
     _nextAttempt = now + kAttemptPause;
--- a/src/pooling/ProofExchange.h
+++ b/src/pooling/ProofExchange.h
@@ -82,7 +82,7 @@
     void ask(const NodeName& node, TimePoint now);
     void readStore(TimePoint now);
     void onRead(const std::optional<RecordVersions>& versions, TimePoint askedAt);
-    void accept(LeadershipProof proof, TimePoint now);
+    void accept(const LeadershipProof& proof, TimePoint now);
     void fail(TimePoint now);
 
     ProofDependencies _dependencies;
--- a/src/pooling/ReaderTree.cpp
+++ b/src/pooling/ReaderTree.cpp
@@ -44,8 +44,8 @@
 }
 
 /** @return the zone's readers, different nodes beginning with different ones, then the stand-in. */
-std::vector<NodeName> readersFor(const NodeName& self, std::vector<NodeName> readers,
-                                 std::vector<NodeName> withSpare) {
+std::vector<NodeName> readersFor(const NodeName& self, const std::vector<NodeName>& readers,
+                                 const std::vector<NodeName>& withSpare) {
     std::vector<NodeName> candidates = rankedNodes(self.value(), readers);
     if (withSpare.size() > readers.size() && withSpare.back() != self) {
         candidates.push_back(withSpare.back());
