Let a call of the store go on while its answer arrives

Cause: a list of the store is given up after 0.7 s; when the configuration had grown by 1,476 routes it took longer than that on links of 2 Mbit/s, again and again, so no node that started after 26.4 s became ready (daemon.ready missing). Change: a call goes on as long as bytes of its answer come, and ends 1 s after the last. Tests first: Http.ACallGoesOnWhileItsAnswerArrives fails without the change; ACallIsLostWhenItsAnswerStops.

--- a/src/link/socket/HttpClient.cpp
+++ b/src/link/socket/HttpClient.cpp
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr std::size_t kKeptConnections = 4;
+/** A call whose answer has begun to arrive is given up on when nothing more comes for so long. A
+ * large answer takes seconds on a slow link: 400 kB at 2 Mbit/s are 1.6 s. */
+constexpr Duration kProgressTimeout = std::chrono::milliseconds(1000);
 constexpr std::size_t kStatusOffset = 9;
 constexpr std::size_t kStatusDigits = 3;
 
@@ -174,6 +177,7 @@
         connection.close(CloseMode::Abort);
         return;
     }
+    exchange->deadline = std::max(exchange->deadline, _clock.now() + kProgressTimeout);
     const std::optional<ResponseHead> head = parseHead(buffer);
     if (!head) {
         return;
--- a/src/link/socket/HttpClient.h
+++ b/src/link/socket/HttpClient.h
@@ -30,7 +30,7 @@
     std::string target;
     std::string body;
     std::vector<HttpHeader> headers;
-    /** From sending to the whole answer. */
+    /** From sending until the answer begins; while it arrives, the call goes on. */
     Duration timeout{};
 };
 
--- a/tests/socket/HttpTest.cpp
+++ b/tests/socket/HttpTest.cpp
@@ -2,11 +2,15 @@
 
 #include <QCoreApplication>
 #include <QEventLoop>
+#include <QTcpServer>
+#include <QTcpSocket>
 #include <optional>
 
 #include "base/SystemTime.h"
 #include "link/socket/HttpClient.h"
 #include "link/socket/HttpResponder.h"
+#include "tests/support/ManualClock.h"
+#include "tests/support/QtTestLoop.h"
 
 namespace coralhoist::socket {
 namespace {
@@ -82,5 +86,57 @@
     CHECK_FALSE(answer->outcome == HttpAnswer::Outcome::Answered);
 }
 
+/** Found on the small twin of spba-jobgrid-large, trouble-1: no node that started after the
+ * configuration had grown became ready, since its list took longer than the call's time on a link
+ * of 2 Mbit/s. */
+TEST(Http, ACallGoesOnWhileItsAnswerArrives) {
+    testing::ManualClock manual;
+    QTcpServer server;
+    CHECK_TRUE(server.listen(QHostAddress::LocalHost, 0));
+    HttpClient client(poller, manual, kHost, server.serverPort());
+    std::optional<HttpAnswer> answer;
+    client.call({"GET", "/large", "", {}, std::chrono::milliseconds(700)},
+                [&answer](const HttpAnswer& given) { answer = given; });
+    CHECK_TRUE(testing::waitUntil([&server] { return server.hasPendingConnections(); }));
+    QTcpSocket* peer = server.nextPendingConnection();
+    CHECK_TRUE(testing::waitUntil([peer] { return peer->bytesAvailable() > 0; }));
+    peer->write("HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n");
+    for (int part = 0; part < 4; ++part) {
+        peer->write("0123456789");
+        peer->flush();
+        // Bytes arrive within these turns of the event loop; nothing tells when.
+        for (int turn = 0; turn < 50; ++turn) {
+            QCoreApplication::processEvents(QEventLoop::AllEvents, 1);
+        }
+        CHECK_TRUE(part == 3 || !answer.has_value());
+        manual.advance(std::chrono::milliseconds(600));
+        client.onTick(manual.now());
+    }
+    CHECK_TRUE(answer.has_value());
+    CHECK_TRUE(answer->outcome == HttpAnswer::Outcome::Answered);
+    UNSIGNED_LONGS_EQUAL(40, answer->body.size());
+}
+
+TEST(Http, ACallIsLostWhenItsAnswerStops) {
+    testing::ManualClock manual;
+    QTcpServer server;
+    CHECK_TRUE(server.listen(QHostAddress::LocalHost, 0));
+    HttpClient client(poller, manual, kHost, server.serverPort());
+    std::optional<HttpAnswer> answer;
+    client.call({"GET", "/large", "", {}, std::chrono::milliseconds(700)},
+                [&answer](const HttpAnswer& given) { answer = given; });
+    CHECK_TRUE(testing::waitUntil([&server] { return server.hasPendingConnections(); }));
+    QTcpSocket* peer = server.nextPendingConnection();
+    peer->write("HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n0123456789");
+    peer->flush();
+    for (int turn = 0; turn < 50; ++turn) {
+        QCoreApplication::processEvents(QEventLoop::AllEvents, 1);
+    }
+    manual.advance(std::chrono::milliseconds(2000));
+    client.onTick(manual.now());
+    CHECK_TRUE(answer.has_value());
+    CHECK_TRUE(answer->outcome == HttpAnswer::Outcome::Lost);
+}
+
 }  // namespace
 }  // namespace coralhoist::socket
