--- a/gen/unit.thrift
+++ b/gen/unit.thrift
@@ -32,6 +32,7 @@
   8: required i64 idleInTransactionUs
   9: required UnitPosition ownFloor
   10: optional UnitCommand opener    // BEGIN, when the unit is a transaction
+  11: optional string tenantName     // absent: on behalf of no tenant
 }
 
 // A statement of a unit. The first one of a unit carries the context.
@@ -109,6 +110,23 @@
   3: required string origin
   4: required i64 ageWhenAskedUs     // negative when complete knowledge came while it waited
   5: required list<ChangesOfKind> kinds
+  6: optional i64 provenAgeUs        // the same for the first kind as a linearizable call showed it
+}
+
+// Asks for units of a tenant's quota.
+struct QuotaRequest {
+  1: required i64 question
+  2: required string tenantName
+  3: required i32 wanted
+  4: required i32 returned           // granted earlier and expired unused
+}
+
+struct QuotaReply {
+  1: required i64 question
+  2: required bool declined          // the node does not account for the tenant
+  3: required i32 granted
+  4: required i64 retryAfterUs
+  5: required bool scarce            // the tenant uses most of its quota
 }
 
 // One frame holds exactly one of these.
@@ -122,4 +140,6 @@
   7: optional ProofReply proofReply
   8: optional ChangesRequest changesRequest
   9: optional ChangesReply changesReply
+  10: optional QuotaRequest quotaRequest
+  11: optional QuotaReply quotaReply
 }
--- a/gen/unit_types.cpp
+++ b/gen/unit_types.cpp
@@ -509,6 +509,11 @@
   this->opener = val;
 __isset.opener = true;
 }
+
+void UnitContext::__set_tenantName(const std::string& val) {
+  this->tenantName = val;
+__isset.tenantName = true;
+}
 std::ostream& operator<<(std::ostream& out, const UnitContext& obj)
 {
   obj.printTo(out);
@@ -625,6 +630,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->tenantName);
+          this->__isset.tenantName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -700,6 +713,11 @@
     xfer += this->opener.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.tenantName) {
+    xfer += oprot->writeFieldBegin("tenantName", ::apache::thrift::protocol::T_STRING, 11);
+    xfer += oprot->writeString(this->tenantName);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -717,6 +735,7 @@
   swap(a.idleInTransactionUs, b.idleInTransactionUs);
   swap(a.ownFloor, b.ownFloor);
   swap(a.opener, b.opener);
+  swap(a.tenantName, b.tenantName);
   swap(a.__isset, b.__isset);
 }
 
@@ -731,6 +750,7 @@
   idleInTransactionUs = other12.idleInTransactionUs;
   ownFloor = other12.ownFloor;
   opener = other12.opener;
+  tenantName = other12.tenantName;
   __isset = other12.__isset;
 }
 UnitContext::UnitContext(UnitContext&& other13) noexcept {
@@ -744,6 +764,7 @@
   idleInTransactionUs = other13.idleInTransactionUs;
   ownFloor = std::move(other13.ownFloor);
   opener = std::move(other13.opener);
+  tenantName = std::move(other13.tenantName);
   __isset = other13.__isset;
 }
 UnitContext& UnitContext::operator=(const UnitContext& other14) {
@@ -757,6 +778,7 @@
   idleInTransactionUs = other14.idleInTransactionUs;
   ownFloor = other14.ownFloor;
   opener = other14.opener;
+  tenantName = other14.tenantName;
   __isset = other14.__isset;
   return *this;
 }
@@ -771,6 +793,7 @@
   idleInTransactionUs = other15.idleInTransactionUs;
   ownFloor = std::move(other15.ownFloor);
   opener = std::move(other15.opener);
+  tenantName = std::move(other15.tenantName);
   __isset = other15.__isset;
   return *this;
 }
@@ -787,6 +810,7 @@
   out << ", " << "idleInTransactionUs=" << to_string(idleInTransactionUs);
   out << ", " << "ownFloor=" << to_string(ownFloor);
   out << ", " << "opener="; (__isset.opener ? (out << to_string(opener)) : (out << "<null>"));
+  out << ", " << "tenantName="; (__isset.tenantName ? (out << to_string(tenantName)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2523,6 +2547,11 @@
 void ChangesReply::__set_kinds(const std::vector<ChangesOfKind> & val) {
   this->kinds = val;
 }
+
+void ChangesReply::__set_provenAgeUs(const int64_t val) {
+  this->provenAgeUs = val;
+__isset.provenAgeUs = true;
+}
 std::ostream& operator<<(std::ostream& out, const ChangesReply& obj)
 {
   obj.printTo(out);
@@ -2608,6 +2637,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->provenAgeUs);
+          this->__isset.provenAgeUs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2663,6 +2700,11 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.provenAgeUs) {
+    xfer += oprot->writeFieldBegin("provenAgeUs", ::apache::thrift::protocol::T_I64, 6);
+    xfer += oprot->writeI64(this->provenAgeUs);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2675,6 +2717,8 @@
   swap(a.origin, b.origin);
   swap(a.ageWhenAskedUs, b.ageWhenAskedUs);
   swap(a.kinds, b.kinds);
+  swap(a.provenAgeUs, b.provenAgeUs);
+  swap(a.__isset, b.__isset);
 }
 
 ChangesReply::ChangesReply(const ChangesReply& other94) {
@@ -2683,6 +2727,8 @@
   origin = other94.origin;
   ageWhenAskedUs = other94.ageWhenAskedUs;
   kinds = other94.kinds;
+  provenAgeUs = other94.provenAgeUs;
+  __isset = other94.__isset;
 }
 ChangesReply::ChangesReply(ChangesReply&& other95) noexcept {
   question = other95.question;
@@ -2690,6 +2736,8 @@
   origin = std::move(other95.origin);
   ageWhenAskedUs = other95.ageWhenAskedUs;
   kinds = std::move(other95.kinds);
+  provenAgeUs = other95.provenAgeUs;
+  __isset = other95.__isset;
 }
 ChangesReply& ChangesReply::operator=(const ChangesReply& other96) {
   question = other96.question;
@@ -2697,6 +2745,8 @@
   origin = other96.origin;
   ageWhenAskedUs = other96.ageWhenAskedUs;
   kinds = other96.kinds;
+  provenAgeUs = other96.provenAgeUs;
+  __isset = other96.__isset;
   return *this;
 }
 ChangesReply& ChangesReply::operator=(ChangesReply&& other97) noexcept {
@@ -2705,6 +2755,8 @@
   origin = std::move(other97.origin);
   ageWhenAskedUs = other97.ageWhenAskedUs;
   kinds = std::move(other97.kinds);
+  provenAgeUs = other97.provenAgeUs;
+  __isset = other97.__isset;
   return *this;
 }
 void ChangesReply::printTo(std::ostream& out) const {
@@ -2715,6 +2767,380 @@
   out << ", " << "origin=" << to_string(origin);
   out << ", " << "ageWhenAskedUs=" << to_string(ageWhenAskedUs);
   out << ", " << "kinds=" << to_string(kinds);
+  out << ", " << "provenAgeUs="; (__isset.provenAgeUs ? (out << to_string(provenAgeUs)) : (out << "<null>"));
+  out << ")";
+}
+
+
+QuotaRequest::~QuotaRequest() noexcept {
+}
+
+
+void QuotaRequest::__set_question(const int64_t val) {
+  this->question = val;
+}
+
+void QuotaRequest::__set_tenantName(const std::string& val) {
+  this->tenantName = val;
+}
+
+void QuotaRequest::__set_wanted(const int32_t val) {
+  this->wanted = val;
+}
+
+void QuotaRequest::__set_returned(const int32_t val) {
+  this->returned = val;
+}
+std::ostream& operator<<(std::ostream& out, const QuotaRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QuotaRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_question = false;
+  bool isset_tenantName = false;
+  bool isset_wanted = false;
+  bool isset_returned = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->question);
+          isset_question = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->tenantName);
+          isset_tenantName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->wanted);
+          isset_wanted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->returned);
+          isset_returned = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_question)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_tenantName)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_wanted)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_returned)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t QuotaRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QuotaRequest");
+
+  xfer += oprot->writeFieldBegin("question", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->question);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tenantName", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->tenantName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("wanted", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->wanted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("returned", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->returned);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QuotaRequest &a, QuotaRequest &b) {
+  using ::std::swap;
+  swap(a.question, b.question);
+  swap(a.tenantName, b.tenantName);
+  swap(a.wanted, b.wanted);
+  swap(a.returned, b.returned);
+}
+
+QuotaRequest::QuotaRequest(const QuotaRequest& other98) {
+  question = other98.question;
+  tenantName = other98.tenantName;
+  wanted = other98.wanted;
+  returned = other98.returned;
+}
+QuotaRequest::QuotaRequest(QuotaRequest&& other99) noexcept {
+  question = other99.question;
+  tenantName = std::move(other99.tenantName);
+  wanted = other99.wanted;
+  returned = other99.returned;
+}
+QuotaRequest& QuotaRequest::operator=(const QuotaRequest& other100) {
+  question = other100.question;
+  tenantName = other100.tenantName;
+  wanted = other100.wanted;
+  returned = other100.returned;
+  return *this;
+}
+QuotaRequest& QuotaRequest::operator=(QuotaRequest&& other101) noexcept {
+  question = other101.question;
+  tenantName = std::move(other101.tenantName);
+  wanted = other101.wanted;
+  returned = other101.returned;
+  return *this;
+}
+void QuotaRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QuotaRequest(";
+  out << "question=" << to_string(question);
+  out << ", " << "tenantName=" << to_string(tenantName);
+  out << ", " << "wanted=" << to_string(wanted);
+  out << ", " << "returned=" << to_string(returned);
+  out << ")";
+}
+
+
+QuotaReply::~QuotaReply() noexcept {
+}
+
+
+void QuotaReply::__set_question(const int64_t val) {
+  this->question = val;
+}
+
+void QuotaReply::__set_declined(const bool val) {
+  this->declined = val;
+}
+
+void QuotaReply::__set_granted(const int32_t val) {
+  this->granted = val;
+}
+
+void QuotaReply::__set_retryAfterUs(const int64_t val) {
+  this->retryAfterUs = val;
+}
+
+void QuotaReply::__set_scarce(const bool val) {
+  this->scarce = val;
+}
+std::ostream& operator<<(std::ostream& out, const QuotaReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QuotaReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_question = false;
+  bool isset_declined = false;
+  bool isset_granted = false;
+  bool isset_retryAfterUs = false;
+  bool isset_scarce = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->question);
+          isset_question = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->declined);
+          isset_declined = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->granted);
+          isset_granted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->retryAfterUs);
+          isset_retryAfterUs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->scarce);
+          isset_scarce = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_question)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_declined)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_granted)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_retryAfterUs)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_scarce)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t QuotaReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QuotaReply");
+
+  xfer += oprot->writeFieldBegin("question", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->question);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("declined", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->declined);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("granted", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->granted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("retryAfterUs", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->retryAfterUs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("scarce", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->scarce);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QuotaReply &a, QuotaReply &b) {
+  using ::std::swap;
+  swap(a.question, b.question);
+  swap(a.declined, b.declined);
+  swap(a.granted, b.granted);
+  swap(a.retryAfterUs, b.retryAfterUs);
+  swap(a.scarce, b.scarce);
+}
+
+QuotaReply::QuotaReply(const QuotaReply& other102) noexcept {
+  question = other102.question;
+  declined = other102.declined;
+  granted = other102.granted;
+  retryAfterUs = other102.retryAfterUs;
+  scarce = other102.scarce;
+}
+QuotaReply::QuotaReply(QuotaReply&& other103) noexcept {
+  question = other103.question;
+  declined = other103.declined;
+  granted = other103.granted;
+  retryAfterUs = other103.retryAfterUs;
+  scarce = other103.scarce;
+}
+QuotaReply& QuotaReply::operator=(const QuotaReply& other104) noexcept {
+  question = other104.question;
+  declined = other104.declined;
+  granted = other104.granted;
+  retryAfterUs = other104.retryAfterUs;
+  scarce = other104.scarce;
+  return *this;
+}
+QuotaReply& QuotaReply::operator=(QuotaReply&& other105) noexcept {
+  question = other105.question;
+  declined = other105.declined;
+  granted = other105.granted;
+  retryAfterUs = other105.retryAfterUs;
+  scarce = other105.scarce;
+  return *this;
+}
+void QuotaReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QuotaReply(";
+  out << "question=" << to_string(question);
+  out << ", " << "declined=" << to_string(declined);
+  out << ", " << "granted=" << to_string(granted);
+  out << ", " << "retryAfterUs=" << to_string(retryAfterUs);
+  out << ", " << "scarce=" << to_string(scarce);
   out << ")";
 }
 
@@ -2767,6 +3193,16 @@
   this->changesReply = val;
 __isset.changesReply = true;
 }
+
+void UnitFrame::__set_quotaRequest(const QuotaRequest& val) {
+  this->quotaRequest = val;
+__isset.quotaRequest = true;
+}
+
+void UnitFrame::__set_quotaReply(const QuotaReply& val) {
+  this->quotaReply = val;
+__isset.quotaReply = true;
+}
 std::ostream& operator<<(std::ostream& out, const UnitFrame& obj)
 {
   obj.printTo(out);
@@ -2867,6 +3303,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->quotaRequest.read(iprot);
+          this->__isset.quotaRequest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->quotaReply.read(iprot);
+          this->__isset.quotaReply = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2929,6 +3381,16 @@
     xfer += this->changesReply.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.quotaRequest) {
+    xfer += oprot->writeFieldBegin("quotaRequest", ::apache::thrift::protocol::T_STRUCT, 10);
+    xfer += this->quotaRequest.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.quotaReply) {
+    xfer += oprot->writeFieldBegin("quotaReply", ::apache::thrift::protocol::T_STRUCT, 11);
+    xfer += this->quotaReply.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2945,57 +3407,67 @@
   swap(a.proofReply, b.proofReply);
   swap(a.changesRequest, b.changesRequest);
   swap(a.changesReply, b.changesReply);
+  swap(a.quotaRequest, b.quotaRequest);
+  swap(a.quotaReply, b.quotaReply);
   swap(a.__isset, b.__isset);
 }
 
-UnitFrame::UnitFrame(const UnitFrame& other98) {
-  request = other98.request;
-  answer = other98.answer;
-  ended = other98.ended;
-  heartbeat = other98.heartbeat;
-  leaving = other98.leaving;
-  proofRequest = other98.proofRequest;
-  proofReply = other98.proofReply;
-  changesRequest = other98.changesRequest;
-  changesReply = other98.changesReply;
-  __isset = other98.__isset;
-}
-UnitFrame::UnitFrame(UnitFrame&& other99) noexcept {
-  request = std::move(other99.request);
-  answer = std::move(other99.answer);
-  ended = other99.ended;
-  heartbeat = other99.heartbeat;
-  leaving = other99.leaving;
-  proofRequest = std::move(other99.proofRequest);
-  proofReply = std::move(other99.proofReply);
-  changesRequest = std::move(other99.changesRequest);
-  changesReply = std::move(other99.changesReply);
-  __isset = other99.__isset;
-}
-UnitFrame& UnitFrame::operator=(const UnitFrame& other100) {
-  request = other100.request;
-  answer = other100.answer;
-  ended = other100.ended;
-  heartbeat = other100.heartbeat;
-  leaving = other100.leaving;
-  proofRequest = other100.proofRequest;
-  proofReply = other100.proofReply;
-  changesRequest = other100.changesRequest;
-  changesReply = other100.changesReply;
-  __isset = other100.__isset;
+UnitFrame::UnitFrame(const UnitFrame& other106) {
+  request = other106.request;
+  answer = other106.answer;
+  ended = other106.ended;
+  heartbeat = other106.heartbeat;
+  leaving = other106.leaving;
+  proofRequest = other106.proofRequest;
+  proofReply = other106.proofReply;
+  changesRequest = other106.changesRequest;
+  changesReply = other106.changesReply;
+  quotaRequest = other106.quotaRequest;
+  quotaReply = other106.quotaReply;
+  __isset = other106.__isset;
+}
+UnitFrame::UnitFrame(UnitFrame&& other107) noexcept {
+  request = std::move(other107.request);
+  answer = std::move(other107.answer);
+  ended = other107.ended;
+  heartbeat = other107.heartbeat;
+  leaving = other107.leaving;
+  proofRequest = std::move(other107.proofRequest);
+  proofReply = std::move(other107.proofReply);
+  changesRequest = std::move(other107.changesRequest);
+  changesReply = std::move(other107.changesReply);
+  quotaRequest = std::move(other107.quotaRequest);
+  quotaReply = std::move(other107.quotaReply);
+  __isset = other107.__isset;
+}
+UnitFrame& UnitFrame::operator=(const UnitFrame& other108) {
+  request = other108.request;
+  answer = other108.answer;
+  ended = other108.ended;
+  heartbeat = other108.heartbeat;
+  leaving = other108.leaving;
+  proofRequest = other108.proofRequest;
+  proofReply = other108.proofReply;
+  changesRequest = other108.changesRequest;
+  changesReply = other108.changesReply;
+  quotaRequest = other108.quotaRequest;
+  quotaReply = other108.quotaReply;
+  __isset = other108.__isset;
   return *this;
 }
-UnitFrame& UnitFrame::operator=(UnitFrame&& other101) noexcept {
-  request = std::move(other101.request);
-  answer = std::move(other101.answer);
-  ended = other101.ended;
-  heartbeat = other101.heartbeat;
-  leaving = other101.leaving;
-  proofRequest = std::move(other101.proofRequest);
-  proofReply = std::move(other101.proofReply);
-  changesRequest = std::move(other101.changesRequest);
-  changesReply = std::move(other101.changesReply);
-  __isset = other101.__isset;
+UnitFrame& UnitFrame::operator=(UnitFrame&& other109) noexcept {
+  request = std::move(other109.request);
+  answer = std::move(other109.answer);
+  ended = other109.ended;
+  heartbeat = other109.heartbeat;
+  leaving = other109.leaving;
+  proofRequest = std::move(other109.proofRequest);
+  proofReply = std::move(other109.proofReply);
+  changesRequest = std::move(other109.changesRequest);
+  changesReply = std::move(other109.changesReply);
+  quotaRequest = std::move(other109.quotaRequest);
+  quotaReply = std::move(other109.quotaReply);
+  __isset = other109.__isset;
   return *this;
 }
 void UnitFrame::printTo(std::ostream& out) const {
@@ -3010,6 +3482,8 @@
   out << ", " << "proofReply="; (__isset.proofReply ? (out << to_string(proofReply)) : (out << "<null>"));
   out << ", " << "changesRequest="; (__isset.changesRequest ? (out << to_string(changesRequest)) : (out << "<null>"));
   out << ", " << "changesReply="; (__isset.changesReply ? (out << to_string(changesReply)) : (out << "<null>"));
+  out << ", " << "quotaRequest="; (__isset.quotaRequest ? (out << to_string(quotaRequest)) : (out << "<null>"));
+  out << ", " << "quotaReply="; (__isset.quotaReply ? (out << to_string(quotaReply)) : (out << "<null>"));
   out << ")";
 }
 
--- a/gen/unit_types.h
+++ b/gen/unit_types.h
@@ -51,6 +51,10 @@
 
 class ChangesReply;
 
+class QuotaRequest;
+
+class QuotaReply;
+
 class UnitFrame;
 
 
@@ -218,9 +222,10 @@
 std::ostream& operator<<(std::ostream& out, const UnitShape& obj);
 
 typedef struct _UnitContext__isset {
-  _UnitContext__isset() : maximumStalenessUs(false), opener(false) {}
+  _UnitContext__isset() : maximumStalenessUs(false), opener(false), tenantName(false) {}
   bool maximumStalenessUs :1;
   bool opener :1;
+  bool tenantName :1;
 } _UnitContext__isset;
 
 class UnitContext : public virtual ::apache::thrift::TBase {
@@ -238,7 +243,8 @@
                 maximumStalenessUs(0),
                 timeoutUs(0),
                 objectiveUs(0),
-                idleInTransactionUs(0) {
+                idleInTransactionUs(0),
+                tenantName() {
   }
 
   virtual ~UnitContext() noexcept;
@@ -252,6 +258,7 @@
   int64_t idleInTransactionUs;
   UnitPosition ownFloor;
   UnitCommand opener;
+  std::string tenantName;
 
   _UnitContext__isset __isset;
 
@@ -275,6 +282,8 @@
 
   void __set_opener(const UnitCommand& val);
 
+  void __set_tenantName(const std::string& val);
+
   bool operator == (const UnitContext & rhs) const
   {
     if (!(serviceName == rhs.serviceName))
@@ -301,6 +310,10 @@
       return false;
     else if (__isset.opener && !(opener == rhs.opener))
       return false;
+    if (__isset.tenantName != rhs.__isset.tenantName)
+      return false;
+    else if (__isset.tenantName && !(tenantName == rhs.tenantName))
+      return false;
     return true;
   }
   bool operator != (const UnitContext &rhs) const {
@@ -878,6 +891,10 @@
 
 std::ostream& operator<<(std::ostream& out, const ChangesOfKind& obj);
 
+typedef struct _ChangesReply__isset {
+  _ChangesReply__isset() : provenAgeUs(false) {}
+  bool provenAgeUs :1;
+} _ChangesReply__isset;
 
 class ChangesReply : public virtual ::apache::thrift::TBase {
  public:
@@ -890,7 +907,8 @@
                : question(0),
                  known(0),
                  origin(),
-                 ageWhenAskedUs(0) {
+                 ageWhenAskedUs(0),
+                 provenAgeUs(0) {
   }
 
   virtual ~ChangesReply() noexcept;
@@ -899,6 +917,9 @@
   std::string origin;
   int64_t ageWhenAskedUs;
   std::vector<ChangesOfKind>  kinds;
+  int64_t provenAgeUs;
+
+  _ChangesReply__isset __isset;
 
   void __set_question(const int64_t val);
 
@@ -910,6 +931,8 @@
 
   void __set_kinds(const std::vector<ChangesOfKind> & val);
 
+  void __set_provenAgeUs(const int64_t val);
+
   bool operator == (const ChangesReply & rhs) const
   {
     if (!(question == rhs.question))
@@ -922,6 +945,10 @@
       return false;
     if (!(kinds == rhs.kinds))
       return false;
+    if (__isset.provenAgeUs != rhs.__isset.provenAgeUs)
+      return false;
+    else if (__isset.provenAgeUs && !(provenAgeUs == rhs.provenAgeUs))
+      return false;
     return true;
   }
   bool operator != (const ChangesReply &rhs) const {
@@ -940,8 +967,128 @@
 
 std::ostream& operator<<(std::ostream& out, const ChangesReply& obj);
 
+
+class QuotaRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  QuotaRequest(const QuotaRequest&);
+  QuotaRequest(QuotaRequest&&) noexcept;
+  QuotaRequest& operator=(const QuotaRequest&);
+  QuotaRequest& operator=(QuotaRequest&&) noexcept;
+  QuotaRequest() noexcept
+               : question(0),
+                 tenantName(),
+                 wanted(0),
+                 returned(0) {
+  }
+
+  virtual ~QuotaRequest() noexcept;
+  int64_t question;
+  std::string tenantName;
+  int32_t wanted;
+  int32_t returned;
+
+  void __set_question(const int64_t val);
+
+  void __set_tenantName(const std::string& val);
+
+  void __set_wanted(const int32_t val);
+
+  void __set_returned(const int32_t val);
+
+  bool operator == (const QuotaRequest & rhs) const
+  {
+    if (!(question == rhs.question))
+      return false;
+    if (!(tenantName == rhs.tenantName))
+      return false;
+    if (!(wanted == rhs.wanted))
+      return false;
+    if (!(returned == rhs.returned))
+      return false;
+    return true;
+  }
+  bool operator != (const QuotaRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QuotaRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QuotaRequest &a, QuotaRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const QuotaRequest& obj);
+
+
+class QuotaReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  QuotaReply(const QuotaReply&) noexcept;
+  QuotaReply(QuotaReply&&) noexcept;
+  QuotaReply& operator=(const QuotaReply&) noexcept;
+  QuotaReply& operator=(QuotaReply&&) noexcept;
+  QuotaReply() noexcept
+             : question(0),
+               declined(0),
+               granted(0),
+               retryAfterUs(0),
+               scarce(0) {
+  }
+
+  virtual ~QuotaReply() noexcept;
+  int64_t question;
+  bool declined;
+  int32_t granted;
+  int64_t retryAfterUs;
+  bool scarce;
+
+  void __set_question(const int64_t val);
+
+  void __set_declined(const bool val);
+
+  void __set_granted(const int32_t val);
+
+  void __set_retryAfterUs(const int64_t val);
+
+  void __set_scarce(const bool val);
+
+  bool operator == (const QuotaReply & rhs) const
+  {
+    if (!(question == rhs.question))
+      return false;
+    if (!(declined == rhs.declined))
+      return false;
+    if (!(granted == rhs.granted))
+      return false;
+    if (!(retryAfterUs == rhs.retryAfterUs))
+      return false;
+    if (!(scarce == rhs.scarce))
+      return false;
+    return true;
+  }
+  bool operator != (const QuotaReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QuotaReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QuotaReply &a, QuotaReply &b);
+
+std::ostream& operator<<(std::ostream& out, const QuotaReply& obj);
+
 typedef struct _UnitFrame__isset {
-  _UnitFrame__isset() : request(false), answer(false), ended(false), heartbeat(false), leaving(false), proofRequest(false), proofReply(false), changesRequest(false), changesReply(false) {}
+  _UnitFrame__isset() : request(false), answer(false), ended(false), heartbeat(false), leaving(false), proofRequest(false), proofReply(false), changesRequest(false), changesReply(false), quotaRequest(false), quotaReply(false) {}
   bool request :1;
   bool answer :1;
   bool ended :1;
@@ -951,6 +1098,8 @@
   bool proofReply :1;
   bool changesRequest :1;
   bool changesReply :1;
+  bool quotaRequest :1;
+  bool quotaReply :1;
 } _UnitFrame__isset;
 
 class UnitFrame : public virtual ::apache::thrift::TBase {
@@ -976,6 +1125,8 @@
   ProofReply proofReply;
   ChangesRequest changesRequest;
   ChangesReply changesReply;
+  QuotaRequest quotaRequest;
+  QuotaReply quotaReply;
 
   _UnitFrame__isset __isset;
 
@@ -997,6 +1148,10 @@
 
   void __set_changesReply(const ChangesReply& val);
 
+  void __set_quotaRequest(const QuotaRequest& val);
+
+  void __set_quotaReply(const QuotaReply& val);
+
   bool operator == (const UnitFrame & rhs) const
   {
     if (__isset.request != rhs.__isset.request)
@@ -1035,6 +1190,14 @@
       return false;
     else if (__isset.changesReply && !(changesReply == rhs.changesReply))
       return false;
+    if (__isset.quotaRequest != rhs.__isset.quotaRequest)
+      return false;
+    else if (__isset.quotaRequest && !(quotaRequest == rhs.quotaRequest))
+      return false;
+    if (__isset.quotaReply != rhs.__isset.quotaReply)
+      return false;
+    else if (__isset.quotaReply && !(quotaReply == rhs.quotaReply))
+      return false;
     return true;
   }
   bool operator != (const UnitFrame &rhs) const {
--- a/lab/pooled/LogConnector.cpp
+++ b/lab/pooled/LogConnector.cpp
@@ -69,7 +69,7 @@
     return !connection.server->running || connection.server->life != connection.life;
 }
 
-ConnectionId LogConnector::open(const pooling::ServerAddress& address,
+ConnectionId LogConnector::open(const pooling::ServerAddress& address, const TenantName& tenant,
                                 pooling::ServerEvents& events) {
     auto connection = std::make_shared<Connection>();
     connection->id = ConnectionId(++_last);
@@ -77,6 +77,7 @@
     connection->server = &connection->group->server(address.server);
     connection->life = connection->server->life;
     connection->events = &events;
+    connection->tenant = tenant;
     _connections[connection->id] = connection;
     _queue.after(delay() * 2, [this, connection, activity = _activity] {
         activity->run([this, connection] {
--- a/lab/pooled/LogConnector.h
+++ b/lab/pooled/LogConnector.h
@@ -65,7 +65,7 @@
                  RequestBook& book, std::map<GroupName, LogGroup*> groups,
                  std::shared_ptr<NodeActivity> activity);
 
-    ConnectionId open(const pooling::ServerAddress& address,
+    ConnectionId open(const pooling::ServerAddress& address, const TenantName& tenant,
                       pooling::ServerEvents& events) override;
     void send(ConnectionId connection,
               const std::vector<pooling::ServerCommand>& commands) override;
@@ -83,6 +83,7 @@
         LogGroup* group = nullptr;
         LogServer* server = nullptr;
         std::uint64_t life = 0;
+        TenantName tenant;
         pooling::ServerEvents* events = nullptr;
         bool closed = false;
         /** Bytes were lost: nothing more comes. */
--- a/lab/soak/WireServer.cpp
+++ b/lab/soak/WireServer.cpp
@@ -94,7 +94,7 @@
 
 void WireServer::connectSession(QTcpSocket* socket, std::string_view fields) {
     const std::string_view group = takeField(fields);
-    takeField(fields);
+    const TenantName tenant{std::string(takeField(fields))};
     const bool expected = group == _group.name().value() &&
                           (fields.empty() || fields == _name.value()) && !_idOf[socket];
     if (!expected) {
@@ -105,7 +105,7 @@
     pooling::ServerAddress address;
     address.group = _group.name();
     address.server = _name;
-    const ConnectionId id = _connector.open(address, *this);
+    const ConnectionId id = _connector.open(address, tenant, *this);
     _idOf[socket] = id;
     _socketOf[id] = socket;
 }
--- a/src/base/Identifier.h
+++ b/src/base/Identifier.h
@@ -35,6 +35,8 @@
 using GroupName = Identifier<struct GroupNameTag, std::string>;
 /** Name of a service: `application_name` of the caller's start-up message. */
 using ServiceName = Identifier<struct ServiceNameTag, std::string>;
+/** Name of a tenant: whom a caller's credential belongs to. Empty for callers without one. */
+using TenantName = Identifier<struct TenantNameTag, std::string>;
 /** Name of one database server, unique in its group. */
 using ServerName = Identifier<struct ServerNameTag, std::string>;
 /** Name of a proxy node, unique in the estate. */
--- a/src/cluster/ClusterControl.cpp
+++ b/src/cluster/ClusterControl.cpp
@@ -71,10 +71,18 @@
       _proofs({_dependencies.clock, _dependencies.random, _recordReader,
                _dependencies.proofQuestions, _dependencies.proofAnswers,
                [this](const pooling::LeadershipProof& proof) { onProof(proof); }},
-              _readers) {
+              _readers),
+      _confirmation(_dependencies.codec.kinds().settings, confirmationDependencies()) {
     followKinds();
 }
 
+ConfirmationDependencies ClusterControl::confirmationDependencies() {
+    return {_dependencies.clock, _dependencies.random, _dependencies.storeClient,
+            _dependencies.protocol,
+            [this](const std::vector<StoredObject>& objects, std::uint64_t version,
+                   TimePoint askedAt) { _follower->takeProven(objects, version, askedAt); }};
+}
+
 void ClusterControl::followKinds() {
     const auto onEach = [](auto handler) {
         return [handler](const std::vector<StoredObject>& objects, std::uint64_t) {
@@ -136,6 +144,8 @@
         .field("changed", outcome.changed)
         .field("refused", outcome.refused.size());
     _settingsKnown = true;
+    _hasTenants = image->tenants.has_value();
+    _dependencies.onTenants(tenantsOf(*image));
     _pooler.applyCatalog(pooling::makeCatalog(*_tree.snapshot()));
 }
 
@@ -251,6 +261,9 @@
 
 void ClusterControl::onTick(TimePoint now) {
     _follower->onTick(now);
+    if (_hasTenants) {
+        _confirmation.onTick(now, _follower->provenAt(), _follower->isFed());
+    }
     _registry.onTick(now);
     publishNodes();
     proveAtStart();
@@ -277,6 +290,9 @@
 std::optional<TimePoint> ClusterControl::nextTick() const {
     TimePoint next = std::min(_nextExpiry, _registry.nextTick());
     next = std::min(next, _follower->nextTick().value_or(next));
+    if (_hasTenants) {
+        next = std::min(next, _confirmation.nextTick(_follower->provenAt(), _follower->isFed()));
+    }
     for (const auto& [group, failover] : _failovers) {
         next = isReady() ? std::min(next, failover->nextTick()) : next;
     }
--- a/src/cluster/ClusterControl.h
+++ b/src/cluster/ClusterControl.h
@@ -17,6 +17,7 @@
 #include "cluster/EstateImport.h"
 #include "cluster/NodeRegistry.h"
 #include "cluster/PromotionRecordReader.h"
+#include "cluster/SettingsConfirmation.h"
 #include "cluster/StoreFollower.h"
 #include "cluster/StoredPromotions.h"
 #include "failover/GroupFailover.h"
@@ -47,6 +48,8 @@
     pooling::ProxyNode self;
     /** Told of the nodes whenever they change. */
     std::function<void(const std::vector<pooling::ProxyNode>&)> onNodes;
+    /** Told of the tenants whenever the settings change. */
+    std::function<void(std::shared_ptr<const tenancy::TenantDirectory>)> onTenants;
     /** Names this life of this node. */
     std::string holder;
 };
@@ -82,6 +85,10 @@
      * answered. */
     bool isStoreReachable() const { return _follower->isReachable(); }
 
+    /** @return a time not later than the moment up to which this node knows the settings, proven by
+     * linearizable answers of the store. Followed closely only where tenants are defined. */
+    TimePoint settingsProvenAt() const { return _follower->provenAt(); }
+
     std::uint64_t settingsVersion() const { return _import.version(); }
 
 private:
@@ -89,6 +96,7 @@
     class KindSink;
     void followKinds();
 
+    ConfirmationDependencies confirmationDependencies();
     void onSettings(const store::StoredObject& object);
     void onServersListed(const std::vector<store::StoredObject>& objects, std::uint64_t version);
     void onServerEvent(const store::ObjectEvent& event);
@@ -118,6 +126,9 @@
     std::map<GroupName, TimePoint> _toldProofs;
     std::vector<std::unique_ptr<KindSink>> _sinks;
     std::unique_ptr<StoreFollower> _follower;
+    SettingsConfirmation _confirmation;
+    /** Tenants are defined: their credentials must not be judged by old settings. */
+    bool _hasTenants = false;
     std::vector<pooling::ProxyNode> _publishedNodes;
     /** Number of the list from which the nodes were published last. */
     std::size_t _publishedList = 0;
--- a/src/cluster/EstateImport.cpp
+++ b/src/cluster/EstateImport.cpp
@@ -69,6 +69,20 @@
 
 }  // namespace
 
+std::shared_ptr<const tenancy::TenantDirectory> tenantsOf(const EstateImage& image) {
+    if (!image.tenants) {
+        return std::make_shared<tenancy::TenantDirectory>();
+    }
+    std::set<ServiceName> publicServices;
+    for (const ImportedService& service : image.services) {
+        if (service.isPublic) {
+            publicServices.insert(service.name);
+        }
+    }
+    return std::make_shared<tenancy::TenantDirectory>(image.version, *image.tenants,
+                                                      std::move(publicServices));
+}
+
 ImportOutcome EstateImport::apply(const EstateImage& image) {
     ImportOutcome outcome;
     if (image.version <= _version) {
--- a/src/cluster/EstateImport.h
+++ b/src/cluster/EstateImport.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -12,6 +13,7 @@
 #include "base/Time.h"
 #include "settings/EffectiveSettings.h"
 #include "settings/SettingsTree.h"
+#include "tenancy/TenantDirectory.h"
 
 namespace coralhoist::cluster {
 
@@ -32,6 +34,8 @@
     std::optional<Duration> latencyObjective;
     /** Lower ranks go first. */
     int rank = 0;
+    /** Its callers need no credential. */
+    bool isPublic = false;
 
     bool operator==(const ImportedService&) const = default;
 };
@@ -43,8 +47,13 @@
     std::optional<Duration> idleInTransactionTimeout;
     std::vector<ImportedGroup> groups;
     std::vector<ImportedService> services;
+    /** Absent where callers are no tenants. */
+    std::optional<std::vector<tenancy::Tenant>> tenants;
 };
 
+/** @return the tenants of an image. */
+std::shared_ptr<const tenancy::TenantDirectory> tenantsOf(const EstateImage& image);
+
 /** What became of an image. */
 struct ImportOutcome {
     bool changed = false;
--- a/src/cluster/StoreFollower.cpp
+++ b/src/cluster/StoreFollower.cpp
@@ -46,6 +46,10 @@
           _news(news) {}
 
     void onList(const std::vector<StoredObject>& objects, std::uint64_t version) override {
+        take(objects, version);
+        _listedAt = _watch.confirmedAt();
+    }
+    void take(const std::vector<StoredObject>& objects, std::uint64_t version) {
         _table.takeList(objects, version);
         _news = true;
         _sink.onList(objects, version);
@@ -89,6 +93,9 @@
         }
     }
 
+    /** @return when the store was asked for the last list of all objects. */
+    TimePoint listedAt() const { return _listedAt; }
+
     store::ObjectWatch& watch() { return _watch; }
     const store::ObjectTable& table() const { return _table; }
 
@@ -96,6 +103,7 @@
     store::ObjectTable _table;
     store::ObjectWatch _watch;
     Duration _ownWait;
+    TimePoint _listedAt{};
     store::WatchSink& _sink;
     bool& _news;
 };
@@ -129,6 +137,25 @@
     return oldest;
 }
 
+TimePoint StoreFollower::provenAt() const {
+    return std::max(_provenAt, _kinds.front()->listedAt());
+}
+
+void StoreFollower::takeProven(const std::vector<StoredObject>& objects, std::uint64_t version,
+                               TimePoint askedAt) {
+    KindFollower& kind = *_kinds.front();
+    if (!kind.table().isListed()) {
+        return;
+    }
+    const std::uint64_t known = kind.table().newestVersion();
+    const bool isNews = std::any_of(objects.begin(), objects.end(),
+                                    [known](const auto& object) { return object.version > known; });
+    if (isNews) {
+        kind.take(objects, version);
+    }
+    _provenAt = std::max(_provenAt, askedAt);
+}
+
 NodeName StoreFollower::origin() const {
     return _fedBy ? _fedOrigin : _dependencies.self;
 }
@@ -151,6 +178,7 @@
     FeedAnswer answer;
     answer.origin = origin();
     answer.ageWhenAsked = asker.askedAt - confirmedAt();
+    answer.provenAgeWhenAsked = asker.askedAt - provenAt();
     for (std::size_t index = 0; index < _kinds.size(); ++index) {
         const auto changes = _kinds[index]->table().changesAfter(asker.question.positions[index]);
         if (changes) {
@@ -230,6 +258,9 @@
     _fedConfirmedAt = std::max(_fedConfirmedAt, answered.askedAt - answer->ageWhenAsked);
     _nextQuestion = now;
     take(*answer);
+    if (answer->provenAgeWhenAsked) {
+        _provenAt = std::max(_provenAt, answered.askedAt - *answer->provenAgeWhenAsked);
+    }
 }
 
 void StoreFollower::take(const FeedAnswer& answer) {
--- a/src/cluster/StoreFollower.h
+++ b/src/cluster/StoreFollower.h
@@ -61,6 +61,14 @@
     /** @return whether the knowledge comes from another node. */
     bool isFed() const { return _fedBy.has_value(); }
 
+    /** @return a time not later than the moment up to which the first kind is known, as
+     * linearizable calls showed it; unlike a watch, these can't miss a change. */
+    TimePoint provenAt() const;
+
+    /** A linearizable call that was made at askedAt showed these objects of the first kind. */
+    void takeProven(const std::vector<store::StoredObject>& objects, std::uint64_t version,
+                    TimePoint askedAt);
+
     void onFeedAsked(std::uint64_t asker, const store::FeedQuestion& question) override;
     void onFeedAnswer(std::uint64_t question,
                       const std::optional<store::FeedAnswer>& answer) override;
@@ -106,6 +114,8 @@
     std::optional<NodeName> _fedBy;
     NodeName _fedOrigin;
     TimePoint _fedConfirmedAt{};
+    /** The newest moment of those that provenAt may return. */
+    TimePoint _provenAt{};
 };
 
 }  // namespace coralhoist::cluster
--- a/src/duty/pooling/PoolingDuty.cpp
+++ b/src/duty/pooling/PoolingDuty.cpp
@@ -41,7 +41,11 @@
       _pooler(_clock, _connector, *this, makeKnobs(_options)),
       _unitLinks(_poller, _clock, _pooler),
       _unitService(_poller, _pooler),
-      _callers(_poller, _adapter.callerCodec, _pooler, _clock, _options.maximumConnections),
+      _quotas(quotaDependencies(), _options.quota),
+      _gate(
+          _clock, _pooler, _quotas, [this] { return settingsProvenAt(); },
+          _options.revocationBound),
+      _callers(_poller, _adapter.callerCodec, _pooler, _gate, _clock, _options.maximumConnections),
       _readiness(_poller, [this](const std::string& path) { return answer(path); }),
       _metrics(_poller, [this](const std::string& path) { return answerMetrics(path); }),
       _storeClient(_poller, _clock, _options.store.host, _options.store.port),
@@ -49,6 +53,30 @@
     _pooler.setForwarder(_unitLinks);
 }
 
+tenancy::QuotaDependencies PoolingDuty::quotaDependencies() {
+    return {_clock,
+            _unitLinks,
+            _unitService,
+            _options.name,
+            [this] { return settingsProvenAt(); },
+            [this](const TenantName& tenant) { _gate.onQuotaChange(tenant); }};
+}
+
+TimePoint PoolingDuty::settingsProvenAt() const {
+    return _control ? _control->settingsProvenAt() : TimePoint{};
+}
+
+void PoolingDuty::applyNodes(const std::vector<pooling::ProxyNode>& nodes) {
+    _unitLinks.applyNodes(nodes);
+    _quotas.applyNodes(nodes);
+}
+
+void PoolingDuty::applyTenants(const std::shared_ptr<const tenancy::TenantDirectory>& tenants) {
+    _pooler.setCallersHaveTenants(tenants->definesTenants());
+    _quotas.applyTenants(tenants);
+    _gate.applyTenants(tenants);
+}
+
 cluster::ClusterDependencies PoolingDuty::controlDependencies() {
     const pooling::ProxyNode self{_options.name, _options.zone, _options.forwarding.host,
                                   _unitService.port()};
@@ -65,7 +93,10 @@
             _unitLinks,
             _unitService,
             self,
-            [this](const std::vector<pooling::ProxyNode>& nodes) { _unitLinks.applyNodes(nodes); },
+            [this](const std::vector<pooling::ProxyNode>& nodes) { applyNodes(nodes); },
+            [this](const std::shared_ptr<const tenancy::TenantDirectory>& tenants) {
+                applyTenants(tenants);
+            },
             _options.name.value() + "/" + std::to_string(_options.seed)};
 }
 
@@ -83,8 +114,10 @@
         return status;
     }
     _control = std::make_unique<cluster::ClusterControl>(controlDependencies(), _pooler);
-    _unitLinks.setQuestionEvents(_control->proofEvents(), _control->feedEvents());
-    _unitService.setQuestionEvents(_control->proofEvents(), _control->feedEvents());
+    const forwarding::QuestionEvents events{&_control->proofEvents(), &_control->feedEvents(),
+                                            &_quotas};
+    _unitLinks.setQuestionEvents(events);
+    _unitService.setQuestionEvents(events);
     listenForMetrics();
     addTickSources();
     QObject::connect(&_drainTimer, &QTimer::timeout, [this] { continueDrain(); });
@@ -103,6 +136,7 @@
     _ticks.add([this] { return readyTick(); }, [this](TimePoint /*now*/) { becomeReady(); });
     _ticks.add([this] { return _unitLinks.nextTick(); },
                [this](TimePoint now) { _unitLinks.onTick(now); });
+    _ticks.add([this] { return _gate.nextTick(); }, [this](TimePoint now) { _gate.onTick(now); });
     _ticks.add([this] { return _callers.nextTick(); },
                [this](TimePoint now) { _callers.onTick(now); });
     _ticks.add([this] { return _storeClient.nextTick(); },
@@ -194,6 +228,7 @@
     figures.promotions = _control->promotions();
     figures.ready = isReady();
     figures.storeReachable = _control->isStoreReachable();
+    figures.gate = _gate.statistics();
     return {kOk, renderMetrics(figures)};
 }
 
--- a/src/duty/pooling/PoolingDuty.h
+++ b/src/duty/pooling/PoolingDuty.h
@@ -24,6 +24,8 @@
 #include "link/socket/HttpResponder.h"
 #include "link/socket/SocketPoller.h"
 #include "pooling/StatementPooler.h"
+#include "tenancy/QuotaExchange.h"
+#include "tenancy/TenantGate.h"
 
 namespace coralhoist::duty {
 
@@ -60,6 +62,9 @@
     pooling::PoolerKnobs pooler;
     /** Time that a planned stop may take. */
     Duration drainTimeout{0};
+    /** After this time a revoked credential of a tenant must not run anything; 0: no bound. */
+    Duration revocationBound{0};
+    tenancy::QuotaTerms quota;
     std::uint64_t seed = 0;
 };
 
@@ -102,6 +107,10 @@
     bool hasGarbage() const;
     void continueDrain();
     cluster::ClusterDependencies controlDependencies();
+    tenancy::QuotaDependencies quotaDependencies();
+    TimePoint settingsProvenAt() const;
+    void applyNodes(const std::vector<pooling::ProxyNode>& nodes);
+    void applyTenants(const std::shared_ptr<const tenancy::TenantDirectory>& tenants);
 
     PoolingOptions _options;
     PoolingAdapter _adapter;
@@ -114,6 +123,8 @@
     pooling::StatementPooler _pooler;
     forwarding::UnitLinks _unitLinks;
     forwarding::UnitService _unitService;
+    tenancy::QuotaExchange _quotas;
+    tenancy::TenantGate _gate;
     session::CallerListener _callers;
     socket::HttpResponder _readiness;
     socket::HttpResponder _metrics;
--- a/src/duty/pooling/PoolingMetrics.cpp
+++ b/src/duty/pooling/PoolingMetrics.cpp
@@ -41,6 +41,18 @@
     }
 }
 
+void appendGate(Page& page, const tenancy::GateStatistics& gate) {
+    page.metric("counter", "refused_credential_total",
+                "Requests refused for want of a valid credential.", gate.refusedCredential);
+    page.metric("counter", "refused_quota_total", "Requests beyond their tenant's quota.",
+                gate.refusedQuota);
+    page.metric("counter", "refused_old_settings_total",
+                "Requests refused because the settings could not be confirmed.",
+                gate.refusedOldSettings);
+    page.metric("counter", "quota_waits_total", "Times that a request waited for its quota.",
+                gate.waitedForQuota);
+}
+
 void appendLatency(Page& page, const LatencyHistogram& latency) {
     page.head("histogram", "request_duration_seconds",
               "Time from a request's arrival to its answer.");
@@ -91,6 +103,9 @@
                 pooler.connectionsOpened);
     page.metric("counter", "server_connections_lost_total", "Connections that servers broke.",
                 pooler.connectionsLost);
+    page.metric("counter", "server_connections_replaced_total",
+                "Idle connections closed for one of another tenant.", pooler.connectionsReplaced);
+    appendGate(page, figures.gate);
     appendFaults(page, pooler);
     appendLatency(page, pooler.latency);
     return std::move(page.text()).str();
--- a/src/duty/pooling/PoolingMetrics.h
+++ b/src/duty/pooling/PoolingMetrics.h
@@ -5,12 +5,14 @@
 #include <string>
 
 #include "pooling/PoolerStatistics.h"
+#include "tenancy/TenantGate.h"
 
 namespace coralhoist::duty {
 
 /** What the page shows. */
 struct PoolingFigures {
     pooling::PoolerStatistics pooler;
+    tenancy::GateStatistics gate;
     std::size_t sessions = 0;
     std::size_t nodes = 0;
     std::uint64_t settingsVersion = 0;
--- a/src/failover/MemberLink.cpp
+++ b/src/failover/MemberLink.cpp
@@ -59,7 +59,7 @@
     }
     _attemptedAt = now;
     _opened = false;
-    _connection = _connector.open(_address, *this);
+    _connection = _connector.open(_address, TenantName(), *this);
 }
 
 void MemberLink::drop() {
--- a/src/link/forwarding/QuestionCodec.cpp
+++ b/src/link/forwarding/QuestionCodec.cpp
@@ -140,6 +140,9 @@
     }
     record.origin = message.feedAnswer->origin.value();
     record.ageWhenAskedUs = ageInMicroseconds(message.feedAnswer->ageWhenAsked);
+    if (message.feedAnswer->provenAgeWhenAsked) {
+        record.__set_provenAgeUs(ageInMicroseconds(*message.feedAnswer->provenAgeWhenAsked));
+    }
     for (const store::KindChanges& changes : message.feedAnswer->kinds) {
         gen::ChangesOfKind entry;
         entry.kind = static_cast<std::int32_t>(changes.kind);
@@ -181,6 +184,9 @@
     message.feedAnswer.emplace();
     message.feedAnswer->origin = NodeName(record.origin);
     message.feedAnswer->ageWhenAsked = microseconds(record.ageWhenAskedUs);
+    if (record.__isset.provenAgeUs) {
+        message.feedAnswer->provenAgeWhenAsked = microseconds(record.provenAgeUs);
+    }
     for (const gen::ChangesOfKind& entry : record.kinds) {
         std::optional<store::KindChanges> changes = readChangesOfKind(entry);
         if (!changes) {
@@ -191,11 +197,55 @@
     return message;
 }
 
+gen::QuotaRequest writeQuotaRequest(const UnitMessage& message) {
+    gen::QuotaRequest record;
+    record.question = static_cast<std::int64_t>(message.question);
+    record.tenantName = message.quotaQuestion.tenant.value();
+    record.wanted = static_cast<std::int32_t>(message.quotaQuestion.wanted);
+    record.returned = static_cast<std::int32_t>(message.quotaQuestion.returned);
+    return record;
+}
+
+std::optional<UnitMessage> readQuotaRequest(const gen::QuotaRequest& record) {
+    if (record.wanted < 0 || record.returned < 0) {
+        return std::nullopt;
+    }
+    UnitMessage message;
+    message.kind = UnitMessage::Kind::QuotaAsked;
+    message.question = static_cast<std::uint64_t>(record.question);
+    message.quotaQuestion = {TenantName(record.tenantName),
+                             static_cast<std::uint32_t>(record.wanted),
+                             static_cast<std::uint32_t>(record.returned)};
+    return message;
+}
+
+gen::QuotaReply writeQuotaReply(const UnitMessage& message) {
+    gen::QuotaReply record;
+    record.question = static_cast<std::int64_t>(message.question);
+    record.declined = message.quotaAnswer.declined;
+    record.granted = static_cast<std::int32_t>(message.quotaAnswer.granted);
+    record.retryAfterUs = toMicroseconds(message.quotaAnswer.retryAfter);
+    record.scarce = message.quotaAnswer.scarce;
+    return record;
+}
+
+std::optional<UnitMessage> readQuotaReply(const gen::QuotaReply& record) {
+    if (record.granted < 0 || record.retryAfterUs < 0) {
+        return std::nullopt;
+    }
+    UnitMessage message;
+    message.kind = UnitMessage::Kind::Quota;
+    message.question = static_cast<std::uint64_t>(record.question);
+    message.quotaAnswer = {record.declined, static_cast<std::uint32_t>(record.granted),
+                           microseconds(record.retryAfterUs), record.scarce};
+    return message;
+}
+
 }  // namespace
 
 bool isQuestionFrame(const gen::UnitFrame& frame) {
     return frame.__isset.proofRequest || frame.__isset.proofReply || frame.__isset.changesRequest ||
-           frame.__isset.changesReply;
+           frame.__isset.changesReply || frame.__isset.quotaRequest || frame.__isset.quotaReply;
 }
 
 std::optional<UnitMessage> readQuestionFrame(const gen::UnitFrame& frame) {
@@ -208,7 +258,13 @@
     if (frame.__isset.changesRequest) {
         return readChangesRequest(frame.changesRequest);
     }
-    return readChangesReply(frame.changesReply);
+    if (frame.__isset.changesReply) {
+        return readChangesReply(frame.changesReply);
+    }
+    if (frame.__isset.quotaRequest) {
+        return readQuotaRequest(frame.quotaRequest);
+    }
+    return readQuotaReply(frame.quotaReply);
 }
 
 void writeQuestionFrame(const UnitMessage& message, gen::UnitFrame& frame) {
@@ -225,6 +281,12 @@
         case UnitMessage::Kind::Changes:
             frame.__set_changesReply(writeChangesReply(message));
             return;
+        case UnitMessage::Kind::QuotaAsked:
+            frame.__set_quotaRequest(writeQuotaRequest(message));
+            return;
+        case UnitMessage::Kind::Quota:
+            frame.__set_quotaReply(writeQuotaReply(message));
+            return;
         default:
             return;
     }
--- /dev/null
+++ b/src/link/forwarding/QuestionEvents.h
@@ -0,0 +1,17 @@
+/** Who takes other nodes' questions and their answers. */
+#pragma once
+
+#include "link/store/FeedMessages.h"
+#include "pooling/LeadershipProof.h"
+#include "tenancy/QuotaMessages.h"
+
+namespace coralhoist::forwarding {
+
+/** Each is null while nobody takes its questions. All outlive their use. */
+struct QuestionEvents {
+    pooling::ProofEvents* proofs = nullptr;
+    store::FeedEvents* feed = nullptr;
+    tenancy::QuotaEvents* quotas = nullptr;
+};
+
+}  // namespace coralhoist::forwarding
--- a/src/link/forwarding/UnitCodec.cpp
+++ b/src/link/forwarding/UnitCodec.cpp
@@ -81,6 +81,9 @@
     record.objectiveUs = toMicroseconds(settings.latencyObjective);
     record.idleInTransactionUs = toMicroseconds(settings.idleInTransactionTimeout);
     record.ownFloor = write(opening.ownFloor);
+    if (!opening.tenant.value().empty()) {
+        record.__set_tenantName(opening.tenant.value());
+    }
     if (opening.begin) {
         record.__set_opener(write(*opening.begin));
     }
@@ -91,6 +94,7 @@
     UnitOpening opening;
     opening.service = ServiceName(record.serviceName);
     opening.group = GroupName(record.groupName);
+    opening.tenant = TenantName(record.tenantName);
     settings::ServiceSettings& settings = opening.settings;
     settings.name = opening.service;
     settings.readRouting =
@@ -248,6 +252,8 @@
         case UnitMessage::Kind::Proof:
         case UnitMessage::Kind::ChangesAsked:
         case UnitMessage::Kind::Changes:
+        case UnitMessage::Kind::QuotaAsked:
+        case UnitMessage::Kind::Quota:
             writeQuestionFrame(message, frame);
             break;
     }
--- a/src/link/forwarding/UnitCodec.h
+++ b/src/link/forwarding/UnitCodec.h
@@ -1,5 +1,5 @@
-/** Frames of the link between two nodes, for units of work, proofs of leadership and changes of the
- * store: Thrift structs behind a length. */
+/** Frames of the link between two nodes, for units of work, proofs of leadership, changes of the
+ * store and units of quotas: Thrift structs behind a length. */
 #pragma once
 
 #include <optional>
@@ -10,6 +10,7 @@
 #include "link/store/FeedMessages.h"
 #include "pooling/LeadershipProof.h"
 #include "pooling/UnitForwarding.h"
+#include "tenancy/QuotaMessages.h"
 
 namespace coralhoist::forwarding {
 
@@ -30,18 +31,22 @@
         Proof,        /**< `question` and `proof`, if there is one. */
         ChangesAsked, /**< `question` and `feedQuestion`. */
         Changes,      /**< `question` and `feedAnswer`, if there is one. */
+        QuotaAsked,   /**< `question` and `quotaQuestion`. */
+        Quota,        /**< `question` and `quotaAnswer`. */
     };
     Kind kind = Kind::Heartbeat;
     UnitId unit;
     std::optional<pooling::UnitOpening> opening;
     pooling::UnitStatement statement;
     pooling::UnitResult result;
-    /** Number that the asking node gave its question for a proof of leadership or for changes. */
+    /** Number that the asking node gave its question. */
     std::uint64_t question = 0;
     pooling::ProofNeed proofNeed;
     std::optional<pooling::HandedProof> proof;
     store::FeedQuestion feedQuestion;
     std::optional<store::FeedAnswer> feedAnswer;
+    tenancy::QuotaQuestion quotaQuestion;
+    tenancy::QuotaAnswer quotaAnswer;
 };
 
 /** Appends one frame. */
--- a/src/link/forwarding/UnitLinkQuestions.cpp
+++ b/src/link/forwarding/UnitLinkQuestions.cpp
@@ -1,4 +1,4 @@
-/** Questions for proofs of leadership and for changes of the store, over the links of units. */
+/** Questions for proofs of leadership, changes of the store and quotas, over the links of units. */
 #include "link/forwarding/UnitLinks.h"
 
 namespace coralhoist::forwarding {
@@ -26,12 +26,29 @@
     send(link, message);
 }
 
+void UnitLinks::askForQuota(const NodeName& node, std::uint64_t question,
+                            const tenancy::QuotaQuestion& asked) {
+    Link& link = connectedLink(node);
+    noteWaiting(link);
+    link.quotaQuestions.insert(question);
+    UnitMessage message;
+    message.kind = UnitMessage::Kind::QuotaAsked;
+    message.question = question;
+    message.quotaQuestion = asked;
+    send(link, message);
+}
+
+/** @return whether the other node must answer something soon. */
+bool UnitLinks::isWaitedFor(const Link& link) {
+    return link.unanswered > 0 || link.proofQuestion || !link.quotaQuestions.empty();
+}
+
 void UnitLinks::onProof(Link& link, const UnitMessage& message) {
     if (link.proofQuestion == message.question) {
         link.proofQuestion.reset();
     }
-    if (_proofEvents != nullptr) {
-        _proofEvents->onProofAnswer(message.question, message.proof);
+    if (_questionEvents.proofs != nullptr) {
+        _questionEvents.proofs->onProofAnswer(message.question, message.proof);
     }
 }
 
@@ -39,8 +56,30 @@
     if (link.feedQuestion == message.question) {
         link.feedQuestion.reset();
     }
-    if (_feedEvents != nullptr) {
-        _feedEvents->onFeedAnswer(message.question, message.feedAnswer);
+    if (_questionEvents.feed != nullptr) {
+        _questionEvents.feed->onFeedAnswer(message.question, message.feedAnswer);
+    }
+}
+
+void UnitLinks::onQuota(Link& link, const UnitMessage& message) {
+    link.quotaQuestions.erase(message.question);
+    if (_questionEvents.quotas != nullptr) {
+        _questionEvents.quotas->onQuotaAnswer(message.question, message.quotaAnswer);
+    }
+}
+
+/** The link is gone: its questions will not be answered. */
+void UnitLinks::loseQuestions(const Link& link) {
+    if (link.proofQuestion && _questionEvents.proofs != nullptr) {
+        _questionEvents.proofs->onProofAnswer(*link.proofQuestion, std::nullopt);
+    }
+    if (link.feedQuestion && _questionEvents.feed != nullptr) {
+        _questionEvents.feed->onFeedAnswer(*link.feedQuestion, std::nullopt);
+    }
+    for (const std::uint64_t question : link.quotaQuestions) {
+        if (_questionEvents.quotas != nullptr) {
+            _questionEvents.quotas->onQuotaAnswer(question, std::nullopt);
+        }
     }
 }
 
--- a/src/link/forwarding/UnitLinks.cpp
+++ b/src/link/forwarding/UnitLinks.cpp
@@ -131,8 +131,7 @@
 
 /** Something is about to be sent that the other node must answer. */
 void UnitLinks::noteWaiting(Link& link) {
-    const bool waits = link.unanswered > 0 || link.proofQuestion;
-    if (!waits && link.connected) {
+    if (!isWaitedFor(link) && link.connected) {
         link.waitingSince = _clock.now();
     }
 }
@@ -209,11 +208,15 @@
         case UnitMessage::Kind::Changes:
             onChanges(link, message);
             return;
+        case UnitMessage::Kind::Quota:
+            onQuota(link, message);
+            return;
         case UnitMessage::Kind::Request:
         case UnitMessage::Kind::Ended:
         case UnitMessage::Kind::Heartbeat:
         case UnitMessage::Kind::ProofAsked:
         case UnitMessage::Kind::ChangesAsked:
+        case UnitMessage::Kind::QuotaAsked:
             return;
     }
 }
@@ -261,8 +264,10 @@
     link.leaving = false;
     link.connected = false;
     link.unanswered = 0;
-    const auto proofQuestion = std::exchange(link.proofQuestion, std::nullopt);
-    const auto feedQuestion = std::exchange(link.feedQuestion, std::nullopt);
+    Link lost;
+    lost.proofQuestion = std::exchange(link.proofQuestion, std::nullopt);
+    lost.feedQuestion = std::exchange(link.feedQuestion, std::nullopt);
+    lost.quotaQuestions = std::exchange(link.quotaQuestions, {});
     _nodeOf.erase(link.stream.get());
     link.stream->close(CloseMode::Abort);
     _closed.push_back(std::move(link.stream));
@@ -273,12 +278,7 @@
     for (const auto& [unit, waiting] : units) {
         _events.onUnitLost(unit, loss);
     }
-    if (proofQuestion && _proofEvents != nullptr) {
-        _proofEvents->onProofAnswer(*proofQuestion, std::nullopt);
-    }
-    if (feedQuestion && _feedEvents != nullptr) {
-        _feedEvents->onFeedAnswer(*feedQuestion, std::nullopt);
-    }
+    loseQuestions(lost);
 }
 
 /** @return when the link must be looked at; nothing while it is not waited for. */
@@ -289,7 +289,7 @@
     if (!link.connected) {
         return link.waitingSince + kConnectTimeout;
     }
-    if (link.unanswered == 0 && !link.proofQuestion) {
+    if (!isWaitedFor(link)) {
         return std::nullopt;
     }
     const TimePoint quietSince = std::max(link.heardAt, link.waitingSince);
--- a/src/link/forwarding/UnitLinks.h
+++ b/src/link/forwarding/UnitLinks.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "base/Time.h"
+#include "link/forwarding/QuestionEvents.h"
 #include "link/forwarding/UnitCodec.h"
 #include "link/socket/StreamConnection.h"
 #include "pooling/ExecutorPlacement.h"
@@ -28,6 +29,7 @@
 class UnitLinks final : public pooling::UnitForwarder,
                         public pooling::ProofQuestions,
                         public store::FeedQuestions,
+                        public tenancy::QuotaQuestions,
                         public socket::StreamHandler {
 public:
     /** References outlive the links. */
@@ -48,11 +50,11 @@
     void askForChanges(const NodeName& node, std::uint64_t question,
                        const store::FeedQuestion& asked) override;
 
-    /** Passes answers to questions on from now on. Both outlive the links' use. */
-    void setQuestionEvents(pooling::ProofEvents& proofs, store::FeedEvents& feed) {
-        _proofEvents = &proofs;
-        _feedEvents = &feed;
-    }
+    void askForQuota(const NodeName& node, std::uint64_t question,
+                     const tenancy::QuotaQuestion& asked) override;
+
+    /** Passes answers to questions on from now on. All outlive the links' use. */
+    void setQuestionEvents(const QuestionEvents& events) { _questionEvents = events; }
 
     /** Asks for signs of life and gives up links that show none. */
     void onTick(TimePoint now);
@@ -76,6 +78,8 @@
         std::optional<std::uint64_t> proofQuestion;
         /** The same for changes of the store. It may wait long, so no sign of life is asked for. */
         std::optional<std::uint64_t> feedQuestion;
+        /** Questions for units of quotas that are not answered. */
+        std::set<std::uint64_t> quotaQuestions;
         /** When the connection was begun, or the first of the unanswered statements was sent. */
         TimePoint waitingSince{};
         TimePoint heardAt{};
@@ -99,6 +103,9 @@
     void onDeclined(Link& link, UnitId unit);
     void onProof(Link& link, const UnitMessage& message);
     void onChanges(Link& link, const UnitMessage& message);
+    void onQuota(Link& link, const UnitMessage& message);
+    static bool isWaitedFor(const Link& link);
+    void loseQuestions(const Link& link);
     Link& connectedLink(const NodeName& node);
     void forget(Link& link, UnitId unit);
     void drop(Link& link, const char* reason);
@@ -109,8 +116,7 @@
     socket::SocketPoller& _poller;
     const Clock& _clock;
     pooling::UnitEvents& _events;
-    pooling::ProofEvents* _proofEvents = nullptr;
-    store::FeedEvents* _feedEvents = nullptr;
+    QuestionEvents _questionEvents;
     std::map<NodeName, Link> _links;
     std::map<const socket::StreamConnection*, NodeName> _nodeOf;
     std::map<UnitId, NodeName> _units;
--- a/src/link/forwarding/UnitService.cpp
+++ b/src/link/forwarding/UnitService.cpp
@@ -91,12 +91,16 @@
         case UnitMessage::Kind::ChangesAsked:
             onChangesAsked(link, message);
             return;
+        case UnitMessage::Kind::QuotaAsked:
+            onQuotaAsked(link, message);
+            return;
         case UnitMessage::Kind::Answer:
         case UnitMessage::Kind::Declined:
         case UnitMessage::Kind::Heartbeat:
         case UnitMessage::Kind::Leaving:
         case UnitMessage::Kind::Proof:
         case UnitMessage::Kind::Changes:
+        case UnitMessage::Kind::Quota:
             return;
     }
 }
@@ -126,20 +130,38 @@
 
 void UnitService::onProofAsked(const Link& link, const UnitMessage& message) {
     const std::uint64_t asker = noteQuestion(link, message);
-    if (_proofEvents == nullptr) {
+    if (_questionEvents.proofs == nullptr) {
         answerProof(asker, std::nullopt);
         return;
     }
-    _proofEvents->onProofAsked({asker, message.proofNeed});
+    _questionEvents.proofs->onProofAsked({asker, message.proofNeed});
 }
 
 void UnitService::onChangesAsked(const Link& link, const UnitMessage& message) {
     const std::uint64_t asker = noteQuestion(link, message);
-    if (_feedEvents == nullptr) {
+    if (_questionEvents.feed == nullptr) {
         answerFeed(asker, std::nullopt);
         return;
     }
-    _feedEvents->onFeedAsked(asker, message.feedQuestion);
+    _questionEvents.feed->onFeedAsked(asker, message.feedQuestion);
+}
+
+void UnitService::onQuotaAsked(const Link& link, const UnitMessage& message) {
+    const std::uint64_t asker = noteQuestion(link, message);
+    if (_questionEvents.quotas == nullptr || !_serving) {
+        tenancy::QuotaAnswer declined;
+        declined.declined = true;
+        answerQuota(asker, declined);
+        return;
+    }
+    _questionEvents.quotas->onQuotaAsked(asker, message.quotaQuestion);
+}
+
+void UnitService::answerQuota(std::uint64_t asker, const tenancy::QuotaAnswer& reply) {
+    UnitMessage answer;
+    answer.kind = UnitMessage::Kind::Quota;
+    answer.quotaAnswer = reply;
+    answerQuestion(asker, std::move(answer));
 }
 
 void UnitService::answerProof(std::uint64_t asker,
--- a/src/link/forwarding/UnitService.h
+++ b/src/link/forwarding/UnitService.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "link/forwarding/QuestionEvents.h"
 #include "link/forwarding/UnitCodec.h"
 #include "link/socket/StreamConnection.h"
 #include "link/socket/StreamListener.h"
@@ -23,7 +24,8 @@
  */
 class UnitService final : public socket::StreamHandler,
                           public pooling::ProofAnswers,
-                          public store::FeedAnswers {
+                          public store::FeedAnswers,
+                          public tenancy::QuotaAnswers {
 public:
     /** References outlive the service. */
     UnitService(socket::SocketPoller& poller, pooling::StatementPooler& pooler);
@@ -48,11 +50,10 @@
 
     void answerFeed(std::uint64_t asker, const std::optional<store::FeedAnswer>& answer) override;
 
-    /** Passes questions on from now on. Both outlive the service's use. */
-    void setQuestionEvents(pooling::ProofEvents& proofs, store::FeedEvents& feed) {
-        _proofEvents = &proofs;
-        _feedEvents = &feed;
-    }
+    void answerQuota(std::uint64_t asker, const tenancy::QuotaAnswer& answer) override;
+
+    /** Passes questions on from now on. All outlive the service's use. */
+    void setQuestionEvents(const QuestionEvents& events) { _questionEvents = events; }
 
     /** @return units that are open. */
     std::size_t unitCount() const { return _units.size(); }
@@ -87,6 +88,7 @@
     std::uint64_t noteQuestion(const Link& link, const UnitMessage& message);
     void onProofAsked(const Link& link, const UnitMessage& message);
     void onChangesAsked(const Link& link, const UnitMessage& message);
+    void onQuotaAsked(const Link& link, const UnitMessage& message);
     void answerQuestion(std::uint64_t asker, UnitMessage answer);
     void decline(Link& link, UnitId unit);
     void endUnit(Link& link, UnitId unit);
@@ -99,8 +101,7 @@
     bool _serving = false;
     std::map<const socket::StreamConnection*, Link> _links;
     std::map<SessionId, Unit> _units;
-    pooling::ProofEvents* _proofEvents = nullptr;
-    store::FeedEvents* _feedEvents = nullptr;
+    QuestionEvents _questionEvents;
     std::map<std::uint64_t, Question> _questions;
     std::uint64_t _lastQuestion = 0;
     std::vector<std::unique_ptr<socket::StreamConnection>> _closed;
--- a/src/link/session/CallerListener.cpp
+++ b/src/link/session/CallerListener.cpp
@@ -20,11 +20,12 @@
 }  // namespace
 
 CallerListener::CallerListener(socket::SocketPoller& poller, const CallerCodec& codec,
-                               pooling::StatementPooler& pooler, const Clock& clock,
-                               std::size_t connectionLimit)
+                               pooling::StatementPooler& pooler, tenancy::TenantGate& gate,
+                               const Clock& clock, std::size_t connectionLimit)
     : _poller(poller),
       _codec(codec),
       _pooler(pooler),
+      _gate(gate),
       _clock(clock),
       _connectionLimit(connectionLimit),
       _listener(poller, [this](int descriptor) { accept(descriptor); }) {}
@@ -150,7 +151,7 @@
                 return;
             }
             caller.waiting = true;
-            _pooler.submit(*caller.session, std::move(message.statement));
+            _gate.submit(*caller.session, std::move(message.statement));
             return;
     }
 }
@@ -165,7 +166,12 @@
         refuse(caller, StatementFault::UnknownDatabase, "no such database");
         return;
     }
-    caller.session = _pooler.openSession(service);
+    const tenancy::SessionOpening opening = _gate.openSession(service, message.credential);
+    if (opening.refusal) {
+        refuse(caller, opening.refusal->fault, opening.refusal->message);
+        return;
+    }
+    caller.session = opening.session;
     _bySession[*caller.session] = caller.stream.get();
     std::string bytes;
     _codec.encodeReady(bytes);
@@ -231,7 +237,7 @@
     _closed.push_back(std::move(caller));
     if (session) {
         _bySession.erase(*session);
-        _pooler.endSession(*session);
+        _gate.endSession(*session);
     }
 }
 
--- a/src/link/session/CallerListener.h
+++ b/src/link/session/CallerListener.h
@@ -12,6 +12,7 @@
 #include "link/socket/StreamConnection.h"
 #include "link/socket/StreamListener.h"
 #include "pooling/StatementPooler.h"
+#include "tenancy/TenantGate.h"
 
 namespace coralhoist::session {
 
@@ -23,7 +24,7 @@
      * @param connectionLimit connections above it are closed at once.
      */
     CallerListener(socket::SocketPoller& poller, const CallerCodec& codec,
-                   pooling::StatementPooler& pooler, const Clock& clock,
+                   pooling::StatementPooler& pooler, tenancy::TenantGate& gate, const Clock& clock,
                    std::size_t connectionLimit);
     ~CallerListener() override;
 
@@ -79,6 +80,7 @@
     socket::SocketPoller& _poller;
     const CallerCodec& _codec;
     pooling::StatementPooler& _pooler;
+    tenancy::TenantGate& _gate;
     const Clock& _clock;
     std::size_t _connectionLimit;
     bool _serving = false;
--- a/src/link/session/SessionCodec.h
+++ b/src/link/session/SessionCodec.h
@@ -17,7 +17,7 @@
 /** A message of a caller. */
 struct CallerMessage {
     enum class Kind {
-        Connect,   /**< Opens the session; `database` is set. */
+        Connect,   /**< Opens the session; `database` and `credential` are set. */
         Query,     /**< `statement` is set. */
         Goodbye,   /**< Ends the session. */
         Malformed, /**< Can't be understood; `problem` says why. */
@@ -25,6 +25,8 @@
     };
     Kind kind = Kind::Malformed;
     std::string database;
+    /** Who the caller is; empty when it did not say. */
+    std::string credential;
     pooling::Statement statement;
     std::string problem;
 };
@@ -75,8 +77,10 @@
 public:
     virtual ~ServerCodec() = default;
 
-    /** Appends the first message of a connection. */
-    virtual void encodeConnect(std::string& out, const pooling::ServerAddress& address) const = 0;
+    /** Appends the first message of a connection. @param tenant empty for a connection of the
+     * proxy's own. */
+    virtual void encodeConnect(std::string& out, const pooling::ServerAddress& address,
+                               const TenantName& tenant) const = 0;
 
     /** Appends a command. */
     virtual void encode(std::string& out, const pooling::ServerCommand& command) const = 0;
--- a/src/link/session/StreamServerConnector.cpp
+++ b/src/link/session/StreamServerConnector.cpp
@@ -14,10 +14,12 @@
 
 StreamServerConnector::~StreamServerConnector() = default;
 
-ConnectionId StreamServerConnector::open(const ServerAddress& address, ServerEvents& events) {
+ConnectionId StreamServerConnector::open(const ServerAddress& address, const TenantName& tenant,
+                                         ServerEvents& events) {
     auto link = std::make_unique<Link>();
     link->id = ConnectionId(++_last);
     link->address = address;
+    link->tenant = tenant;
     link->events = &events;
     link->stream = std::make_unique<socket::StreamConnection>(_poller, *this);
     // A failure at once leaves a connection that never opens; its user's time limit ends it.
@@ -63,7 +65,8 @@
         return;
     }
     std::string bytes;
-    _codec.encodeConnect(bytes, find(id->second)->address);
+    const Link& link = *find(id->second);
+    _codec.encodeConnect(bytes, link.address, link.tenant);
     connection.write(bytes);
 }
 
--- a/src/link/session/StreamServerConnector.h
+++ b/src/link/session/StreamServerConnector.h
@@ -18,7 +18,7 @@
     StreamServerConnector(socket::SocketPoller& poller, const ServerCodec& codec);
     ~StreamServerConnector() override;
 
-    ConnectionId open(const pooling::ServerAddress& address,
+    ConnectionId open(const pooling::ServerAddress& address, const TenantName& tenant,
                       pooling::ServerEvents& events) override;
     void send(ConnectionId connection,
               const std::vector<pooling::ServerCommand>& commands) override;
@@ -32,6 +32,7 @@
     struct Link {
         ConnectionId id;
         pooling::ServerAddress address;
+        TenantName tenant;
         pooling::ServerEvents* events = nullptr;
         std::unique_ptr<socket::StreamConnection> stream;
         bool opened = false;
--- a/src/link/store/FeedMessages.h
+++ b/src/link/store/FeedMessages.h
@@ -33,6 +33,9 @@
     /** How long before the question arrived all kinds were last known to be complete; negative when
      * that was known while the question waited. By the answering node's clock. */
     Duration ageWhenAsked{0};
+    /** The same for the first kind, as a linearizable call showed it; absent where none did. A
+     * watch may stay silent while changes are made. */
+    std::optional<Duration> provenAgeWhenAsked;
     /** Kinds without changes are absent. */
     std::vector<KindChanges> kinds;
 };
--- a/src/link/store/ObjectTable.h
+++ b/src/link/store/ObjectTable.h
@@ -40,6 +40,9 @@
     bool isListed() const { return _position.has_value(); }
     std::uint64_t position() const { return _position.value_or(0); }
 
+    /** @return the highest version of any object. */
+    std::uint64_t newestVersion() const { return _newestVersion; }
+
     /**
      * @param position up to which the receiver knows all changes; none when it knows nothing.
      * @return what it lacks; nothing when it lacks nothing. Call when listed.
--- a/src/pooling/PooledSession.h
+++ b/src/pooling/PooledSession.h
@@ -77,6 +77,8 @@
     std::set<ServerName> avoided;
     ConnectionId connection;
     ServerName server;
+    /** A connection that is being opened for it. */
+    std::optional<ConnectionId> opening;
     /** The unit in which another node executes it, that node, and nodes that did not take it. */
     std::optional<UnitId> unit;
     NodeName executor;
@@ -92,6 +94,8 @@
 struct PooledSession {
     SessionId id;
     ServiceName service;
+    /** On whose behalf its statements run; empty for none. */
+    TenantName tenant;
     GroupName group;
     settings::ServiceSettings settings;
     SessionValues values;
--- a/src/pooling/PoolerConnections.cpp
+++ b/src/pooling/PoolerConnections.cpp
@@ -19,6 +19,7 @@
         return;
     }
     connection->state = ServerConnection::State::Idle;
+    connection->since = _clock.now();
     if (ServerState* server = serverOf(*connection)) {
         --server->opening;
         if (server->unreachable) {
@@ -235,11 +236,17 @@
     }
 }
 
-/** One connection to each server stands ready, also to one that may become the primary. */
+/**
+ * One connection to each server stands ready, also to one that may become the primary. Not where
+ * each serves one tenant: which one would be needed next is not known.
+ */
 void StatementPooler::keepWarm(GroupState& group) {
+    if (_callersHaveTenants) {
+        return;
+    }
     for (auto& [name, server] : group.servers) {
         if (server.connections == 0) {
-            openConnection(server);
+            openConnection(server, TenantName());
         }
     }
 }
--- a/src/pooling/PoolerDispatch.cpp
+++ b/src/pooling/PoolerDispatch.cpp
@@ -10,6 +10,9 @@
 constexpr Duration kSuspectCost = std::chrono::seconds(1);
 /** Time over which an unused estimate of latency fades to half. */
 constexpr Duration kLatencyFade = std::chrono::milliseconds(500);
+/** A connection that has not run anything is not closed for another tenant for so long: its
+ * statement takes it within one round of the event loop, 1 ms at most. */
+constexpr Duration kUnusedConnectionKept = std::chrono::milliseconds(100);
 
 }  // namespace
 
@@ -26,7 +29,7 @@
         if (!hasRoom(server, session)) {
             continue;
         }
-        const Duration cost = costOf(group, server, requirement);
+        const Duration cost = costOf(group, server, session.tenant, requirement);
         if (best == nullptr || cost < bestCost) {
             best = &server;
             bestCost = cost;
@@ -62,7 +65,7 @@
 }
 
 Duration StatementPooler::costOf(const GroupState& group, const ServerState& server,
-                                 const Requirement& requirement) const {
+                                 const TenantName& tenant, const Requirement& requirement) const {
     const TimePoint now = _clock.now();
     Duration cost = server.latency;
     if (now - server.latencyAt > kLatencyFade) {
@@ -76,6 +79,9 @@
     if (!requirement.primary && primary && primary->server == server.address.server) {
         cost += _knobs.primaryPenalty;
     }
+    if (!hasIdleFor(server, tenant)) {
+        cost += _knobs.connectPenalty;
+    }
     if (isSuspect(server)) {
         cost += kSuspectCost;
     }
@@ -88,7 +94,46 @@
     }
     const bool urgent = session.settings.priority == settings::Priority::Urgent;
     const double limit = server.inflightLimit + (urgent ? _knobs.urgentHeadroom : 0);
-    return server.inflight + 1 <= limit && (!server.idle.empty() || mayOpen(server));
+    if (hasIdleFor(server, session.tenant)) {
+        return server.inflight + 1 <= limit;
+    }
+    // A connection that is being opened occupies a slot like a statement.
+    const Operation& operation = *session.operation;
+    const std::uint32_t others = server.opening - (isOpening(operation) ? 1 : 0);
+    return server.inflight + others + 1 <= limit && mayOpenFor(server, operation);
+}
+
+bool StatementPooler::hasIdleFor(const ServerState& server, const TenantName& tenant) const {
+    return std::any_of(server.idle.begin(), server.idle.end(),
+                       [&](ConnectionId id) { return _connections.at(id).tenant == tenant; });
+}
+
+bool StatementPooler::isOpening(const Operation& operation) const {
+    if (!operation.opening) {
+        return false;
+    }
+    const auto found = _connections.find(*operation.opening);
+    return found != _connections.end() && found->second.state == ServerConnection::State::Opening;
+}
+
+/** @return whether a connection for the statement is being opened, or may be. */
+bool StatementPooler::mayOpenFor(const ServerState& server, const Operation& operation) const {
+    return isOpening(operation) ||
+           (mayOpen(server) && (!isFull(server) || replaceable(server).has_value()));
+}
+
+/**
+ * @return the idle connection that was used the longest ago, to be closed for one of another
+ * tenant. One that was opened a moment ago and not used yet is still to serve who it was opened
+ * for: without that, two tenants could close each other's connections in turn and run nothing.
+ */
+std::optional<ConnectionId> StatementPooler::replaceable(const ServerState& server) const {
+    const TimePoint now = _clock.now();
+    const auto found = std::find_if(server.idle.begin(), server.idle.end(), [&](ConnectionId id) {
+        const ServerConnection& connection = _connections.at(id);
+        return connection.used || now - connection.since > kUnusedConnectionKept;
+    });
+    return found == server.idle.end() ? std::nullopt : std::optional<ConnectionId>(*found);
 }
 
 bool StatementPooler::isSuspect(const ServerState& server) const {
@@ -111,49 +156,72 @@
     }
     const auto share = static_cast<std::uint32_t>(found->second.connectionsPerServer /
                                                   _placement.executorCount(group));
-    return std::min(_knobs.connectionsPerServer, std::max<std::uint32_t>(share, 2) - 1);
+    const std::uint32_t bound =
+        _callersHaveTenants ? _knobs.tenantConnectionsPerServer : _knobs.connectionsPerServer;
+    return std::min(bound, std::max<std::uint32_t>(share, 2) - 1);
 }
 
-bool StatementPooler::mayOpen(const ServerState& server) const {
-    const TimePoint now = _clock.now();
-    const bool refused = server.refusedAbove && now < server.refusedUntil &&
+bool StatementPooler::isFull(const ServerState& server) const {
+    const bool refused = server.refusedAbove && _clock.now() < server.refusedUntil &&
                          server.connections >= *server.refusedAbove;
-    return server.ready && !refused && now >= server.nextConnect &&
-           server.connections < connectionLimit(server.address.group) &&
+    return refused || server.connections >= connectionLimit(server.address.group);
+}
+
+bool StatementPooler::mayOpen(const ServerState& server) const {
+    return server.ready && _clock.now() >= server.nextConnect &&
            server.opening < _knobs.concurrentConnects;
 }
 
-void StatementPooler::openConnection(ServerState& server) {
+/** @return the connection; none when no further one may be opened now. */
+std::optional<ConnectionId> StatementPooler::openConnection(ServerState& server,
+                                                            const TenantName& tenant) {
     if (!mayOpen(server)) {
-        return;
+        return std::nullopt;
+    }
+    if (isFull(server)) {
+        const std::optional<ConnectionId> idle = replaceable(server);
+        if (!idle) {
+            return std::nullopt;
+        }
+        ++_statistics.connectionsReplaced;
+        discard(*idle);
     }
     ++server.opening;
     ++server.connections;
     ++_statistics.connectionsOpened;
-    const ConnectionId id = _connector.open(server.address, *this);
+    const ConnectionId id = _connector.open(server.address, tenant, *this);
     ServerConnection& connection = _connections[id];
     connection.id = id;
     connection.group = server.address.group;
     connection.server = server.address.server;
+    connection.tenant = tenant;
     connection.since = _clock.now();
+    return id;
 }
 
-/** Prefers a connection with the session's values in force, then one without any. */
+/**
+ * Of the tenant's connections, prefers one with the session's values in force, then one without
+ * any.
+ */
 ServerConnection* StatementPooler::takeIdle(ServerState& server, const PooledSession& session) {
-    if (server.idle.empty()) {
-        return nullptr;
-    }
-    auto chosen = std::prev(server.idle.end());
+    auto chosen = server.idle.end();
     for (auto candidate = server.idle.begin(); candidate != server.idle.end(); ++candidate) {
-        const SessionValues& values = findConnection(*candidate)->values;
+        const ServerConnection& connection = *findConnection(*candidate);
+        if (connection.tenant != session.tenant) {
+            continue;
+        }
+        const SessionValues& values = connection.values;
         if (values == session.values) {
             chosen = candidate;
             break;
         }
-        if (values.empty()) {
+        if (values.empty() || chosen == server.idle.end()) {
             chosen = candidate;
         }
     }
+    if (chosen == server.idle.end()) {
+        return nullptr;
+    }
     ServerConnection* connection = findConnection(*chosen);
     server.idle.erase(chosen);
     return connection;
--- a/src/pooling/PoolerForwarding.cpp
+++ b/src/pooling/PoolerForwarding.cpp
@@ -79,6 +79,7 @@
     UnitOpening opening;
     opening.service = session.service;
     opening.group = session.group;
+    opening.tenant = session.tenant;
     opening.settings = session.settings;
     const Duration remaining = session.operation->deadline - _clock.now() - _knobs.forwardingMargin;
     opening.settings.statementTimeout = std::max(remaining, _knobs.forwardingMargin);
@@ -177,6 +178,7 @@
     session.id = id;
     session.service = opening.service;
     session.group = opening.group;
+    session.tenant = opening.tenant;
     session.settings = opening.settings;
     session.ownFloor = opening.ownFloor;
     session.activeAt = _clock.now();
--- a/src/pooling/PoolerKnobs.h
+++ b/src/pooling/PoolerKnobs.h
@@ -21,6 +21,9 @@
     Duration unusedFor = std::chrono::seconds(2);
     /** Connections that this process holds to one server at most. */
     std::uint32_t connectionsPerServer = 5;
+    /** The same where each connection belongs to one tenant: as many as there are tenants are of
+     * use, so that the share of what a server takes binds. */
+    std::uint32_t tenantConnectionsPerServer = 64;
     /** After its start a process opens one connection to each server, and more only after this
      * time: when all processes have lost power, servers keep their former connections for seconds,
      * and what is left must do for a first one of each. */
@@ -50,6 +53,9 @@
     Duration otherZonePenalty = std::chrono::milliseconds(30);
     /** Added to the cost of the primary for reads that a replica may serve. */
     Duration primaryPenalty = std::chrono::milliseconds(10);
+    /** Added to the cost of a server to which a connection would have to be opened first: what that
+     * takes at a server (12 ms) and on the way. */
+    Duration connectPenalty = std::chrono::milliseconds(15);
     /** Cost of each statement in flight from this process. */
     Duration inflightPenalty = std::chrono::milliseconds(8);
     /** A statement unanswered for so long, with no other answer either, makes a server suspect. */
--- a/src/pooling/PoolerQueue.cpp
+++ b/src/pooling/PoolerQueue.cpp
@@ -116,7 +116,9 @@
     ServerConnection* connection = takeIdle(*server, session);
     if (connection == nullptr) {
         operation.lastObstacle = "no_connection";
-        openConnection(*server);
+        if (!isOpening(operation)) {
+            operation.opening = openConnection(*server, session.tenant);
+        }
         return false;
     }
     start(group, *server, *connection, session, requirement);
--- a/src/pooling/PoolerSending.cpp
+++ b/src/pooling/PoolerSending.cpp
@@ -12,6 +12,7 @@
     connection.state = ServerConnection::State::Busy;
     connection.user = session.id;
     connection.inflight = true;
+    connection.used = true;
     ++server.inflight;
     operation.server = server.address.server;
     operation.connection = connection.id;
--- a/src/pooling/PoolerStatements.cpp
+++ b/src/pooling/PoolerStatements.cpp
@@ -43,7 +43,8 @@
             closeShape(*session, statement);
             break;
         case StatementVerb::Rollback:
-            rollback(*session);
+            rollBack(*session);
+            replyCompleted(*session);
             break;
         case StatementVerb::Commit:
             if (phase == TransactionPhase::None) {
@@ -153,7 +154,8 @@
     replyError(session, StatementFault::Aborted, "the transaction was rolled back");
 }
 
-void StatementPooler::rollback(PooledSession& session) {
+/** Ends the session's transaction at the server, or at the node that executes it. */
+void StatementPooler::rollBack(PooledSession& session) {
     ServerConnection* connection =
         session.transaction.connection ? findConnection(*session.transaction.connection) : nullptr;
     endUnit(session.transaction.unit);
@@ -163,7 +165,26 @@
         connection->user.reset();
         sendRollback(*connection);
     }
-    replyCompleted(session);
+}
+
+void StatementPooler::refuse(SessionId id, const Statement& statement, StatementError error) {
+    PooledSession* session = findSession(id);
+    if (session == nullptr || session->operation) {
+        return;
+    }
+    ++_statistics.statements;
+    ++_statistics.failedByFault[static_cast<std::size_t>(error.fault)];
+    session->activeAt = _clock.now();
+    if (session->transaction.phase != TransactionPhase::None) {
+        rollBack(*session);
+        if (statement.verb != StatementVerb::Commit) {
+            startTransaction(*session, {});
+            failTransaction(*session);
+            session->transaction.failureTold = true;
+        }
+    }
+    replyError(*session, error.fault, std::move(error.message));
+    settle();
 }
 
 bool StatementPooler::isWrite(const PooledSession& session, const Statement& statement) const {
--- a/src/pooling/PoolerStatistics.h
+++ b/src/pooling/PoolerStatistics.h
@@ -47,6 +47,8 @@
     std::uint64_t hedges = 0;
     std::uint64_t lagging = 0;
     std::uint64_t connectionsOpened = 0;
+    /** Idle connections closed so that one of another tenant could be opened. */
+    std::uint64_t connectionsReplaced = 0;
     std::uint64_t connectionsLost = 0;
     std::uint64_t proofsWanted = 0;
     /** Statements sent to other nodes, and executed for them. */
--- a/src/pooling/ServerLink.h
+++ b/src/pooling/ServerLink.h
@@ -75,8 +75,12 @@
 public:
     virtual ~ServerConnector() = default;
 
-    /** Starts to open a connection; onOpened or onOpenFailed follows. */
-    virtual ConnectionId open(const ServerAddress& address, ServerEvents& events) = 0;
+    /**
+     * Starts to open a connection; onOpened or onOpenFailed follows.
+     * @param tenant on whose behalf all statements of callers on it run; empty for none.
+     */
+    virtual ConnectionId open(const ServerAddress& address, const TenantName& tenant,
+                              ServerEvents& events) = 0;
 
     /** Sends commands in one go; one onResult follows for each, in order. */
     virtual void send(ConnectionId connection, const std::vector<ServerCommand>& commands) = 0;
--- a/src/pooling/ServerState.h
+++ b/src/pooling/ServerState.h
@@ -26,7 +26,11 @@
     ConnectionId id;
     GroupName group;
     ServerName server;
+    /** On whose behalf statements run on it, for as long as it is open. */
+    TenantName tenant;
     State state = State::Opening;
+    /** It has run a statement. */
+    bool used = false;
     SessionValues values;
     std::set<std::string> prepared;
     std::deque<AwaitedResult> awaited;
@@ -48,7 +52,7 @@
     std::uint32_t slots = 1;
     /** It takes new work. */
     bool ready = false;
-    /** Idle connections, the one used last at the end. */
+    /** Idle connections of all tenants, the one used last at the end. */
     std::vector<ConnectionId> idle;
     std::uint32_t connections = 0;
     std::uint32_t opening = 0;
--- a/src/pooling/StatementPooler.cpp
+++ b/src/pooling/StatementPooler.cpp
@@ -136,12 +136,13 @@
     return _catalog->find(service) != nullptr;
 }
 
-SessionId StatementPooler::openSession(const ServiceName& service) {
+SessionId StatementPooler::openSession(const ServiceName& service, const TenantName& tenant) {
     const CatalogEntry* entry = _catalog->find(service);
     const SessionId id(++_lastSession);
     PooledSession& session = _sessions[id];
     session.id = id;
     session.service = service;
+    session.tenant = tenant;
     session.activeAt = _clock.now();
     if (entry != nullptr) {
         session.group = entry->group;
@@ -150,6 +151,18 @@
     return id;
 }
 
+void StatementPooler::setTenant(SessionId id, const TenantName& tenant) {
+    if (PooledSession* session = findSession(id)) {
+        session->tenant = tenant;
+    }
+}
+
+void StatementPooler::noteActivity(SessionId id) {
+    if (PooledSession* session = findSession(id)) {
+        session->activeAt = _clock.now();
+    }
+}
+
 void StatementPooler::endSession(SessionId id) {
     PooledSession* session = findSession(id);
     if (session == nullptr) {
@@ -289,6 +302,7 @@
         .field("request", operation.statement.id)
         .field("service", session.service)
         .field("group", session.group)
+        .field("tenant", session.tenant)
         .field("fault", describe(fault))
         .field("why", message)
         .field("obstacle", operation.lastObstacle)
--- a/src/pooling/StatementPooler.h
+++ b/src/pooling/StatementPooler.h
@@ -114,8 +114,23 @@
     /** @return whether there is such a service. */
     bool hasService(const ServiceName& service) const;
 
-    /** Opens a session of a service that exists. */
-    SessionId openSession(const ServiceName& service);
+    /** Opens a session of a service that exists. @param tenant empty for none. */
+    SessionId openSession(const ServiceName& service, const TenantName& tenant = {});
+
+    /** The session's statements run on behalf of this tenant from now on; outside transactions. */
+    void setTenant(SessionId session, const TenantName& tenant);
+
+    /**
+     * Ends a statement that must not run, without running it. An open transaction is rolled back,
+     * which the caller ends, unless the statement was its end.
+     */
+    void refuse(SessionId session, const Statement& statement, StatementError error);
+
+    /** A statement of the session has come that is not submitted yet: the session is not idle. */
+    void noteActivity(SessionId session);
+
+    /** Callers come as tenants: connections that belong to none serve nobody. */
+    void setCallersHaveTenants(bool haveTenants) { _callersHaveTenants = haveTenants; }
 
     /** Opens a session for a unit of work that another node forwards. */
     SessionId openUnit(const UnitOpening& opening);
@@ -202,7 +217,7 @@
     PreparedShape shapeOf(ShapeKind kind, const std::string& shape);
     void closeShape(PooledSession& session, const Statement& statement);
     void endFailedTransaction(PooledSession& session, const Statement& statement);
-    void rollback(PooledSession& session);
+    void rollBack(PooledSession& session);
     void startOperation(PooledSession& session, Statement statement);
     bool refreshSettings(PooledSession& session);
     bool isWrite(const PooledSession& session, const Statement& statement) const;
@@ -234,14 +249,19 @@
                               const Requirement& requirement);
     bool isCandidate(const GroupState& group, const ServerState& server,
                      const PooledSession& session, const Requirement& requirement) const;
-    Duration costOf(const GroupState& group, const ServerState& server,
+    Duration costOf(const GroupState& group, const ServerState& server, const TenantName& tenant,
                     const Requirement& requirement) const;
     double firstLimit(const GroupName& group, const ServerState& server) const;
     bool hasRoom(const ServerState& server, const PooledSession& session) const;
+    bool hasIdleFor(const ServerState& server, const TenantName& tenant) const;
+    bool mayOpenFor(const ServerState& server, const Operation& operation) const;
+    bool isOpening(const Operation& operation) const;
+    std::optional<ConnectionId> replaceable(const ServerState& server) const;
     bool isSuspect(const ServerState& server) const;
     std::uint32_t connectionLimit(const GroupName& group) const;
     bool mayOpen(const ServerState& server) const;
-    void openConnection(ServerState& server);
+    bool isFull(const ServerState& server) const;
+    std::optional<ConnectionId> openConnection(ServerState& server, const TenantName& tenant);
     ServerConnection* takeIdle(ServerState& server, const PooledSession& session);
 
     // PoolerSending.cpp: what is sent on a connection.
@@ -344,6 +364,7 @@
     UnitForwarder* _forwarder = nullptr;
     /** The other nodes are known; before, this one alone seems to execute everything. */
     bool _nodesKnown = false;
+    bool _callersHaveTenants = false;
     std::unordered_map<UnitId, SessionId> _units;
     std::uint64_t _lastUnit = 0;
     TimePoint _startedAt;
--- a/src/pooling/UnitForwarding.h
+++ b/src/pooling/UnitForwarding.h
@@ -19,6 +19,8 @@
 struct UnitOpening {
     ServiceName service;
     GroupName group;
+    /** On whose behalf it runs; empty for none. */
+    TenantName tenant;
     /** Settings by which the unit is decided, as the forwarding node knows them. */
     settings::ServiceSettings settings;
     /** Position of the log that has all commits of the session. */
--- a/src/program/DaemonConfiguration.cpp
+++ b/src/program/DaemonConfiguration.cpp
@@ -15,6 +15,8 @@
 namespace {
 
 constexpr std::int64_t kMaximumPort = 65535;
+constexpr std::int64_t kMaximumQuotaSlack = 1000000;
+constexpr double kMaximumQuotaOverrun = 1;
 constexpr std::int64_t kMaximumCallerConnections = 1000000;
 constexpr std::int64_t kMinimumMessageBytes = 1024;
 constexpr std::int64_t kMaximumMessageBytes = std::int64_t{1} << 30;
@@ -116,6 +118,17 @@
     return Status::ok();
 }
 
+Status setQuotaOverrun(DaemonConfiguration& configuration, const std::string& text) {
+    double share = 0;
+    const char* last = text.data() + text.size();
+    const auto [end, error] = std::from_chars(text.data(), last, share);
+    if (error != std::errc() || end != last || share < 0 || share > kMaximumQuotaOverrun) {
+        return invalid("'" + text + "' is not a part from 0 to 1, such as 0.1");
+    }
+    configuration.quotaOverrun = share;
+    return Status::ok();
+}
+
 Status setSeeds(DaemonConfiguration& configuration, const ParsedValue& value) {
     std::vector<SeedAddress> seeds;
     for (const std::string& text : value.list) {
@@ -165,8 +178,28 @@
     };
 }
 
+std::vector<KeyDescription> tenantKeys() {
+    return {
+        millisecondsKey("tenants.revocation_bound_ms", 0,
+                        "a revoked credential runs nothing after this time (0: no bound)",
+                        &DaemonConfiguration::revocationBound),
+        millisecondsKey("tenants.quota_window_ms", 1,
+                        "time over which the units of a tenant are summed over all proxies",
+                        &DaemonConfiguration::quotaWindow),
+        textKey("tenants.quota_overrun",
+                "part of a tenant's quota by which that sum may exceed it, e.g. \"0.1\"",
+                setQuotaOverrun),
+        integerKey("tenants.quota_slack", 0, kMaximumQuotaSlack,
+                   "units by which that sum may exceed it besides",
+                   &DaemonConfiguration::quotaSlack),
+    };
+}
+
 std::vector<KeyDescription> makeKeys() {
     std::vector<KeyDescription> keys = makeNodeKeys();
+    for (KeyDescription& key : tenantKeys()) {
+        keys.push_back(std::move(key));
+    }
     keys.push_back(integerKey("peer.port", 0, kMaximumPort, "TCP and UDP port for other proxies",
                               &DaemonConfiguration::peerPort));
     keys.push_back(
--- a/src/program/DaemonConfiguration.h
+++ b/src/program/DaemonConfiguration.h
@@ -57,6 +57,12 @@
     std::optional<SeedAddress> promotionAddress;
     /** How pooled statements are placed; node and zone are those of above. */
     pooling::PoolerKnobs pooler;
+    /** After this time a revoked credential of a tenant must not run anything; 0: no bound. */
+    std::chrono::milliseconds revocationBound{0};
+    /** The bound of a tenant's quota over all nodes: the window, and what may go beyond. */
+    std::chrono::milliseconds quotaWindow{5000};
+    double quotaOverrun = 0.1;
+    std::uint32_t quotaSlack = 20;
     LogLevel logLevel = LogLevel::Info;
 };
 
--- /dev/null
+++ b/src/tenancy/TenantDirectory.h
@@ -0,0 +1,66 @@
+/** The tenants of the estate and their credentials, as one version of the settings has them. */
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <vector>
+
+#include "base/Identifier.h"
+#include "tenancy/CredentialDigest.h"
+
+namespace coralhoist::tenancy {
+
+/** How many units of work (single statements and transactions) a tenant may run. */
+struct TenantQuota {
+    /** Units a second, over all nodes. */
+    double ratePerSecond = 0;
+    /** Units beyond that which may come at once. */
+    double burst = 0;
+
+    bool operator==(const TenantQuota&) const = default;
+};
+
+/** One tenant. */
+struct Tenant {
+    TenantName name;
+    TenantQuota quota;
+    std::vector<CredentialDigest> credentials;
+};
+
+/** Immutable; shared. */
+class TenantDirectory {
+public:
+    /** No tenants are defined: callers need no credential and have no quota. */
+    TenantDirectory() = default;
+
+    /**
+     * @param version of the settings.
+     * @param publicServices services whose callers need no credential.
+     */
+    TenantDirectory(std::uint64_t version, const std::vector<Tenant>& tenants,
+                    std::set<ServiceName> publicServices);
+
+    /** @return whether callers of the service need a credential. */
+    bool requiresCredential(const ServiceName& service) const;
+
+    /** @return whether tenants are defined. */
+    bool definesTenants() const { return _definesTenants; }
+
+    /** @return the tenant that holds the credential, or null. */
+    const Tenant* findByCredential(const CredentialDigest& credential) const;
+
+    /** @return the tenant, or null. */
+    const Tenant* find(const TenantName& name) const;
+
+    std::uint64_t version() const { return _version; }
+
+private:
+    std::uint64_t _version = 0;
+    bool _definesTenants = false;
+    std::map<TenantName, Tenant> _tenants;
+    std::map<CredentialDigest, TenantName> _holders;
+    std::set<ServiceName> _publicServices;
+};
+
+}  // namespace coralhoist::tenancy
--- a/tests/cluster/ClusterControlTest.cpp
+++ b/tests/cluster/ClusterControlTest.cpp
@@ -24,7 +24,7 @@
 /** Counts the connections that are opened; none ever opens. */
 class CountingConnector final : public pooling::ServerConnector {
 public:
-    ConnectionId open(const pooling::ServerAddress& /*address*/,
+    ConnectionId open(const pooling::ServerAddress& /*address*/, const TenantName& /*tenant*/,
                       pooling::ServerEvents& /*events*/) override {
         return ConnectionId(++opened);
     }
@@ -63,10 +63,12 @@
         pooler = std::make_unique<pooling::StatementPooler>(clock, connector, *this, knobs);
         client = std::make_unique<socket::HttpClient>(poller, clock, kHost, responder.port());
         control = std::make_unique<ClusterControl>(
-            ClusterDependencies{clock, random, *client, *client, protocol, codec, connector, parser,
-                                *this, *this, *this, *this,
-                                pooling::ProxyNode{NodeName("self"), ZoneName("z"), kHost, 1},
-                                [](const std::vector<pooling::ProxyNode>&) {}, "self/1"},
+            ClusterDependencies{
+                clock, random, *client, *client, protocol, codec, connector, parser, *this, *this,
+                *this, *this, pooling::ProxyNode{NodeName("self"), ZoneName("z"), kHost, 1},
+                [](const std::vector<pooling::ProxyNode>&) {},
+                [](const std::shared_ptr<const tenancy::TenantDirectory>& /*tenants*/) {},
+                "self/1"},
             *pooler);
     }
 
--- a/tests/cluster/StoreFollowerTest.cpp
+++ b/tests/cluster/StoreFollowerTest.cpp
@@ -237,6 +237,36 @@
     }
 }
 
+TEST(StoreFollower, OnlyAListProvesTheFirstKind) {
+    start({});
+    const TimePoint listedAt = follower->provenAt();
+    advance(milliseconds(500));
+    CHECK_TRUE(follower->provenAt() == listedAt);
+    follower->takeProven({}, 10, clock.now());
+    CHECK_TRUE(follower->provenAt() == clock.now());
+}
+
+TEST(StoreFollower, AProvenChangeIsTakenBeforeTheWatchTellsIt) {
+    start({});
+    StoredObject changed;
+    changed.name = "a";
+    changed.version = 12;
+    follower->takeProven({changed}, 12, clock.now());
+    CHECK_TRUE(sink.seen.ends_with(" a@12"));
+}
+
+TEST(StoreFollower, AnotherNodesProofIsDatedFromTheMomentOfAsking) {
+    startWithSource();
+    advance(milliseconds(700));
+    const TimePoint askedAt = clock.now();
+    answerQuestion(answerOf("n9", milliseconds(0), {}, 0));
+    clock.advance(milliseconds(20));
+    FeedAnswer answer = answerOf("n9", milliseconds(0), {}, 0);
+    answer.provenAgeWhenAsked = milliseconds(300);
+    answerQuestion(answer);
+    CHECK_TRUE(follower->provenAt() == askedAt - milliseconds(300));
+}
+
 TEST(StoreFollower, OwnKnowledgeThatComesBackIsNotTaken) {
     startWithSource();
     answerQuestion(answerOf(kSelf.value(), milliseconds(0), {{{"b", 12, {}}, false}}, 12));
--- a/tests/forwarding/UnitCodecTest.cpp
+++ b/tests/forwarding/UnitCodecTest.cpp
@@ -25,6 +25,7 @@
     pooling::UnitOpening opening;
     opening.service = ServiceName("lepu270");
     opening.group = GroupName("ledger");
+    opening.tenant = TenantName("t");
     opening.settings.readRouting = settings::ReadRouting::Replica;
     opening.settings.priority = settings::Priority::Urgent;
     opening.settings.maxStaleness = milliseconds(1500);
@@ -93,6 +94,7 @@
     STRCMP_EQUAL("q2c", got.statement.shape->shape.c_str());
     CHECK_TRUE(got.opening->service == sent.opening->service);
     CHECK_TRUE(got.opening->group == sent.opening->group);
+    CHECK_TRUE(got.opening->tenant == sent.opening->tenant);
     const settings::ServiceSettings& settings = got.opening->settings;
     CHECK_TRUE(settings.readRouting == settings::ReadRouting::Replica);
     CHECK_TRUE(settings.priority == settings::Priority::Urgent);
@@ -146,6 +148,39 @@
     CHECK_TRUE(result.proofNeed == message.proofNeed);
 }
 
+TEST(UnitCodec, AQuestionForQuotaArrivesAsItWasSent) {
+    UnitMessage message;
+    message.kind = UnitMessage::Kind::QuotaAsked;
+    message.question = 42;
+    message.quotaQuestion = {TenantName("t"), 7, 2};
+    const UnitMessage result = decoded(bytesOf(message));
+    CHECK_TRUE(result.kind == UnitMessage::Kind::QuotaAsked);
+    UNSIGNED_LONGS_EQUAL(42, result.question);
+    CHECK_TRUE(result.quotaQuestion == message.quotaQuestion);
+}
+
+TEST(UnitCodec, AnAnswerOnQuotaArrivesAsItWasSent) {
+    UnitMessage message;
+    message.kind = UnitMessage::Kind::Quota;
+    message.question = 43;
+    message.quotaAnswer = {true, 3, std::chrono::milliseconds(120), true};
+    const UnitMessage result = decoded(bytesOf(message));
+    CHECK_TRUE(result.kind == UnitMessage::Kind::Quota);
+    UNSIGNED_LONGS_EQUAL(43, result.question);
+    CHECK_TRUE(result.quotaAnswer == message.quotaAnswer);
+}
+
+TEST(UnitCodec, ConfirmedSettingsNeverSeemYoungerThanTheyAre) {
+    UnitMessage message;
+    message.kind = UnitMessage::Kind::Changes;
+    message.feedAnswer.emplace();
+    message.feedAnswer->provenAgeWhenAsked = std::chrono::nanoseconds(1500);
+    const UnitMessage result = decoded(bytesOf(message));
+    CHECK_TRUE(*result.feedAnswer->provenAgeWhenAsked >= std::chrono::nanoseconds(1500));
+    message.feedAnswer->provenAgeWhenAsked.reset();
+    CHECK_FALSE(decoded(bytesOf(message)).feedAnswer->provenAgeWhenAsked.has_value());
+}
+
 TEST(UnitCodec, AProofNeverSeemsYoungerThanItIs) {
     UnitMessage message;
     message.kind = UnitMessage::Kind::Proof;
--- a/tests/forwarding/UnitLinkTest.cpp
+++ b/tests/forwarding/UnitLinkTest.cpp
@@ -25,7 +25,7 @@
 /** Opens at once; each caller's command is answered when the test says so. */
 class ManualServers final : public pooling::ServerConnector {
 public:
-    ConnectionId open(const pooling::ServerAddress& /*address*/,
+    ConnectionId open(const pooling::ServerAddress& /*address*/, const TenantName& /*tenant*/,
                       pooling::ServerEvents& /*events*/) override {
         opening.emplace_back(opening.size() + 1);
         return opening.back();
@@ -292,8 +292,8 @@
 TEST(UnitLink, QuestionsAreAnsweredOverTheSameLink) {
     QuestionRecorder here;
     QuestionRecorder there;
-    links.setQuestionEvents(here, here);
-    service.setQuestionEvents(there, there);
+    links.setQuestionEvents({&here, &here, nullptr});
+    service.setQuestionEvents({&there, &there, nullptr});
     links.askForProof(executor, 5, {9, milliseconds(150)});
     links.askForChanges(executor, 6, {{std::optional<std::uint64_t>(3)}, NodeName("n")});
     waitFor([&] { return there.proofAskers.size() == 1 && there.feedAskers.size() == 1; });
@@ -311,8 +311,8 @@
 TEST(UnitLink, QuestionsOfALostLinkAreAnsweredWithNothing) {
     QuestionRecorder here;
     QuestionRecorder there;
-    links.setQuestionEvents(here, here);
-    service.setQuestionEvents(there, there);
+    links.setQuestionEvents({&here, &here, nullptr});
+    service.setQuestionEvents({&there, &there, nullptr});
     links.askForProof(executor, 5, {9, milliseconds(150)});
     links.askForChanges(executor, 6, {{std::optional<std::uint64_t>(3)}, NodeName("n")});
     waitFor([&] { return there.proofAskers.size() == 1 && there.feedAskers.size() == 1; });
--- a/tests/platform_adapter/CodecTest.cpp
+++ b/tests/platform_adapter/CodecTest.cpp
@@ -50,6 +50,22 @@
     LONGS_EQUAL(1, current.rank);
 }
 
+TEST(PlatformCodec, ReadsTenants) {
+    const auto image =
+        codec.readEstate(object("main",
+                                R"({"routes":[{"host":"a","public":true},{"host":"b"}],
+            "tenants":[{"name":"t1","api_keys":["k1","k2"],"rate_per_s":224,"burst":100}]})"));
+    UNSIGNED_LONGS_EQUAL(1, image->tenants->size());
+    const tenancy::Tenant& tenant = image->tenants->front();
+    STRCMP_EQUAL("t1", tenant.name.value().c_str());
+    CHECK_TRUE((tenant.quota == tenancy::TenantQuota{224, 100}));
+    UNSIGNED_LONGS_EQUAL(2, tenant.credentials.size());
+    CHECK_TRUE(tenant.credentials[1] == tenancy::CredentialDigest::of("k2"));
+    CHECK_TRUE(image->services[0].isPublic);
+    CHECK_FALSE(image->services[1].isPublic);
+    CHECK_FALSE(codec.readEstate(object("main", kConfiguration))->tenants.has_value());
+}
+
 TEST(PlatformCodec, RefusesWhatIsNoConfiguration) {
     CHECK_FALSE(codec.readEstate(object("other", kConfiguration)).has_value());
     CHECK_FALSE(codec.readEstate(object("main", R"({"version":7})")).has_value());
--- a/tests/platform_adapter/WireTest.cpp
+++ b/tests/platform_adapter/WireTest.cpp
@@ -145,8 +145,13 @@
 TEST(ServerWire, ConnectsToTheServerThatItExpects) {
     const ServerWire wire;
     std::string out;
-    wire.encodeConnect(out, {GroupName("huvo11a"), ServerName("i-7f"), "10.0.0.1", 1});
+    wire.encodeConnect(out, {GroupName("huvo11a"), ServerName("i-7f"), "10.0.0.1", 1},
+                       TenantName());
     STRCMP_EQUAL("CONNECT huvo11a coralhoist i-7f\r\n", out.c_str());
+    out.clear();
+    wire.encodeConnect(out, {GroupName("huvo11a"), ServerName("i-7f"), "10.0.0.1", 1},
+                       TenantName("miny"));
+    STRCMP_EQUAL("CONNECT huvo11a miny i-7f\r\n", out.c_str());
 }
 
 TEST(ServerWire, ReadsAnswers) {
--- a/tests/pooling/PoolerFixture.cpp
+++ b/tests/pooling/PoolerFixture.cpp
@@ -35,9 +35,11 @@
 
 }  // namespace
 
-ConnectionId ScriptedConnector::open(const ServerAddress& address, ServerEvents& /*events*/) {
+ConnectionId ScriptedConnector::open(const ServerAddress& address, const TenantName& tenant,
+                                     ServerEvents& /*events*/) {
     const ConnectionId id(serverOf.size() + 1);
     serverOf[id] = address.server;
+    tenantOf[id] = tenant;
     opening.push_back(id);
     return id;
 }
--- a/tests/pooling/PoolerFixture.h
+++ b/tests/pooling/PoolerFixture.h
@@ -23,7 +23,8 @@
 /** Records connections and commands; the test delivers events itself. */
 class ScriptedConnector final : public ServerConnector {
 public:
-    ConnectionId open(const ServerAddress& address, ServerEvents& events) override;
+    ConnectionId open(const ServerAddress& address, const TenantName& tenant,
+                      ServerEvents& events) override;
     void send(ConnectionId connection, const std::vector<ServerCommand>& commands) override;
     void close(ConnectionId connection) override;
 
@@ -31,6 +32,7 @@
     std::vector<SentCommand> sent;
     std::vector<ConnectionId> closed;
     std::map<ConnectionId, ServerName> serverOf;
+    std::map<ConnectionId, TenantName> tenantOf;
 };
 
 /** A reply as the session's caller got it. */
--- a/tests/session/CallerListenerTest.cpp
+++ b/tests/session/CallerListenerTest.cpp
@@ -19,7 +19,7 @@
 /** No server can be reached. */
 class NoServers final : public pooling::ServerConnector {
 public:
-    ConnectionId open(const pooling::ServerAddress& /*address*/,
+    ConnectionId open(const pooling::ServerAddress& /*address*/, const TenantName& /*tenant*/,
                       pooling::ServerEvents& /*events*/) override {
         return ConnectionId(1);
     }
@@ -28,6 +28,15 @@
     void close(ConnectionId /*connection*/) override {}
 };
 
+/** There are no other nodes. */
+class NoQuotaLinks final : public tenancy::QuotaQuestions, public tenancy::QuotaAnswers {
+public:
+    bool canReach(const NodeName& /*node*/) const override { return false; }
+    void askForQuota(const NodeName& /*node*/, std::uint64_t /*question*/,
+                     const tenancy::QuotaQuestion& /*asked*/) override {}
+    void answerQuota(std::uint64_t /*asker*/, const tenancy::QuotaAnswer& /*answer*/) override {}
+};
+
 TEST_GROUP(CallerListener), public pooling::PoolerOutput {
     int count = 1;
     char name[8] = "test";
@@ -38,7 +47,13 @@
     socket::SocketPoller poller;
     platform_adapter::CallerWire wire;
     pooling::StatementPooler pooler{clock, servers, *this, {}};
-    CallerListener listener{poller, wire, pooler, clock, 10};
+    NoQuotaLinks quotaLinks;
+    tenancy::QuotaExchange quotas{
+        {clock, quotaLinks, quotaLinks, NodeName("n1"), [this] { return clock.now(); },
+         [](const TenantName& /*tenant*/) {}},
+        {}};
+    tenancy::TenantGate gate{clock, pooler, quotas, [this] { return clock.now(); }, Duration(0)};
+    CallerListener listener{poller, wire, pooler, gate, clock, 10};
     QTcpSocket caller;
     QByteArray received;
 
--- /dev/null
+++ b/tests/tenancy/QuotaExchangeTest.cpp
@@ -0,0 +1,90 @@
+#include <CppUTest/TestHarness.h>
+
+#include <random>
+
+#include "tests/tenancy/QuotaNetwork.h"
+
+namespace coralhoist::tenancy {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr std::size_t kNodes = 12;
+const QuotaTerms kTerms{seconds(5), 0.1, 20};
+const TenantQuota kQuota{200, 200};
+/** (rate x window + burst) x (1 + overrun) + slack. */
+constexpr std::size_t kBound = 1340;
+
+TEST_GROUP(QuotaExchange) {
+    QuotaNetwork network{kNodes, kQuota, kTerms};
+    std::mt19937 random{4711};
+
+    std::size_t below(std::size_t bound) {
+        return random() % bound;
+    }
+
+    /** @return how many of the statements ran that come at the rate given, spread over the nodes.
+     */
+    std::size_t play(int milliseconds, double perSecond) {
+        std::bernoulli_distribution arrives(perSecond / 1000);
+        const std::size_t before = network.runCount();
+        for (int step = 0; step < milliseconds; ++step) {
+            network.step();
+            const auto statements = static_cast<int>(perSecond / 1000);
+            for (int statement = 0; statement < statements; ++statement) {
+                network.submit(below(kNodes));
+            }
+            if (arrives(random)) {
+                network.submit(below(kNodes));
+            }
+        }
+        return network.runCount() - before;
+    }
+};
+
+TEST(QuotaExchange, ATenantBelowItsQuotaIsNotRefused) {
+    play(2000, 100);
+    CHECK_TRUE(play(10000, 100) > 950);
+}
+
+TEST(QuotaExchange, ATenantThatSendsManyTimesItsQuotaStaysWithinTheBound) {
+    play(20000, 900);
+    CHECK_TRUE(network.busiestWindow() <= kBound);
+    CHECK_TRUE(network.busiestWindow() > 950);
+}
+
+TEST(QuotaExchange, TwoSidesOfACutStayWithinTheBoundTogether) {
+    for (int round = 0; round < 20; ++round) {
+        play(2000 + static_cast<int>(below(3000)), 900);
+        std::set<std::size_t> side;
+        for (std::size_t node = 0; node < kNodes / 3; ++node) {
+            side.insert(below(kNodes));
+        }
+        network.cut(side);
+        play(1000 + static_cast<int>(below(6000)), 900);
+        network.cut({});
+    }
+    CHECK_TRUE(network.busiestWindow() <= kBound);
+}
+
+TEST(QuotaExchange, RestartsOfNodesDoNotAddToTheQuota) {
+    for (int round = 0; round < 60; ++round) {
+        play(300 + static_cast<int>(below(700)), 900);
+        network.restart(below(kNodes));
+    }
+    CHECK_TRUE(network.busiestWindow() <= kBound);
+}
+
+TEST(QuotaExchange, WhileTheStoreIsDownATenantGoesOnAsBefore) {
+    play(5000, 100);
+    network.setStoreDown(true);
+    CHECK_TRUE(play(4500, 100) > 360);
+    play(5000, 100);
+    LONGS_EQUAL(0, play(1000, 100));
+    network.setStoreDown(false);
+    play(1000, 100);
+    CHECK_TRUE(play(1000, 100) > 85);
+}
+
+}  // namespace
+}  // namespace coralhoist::tenancy
