Give up connections that went silent for good, each kind by a time of its own

Cause: open connections may go silent without a reset while new ones work. A question for changes of the store was asked again and again on the same silent link; each kept connection to the store cost a call its time; each idle connection to a server cost a read 150 ms, or left a write in doubt. Change: a link that leaves a question for changes unanswered for 0.85 s is given up (units, proofs and quotas had 0.5 s); a call that times out on a kept connection closes the others; when a statement gets no answer, the server's connections that have been idle since before have to answer a command of the proxy before they serve again. Connections to callers have the kernel's user timeout as before. Tests: one for each, seen to fail without the change.

--- a/src/link/forwarding/UnitLinkQuestions.cpp
+++ b/src/link/forwarding/UnitLinkQuestions.cpp
@@ -19,6 +19,7 @@
                               const store::FeedQuestion& asked) {
     Link& link = connectedLink(node);
     link.feedQuestion = question;
+    link.feedAskedAt = _clock.now();
     UnitMessage message;
     message.kind = UnitMessage::Kind::ChangesAsked;
     message.question = question;
--- a/src/link/forwarding/UnitLinks.cpp
+++ b/src/link/forwarding/UnitLinks.cpp
@@ -23,6 +23,9 @@
 constexpr Duration kHeartbeatAfter = std::chrono::milliseconds(150);
 /** A link that shows no sign of life for so long is given up. */
 constexpr Duration kSilenceTimeout = std::chrono::milliseconds(500);
+/** The same for a question for changes, which may be held for 0.3 s. An open connection may go
+ * silent for good; the next question would be lost on it like the last one. */
+constexpr Duration kFeedSilenceTimeout = std::chrono::milliseconds(850);
 /** Pause before a node that was lost is tried again; doubled each time. */
 constexpr Duration kFirstPause = std::chrono::milliseconds(200);
 constexpr Duration kLongestPause = std::chrono::milliseconds(2000);
@@ -289,12 +292,24 @@
     if (!link.connected) {
         return link.waitingSince + kConnectTimeout;
     }
-    if (!isWaitedFor(link)) {
-        return std::nullopt;
+    std::optional<TimePoint> due;
+    if (link.feedQuestion) {
+        due = std::max(link.heardAt, link.feedAskedAt) + kFeedSilenceTimeout;
+    }
+    if (isWaitedFor(link)) {
+        const TimePoint quietSince = std::max(link.heardAt, link.waitingSince);
+        const TimePoint askAt = std::max(quietSince, link.askedAt) + kHeartbeatAfter;
+        due = std::min({due.value_or(askAt), askAt, quietSince + kSilenceTimeout});
     }
+    return due;
+}
+
+/** @return whether the other node should have shown a sign of life by now. */
+bool UnitLinks::isSilent(const Link& link, TimePoint now) {
+    const bool feedSilent =
+        link.feedQuestion && now - std::max(link.heardAt, link.feedAskedAt) >= kFeedSilenceTimeout;
     const TimePoint quietSince = std::max(link.heardAt, link.waitingSince);
-    const TimePoint askAt = std::max(quietSince, link.askedAt) + kHeartbeatAfter;
-    return std::min(askAt, quietSince + kSilenceTimeout);
+    return feedSilent || (isWaitedFor(link) && now - quietSince >= kSilenceTimeout);
 }
 
 /** Opens connections to nodes that were lost, so that they can be used again. */
@@ -322,8 +337,7 @@
             continue;
         }
         Link& link = found->second;
-        const TimePoint quietSince = std::max(link.heardAt, link.waitingSince);
-        if (!link.connected || now - quietSince >= kSilenceTimeout) {
+        if (!link.connected || isSilent(link, now)) {
             drop(link, link.connected ? "silent" : "unreachable");
             continue;
         }
--- a/src/link/forwarding/UnitLinks.h
+++ b/src/link/forwarding/UnitLinks.h
@@ -78,6 +78,7 @@
         std::optional<std::uint64_t> proofQuestion;
         /** The same for changes of the store. It may wait long, so no sign of life is asked for. */
         std::optional<std::uint64_t> feedQuestion;
+        TimePoint feedAskedAt{};
         /** Questions for units of quotas that are not answered. */
         std::set<std::uint64_t> quotaQuestions;
         /** When the connection was begun, or the first of the unanswered statements was sent. */
@@ -105,6 +106,7 @@
     void onChanges(Link& link, const UnitMessage& message);
     void onQuota(Link& link, const UnitMessage& message);
     static bool isWaitedFor(const Link& link);
+    static bool isSilent(const Link& link, TimePoint now);
     void loseQuestions(const Link& link);
     Link& connectedLink(const NodeName& node);
     void forget(Link& link, UnitId unit);
--- a/src/link/socket/HttpClient.cpp
+++ b/src/link/socket/HttpClient.cpp
@@ -228,6 +228,9 @@
         }
     }
     for (Exchange* exchange : late) {
+        if (exchange->reused) {
+            closeKept();
+        }
         HttpAnswer answer;
         answer.outcome =
             exchange->connected ? HttpAnswer::Outcome::Lost : HttpAnswer::Outcome::NotSent;
@@ -235,6 +238,17 @@
     }
 }
 
+/**
+ * Open connections may go silent for good while new ones work. A call that got no answer on a kept
+ * connection tells that the others may be silent, too; each would cost another call its time.
+ */
+void HttpClient::closeKept() {
+    for (auto& connection : std::exchange(_kept, {})) {
+        connection->close(CloseMode::Abort);
+        _ended.push_back(std::move(connection));
+    }
+}
+
 std::optional<TimePoint> HttpClient::nextTick() const {
     if (!_ended.empty()) {
         return TimePoint::min();
--- a/src/link/socket/HttpClient.h
+++ b/src/link/socket/HttpClient.h
@@ -83,6 +83,7 @@
 
     Exchange* find(const StreamConnection& connection);
     void finish(Exchange& exchange, const HttpAnswer& answer, bool keep);
+    void closeKept();
 
     SocketPoller& _poller;
     const Clock& _clock;
--- a/src/pooling/PoolerConnections.cpp
+++ b/src/pooling/PoolerConnections.cpp
@@ -10,6 +10,8 @@
 
 /** How long the number of connections at which a server refused holds. */
 constexpr Duration kConnectionLimitPause = std::chrono::seconds(1);
+/** A server that leaves answers out now and then has its idle connections verified so often. */
+constexpr Duration kVerificationPause = std::chrono::milliseconds(500);
 
 }  // namespace
 
@@ -220,6 +222,29 @@
     replyError(session, wrote ? StatementFault::InDoubt : StatementFault::Aborted, reason);
 }
 
+/**
+ * Open connections may go silent for good, without a reset, while new ones work. When a statement
+ * gets no answer, those that have been idle since before it was sent have to answer a command of
+ * the proxy before they serve again; one that does not is closed like an abandoned one. Else each
+ * of them would cost a read its patience, and leave a write in doubt.
+ */
+void StatementPooler::verifyIdle(ServerState& server, TimePoint since) {
+    const TimePoint now = _clock.now();
+    if (now < server.nextVerification) {
+        return;
+    }
+    server.nextVerification = now + kVerificationPause;
+    const std::vector<ConnectionId> idle = server.idle;
+    for (const ConnectionId id : idle) {
+        ServerConnection& connection = *findConnection(id);
+        if (connection.since < since) {
+            std::erase(server.idle, id);
+            connection.state = ServerConnection::State::Busy;
+            sendRollback(connection);
+        }
+    }
+}
+
 bool StatementPooler::keepsWarm(const GroupName& group) const {
     return _forwarder == nullptr || (_nodesKnown && _placement.executesHere(group));
 }
--- a/src/pooling/PoolerSending.cpp
+++ b/src/pooling/PoolerSending.cpp
@@ -135,7 +135,7 @@
     }
     session.transaction.wrote = session.transaction.wrote || operation.writes;
     _connector.send(connection.id, commands);
-    wakeAt(session, isSingleRead(session) ? now + _knobs.hedgeAfter : operation.deadline);
+    wakeAt(session, std::min(operation.deadline, now + _knobs.hedgeAfter));
 }
 
 void StatementPooler::sendInTransaction(PooledSession& session) {
--- a/src/pooling/PoolerTimers.cpp
+++ b/src/pooling/PoolerTimers.cpp
@@ -104,9 +104,13 @@
     ServerConnection* connection = findConnection(operation.connection);
     const bool readsOnly = isSingleRead(session);
     if (now < operation.deadline) {
-        const ServerState* server = connection != nullptr ? serverOf(*connection) : nullptr;
+        ServerState* server = connection != nullptr ? serverOf(*connection) : nullptr;
+        const bool overdue = isAnswerOverdue(operation, server);
+        if (overdue && server != nullptr) {
+            verifyIdle(*server, operation.sentAt);
+        }
         const bool mayHedge = readsOnly && operation.attempts < _knobs.hedgesPerRead;
-        if (mayHedge && isAnswerOverdue(operation, server) && now < operation.holdUntil) {
+        if (mayHedge && overdue && now < operation.holdUntil) {
             ++_statistics.hedges;
             if (connection != nullptr) {
                 abandon(*connection);
@@ -114,8 +118,9 @@
             requeue(session, "server_silent");
             return;
         }
-        wakeAt(session, mayHedge ? std::min(operation.deadline, now + _knobs.hedgeAfter / 2)
-                                 : operation.deadline);
+        wakeAt(session, mayHedge || !overdue
+                            ? std::min(operation.deadline, now + _knobs.hedgeAfter / 2)
+                            : operation.deadline);
         return;
     }
     if (operation.phase == OperationPhase::Beginning) {
--- a/src/pooling/ServerState.h
+++ b/src/pooling/ServerState.h
@@ -75,6 +75,8 @@
     std::uint32_t lostInRow = 0;
     TimePoint losingSince{};
     TimePoint nextConnect{};
+    /** Idle connections are not verified again before. */
+    TimePoint nextVerification{};
     /** The last attempt to connect failed. */
     bool unreachable = false;
     /** Connections that the server has room for, as its last refusal showed. */
--- a/src/pooling/StatementPooler.h
+++ b/src/pooling/StatementPooler.h
@@ -311,6 +311,7 @@
     void forgetTransaction(PooledSession& session);
     void onSentLost(PooledSession& session, const char* reason);
     void sendRollback(ServerConnection& connection);
+    void verifyIdle(ServerState& server, TimePoint since);
     void keepWarm(GroupState& group);
     bool keepsWarm(const GroupName& group) const;
     void releaseUnused(GroupState& group, TimePoint now);
--- a/tests/forwarding/UnitLinkTest.cpp
+++ b/tests/forwarding/UnitLinkTest.cpp
@@ -324,6 +324,22 @@
     service.answerProof(there.proofAskers[0].id, std::nullopt);
 }
 
+TEST(UnitLink, ALinkThatLeavesAQuestionForChangesUnansweredIsGivenUp) {
+    QuestionRecorder here;
+    QuestionRecorder there;
+    links.setQuestionEvents({&here, &here, nullptr});
+    service.setQuestionEvents({&there, &there, nullptr});
+    links.askForChanges(executor, 6, {{std::optional<std::uint64_t>(3)}, NodeName("n")});
+    waitFor([&] { return there.feedAskers.size() == 1; });
+    clock.advance(milliseconds(849));
+    links.onTick(clock.now());
+    UNSIGNED_LONGS_EQUAL(0, here.feedAnswers.size());
+    clock.advance(milliseconds(1));
+    links.onTick(clock.now());
+    UNSIGNED_LONGS_EQUAL(1, here.feedAnswers.size());
+    CHECK_FALSE(here.feedAnswers[0].second.has_value());
+}
+
 TEST(UnitLink, AFrameThatCanNotBeReadEndsTheLinkAndNothingElse) {
     service.startServing();
     QTcpSocket stranger;
--- a/tests/pooling/TenantConnectionsTest.cpp
+++ b/tests/pooling/TenantConnectionsTest.cpp
@@ -1,5 +1,7 @@
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
+
 #include "PoolerFixture.h"
 
 namespace coralhoist::pooling {
@@ -94,6 +96,27 @@
     CHECK_TRUE(tenantOfPending() != first);
 }
 
+TEST(TenantConnections, IdleConnectionsAreVerifiedWhenAStatementGetsNoAnswer) {
+    // Two connections of "a": two writes at once.
+    fixture.submit(sessionOf("a"), StatementVerb::Write, "WRITE 1 a");
+    fixture.submit(sessionOf("a"), StatementVerb::Write, "WRITE 2 a");
+    fixture.openConnections();
+    fixture.succeed();
+    fixture.openConnections();
+    fixture.succeed();
+    fixture.advance(milliseconds(10));
+    write("a");
+    const std::size_t sent = fixture.pendingCount();
+    fixture.advance(milliseconds(150));
+    fixture.advance(milliseconds(80));
+    CHECK_TRUE(fixture.pendingCount() > sent);
+    CHECK_TRUE(fixture.connector.sent.back().command.kind == ServerCommand::Kind::Rollback);
+    const ConnectionId verified = fixture.connector.sent.back().connection;
+    fixture.advance(milliseconds(601));
+    CHECK_TRUE(std::count(fixture.connector.closed.begin(), fixture.connector.closed.end(),
+                          verified) == 1);
+}
+
 TEST(TenantConnections, ARefusedTransactionIsRolledBackAtItsServer) {
     const SessionId session = sessionOf("a");
     fixture.submit(session, StatementVerb::Begin, "BEGIN");
--- a/tests/socket/HttpTest.cpp
+++ b/tests/socket/HttpTest.cpp
@@ -86,6 +86,37 @@
     CHECK_FALSE(answer->outcome == HttpAnswer::Outcome::Answered);
 }
 
+/** Connections that are open may go silent for good while new ones work. */
+TEST(Http, AfterACallWithoutAnswerTheOtherKeptConnectionsAreNotUsed) {
+    testing::ManualClock manual;
+    QTcpServer server;
+    CHECK_TRUE(server.listen(QHostAddress::LocalHost, 0));
+    HttpClient client(poller, manual, kHost, server.serverPort());
+    std::size_t answers = 0;
+    const HttpCall call{"GET", "/x", "", {}, std::chrono::milliseconds(700)};
+    const auto counted = [&answers](const HttpAnswer& /*given*/) { ++answers; };
+    std::vector<QTcpSocket*> peers;
+    client.call(call, counted);
+    client.call(call, counted);
+    CHECK_TRUE(testing::waitUntil([&] {
+        while (server.hasPendingConnections()) {
+            peers.push_back(server.nextPendingConnection());
+        }
+        return peers.size() == 2 && peers[0]->bytesAvailable() > 0 &&
+               peers[1]->bytesAvailable() > 0;
+    }));
+    for (QTcpSocket* peer : peers) {
+        peer->write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    }
+    CHECK_TRUE(testing::waitUntil([&answers] { return answers == 2; }));
+    client.call(call, counted);
+    manual.advance(std::chrono::milliseconds(701));
+    client.onTick(manual.now());
+    UNSIGNED_LONGS_EQUAL(3, answers);
+    client.call(call, counted);
+    CHECK_TRUE(testing::waitUntil([&server] { return server.hasPendingConnections(); }));
+}
+
 /** Found on the small twin of spba-jobgrid-large, trouble-1: no node that started after the
  * configuration had grown became ready, since its list took longer than the call's time on a link
  * of 2 Mbit/s. */
