--- a/src/tenancy/QuotaAccount.h
+++ b/src/tenancy/QuotaAccount.h
@@ -29,8 +29,8 @@
     /**
      * @return units a second that an account is filled with: what is left of the bound, so that
      * burst + rate x (window + lease), and what an account starts with, make up the bound. Granting
-     * the bare rate of the quota refused twice as much of what a tenant with a lowered quota may
-     * run.
+     * the bare rate of the quota refused 0.021 of a day's requests in place of 0.016 where one
+     * tenant's quota was lowered (one play each).
      */
     double rate(const TenantQuota& quota) const;
 
--- a/src/tenancy/QuotaExchange.cpp
+++ b/src/tenancy/QuotaExchange.cpp
@@ -19,8 +19,8 @@
 /** An answer takes about 2 ms between zones; a node that has not answered by then is busy. */
 constexpr Duration kAnswerPatience = milliseconds(60);
 /** After a node declined, none is asked for so long. The others would decline as well, since one
- * that ranks before them is there; asking them in turn cost twice the processor time of a day with
- * a store that is down, 145 s in place of 61 s over 83 nodes. */
+ * that ranks before them is there; asking them in turn took 145 s of processor time in place of 100
+ * s on a day on which the store is down for 4 s, over 83 nodes (one play each). */
 constexpr Duration kDeclinedPause = milliseconds(100);
 /** A node whose settings are older than this may be cut off, and grants nothing: settings reach
  * each node within 1.3 s while the store takes 0.25 s for an answer. */
