--- a/tests/tenancy/TenantGateTest.cpp
+++ b/tests/tenancy/TenantGateTest.cpp
@@ -80,6 +80,15 @@
         statement.verb = verb;
         gate.submit(session, statement);
     }
+    /** Opens a transaction of a tenant for which another node accounts. */
+    void beginWithAccountingNode() {
+        std::vector<pooling::ProxyNode> nodes;
+        for (const char* name : {"m1", "m2", "m3", "m4", "m5", "m6", "m7", "m8"}) {
+            nodes.push_back({NodeName(name), ZoneName("z"), "h", 1});
+        }
+        quotas.applyNodes(nodes);
+        submit(open("key-a"), StatementVerb::Begin);
+    }
     StatementFault lastFault() const {
         return replies.back().error->fault;
     }
@@ -182,13 +191,7 @@
 }
 
 TEST(TenantGate, AStatementWaitsForTheAnswerOfTheAccountingNode) {
-    std::vector<pooling::ProxyNode> nodes;
-    for (const char* name : {"m1", "m2", "m3", "m4", "m5", "m6", "m7", "m8"}) {
-        nodes.push_back({NodeName(name), ZoneName("z"), "h", 1});
-    }
-    quotas.applyNodes(nodes);
-    const SessionId session = open("key-a");
-    submit(session, StatementVerb::Begin);
+    beginWithAccountingNode();
     CHECK_TRUE(replies.empty());
     quotas.onQuotaAnswer(links.lastQuestion, QuotaAnswer{false, 1, {}, false});
     LONGS_EQUAL(1, replies.size());
@@ -196,13 +199,7 @@
 }
 
 TEST(TenantGate, AStatementWhoseAccountingNodeDoesNotAnswerEndsInTime) {
-    std::vector<pooling::ProxyNode> nodes;
-    for (const char* name : {"m1", "m2", "m3", "m4", "m5", "m6", "m7", "m8"}) {
-        nodes.push_back({NodeName(name), ZoneName("z"), "h", 1});
-    }
-    quotas.applyNodes(nodes);
-    const SessionId session = open("key-a");
-    submit(session, StatementVerb::Begin);
+    beginWithAccountingNode();
     clock.advance(milliseconds(60));
     CHECK_TRUE(*gate.nextTick() <= clock.now());
     gate.onTick(clock.now());
