--- a/src/failover/GroupFailover.h
+++ b/src/failover/GroupFailover.h
@@ -133,11 +133,11 @@
     bool isOwn(const PromotionRecord& record) const;
     bool mustLeaveToHolder(TimePoint now) const;
     Term nextTerm() const;
-    std::string describeMembers() const;
+    std::string describeMembers(TimePoint now) const;
     PromotionRecord recordOfSuccessor(pooling::PromotionPhase phase) const;
     void announce(TimePoint now);
     void call(TimePoint now);
-    void onCalled(PromoteOutcome outcome);
+    void onCalled(PromoteOutcome outcome, TimePoint calledAt);
     void confirmSuccessor(TimePoint now);
     void closeRecord(TimePoint now);
     void save(PromotionRecord record, void (GroupFailover::*done)(const SavedRecord&, TimePoint));
--- a/src/failover/MemberLink.cpp
+++ b/src/failover/MemberLink.cpp
@@ -129,7 +129,7 @@
 }
 
 void MemberLink::note(const Awaited& awaited, const ServerReport& report) {
-    const MemberAnswer answer{report, awaited.askedAt};
+    const MemberAnswer answer{report, awaited.askedAt, _clock.now()};
     _report = answer;
     if (awaited.kind == ServerCommand::Kind::Pause) {
         _paused = answer;
--- a/src/failover/MemberLink.h
+++ b/src/failover/MemberLink.h
@@ -15,6 +15,8 @@
     ServerReport report;
     /** When the command was sent. */
     TimePoint askedAt{};
+    /** When the answer arrived. */
+    TimePoint answeredAt{};
 };
 
 /**
--- a/src/failover/PromotionRecord.h
+++ b/src/failover/PromotionRecord.h
@@ -80,6 +80,9 @@
     Unknown,     /**< It may have been carried out, or may be later. */
 };
 
+/** @return a word for logs. */
+const char* describe(PromoteOutcome outcome);
+
 /** Asks the platform to promote a server. */
 class PromotionCaller {
 public:
--- a/src/failover/PromotionSteps.cpp
+++ b/src/failover/PromotionSteps.cpp
@@ -24,7 +24,7 @@
     return record;
 }
 
-void GroupFailover::announce(TimePoint /*now*/) {
+void GroupFailover::announce(TimePoint now) {
     _successorTerm = nextTerm();
     _successorPosition = link(_successor).report()->report.received;
     const PromotionRecord record = recordOfSuccessor(PromotionPhase::Promoting);
@@ -35,7 +35,9 @@
         .field("former", _former ? _former->value() : std::string("none"))
         .field("former_position", _formerPosition ? _formerPosition->position : 0)
         .field("secured_by", _formerPosition ? "step_down" : "paused_receivers")
-        .field("members", describeMembers());
+        .field("members", describeMembers(now))
+        .field("record_version", _record.version)
+        .field("record_holder", _record.holder);
     enter(Phase::Announcing);
     save(record, &GroupFailover::onAnnounced);
 }
@@ -75,16 +77,22 @@
         .field("fence", _record.version);
     _dependencies.caller.promote(
         _group, _successor, _record.version,
-        [this, alive = std::weak_ptr<bool>(_alive)](PromoteOutcome outcome) {
+        [this, alive = std::weak_ptr<bool>(_alive), now](PromoteOutcome outcome) {
             if (!alive.expired()) {
                 _busy = false;
-                onCalled(outcome);
+                onCalled(outcome, now);
             }
         });
 }
 
-void GroupFailover::onCalled(PromoteOutcome outcome) {
+void GroupFailover::onCalled(PromoteOutcome outcome, TimePoint calledAt) {
     const TimePoint now = _dependencies.clock.now();
+    LogEvent("failover", LogLevel::Info, "failover.promote_answered")
+        .field("group", _group)
+        .field("successor", _successor)
+        .field("outcome", describe(outcome))
+        .field("took_ms",
+               std::chrono::duration_cast<std::chrono::milliseconds>(now - calledAt).count());
     switch (outcome) {
         case PromoteOutcome::Accepted:
             enter(Phase::Confirming);
--- a/src/failover/SuccessorChoice.cpp
+++ b/src/failover/SuccessorChoice.cpp
@@ -210,19 +210,27 @@
     return best;
 }
 
-/** @return what each member has told, for logs: name, role, position, pause. */
-std::string GroupFailover::describeMembers() const {
+/**
+ * @return what each member has told, for logs: name, role, term, position, pause, the age of the
+ * answer and how long it took, so that a log shows whom a choice could not compare.
+ */
+std::string GroupFailover::describeMembers(TimePoint now) const {
+    const auto inMilliseconds = [](Duration time) {
+        return std::chrono::duration_cast<milliseconds>(time).count();
+    };
     std::ostringstream text;
-    for (const auto& [name, member] : _links) {
+    for (const auto& [name, link] : _links) {
         text << (text.tellp() > 0 ? ";" : "") << name << ':';
-        if (!member->report()) {
+        if (!link->report()) {
             text << "silent";
             continue;
         }
-        const ServerReport& report = member->report()->report;
+        const ServerReport& report = link->report()->report;
         text << (report.primary ? "primary" : "replica") << ',' << report.term << ','
              << report.received.term << '.' << report.received.position
-             << ",held=" << report.heldTerm;
+             << ",held=" << report.heldTerm
+             << ",age_ms=" << inMilliseconds(now - link->report()->answeredAt)
+             << ",took_ms=" << inMilliseconds(link->report()->answeredAt - link->report()->askedAt);
     }
     return text.str();
 }
