--- /dev/null
+++ b/src/failover/CommitQuorum.cpp
@@ -0,0 +1,95 @@
+#include "failover/CommitQuorum.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace coralhoist::failover {
+namespace {
+
+/** Servers besides the leader that have a commit when it is acknowledged: the groups' setting. */
+constexpr std::ptrdiff_t kReplicasOfACommit = 1;
+
+bool isReplica(const MemberView& member) {
+    return member.role == MemberRole::Following || member.role == MemberRole::Paused;
+}
+
+bool mayLead(const MemberView& member) {
+    return !isReplica(member);
+}
+
+/** A primary of an older term becomes a replica by itself once it reaches a newer one. */
+bool mayReceive(const MemberView& member) {
+    return member.role != MemberRole::Paused;
+}
+
+}  // namespace
+
+CommitQuorum::CommitQuorum(std::vector<MemberView> members, const ServerName& newestLeader)
+    : _members(std::move(members)), _newestLeader(newestLeader) {}
+
+const MemberView* CommitQuorum::find(const ServerName& server) const {
+    const auto found =
+        std::find_if(_members.begin(), _members.end(),
+                     [&server](const MemberView& member) { return member.server == server; });
+    return found == _members.end() ? nullptr : &*found;
+}
+
+const MemberView* CommitQuorum::formerLeader() const {
+    const MemberView* leader = find(_newestLeader);
+    if (leader == nullptr || !isReplica(*leader)) {
+        return nullptr;
+    }
+    // Whoever leads now, or has followed a later term, shows that the newest leader is another one.
+    const bool outdated =
+        std::any_of(_members.begin(), _members.end(), [leader](const MemberView& member) {
+            return member.role == MemberRole::Leading ||
+                   (member.role != MemberRole::Unknown && member.term > leader->term);
+        });
+    return outdated ? nullptr : leader;
+}
+
+bool CommitQuorum::mayAcknowledge() const {
+    // Members that are out of reach lead older terms at most, in which nobody follows them who has
+    // seen the newest one.
+    if (formerLeader() != nullptr) {
+        return false;
+    }
+    return std::any_of(_members.begin(), _members.end(), [this](const MemberView& leader) {
+        return mayLead(leader) &&
+               std::any_of(_members.begin(), _members.end(), [&leader](const MemberView& receiver) {
+                   return &receiver != &leader && mayReceive(receiver);
+               });
+    });
+}
+
+bool CommitQuorum::reachesFormerLeader(const ServerName& server) const {
+    const MemberView* leader = formerLeader();
+    const MemberView* candidate = find(server);
+    return leader != nullptr && candidate != nullptr && isReplica(*candidate) &&
+           candidate->received >= leader->received;
+}
+
+bool CommitQuorum::isBehind(const ServerName& server) const {
+    const MemberView* candidate = find(server);
+    return candidate != nullptr &&
+           std::any_of(_members.begin(), _members.end(), [candidate](const MemberView& member) {
+               return member.role != MemberRole::Unknown && member.received > candidate->received;
+           });
+}
+
+bool CommitQuorum::holdsAllCommits(const ServerName& server) const {
+    const MemberView* candidate = find(server);
+    if (candidate == nullptr || !isReplica(*candidate)) {
+        return false;
+    }
+    if (reachesFormerLeader(server)) {
+        return true;
+    }
+    const std::ptrdiff_t mayHaveMore =
+        std::count_if(_members.begin(), _members.end(), [candidate](const MemberView& member) {
+            return member.role == MemberRole::Unknown || member.received > candidate->received;
+        });
+    return mayHaveMore <= kReplicasOfACommit;
+}
+
+}  // namespace coralhoist::failover
--- a/src/failover/GroupFailover.cpp
+++ b/src/failover/GroupFailover.cpp
@@ -76,6 +76,29 @@
     if (announces) {
         _announcementSeenAt = _recordSeenAt;
     }
+    // The version is a claim only for whoever wrote it. Who went on under the version of another
+    // node's claim drove the same promotion beside that node.
+    if (isDriving() && record.holder != _dependencies.holder) {
+        giveUp("another node took the record over", kConflictPause);
+    }
+}
+
+/** @return whether the record is this node's claim to promote. */
+bool GroupFailover::isDriving() const {
+    switch (_phase) {
+        case Phase::Idle:
+        case Phase::Checking:
+        case Phase::Loading:
+        case Phase::Claiming:
+            return false;
+        case Phase::Securing:
+        case Phase::Announcing:
+        case Phase::Calling:
+        case Phase::Confirming:
+        case Phase::Closing:
+            return true;
+    }
+    return false;
 }
 
 void GroupFailover::onPrimary(const std::optional<pooling::Primary>& primary) {
@@ -137,7 +160,8 @@
     _links.clear();
     _former.reset();
     _securedAt.reset();
-    _formerPosition.reset();
+    ++_attempt;
+    _busy = false;
     _notBefore = _dependencies.clock.now() + pause;
     enter(Phase::Idle);
 }
@@ -222,13 +246,13 @@
     }
     _busy = true;
     const TimePoint askedAt = _dependencies.clock.now();
-    _dependencies.store.load(
-        _group, [this, alive = std::weak_ptr<bool>(_alive), askedAt](const LoadedRecord& loaded) {
-            if (!alive.expired()) {
-                _busy = false;
-                onLoaded(loaded, askedAt);
-            }
-        });
+    _dependencies.store.load(_group, [this, alive = std::weak_ptr<bool>(_alive), askedAt,
+                                      attempt = _attempt](const LoadedRecord& loaded) {
+        if (!alive.expired() && attempt == _attempt) {
+            _busy = false;
+            onLoaded(loaded, askedAt);
+        }
+    });
 }
 
 void GroupFailover::onLoaded(const LoadedRecord& loaded, TimePoint askedAt) {
@@ -261,6 +285,7 @@
         _successorTerm = _record.term;
         _successorPosition = _record.base;
         _announcedAt = askedAt;
+        _announcedVersion = _record.version;
         enter(Phase::Calling);
     } else if (own) {
         enterSecuring(now);
@@ -275,20 +300,23 @@
                          void (GroupFailover::*done)(const SavedRecord&, TimePoint)) {
     _busy = true;
     record.holder = _dependencies.holder;
+    ++record.renewals;
     const TimePoint askedAt = _dependencies.clock.now();
     _dependencies.store.save(_group, record,
-                             [this, alive = std::weak_ptr<bool>(_alive), record, done,
-                              askedAt](const SavedRecord& saved) {
+                             [this, alive = std::weak_ptr<bool>(_alive), record, done, askedAt,
+                              attempt = _attempt](const SavedRecord& saved) {
                                  if (alive.expired()) {
                                      return;
                                  }
-                                 _busy = false;
                                  if (saved.outcome == StoreOutcome::Done) {
                                      PromotionRecord written = record;
                                      written.version = saved.version;
                                      onRecord(written);
                                  }
-                                 (this->*done)(saved, askedAt);
+                                 if (attempt == _attempt) {
+                                     _busy = false;
+                                     (this->*done)(saved, askedAt);
+                                 }
                              });
 }
 
@@ -319,7 +347,6 @@
         .field("record_version", _record.version);
     _refreshedAt = now;
     _securedAt.reset();
-    _formerPosition.reset();
     enter(Phase::Securing);
     secure(now);
 }
@@ -350,18 +377,21 @@
         now - _phaseSince < kLeavingPatience) {
         return;
     }
-    orderFormers();
     if (successorLeads()) {
         enter(Phase::Confirming);
         return;
     }
+    orderFormers();
     // Looked at in each step: a replica that restarts has forgotten that it was paused.
-    if (!isFormerHarmless(now)) {
+    const CommitQuorum quorum = viewMembers(now);
+    if (quorum.mayAcknowledge()) {
         _securedAt.reset();
+        pauseReceivers(quorum, now);
         return;
     }
     _securedAt = _securedAt.value_or(now);
-    if (const std::optional<ServerName> successor = chooseSuccessor(now); successor && !_busy) {
+    const std::optional<ServerName> successor = chooseSuccessor(quorum, now);
+    if (successor && !_busy && !mustAwaitCall(*successor, now)) {
         _successor = *successor;
         announce(now);
     }
--- a/src/failover/GroupFailover.h
+++ b/src/failover/GroupFailover.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "base/Time.h"
+#include "failover/CommitQuorum.h"
 #include "failover/MemberLink.h"
 #include "failover/PromotionRecord.h"
 #include "pooling/ServerDirectory.h"
@@ -49,19 +50,18 @@
 /**
  * The failover of one group on one node.
  *
- * Protocol: (1) take the group's record in the store under its version; (2) make sure that the
- * former primary acknowledges no further commit: it steps down and tells its position, or every
- * other server that may receive from it is told to stop receiving; (3) choose a server that has
- * every acknowledged commit; (4) announce it in the record; the version of that write is the
- * fencing token; (5) call the promotion within a margin of the announcement; (6) see the successor
- * lead and close the record.
+ * Protocol: (1) take the group's record in the store under its version; (2) make sure that no
+ * commit is acknowledged any more: who leads steps down, and while a member is silent, every other
+ * one is told to stop receiving; (3) choose a server that has every acknowledged commit; (4)
+ * announce it in the record; the version of that write is the fencing token; (5) call the
+ * promotion within a margin of the announcement; (6) see the successor lead and close the record.
  *
  * A server has every acknowledged commit when its log has the base of the current term (commits of
- * earlier terms) and it is at least as long as the former primary's, or as every other receiver's
- * after the former primary can't acknowledge (commits of the current term). When no other server
+ * earlier terms) and CommitQuorum finds that it has those of the current term. When no other server
  * has them, the former primary is promoted again once it answers.
  *
- * Invariants: the record is changed only under the version that was read; a promotion is called
+ * Invariants: the record is changed only under a version that this node wrote, but for a claim,
+ * which names the version that was read; a promotion is called
  * only for the announced successor and within kCallMargin of the announcement, which is shorter
  * than the time after which another node takes a record over; once a server was told to stop
  * receiving, the promotion is carried on to its end, so nothing is ever resumed by mistake.
@@ -120,17 +120,20 @@
     void enterSecuring(TimePoint now);
     void secure(TimePoint now);
     void refreshRecord(TimePoint now);
-    bool isFormerHarmless(TimePoint now);
     void orderFormers();
-    bool pauseReceivers(TimePoint now);
-    bool mustBeHeard(const ServerName& name, const MemberLink& link, TimePoint now) const;
-    std::optional<ServerName> chooseSuccessor(TimePoint now);
-    bool heardAllSince(TimePoint since, TimePoint now);
-    std::optional<ServerName> mostAdvanced(TimePoint now) const;
+    void pauseReceivers(const CommitQuorum& quorum, TimePoint now);
+    bool isGone(const ServerName& name, const MemberLink& member, TimePoint now) const;
+    bool isAddressTaken(const pooling::ListedServer& server) const;
+    ServerName newestLeader() const;
+    CommitQuorum viewMembers(TimePoint now) const;
+    std::optional<ServerName> chooseSuccessor(const CommitQuorum& quorum, TimePoint now) const;
+    bool mustAwaitCall(const ServerName& successor, TimePoint now) const;
+    std::optional<ServerName> mostAdvanced(const CommitQuorum& quorum, TimePoint now) const;
     bool isFresh(const MemberLink& member, TimePoint now) const;
     bool holdsEarlierTerms(const OpTime& position) const;
     bool isSuccessorReady(TimePoint now) const;
     bool isOwn(const PromotionRecord& record) const;
+    bool isDriving() const;
     bool mustLeaveToHolder(TimePoint now) const;
     Term nextTerm() const;
     std::string describeMembers(TimePoint now) const;
@@ -174,18 +177,23 @@
     TimePoint _nextTick{};
     TimePoint _notBefore{};
     bool _busy = false;
+    /** Counts attempts, so that an answer that belongs to an abandoned one changes nothing. */
+    std::uint64_t _attempt = 0;
     /** Pause after a reading that the store did not answer; grows while it does not. */
     Duration _storePause{0};
     /** The server to be replaced, if it is known. */
     std::optional<ServerName> _former;
     /** Since when no former primary can acknowledge a commit. */
     std::optional<TimePoint> _securedAt;
-    std::optional<OpTime> _formerPosition;
+    /** When a promotion of the successor was called for last without an answer. */
+    std::optional<TimePoint> _unansweredCallAt;
     ServerName _successor;
     Term _successorTerm = 0;
     OpTime _successorPosition;
     std::map<ServerName, TimePoint> _notRunning;
     TimePoint _announcedAt{};
+    /** Version of the record that announced the successor. */
+    std::uint64_t _announcedVersion = 0;
     /** When this node learnt of the newest announcement; never before it was written. */
     TimePoint _announcementSeenAt{};
     TimePoint _refreshedAt{};
--- a/src/failover/MemberLink.cpp
+++ b/src/failover/MemberLink.cpp
@@ -8,8 +8,12 @@
 
 using pooling::ServerCommand;
 
-/** A connection or a command may take so long. */
-constexpr Duration kPatience = std::chrono::milliseconds(500);
+/**
+ * A connection and a command may take so long. Servers whose slots are full answered questions
+ * after up to 1,141 ms; who gives up earlier never hears them, and a promotion waits for ever.
+ */
+constexpr Duration kOpenPatience = std::chrono::milliseconds(1000);
+constexpr Duration kAnswerPatience = std::chrono::milliseconds(1500);
 constexpr Duration kReconnectPause = std::chrono::milliseconds(100);
 
 }  // namespace
@@ -77,8 +81,8 @@
 }
 
 void MemberLink::onTick(TimePoint now) {
-    const bool lateOpening = _connection && !_opened && now - _attemptedAt > kPatience;
-    const bool lateAnswer = !_sent.empty() && now - _sent.front().askedAt > kPatience;
+    const bool lateOpening = _connection && !_opened && now - _attemptedAt > kOpenPatience;
+    const bool lateAnswer = !_sent.empty() && now - _sent.front().askedAt > kAnswerPatience;
     if (lateOpening || lateAnswer) {
         drop();
     }
@@ -94,6 +98,7 @@
 void MemberLink::onOpened(ConnectionId /*connection*/, OpTime /*position*/) {
     _opened = true;
     _refused = false;
+    _replaced = false;
     _heardAt = _clock.now();
     std::deque<Awaited> waiting;
     waiting.swap(_waiting);
@@ -109,6 +114,7 @@
         _heardAt = _clock.now();
     }
     _refused = !refusal;
+    _replaced = refusal && refusal->fault == pooling::StatementFault::WrongServer;
     _nextAttempt = _clock.now() + kReconnectPause;
 }
 
@@ -141,8 +147,10 @@
 void MemberLink::onLost(ConnectionId /*connection*/) {
     _connection.reset();
     drop();
-    // A replica that restarted has forgotten its pause.
+    // It may have restarted: a replica receives again then, and a primary may lead again.
+    _report.reset();
     _paused.reset();
+    _steppedDown.reset();
 }
 
 }  // namespace coralhoist::failover
--- a/src/failover/MemberLink.h
+++ b/src/failover/MemberLink.h
@@ -54,6 +54,9 @@
     /** @return whether the last attempt to connect was turned away at once. */
     bool isRefused() const { return _refused; }
 
+    /** @return whether another server answered at the address: this one has ended. */
+    bool isReplaced() const { return _replaced; }
+
     const pooling::ServerAddress& address() const { return _address; }
 
 private:
@@ -81,6 +84,7 @@
     std::optional<ConnectionId> _connection;
     bool _opened = false;
     bool _refused = false;
+    bool _replaced = false;
     TimePoint _createdAt{};
     TimePoint _attemptedAt{};
     TimePoint _nextAttempt{};
--- a/src/failover/PromotionRecord.h
+++ b/src/failover/PromotionRecord.h
@@ -29,6 +29,11 @@
      * earlier terms are at or below it, so a server that lacks it may lack some of them.
      */
     OpTime base;
+    /**
+     * Counts the holder's writes. The store takes a write of the same content for no change and
+     * raises no version, so that without it nobody could see that the holder still drives.
+     */
+    std::uint64_t renewals = 0;
     /** Version in the store; 0 when there is no record. */
     std::uint64_t version = 0;
 
--- a/src/failover/PromotionSteps.cpp
+++ b/src/failover/PromotionSteps.cpp
@@ -33,8 +33,8 @@
         .field("successor", _successor)
         .field("term", _successorTerm)
         .field("former", _former ? _former->value() : std::string("none"))
-        .field("former_position", _formerPosition ? _formerPosition->position : 0)
-        .field("secured_by", _formerPosition ? "step_down" : "paused_receivers")
+        .field("secured_by",
+               viewMembers(now).formerLeader() != nullptr ? "step_down" : "paused_receivers")
         .field("members", describeMembers(now))
         .field("record_version", _record.version)
         .field("record_holder", _record.holder);
@@ -46,6 +46,7 @@
     switch (saved.outcome) {
         case StoreOutcome::Done:
             _announcedAt = askedAt;
+            _announcedVersion = saved.version;
             enter(Phase::Calling);
             return;
         case StoreOutcome::Conflict:
@@ -75,14 +76,14 @@
         .field("group", _group)
         .field("successor", _successor)
         .field("fence", _record.version);
-    _dependencies.caller.promote(
-        _group, _successor, _record.version,
-        [this, alive = std::weak_ptr<bool>(_alive), now](PromoteOutcome outcome) {
-            if (!alive.expired()) {
-                _busy = false;
-                onCalled(outcome, now);
-            }
-        });
+    _dependencies.caller.promote(_group, _successor, _record.version,
+                                 [this, alive = std::weak_ptr<bool>(_alive), now,
+                                  attempt = _attempt](PromoteOutcome outcome) {
+                                     if (!alive.expired() && attempt == _attempt) {
+                                         _busy = false;
+                                         onCalled(outcome, now);
+                                     }
+                                 });
 }
 
 void GroupFailover::onCalled(PromoteOutcome outcome, TimePoint calledAt) {
@@ -104,8 +105,11 @@
             _notRunning[_successor] = now + kNotRunningPause;
             enterSecuring(now);
             return;
-        case PromoteOutcome::Unavailable:
         case PromoteOutcome::Unknown:
+            _unansweredCallAt = now;
+            _nextTick = now + kBusyStep * 3;
+            return;
+        case PromoteOutcome::Unavailable:
             _nextTick = now + kBusyStep * 3;
             return;
     }
@@ -119,7 +123,9 @@
     MemberLink& successor = link(_successor);
     const std::optional<MemberAnswer>& report = successor.report();
     const ListedServer* server = listed(_successor);
+    // An earlier announcement is of an earlier leadership of the same server.
     const bool announced = server != nullptr && !server->removed &&
+                           server->announcement.version > _announcedVersion &&
                            server->announcement.role == pooling::ServerRole::Primary;
     if (announced || (report && report->report.primary && report->askedAt >= _phaseSince)) {
         if (report && report->report.primary) {
--- a/src/failover/SuccessorChoice.cpp
+++ b/src/failover/SuccessorChoice.cpp
@@ -1,6 +1,8 @@
 /** Keeping former primaries from committing, and the choice of a successor. */
 #include <algorithm>
 #include <sstream>
+#include <utility>
+#include <vector>
 
 #include "failover/GroupFailover.h"
 
@@ -12,21 +14,25 @@
 using pooling::ServerCommand;
 using std::chrono::milliseconds;
 
-/** A former primary that says nothing for so long counts as out of reach. */
-constexpr Duration kFormerPatience = milliseconds(350);
-/** A server whose announcement is gone need not be heard when it is silent for so long. */
-constexpr Duration kRemovedPatience = milliseconds(700);
-/** ... and its announcement has been gone for so long, unless it refuses connections: it may only
- * be cut off from the store and from this node, and still receive. */
+/** Silent members make the others be paused after this time; nothing is concluded from silence. */
+constexpr Duration kSilencePatience = milliseconds(350);
+/**
+ * A server counts as gone when its announcement has been removed for the first time and it has
+ * been silent for the second. Announcements of servers that live come back within about 2 s;
+ * servers with full slots answered after up to 1,141 ms.
+ */
 constexpr Duration kRemovedFor = milliseconds(4000);
+constexpr Duration kRemovedPatience = milliseconds(2000);
 /** Grace in which a replica may catch up with a former primary that has stepped down. */
 constexpr Duration kCatchUpGrace = milliseconds(250);
-/** What a server has told counts for so long. */
+/** What a server has told counts for so long, and for twice the time that its answer took. */
 constexpr Duration kReportHolds = milliseconds(400);
 /** Records by which a successor may still be behind a primary that leaves. */
 constexpr LogPosition kNearlyCaughtUp = 2;
 /** A former primary is promoted again when no other server has all commits for so long. */
 constexpr Duration kRepromoteAfter = milliseconds(600);
+/** A promotion call without an answer may be carried out so much later. */
+constexpr Duration kLateCall = milliseconds(2500);
 
 }  // namespace
 
@@ -59,108 +65,153 @@
     return true;
 }
 
-/** Everyone who still leads in an older term is told to step down. */
+/** Everyone who leads is told to step down, and a suspected primary that has told nothing yet. */
 void GroupFailover::orderFormers() {
     const Term term = nextTerm();
     for (const auto& [name, member] : _links) {
         const bool suspected = _former && name == *_former && !member->report();
         const bool leads = member->report() && member->report()->report.primary;
-        const bool stepped = member->steppedDown() && !member->steppedDown()->report.primary;
-        if ((leads || suspected) && !stepped) {
+        if (leads) {
             _former = name;
+        }
+        if (leads || suspected) {
             member->request(ServerCommand::Kind::StepDown, term);
         }
     }
 }
 
-/** @return whether no former primary can acknowledge a commit any more. */
-bool GroupFailover::isFormerHarmless(TimePoint now) {
-    const auto former = _former ? _links.find(*_former) : _links.end();
-    if (former != _links.end() && former->second->report()) {
-        const MemberAnswer& answer = *former->second->report();
-        if (!answer.report.primary && answer.askedAt >= _phaseSince) {
-            _formerPosition = answer.report.received;
-            return true;
-        }
+/**
+ * While some member is silent, it may lead, so that no other may receive. A replica that has
+ * restarted has forgotten its pause and is told again.
+ */
+void GroupFailover::pauseReceivers(const CommitQuorum& quorum, TimePoint now) {
+    if (quorum.formerLeader() != nullptr) {
+        return;
+    }
+    const bool silent =
+        std::any_of(_links.begin(), _links.end(), [this, &quorum, now](const auto& entry) {
+            const MemberView* member = quorum.find(entry.first);
+            const TimePoint heard =
+                std::max(_phaseSince, entry.second->heardAt().value_or(_phaseSince));
+            return member != nullptr && member->role == MemberRole::Unknown &&
+                   (entry.second->isRefused() || now - heard > kSilencePatience);
+        });
+    if (!silent) {
+        return;
     }
-    const bool outOfReach =
-        former == _links.end() || former->second->isRefused() ||
-        now - std::max(_phaseSince, former->second->heardAt().value_or(_phaseSince)) >
-            kFormerPatience;
-    return outOfReach && now - _phaseSince > milliseconds(0) && pauseReceivers(now);
-}
-
-/** @return whether every server that may receive from the former primary has stopped to. */
-bool GroupFailover::pauseReceivers(TimePoint now) {
     const Term term = nextTerm();
-    bool all = true;
     for (const auto& [name, member] : _links) {
-        if (_former && name == *_former) {
-            continue;
+        const MemberView* view = quorum.find(name);
+        const bool paused = view != nullptr && view->role == MemberRole::Paused;
+        if (!paused) {
+            member->request(ServerCommand::Kind::Pause, term);
         }
-        if (member->paused()) {
-            continue;
-        }
-        member->request(ServerCommand::Kind::Pause, term);
-        all = all && !mustBeHeard(name, *member, now);
     }
-    return all;
 }
 
-bool GroupFailover::mustBeHeard(const ServerName& name, const MemberLink& member,
-                                TimePoint now) const {
+/** @return whether the server has ended, so that it neither leads nor receives. */
+bool GroupFailover::isGone(const ServerName& name, const MemberLink& member, TimePoint now) const {
     const ListedServer* server = listed(name);
     if (server == nullptr) {
-        return false;
+        return true;
     }
     if (!server->removed) {
-        return true;
+        return member.isReplaced() && isAddressTaken(*server);
     }
     const bool longGone = now - server->removedAt >= kRemovedFor;
-    return !member.isRefused() && !(longGone && member.isSilentFor(kRemovedPatience, now));
+    return member.isRefused() || member.isReplaced() ||
+           (longGone && member.isSilentFor(kRemovedPatience, now));
 }
 
-bool GroupFailover::heardAllSince(TimePoint since, TimePoint now) {
+/** @return whether another server is listed at the address: it has the log of the former one. */
+bool GroupFailover::isAddressTaken(const ListedServer& server) const {
+    const pooling::ServerAddress& address = server.announcement.address;
+    return std::any_of(_servers.begin(), _servers.end(), [&address](const auto& entry) {
+        const pooling::ServerAddress& other = entry.second.announcement.address;
+        return !entry.second.removed && other.server != address.server &&
+               other.host == address.host && other.port == address.port;
+    });
+}
+
+/**
+ * The record names the newest leader, for no server is promoted without it. While a promotion is
+ * announced, its successor may lead or not; then nobody is certain.
+ */
+ServerName GroupFailover::newestLeader() const {
+    if (_record.phase == PromotionPhase::Promoting) {
+        return {};
+    }
+    if (_record.term > 0) {
+        return _record.successor;
+    }
+    return _former.value_or(ServerName());
+}
+
+CommitQuorum GroupFailover::viewMembers(TimePoint now) const {
+    std::vector<MemberView> members;
     for (const auto& [name, member] : _links) {
-        if (_former && name == *_former) {
+        if (isGone(name, *member, now)) {
             continue;
         }
-        const bool heard = member->report() && member->report()->askedAt >= since;
-        if (!heard && mustBeHeard(name, *member, now)) {
-            return false;
+        MemberView view;
+        view.server = name;
+        if (isFresh(*member, now) && member->report()->askedAt >= _phaseSince) {
+            const ServerReport& report = member->report()->report;
+            const bool paused = member->paused() && report.heldTerm > 0 &&
+                                report.heldTerm >= member->paused()->report.heldTerm;
+            view.role = report.primary ? MemberRole::Leading
+                        : paused       ? MemberRole::Paused
+                                       : MemberRole::Following;
+            view.term = report.term;
+            view.received = report.received;
         }
+        members.push_back(view);
     }
-    return true;
+    return {std::move(members), newestLeader()};
 }
 
-std::optional<ServerName> GroupFailover::chooseSuccessor(TimePoint now) {
-    std::optional<ServerName> best = mostAdvanced(now);
-    const OpTime position = best ? _links.at(*best)->report()->report.received : OpTime{};
-    if (best && _formerPosition && position >= *_formerPosition) {
+std::optional<ServerName> GroupFailover::chooseSuccessor(const CommitQuorum& quorum,
+                                                         TimePoint now) const {
+    const std::optional<ServerName> best = mostAdvanced(quorum, now);
+    if (best && quorum.reachesFormerLeader(*best)) {
         return best;
     }
-    if (_formerPosition && now - *_securedAt < kCatchUpGrace) {
+    if (best && quorum.isBehind(*best) && now - *_securedAt < kCatchUpGrace) {
         return std::nullopt;
     }
-    // What was acknowledged in this term is on a receiver: the most advanced of all has it.
-    const bool complete = !_formerPosition || heardAllSince(*_securedAt, now);
-    if (best && complete && holdsEarlierTerms(position)) {
+    const auto isSafe = [this, &quorum](const ServerName& server) {
+        return quorum.holdsAllCommits(server) && holdsEarlierTerms(quorum.find(server)->received);
+    };
+    if (best && isSafe(*best)) {
         return best;
     }
-    const bool formerOnly = _formerPosition && now - *_securedAt > kRepromoteAfter &&
-                            isFresh(*_links.at(*_former), now);
+    const bool formerOnly = _former && now - *_securedAt > kRepromoteAfter && isSafe(*_former);
     return formerOnly ? _former : std::nullopt;
 }
 
+/**
+ * A call for the announced successor that was not answered may still be carried out; it would
+ * replace another successor that has acknowledged commits by then.
+ */
+bool GroupFailover::mustAwaitCall(const ServerName& successor, TimePoint now) const {
+    return _unansweredCallAt && now - *_unansweredCallAt < kLateCall && successor != _successor;
+}
+
 /** @return whether a log up to there has all commits acknowledged before the current term. */
 bool GroupFailover::holdsEarlierTerms(const OpTime& position) const {
-    // A successor that is long gone took its log with it; nothing better will come.
-    const bool baseIsGone = !_servers.contains(_record.successor);
+    // A successor that is gone took its log with it; nothing better will come. One whose
+    // announcement lapsed while it lives is listed again before the time is over.
+    const bool baseIsGone = !_servers.contains(_record.successor) &&
+                            _dependencies.clock.now() - _phaseSince >= kRemovedFor;
     return baseIsGone || position >= _record.base;
 }
 
 bool GroupFailover::isFresh(const MemberLink& member, TimePoint now) const {
-    return member.report() && now - member.report()->askedAt < kReportHolds;
+    if (!member.report()) {
+        return false;
+    }
+    const MemberAnswer& answer = *member.report();
+    return now - answer.askedAt < kReportHolds + 2 * (answer.answeredAt - answer.askedAt);
 }
 
 /** @return whether a server that stays has nearly all that the leaving primary has. */
@@ -182,28 +233,31 @@
     });
 }
 
-/** @return the running server with the longest log; of equals, one that stays. */
-std::optional<ServerName> GroupFailover::mostAdvanced(TimePoint now) const {
+/** @return the replica with the longest log but the former primary; of equals, one that stays. */
+std::optional<ServerName> GroupFailover::mostAdvanced(const CommitQuorum& quorum,
+                                                      TimePoint now) const {
     std::optional<ServerName> best;
     OpTime bestPosition;
     bool bestStays = false;
-    for (const auto& [name, member] : _links) {
-        const ListedServer* server = listed(name);
-        const auto stopped = _notRunning.find(name);
+    for (const MemberView& member : quorum.members()) {
+        const ListedServer* server = listed(member.server);
+        const auto stopped = _notRunning.find(member.server);
         const bool excluded = stopped != _notRunning.end() && now < stopped->second;
-        const bool former = _former && name == *_former;
-        if (!isFresh(*member, now) || server == nullptr || excluded || former) {
+        const bool former = _former && member.server == *_former;
+        const bool replica =
+            member.role == MemberRole::Following || member.role == MemberRole::Paused;
+        if (!replica || server == nullptr || excluded || former) {
             continue;
         }
-        const OpTime position = member->report()->report.received;
         const bool stays = !server->removed && !server->announcement.draining;
         const bool announced =
-            _record.phase == PromotionPhase::Promoting && name == _record.successor;
-        const bool better = !best || position > bestPosition ||
-                            (position == bestPosition && (announced || (stays && !bestStays)));
+            _record.phase == PromotionPhase::Promoting && member.server == _record.successor;
+        const bool better =
+            !best || member.received > bestPosition ||
+            (member.received == bestPosition && (announced || (stays && !bestStays)));
         if (better) {
-            best = name;
-            bestPosition = position;
+            best = member.server;
+            bestPosition = member.received;
             bestStays = stays;
         }
     }
--- a/tests/failover/LostCommitTest.cpp
+++ b/tests/failover/LostCommitTest.cpp
@@ -120,5 +120,40 @@
     UNSIGNED_LONGS_EQUAL(0, two.judge.violations().size());
 }
 
+/**
+ * Order of events: a node that secures is cut off from the store for its writes; a second node
+ * takes the record over when it has not been renewed for 3.3 s; the first one sees that on its
+ * watch. Cause: it went on, under the version of the other's claim.
+ */
+TEST(LostCommit, ANodeWhoseRecordWasTakenOverStops) {
+    FailoverFixture two(2);
+    two.commit(kCommitsOfAll);
+    two.server(2).deaf = true;
+    two.commit(kCommitsOfOne);
+    for (FailoverNode& node : two.nodes) {
+        node.connector->faults().cut.insert(two.server(1).name);
+    }
+    two.group.crash(two.server(0));
+    two.suspect(0, SuspicionReason::Unreachable);
+    while (two.record().phase == PromotionPhase::None) {
+        two.run(milliseconds(2));
+    }
+    two.nodes[0].client->setCut(true);
+    while (two.record().holder != "n2/1") {
+        two.run(milliseconds(2));
+    }
+    two.nodes[0].client->setCut(false);
+    two.run(milliseconds(20));
+    CHECK_TRUE(two.failover(0).isIdle());
+    for (FailoverNode& node : two.nodes) {
+        node.connector->faults().cut.clear();
+    }
+    two.run(seconds(4));
+    UNSIGNED_LONGS_EQUAL(0, two.failover(0).promotions());
+    UNSIGNED_LONGS_EQUAL(1, two.failover(1).promotions());
+    CHECK_TRUE(two.server(1).primary);
+    UNSIGNED_LONGS_EQUAL(0, two.judge.violations().size());
+}
+
 }  // namespace
 }  // namespace coralhoist::pooled
