--- a/tests/failover/FailoverFixture.cpp
+++ b/tests/failover/FailoverFixture.cpp
@@ -57,7 +57,14 @@
 void FailoverFixture::follow(FailoverNode& node) {
     pooling::ServerDirectory directory;
     for (const pooling::ServerAnnouncement& announcement : group.announcements()) {
+        if (unlisted.contains(announcement.address.server)) {
+            continue;
+        }
         directory.put(announcement);
+        const auto lapsed = removed.find(announcement.address.server);
+        if (lapsed != removed.end()) {
+            directory.remove(lapsed->first, announcement.version, lapsed->second);
+        }
     }
     node.failover->onDirectory(directory.serversOf(group.name()));
     node.failover->onRecord(store.record(group.name()));
--- a/tests/failover/FailoverFixture.h
+++ b/tests/failover/FailoverFixture.h
@@ -1,7 +1,9 @@
 /** One group, its store, and failovers of several nodes, in virtual time. */
 #pragma once
 
+#include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -47,6 +49,10 @@
     LogGroup group;
     RecordStore store;
     std::vector<FailoverNode> nodes;
+    /** Servers whose announcement has lapsed or was removed, and since when. */
+    std::map<ServerName, TimePoint> removed;
+    /** Servers that no node's list has: lapsed before the node began, or forgotten since. */
+    std::set<ServerName> unlisted;
 
 private:
     void step();
--- /dev/null
+++ b/tests/failover/ReviewTest.cpp
@@ -0,0 +1,203 @@
+/** Orders of events, allowed by the servers' protocol, in which a promotion may lose commits, be driven twice or never end.
+ */
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <string>
+
+#include "FailoverFixture.h"
+
+namespace coralhoist::pooled {
+namespace {
+
+using pooling::PromotionPhase;
+using pooling::SuspicionReason;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_GROUP(Review) {
+    FailoverFixture fixture;
+
+    /** Server 1 has 62 commits, server 2 only 11 of them. */
+    void commitWithADeafReplica() {
+        fixture.commit(11);
+        fixture.server(2).deaf = true;
+        fixture.commit(51);
+    }
+
+    void checkNothingIsLost() {
+        for (const std::string& violation : fixture.judge.violations()) {
+            FAIL(violation.c_str());
+        }
+    }
+};
+
+/**
+ * The primary crashes for good; the node does not reach the replica with all commits. The dead
+ * primary's announcement lapses after three heartbeats, as every dead server's does, and its
+ * machine refuses connections. It leaves the count of members, so that the replica that is out of
+ * reach is the one that "may have more": but the commits were on these two.
+ */
+TEST(Review, AGonePrimaryLeavesNoToleranceForAnUnknownReplica) {
+    commitWithADeafReplica();
+    fixture.nodes[0].connector->faults().cut.insert(fixture.server(1).name);
+    fixture.group.crash(fixture.server(0));
+    fixture.suspect(0, SuspicionReason::Unreachable);
+    fixture.run(seconds(3));
+    checkNothingIsLost();
+    fixture.removed[fixture.server(0).name] = fixture.queue.now();
+    fixture.run(seconds(10));
+    checkNothingIsLost();
+    CHECK_FALSE(fixture.server(2).primary);
+}
+
+/** The same, and the replica with all commits answers, but later than questions are waited for. */
+TEST(Review, AGonePrimaryLeavesNoToleranceForALateReplica) {
+    commitWithADeafReplica();
+    fixture.server(1).orderDelay = milliseconds(1600);
+    fixture.group.crash(fixture.server(0));
+    fixture.suspect(0, SuspicionReason::Unreachable);
+    fixture.run(seconds(3));
+    checkNothingIsLost();
+    fixture.removed[fixture.server(0).name] = fixture.queue.now();
+    fixture.run(seconds(10));
+    checkNothingIsLost();
+}
+
+/** Primary and the replica with all commits crash and come back; their announcements lapse between. */
+TEST(Review, ServersThatCrashedComeBackWithTheirCommits) {
+    commitWithADeafReplica();
+    fixture.group.crash(fixture.server(0));
+    fixture.group.crash(fixture.server(1));
+    fixture.suspect(0, SuspicionReason::Unreachable);
+    fixture.run(seconds(3));
+    fixture.removed[fixture.server(0).name] = fixture.queue.now();
+    fixture.removed[fixture.server(1).name] = fixture.queue.now();
+    fixture.run(seconds(6));
+    checkNothingIsLost();
+}
+
+/** The dead primary's announcement has lapsed; the chosen replica restarts, and the call says so. */
+TEST(Review, AReplicaThatRestartsIsNotReplacedByAShorterLog) {
+    commitWithADeafReplica();
+    fixture.nodes[0].connector->faults().cut.insert(fixture.server(1).name);
+    fixture.group.crash(fixture.server(0));
+    fixture.removed[fixture.server(0).name] = fixture.queue.now();
+    fixture.nodes[0].connector->faults().cut.clear();
+    fixture.suspect(0, SuspicionReason::Unreachable);
+    while (fixture.record().phase != PromotionPhase::Promoting) {
+        fixture.run(std::chrono::microseconds(500));
+    }
+    CHECK_TRUE(fixture.record().successor == fixture.server(1).name);
+    fixture.group.crash(fixture.server(1));
+    fixture.run(milliseconds(100));
+    fixture.group.restart(fixture.server(1));
+    fixture.run(seconds(8));
+    checkNothingIsLost();
+}
+
+/** A node whose list lacks the primary and a replica, both alive: after an outage of the store. */
+TEST(Review, AnIncompleteListProvesNothing) {
+    commitWithADeafReplica();
+    fixture.unlisted.insert(fixture.server(0).name);
+    fixture.unlisted.insert(fixture.server(1).name);
+    fixture.nodes[0].primary.reset();
+    for (int step = 0; step < 300; ++step) {
+        fixture.run(milliseconds(10));
+        fixture.nodes[0].primary.reset();
+        fixture.failover(0).onPrimary(std::nullopt);
+    }
+    checkNothingIsLost();
+}
+
+/**
+ * The replicas answer after 700 ms, the primary at once; it leaves. Both replicas told the same
+ * position; then one is cut off from it, and the other goes on receiving until the primary has
+ * stepped down. What a receiver told before that moment is no bound of what it has.
+ */
+TEST(Review, APositionToldBeforeThePrimaryStoppedIsNoBound) {
+    fixture.commit(11);
+    fixture.server(1).orderDelay = milliseconds(700);
+    fixture.server(2).orderDelay = milliseconds(700);
+    fixture.server(0).draining = true;
+    while (fixture.record().phase == PromotionPhase::None) {
+        fixture.run(milliseconds(1));
+    }
+    // Both have answered; the primary has not been told to step down, or not done so yet.
+    fixture.run(milliseconds(700));
+    fixture.server(0).orderDelay = milliseconds(120);
+    fixture.server(1).deaf = true;
+    fixture.commit(60);
+    fixture.run(seconds(6));
+    checkNothingIsLost();
+}
+
+/**
+ * A node announces, and is frozen for less than the time after which another one takes over; a
+ * paused replica restarts meanwhile and receives again from the primary, which others still reach.
+ * The node announces anew, without looking at the members again.
+ */
+TEST(Review, AnAnnouncementIsNotRenewedOnOldEvidence) {
+    fixture.commit(11);
+    fixture.nodes[0].connector->faults().cut.insert(fixture.server(0).name);
+    fixture.suspect(0, SuspicionReason::Silent);
+    while (fixture.record().phase != PromotionPhase::Promoting) {
+        fixture.run(milliseconds(1));
+    }
+    const bool firstChosen = fixture.record().successor == fixture.server(1).name;
+    LogServer& other = fixture.server(firstChosen ? 2 : 1);
+    fixture.nodes[0].activity->freeze();
+    fixture.group.crash(other);
+    fixture.run(milliseconds(500));
+    fixture.group.restart(other);
+    fixture.commit(100);
+    fixture.run(milliseconds(1500));
+    fixture.nodes[0].activity->thaw();
+    fixture.run(seconds(5));
+    checkNothingIsLost();
+}
+
+/** All servers answer equally late, the primary lives: the promotion ends, or it leads on. */
+TEST(Review, LateAnswersOfAllServersDoNotStopTheGroup) {
+    for (const int delay : {200, 400, 600, 700, 750, 800, 900, 1000, 1100, 1200, 1300, 1400}) {
+        for (const bool crash : {false, true}) {
+            FailoverFixture slow;
+            slow.commit(11);
+            for (std::size_t index = 0; index < 3; ++index) {
+                slow.server(index).orderDelay = milliseconds(delay);
+            }
+            if (crash) {
+                slow.group.crash(slow.server(0));
+            }
+            slow.suspect(0, SuspicionReason::WritesUnanswered);
+            Duration waited{0};
+            do {
+                slow.run(milliseconds(50));
+                waited += milliseconds(50);
+            } while (waited < seconds(40) && (slow.record().version == 0 || !slow.failover(0).isIdle() || slow.group.promotions() == 0));
+            printf("delay %d crash %d: %lld ms, promotions %llu\n", delay, crash,
+                   (long long)std::chrono::duration_cast<milliseconds>(waited).count(),
+                   (unsigned long long)slow.group.promotions());
+            CHECK_TRUE(slow.group.promotions() > 0);
+            for (const std::string& violation : slow.judge.violations()) {
+                FAIL(violation.c_str());
+            }
+        }
+    }
+}
+
+/** A server that answers after 1.6 s each time, faults over otherwise: the group gets a primary. */
+TEST(Review, AServerThatAlwaysAnswersLateDoesNotStopTheGroupForEver) {
+    commitWithADeafReplica();
+    fixture.server(2).deaf = false;
+    fixture.server(1).orderDelay = milliseconds(1600);
+    fixture.server(2).orderDelay = milliseconds(1600);
+    fixture.group.crash(fixture.server(0));
+    fixture.suspect(0, SuspicionReason::Unreachable);
+    fixture.run(seconds(30));
+    CHECK_TRUE(fixture.group.promotions() > 0);
+}
+
+}  // namespace
+}  // namespace coralhoist::pooled
