--- a/tests/failover/FailoverFixture.cpp
+++ b/tests/failover/FailoverFixture.cpp
@@ -70,6 +70,9 @@
     node.failover->onRecord(store.record(group.name()));
     node.primary.reset();
     for (const auto& server : group.servers()) {
+        if (unlisted.contains(server->name) || removed.contains(server->name)) {
+            continue;
+        }
         if (server->primary && (!node.primary || server->term > node.primary->term)) {
             node.primary = pooling::Primary{server->name, server->term};
         }
