--- a/tests/failover/ReviewTest.cpp
+++ b/tests/failover/ReviewTest.cpp
@@ -16,6 +16,30 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+/** A store whose answers to writes reach the node later than its watch does. */
+class LateStore final : public failover::PromotionStore {
+public:
+    LateStore(failover::PromotionStore& store, simulation::EventQueue& queue, Duration late)
+        : _store(store), _queue(queue), _late(late) {}
+
+    void load(const GroupName& group,
+              std::function<void(const failover::LoadedRecord&)> callback) override {
+        _store.load(group, std::move(callback));
+    }
+
+    void save(const GroupName& group, const failover::PromotionRecord& record,
+              std::function<void(const failover::SavedRecord&)> callback) override {
+        _store.save(group, record, [this, callback](const failover::SavedRecord& saved) {
+            _queue.after(_late, [callback, saved] { callback(saved); });
+        });
+    }
+
+private:
+    failover::PromotionStore& _store;
+    simulation::EventQueue& _queue;
+    Duration _late;
+};
+
 TEST_GROUP(Review) {
     FailoverFixture fixture;
 
@@ -65,6 +89,21 @@
     checkNothingIsLost();
 }
 
+/**
+ * The only replica that receives ends for good, and its entry goes; the other one is cut off from
+ * the primary. Writes stay unanswered, so the primary, which lives and has all, steps down. It is
+ * one that has more, so the short log counts as good, and comes before the former primary.
+ */
+TEST(Review, AGoneReplicaLeavesNoToleranceForTheFormerPrimary) {
+    commitWithADeafReplica();
+    fixture.group.crash(fixture.server(1));
+    fixture.removed[fixture.server(1).name] = fixture.queue.now();
+    fixture.suspect(0, SuspicionReason::WritesUnanswered);
+    fixture.run(seconds(6));
+    checkNothingIsLost();
+    CHECK_TRUE(fixture.server(0).primary);
+}
+
 /** Primary and the replica with all commits crash and come back; their announcements lapse between. */
 TEST(Review, ServersThatCrashedComeBackWithTheirCommits) {
     commitWithADeafReplica();
@@ -155,6 +194,71 @@
     checkNothingIsLost();
 }
 
+/**
+ * A node's claim is written, and its answer reaches the node when the watch has shown that another
+ * node took the record over (a thawed node reads the two in either order). The answer says "done",
+ * and the node goes on, under the version of the other's claim.
+ */
+TEST(Review, AnAnswerToAClaimThatWasTakenOverIsNoClaim) {
+    FailoverFixture two(2);
+    const failover::ReportParser parser = readReport;
+    FailoverNode& first = two.nodes[0];
+    LateStore late(*first.client, two.queue, seconds(5));
+    first.failover = std::make_unique<failover::GroupFailover>(
+        two.group.name(), failover::FailoverDependencies{
+                              two.queue, two.random, *first.connector, late, *first.client, parser,
+                              "n1/1", "n1", [](const GroupName&) { return 0; }});
+    two.commit(11);
+    two.server(2).deaf = true;
+    two.commit(51);
+    for (FailoverNode& node : two.nodes) {
+        node.connector->faults().cut.insert(two.server(1).name);
+    }
+    two.group.crash(two.server(0));
+    two.suspect(0, SuspicionReason::Unreachable);
+    while (two.record().holder != "n1/1") {
+        two.run(milliseconds(2));
+    }
+    const TimePoint claimed = two.queue.now();
+    while (two.record().holder != "n2/1") {
+        two.run(milliseconds(2));
+    }
+    // Shortly before the answer the first node reaches the server that it needs; the second doesn't.
+    two.run(claimed + milliseconds(4950) - two.queue.now());
+    first.connector->faults().cut.clear();
+    for (int step = 0; step < 600; ++step) {
+        two.run(milliseconds(2));
+        if (two.record().holder != "n2/1") {
+            first.failover.reset();
+            FAIL("the first node wrote under the second node's claim");
+        }
+    }
+    first.failover.reset();
+}
+
+/**
+ * The successor of the closed record has left for good, and its entry is forgotten; the replica
+ * with its commits is out of reach of the node for a while.
+ */
+TEST(Review, AForgottenSuccessorDoesNotMakeAShorterLogGood) {
+    commitWithADeafReplica();
+    fixture.group.crash(fixture.server(0));
+    fixture.suspect(0, SuspicionReason::Unreachable);
+    fixture.run(seconds(2));
+    CHECK_TRUE(fixture.server(1).primary);
+    fixture.group.restart(fixture.server(0));
+    fixture.run(seconds(3));
+    // Server 0 follows server 1 and has all; server 2 is still deaf. Server 1 ends for good.
+    fixture.nodes[0].connector->faults().cut.insert(fixture.server(0).name);
+    fixture.group.crash(fixture.server(1));
+    fixture.suspect(0, SuspicionReason::Unreachable);
+    fixture.run(seconds(3));
+    checkNothingIsLost();
+    fixture.unlisted.insert(fixture.server(1).name);
+    fixture.run(seconds(8));
+    checkNothingIsLost();
+}
+
 /** All servers answer equally late, the primary lives: the promotion ends, or it leads on. */
 TEST(Review, LateAnswersOfAllServersDoNotStopTheGroup) {
     for (const int delay : {200, 400, 600, 700, 750, 800, 900, 1000, 1100, 1200, 1300, 1400}) {
