--- /dev/null
+++ b/tests/failover/ReviewTest.cpp
@@ -0,0 +1,331 @@
+/** Orders of events, allowed by the servers' protocol, in which a promotion may lose commits, be driven twice or never end.
+ */
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <string>
+
+#include "FailoverFixture.h"
+
+namespace coralhoist::pooled {
+namespace {
+
+using pooling::PromotionPhase;
+using pooling::SuspicionReason;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/** A store whose answers to writes reach the node later than its watch does. */
+class LateStore final : public failover::PromotionStore {
+public:
+    LateStore(failover::PromotionStore& store, simulation::EventQueue& queue, Duration late)
+        : _store(store), _queue(queue), _late(late) {}
+
+    void load(const GroupName& group,
+              std::function<void(const failover::LoadedRecord&)> callback) override {
+        _store.load(group, std::move(callback));
+    }
+
+    void save(const GroupName& group, const failover::PromotionRecord& record,
+              std::function<void(const failover::SavedRecord&)> callback) override {
+        _store.save(group, record, [this, callback](const failover::SavedRecord& saved) {
+            _queue.after(_late, [callback, saved] { callback(saved); });
+        });
+    }
+
+private:
+    failover::PromotionStore& _store;
+    simulation::EventQueue& _queue;
+    Duration _late;
+};
+
+TEST_GROUP(Review) {
+    FailoverFixture fixture;
+
+    /** Server 1 has 62 commits, server 2 only 11 of them. */
+    void commitWithADeafReplica() {
+        fixture.commit(11);
+        fixture.server(2).deaf = true;
+        fixture.commit(51);
+    }
+
+    void checkNothingIsLost() {
+        for (const std::string& violation : fixture.judge.violations()) {
+            FAIL(violation.c_str());
+        }
+    }
+};
+
+/**
+ * The primary crashes for good; the node does not reach the replica with all commits. The dead
+ * primary's announcement lapses after three heartbeats, as every dead server's does, and its
+ * machine refuses connections. It leaves the count of members, so that the replica that is out of
+ * reach is the one that "may have more": but the commits were on these two.
+ */
+TEST(Review, AGonePrimaryLeavesNoToleranceForAnUnknownReplica) {
+    commitWithADeafReplica();
+    fixture.nodes[0].connector->faults().cut.insert(fixture.server(1).name);
+    fixture.group.crash(fixture.server(0));
+    fixture.suspect(0, SuspicionReason::Unreachable);
+    fixture.run(seconds(3));
+    checkNothingIsLost();
+    fixture.removed[fixture.server(0).name] = fixture.queue.now();
+    fixture.run(seconds(10));
+    checkNothingIsLost();
+    CHECK_FALSE(fixture.server(2).primary);
+}
+
+/** The same, and the replica with all commits answers, but later than questions are waited for. */
+TEST(Review, AGonePrimaryLeavesNoToleranceForALateReplica) {
+    commitWithADeafReplica();
+    fixture.server(1).orderDelay = milliseconds(1600);
+    fixture.group.crash(fixture.server(0));
+    fixture.suspect(0, SuspicionReason::Unreachable);
+    fixture.run(seconds(3));
+    checkNothingIsLost();
+    fixture.removed[fixture.server(0).name] = fixture.queue.now();
+    fixture.run(seconds(10));
+    checkNothingIsLost();
+}
+
+/**
+ * The only replica that receives ends for good, and its entry goes; the other one is cut off from
+ * the primary. Writes stay unanswered, so the primary, which lives and has all, steps down. It is
+ * one that has more, so the short log counts as good, and comes before the former primary.
+ */
+TEST(Review, AGoneReplicaLeavesNoToleranceForTheFormerPrimary) {
+    commitWithADeafReplica();
+    fixture.group.crash(fixture.server(1));
+    fixture.removed[fixture.server(1).name] = fixture.queue.now();
+    fixture.suspect(0, SuspicionReason::WritesUnanswered);
+    fixture.run(seconds(6));
+    checkNothingIsLost();
+    CHECK_TRUE(fixture.server(0).primary);
+}
+
+/** Primary and the replica with all commits crash and come back; their announcements lapse between. */
+TEST(Review, ServersThatCrashedComeBackWithTheirCommits) {
+    commitWithADeafReplica();
+    fixture.group.crash(fixture.server(0));
+    fixture.group.crash(fixture.server(1));
+    fixture.suspect(0, SuspicionReason::Unreachable);
+    fixture.run(seconds(3));
+    fixture.removed[fixture.server(0).name] = fixture.queue.now();
+    fixture.removed[fixture.server(1).name] = fixture.queue.now();
+    fixture.run(seconds(6));
+    checkNothingIsLost();
+}
+
+/** The dead primary's announcement has lapsed; the chosen replica restarts, and the call says so. */
+TEST(Review, AReplicaThatRestartsIsNotReplacedByAShorterLog) {
+    commitWithADeafReplica();
+    fixture.nodes[0].connector->faults().cut.insert(fixture.server(1).name);
+    fixture.group.crash(fixture.server(0));
+    fixture.removed[fixture.server(0).name] = fixture.queue.now();
+    fixture.nodes[0].connector->faults().cut.clear();
+    fixture.suspect(0, SuspicionReason::Unreachable);
+    while (fixture.record().phase != PromotionPhase::Promoting) {
+        fixture.run(std::chrono::microseconds(500));
+    }
+    CHECK_TRUE(fixture.record().successor == fixture.server(1).name);
+    fixture.group.crash(fixture.server(1));
+    fixture.run(milliseconds(100));
+    fixture.group.restart(fixture.server(1));
+    fixture.run(seconds(8));
+    checkNothingIsLost();
+}
+
+/** A node whose list lacks the primary and a replica, both alive: after an outage of the store. */
+TEST(Review, AnIncompleteListProvesNothing) {
+    commitWithADeafReplica();
+    fixture.unlisted.insert(fixture.server(0).name);
+    fixture.unlisted.insert(fixture.server(1).name);
+    fixture.commit(100);
+    fixture.run(seconds(2));
+    checkNothingIsLost();
+}
+
+/**
+ * Servers are crowded: the primary answers after 450 ms, the replicas after 700 ms, within their
+ * patience. Both replicas have told the same position when one stops receiving; the other goes on
+ * until the primary carries its order to step down out, 200 ms later. Both then lack what the
+ * former primary has, by what they told; "one member at most has more" counts what they told
+ * before it had stopped.
+ */
+TEST(Review, APositionToldBeforeThePrimaryStoppedIsNoBound) {
+    fixture.commit(11);
+    fixture.server(0).orderDelay = milliseconds(450);
+    fixture.server(1).orderDelay = milliseconds(700);
+    fixture.server(2).orderDelay = milliseconds(700);
+    fixture.suspect(0, SuspicionReason::WritesUnanswered);
+    while (fixture.record().phase == PromotionPhase::None) {
+        fixture.run(milliseconds(1));
+    }
+    fixture.run(milliseconds(715));
+    fixture.server(1).deaf = true;
+    fixture.commit(60);
+    fixture.run(seconds(6));
+    checkNothingIsLost();
+}
+
+/**
+ * A node announces, and is frozen for less than the time after which another one takes over; a
+ * paused replica restarts meanwhile and receives again from the primary, which others still reach.
+ * The node announces anew, without looking at the members again.
+ */
+TEST(Review, AnAnnouncementIsNotRenewedOnOldEvidence) {
+    fixture.commit(11);
+    fixture.nodes[0].connector->faults().cut.insert(fixture.server(0).name);
+    fixture.suspect(0, SuspicionReason::Silent);
+    while (fixture.record().phase != PromotionPhase::Promoting) {
+        fixture.run(milliseconds(1));
+    }
+    const bool firstChosen = fixture.record().successor == fixture.server(1).name;
+    LogServer& other = fixture.server(firstChosen ? 2 : 1);
+    fixture.nodes[0].activity->freeze();
+    fixture.group.crash(other);
+    fixture.run(milliseconds(500));
+    fixture.group.restart(other);
+    fixture.commit(100);
+    fixture.run(milliseconds(1500));
+    fixture.nodes[0].activity->thaw();
+    fixture.run(seconds(5));
+    checkNothingIsLost();
+}
+
+/**
+ * A node's claim is written, and its answer reaches the node when the watch has shown that another
+ * node took the record over (a thawed node reads the two in either order). The answer says "done",
+ * and the node goes on, under the version of the other's claim.
+ */
+TEST(Review, AnAnswerToAClaimThatWasTakenOverIsNoClaim) {
+    FailoverFixture two(2);
+    const failover::ReportParser parser = readReport;
+    FailoverNode& first = two.nodes[0];
+    LateStore late(*first.client, two.queue, seconds(5));
+    first.failover = std::make_unique<failover::GroupFailover>(
+        two.group.name(), failover::FailoverDependencies{
+                              two.queue, two.random, *first.connector, late, *first.client, parser,
+                              "n1/1", "n1", [](const GroupName&) { return 0; }});
+    two.commit(11);
+    two.server(2).deaf = true;
+    two.commit(51);
+    for (FailoverNode& node : two.nodes) {
+        node.connector->faults().cut.insert(two.server(1).name);
+    }
+    two.group.crash(two.server(0));
+    two.suspect(0, SuspicionReason::Unreachable);
+    while (two.record().holder != "n1/1") {
+        two.run(milliseconds(2));
+    }
+    const TimePoint claimed = two.queue.now();
+    while (two.record().holder != "n2/1") {
+        two.run(milliseconds(2));
+    }
+    // Shortly before the answer the first node reaches the server that it needs; the second doesn't.
+    two.run(claimed + milliseconds(4950) - two.queue.now());
+    first.connector->faults().cut.clear();
+    for (int step = 0; step < 600; ++step) {
+        two.run(milliseconds(2));
+        if (two.record().holder != "n2/1") {
+            first.failover.reset();
+            FAIL("the first node wrote under the second node's claim");
+        }
+    }
+    first.failover.reset();
+}
+
+/**
+ * The successor of the closed record has left for good, and its entry is forgotten; the replica
+ * with its commits is out of reach of the node for a while.
+ */
+TEST(Review, AForgottenSuccessorDoesNotMakeAShorterLogGood) {
+    commitWithADeafReplica();
+    fixture.group.crash(fixture.server(0));
+    fixture.suspect(0, SuspicionReason::Unreachable);
+    fixture.run(seconds(2));
+    CHECK_TRUE(fixture.server(1).primary);
+    fixture.group.restart(fixture.server(0));
+    fixture.run(seconds(3));
+    // Server 0 follows server 1 and has all; server 2 is still deaf. Server 1 ends for good.
+    fixture.nodes[0].connector->faults().cut.insert(fixture.server(0).name);
+    fixture.group.crash(fixture.server(1));
+    fixture.suspect(0, SuspicionReason::Unreachable);
+    fixture.run(seconds(3));
+    checkNothingIsLost();
+    fixture.unlisted.insert(fixture.server(1).name);
+    fixture.run(seconds(8));
+    checkNothingIsLost();
+}
+
+/**
+ * The write of the announcement is done late and its answer is lost; the node learns by a load that
+ * it was done. That moment is not noted as the one at which the announcement was seen, so that the
+ * record is closed before proofs of the former primary have run out.
+ */
+TEST(Review, AnAnnouncementThatALoadShowsIsNoOlderThanTheLoad) {
+    // Some of these moments lie between the last look of the watch and the reading by the load,
+    // 0.7 s (no answer) after the write.
+    for (int late = 701000; late < 703000; late += 250) {
+        FailoverFixture lost;
+        lost.store.faults().latency = milliseconds(1);
+        lost.commit(11);
+        lost.group.crash(lost.server(0));
+        lost.suspect(0, SuspicionReason::Unreachable);
+        while (lost.record().phase != PromotionPhase::Preparing) {
+            lost.run(std::chrono::microseconds(100));
+        }
+        lost.store.faults().answersLost = 1;
+        lost.store.faults().late = std::chrono::microseconds(late);
+        while (lost.record().phase != PromotionPhase::Promoting) {
+            lost.run(std::chrono::microseconds(100));
+        }
+        lost.store.faults().answersLost = 0;
+        const TimePoint announcedAt = lost.queue.now();
+        while (lost.record().phase != PromotionPhase::None) {
+            lost.run(std::chrono::microseconds(100));
+        }
+        CHECK_TRUE(lost.queue.now() - announcedAt >= pooling::kLeadershipLease - milliseconds(1));
+    }
+}
+
+/** All servers answer equally late, the primary lives: the promotion ends, or it leads on. */
+TEST(Review, LateAnswersOfAllServersDoNotStopTheGroup) {
+    for (const int delay : {200, 400, 600, 700, 750, 800, 900, 1000, 1100, 1200, 1300, 1400}) {
+        for (const bool crash : {false, true}) {
+            FailoverFixture slow;
+            slow.commit(11);
+            for (std::size_t index = 0; index < 3; ++index) {
+                slow.server(index).orderDelay = milliseconds(delay);
+            }
+            if (crash) {
+                slow.group.crash(slow.server(0));
+            }
+            slow.suspect(0, SuspicionReason::WritesUnanswered);
+            Duration waited{0};
+            do {
+                slow.run(milliseconds(50));
+                waited += milliseconds(50);
+            } while (waited < seconds(40) && (slow.record().version == 0 || !slow.failover(0).isIdle() || slow.group.promotions() == 0));
+            CHECK_TRUE(slow.group.promotions() > 0);
+            for (const std::string& violation : slow.judge.violations()) {
+                FAIL(violation.c_str());
+            }
+        }
+    }
+}
+
+/** A server that answers after 1.6 s each time, faults over otherwise: the group gets a primary. */
+TEST(Review, AServerThatAlwaysAnswersLateDoesNotStopTheGroupForEver) {
+    commitWithADeafReplica();
+    fixture.server(2).deaf = false;
+    fixture.server(1).orderDelay = milliseconds(1600);
+    fixture.server(2).orderDelay = milliseconds(1600);
+    fixture.group.crash(fixture.server(0));
+    fixture.suspect(0, SuspicionReason::Unreachable);
+    fixture.run(seconds(30));
+    CHECK_TRUE(fixture.group.promotions() > 0);
+}
+
+}  // namespace
+}  // namespace coralhoist::pooled
