--- a/lab/pooled/LogConnector.cpp
+++ b/lab/pooled/LogConnector.cpp
@@ -1,5 +1,6 @@
 #include "lab/pooled/LogConnector.h"
 
+#include <algorithm>
 #include <sstream>
 #include <utility>
 
@@ -10,6 +11,34 @@
 using pooling::StatementFault;
 using pooling::StatementResult;
 using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+namespace {
+
+/** How long a slot is held by an order or a status question, and by a new connection. */
+constexpr Duration kOrderWork = milliseconds(1);
+constexpr Duration kOpeningWork = milliseconds(2);
+/** Answers to orders that take longer count as slow. */
+constexpr Duration kSlowOrder = milliseconds(100);
+
+bool isOrder(const ServerCommand& command) {
+    switch (command.kind) {
+        case ServerCommand::Kind::Status:
+        case ServerCommand::Kind::Pause:
+        case ServerCommand::Kind::Resume:
+        case ServerCommand::Kind::StepDown:
+            return true;
+        default:
+            return false;
+    }
+}
+
+/** @return whether it is a read, a write or a commit. */
+bool isWork(const ServerCommand& command) {
+    return command.kind == ServerCommand::Kind::Caller && command.text.rfind("BEGIN", 0) != 0;
+}
+
+}  // namespace
 
 void NodeActivity::run(std::function<void()> action) {
     if (_ended) {
@@ -62,7 +91,9 @@
 }
 
 bool LogConnector::isCut(const Connection& connection) const {
-    return _faults.cut.contains(connection.server->name);
+    return std::any_of(
+        _faults.cut.begin(), _faults.cut.end(),
+        [&connection](const ServerName& name) { return connection.server->isKnownAs(name); });
 }
 
 bool LogConnector::isGone(const Connection& connection) const {
@@ -75,29 +106,54 @@
     connection->id = ConnectionId(++_last);
     connection->group = _groups.at(address.group);
     connection->server = &connection->group->server(address.server);
+    connection->expected = address.server;
     connection->life = connection->server->life;
     connection->events = &events;
     connection->tenant = tenant;
     _connections[connection->id] = connection;
     _queue.after(delay() * 2, [this, connection, activity = _activity] {
-        activity->run([this, connection] {
-            if (connection->closed || isCut(*connection)) {
-                connection->dead = true;
-                return;
-            }
-            if (isGone(*connection)) {
-                connection->closed = true;
-                _connections.erase(connection->id);
-                connection->events->onOpenFailed(connection->id, std::nullopt);
-                return;
-            }
-            connection->opened = true;
-            connection->events->onOpened(connection->id, connection->server->appliedPosition());
+        const bool free = connection->group->model().slots == 0;
+        if (free || isCut(*connection) || isGone(*connection)) {
+            activity->run([this, connection] { finishOpening(connection); });
+            return;
+        }
+        LogServer& server = *connection->server;
+        connection->group->startWork(server, [this, connection, activity, life = server.life] {
+            _queue.after(kOpeningWork, [this, connection, activity, life] {
+                connection->group->endWork(*connection->server, life);
+                activity->run([this, connection] { finishOpening(connection); });
+            });
         });
     });
     return connection->id;
 }
 
+void LogConnector::finishOpening(const ConnectionPointer& connection) {
+    if (connection->closed || isCut(*connection)) {
+        connection->dead = true;
+        return;
+    }
+    if (isGone(*connection)) {
+        failOpening(connection, std::nullopt);
+        return;
+    }
+    if (connection->server->name != connection->expected) {
+        ++_wrongServers;
+        failOpening(connection,
+                    pooling::StatementError{StatementFault::WrongServer, "another server"});
+        return;
+    }
+    connection->opened = true;
+    connection->events->onOpened(connection->id, connection->server->appliedPosition());
+}
+
+void LogConnector::failOpening(const ConnectionPointer& connection,
+                               const std::optional<pooling::StatementError>& refusal) {
+    connection->closed = true;
+    _connections.erase(connection->id);
+    connection->events->onOpenFailed(connection->id, refusal);
+}
+
 void LogConnector::send(ConnectionId id, const std::vector<ServerCommand>& commands) {
     const auto found = _connections.find(id);
     if (found == _connections.end()) {
@@ -156,21 +212,77 @@
     const ServerCommand command = connection->commands.front();
     connection->commands.pop_front();
     connection->running = true;
-    const bool works =
-        command.kind == ServerCommand::Kind::Caller && command.text.rfind("BEGIN", 0) != 0;
+    connection->takenUpAt = _queue.now();
+    if (isWork(command)) {
+        workOnStatement(connection, command);
+    } else if (isOrder(command)) {
+        workOnOrder(connection, command);
+    } else {
+        // No slot is needed.
+        _queue.after(connection->server->orderDelay, [this, connection, command] {
+            if (!isGone(*connection)) {
+                execute(connection, command);
+            }
+        });
+    }
+}
+
+/** The server goes on although the node has ended; its answers reach nobody. */
+void LogConnector::workOnStatement(const ConnectionPointer& connection,
+                                   const ServerCommand& command) {
+    LogServer& server = *connection->server;
     const auto share = static_cast<std::int64_t>(50 + _random.below(150));
-    const Duration work =
-        works ? connection->group->model().work * share / 100 : connection->server->orderDelay;
-    _queue.after(work, [this, connection, command, activity = _activity] {
-        // The server goes on although the node has ended; its answers reach nobody.
-        if (!isGone(*connection)) {
-            execute(connection, command);
+    const Duration work = connection->group->model().work * share * server.slowness / 100;
+    connection->group->startWork(
+        server, [this, connection, command, work, activity = _activity, life = server.life] {
+            _queue.after(work, [this, connection, command, activity, life] {
+                if (!isGone(*connection)) {
+                    execute(connection, command);
+                }
+                connection->group->endWork(*connection->server, life);
+            });
+        });
+}
+
+void LogConnector::workOnOrder(const ConnectionPointer& connection, const ServerCommand& command) {
+    _queue.after(connection->server->orderDelay, [this, connection, command, activity = _activity] {
+        if (isGone(*connection)) {
+            return;
         }
+        LogServer& server = *connection->server;
+        const Duration work = connection->group->model().slots > 0 ? kOrderWork : Duration(0);
+        const auto finish = [this, connection, command, activity, life = server.life] {
+            if (!isGone(*connection)) {
+                execute(connection, command);
+            }
+            connection->group->endWork(*connection->server, life);
+        };
+        connection->group->startWork(server, [this, work, finish] {
+            if (work == Duration(0)) {
+                finish();
+            } else {
+                _queue.after(work, finish);
+            }
+        });
     });
 }
 
+/** Only crowded servers draw, so that the runs of the others stay as they are. */
+bool LogConnector::isRefusedForSlots(const LogServer& server, const ServerCommand& command) {
+    return isOrder(command) && server.ordersRefused > 0 &&
+           _random.fraction() < server.ordersRefused;
+}
+
 void LogConnector::execute(const ConnectionPointer& connection, const ServerCommand& command) {
     LogServer& server = *connection->server;
+    if (isOrder(command) && _queue.now() - connection->takenUpAt >= kSlowOrder) {
+        ++_slowOrders;
+    }
+    if (isRefusedForSlots(server, command)) {
+        ++_refusedOrders;
+        refuse(connection, StatementFault::Busy);
+        return;
+    }
     switch (command.kind) {
         case ServerCommand::Kind::Caller:
             executeCaller(connection, command);
@@ -208,93 +320,6 @@
     }
 }
 
-void LogConnector::executeCaller(const ConnectionPointer& connection,
-                                 const ServerCommand& command) {
-    const LogServer& server = *connection->server;
-    const RequestNote& note = _book.at(command.id);
-    if (connection->inTransaction && note.session != connection->session) {
-        _judge.fail("PINNED: a statement ran in the transaction of another session");
-    }
-    if (command.after && server.appliedPosition() < *command.after) {
-        refuse(connection, StatementFault::Lagging);
-        return;
-    }
-    const bool lostLead = connection->inTransaction && !connection->readOnly &&
-                          (!server.primary || server.term != connection->term);
-    if (lostLead && (command.text != "COMMIT" || connection->wrote)) {
-        connection->failed = true;
-        refuse(connection, StatementFault::ReadOnly);
-        return;
-    }
-    if (command.text.rfind("BEGIN", 0) == 0) {
-        begin(connection, command);
-    } else if (command.text == "COMMIT") {
-        commit(connection, command);
-    } else if (command.text == "WRITE") {
-        write(connection, command);
-    } else {
-        read(connection, command);
-    }
-}
-
-void LogConnector::begin(const ConnectionPointer& connection, const ServerCommand& command) {
-    connection->readOnly = command.text == "BEGIN READ";
-    if (!connection->readOnly && !connection->server->primary) {
-        refuse(connection, StatementFault::ReadOnly);
-        return;
-    }
-    connection->inTransaction = true;
-    connection->failed = false;
-    connection->wrote = false;
-    connection->term = connection->server->term;
-    connection->session = _book.at(command.id).session;
-    answer(connection, StatementResult{});
-}
-
-void LogConnector::read(const ConnectionPointer& connection, const ServerCommand& command) {
-    const LogServer& server = *connection->server;
-    const RequestNote& note = _book.at(command.id);
-    _judge.onReadRan({note.session, note.promise, note.staleness, note.since},
-                     [&server](const LogPlace& place) { return server.hasApplied(place); });
-    answer(connection, signedResult(*connection));
-}
-
-void LogConnector::write(const ConnectionPointer& connection, const ServerCommand& command) {
-    if (connection->inTransaction) {
-        connection->wrote = true;
-        answer(connection, signedResult(*connection));
-        return;
-    }
-    if (!connection->server->primary) {
-        refuse(connection, StatementFault::ReadOnly);
-        return;
-    }
-    commitEntry(connection, _book.at(command.id).commit);
-}
-
-void LogConnector::commit(const ConnectionPointer& connection, const ServerCommand& command) {
-    connection->inTransaction = false;
-    if (!connection->wrote) {
-        answer(connection, signedResult(*connection));
-        return;
-    }
-    commitEntry(connection, _book.at(command.id).commit);
-}
-
-void LogConnector::commitEntry(const ConnectionPointer& connection, CommitId commit) {
-    connection->group->commit(*connection->server, commit, [this, connection](bool kept) {
-        if (isGone(*connection)) {
-            return;
-        }
-        if (kept) {
-            answer(connection, signedResult(*connection));
-        } else {
-            // The server has lost its lead before a replica had the commit; it says nothing.
-            connection->dead = true;
-        }
-    });
-}
-
 void LogConnector::report(const ConnectionPointer& connection) {
     StatementResult result;
     result.rows.push_back(writeReport(*connection->server));
--- a/lab/pooled/LogConnector.h
+++ b/lab/pooled/LogConnector.h
@@ -76,12 +76,21 @@
     /** Breaks connections whose server has ended. */
     void step();
 
+    /** @return orders and status questions whose answer took 100 ms or longer. */
+    std::uint64_t slowOrders() const { return _slowOrders; }
+    /** @return orders and status questions that were refused for want of a slot. */
+    std::uint64_t refusedOrders() const { return _refusedOrders; }
+    /** @return connections that were refused because the server has another name now. */
+    std::uint64_t wrongServers() const { return _wrongServers; }
+
 private:
     /** State of a connection at its server; lives on when the node has closed it. */
     struct Connection {
         ConnectionId id;
         LogGroup* group = nullptr;
         LogServer* server = nullptr;
+        /** The server that the caller expects there. */
+        ServerName expected;
         std::uint64_t life = 0;
         TenantName tenant;
         pooling::ServerEvents* events = nullptr;
@@ -91,6 +100,8 @@
         bool opened = false;
         std::deque<pooling::ServerCommand> commands;
         bool running = false;
+        /** When the server took up the command that it works on or waits with. */
+        TimePoint takenUpAt{};
         bool inTransaction = false;
         bool failed = false;
         bool readOnly = false;
@@ -103,9 +114,16 @@
     Duration delay();
     bool isCut(const Connection& connection) const;
     bool isGone(const Connection& connection) const;
+    void finishOpening(const ConnectionPointer& connection);
+    void failOpening(const ConnectionPointer& connection,
+                     const std::optional<pooling::StatementError>& refusal);
     void arrive(const ConnectionPointer& connection,
                 const std::vector<pooling::ServerCommand>& commands);
     void runNext(const ConnectionPointer& connection);
+    void workOnStatement(const ConnectionPointer& connection,
+                         const pooling::ServerCommand& command);
+    void workOnOrder(const ConnectionPointer& connection, const pooling::ServerCommand& command);
+    bool isRefusedForSlots(const LogServer& server, const pooling::ServerCommand& command);
     void execute(const ConnectionPointer& connection, const pooling::ServerCommand& command);
     void executeCaller(const ConnectionPointer& connection, const pooling::ServerCommand& command);
     void begin(const ConnectionPointer& connection, const pooling::ServerCommand& command);
@@ -127,6 +145,9 @@
     PathFaults _faults;
     std::unordered_map<ConnectionId, ConnectionPointer> _connections;
     std::uint64_t _last = 0;
+    std::uint64_t _slowOrders = 0;
+    std::uint64_t _refusedOrders = 0;
+    std::uint64_t _wrongServers = 0;
 };
 
 /** Writes a report as LogConnector's servers do. */
--- a/lab/pooled/LogGroup.cpp
+++ b/lab/pooled/LogGroup.cpp
@@ -8,9 +8,16 @@
 
 /** A replaced primary steps down so long after it can reach its successor. */
 constexpr Duration kRejoinAfter = std::chrono::seconds(1);
+/** An announcement is removed after so many heartbeats of silence. */
+constexpr int kSilentHeartbeats = 3;
 
 }  // namespace
 
+bool LogServer::isKnownAs(const ServerName& other) const {
+    return name == other ||
+           std::find(formerNames.begin(), formerNames.end(), other) != formerNames.end();
+}
+
 std::set<CommitId> LogServer::commits(std::size_t count) const {
     std::set<CommitId> result;
     for (std::size_t index = 0; index < count; ++index) {
@@ -33,19 +40,53 @@
                    PooledJudge& judge)
     : _name(std::move(name)), _model(model), _queue(queue), _judge(judge) {
     for (std::size_t index = 0; index < model.servers; ++index) {
-        auto server = std::make_unique<LogServer>();
-        server->name = ServerName(_name.value() + "-s" + std::to_string(index + 1));
-        server->primary = index == 0;
-        _servers.push_back(std::move(server));
+        addServer().primary = index == 0;
     }
 }
 
+LogServer& LogGroup::addServer() {
+    auto server = std::make_unique<LogServer>();
+    server->name = ServerName(_name.value() + "-s" + std::to_string(++_names));
+    server->port = static_cast<std::uint16_t>(_servers.size() + 1);
+    _servers.push_back(std::move(server));
+    return *_servers.back();
+}
+
 LogServer& LogGroup::server(const ServerName& name) {
     const auto found = std::find_if(_servers.begin(), _servers.end(),
-                                    [&name](const auto& entry) { return entry->name == name; });
+                                    [&name](const auto& entry) { return entry->isKnownAs(name); });
     return **found;
 }
 
+LogServer* LogGroup::find(const ServerName& name) {
+    const auto found = std::find_if(_servers.begin(), _servers.end(),
+                                    [&name](const auto& entry) { return entry->name == name; });
+    return found == _servers.end() ? nullptr : found->get();
+}
+
+void LogGroup::startWork(LogServer& server, std::function<void()> work) {
+    if (_model.slots > 0 && server.slotsTaken >= _model.slots) {
+        server.waitingForSlot.push_back(std::move(work));
+        return;
+    }
+    ++server.slotsTaken;
+    work();
+}
+
+void LogGroup::endWork(LogServer& server, std::uint64_t life) {
+    if (server.life != life) {
+        return;
+    }
+    --server.slotsTaken;
+    if (server.waitingForSlot.empty()) {
+        return;
+    }
+    const std::function<void()> work = std::move(server.waitingForSlot.front());
+    server.waitingForSlot.pop_front();
+    ++server.slotsTaken;
+    work();
+}
+
 void LogGroup::commit(LogServer& server, CommitId commit, std::function<void(bool)> done) {
     const OpTime last = server.received();
     const LogPlace record{{server.term, last.position + 1}, commit};
@@ -57,11 +98,13 @@
 }
 
 bool LogGroup::isConnected(const LogServer& one, const LogServer& other) const {
-    return one.running && other.running && !_cuts.contains({one.name, other.name});
+    return one.running && other.running && !_cuts.contains({&one, &other});
 }
 
 void LogGroup::setCut(const ServerName& one, const ServerName& other, bool cut) {
-    for (const auto& pair : {std::pair{one, other}, std::pair{other, one}}) {
+    const LogServer* first = &server(one);
+    const LogServer* second = &server(other);
+    for (const auto& pair : {std::pair{first, second}, std::pair{second, first}}) {
         if (cut) {
             _cuts.insert(pair);
         } else {
@@ -72,19 +115,18 @@
 
 void LogGroup::setIsolated(const ServerName& name, bool isolated) {
     for (const auto& other : _servers) {
-        if (other->name != name) {
+        if (!other->isKnownAs(name)) {
             setCut(name, other->name, isolated);
         }
     }
 }
 
 bool LogGroup::promote(const ServerName& name) {
-    const auto found = std::find_if(_servers.begin(), _servers.end(),
-                                    [&name](const auto& entry) { return entry->name == name; });
-    if (found == _servers.end() || !(*found)->running) {
+    LogServer* found = find(name);
+    if (found == nullptr || !found->running) {
         return false;
     }
-    LogServer& chosen = **found;
+    LogServer& chosen = *found;
     if (chosen.primary && chosen.term == _newestTerm) {
         return true;
     }
@@ -117,10 +159,16 @@
 void LogGroup::crash(LogServer& server) {
     server.running = false;
     ++server.life;
+    server.stoppedAt = _queue.now();
+    server.slotsTaken = 0;
+    server.waitingForSlot.clear();
     _pending.erase(server.name);
 }
 
 void LogGroup::restart(LogServer& server) {
+    if (server.left || server.running) {
+        return;
+    }
     server.running = true;
     server.heldTerm = 0;
     server.applied = server.log.size();
@@ -130,6 +178,34 @@
     }
 }
 
+void LogGroup::rename(LogServer& server, Duration announcedFor) {
+    const auto announced = _announced.find(server.name);
+    if (announced != _announced.end()) {
+        auto& [announcement, version] = announced->second;
+        announcement.version = version;
+        _oldAnnouncements.push_back({announcement, _queue.now() + announcedFor});
+        _announced.erase(announced);
+    }
+    server.formerNames.push_back(server.name);
+    server.name = ServerName(_name.value() + "-s" + std::to_string(++_names));
+}
+
+void LogGroup::leave(LogServer& server) {
+    if (server.running) {
+        crash(server);
+    }
+    server.left = true;
+    server.primary = false;
+    server.log.clear();
+    server.receivedAt.clear();
+    server.applied = 0;
+    ++_version;
+}
+
+LogServer& LogGroup::join() {
+    return addServer();
+}
+
 LogServer* LogGroup::leaderFor(const LogServer& replica) {
     LogServer* leader = nullptr;
     for (const auto& other : _servers) {
@@ -231,11 +307,26 @@
     }
 }
 
+bool LogGroup::isAnnounced(const LogServer& server) const {
+    const bool silent = _model.heartbeat > Duration(0) && !server.running &&
+                        _queue.now() - server.stoppedAt >= kSilentHeartbeats * _model.heartbeat;
+    return !server.left && !server.announcementLapsed && !silent;
+}
+
 std::vector<pooling::ServerAnnouncement> LogGroup::announcements() const {
     std::vector<pooling::ServerAnnouncement> result;
     for (const auto& server : _servers) {
+        if (!isAnnounced(*server)) {
+            // What it announces later is new.
+            _version += _announced.erase(server->name);
+            continue;
+        }
+        // A server announces itself under a new name once it runs.
+        if (!server->running && !_announced.contains(server->name)) {
+            continue;
+        }
         pooling::ServerAnnouncement announcement;
-        announcement.address = {_name, server->name, "10.0.0.1", 1};
+        announcement.address = {_name, server->name, "10.0.0.1", server->port};
         announcement.zone = ZoneName("z");
         announcement.slots = 3;
         announcement.draining = server->draining;
@@ -251,6 +342,12 @@
         announcement.version = version;
         result.push_back(announcement);
     }
+    _version += std::erase_if(_oldAnnouncements, [this](const OldAnnouncement& old) {
+        return _queue.now() >= old.until;
+    });
+    for (const OldAnnouncement& old : _oldAnnouncements) {
+        result.push_back(old.announcement);
+    }
     return result;
 }
 
--- /dev/null
+++ b/lab/pooled/PooledFault.cpp
@@ -0,0 +1,32 @@
+#include "lab/pooled/PooledFault.h"
+
+#include <algorithm>
+
+namespace coralhoist::pooled {
+namespace {
+
+/** @return the singles from `least` to `end`, and the pairs of those before `end` with them. */
+std::vector<std::vector<PooledFault>> plansOf(std::size_t least, std::size_t end) {
+    std::vector<std::vector<PooledFault>> plans;
+    for (std::size_t first = 0; first < end; ++first) {
+        if (first >= least) {
+            plans.push_back({static_cast<PooledFault>(first)});
+        }
+        for (std::size_t second = std::max(first, least); second < end; ++second) {
+            plans.push_back({static_cast<PooledFault>(first), static_cast<PooledFault>(second)});
+        }
+    }
+    return plans;
+}
+
+}  // namespace
+
+std::vector<std::vector<PooledFault>> allPooledFaultPlans() {
+    return plansOf(0, kFirstServerFault);
+}
+
+std::vector<std::vector<PooledFault>> serverFaultPlans() {
+    return plansOf(kFirstServerFault, kPooledFaultCount);
+}
+
+}  // namespace coralhoist::pooled
--- /dev/null
+++ b/lab/pooled/PooledFault.h
@@ -0,0 +1,48 @@
+/** The faults of seeded runs, and in which combinations they are played. */
+#pragma once
+
+#include <cstddef>
+#include <vector>
+
+namespace coralhoist::pooled {
+
+/** What goes wrong; each begins at a random moment and is healed later. */
+enum class PooledFault {
+    PrimaryCrashes,
+    PrimaryCutFromReplicas,
+    PrimaryCutFromSomeNodes,
+    PrimaryCutFromAllNodes,
+    PrimaryLeaves, /**< Announces it, serves on for a while and ends. */
+    ReplicaDeaf,   /**< Receives nothing, and says nothing of it. */
+    ReplicaCrashes,
+    ReplicaLags,
+    NodeFreezes,
+    NodeDies,
+    NodeCutFromStore,
+    StoreDown,
+    StoreAnswersLost, /**< Done at once or seconds later, never answered. */
+    AnswersLost,
+    LinkBreaks,          /**< Connections between two nodes break, several times. */
+    NodeSilenced,        /**< A node is cut off from the other nodes, and from nothing else. */
+    ServersCrowded,      /**< Slow, and orders wait for a slot for 100 to 1,200 ms. */
+    NodesCutFromServers, /**< Nodes are cut off from one server each, not all from the same. */
+    OldPrimaryLeadsOn,   /**< Replaced while cut off; then nodes reach it and its successor in turn.
+                          */
+    AnnouncementsLapse,  /**< Servers that serve are not announced, one or all after the store's. */
+    ServerRenamed,       /**< One drains, ends and is back under a new name with its log. */
+    ReplicaReplaced,     /**< One leaves with its log, and an empty one joins. */
+    PromotionCallTroubled, /**< Calls are not answered, done late, or find a restarting server. */
+    ReplicasRestart,       /**< Quick restarts in a series: pauses are forgotten. */
+};
+
+/** Faults of which the first so many are of nodes, the store and single servers' ends. */
+inline constexpr std::size_t kFirstServerFault = 16;
+inline constexpr std::size_t kPooledFaultCount = 24;
+
+/** @return the single faults before kFirstServerFault, and all pairs of them. */
+std::vector<std::vector<PooledFault>> allPooledFaultPlans();
+
+/** @return the single faults from kFirstServerFault on, and all pairs with one of them. */
+std::vector<std::vector<PooledFault>> serverFaultPlans();
+
+}  // namespace coralhoist::pooled
--- a/lab/pooled/PooledNode.cpp
+++ b/lab/pooled/PooledNode.cpp
@@ -18,6 +18,8 @@
 /** Kind of operation that is a single read. */
 constexpr std::uint64_t kPlainRead = 5;
 constexpr Duration kStoreDelay = milliseconds(4);
+/** Servers whose announcement was removed are forgotten after this time. */
+constexpr Duration kRemovedRetention = std::chrono::seconds(15);
 
 Statement makeStatement(PooledWorld& world, StatementVerb verb, const char* text) {
     Statement statement;
@@ -170,37 +172,56 @@
         return;
     }
     _nextFollow = now + kFollowEvery;
-    std::vector<pooling::ServerAnnouncement> announcements;
-    std::vector<failover::PromotionRecord> records;
+    const auto seen = std::make_shared<StoreView>();
     for (const LogGroup* group : _world.groups) {
-        for (const pooling::ServerAnnouncement& announcement : group->announcements()) {
-            announcements.push_back(announcement);
-        }
-        records.push_back(_world.store.record(group->name()));
+        seen->announcements[group->name()] = group->announcements();
+        seen->versions[group->name()] = group->announcementsVersion();
+        seen->records.push_back(_world.store.record(group->name()));
     }
-    _world.queue.after(kStoreDelay, [this, announcements, records, activity = _activity] {
-        activity->run([this, announcements, records] {
-            bool changed = false;
-            for (const pooling::ServerAnnouncement& announcement : announcements) {
-                changed |= _directory.put(announcement);
-            }
-            for (std::size_t index = 0; index < records.size(); ++index) {
-                const GroupName& group = _world.groups[index]->name();
-                _failovers[group]->onRecord(records[index]);
-            }
-            _pooler.applyNodes(_world.network.nodes());
-            _readers.applyNodes(_world.network.nodes());
-            if (!changed) {
-                return;
-            }
-            for (const auto& [group, servers] : _directory.groups()) {
-                _failovers[group]->onDirectory(servers);
-            }
-            _pooler.applyDirectory(_directory);
-        });
+    _world.queue.after(kStoreDelay, [this, seen, activity = _activity] {
+        activity->run([this, seen] { applyView(*seen); });
     });
 }
 
+void PooledNode::applyView(const StoreView& view) {
+    bool changed = false;
+    for (std::size_t index = 0; index < view.records.size(); ++index) {
+        const GroupName& group = _world.groups[index]->name();
+        changed |= applyAnnouncements(group, view.announcements.at(group), view.versions.at(group));
+        _failovers[group]->onRecord(view.records[index]);
+    }
+    _pooler.applyNodes(_world.network.nodes());
+    _readers.applyNodes(_world.network.nodes());
+    if (!changed) {
+        return;
+    }
+    for (const auto& [group, servers] : _directory.groups()) {
+        _failovers[group]->onDirectory(servers);
+    }
+    _pooler.applyDirectory(_directory);
+}
+
+/** @return whether anything changed. */
+bool PooledNode::applyAnnouncements(const GroupName& group,
+                                    const std::vector<pooling::ServerAnnouncement>& announcements,
+                                    std::uint64_t version) {
+    const TimePoint now = _world.queue.now();
+    bool changed = false;
+    std::set<ServerName> present;
+    for (const pooling::ServerAnnouncement& announcement : announcements) {
+        present.insert(announcement.address.server);
+        changed |= _directory.put(announcement);
+    }
+    const pooling::ServerDirectory::Servers known = _directory.serversOf(group);
+    for (const auto& [name, server] : known) {
+        if (!server.removed && !present.contains(name)) {
+            changed |= _directory.remove(name, version, now);
+        }
+    }
+    _directory.expire(now, kRemovedRetention);
+    return changed || _directory.serversOf(group).size() != known.size();
+}
+
 void PooledNode::wantLeadershipProof(const GroupName& group) {
     _unproven.insert(group);
     _proofs.want();
--- a/lab/pooled/PooledNode.h
+++ b/lab/pooled/PooledNode.h
@@ -58,6 +58,7 @@
     /** Cuts the node off from the store. */
     void setStoreCut(bool cut);
     LogConnector& connector() { return _connector; }
+    const LogConnector& connector() const { return _connector; }
     std::uint64_t acknowledged() const { return _acknowledged; }
     /** @return proofs of leadership that the servers gave. */
     std::uint64_t provenByServers() const { return _provenByServers; }
@@ -84,6 +85,14 @@
         std::string lastText;
     };
 
+    /** What the watches of the store show at a moment. */
+    struct StoreView {
+        std::map<GroupName, std::vector<pooling::ServerAnnouncement>> announcements;
+        std::map<GroupName, std::uint64_t> versions;
+        /** In the order of the world's groups. */
+        std::vector<failover::PromotionRecord> records;
+    };
+
     void reply(SessionId session, pooling::StatementResult result) override;
     void closeSession(SessionId session) override;
     void wantLeadershipProof(const GroupName& group) override;
@@ -92,6 +101,10 @@
 
     void openCallers(std::size_t sessionsPerService);
     void follow();
+    void applyView(const StoreView& view);
+    bool applyAnnouncements(const GroupName& group,
+                            const std::vector<pooling::ServerAnnouncement>& announcements,
+                            std::uint64_t version);
     void readRecords(Callback callback) override;
     void onProof(const pooling::LeadershipProof& proof);
     void proveByServers();
--- a/lab/pooled/PooledRun.h
+++ b/lab/pooled/PooledRun.h
@@ -6,31 +6,11 @@
 #include <vector>
 
 #include "lab/pooled/LogGroup.h"
+#include "lab/pooled/PooledFault.h"
+#include "lab/pooled/PooledFaults.h"
 
 namespace coralhoist::pooled {
 
-/** What goes wrong; each begins at a random moment and is healed later. */
-enum class PooledFault {
-    PrimaryCrashes,
-    PrimaryCutFromReplicas,
-    PrimaryCutFromSomeNodes,
-    PrimaryCutFromAllNodes,
-    PrimaryLeaves, /**< Announces it, serves on for a while and ends. */
-    ReplicaDeaf,   /**< Receives nothing, and says nothing of it. */
-    ReplicaCrashes,
-    ReplicaLags,
-    NodeFreezes,
-    NodeDies,
-    NodeCutFromStore,
-    StoreDown,
-    StoreAnswersLost, /**< Done at once or seconds later, never answered. */
-    AnswersLost,
-    LinkBreaks,   /**< Connections between two nodes break, several times. */
-    NodeSilenced, /**< A node is cut off from the other nodes, and from nothing else. */
-};
-
-inline constexpr std::size_t kPooledFaultCount = 16;
-
 /** What is run. */
 struct PooledRunOptions {
     std::uint64_t seed = 1;
@@ -53,11 +33,17 @@
     std::uint64_t provenByServers = 0;
     /** Statements that were executed by another node than the one asked. */
     std::uint64_t forwarded = 0;
+    /** Orders and status questions that took 100 ms or longer, and those refused. */
+    std::uint64_t slowOrders = 0;
+    std::uint64_t refusedOrders = 0;
+    /** Connections that found another server than they expected. */
+    std::uint64_t wrongServers = 0;
+    /** Promotion calls that were not answered, and those that found a restarting server. */
+    std::uint64_t unansweredCalls = 0;
+    std::uint64_t callsToRestarting = 0;
+    FaultCounts faults;
 };
 
-/** @return all single faults and all pairs. */
-std::vector<std::vector<PooledFault>> allPooledFaultPlans();
-
 /** Runs to the end; the same options give the same report. */
 PooledReport runPooled(const PooledRunOptions& options);
 
--- a/lab/pooled/RecordStore.cpp
+++ b/lab/pooled/RecordStore.cpp
@@ -1,5 +1,6 @@
 #include "lab/pooled/RecordStore.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace coralhoist::pooled {
@@ -11,6 +12,8 @@
 using failover::StoreOutcome;
 
 constexpr Duration kTimeout = std::chrono::milliseconds(700);
+/** A server that restarts is back after a time up to this. */
+constexpr std::uint64_t kLongestRestartMs = 400;
 
 }  // namespace
 
@@ -28,6 +31,44 @@
     return {StoreOutcome::Done, known.version};
 }
 
+/** Carries a promotion out. */
+PromoteOutcome RecordStore::call(const GroupName& group, const ServerName& server,
+                                 std::uint64_t fence) {
+    std::uint64_t& newest = _newestFence[group];
+    newest = std::max(newest, fence);
+    if (_callFaults.restarts > 0 && _random.fraction() < _callFaults.restarts) {
+        restartBeforeCall(group, server);
+    }
+    if (_callFaults.answersLost > 0 && _random.fraction() < _callFaults.answersLost) {
+        callLate(group, server, fence);
+        return PromoteOutcome::Unknown;
+    }
+    return _groups.at(group)->promote(server) ? PromoteOutcome::Accepted
+                                              : PromoteOutcome::NotRunning;
+}
+
+void RecordStore::callLate(const GroupName& group, const ServerName& server, std::uint64_t fence) {
+    ++_unansweredCalls;
+    const Duration delay = std::chrono::microseconds(
+        _random.below(static_cast<std::uint64_t>(_callFaults.longestDelay.count()) / 1000 + 1));
+    _queue.after(delay, [this, group, server, fence, checks = _callFaults.checksFence] {
+        if (!checks || _newestFence[group] == fence) {
+            _groups.at(group)->promote(server);
+        }
+    });
+}
+
+void RecordStore::restartBeforeCall(const GroupName& group, const ServerName& server) {
+    LogServer* named = _groups.at(group)->find(server);
+    if (named == nullptr || !named->running) {
+        return;
+    }
+    ++_callsToRestarting;
+    _groups.at(group)->crash(*named);
+    _queue.after(std::chrono::milliseconds(_random.below(kLongestRestartMs)),
+                 [entry = _groups.at(group), named] { entry->restart(*named); });
+}
+
 void StoreClient::after(Duration delay, std::function<void()> action) {
     _store._queue.after(
         delay, [activity = _activity, action = std::move(action)] { activity->run(action); });
@@ -83,10 +124,10 @@
                 return;
             }
             _store._judge.onPromoteCalled(group, _holder, fence, _store._queue.now());
-            const bool running = _store._groups.at(group)->promote(server);
-            const PromoteOutcome outcome =
-                running ? PromoteOutcome::Accepted : PromoteOutcome::NotRunning;
-            after(_store._faults.latency / 2, [callback, outcome] { callback(outcome); });
+            const PromoteOutcome outcome = _store.call(group, server, fence);
+            const bool answered = outcome != PromoteOutcome::Unknown;
+            after(answered ? _store._faults.latency / 2 : kTimeout,
+                  [callback, outcome] { callback(outcome); });
         });
 }
 
--- a/lab/pooled/RecordStore.h
+++ b/lab/pooled/RecordStore.h
@@ -24,6 +24,17 @@
     Duration latency = std::chrono::milliseconds(4);
 };
 
+/** Faults of the promotion call. */
+struct CallFaults {
+    /** Share of calls that are not answered; carried out at a random time up to longestDelay. */
+    double answersLost = 0;
+    Duration longestDelay{0};
+    /** Share of calls that find the server restarting. */
+    double restarts = 0;
+    /** A late call is dropped when one with a higher fence has come since. */
+    bool checksFence = true;
+};
+
 /** The store: one record for each group, versions that grow with every change. */
 class RecordStore {
 public:
@@ -31,18 +42,31 @@
         : _queue(queue), _random(random), _judge(judge) {}
 
     StoreFaults& faults() { return _faults; }
+    CallFaults& callFaults() { return _callFaults; }
+    /** @return promotions that were carried out without an answer. */
+    std::uint64_t unansweredCalls() const { return _unansweredCalls; }
+    /** @return promotions that found the server restarting. */
+    std::uint64_t callsToRestarting() const { return _callsToRestarting; }
     const failover::PromotionRecord& record(const GroupName& group) { return _records[group]; }
     void addGroup(LogGroup& group) { _groups[group.name()] = &group; }
 
 private:
     friend class StoreClient;
 
+    failover::PromoteOutcome call(const GroupName& group, const ServerName& server,
+                                  std::uint64_t fence);
+    void callLate(const GroupName& group, const ServerName& server, std::uint64_t fence);
+    void restartBeforeCall(const GroupName& group, const ServerName& server);
     failover::SavedRecord apply(const GroupName& group, const failover::PromotionRecord& record);
 
     simulation::EventQueue& _queue;
     RandomSource& _random;
     PooledJudge& _judge;
     StoreFaults _faults;
+    CallFaults _callFaults;
+    std::uint64_t _unansweredCalls = 0;
+    std::uint64_t _callsToRestarting = 0;
+    std::map<GroupName, std::uint64_t> _newestFence;
     std::map<GroupName, failover::PromotionRecord> _records;
     std::map<GroupName, LogGroup*> _groups;
     std::uint64_t _version = 10;
--- /dev/null
+++ b/tests/pooled_simulation/PooledServerFaultTest.cpp
@@ -0,0 +1,113 @@
+/** Seeded runs on crowded servers with faults of how nodes and servers see each other. */
+#include <CppUTest/TestHarness.h>
+
+#include <functional>
+
+#include "PlanRunner.h"
+#include "lab/pooled/PooledRun.h"
+
+namespace coralhoist::pooled {
+namespace {
+
+/** Runs of each plan in one test run; CORALHOIST_SERVER_FAULT_ROUNDS overrides it. */
+constexpr std::uint64_t kDefaultRounds = 2;
+constexpr std::size_t kSlots = 3;
+constexpr Duration kHeartbeat = std::chrono::milliseconds(500);
+constexpr std::uint64_t kSeeds = 10;
+
+/** Servers with a few slots, whose announcements go after three heartbeats of silence. */
+PooledRunOptions crowdedOptions() {
+    PooledRunOptions options;
+    options.group.slots = kSlots;
+    options.group.heartbeat = kHeartbeat;
+    return options;
+}
+
+/** @return what a few runs under the faults count. */
+std::uint64_t countIn(const std::vector<PooledFault>& faults,
+                      const std::function<std::uint64_t(const PooledReport&)>& count) {
+    std::vector<PooledRunOptions> runs;
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+        runs.push_back(crowdedOptions());
+        runs.back().seed = seed;
+        runs.back().faults = faults;
+    }
+    std::uint64_t sum = 0;
+    for (const PooledReport& report : runAll(runs)) {
+        sum += count(report);
+    }
+    return sum;
+}
+
+TEST_GROUP(PooledServerFault){};
+
+TEST(PooledServerFault, CalmRunWithFewSlotsServesEverything) {
+    const PooledReport report = runPooled(crowdedOptions());
+    UNSIGNED_LONGS_EQUAL(0, report.violations.size());
+    UNSIGNED_LONGS_EQUAL(0, report.promotions);
+    UNSIGNED_LONGS_EQUAL(0, report.refusedOrders);
+    CHECK(report.acknowledged > 1000);
+}
+
+TEST(PooledServerFault, OrdersWaitAtCrowdedServersOrAreRefused) {
+    const std::vector<PooledFault> faults = {PooledFault::ServersCrowded,
+                                             PooledFault::PrimaryCrashes};
+    CHECK(countIn(faults, [](const PooledReport& report) { return report.slowOrders; }) > 0);
+    CHECK(countIn(faults, [](const PooledReport& report) { return report.refusedOrders; }) > 0);
+}
+
+TEST(PooledServerFault, NodesAreCutOffFromServers) {
+    CHECK(countIn({PooledFault::NodesCutFromServers},
+                  [](const PooledReport& report) { return report.faults.nodeCuts; }) > kSeeds);
+}
+
+TEST(PooledServerFault, NodesReachAReplacedPrimaryAndNotItsSuccessor) {
+    CHECK(countIn({PooledFault::OldPrimaryLeadsOn},
+                  [](const PooledReport& report) { return report.faults.replacedReached; }) > 0);
+}
+
+TEST(PooledServerFault, AnnouncementsLapse) {
+    CHECK(countIn({PooledFault::AnnouncementsLapse},
+                  [](const PooledReport& report) { return report.faults.lapses; }) > kSeeds);
+}
+
+TEST(PooledServerFault, AServerUnderANewNameRefusesWhoExpectsTheOldOne) {
+    const std::vector<PooledFault> faults = {PooledFault::ServerRenamed};
+    CHECK(countIn(faults, [](const PooledReport& report) { return report.faults.renames; }) > 0);
+    CHECK(countIn(faults, [](const PooledReport& report) { return report.wrongServers; }) > 0);
+}
+
+TEST(PooledServerFault, AReplicaLeavesAndAnEmptyOneJoins) {
+    CHECK(countIn({PooledFault::ReplicaReplaced},
+                  [](const PooledReport& report) { return report.faults.replacements; }) > 0);
+}
+
+TEST(PooledServerFault, PromotionCallsAreNotAnsweredOrFindARestartingServer) {
+    const std::vector<PooledFault> faults = {PooledFault::PromotionCallTroubled};
+    CHECK(countIn(faults, [](const PooledReport& report) { return report.unansweredCalls; }) > 0);
+    CHECK(countIn(faults, [](const PooledReport& report) { return report.callsToRestarting; }) > 0);
+}
+
+TEST(PooledServerFault, PausesAreForgotten) {
+    CHECK(countIn({PooledFault::ReplicasRestart, PooledFault::PrimaryCutFromAllNodes},
+                  [](const PooledReport& report) { return report.faults.pausesForgotten; }) > 0);
+}
+
+TEST(PooledServerFault, TheJudgeReportsWhatAPromotedLogLacks) {
+    PooledJudge judge;
+    judge.onCommitted({{1, 1}, 1});
+    judge.onCommitted({{1, 2}, 2});
+    judge.onAcknowledged(1, 1, TimePoint{});
+    judge.onAcknowledged(2, 1, TimePoint{});
+    judge.onPromoted({1}, TimePoint{});
+    UNSIGNED_LONGS_EQUAL(1, judge.violations().size());
+    CHECK(judge.violations().front().starts_with("LOST: commit 2 "));
+}
+
+TEST(PooledServerFault, KeepsThePromisesUnderSingleFaultsAndPairs) {
+    checkPlans(crowdedOptions(), serverFaultPlans(),
+               numberFromEnvironment("CORALHOIST_SERVER_FAULT_ROUNDS", kDefaultRounds));
+}
+
+}  // namespace
+}  // namespace coralhoist::pooled
