--- a/lab/pooled/LogGroup.cpp
+++ b/lab/pooled/LogGroup.cpp
@@ -294,7 +294,8 @@
         LogServer* leader = leaderFor(*replica);
         const bool held =
             leader != nullptr && replica->heldTerm > leader->term && !_model.ignoresPauses;
-        if (leader != nullptr && !held && !replica->deaf) {
+        const bool receives = !replica->deaf && _queue.now() >= replica->stalledUntil;
+        if (leader != nullptr && !held && receives) {
             receive(*replica, *leader);
         }
     }
--- a/lab/pooled/LogGroup.h
+++ b/lab/pooled/LogGroup.h
@@ -30,6 +30,10 @@
     /** The announcement of a server that does not run is removed after three of these; 0 is never.
      */
     Duration heartbeat{0};
+    /** A promotion that is carried out late is dropped when one with a higher fence has been
+     * called.
+     */
+    bool checksFence = true;
     /** Replicas go on with the oldest primary, whatever they are told: the judge must find
      * violations. */
     bool ignoresPauses = false;
@@ -58,6 +62,8 @@
     Term heldTerm = 0;
     /** Receives nothing although it is connected. */
     bool deaf = false;
+    /** Receives nothing until then, for lack of time. */
+    TimePoint stalledUntil{};
     /** Time until a status question or an order has a slot and is answered. */
     Duration orderDelay{0};
     /** Share of status questions and orders that it refuses for want of a slot. */
--- a/lab/pooled/PooledFault.cpp
+++ b/lab/pooled/PooledFault.cpp
@@ -29,4 +29,17 @@
     return plansOf(kFirstServerFault, kPooledFaultCount);
 }
 
+std::vector<std::vector<PooledFault>> crowdedPromotionPlans() {
+    std::vector<std::vector<PooledFault>> plans;
+    for (const PooledFault fault :
+         {PooledFault::PrimaryCrashes, PooledFault::PrimaryCutFromReplicas,
+          PooledFault::PrimaryCutFromSomeNodes, PooledFault::PrimaryCutFromAllNodes,
+          PooledFault::PrimaryLeaves, PooledFault::NodesCutFromServers,
+          PooledFault::OldPrimaryLeadsOn, PooledFault::ServerRenamed,
+          PooledFault::PromotionCallTroubled}) {
+        plans.push_back({PooledFault::ServersCrowded, PooledFault::ReplicaDeaf, fault});
+    }
+    return plans;
+}
+
 }  // namespace coralhoist::pooled
--- a/lab/pooled/PooledFault.h
+++ b/lab/pooled/PooledFault.h
@@ -45,4 +45,7 @@
 /** @return the single faults from kFirstServerFault on, and all pairs with one of them. */
 std::vector<std::vector<PooledFault>> serverFaultPlans();
 
+/** @return crowded servers of which a replica lags behind, with each fault that ends a primary. */
+std::vector<std::vector<PooledFault>> crowdedPromotionPlans();
+
 }  // namespace coralhoist::pooled
--- a/lab/pooled/PooledServerFaults.cpp
+++ b/lab/pooled/PooledServerFaults.cpp
@@ -10,9 +10,12 @@
 using std::chrono::seconds;
 
 constexpr Duration kShortestOrderDelay = milliseconds(100);
+/** Half of the delays are below this. */
+constexpr Duration kUsualOrderDelay = milliseconds(500);
 constexpr Duration kLongestOrderDelay = milliseconds(1200);
+constexpr Duration kLongestStall = milliseconds(800);
 constexpr std::uint64_t kMostSlowness = 10;
-constexpr double kRefusedShare = 0.2;
+constexpr double kRefusedShare = 0.3;
 /** Time between looks whether a successor leads, and the longest wait for it. */
 constexpr Duration kLook = milliseconds(20);
 constexpr Duration kSuccessorPatience = milliseconds(2500);
@@ -76,13 +79,17 @@
         }
     }
     if (!over) {
-        after(between(milliseconds(100), milliseconds(600)), [this, end] { crowdServers(end); });
+        after(between(milliseconds(300), milliseconds(1200)), [this, end] { crowdServers(end); });
     }
 }
 
 void PooledFaults::crowd(LogServer& server) {
-    server.orderDelay = between(kShortestOrderDelay, kLongestOrderDelay);
-    server.ordersRefused = chance(30) ? kRefusedShare : 0;
+    const Duration longest = chance(50) ? kLongestOrderDelay : kUsualOrderDelay;
+    server.orderDelay = between(kShortestOrderDelay, longest);
+    server.ordersRefused = chance(50) ? kRefusedShare : 0;
+    if (chance(40)) {
+        server.stalledUntil = _targets.queue.now() + between(Duration(0), kLongestStall);
+    }
     server.slowness = static_cast<std::int64_t>(1 + _targets.random.below(kMostSlowness));
 }
 
--- a/lab/pooled/RecordStore.cpp
+++ b/lab/pooled/RecordStore.cpp
@@ -51,11 +51,12 @@
     ++_unansweredCalls;
     const Duration delay = std::chrono::microseconds(
         _random.below(static_cast<std::uint64_t>(_callFaults.longestDelay.count()) / 1000 + 1));
-    _queue.after(delay, [this, group, server, fence, checks = _callFaults.checksFence] {
-        if (!checks || _newestFence[group] == fence) {
-            _groups.at(group)->promote(server);
-        }
-    });
+    _queue.after(delay,
+                 [this, group, server, fence, checks = _groups.at(group)->model().checksFence] {
+                     if (!checks || _newestFence[group] == fence) {
+                         _groups.at(group)->promote(server);
+                     }
+                 });
 }
 
 void RecordStore::restartBeforeCall(const GroupName& group, const ServerName& server) {
--- a/lab/pooled/RecordStore.h
+++ b/lab/pooled/RecordStore.h
@@ -31,8 +31,6 @@
     Duration longestDelay{0};
     /** Share of calls that find the server restarting. */
     double restarts = 0;
-    /** A late call is dropped when one with a higher fence has come since. */
-    bool checksFence = true;
 };
 
 /** The store: one record for each group, versions that grow with every change. */
--- a/tests/pooled_simulation/PlanRunner.cpp
+++ b/tests/pooled_simulation/PlanRunner.cpp
@@ -13,6 +13,8 @@
 /** Runs share nothing, so that a few threads shorten the wait; CORALHOIST_SIMULATION_THREADS
  * overrides it. */
 constexpr std::size_t kThreads = 6;
+constexpr std::size_t kSlots = 3;
+constexpr Duration kHeartbeat = std::chrono::milliseconds(500);
 constexpr std::size_t kRecoveredAcknowledgements = 300;
 
 std::vector<PooledRunOptions> allRuns(const PooledRunOptions& base,
@@ -47,6 +49,17 @@
     return text != nullptr ? std::strtoull(text, nullptr, 10) : byDefault;
 }
 
+PooledRunOptions crowdedOptions() {
+    PooledRunOptions options;
+    options.group.slots = kSlots;
+    options.group.heartbeat = kHeartbeat;
+    return options;
+}
+
+bool hasRecovered(const PooledReport& report) {
+    return report.acknowledgedAfterFaults >= kRecoveredAcknowledgements;
+}
+
 std::vector<PooledReport> runAll(const std::vector<PooledRunOptions>& runs) {
     std::vector<PooledReport> reports(runs.size());
     std::atomic<std::size_t> next = 0;
@@ -74,7 +87,7 @@
             ++broken;
             print(runs[run], reports[run], reports[run].violations.front());
         }
-        if (reports[run].acknowledgedAfterFaults < kRecoveredAcknowledgements) {
+        if (!hasRecovered(reports[run])) {
             ++stuck;
             print(runs[run], reports[run], "did not recover");
         }
--- /dev/null
+++ b/tests/pooled_simulation/PooledRegressionTest.cpp
@@ -0,0 +1,81 @@
+/** Seeded runs that broke a promise once: faults and seed as they were found. */
+#include <CppUTest/TestHarness.h>
+
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include "PlanRunner.h"
+#include "lab/pooled/PooledRun.h"
+
+namespace coralhoist::pooled {
+namespace {
+
+constexpr std::size_t kRecoveredAcknowledgements = 300;
+
+TEST_GROUP(PooledRegression){
+    /** The run must keep all promises and recover. */
+    static void check(std::uint64_t seed, const std::vector<PooledFault>& faults){
+        PooledRunOptions options = crowdedOptions();
+options.seed = seed;
+options.faults = faults;
+const PooledReport report = runPooled(options);
+for (const std::string& violation : report.violations) {
+    std::cout << "seed " << seed << ": " << violation << '\n';
+}
+UNSIGNED_LONGS_EQUAL(0, report.violations.size());
+CHECK(report.acknowledgedAfterFaults >= kRecoveredAcknowledgements);
+}  // namespace
+};  // namespace coralhoist::pooled
+
+/** The replica with position 317 is promoted: the one with 464 answers after more than 400 ms. */
+TEST(PooledRegression, ALateAnswerHidesNoLogOfACutOffPrimary) {
+    check(48, {PooledFault::ServersCrowded, PooledFault::ReplicaDeaf,
+               PooledFault::PrimaryCutFromSomeNodes});
+}
+
+/** After a step-down at 500 the replica with 480 is promoted: the one with 485 answers late. */
+TEST(PooledRegression, ALateAnswerHidesNoLogAfterAStepDown) {
+    check(11, {PooledFault::ServersCrowded, PooledFault::ReplicaDeaf,
+               PooledFault::PrimaryCutFromReplicas});
+}
+
+/** The replaced primary steps down and counts as the former one; the leader of term 2 commits on.
+ */
+TEST(PooledRegression, AReplacedPrimaryDoesNotHideItsSuccessor) {
+    check(1006, {PooledFault::OldPrimaryLeadsOn});
+}
+
+/** As above, while announcements of servers that serve lapse. */
+TEST(PooledRegression, AReplacedPrimaryDoesNotHideItsSuccessorWhileAnnouncementsLapse) {
+    check(148, {PooledFault::OldPrimaryLeadsOn, PooledFault::AnnouncementsLapse});
+}
+
+/** As above, on crowded servers with a replica that receives nothing. */
+TEST(PooledRegression, AReplacedPrimaryDoesNotHideItsSuccessorOnCrowdedServers) {
+    check(115,
+          {PooledFault::ServersCrowded, PooledFault::ReplicaDeaf, PooledFault::OldPrimaryLeadsOn});
+}
+
+/** A second node takes the record over while the first one goes on, and both call. */
+TEST(PooledRegression, OneNodePromotesWhileAnnouncementsLapse) {
+    check(716, {PooledFault::PrimaryCutFromAllNodes, PooledFault::AnnouncementsLapse});
+}
+
+/** Two nodes announce and call the promotion of the same server under terms 3 and 4. */
+TEST(PooledRegression, OneNodePromotesWhenAServerIsBackUnderANewName) {
+    check(1181, {PooledFault::OldPrimaryLeadsOn, PooledFault::ServerRenamed});
+}
+
+/** The primary that stepped down is back under a new name and nobody promotes for 10 seconds. */
+TEST(PooledRegression, ARenamedServerHoldsUpNoPromotionAfterAStoreOutage) {
+    check(437, {PooledFault::StoreDown, PooledFault::ServerRenamed});
+}
+
+/** As above, after the chosen replica was found restarting. */
+TEST(PooledRegression, ARenamedServerHoldsUpNoPromotionWhenReplicasRestart) {
+    check(1711, {PooledFault::ServerRenamed, PooledFault::ReplicasRestart});
+}
+
+}  // namespace
+}  // namespace coralhoist::pooled
--- a/tests/pooled_simulation/PooledServerFaultTest.cpp
+++ b/tests/pooled_simulation/PooledServerFaultTest.cpp
@@ -11,18 +11,10 @@
 
 /** Runs of each plan in one test run; CORALHOIST_SERVER_FAULT_ROUNDS overrides it. */
 constexpr std::uint64_t kDefaultRounds = 2;
-constexpr std::size_t kSlots = 3;
-constexpr Duration kHeartbeat = std::chrono::milliseconds(500);
+/** Rounds of the few plans with three faults for each round of the others. */
+constexpr std::uint64_t kCrowdedPromotionShare = 4;
 constexpr std::uint64_t kSeeds = 10;
 
-/** Servers with a few slots, whose announcements go after three heartbeats of silence. */
-PooledRunOptions crowdedOptions() {
-    PooledRunOptions options;
-    options.group.slots = kSlots;
-    options.group.heartbeat = kHeartbeat;
-    return options;
-}
-
 /** @return what a few runs under the faults count. */
 std::uint64_t countIn(const std::vector<PooledFault>& faults,
                       const std::function<std::uint64_t(const PooledReport&)>& count) {
@@ -72,7 +64,9 @@
 }
 
 TEST(PooledServerFault, AServerUnderANewNameRefusesWhoExpectsTheOldOne) {
-    const std::vector<PooledFault> faults = {PooledFault::ServerRenamed};
+    // Nodes that promote ask servers that drain, too.
+    const std::vector<PooledFault> faults = {PooledFault::ServerRenamed,
+                                             PooledFault::PromotionCallTroubled};
     CHECK(countIn(faults, [](const PooledReport& report) { return report.faults.renames; }) > 0);
     CHECK(countIn(faults, [](const PooledReport& report) { return report.wrongServers; }) > 0);
 }
@@ -109,5 +103,11 @@
                numberFromEnvironment("CORALHOIST_SERVER_FAULT_ROUNDS", kDefaultRounds));
 }
 
+TEST(PooledServerFault, KeepsThePromisesWhenCrowdedServersPromote) {
+    checkPlans(crowdedOptions(), crowdedPromotionPlans(),
+               numberFromEnvironment("CORALHOIST_SERVER_FAULT_ROUNDS", kDefaultRounds) *
+                   kCrowdedPromotionShare);
+}
+
 }  // namespace
 }  // namespace coralhoist::pooled
