--- a/tests/pooling/LeadershipTrackerTest.cpp
+++ b/tests/pooling/LeadershipTrackerTest.cpp
@@ -1,5 +1,8 @@
 #include <CppUTest/TestHarness.h>
 
+#include <string>
+#include <vector>
+
 #include "pooling/LeadershipTracker.h"
 
 namespace coralhoist::pooling {
@@ -12,14 +15,31 @@
     TimePoint start{std::chrono::hours(1)};
 
     void announcePrimary(const std::string& name) {
+        announcePrimaries({name});
+    }
+
+    /** All of them claim to be the primary; no other server is listed. */
+    void announcePrimaries(const std::vector<std::string>& names) {
         ServerDirectory directory;
-        ServerAnnouncement announcement;
-        announcement.address = {GroupName("g"), ServerName(name), "10.0.0.1", 1};
-        announcement.role = ServerRole::Primary;
-        announcement.version = 1;
-        directory.put(announcement);
+        for (const std::string& name : names) {
+            ServerAnnouncement announcement;
+            announcement.address = {GroupName("g"), ServerName(name), "10.0.0.1", 1};
+            announcement.role = ServerRole::Primary;
+            announcement.version = 1;
+            directory.put(announcement);
+        }
         tracker.onDirectory(directory.serversOf(GroupName("g")), start);
     }
+
+    void record(PromotionPhase phase, const std::string& successor, Term term,
+                std::uint64_t version, TimePoint at) {
+        PromotionNotice notice;
+        notice.phase = phase;
+        notice.successor = ServerName(successor);
+        notice.term = term;
+        notice.version = version;
+        tracker.onNotice(notice, at);
+    }
 };
 
 TEST(LeadershipTracker, AStartWaitsForTheLeaseWithoutAProof) {
@@ -59,5 +79,46 @@
     CHECK_FALSE(tracker.isCertainFor(start));
 }
 
+TEST(LeadershipTracker, AnOldPrimaryIsNotTakenWhenTheSuccessorLeavesTheList) {
+    announcePrimaries({"s1", "s2"});
+    tracker.onPosition(ServerName("s1"), OpTime{1, 50}, start);
+    record(PromotionPhase::None, "s2", 2, 7, start);
+    CHECK_TRUE(tracker.primary().has_value());
+    STRCMP_EQUAL("s2", tracker.primary()->server.value().c_str());
+    announcePrimaries({"s1"});
+    CHECK_FALSE(tracker.primary().has_value());
+}
+
+TEST(LeadershipTracker, AServerThatHasShownNoTermIsNotTakenForASuccessorThatLeft) {
+    announcePrimaries({"s1", "s2"});
+    record(PromotionPhase::None, "s2", 2, 7, start);
+    // The platform may have given the successor a later term than the one recorded.
+    tracker.onPosition(ServerName("s2"), OpTime{3, 60}, start);
+    STRCMP_EQUAL("s2", tracker.primary()->server.value().c_str());
+    announcePrimaries({"s1"});
+    CHECK_FALSE(tracker.primary().has_value());
+}
+
+TEST(LeadershipTracker, ALeaderOfALaterTermThatTheRecordDoesNotNameIsNotTaken) {
+    announcePrimaries({"s1", "s2"});
+    record(PromotionPhase::None, "s2", 2, 7, start);
+    tracker.onPosition(ServerName("s1"), OpTime{3, 60}, start);
+    tracker.confirmByRecord(7, start);
+    CHECK_FALSE(tracker.mayWrite(start + kLeadershipLease));
+    CHECK_FALSE(tracker.isCertainFor(start));
+}
+
+TEST(LeadershipTracker, AnAnnouncementOfThePresentPrimaryWaitsForTheLease) {
+    announcePrimary("s1");
+    record(PromotionPhase::None, "s1", 1, 5, start);
+    tracker.confirmByRecord(5, start);
+    CHECK_TRUE(tracker.mayWrite(start));
+    // Another server may have led since, unseen here, and reads may still rest on proofs of that.
+    const TimePoint announced = start + std::chrono::seconds(5);
+    record(PromotionPhase::Promoting, "s1", 3, 9, announced);
+    CHECK_FALSE(tracker.mayWrite(announced + milliseconds(499)));
+    CHECK_TRUE(tracker.mayWrite(announced + kLeadershipLease));
+}
+
 }  // namespace
 }  // namespace coralhoist::pooling
