--- a/src/pooling/LeadershipTracker.cpp
+++ b/src/pooling/LeadershipTracker.cpp
@@ -59,6 +59,8 @@
     if (announced) {
         _announcedAt = now;
         _confirmedAt.reset();
+        // Also for the present primary: another server may have led since, unseen by this node.
+        _writableFrom = now + kLeadershipLease;
     }
     if (notice.phase != PromotionPhase::Preparing) {
         _newestTerm = std::max(_newestTerm, notice.term);
@@ -97,12 +99,27 @@
     if (refuted || !claim.listed) {
         return false;
     }
-    const bool promoted = _notice.term > 0 && _notice.term >= _newestTerm;
-    if (promoted) {
-        const bool finished = _notice.phase != PromotionPhase::Promoting;
-        return server == _notice.successor && (claim.claims || finished);
+    if (_notice.term == 0) {
+        return claim.claims && mayLeadNewestTerm(claim);
     }
-    return claim.claims && (claim.term == 0 || claim.term >= _newestTerm);
+    if (server != _notice.successor) {
+        return false;
+    }
+    if (_newestTerm > _notice.term) {
+        return claim.claims && mayLeadNewestTerm(claim);
+    }
+    return claim.claims || _notice.phase != PromotionPhase::Promoting;
+}
+
+/** A server that has shown no term yet counts unless another one claims to lead the newest. */
+bool LeadershipTracker::mayLeadNewestTerm(const Claim& claim) const {
+    if (claim.term > 0) {
+        return claim.term >= _newestTerm;
+    }
+    return std::none_of(_claims.begin(), _claims.end(), [this](const auto& entry) {
+        const Claim& other = entry.second;
+        return other.claims && other.term > 0 && other.term >= _newestTerm;
+    });
 }
 
 void LeadershipTracker::choose(TimePoint now) {
--- a/src/pooling/LeadershipTracker.h
+++ b/src/pooling/LeadershipTracker.h
@@ -52,8 +52,10 @@
 bool announcesAnew(const PromotionNotice& before, const PromotionNotice& after);
 
 /**
- * Leadership of one group. Invariants: the newest term seen never decreases; a server that has not
- * shown that term is not taken for the primary once another one has claimed it.
+ * Leadership of one group. Invariants: the newest term seen never decreases; a server that has
+ * shown a lower one only is not taken for the primary; once a promotion is recorded, nobody but
+ * its successor is. A leader that the record does not name was promoted by a call that took effect
+ * late: the record proves nothing about it, and it may lack commits of the successor.
  */
 class LeadershipTracker {
 public:
@@ -115,6 +117,7 @@
 
     void choose(TimePoint now);
     bool isUsable(const ServerName& server, const Claim& claim, TimePoint now) const;
+    bool mayLeadNewestTerm(const Claim& claim) const;
 
     std::map<ServerName, Claim> _claims;
     std::optional<Primary> _primary;
