--- a/src/pooling/LeadershipTracker.cpp
+++ b/src/pooling/LeadershipTracker.cpp
@@ -55,7 +55,12 @@
         return;
     }
     const bool announced = announcesAnew(_notice, notice);
+    const bool otherSuccessor =
+        notice.successor != _notice.successor || notice.base != _notice.base;
     _notice = notice;
+    if (announced || otherSuccessor) {
+        _recordedAt = now;
+    }
     if (announced) {
         _announcedAt = now;
         _confirmedAt.reset();
@@ -92,6 +97,14 @@
     return _primary && now >= _writableFrom && _notice.phase != PromotionPhase::Preparing;
 }
 
+bool LeadershipTracker::mayLackCommit(const ServerName& server, TimePoint sentAt,
+                                      OpTime position) const {
+    if (_notice.term == 0 || (server == _notice.successor && !isPromotedSince(sentAt))) {
+        return false;
+    }
+    return position.term != _notice.base.term || position > _notice.base;
+}
+
 bool LeadershipTracker::isUsable(const ServerName& server, const Claim& claim,
                                  TimePoint now) const {
     const bool refuted =
--- a/src/pooling/LeadershipTracker.h
+++ b/src/pooling/LeadershipTracker.h
@@ -44,6 +44,8 @@
     Term term = 0;
     /** Version of the record; a later one is higher. */
     std::uint64_t version = 0;
+    /** Position of the successor's log when it was chosen; term 0 when it is not known. */
+    OpTime base{};
 
     bool operator==(const PromotionNotice&) const = default;
 };
@@ -96,6 +98,20 @@
     /** @return whether statements may be sent that commit at the primary. */
     bool mayWrite(TimePoint now) const;
 
+    /**
+     * @return whether a promotion has become known after that moment: then what a server answers to
+     * a statement sent before tells nothing about the present leader and its log.
+     */
+    bool isPromotedSince(TimePoint sentAt) const { return _recordedAt && sentAt < *_recordedAt; }
+
+    /**
+     * The successor of the newest promotion has a commit of another server only if that is of the
+     * term of its own log when it was chosen, and not above it.
+     * @param sentAt when the commit was sent to the server that acknowledged it.
+     * @return whether the commit at that position may be lost.
+     */
+    bool mayLackCommit(const ServerName& server, TimePoint sentAt, OpTime position) const;
+
     /** @return the earliest time at which mayWrite may turn true. */
     TimePoint writableFrom() const { return _writableFrom; }
 
@@ -125,6 +141,8 @@
     PromotionNotice _notice;
     /** When the successor of the newest announcement was first seen. */
     std::optional<TimePoint> _announcedAt;
+    /** When the newest promotion, announced or finished, was first seen. */
+    std::optional<TimePoint> _recordedAt;
     Term _newestTerm = 0;
     TimePoint _writableFrom{};
 };
--- a/src/pooling/PoolerResults.cpp
+++ b/src/pooling/PoolerResults.cpp
@@ -182,7 +182,10 @@
 
 void StatementPooler::onSucceeded(ServerConnection& connection, PooledSession& session,
                                   StatementResult result) {
-    noteFreshness(session, result);
+    const bool inDoubt = isCommitInDoubt(session, result);
+    if (!inDoubt) {
+        noteFreshness(session, result);
+    }
     SessionTransaction& transaction = session.transaction;
     const bool ends = transaction.phase != TransactionPhase::Open ||
                       session.operation->statement.verb == StatementVerb::Commit;
@@ -198,36 +201,12 @@
         --server->inflight;
         markDirty(connection.group);
     }
-    finishOperation(session, std::move(result));
-}
-
-bool StatementPooler::replicatesSynchronously(const GroupName& group) const {
-    const auto found = _catalog->groups.find(group);
-    return found != _catalog->groups.end() && found->second.synchronousReplicas > 0;
-}
-
-/** What a success at the primary proves about its leadership and about the log. */
-void StatementPooler::noteFreshness(PooledSession& session, const StatementResult& result) {
-    GroupState& group = groupOf(session);
-    const Operation& operation = *session.operation;
-    const std::optional<Primary>& primary = group.leadership.primary();
-    const bool inTransaction = session.transaction.phase == TransactionPhase::Open;
-    const bool committed = inTransaction ? operation.statement.verb == StatementVerb::Commit &&
-                                               session.transaction.wrote
-                                         : operation.writes;
-    if (committed) {
-        session.ownFloor = std::max(session.ownFloor, result.position);
-    }
-    if (!primary || primary->server != operation.server || result.position.term == 0) {
+    if (inDoubt) {
+        replyError(session, StatementFault::InDoubt,
+                   "a promotion was announced before the server acknowledged the commit");
         return;
     }
-    if (committed && replicatesSynchronously(session.group)) {
-        // A replica took the commit after it was sent, so none had been kept from it before.
-        group.leadership.confirm(*primary, operation.sentAt);
-    }
-    if (group.leadership.isCertainFor(operation.sentAt)) {
-        group.floors.add(operation.sentAt, result.position);
-    }
+    finishOperation(session, std::move(result));
 }
 
 void StatementPooler::onRefused(ServerConnection& connection, PooledSession& session,
--- a/src/pooling/PoolerSending.cpp
+++ b/src/pooling/PoolerSending.cpp
@@ -126,11 +126,7 @@
     if (server != nullptr && !server->silentSince) {
         server->silentSince = now;
     }
-    const bool commits =
-        session.transaction.phase == TransactionPhase::None
-            ? operation.writes
-            : operation.statement.verb == StatementVerb::Commit && session.transaction.wrote;
-    if (commits) {
+    if (commitsChanges(session)) {
         groupOf(session).pendingWrites[connection.id] = now;
     }
     session.transaction.wrote = session.transaction.wrote || operation.writes;
--- a/src/pooling/StatementPooler.h
+++ b/src/pooling/StatementPooler.h
@@ -298,8 +298,6 @@
     void setLatencyTargets();
     void noteFault(PooledSession& session, StatementFault fault);
     void notePosition(const ServerConnection& connection, OpTime position);
-    bool replicatesSynchronously(const GroupName& group) const;
-    void noteFreshness(PooledSession& session, const StatementResult& result);
     void requeue(PooledSession& session, const char* obstacle);
     void release(ServerConnection& connection, SessionState state);
     void abandon(ServerConnection& connection);
@@ -316,6 +314,12 @@
     bool keepsWarm(const GroupName& group) const;
     void releaseUnused(GroupState& group, TimePoint now);
 
+    // PoolerCommits.cpp: what successes prove.
+    static bool commitsChanges(const PooledSession& session);
+    bool isCommitInDoubt(const PooledSession& session, const StatementResult& result) const;
+    bool replicatesSynchronously(const GroupName& group) const;
+    void noteFreshness(PooledSession& session, const StatementResult& result);
+
     // PoolerForwarding.cpp: what other nodes execute.
     bool forward(PooledSession& session);
     bool forwardToOther(PooledSession& session);
--- a/tests/pooling/LateAnswerTest.cpp
+++ b/tests/pooling/LateAnswerTest.cpp
@@ -12,9 +12,11 @@
     PoolerFixture fixture;
     std::uint64_t recordVersion = 10;
 
-    void record(PromotionPhase phase, const std::string& successor, Term term) {
+    void record(PromotionPhase phase, const std::string& successor, Term term,
+                OpTime base = OpTime{}) {
         PromotionNotice notice;
         notice.phase = phase;
+        notice.base = base;
         notice.successor = ServerName(successor);
         notice.term = term;
         notice.version = ++recordVersion;
@@ -44,6 +46,42 @@
     CHECK_TRUE(fixture.replies[0].result.state == SessionState::Idle);
 }
 
+TEST(LateAnswer, AWriteThatTheSuccessorHasSucceeds) {
+    fixture.submit(fixture.session("current"), StatementVerb::Write, "WRITE 1 a");
+    record(PromotionPhase::Promoting, "s2", 2, {1, 101});
+    fixture.succeed({1, 101});
+    UNSIGNED_LONGS_EQUAL(1, fixture.replies.size());
+    CHECK_TRUE(fixture.replies[0].result.succeeded());
+}
+
+TEST(LateAnswer, AWriteAboveTheLogOfTheSuccessorIsInDoubt) {
+    fixture.submit(fixture.session("current"), StatementVerb::Write, "WRITE 1 a");
+    record(PromotionPhase::Promoting, "s2", 2, {1, 101});
+    fixture.succeed({1, 102});
+    UNSIGNED_LONGS_EQUAL(1, fixture.replies.size());
+    CHECK_TRUE(isInDoubt(fixture.replies[0]));
+}
+
+TEST(LateAnswer, AWriteOfAnEarlierTermThanTheSuccessorsLogIsInDoubt) {
+    fixture.submit(fixture.session("current"), StatementVerb::Write, "WRITE 1 a");
+    record(PromotionPhase::Promoting, "s2", 3, {2, 150});
+    fixture.succeed({1, 101});
+    UNSIGNED_LONGS_EQUAL(1, fixture.replies.size());
+    CHECK_TRUE(isInDoubt(fixture.replies[0]));
+}
+
+TEST(LateAnswer, AWriteSentToTheSuccessorAfterItsAnnouncementSucceeds) {
+    record(PromotionPhase::Promoting, "s2", 2, {1, 100});
+    fixture.clock.advance(kLeadershipLease);
+    record(PromotionPhase::None, "s2", 2, {1, 100});
+    fixture.submit(fixture.session("current"), StatementVerb::Write, "WRITE 1 a");
+    STRCMP_EQUAL("s2", fixture.pending().server.value().c_str());
+    // The record may name a term that the platform has not given.
+    fixture.succeed({1, 101});
+    UNSIGNED_LONGS_EQUAL(1, fixture.replies.size());
+    CHECK_TRUE(fixture.replies[0].result.succeeded());
+}
+
 TEST(LateAnswer, ACommitOfAFormerPrimaryIsInDoubt) {
     const SessionId session = fixture.session("current");
     fixture.submit(session, StatementVerb::Begin, "BEGIN");
@@ -92,6 +130,8 @@
     promote("s2", 2);
     promote("s1", 3);
     fixture.succeed({1, 100}, SessionState::InTransaction);
+    fixture.submit(session, StatementVerb::Rollback, "ROLLBACK");
+    fixture.acknowledge();
     // Without a position that covers the commits of term 2, a bounded read goes to the primary.
     fixture.submit(fixture.session("bounded"), StatementVerb::Read, "READ 1");
     UNSIGNED_LONGS_EQUAL(1, fixture.pendingCount());
