--- /dev/null
+++ b/tests/cluster/NodeRegistryTest.cpp
@@ -0,0 +1,140 @@
+#include <CppUTest/TestHarness.h>
+
+#include <QCoreApplication>
+#include <string>
+#include <vector>
+
+#include "base/SystemTime.h"
+#include "cluster/NodeRegistry.h"
+#include "link/socket/HttpResponder.h"
+#include "platform/PlatformCodec.h"
+#include "platform/StoreProtocol.h"
+#include "tests/support/ManualClock.h"
+#include "tests/support/QtTestLoop.h"
+
+namespace coralhoist::cluster {
+namespace {
+
+constexpr const char* kHost = "127.0.0.1";
+constexpr int kOk = 200;
+constexpr int kConflict = 409;
+constexpr Duration kRenewal = std::chrono::seconds(60);
+
+/** Hands everything on and remembers what was written. */
+class RecordingCodec final : public ClusterCodec {
+public:
+    ClusterKinds kinds() const override { return _codec.kinds(); }
+    std::optional<EstateImage> readEstate(const store::StoredObject& object) const override {
+        return _codec.readEstate(object);
+    }
+    std::optional<pooling::ServerAnnouncement> readServer(
+        const store::StoredObject& object) const override {
+        return _codec.readServer(object);
+    }
+    std::optional<failover::PromotionRecord> readPromotion(
+        const store::StoredObject& object) const override {
+        return _codec.readPromotion(object);
+    }
+    std::optional<pooling::ProxyNode> readNode(const store::StoredObject& object) const override {
+        return _codec.readNode(object);
+    }
+    store::StoredObject writeNode(const pooling::ProxyNode& node,
+                                  std::uint64_t renewals) const override {
+        written.push_back(_codec.writeNode(node, renewals));
+        return written.back();
+    }
+    store::StoredObject writePromotion(const GroupName& group,
+                                       const failover::PromotionRecord& record) const override {
+        return _codec.writePromotion(group, record);
+    }
+    socket::HttpCall promoteCall(const GroupName& group, const ServerName& server,
+                                 const NodeName& holder, std::uint64_t fence) const override {
+        return _codec.promoteCall(group, server, holder, fence);
+    }
+    failover::PromoteOutcome readPromoteAnswer(const socket::HttpAnswer& answer) const override {
+        return _codec.readPromoteAnswer(answer);
+    }
+
+    mutable std::vector<store::StoredObject> written;
+
+private:
+    platform_adapter::PlatformCodec _codec;
+};
+
+TEST_GROUP(NodeRegistry) {
+    int count = 1;
+    char name[8] = "test";
+    char* arguments[1] = {name};
+    QCoreApplication application{count, arguments};
+    testing::ManualClock clock;
+    SeededRandom random{1};
+    socket::SocketPoller poller;
+    socket::HttpResponder responder{poller, [this](const std::string& path) { return next(path); }};
+    platform_adapter::StoreProtocol protocol;
+    RecordingCodec codec;
+    pooling::ProxyNode self{NodeName("self"), ZoneName("z"), kHost, 1};
+    std::unique_ptr<socket::HttpClient> client;
+    std::unique_ptr<NodeRegistry> registry;
+    /** What the store holds of an earlier life of the node. */
+    store::StoredObject stored;
+    std::size_t answered = 0;
+
+    void setup() override {
+        CHECK_TRUE(responder.listen(kHost, 0).isOk());
+        client = std::make_unique<socket::HttpClient>(poller, clock, kHost, responder.port());
+        registry = std::make_unique<NodeRegistry>(*client, protocol, codec, clock, random, self);
+    }
+
+    void teardown() override {
+        registry.reset();
+        client.reset();
+    }
+
+    std::string storedText() const {
+        return R"({"meta":{"name":"self","revision":)" + std::to_string(stored.version) +
+               R"(},"spec":{"zone":"z","addr":"127.0.0.1:1"}})";
+    }
+
+    /** A creation finds the registration; a replacement is taken when it changes it. */
+    socket::HttpPage next(const std::string& path) {
+        if (path == "/objects/proxies") {
+            ++answered;
+            return {kConflict, storedText()};
+        }
+        if (path == "/objects/proxies/self") {
+            ++answered;
+            if (codec.written.back().content != stored.content) {
+                stored.content = codec.written.back().content;
+                ++stored.version;
+            }
+            return {kOk, storedText()};
+        }
+        return {kOk, R"({"items":[],"has_more":false,"at":10})"};
+    }
+
+    void waitForAnswers(std::size_t expected) {
+        CHECK_TRUE(testing::waitUntil([this, expected] {
+            client->onTick(clock.now());
+            registry->onTick(clock.now());
+            return answered == expected;
+        }));
+        int slices = 0;
+        // The last answer is on its way.
+        testing::waitUntil([&slices] { return ++slices > 5; });
+    }
+};
+
+TEST(NodeRegistry, EachRenewalChangesTheRegistrationOfAnEarlierLife) {
+    constexpr std::uint64_t kRenewalsOfEarlierLives = 3;
+    stored = codec.writeNode(self, 1);
+    stored.version = 6;
+    waitForAnswers(1);
+    for (std::uint64_t renewal = 1; renewal <= kRenewalsOfEarlierLives; ++renewal) {
+        clock.advance(kRenewal);
+        waitForAnswers(1 + renewal);
+        UNSIGNED_LONGS_EQUAL(6 + renewal, stored.version);
+    }
+}
+
+}  // namespace
+}  // namespace coralhoist::cluster
