--- a/src/cluster/ClusterCodec.h
+++ b/src/cluster/ClusterCodec.h
@@ -37,9 +37,13 @@
 
     virtual std::optional<pooling::ProxyNode> readNode(const store::StoredObject& object) const = 0;
 
-    /** @param renewals grows, so that each writing changes the object. */
+    /**
+     * @param replacedVersion version of the registration that is replaced; 0 for none. It goes into
+     * the object, so that each writing changes it, also after a restart: the store raises no
+     * version for what stands there already, and a renewal is known by its version alone.
+     */
     virtual store::StoredObject writeNode(const pooling::ProxyNode& node,
-                                          std::uint64_t renewals) const = 0;
+                                          std::uint64_t replacedVersion) const = 0;
 
     virtual store::StoredObject writePromotion(const GroupName& group,
                                                const failover::PromotionRecord& record) const = 0;
--- a/src/cluster/NodeRegistry.cpp
+++ b/src/cluster/NodeRegistry.cpp
@@ -78,7 +78,7 @@
 
 void NodeRegistry::startRegistration(TimePoint now) {
     const std::string kind = _codec.kinds().nodes;
-    StoredObject object = _codec.writeNode(_self, _renewals);
+    StoredObject object = _codec.writeNode(_self, _ownVersion);
     object.version = _ownVersion;
     socket::HttpCall call =
         _ownVersion == 0 ? _protocol.createCall(kind, object) : _protocol.replaceCall(kind, object);
@@ -114,7 +114,6 @@
     // A conflict shows the registration of an earlier life, which serves if it says the same.
     const std::optional<pooling::ProxyNode> node = _codec.readNode(*object);
     if (written || (node && *node == _self)) {
-        ++_renewals;
         _nextRegistration = _clock.now() + kRenewEvery;
     }
 }
--- a/src/cluster/NodeRegistry.h
+++ b/src/cluster/NodeRegistry.h
@@ -68,7 +68,6 @@
     std::map<std::string, Registration> _nodes;
     /** Version of this node's registration; 0 while it is not known to be there. */
     std::uint64_t _ownVersion = 0;
-    std::uint64_t _renewals = 0;
     bool _registering = false;
     TimePoint _nextRegistration{};
     bool _listing = false;
--- a/tests/cluster/NodeRegistryTest.cpp
+++ b/tests/cluster/NodeRegistryTest.cpp
@@ -39,8 +39,8 @@
         return _codec.readNode(object);
     }
     store::StoredObject writeNode(const pooling::ProxyNode& node,
-                                  std::uint64_t renewals) const override {
-        written.push_back(_codec.writeNode(node, renewals));
+                                  std::uint64_t replacedVersion) const override {
+        written.push_back(_codec.writeNode(node, replacedVersion));
         return written.back();
     }
     store::StoredObject writePromotion(const GroupName& group,
