--- a/tests/tenancy/QuotaNetwork.cpp
+++ b/tests/tenancy/QuotaNetwork.cpp
@@ -24,6 +24,7 @@
 
     void start() {
         ++life;
+        unanswered.clear();
         exchange = std::make_unique<QuotaExchange>(
             QuotaDependencies{_network._clock, *this, *this, nameOf(_index),
                               [this] { return settingsKnownAt; },
@@ -48,6 +49,7 @@
     }
     void askForQuota(const NodeName& node, std::uint64_t question,
                      const QuotaQuestion& asked) override {
+        unanswered[question] = _network.indexOf(node);
         _network._packets.push_back({_network._clock.now() + kDelay,
                                      _index,
                                      _network.indexOf(node),
@@ -63,6 +65,22 @@
         askers.erase(asker);
     }
 
+    void takeAnswer(std::uint64_t question, const QuotaAnswer& answer) {
+        unanswered.erase(question);
+        exchange->onQuotaAnswer(question, answer);
+    }
+
+    /** Questions to nodes that have turned out to be unreachable will not be answered. */
+    void loseQuestions() {
+        const std::map<std::uint64_t, std::size_t> asked = unanswered;
+        for (const auto& [question, node] : asked) {
+            if (!canReach(nameOf(node))) {
+                unanswered.erase(question);
+                exchange->onQuotaAnswer(question, std::nullopt);
+            }
+        }
+    }
+
     /** Who asked what: the node, its number of the question and its life. */
     struct Asker {
         std::size_t node = 0;
@@ -75,6 +93,8 @@
     std::uint64_t life = 0;
     std::map<std::uint64_t, Asker> askers;
     std::uint64_t lastAsker = 0;
+    /** The node that was asked, by the number of the question. */
+    std::map<std::uint64_t, std::size_t> unanswered;
     std::map<std::size_t, TimePoint> unreachableSince;
 
 private:
@@ -119,6 +139,7 @@
                 node.unreachableSince.try_emplace(other, now);
             }
         }
+        node.loseQuestions();
     }
     while (!_packets.empty() && _packets.front().due <= now) {
         const Packet packet = _packets.front();
@@ -139,7 +160,7 @@
         node.askers[asker] = {packet.from, packet.number, packet.life};
         node.exchange->onQuotaAsked(asker, *packet.question);
     } else if (packet.life == node.life) {
-        node.exchange->onQuotaAnswer(packet.number, packet.answer);
+        node.takeAnswer(packet.number, packet.answer);
     }
 }
 
