--- a/src/pooling/LeadershipTracker.cpp
+++ b/src/pooling/LeadershipTracker.cpp
@@ -55,10 +55,17 @@
         return;
     }
     const bool announced = announcesAnew(_notice, notice);
+    const bool otherSuccessor =
+        notice.successor != _notice.successor || notice.base != _notice.base;
     _notice = notice;
+    if (announced || otherSuccessor) {
+        _recordedAt = now;
+    }
     if (announced) {
         _announcedAt = now;
         _confirmedAt.reset();
+        // Also for the present primary: another server may have led since, unseen by this node.
+        _writableFrom = now + kLeadershipLease;
     }
     if (notice.phase != PromotionPhase::Preparing) {
         _newestTerm = std::max(_newestTerm, notice.term);
@@ -90,6 +97,14 @@
     return _primary && now >= _writableFrom && _notice.phase != PromotionPhase::Preparing;
 }
 
+bool LeadershipTracker::mayLackCommit(const ServerName& server, TimePoint sentAt,
+                                      OpTime position) const {
+    if (_notice.term == 0 || (server == _notice.successor && !isPromotedSince(sentAt))) {
+        return false;
+    }
+    return position.term != _notice.base.term || position > _notice.base;
+}
+
 bool LeadershipTracker::isUsable(const ServerName& server, const Claim& claim,
                                  TimePoint now) const {
     const bool refuted =
@@ -97,12 +112,27 @@
     if (refuted || !claim.listed) {
         return false;
     }
-    const bool promoted = _notice.term > 0 && _notice.term >= _newestTerm;
-    if (promoted) {
-        const bool finished = _notice.phase != PromotionPhase::Promoting;
-        return server == _notice.successor && (claim.claims || finished);
+    if (_notice.term == 0) {
+        return claim.claims && mayLeadNewestTerm(claim);
+    }
+    if (server != _notice.successor) {
+        return false;
+    }
+    if (_newestTerm > _notice.term) {
+        return claim.claims && mayLeadNewestTerm(claim);
+    }
+    return claim.claims || _notice.phase != PromotionPhase::Promoting;
+}
+
+/** A server that has shown no term yet counts unless another one claims to lead the newest. */
+bool LeadershipTracker::mayLeadNewestTerm(const Claim& claim) const {
+    if (claim.term > 0) {
+        return claim.term >= _newestTerm;
     }
-    return claim.claims && (claim.term == 0 || claim.term >= _newestTerm);
+    return std::none_of(_claims.begin(), _claims.end(), [this](const auto& entry) {
+        const Claim& other = entry.second;
+        return other.claims && other.term > 0 && other.term >= _newestTerm;
+    });
 }
 
 void LeadershipTracker::choose(TimePoint now) {
