--- a/lab/soak/ProxyProcess.cpp
+++ b/lab/soak/ProxyProcess.cpp
@@ -2,6 +2,7 @@
 
 #include <QFile>
 #include <QHostAddress>
+#include <QSaveFile>
 #include <QTcpServer>
 #include <QTextStream>
 #include <QTimer>
@@ -29,11 +30,12 @@
       _unexpectedEnd(std::move(unexpectedEnd)) {
     _process.setProcessChannelMode(QProcess::MergedChannels);
     _process.setStandardOutputFile(QString::fromStdString(logFile), QIODevice::Append);
-    connect(&_process, &QProcess::finished, this, [this](int exitCode) {
-        if (!_endExpected) {
-            _unexpectedEnd(exitCode);
-        }
-    });
+    connect(&_process, &QProcess::finished, this,
+            [this](int exitCode, QProcess::ExitStatus status) {
+                if (!isExpected(exitCode, status)) {
+                    _unexpectedEnd(exitCode);
+                }
+            });
     writeSettings();
 }
 
@@ -44,7 +46,7 @@
 }
 
 void ProxyProcess::writeSettings() const {
-    QFile file(_folder.path() + kSettingsName);
+    QSaveFile file(_folder.path() + kSettingsName);
     if (!file.open(QIODevice::WriteOnly)) {
         return;
     }
@@ -54,15 +56,26 @@
     QTextStream out(&file);
     out << "[node]\nname = \"" << QString::fromStdString(_surroundings.name.value())
         << "\"\nzone = \"" << QString::fromStdString(_surroundings.zone.value())
-        << "\"\naddress = \"127.0.0.1\"\ndrain_timeout_ms = 6000\n"
-        << "[peer]\nport = 0\n[metrics]\nport = 0\n[pool]\nlisten = "
+        << "\"\naddress = \"127.0.0.1\"\ndrain_timeout_ms = " << _drainTimeout.count()
+        << "\n[peer]\nport = 0\n[metrics]\nport = 0\n[pool]\nlisten = "
         << address(_surroundings.callerPort)
         << "\n[readiness]\nlisten = " << address(_surroundings.readinessPort)
         << "\n[platform]\nurl = \"http://127.0.0.1:" << _surroundings.storePort
         << "\"\n[promotion]\naddress = " << address(_surroundings.storePort) << "\n";
+    out.flush();
+    file.commit();
+}
+
+/** A process that crashes while it stops has not stopped as planned. */
+bool ProxyProcess::isExpected(int exitCode, QProcess::ExitStatus status) const {
+    const bool signalled = exitCode == SIGKILL || exitCode == SIGTERM;
+    return _endExpected && (status == QProcess::NormalExit || signalled);
 }
 
 void ProxyProcess::start() {
+    if (isRunning()) {
+        return;
+    }
     _endExpected = false;
     _process.start(QString::fromStdString(_program),
                    {"--settings", _folder.path() + kSettingsName});
@@ -90,6 +103,35 @@
     });
 }
 
+/** Reads the mask of handled signals that the kernel shows for the process. */
+bool ProxyProcess::handles(int signal) const {
+    constexpr int kHexadecimal = 16;
+    QFile status("/proc/" + QString::number(_process.processId()) + "/status");
+    if (!status.open(QIODevice::ReadOnly)) {
+        return false;
+    }
+    const QList<QByteArray> lines = status.readAll().split('\n');
+    for (const QByteArray& line : lines) {
+        if (line.startsWith("SigCgt:")) {
+            const qulonglong mask =
+                line.mid(line.indexOf(':') + 1).trimmed().toULongLong(nullptr, kHexadecimal);
+            return ((mask >> (signal - 1)) & 1U) != 0;
+        }
+    }
+    return false;
+}
+
+void ProxyProcess::reload() {
+    if (handles(SIGHUP)) {
+        sendSignal(SIGHUP);
+    }
+}
+
+void ProxyProcess::setDrainTimeout(std::chrono::milliseconds time) {
+    _drainTimeout = time;
+    writeSettings();
+}
+
 void ProxyProcess::pause() {
     sendSignal(SIGSTOP);
 }
--- a/lab/soak/ProxyProcess.h
+++ b/lab/soak/ProxyProcess.h
@@ -3,6 +3,7 @@
 
 #include <QProcess>
 #include <QTemporaryDir>
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -41,19 +42,28 @@
     /** SIGSTOP and SIGCONT. */
     void pause();
     void resume();
+    /** SIGHUP, once the process handles it: before, the signal would end it. */
+    void reload();
+    /** Changes the settings file; the process is not told. */
+    void setDrainTimeout(std::chrono::milliseconds time);
 
+    /** @return whether an end was asked for and nothing was started since. */
+    bool isStopping() const { return _endExpected; }
     bool isRunning() const { return _process.state() != QProcess::NotRunning; }
     const ProxySurroundings& surroundings() const { return _surroundings; }
 
 private:
     void writeSettings() const;
     void sendSignal(int number) const;
+    bool handles(int signal) const;
+    bool isExpected(int exitCode, QProcess::ExitStatus status) const;
 
     std::string _program;
     ProxySurroundings _surroundings;
     std::function<void(int)> _unexpectedEnd;
     QTemporaryDir _folder;
     QProcess _process;
+    std::chrono::milliseconds _drainTimeout{6000};
     bool _endExpected = false;
 };
 
--- a/lab/soak/SoakCommand.cpp
+++ b/lab/soak/SoakCommand.cpp
@@ -1,6 +1,7 @@
 #include "lab/soak/SoakCommand.h"
 
 #include <QCoreApplication>
+#include <chrono>
 #include <cstdio>
 #include <string>
 
@@ -14,14 +15,13 @@
 constexpr int kKept = 0;
 constexpr int kBroken = 1;
 constexpr int kBadCommandLine = 2;
-/** Commits that must be acknowledged in the two seconds after everything has healed. */
-constexpr std::size_t kRecovered = 40;
 
 /** Values of the flags; popt writes into them. */
 struct SoakFlags {
     long seed = 1;
     int runs = 1;
     int seconds = 20;
+    int recoverySeconds = 6;
     int proxies = 4;
     int callers = 24;
     int calm = 0;
@@ -37,6 +37,8 @@
         {"seed", 's', POPT_ARG_LONG, &flags.seed, 0, "seed of the first run", "N"},
         {"runs", 'r', POPT_ARG_INT, &flags.runs, 0, "runs, each with the next seed", "N"},
         {"seconds", 't', POPT_ARG_INT, &flags.seconds, 0, "seconds with faults in each run", "S"},
+        {"recovery", 0, POPT_ARG_INT, &flags.recoverySeconds, 0,
+         "seconds to recover in after the faults, 6 at least", "S"},
         {"proxies", 'p', POPT_ARG_INT, &flags.proxies, 0, "proxies to start", "N"},
         {"callers", 'c', POPT_ARG_INT, &flags.callers, 0, "sessions at a time", "N"},
         {"calm", 0, POPT_ARG_NONE, &flags.calm, 0, "no faults", nullptr},
@@ -67,21 +69,21 @@
 
 /** @return whether the run kept every promise and recovered. */
 bool print(const SoakOptions& options, const SoakReport& report) {
-    const bool recovered = report.acknowledgedAfterFaults >= kRecovered;
-    const bool kept = report.violations.empty() && recovered;
+    const bool kept = report.violations.empty() && report.recovered;
+    const auto recovery = std::chrono::duration_cast<std::chrono::milliseconds>(report.recovery);
     std::printf(
         "seed %llu: %s; %llu answers, %llu failed, %zu commits, %zu in the last 2 s, "
-        "%llu promotions, %zu faults\n",
+        "%llu promotions, %zu faults, %lld ms after them\n",
         static_cast<unsigned long long>(options.seed), kept ? "kept" : "BROKEN",
         static_cast<unsigned long long>(report.answered),
         static_cast<unsigned long long>(report.failed), report.acknowledged,
         report.acknowledgedAfterFaults, static_cast<unsigned long long>(report.promotions),
-        report.faults.size());
+        report.faults.size(), static_cast<long long>(recovery.count()));
     if (!kept) {
         for (const std::string& violation : report.violations) {
             std::printf("  %s\n", violation.c_str());
         }
-        std::printf("%s", recovered ? "" : "  did not recover\n");
+        std::printf("%s", report.recovered ? "" : "  did not recover\n");
         for (const std::string& fault : report.faults) {
             std::printf("    %s\n", fault.c_str());
         }
@@ -103,6 +105,7 @@
         SoakOptions options;
         options.seed = static_cast<std::uint64_t>(flags.seed + run);
         options.seconds = static_cast<std::uint32_t>(flags.seconds);
+        options.recoverySeconds = static_cast<std::uint32_t>(flags.recoverySeconds);
         options.proxies = static_cast<std::uint32_t>(flags.proxies);
         options.callers = static_cast<std::uint32_t>(flags.callers);
         options.faults = flags.calm == 0;
--- a/lab/soak/SoakFaults.cpp
+++ b/lab/soak/SoakFaults.cpp
@@ -4,50 +4,16 @@
 #include <iterator>
 
 namespace coralhoist::soak {
-
-enum class SoakFault : std::uint8_t {
-    ProxyKilled,
-    ProxyPaused,
-    ProxyStopped,
-    ServerLinkDelayed,
-    ServerLinkReset,
-    ServerLinkSilent,
-    ServerLinkOneWay,
-    StoreLinkSilent,
-    StoreLinkReset,
-    PeerLinkSilent,
-    PeerLinkReset,
-    PeerLinkDelayed,
-    StoreRefuses,
-    StoreAnswersLost,
-    StoreForgets,
-    PrimaryCrashes,
-    PrimaryIsolated,
-    ReplicaDeaf,
-    ReplicaLags,
-    ConfigurationChanges,
-    Count
-};
-
 namespace {
 
 using std::chrono::milliseconds;
 
-constexpr std::uint64_t kShortestGapMs = 200;
-constexpr std::uint64_t kGapSpreadMs = 900;
-constexpr std::uint64_t kShortestFaultMs = 200;
-constexpr std::uint64_t kFaultSpreadMs = 3500;
-constexpr milliseconds kStopGrace{6000};
-
-const char* describe(SoakFault fault) {
-    constexpr const char* kNames[] = {
-        "proxy killed",      "proxy paused",       "proxy stopped",       "server link delayed",
-        "server link reset", "server link silent", "server link one way", "store link silent",
-        "store link reset",  "peer link silent",   "peer link reset",     "peer link delayed",
-        "store refuses",     "store answers lost", "store forgets",       "primary crashes",
-        "primary isolated",  "replica deaf",       "replica lags",        "configuration changes"};
-    return kNames[static_cast<std::size_t>(fault)];
-}
+constexpr std::uint64_t kShortestLinkDelayMs = 20;
+constexpr std::uint64_t kLinkDelaySpreadMs = 200;
+constexpr std::uint64_t kShortestPromotionDelayMs = 200;
+constexpr std::uint64_t kPromotionDelaySpreadMs = 1800;
+constexpr double kShareOfLostAnswers = 0.4;
+constexpr double kShareOfLateWrites = 0.3;
 
 void reset(FaultyRelay* relay) {
     if (relay != nullptr) {
@@ -55,190 +21,254 @@
     }
 }
 
+RelayFaults delayOf(const PlannedFault& planned) {
+    return {milliseconds(kShortestLinkDelayMs + planned.size % kLinkDelaySpreadMs), false, false};
+}
+
+RelayFaults silence() {
+    return {milliseconds(0), true, true};
+}
+
+RelayFaults silenceOneWay(const PlannedFault& planned) {
+    const bool forward = planned.variant % 2 == 0;
+    return {milliseconds(0), forward, !forward};
+}
+
 }  // namespace
 
-SoakFaults::SoakFaults(simulation::EventQueue& queue, RandomSource& random, SoakTargets targets)
-    : _queue(queue), _random(random), _targets(std::move(targets)), _start(queue.now()) {}
+SoakFaults::SoakFaults(simulation::EventQueue& queue, SoakTargets targets)
+    : _queue(queue),
+      _targets(std::move(targets)),
+      _healing(queue),
+      _serverFaults(_healing, _targets.group, _targets.entries, _targets.servers),
+      _proxyFaults(_healing, _targets.proxies) {}
 
-void SoakFaults::play() {
-    if (_healed) {
-        return;
-    }
-    const auto fault =
-        static_cast<SoakFault>(_random.below(static_cast<std::uint64_t>(SoakFault::Count)));
-    const auto at = std::chrono::duration_cast<milliseconds>(_queue.now() - _start);
-    _played.push_back(std::to_string(at.count()) + " " + describe(fault));
-    begin(fault);
-    _queue.after(milliseconds(kShortestGapMs + _random.below(kGapSpreadMs)), [this] { play(); });
-}
-
-void SoakFaults::heal(std::function<void()> action) {
-    const std::uint64_t number = ++_lastHealing;
-    _healings[number] = std::move(action);
-    _queue.after(milliseconds(kShortestFaultMs + _random.below(kFaultSpreadMs)),
-                 [this, number] { runHealing(number); });
-}
-
-void SoakFaults::runHealing(std::uint64_t number) {
-    const auto found = _healings.find(number);
-    if (found != _healings.end()) {
-        const std::function<void()> action = std::move(found->second);
-        _healings.erase(found);
-        action();
+void SoakFaults::play(const std::vector<PlannedFault>& plan) {
+    for (const PlannedFault& planned : plan) {
+        _queue.after(planned.at, [this, planned] { begin(planned); });
     }
 }
 
 void SoakFaults::healAll() {
     _healed = true;
-    while (!_healings.empty()) {
-        runHealing(_healings.begin()->first);
-    }
+    _healing.healAll();
 }
 
-ProxyProcess& SoakFaults::randomProxy() {
-    return *_targets.proxies[_random.below(_targets.proxies.size())];
+void SoakFaults::begin(const PlannedFault& planned) {
+    if (_healed) {
+        return;
+    }
+    const auto at = std::chrono::duration_cast<milliseconds>(planned.at);
+    _played.push_back(std::to_string(at.count()) + " " + describe(planned.fault) + " for " +
+                      std::to_string(planned.lasts.count()));
+    if (beginAtProxy(planned) || beginAtLink(planned) || beginAtStore(planned) ||
+        beginAtPromotion(planned)) {
+        return;
+    }
+    beginAtServer(planned);
 }
 
-FaultyRelay* SoakFaults::randomRelay(const RelaysByName& relays) {
+FaultyRelay* SoakFaults::relayOf(const RelaysByName& relays, const PlannedFault& planned) {
     if (relays.empty()) {
         return nullptr;
     }
     auto chosen = relays.begin();
-    std::advance(chosen, static_cast<long>(_random.below(relays.size())));
+    std::advance(chosen, static_cast<long>(planned.target % relays.size()));
     return chosen->second.get();
 }
 
-FaultyRelay* SoakFaults::randomRelay(const std::vector<std::unique_ptr<FaultyRelay>>& relays) {
-    return relays.empty() ? nullptr : relays[_random.below(relays.size())].get();
+FaultyRelay* SoakFaults::storeRelayOf(const PlannedFault& planned) {
+    return _targets.storeRelays[planned.target % _targets.storeRelays.size()].get();
 }
 
-void SoakFaults::disturb(FaultyRelay* relay, const RelayFaults& faults) {
+void SoakFaults::disturb(FaultyRelay* relay, const RelayFaults& faults,
+                         const PlannedFault& planned) {
     if (relay != nullptr) {
         relay->setFaults(faults);
-        heal([relay] { relay->setFaults({}); });
+        _healing.after(planned.lasts, [relay] { relay->setFaults({}); });
     }
 }
 
-pooled::LogServer& SoakFaults::primary() {
-    pooled::LogServer* best = _targets.group.servers().front().get();
-    for (const auto& server : _targets.group.servers()) {
-        if (server->primary && server->term >= best->term) {
-            best = server.get();
+void SoakFaults::cutFromSome(const ServerName& server, const PlannedFault& planned) {
+    const std::size_t spared = planned.size % _targets.proxies.size();
+    for (std::size_t proxy = 0; proxy < _targets.proxies.size(); ++proxy) {
+        const bool chosen = ((planned.variant >> proxy) & 1U) != 0;
+        const auto relay = _targets.serverRelays.find({proxy, server.value()});
+        if (chosen && proxy != spared && relay != _targets.serverRelays.end()) {
+            disturb(relay->second.get(), silence(), planned);
         }
     }
-    return *best;
 }
 
-pooled::LogServer& SoakFaults::replica() {
-    std::vector<pooled::LogServer*> replicas;
-    for (const auto& server : _targets.group.servers()) {
-        if (!server->primary) {
-            replicas.push_back(server.get());
-        }
-    }
-    return replicas.empty() ? primary() : *replicas[_random.below(replicas.size())];
+void SoakFaults::cutPrimaryFromSome(const PlannedFault& planned) {
+    const ServerName primary = _serverFaults.primary().name;
+    _serverFaults.isolatePrimary(planned);
+    cutFromSome(primary, planned);
 }
 
-void SoakFaults::killProxy() {
-    ProxyProcess& proxy = randomProxy();
-    if (!proxy.isRunning()) {
-        return;
+void SoakFaults::strikePrimary(const PlannedFault& planned) {
+    constexpr std::uint64_t kWays = 3;
+    constexpr std::uint64_t kUsedByCuts = 1U << 16U;
+    const std::uint64_t way = planned.variant / kUsedByCuts % kWays;
+    if (way == 0) {
+        _serverFaults.crashPrimary(planned);
+    } else if (way == 1) {
+        cutPrimaryFromSome(planned);
     }
-    proxy.kill();
-    heal([&proxy] { proxy.start(); });
-}
-
-void SoakFaults::pauseProxy() {
-    ProxyProcess& proxy = randomProxy();
-    proxy.pause();
-    heal([&proxy] { proxy.resume(); });
 }
 
-void SoakFaults::stopProxy() {
-    ProxyProcess& proxy = randomProxy();
-    if (!proxy.isRunning()) {
-        return;
-    }
-    proxy.stop(kStopGrace);
-    heal([&proxy] {
-        if (proxy.isRunning()) {
-            proxy.kill();
-        }
-        proxy.start();
-    });
-}
-
-void SoakFaults::crashPrimary() {
-    pooled::LogServer& server = primary();
-    if (server.running) {
-        _targets.group.crash(server);
-        heal([this, &server] { _targets.group.restart(server); });
-    }
-}
-
-void SoakFaults::isolatePrimary() {
-    const ServerName name = primary().name;
-    _targets.group.setIsolated(name, true);
-    heal([this, name] { _targets.group.setIsolated(name, false); });
+void SoakFaults::refuseCalls(const PlannedFault& planned) {
+    StoreFaults& store = _targets.store;
+    store.refuses = true;
+    _healing.after(planned.lasts, [&store] { store.refuses = false; });
 }
 
-void SoakFaults::begin(SoakFault fault) {
-    StoreFaults& store = _targets.store;
-    const RelayFaults delayed{milliseconds(20 + _random.below(200)), false, false};
-    const RelayFaults silent{milliseconds(0), true, true};
-    const bool forward = _random.below(2) == 0;
-    const RelayFaults oneWay{milliseconds(0), forward, !forward};
-    switch (fault) {
+bool SoakFaults::beginAtProxy(const PlannedFault& planned) {
+    switch (planned.fault) {
         case SoakFault::ProxyKilled:
-            return killProxy();
+            _proxyFaults.kill(planned);
+            return true;
         case SoakFault::ProxyPaused:
-            return pauseProxy();
+            _proxyFaults.pause(planned);
+            return true;
         case SoakFault::ProxyStopped:
-            return stopProxy();
+            _proxyFaults.stop(planned);
+            return true;
+        case SoakFault::ProxySignals:
+            _proxyFaults.signalSeries(planned);
+            return true;
+        case SoakFault::SettingsChanged:
+            _proxyFaults.changeSettings(planned);
+            return true;
+        case SoakFault::ConfigurationChanges:
+            _targets.changeConfiguration();
+            return true;
+        default:
+            return false;
+    }
+}
+
+bool SoakFaults::beginAtLink(const PlannedFault& planned) {
+    FaultyRelay* server = relayOf(_targets.serverRelays, planned);
+    FaultyRelay* peer = relayOf(_targets.peerRelays, planned);
+    switch (planned.fault) {
         case SoakFault::ServerLinkDelayed:
-            return disturb(randomRelay(_targets.serverRelays), delayed);
+            disturb(server, delayOf(planned), planned);
+            return true;
         case SoakFault::ServerLinkReset:
-            return reset(randomRelay(_targets.serverRelays));
+            reset(server);
+            return true;
         case SoakFault::ServerLinkSilent:
-            return disturb(randomRelay(_targets.serverRelays), silent);
+            disturb(server, silence(), planned);
+            return true;
         case SoakFault::ServerLinkOneWay:
-            return disturb(randomRelay(_targets.serverRelays), oneWay);
+            disturb(server, silenceOneWay(planned), planned);
+            return true;
         case SoakFault::StoreLinkSilent:
-            return disturb(randomRelay(_targets.storeRelays), silent);
+            disturb(storeRelayOf(planned), silence(), planned);
+            return true;
         case SoakFault::StoreLinkReset:
-            return reset(randomRelay(_targets.storeRelays));
+            reset(storeRelayOf(planned));
+            return true;
         case SoakFault::PeerLinkSilent:
-            return disturb(randomRelay(_targets.peerRelays), silent);
+            disturb(peer, silence(), planned);
+            return true;
         case SoakFault::PeerLinkReset:
-            return reset(randomRelay(_targets.peerRelays));
+            reset(peer);
+            return true;
         case SoakFault::PeerLinkDelayed:
-            return disturb(randomRelay(_targets.peerRelays), delayed);
+            disturb(peer, delayOf(planned), planned);
+            return true;
+        default:
+            return false;
+    }
+}
+
+bool SoakFaults::beginAtStore(const PlannedFault& planned) {
+    StoreFaults& store = _targets.store;
+    switch (planned.fault) {
         case SoakFault::StoreRefuses:
-            store.refuses = true;
-            return heal([&store] { store.refuses = false; });
+            refuseCalls(planned);
+            return true;
+        case SoakFault::StoreSilent:
+            store.silent = true;
+            _healing.after(planned.lasts, [&store] { store.silent = false; });
+            return true;
         case SoakFault::StoreAnswersLost:
-            store.answersLost = 0.4;
-            return heal([&store] { store.answersLost = 0; });
+            store.answersLost = kShareOfLostAnswers;
+            _healing.after(planned.lasts, [&store] { store.answersLost = 0; });
+            return true;
+        case SoakFault::StoreWritesLate:
+            store.writesLate = kShareOfLateWrites;
+            _healing.after(planned.lasts, [&store] { store.writesLate = 0; });
+            return true;
         case SoakFault::StoreForgets:
             store.forgotten = true;
-            return;
+            return true;
+        case SoakFault::EntryLapsesStoreDown:
+            refuseCalls(planned);
+            _serverFaults.lapseEntry(planned);
+            return true;
+        default:
+            return false;
+    }
+}
+
+bool SoakFaults::beginAtPromotion(const PlannedFault& planned) {
+    StoreFaults& store = _targets.store;
+    const milliseconds delay(kShortestPromotionDelayMs + planned.size % kPromotionDelaySpreadMs);
+    switch (planned.fault) {
+        case SoakFault::PromotionSlow:
+            store.promotionDelay = delay;
+            break;
+        case SoakFault::PromotionAnswerLost:
+            store.promotionAnswersLost = true;
+            break;
+        case SoakFault::PromotionLate:
+            store.promotionDelay = delay;
+            store.promotionAnswersLost = true;
+            break;
+        default:
+            return false;
+    }
+    _healing.after(planned.lasts, [&store] {
+        store.promotionDelay = milliseconds(0);
+        store.promotionAnswersLost = false;
+    });
+    strikePrimary(planned);
+    return true;
+}
+
+void SoakFaults::beginAtServer(const PlannedFault& planned) {
+    switch (planned.fault) {
+        case SoakFault::ServerCutFromSome:
+            return cutFromSome(_serverFaults.serverOf(planned).name, planned);
+        case SoakFault::PrimaryCutFromSome:
+            return cutPrimaryFromSome(planned);
         case SoakFault::PrimaryCrashes:
-            return crashPrimary();
+            return _serverFaults.crashPrimary(planned);
+        case SoakFault::ReplicaCrashes:
+            return _serverFaults.crashReplica(planned);
         case SoakFault::PrimaryIsolated:
-            return isolatePrimary();
-        case SoakFault::ReplicaDeaf: {
-            pooled::LogServer& server = replica();
-            server.deaf = true;
-            return heal([&server] { server.deaf = false; });
-        }
-        case SoakFault::ReplicaLags: {
-            pooled::LogServer& server = replica();
-            server.applyLag = milliseconds(300 + _random.below(900));
-            return heal([&server] { server.applyLag = Duration(0); });
-        }
-        case SoakFault::ConfigurationChanges:
-            return _targets.changeConfiguration();
-        case SoakFault::Count:
+            return _serverFaults.isolatePrimary(planned);
+        case SoakFault::ServersCut:
+            return _serverFaults.cutServers(planned);
+        case SoakFault::ReplicaDeaf:
+            return _serverFaults.deafenReplica(planned);
+        case SoakFault::ReplicaLags:
+            return _serverFaults.slowReplica(planned);
+        case SoakFault::ServerCrowded:
+            return _serverFaults.crowdServer(planned);
+        case SoakFault::AllServersCrowded:
+            _serverFaults.crowdAll(planned);
+            return strikePrimary(planned);
+        case SoakFault::OrdersSlow:
+            return _serverFaults.slowOrders(planned);
+        case SoakFault::ConnectionsLimited:
+            return _serverFaults.limitConnections(planned);
+        case SoakFault::EntryLapses:
+            return _serverFaults.lapseEntry(planned);
+        default:
             return;
     }
 }
--- a/lab/soak/SoakFaults.h
+++ b/lab/soak/SoakFaults.h
@@ -1,4 +1,4 @@
-/** Faults that a soak draws at random, begins and heals, all from outside the proxies. */
+/** Plays the faults of a plan and heals them, all from outside the proxies. */
 #pragma once
 
 #include <cstdint>
@@ -9,11 +9,12 @@
 #include <utility>
 #include <vector>
 
-#include "base/SystemTime.h"
-#include "lab/pooled/LogGroup.h"
 #include "lab/simulation/EventQueue.h"
+#include "lab/soak/FaultHealing.h"
 #include "lab/soak/FaultyRelay.h"
-#include "lab/soak/ProxyProcess.h"
+#include "lab/soak/ProxyFaults.h"
+#include "lab/soak/ServerFaults.h"
+#include "lab/soak/SoakPlan.h"
 #include "lab/soak/StandInStore.h"
 
 namespace coralhoist::soak {
@@ -24,6 +25,8 @@
 /** What faults strike. All outlives the faults. */
 struct SoakTargets {
     pooled::LogGroup& group;
+    ServerEntries& entries;
+    std::vector<std::unique_ptr<WireServer>>& servers;
     StoreFaults& store;
     std::vector<std::unique_ptr<ProxyProcess>>& proxies;
     std::vector<std::unique_ptr<FaultyRelay>>& storeRelays;
@@ -32,45 +35,42 @@
     std::function<void()> changeConfiguration;
 };
 
-/** Kinds of faults; one is drawn at a time and healed later. */
-enum class SoakFault : std::uint8_t;
-
-/** Draws faults from a seed and heals each after a time. Lives as long as the queue. */
+/** Begins the faults of a plan and heals each after its time. Lives as long as the queue. */
 class SoakFaults {
 public:
-    SoakFaults(simulation::EventQueue& queue, RandomSource& random, SoakTargets targets);
+    SoakFaults(simulation::EventQueue& queue, SoakTargets targets);
 
-    /** Draws one fault after another until all is healed; several may stand at a time. */
-    void play();
+    /** Plays the plan from now on. */
+    void play(const std::vector<PlannedFault>& plan);
 
-    /** Heals what stands; nothing is drawn after it. */
+    /** Heals what stands; nothing is begun after it. */
     void healAll();
 
     /** @return what was done, with times in milliseconds from the start. */
     const std::vector<std::string>& played() const { return _played; }
 
 private:
-    void begin(SoakFault fault);
-    void heal(std::function<void()> action);
-    void runHealing(std::uint64_t number);
-    void killProxy();
-    void pauseProxy();
-    void stopProxy();
-    void crashPrimary();
-    void isolatePrimary();
-    void disturb(FaultyRelay* relay, const RelayFaults& faults);
-    ProxyProcess& randomProxy();
-    FaultyRelay* randomRelay(const RelaysByName& relays);
-    FaultyRelay* randomRelay(const std::vector<std::unique_ptr<FaultyRelay>>& relays);
-    pooled::LogServer& primary();
-    pooled::LogServer& replica();
+    void begin(const PlannedFault& planned);
+    bool beginAtProxy(const PlannedFault& planned);
+    bool beginAtLink(const PlannedFault& planned);
+    bool beginAtStore(const PlannedFault& planned);
+    bool beginAtPromotion(const PlannedFault& planned);
+    void beginAtServer(const PlannedFault& planned);
+    void disturb(FaultyRelay* relay, const RelayFaults& faults, const PlannedFault& planned);
+    /** Silences the links of one or more proxies, not of all, to a server. */
+    void cutFromSome(const ServerName& server, const PlannedFault& planned);
+    void cutPrimaryFromSome(const PlannedFault& planned);
+    /** Crashes the primary, or cuts it off, or leaves it alone, so that promotions are called. */
+    void strikePrimary(const PlannedFault& planned);
+    void refuseCalls(const PlannedFault& planned);
+    FaultyRelay* relayOf(const RelaysByName& relays, const PlannedFault& planned);
+    FaultyRelay* storeRelayOf(const PlannedFault& planned);
 
     simulation::EventQueue& _queue;
-    RandomSource& _random;
     SoakTargets _targets;
-    TimePoint _start;
-    std::map<std::uint64_t, std::function<void()>> _healings;
-    std::uint64_t _lastHealing = 0;
+    FaultHealing _healing;
+    ServerFaults _serverFaults;
+    ProxyFaults _proxyFaults;
     bool _healed = false;
     std::vector<std::string> _played;
 };
--- a/lab/soak/SoakRun.cpp
+++ b/lab/soak/SoakRun.cpp
@@ -5,13 +5,15 @@
 #include <QJsonArray>
 #include <QTimer>
 #include <algorithm>
+#include <deque>
 #include <functional>
-#include <map>
 #include <memory>
 #include <utility>
 
 #include "base/SystemTime.h"
+#include "lab/soak/ServerEntries.h"
 #include "lab/soak/SoakFaults.h"
+#include "lab/soak/SoakPlan.h"
 #include "lab/soak/WireCaller.h"
 #include "lab/soak/WireServer.h"
 
@@ -23,12 +25,14 @@
 
 constexpr Duration kPump = milliseconds(1);
 constexpr Duration kGroupStep = milliseconds(2);
-constexpr Duration kAnnounceEvery = milliseconds(50);
 /** Callers begin this long after the proxies have been started. */
 constexpr Duration kStart = seconds(2);
-/** After the faults everything is healed; the last part of this time is judged. */
-constexpr Duration kRecovery = seconds(6);
+/** After the faults everything is healed; recovery is looked at after this time at the earliest. */
+constexpr Duration kShortestRecovery = seconds(6);
+/** Recovered is who acknowledges so many commits in the last part of the time. */
 constexpr Duration kRecoveryJudged = seconds(2);
+constexpr std::size_t kRecoveredCommits = 40;
+constexpr Duration kRecoveryStep = milliseconds(250);
 constexpr Duration kDrainCallers = seconds(1);
 constexpr int kConnectionsPerServer = 30;
 constexpr int kStatementTimeoutMs = 800;
@@ -49,16 +53,15 @@
           _group(GroupName("g"), options.group, _queue, _judge),
           _activity(std::make_shared<pooled::NodeActivity>()),
           _connector(_queue, _random, _judge, _book, {{_group.name(), &_group}}, _activity),
-          _store(
-              _queue, _random,
-              [this](std::size_t proxy, const std::string& kind, const std::string& name,
-                     QJsonObject spec) { return view(proxy, kind, name, std::move(spec)); },
-              [this](const std::string& group, const std::string& server, const std::string& holder,
-                     std::uint64_t fence) { return promote(group, server, holder, fence); }),
+          _store(_queue, _random,
+                 [this](std::size_t proxy, const std::string& kind, const std::string& name,
+                        QJsonObject spec) { return view(proxy, kind, name, std::move(spec)); },
+                 {[this](const PromotionCall& call) { onPromotionCalled(call); },
+                  [this](const PromotionCall& call) { return promote(call); }}),
+          _entries(_queue, _group, _store),
           _callerWorld{_queue, _random, _judge, _book, [this] { return choosePort(); }},
-          _faults(_queue, _random,
-                  {_group, _store.faults(), _proxies, _storeRelays, _serverRelays, _peerRelays,
-                   [this] { writeConfiguration(); }}) {}
+          _faults(_queue, {_group, _entries, _servers, _store.faults(), _proxies, _storeRelays,
+                           _serverRelays, _peerRelays, [this] { writeConfiguration(); }}) {}
 
     SoakReport run() {
         startServers();
@@ -70,14 +73,14 @@
         pump.start(std::chrono::duration_cast<milliseconds>(kPump));
         _queue.after(kStart, [this] { startCallers(); });
         if (_options.faults) {
-            _queue.after(kStart, [this] { _faults.play(); });
+            const Duration length = seconds(_options.seconds);
+            _queue.after(kStart, [this, length] { _faults.play(drawPlan(_options.seed, length)); });
         }
-        const Duration faultsEnd = kStart + seconds(_options.seconds);
-        _queue.after(faultsEnd, [this] { _faults.healAll(); });
-        _queue.after(faultsEnd + kRecovery - kRecoveryJudged,
-                     [this] { _acknowledgedBefore = _judge.acknowledged(); });
-        _queue.after(faultsEnd + kRecovery, [this] { retire(); });
-        _queue.after(faultsEnd + kRecovery + kDrainCallers, [this] { _loop.quit(); });
+        _queue.after(kStart + seconds(_options.seconds), [this] {
+            _faults.healAll();
+            _healedAt = _queue.now();
+            watchRecovery();
+        });
         _loop.exec();
         return report();
     }
@@ -92,12 +95,12 @@
 
     void startServers() {
         for (const auto& server : _group.servers()) {
-            _servers.push_back(
-                std::make_unique<WireServer>(_connector, _judge, _book, _group, server->name));
-            _serverPorts[server->name.value()] = _servers.back()->port();
+            _servers.push_back(std::make_unique<WireServer>(_connector, _random, _judge, _book,
+                                                            _group, server->name));
+            _entries.setPort(server->name, _servers.back()->port());
         }
         stepGroup();
-        announce();
+        _entries.start();
     }
 
     void stepGroup() {
@@ -106,24 +109,6 @@
         _queue.after(kGroupStep, [this] { stepGroup(); });
     }
 
-    void announce() {
-        for (const pooling::ServerAnnouncement& announcement : _group.announcements()) {
-            const std::string name = announcement.address.server.value();
-            const bool primary = announcement.role == pooling::ServerRole::Primary;
-            _store.put(kServers, name,
-                       {{"service", QString::fromStdString(_group.name().value())},
-                        {"addr", address(_serverPorts[name])},
-                        {"zone", "z"},
-                        {"version", "v1"},
-                        {"slots", 3},
-                        {"state", announcement.draining ? "draining" : "ready"},
-                        {"db_role", primary ? "primary" : "replica"}});
-        }
-        _queue.after(kAnnounceEvery, [this] { announce(); });
-    }
-
-    static QString address(std::uint16_t port) { return "127.0.0.1:" + QString::number(port); }
-
     static QJsonObject route(const char* database, const char* kind) {
         return {{"name", database},
                 {"host", database},
@@ -201,25 +186,55 @@
             relay = std::make_unique<FaultyRelay>(port);
         }
         relay->setTarget(port);
-        spec["addr"] = address(relay->port());
+        spec["addr"] = loopbackAddress(relay->port());
         return spec;
     }
 
-    int promote(const std::string& group, const std::string& server, const std::string& holder,
-                std::uint64_t fence) {
-        if (group != _group.name().value()) {
+    bool isLeading(const PromotionCall& call) {
+        const pooled::LogServer& target = _group.server(ServerName(call.server));
+        return target.running && target.primary;
+    }
+
+    void onPromotionCalled(const PromotionCall& call) {
+        if (call.group == _group.name().value() && !isLeading(call)) {
+            _newestFence = std::max(_newestFence, call.fence);
+            _judge.onPromoteCalled(_group.name(), call.holder, call.fence, _queue.now());
+        }
+    }
+
+    /** A call that is carried out after a newer one has come is refused by its fence. */
+    int promote(const PromotionCall& call) {
+        if (call.group != _group.name().value()) {
             return kConflict;
         }
-        const pooled::LogServer& target = _group.server(ServerName(server));
-        if (target.running && target.primary) {
+        if (isLeading(call)) {
             return kOk;
         }
-        _judge.onPromoteCalled(_group.name(), holder, fence, _queue.now());
-        return _group.promote(ServerName(server)) ? kOk : kConflict;
+        const bool outdated = call.fence < _newestFence;
+        return !outdated && _group.promote(ServerName(call.server)) ? kOk : kConflict;
+    }
+
+    /** Ends the run once commits flow again, or when the time to recover is over. */
+    void watchRecovery() {
+        const Duration since = _queue.now() - _healedAt;
+        _acknowledgedAt.emplace_back(_queue.now(), _judge.acknowledged());
+        while (_queue.now() - _acknowledgedAt.front().first > kRecoveryJudged) {
+            _acknowledgedAt.pop_front();
+        }
+        _acknowledgedAfter = _judge.acknowledged() - _acknowledgedAt.front().second;
+        _recovered = since >= kShortestRecovery && _acknowledgedAfter >= kRecoveredCommits;
+        const Duration limit =
+            std::max(kShortestRecovery, Duration(seconds(_options.recoverySeconds)));
+        if (!_recovered && since < limit) {
+            _queue.after(kRecoveryStep, [this] { watchRecovery(); });
+            return;
+        }
+        _recovery = since;
+        retire();
+        _queue.after(kDrainCallers, [this] { _loop.quit(); });
     }
 
     void retire() {
-        _acknowledgedAfter = _judge.acknowledged() - _acknowledgedBefore;
         for (const auto& caller : _callers) {
             caller->retire();
         }
@@ -234,6 +249,8 @@
         report.failed = _callerWorld.failed;
         report.acknowledged = _judge.acknowledged();
         report.acknowledgedAfterFaults = _acknowledgedAfter;
+        report.recovered = _recovered;
+        report.recovery = _recovery;
         report.promotions = _group.promotions();
         return report;
     }
@@ -250,8 +267,8 @@
     std::shared_ptr<pooled::NodeActivity> _activity;
     pooled::LogConnector _connector;
     std::vector<std::unique_ptr<WireServer>> _servers;
-    std::map<std::string, std::uint16_t> _serverPorts;
     StandInStore _store;
+    ServerEntries _entries;
     std::vector<std::unique_ptr<FaultyRelay>> _storeRelays;
     RelaysByName _serverRelays;
     RelaysByName _peerRelays;
@@ -260,8 +277,13 @@
     std::vector<std::unique_ptr<WireCaller>> _callers;
     SoakFaults _faults;
     int _configuration = 0;
-    std::size_t _acknowledgedBefore = 0;
+    std::uint64_t _newestFence = 0;
+    TimePoint _healedAt{};
+    /** Commits acknowledged by then, over the last part of the time. */
+    std::deque<std::pair<TimePoint, std::size_t>> _acknowledgedAt;
     std::size_t _acknowledgedAfter = 0;
+    bool _recovered = false;
+    Duration _recovery{0};
     QEventLoop _loop;
 };
 
--- a/lab/soak/SoakRun.h
+++ b/lab/soak/SoakRun.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "base/Time.h"
 #include "lab/pooled/LogGroup.h"
 
 namespace coralhoist::soak {
@@ -14,6 +15,8 @@
     std::uint64_t seed = 1;
     /** Time with faults, in seconds; start and recovery come on top. */
     std::uint32_t seconds = 20;
+    /** Seconds that the proxies may take to recover after the last fault; 6 at least. */
+    std::uint32_t recoverySeconds = 6;
     std::uint32_t proxies = 4;
     std::uint32_t callers = 24;
     bool faults = true;
@@ -35,8 +38,12 @@
     std::uint64_t answered = 0;
     std::uint64_t failed = 0;
     std::size_t acknowledged = 0;
-    /** Commits acknowledged after everything had healed. */
+    /** Commits acknowledged in the last two seconds, after everything had healed. */
     std::size_t acknowledgedAfterFaults = 0;
+    /** Whether the proxies served again within the time given. */
+    bool recovered = false;
+    /** Time from the last fault's end to the end of the judged part. */
+    Duration recovery{0};
     std::uint64_t promotions = 0;
 };
 
--- a/lab/soak/StandInStore.cpp
+++ b/lab/soak/StandInStore.cpp
@@ -3,6 +3,7 @@
 #include <QHostAddress>
 #include <QJsonArray>
 #include <QJsonDocument>
+#include <QPointer>
 #include <QStringList>
 #include <QTimer>
 #include <QUrl>
@@ -30,8 +31,8 @@
 }  // namespace
 
 StandInStore::StandInStore(simulation::EventQueue& queue, RandomSource& random, View view,
-                           Promote promote)
-    : _queue(queue), _random(random), _view(std::move(view)), _promote(std::move(promote)) {}
+                           PromotionHandlers promotions)
+    : _queue(queue), _random(random), _view(std::move(view)), _promotions(std::move(promotions)) {}
 
 StandInStore::~StandInStore() {
     for (const auto& [socket, buffer] : _buffers) {
@@ -57,6 +58,7 @@
             std::erase_if(_watches,
                           [socket](const Watch& watch) { return watch.socket == socket; });
             _buffers.erase(socket);
+            _mute.erase(socket);
             socket->deleteLater();
         });
     }
@@ -89,7 +91,19 @@
     for (const auto& [key, value] : QUrlQuery(url).queryItems()) {
         request.query[key.toStdString()] = value.toStdString();
     }
+    receive(proxy, socket, request);
+}
+
+void StandInStore::receive(std::size_t proxy, QTcpSocket* socket, const Request& request) {
     if (_faults.silent) {
+        _mute.insert(socket);
+    }
+    if (_mute.contains(socket)) {
+        return;
+    }
+    const bool writes = request.method != "GET" && request.path != kPromotionPath;
+    if (writes && !_faults.refuses && _random.fraction() < _faults.writesLate) {
+        handleLate(proxy, socket, request);
         return;
     }
     QTimer::singleShot(kLatency, this, [this, proxy, socket, request] {
@@ -99,6 +113,14 @@
     });
 }
 
+/** The write is carried out although its connection may have been closed. */
+void StandInStore::handleLate(std::size_t proxy, QTcpSocket* socket, const Request& request) {
+    _mute.insert(socket);
+    const auto longest = static_cast<std::uint64_t>(_faults.longestWriteDelay.count());
+    QTimer::singleShot(std::chrono::milliseconds(1 + _random.below(longest)), this,
+                       [this, proxy, request] { handleObjects(proxy, nullptr, request); });
+}
+
 void StandInStore::handle(std::size_t proxy, QTcpSocket* socket, const Request& request) {
     if (_faults.refuses) {
         answer(socket, kUnavailable, {});
@@ -114,10 +136,18 @@
         const auto found = request.headers.find(name);
         return found == request.headers.end() ? std::string() : found->second;
     };
-    const int status = _promote(request.body["service"].toString().toStdString(),
-                                request.body["id"].toString().toStdString(),
-                                header("x-lease-holder"), numberOf(header("x-fencing-token")));
-    answerWrite(socket, status, {});
+    const PromotionCall call{request.body["service"].toString().toStdString(),
+                             request.body["id"].toString().toStdString(), header("x-lease-holder"),
+                             numberOf(header("x-fencing-token"))};
+    _promotions.arrived(call);
+    if (_faults.promotionAnswersLost) {
+        _mute.insert(socket);
+    }
+    const QPointer<QTcpSocket> caller(socket);
+    QTimer::singleShot(_faults.promotionDelay, this, [this, caller, call] {
+        const int status = _promotions.carryOut(call);
+        answerWrite(caller, status, {});
+    });
 }
 
 void StandInStore::handleObjects(std::size_t proxy, QTcpSocket* socket, const Request& request) {
@@ -260,7 +290,8 @@
 }
 
 void StandInStore::answer(QTcpSocket* socket, int status, const QJsonObject& body) {
-    if (socket->state() != QAbstractSocket::ConnectedState) {
+    if (socket == nullptr || _mute.contains(socket) ||
+        socket->state() != QAbstractSocket::ConnectedState) {
         return;
     }
     const QByteArray text = QJsonDocument(body).toJson(QJsonDocument::Compact);
@@ -270,9 +301,10 @@
 }
 
 void StandInStore::answerWrite(QTcpSocket* socket, int status, const QJsonObject& body) {
-    if (_random.fraction() >= _faults.answersLost) {
-        answer(socket, status, body);
+    if (socket != nullptr && _random.fraction() < _faults.answersLost) {
+        _mute.insert(socket);
     }
+    answer(socket, status, body);
 }
 
 }  // namespace coralhoist::soak
--- a/lab/soak/StandInStore.h
+++ b/lab/soak/StandInStore.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -20,29 +21,53 @@
 struct StoreFaults {
     /** Every call is answered with 503. */
     bool refuses = false;
-    /** Calls are accepted and never answered. */
+    /** Calls are accepted, not carried out and never answered. */
     bool silent = false;
     /** Share of writes that are done and whose answer is lost. */
     double answersLost = 0;
+    /** Share of writes that are carried out late, if their condition still holds, unanswered. */
+    double writesLate = 0;
+    /** Longest time until such a write is carried out. */
+    std::chrono::milliseconds longestWriteDelay{3000};
     /** History is forgotten up to now; watches from before are answered with 410. */
     bool forgotten = false;
+    /** Promotions are carried out after this time. */
+    std::chrono::milliseconds promotionDelay{0};
+    /** Promotions are carried out and never answered. */
+    bool promotionAnswersLost = false;
+};
+
+/** A call that asks for a promotion. */
+struct PromotionCall {
+    std::string group;
+    std::string server;
+    std::string holder;
+    std::uint64_t fence = 0;
+};
+
+/** What becomes of promotion calls. */
+struct PromotionHandlers {
+    /** A call has arrived; it is carried out later. */
+    std::function<void(const PromotionCall&)> arrived;
+    /** Carries a call out. @return the status of the answer. */
+    std::function<int(const PromotionCall&)> carryOut;
 };
 
 /**
  * Objects by kind and name with one counter of versions, lists, watches that wait, conditional
- * writes. Each proxy has a port of its own, so that objects can be shown to it in its own way.
+ * writes. A write that changes nothing raises no version and makes no event. A connection that
+ * has lost an answer says nothing more. Each proxy has a port of its own, so that objects can be
+ * shown to it in its own way.
  */
 class StandInStore final : public QObject {
 public:
     /** Shows an object to a proxy, e.g. with the addresses of the relays that lead there. */
     using View = std::function<QJsonObject(std::size_t proxy, const std::string& kind,
                                            const std::string& name, QJsonObject spec)>;
-    /** Carries a promotion out. @return the status of the answer. */
-    using Promote = std::function<int(const std::string& group, const std::string& server,
-                                      const std::string& holder, std::uint64_t fence)>;
 
     /** References outlive the store. */
-    StandInStore(simulation::EventQueue& queue, RandomSource& random, View view, Promote promote);
+    StandInStore(simulation::EventQueue& queue, RandomSource& random, View view,
+                 PromotionHandlers promotions);
 
     ~StandInStore() override;
 
@@ -85,7 +110,9 @@
 
     void accept(std::size_t proxy);
     void read(std::size_t proxy, QTcpSocket* socket);
+    void receive(std::size_t proxy, QTcpSocket* socket, const Request& request);
     void handle(std::size_t proxy, QTcpSocket* socket, const Request& request);
+    void handleLate(std::size_t proxy, QTcpSocket* socket, const Request& request);
     void handleObjects(std::size_t proxy, QTcpSocket* socket, const Request& request);
     void startWatch(std::size_t proxy, QTcpSocket* socket, const std::string& kind,
                     const Request& request);
@@ -106,10 +133,12 @@
     simulation::EventQueue& _queue;
     RandomSource& _random;
     View _view;
-    Promote _promote;
+    PromotionHandlers _promotions;
     StoreFaults _faults;
     std::vector<std::unique_ptr<QTcpServer>> _servers;
     std::map<QTcpSocket*, QByteArray> _buffers;
+    /** Connections that have lost an answer. */
+    std::set<QTcpSocket*> _mute;
     std::map<std::string, std::map<std::string, Object>> _objects;
     std::vector<Event> _events;
     std::vector<Watch> _watches;
--- a/lab/soak/WireServer.cpp
+++ b/lab/soak/WireServer.cpp
@@ -1,6 +1,7 @@
 #include "lab/soak/WireServer.h"
 
 #include <QHostAddress>
+#include <QTimer>
 #include <utility>
 #include <vector>
 
@@ -14,15 +15,46 @@
 using pooling::ServerCommand;
 using pooling::SessionState;
 
-WireServer::WireServer(pooled::LogConnector& connector, pooled::PooledJudge& judge,
-                       const pooled::RequestBook& book, pooled::LogGroup& group, ServerName name)
-    : _connector(connector), _judge(judge), _book(book), _group(group), _name(std::move(name)) {
+namespace {
+
+using std::chrono::milliseconds;
+
+/** A new connection holds a slot for so long. */
+constexpr milliseconds kConnectionWork{12};
+/** A commit that waits for a replica gives its slot back after so long. */
+constexpr milliseconds kLongestSlotUse{1500};
+
+bool needsSlot(const ServerCommand& command) {
+    switch (command.kind) {
+        case ServerCommand::Kind::Caller:
+            return !command.text.starts_with("BEGIN") && command.text != "ROLLBACK";
+        case ServerCommand::Kind::Status:
+        case ServerCommand::Kind::Pause:
+        case ServerCommand::Kind::Resume:
+        case ServerCommand::Kind::StepDown:
+            return true;
+        default:
+            return false;
+    }
+}
+
+}  // namespace
+
+WireServer::WireServer(pooled::LogConnector& connector, RandomSource& random,
+                       pooled::PooledJudge& judge, const pooled::RequestBook& book,
+                       pooled::LogGroup& group, ServerName name)
+    : _connector(connector),
+      _random(random),
+      _judge(judge),
+      _book(book),
+      _group(group),
+      _name(std::move(name)) {
     connect(&_server, &QTcpServer::newConnection, this, [this] { accept(); });
     _server.listen(QHostAddress::LocalHost, 0);
 }
 
 WireServer::~WireServer() {
-    for (const auto& [socket, id] : _idOf) {
+    for (const auto& [socket, session] : _sessions) {
         socket->disconnect(this);
     }
 }
@@ -34,7 +66,7 @@
             socket->deleteLater();
             continue;
         }
-        _idOf[socket] = std::nullopt;
+        _sessions[socket];
         socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
         connect(socket, &QTcpSocket::readyRead, this, [this, socket] { read(socket); });
         connect(socket, &QTcpSocket::disconnected, this, [this, socket] { closeSocket(socket); });
@@ -46,7 +78,7 @@
         return;
     }
     std::vector<QTcpSocket*> sockets;
-    for (const auto& [socket, id] : _idOf) {
+    for (const auto& [socket, session] : _sessions) {
         sockets.push_back(socket);
     }
     for (QTcpSocket* socket : sockets) {
@@ -56,20 +88,22 @@
 }
 
 void WireServer::closeSocket(QTcpSocket* socket) {
-    const auto found = _idOf.find(socket);
-    if (found == _idOf.end()) {
+    const auto found = _sessions.find(socket);
+    if (found == _sessions.end()) {
         return;
     }
-    if (found->second) {
-        _connector.close(*found->second);
-        _socketOf.erase(*found->second);
+    Session session = std::move(found->second);
+    _sessions.erase(found);
+    if (session.id) {
+        _connector.close(*session.id);
+        _socketOf.erase(*session.id);
     }
-    _idOf.erase(found);
     socket->deleteLater();
+    releaseSlot(session);
 }
 
 void WireServer::read(QTcpSocket* socket) {
-    while (_idOf.contains(socket) && socket->canReadLine()) {
+    while (_sessions.contains(socket) && socket->canReadLine()) {
         std::string line = socket->readLine().toStdString();
         line.resize(line.size() - std::min(line.size(), kLineEnd.size()));
         onLine(socket, line);
@@ -82,34 +116,127 @@
         connectSession(socket, line);
         return;
     }
-    const std::optional<ConnectionId> id = _idOf[socket];
+    Session& session = _sessions[socket];
     const std::optional<ServerCommand> command =
-        word == "QUERY" && id ? commandOf(line) : std::nullopt;
+        word == "QUERY" && session.id ? commandOf(line) : std::nullopt;
     if (!command) {
         socket->disconnectFromHost();
         return;
     }
-    _connector.send(*id, {*command});
+    session.commands.push_back(*command);
+    runNext(*session.id);
 }
 
 void WireServer::connectSession(QTcpSocket* socket, std::string_view fields) {
     const std::string_view group = takeField(fields);
     const TenantName tenant{std::string(takeField(fields))};
     const bool expected = group == _group.name().value() &&
-                          (fields.empty() || fields == _name.value()) && !_idOf[socket];
+                          (fields.empty() || fields == _name.value()) && !_sessions[socket].id;
     if (!expected) {
-        socket->write("ERROR WRONGNODE another server\r\n");
-        socket->disconnectFromHost();
+        refuseSession(socket, "WRONGNODE");
+        return;
+    }
+    if (_sessions.size() > _slots.load().connections) {
+        refuseSession(socket, "CONNLIMIT");
         return;
     }
+    const QPointer<QTcpSocket> waiting(socket);
+    _slots.acquire([this, waiting, tenant] {
+        QTimer::singleShot(kConnectionWork, this, [this, waiting, tenant] {
+            if (waiting && _sessions.contains(waiting)) {
+                openSession(waiting, tenant);
+            }
+            _slots.release();
+        });
+    });
+}
+
+void WireServer::openSession(QTcpSocket* socket, const TenantName& tenant) {
     pooling::ServerAddress address;
     address.group = _group.name();
     address.server = _name;
     const ConnectionId id = _connector.open(address, tenant, *this);
-    _idOf[socket] = id;
+    _sessions[socket].id = id;
     _socketOf[id] = socket;
 }
 
+void WireServer::refuseSession(QTcpSocket* socket, std::string_view word) {
+    const std::string line = "ERROR " + std::string(word) + " refused" + std::string(kLineEnd);
+    socket->write(line.c_str());
+    socket->disconnectFromHost();
+}
+
+WireServer::Session* WireServer::sessionOf(ConnectionId connection) {
+    const auto found = _socketOf.find(connection);
+    return found == _socketOf.end() ? nullptr : &_sessions[found->second];
+}
+
+milliseconds WireServer::drawDelay() {
+    const ServerLoad& load = _slots.load();
+    const auto spread =
+        static_cast<std::uint64_t>((load.longestDelay - load.shortestDelay).count());
+    return load.shortestDelay + milliseconds(_random.below(spread + 1));
+}
+
+/** Commands of a session run one after another; each is answered before the next one begins. */
+void WireServer::runNext(ConnectionId connection) {
+    Session* session = sessionOf(connection);
+    if (session == nullptr || session->running || session->commands.empty()) {
+        return;
+    }
+    const ServerCommand command = session->commands.front();
+    session->commands.pop_front();
+    session->running = true;
+    if (!needsSlot(command)) {
+        _connector.send(connection, {command});
+    } else if (session->state == SessionState::Idle && _slots.isQueueFull()) {
+        refuseAsBusy(connection);
+    } else {
+        _slots.acquire([this, connection, command] { runInSlot(connection, command); });
+    }
+}
+
+void WireServer::refuseAsBusy(ConnectionId connection) {
+    pooling::StatementResult refusal;
+    refusal.error = pooling::StatementError{pooling::StatementFault::Busy, {}};
+    refusal.position = sessionOf(connection)->position;
+    deliver(connection, refusal);
+}
+
+/** The extra time passes before the command runs or before its answer leaves, at random. */
+void WireServer::runInSlot(ConnectionId connection, const ServerCommand& command) {
+    Session* session = sessionOf(connection);
+    if (session == nullptr) {
+        _slots.release();
+        return;
+    }
+    const std::uint64_t slotUse = ++_lastSlotUse;
+    session->slotUse = slotUse;
+    QTimer::singleShot(kLongestSlotUse, this, [this, connection, slotUse] {
+        Session* late = sessionOf(connection);
+        if (late != nullptr && late->slotUse == slotUse) {
+            releaseSlot(*late);
+        }
+    });
+    session->answersLate = _random.below(2) == 0;
+    if (session->answersLate) {
+        _connector.send(connection, {command});
+        return;
+    }
+    QTimer::singleShot(drawDelay(), this, [this, connection, command] {
+        if (sessionOf(connection) != nullptr) {
+            _connector.send(connection, {command});
+        }
+    });
+}
+
+void WireServer::releaseSlot(Session& session) {
+    if (session.slotUse != 0) {
+        session.slotUse = 0;
+        _slots.release();
+    }
+}
+
 /** @return nothing for a statement that no caller has sent, which the judge is told. */
 std::optional<ServerCommand> WireServer::commandOf(std::string_view fields) {
     ServerCommand command;
@@ -175,36 +302,62 @@
 }
 
 void WireServer::onResult(ConnectionId connection, pooling::StatementResult result) {
+    Session* session = sessionOf(connection);
+    if (session == nullptr) {
+        return;
+    }
+    const milliseconds delay = session->answersLate ? drawDelay() : milliseconds(0);
+    session->answersLate = false;
+    if (delay.count() == 0) {
+        deliver(connection, result);
+        return;
+    }
+    QTimer::singleShot(delay, this, [this, connection, result] { deliver(connection, result); });
+}
+
+void WireServer::deliver(ConnectionId connection, const pooling::StatementResult& result) {
+    Session* session = sessionOf(connection);
+    if (session == nullptr) {
+        return;
+    }
+    session->running = false;
+    session->state = result.state;
+    session->position = result.position;
     std::string out;
     if (result.error) {
         out += "ERROR " + std::string(platform_adapter::wordOf(result.error->fault)) + " refused";
         out += kLineEnd;
     } else {
         for (const std::string& row : result.rows) {
-            // A report: role, term, position received as two numbers, term held.
-            std::string_view rest = row;
-            const std::string_view role = takeField(rest);
-            const std::string_view term = takeField(rest);
-            const std::string_view receivedTerm = takeField(rest);
-            const std::string_view received = takeField(rest);
-            out += "ROW ";
-            out += role;
-            out += ' ';
-            out += term;
-            out += ' ';
-            out += receivedTerm;
-            out += '.';
-            out += received;
-            out += ' ';
-            out += rest;
-            out += " 0 0 0";
-            out += kLineEnd;
+            appendReport(out, row);
         }
         out += "COMPLETE " + (result.signature.empty() ? std::string("-") : result.signature);
         out += kLineEnd;
     }
     appendReady(out, result.state, result.position);
     write(connection, out);
+    releaseSlot(*session);
+    runNext(connection);
+}
+
+/** A report: role, term, position received as two numbers, term held. */
+void WireServer::appendReport(std::string& out, std::string_view row) const {
+    const std::string_view role = takeField(row);
+    const std::string_view term = takeField(row);
+    const std::string_view receivedTerm = takeField(row);
+    const std::string_view received = takeField(row);
+    out += "ROW ";
+    out += role;
+    out += ' ';
+    out += term;
+    out += ' ';
+    out += receivedTerm;
+    out += '.';
+    out += received;
+    out += ' ';
+    out += row;
+    out += " 0 " + std::to_string(_slots.used()) + ' ' + std::to_string(_sessions.size());
+    out += kLineEnd;
 }
 
 void WireServer::onLost(ConnectionId connection) {
@@ -214,9 +367,11 @@
     }
     QTcpSocket* socket = found->second;
     _socketOf.erase(found);
-    _idOf.erase(socket);
+    Session session = std::move(_sessions[socket]);
+    _sessions.erase(socket);
     socket->abort();
     socket->deleteLater();
+    releaseSlot(session);
 }
 
 }  // namespace coralhoist::soak
--- a/tests/soak/SoakPartsTest.cpp
+++ b/tests/soak/SoakPartsTest.cpp
@@ -70,12 +70,13 @@
     simulation::EventQueue queue;
     SeededRandom random{1};
     int promotions = 0;
+    std::vector<std::string> arrived;
     StandInStore store{
-        queue, random,
+        queue,
+        random,
         [](std::size_t, const std::string&, const std::string&, QJsonObject spec) { return spec; },
-        [this](const std::string&, const std::string&, const std::string&, std::uint64_t) {
-            return ++promotions == 1 ? 200 : 409;
-        }};
+        {[this](const PromotionCall& call) { arrived.push_back(call.server); },
+         [this](const PromotionCall&) { return ++promotions == 1 ? 200 : 409; }}};
     std::uint16_t port = store.addProxy();
 
     /** @return the status and the body of the answer. */
@@ -122,6 +123,60 @@
     STRNCMP_EQUAL("410", call("GET", "/objects/things?watch=1&wait_ms=1000").c_str(), 3);
 }
 
+TEST(StandInStore, AWriteThatChangesNothingRaisesNoVersionAndMakesNoEvent) {
+    store.put("things", "a", {{"x", 1}});
+    const std::string same = R"({"meta":{"name":"a","revision":2},"spec":{"x":1}})";
+    const std::string answer = call("PUT", "/objects/things/a", same);
+    STRCMP_EQUAL(R"(200{"meta":{"name":"a","revision":2},"spec":{"x":1}})", answer.c_str());
+    store.put("things", "a", {{"x", 1}});
+    queue.runUntil(queue.now());
+    STRCMP_EQUAL(R"(200{"at":2,"events":[]})",
+                 call("GET", "/objects/things?watch=2&wait_ms=0").c_str());
+}
+
+TEST(StandInStore, ARemovedEntryThatComesBackIsANewVersion) {
+    store.put("things", "a", {{"x", 1}});
+    store.remove("things", "a");
+    STRNCMP_EQUAL("404", call("GET", "/objects/things/a").c_str(), 3);
+    store.put("things", "a", {{"x", 1}});
+    STRCMP_EQUAL(R"(200{"meta":{"name":"a","revision":4},"spec":{"x":1}})",
+                 call("GET", "/objects/things/a").c_str());
+}
+
+TEST(StandInStore, ALateWriteIsDoneUnansweredAndItsConnectionSaysNothingMore) {
+    store.put("things", "a", {{"x", 1}});
+    store.faults().writesLate = 1;
+    store.faults().longestWriteDelay = milliseconds(1);
+    QTcpSocket socket;
+    socket.connectToHost(QHostAddress::LocalHost, port);
+    const std::string body = R"({"meta":{"name":"a","revision":2},"spec":{"x":2}})";
+    const std::string text =
+        "PUT /objects/things/a HTTP/1.1\r\nContent-Length: " + std::to_string(body.size()) +
+        "\r\n\r\n" + body;
+    socket.write(text.c_str());
+    const std::string written = R"(200{"meta":{"name":"a","revision":3},"spec":{"x":2}})";
+    waitFor([&] { return call("GET", "/objects/things/a") == written; });
+    socket.write("GET /objects/things/a HTTP/1.1\r\nContent-Length: 0\r\n\r\n");
+    STRCMP_EQUAL(written.c_str(), call("GET", "/objects/things/a").c_str());
+    LONGS_EQUAL(0, socket.bytesAvailable());
+}
+
+TEST(StandInStore, CarriesAPromotionOutLaterThanItsCallArrives) {
+    store.faults().promotionDelay = milliseconds(1);
+    store.faults().promotionAnswersLost = true;
+    QTcpSocket socket;
+    socket.connectToHost(QHostAddress::LocalHost, port);
+    const std::string body = R"({"service":"g","id":"s"})";
+    const std::string text =
+        "POST /failover HTTP/1.1\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+        body;
+    socket.write(text.c_str());
+    waitFor([this] { return promotions == 1; });
+    LONGS_EQUAL(1, arrived.size());
+    STRCMP_EQUAL("s", arrived.front().c_str());
+    LONGS_EQUAL(0, socket.bytesAvailable());
+}
+
 TEST(StandInStore, RefusesWhileItIsToldTo) {
     store.faults().refuses = true;
     STRNCMP_EQUAL("503", call("GET", "/objects/things").c_str(), 3);
