--- a/lab/soak/ProxyProcess.cpp
+++ b/lab/soak/ProxyProcess.cpp
@@ -1,9 +1,7 @@
 #include "lab/soak/ProxyProcess.h"
 
 #include <QFile>
-#include <QHostAddress>
 #include <QSaveFile>
-#include <QTcpServer>
 #include <QTextStream>
 #include <QTimer>
 #include <csignal>
@@ -17,12 +15,6 @@
 
 }  // namespace
 
-std::uint16_t freePort() {
-    QTcpServer server;
-    server.listen(QHostAddress::LocalHost, 0);
-    return server.serverPort();
-}
-
 ProxyProcess::ProxyProcess(std::string program, ProxySurroundings surroundings,
                            const std::string& logFile, std::function<void(int)> unexpectedEnd)
     : _program(std::move(program)),
--- a/lab/soak/ProxyProcess.h
+++ b/lab/soak/ProxyProcess.h
@@ -67,7 +67,4 @@
     bool _endExpected = false;
 };
 
-/** @return a port on loopback that was free a moment ago. */
-std::uint16_t freePort();
-
 }  // namespace coralhoist::soak
--- a/lab/soak/SoakCommand.cpp
+++ b/lab/soak/SoakCommand.cpp
@@ -78,14 +78,14 @@
         static_cast<unsigned long long>(report.answered),
         static_cast<unsigned long long>(report.failed), report.acknowledged,
         report.acknowledgedAfterFaults, static_cast<unsigned long long>(report.promotions),
-        report.faults.size(), static_cast<long long>(recovery.count()));
+        report.faults, static_cast<long long>(recovery.count()));
     if (!kept) {
         for (const std::string& violation : report.violations) {
             std::printf("  %s\n", violation.c_str());
         }
         std::printf("%s", report.recovered ? "" : "  did not recover\n");
-        for (const std::string& fault : report.faults) {
-            std::printf("    %s\n", fault.c_str());
+        for (const std::string& note : report.timeline) {
+            std::printf("    %s\n", note.c_str());
         }
     }
     std::fflush(stdout);
--- a/lab/soak/SoakFaults.cpp
+++ b/lab/soak/SoakFaults.cpp
@@ -58,9 +58,9 @@
     if (_healed) {
         return;
     }
-    const auto at = std::chrono::duration_cast<milliseconds>(planned.at);
-    _played.push_back(std::to_string(at.count()) + " " + describe(planned.fault) + " for " +
-                      std::to_string(planned.lasts.count()));
+    ++_begun;
+    _targets.timeline.note(std::string(describe(planned.fault)) + " for " +
+                           std::to_string(planned.lasts.count()) + " ms");
     if (beginAtProxy(planned) || beginAtLink(planned) || beginAtStore(planned) ||
         beginAtPromotion(planned)) {
         return;
--- a/lab/soak/SoakFaults.h
+++ b/lab/soak/SoakFaults.h
@@ -15,6 +15,7 @@
 #include "lab/soak/ProxyFaults.h"
 #include "lab/soak/ServerFaults.h"
 #include "lab/soak/SoakPlan.h"
+#include "lab/soak/SoakTimeline.h"
 #include "lab/soak/StandInStore.h"
 
 namespace coralhoist::soak {
@@ -33,6 +34,7 @@
     RelaysByName& serverRelays;
     RelaysByName& peerRelays;
     std::function<void()> changeConfiguration;
+    SoakTimeline& timeline;
 };
 
 /** Begins the faults of a plan and heals each after its time. Lives as long as the queue. */
@@ -46,8 +48,8 @@
     /** Heals what stands; nothing is begun after it. */
     void healAll();
 
-    /** @return what was done, with times in milliseconds from the start. */
-    const std::vector<std::string>& played() const { return _played; }
+    /** @return the number of faults that have begun. */
+    std::size_t begun() const { return _begun; }
 
 private:
     void begin(const PlannedFault& planned);
@@ -72,7 +74,7 @@
     ServerFaults _serverFaults;
     ProxyFaults _proxyFaults;
     bool _healed = false;
-    std::vector<std::string> _played;
+    std::size_t _begun = 0;
 };
 
 }  // namespace coralhoist::soak
--- a/lab/soak/SoakRun.cpp
+++ b/lab/soak/SoakRun.cpp
@@ -11,11 +11,13 @@
 #include <utility>
 
 #include "base/SystemTime.h"
+#include "lab/soak/ReservedPort.h"
 #include "lab/soak/ServerEntries.h"
 #include "lab/soak/SoakFaults.h"
 #include "lab/soak/SoakPlan.h"
 #include "lab/soak/WireCaller.h"
 #include "lab/soak/WireServer.h"
+#include "platform/WireWords.h"
 
 namespace coralhoist::soak {
 namespace {
@@ -60,8 +62,9 @@
                   [this](const PromotionCall& call) { return promote(call); }}),
           _entries(_queue, _group, _store),
           _callerWorld{_queue, _random, _judge, _book, [this] { return choosePort(); }},
-          _faults(_queue, {_group, _entries, _servers, _store.faults(), _proxies, _storeRelays,
-                           _serverRelays, _peerRelays, [this] { writeConfiguration(); }}) {}
+          _faults(_queue,
+                  {_group, _entries, _servers, _store.faults(), _proxies, _storeRelays,
+                   _serverRelays, _peerRelays, [this] { writeConfiguration(); }, _timeline}) {}
 
     SoakReport run() {
         startServers();
@@ -142,11 +145,11 @@
             ProxySurroundings surroundings;
             surroundings.name = NodeName("p" + std::to_string(index + 1));
             surroundings.zone = ZoneName("z");
-            surroundings.callerPort = freePort();
-            surroundings.readinessPort = freePort();
+            surroundings.callerPort = reservePort();
+            surroundings.readinessPort = reservePort();
             surroundings.storePort = _storeRelays.back()->port();
-            const std::string log =
-                _options.logFolder + "/soak-" + surroundings.name.value() + ".log";
+            const std::string log = _options.logFolder + "/soak-" + std::to_string(_options.seed) +
+                                    "-" + surroundings.name.value() + ".log";
             _proxies.push_back(std::make_unique<ProxyProcess>(
                 _options.program, surroundings, log, [this, surroundings](int exitCode) {
                     _judge.fail("EXIT: " + surroundings.name.value() + " ended by itself, code " +
@@ -156,6 +159,11 @@
         }
     }
 
+    std::uint16_t reservePort() {
+        _ports.push_back(std::make_unique<ReservedPort>());
+        return _ports.back()->number();
+    }
+
     void startCallers() {
         const ServicePromise services[] = {{"current", pooled::ReadPromise::Current, Duration(0)},
                                            {"bounded", pooled::ReadPromise::Bounded, kStaleness},
@@ -198,6 +206,8 @@
     void onPromotionCalled(const PromotionCall& call) {
         if (call.group == _group.name().value() && !isLeading(call)) {
             _newestFence = std::max(_newestFence, call.fence);
+            _timeline.note("promotion of " + call.server + " called by " + call.holder +
+                           ", fence " + std::to_string(call.fence));
             _judge.onPromoteCalled(_group.name(), call.holder, call.fence, _queue.now());
         }
     }
@@ -211,9 +221,24 @@
             return kOk;
         }
         const bool outdated = call.fence < _newestFence;
+        _timeline.note("promotion of " + call.server +
+                       (outdated ? " refused as outdated;" : " carried out;") + describeServers());
         return !outdated && _group.promote(ServerName(call.server)) ? kOk : kConflict;
     }
 
+    /** @return role, term, last position and state of each server. */
+    std::string describeServers() {
+        std::string text;
+        for (const auto& server : _group.servers()) {
+            text += ' ' + server->name.value() + (server->primary ? " primary" : " replica") +
+                    " term " + std::to_string(server->term) + " received " +
+                    platform_adapter::writePosition(server->received()) +
+                    (server->heldTerm > 0 ? " paused" : "") + (server->deaf ? " deaf" : "") +
+                    (server->running ? ";" : " down;");
+        }
+        return text;
+    }
+
     /** Ends the run once commits flow again, or when the time to recover is over. */
     void watchRecovery() {
         const Duration since = _queue.now() - _healedAt;
@@ -244,7 +269,8 @@
         _judge.onEnd(_group.finalCommits());
         SoakReport report;
         report.violations = _judge.violations();
-        report.faults = _faults.played();
+        report.timeline = _timeline.notes();
+        report.faults = _faults.begun();
         report.answered = _callerWorld.answered;
         report.failed = _callerWorld.failed;
         report.acknowledged = _judge.acknowledged();
@@ -267,11 +293,13 @@
     std::shared_ptr<pooled::NodeActivity> _activity;
     pooled::LogConnector _connector;
     std::vector<std::unique_ptr<WireServer>> _servers;
+    SoakTimeline _timeline{_queue};
     StandInStore _store;
     ServerEntries _entries;
     std::vector<std::unique_ptr<FaultyRelay>> _storeRelays;
     RelaysByName _serverRelays;
     RelaysByName _peerRelays;
+    std::vector<std::unique_ptr<ReservedPort>> _ports;
     std::vector<std::unique_ptr<ProxyProcess>> _proxies;
     CallerWorld _callerWorld;
     std::vector<std::unique_ptr<WireCaller>> _callers;
--- a/lab/soak/SoakRun.h
+++ b/lab/soak/SoakRun.h
@@ -33,8 +33,9 @@
     /** Why the run could not be carried out; empty when it was. */
     std::string problem;
     std::vector<std::string> violations;
-    /** What was done, with times in milliseconds from the start. */
-    std::vector<std::string> faults;
+    /** Faults, promotions and what servers had by then, with milliseconds from the start. */
+    std::vector<std::string> timeline;
+    std::size_t faults = 0;
     std::uint64_t answered = 0;
     std::uint64_t failed = 0;
     std::size_t acknowledged = 0;
--- a/tests/soak/SoakPartsTest.cpp
+++ b/tests/soak/SoakPartsTest.cpp
@@ -6,6 +6,7 @@
 #include <functional>
 
 #include "lab/soak/FaultyRelay.h"
+#include "lab/soak/ReservedPort.h"
 #include "lab/soak/StandInStore.h"
 #include "tests/support/QtTestLoop.h"
 
@@ -62,6 +63,22 @@
     });
 }
 
+TEST_GROUP(ReservedPort) {
+    int count = 1;
+    char name[8] = "test";
+    char* arguments[1] = {name};
+    QCoreApplication application{count, arguments};
+};
+
+TEST(ReservedPort, IsFreeForTcpAndGivenOnce) {
+    const ReservedPort one;
+    const ReservedPort other;
+    CHECK(one.number() != 0);
+    CHECK(one.number() != other.number());
+    QTcpServer server;
+    CHECK_TRUE(server.listen(QHostAddress::LocalHost, one.number()));
+}
+
 TEST_GROUP(StandInStore) {
     int count = 1;
     char name[8] = "test";
