--- a/lab/soak/ServerFaults.cpp
+++ b/lab/soak/ServerFaults.cpp
@@ -92,13 +92,27 @@
     _healing.after(planned.lasts, [&server] { server.applyLag = Duration(0); });
 }
 
-void ServerFaults::slowOrders(const PlannedFault& planned) {
-    pooled::LogServer& server = serverOf(planned);
+void ServerFaults::slowReplicaAhead(const PlannedFault& planned) {
+    pooled::LogServer& behind = replicaOf(planned);
+    behind.deaf = true;
+    _healing.after(planned.lasts, [&behind] { behind.deaf = false; });
+    for (const auto& server : _group.servers()) {
+        if (!server->primary && server.get() != &behind) {
+            slow(*server, planned);
+        }
+    }
+}
+
+void ServerFaults::slow(pooled::LogServer& server, const PlannedFault& planned) {
     const std::uint64_t spread = kLongestAnswerMs - kShortestAnswerMs;
     server.orderDelay = milliseconds(kShortestAnswerMs + planned.size % spread);
     _healing.after(planned.lasts, [&server] { server.orderDelay = Duration(0); });
 }
 
+void ServerFaults::slowOrders(const PlannedFault& planned) {
+    slow(serverOf(planned), planned);
+}
+
 void ServerFaults::crowd(WireServer& wire, const PlannedFault& planned) {
     const std::uint64_t spread = kLongestAnswerMs - kShortestAnswerMs;
     ServerLoad load = wire.slots().load();
--- a/lab/soak/ServerFaults.h
+++ b/lab/soak/ServerFaults.h
@@ -26,6 +26,8 @@
     void cutServers(const PlannedFault& planned);
     void deafenReplica(const PlannedFault& planned);
     void slowReplica(const PlannedFault& planned);
+    /** One replica receives nothing, and the other is slow to answer questions and orders. */
+    void slowReplicaAhead(const PlannedFault& planned);
     void slowOrders(const PlannedFault& planned);
     void crowdServer(const PlannedFault& planned);
     void crowdAll(const PlannedFault& planned);
@@ -40,6 +42,7 @@
     pooled::LogServer& replicaOf(const PlannedFault& planned);
     WireServer& wireOf(const ServerName& server);
     void crash(pooled::LogServer& server, const PlannedFault& planned);
+    void slow(pooled::LogServer& server, const PlannedFault& planned);
     void crowd(WireServer& wire, const PlannedFault& planned);
 
     FaultHealing& _healing;
--- a/lab/soak/SoakCommand.cpp
+++ b/lab/soak/SoakCommand.cpp
@@ -3,9 +3,13 @@
 #include <QCoreApplication>
 #include <chrono>
 #include <cstdio>
+#include <fstream>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "base/Log.h"
+#include "lab/soak/SoakCases.h"
 #include "lab/soak/SoakRun.h"
 #include "program/PoptContext.h"
 
@@ -28,11 +32,13 @@
     int answersEarly = 0;
     std::string program;
     std::string logFolder = ".";
+    std::string casesFile;
 };
 
 bool parseFlags(int argumentCount, char** arguments, SoakFlags& flags) {
     program::PoptText programFile;
     program::PoptText logFolder;
+    program::PoptText casesFile;
     const poptOption options[] = {
         {"seed", 's', POPT_ARG_LONG, &flags.seed, 0, "seed of the first run", "N"},
         {"runs", 'r', POPT_ARG_INT, &flags.runs, 0, "runs, each with the next seed", "N"},
@@ -46,12 +52,16 @@
          "servers answer commits before a replica has them: the judge must object", nullptr},
         {"program", 'P', POPT_ARG_STRING, &programFile.text, 0, "the proxy's program", "FILE"},
         {"logs", 'l', POPT_ARG_STRING, &logFolder.text, 0, "folder for the proxies' logs", "DIR"},
+        {"cases", 0, POPT_ARG_STRING, &casesFile.text, 0,
+         "plays the runs that a file lists, in place of --seed, --runs, --seconds and --proxies",
+         "FILE"},
         POPT_AUTOHELP POPT_TABLEEND};
     const program::PoptContext context(poptGetContext(
         "coralhoist-lab soak", argumentCount, const_cast<const char**>(arguments), options, 0));
     const int result = poptGetNextOpt(context.get());
     flags.program = programFile.valueOr(flags.program);
     flags.logFolder = logFolder.valueOr(flags.logFolder);
+    flags.casesFile = casesFile.valueOr(flags.casesFile);
     if (result < -1) {
         std::fprintf(stderr, "coralhoist-lab soak: %s: %s\n",
                      poptBadOption(context.get(), POPT_BADOPTION_NOALIAS), poptStrerror(result));
@@ -67,6 +77,35 @@
     return true;
 }
 
+/** @return the runs that are asked for; nothing when the list of cases can't be read. */
+std::optional<std::vector<SoakCase>> casesOf(const SoakFlags& flags) {
+    if (!flags.casesFile.empty()) {
+        std::ifstream input(flags.casesFile);
+        return input ? readCases(input) : std::nullopt;
+    }
+    std::vector<SoakCase> cases;
+    for (int run = 0; run < flags.runs; ++run) {
+        cases.push_back({static_cast<std::uint64_t>(flags.seed + run),
+                         static_cast<std::uint32_t>(flags.seconds),
+                         static_cast<std::uint32_t>(flags.proxies)});
+    }
+    return cases;
+}
+
+SoakOptions optionsOf(const SoakFlags& flags, const SoakCase& chosen) {
+    SoakOptions options;
+    options.seed = chosen.seed;
+    options.seconds = chosen.seconds;
+    options.proxies = chosen.proxies;
+    options.recoverySeconds = static_cast<std::uint32_t>(flags.recoverySeconds);
+    options.callers = static_cast<std::uint32_t>(flags.callers);
+    options.faults = flags.calm == 0;
+    options.program = flags.program;
+    options.logFolder = flags.logFolder;
+    options.group.answersEarly = flags.answersEarly != 0;
+    return options;
+}
+
 /** @return whether the run kept every promise and recovered. */
 bool print(const SoakOptions& options, const SoakReport& report) {
     const bool kept = report.violations.empty() && report.recovered;
@@ -99,19 +138,15 @@
     if (!parseFlags(argumentCount, arguments, flags)) {
         return kBadCommandLine;
     }
+    const std::optional<std::vector<SoakCase>> cases = casesOf(flags);
+    if (!cases) {
+        std::fprintf(stderr, "coralhoist-lab soak: %s can't be read\n", flags.casesFile.c_str());
+        return kBadCommandLine;
+    }
     QCoreApplication application(argumentCount, arguments);
-    int broken = 0;
-    for (int run = 0; run < flags.runs; ++run) {
-        SoakOptions options;
-        options.seed = static_cast<std::uint64_t>(flags.seed + run);
-        options.seconds = static_cast<std::uint32_t>(flags.seconds);
-        options.recoverySeconds = static_cast<std::uint32_t>(flags.recoverySeconds);
-        options.proxies = static_cast<std::uint32_t>(flags.proxies);
-        options.callers = static_cast<std::uint32_t>(flags.callers);
-        options.faults = flags.calm == 0;
-        options.program = flags.program;
-        options.logFolder = flags.logFolder;
-        options.group.answersEarly = flags.answersEarly != 0;
+    std::size_t broken = 0;
+    for (const SoakCase& each : *cases) {
+        const SoakOptions options = optionsOf(flags, each);
         const SoakReport report = runSoak(options);
         if (!report.problem.empty()) {
             std::fprintf(stderr, "coralhoist-lab soak: %s\n", report.problem.c_str());
@@ -119,7 +154,7 @@
         }
         broken += print(options, report) ? 0 : 1;
     }
-    std::printf("%d runs, %d broken\n", flags.runs, broken);
+    std::printf("%zu runs, %zu broken\n", cases->size(), broken);
     return broken == 0 ? kKept : kBroken;
 }
 
--- a/lab/soak/SoakFaults.cpp
+++ b/lab/soak/SoakFaults.cpp
@@ -12,6 +12,12 @@
 constexpr std::uint64_t kLinkDelaySpreadMs = 200;
 constexpr std::uint64_t kShortestPromotionDelayMs = 200;
 constexpr std::uint64_t kPromotionDelaySpreadMs = 1800;
+/** The replica that receives nothing falls behind for so long before the primary fails. */
+constexpr milliseconds kFallsBehind{500};
+/** Questions stay slow for so long beyond the primary's failure, so that a choice meets them. */
+constexpr milliseconds kChoiceTime{2000};
+/** A lost primary is replaced within this time as a rule. */
+constexpr milliseconds kReplacedAfter{4000};
 constexpr double kShareOfLostAnswers = 0.4;
 constexpr double kShareOfLateWrites = 0.3;
 
@@ -62,7 +68,7 @@
     _targets.timeline.note(std::string(describe(planned.fault)) + " for " +
                            std::to_string(planned.lasts.count()) + " ms");
     if (beginAtProxy(planned) || beginAtLink(planned) || beginAtStore(planned) ||
-        beginAtPromotion(planned)) {
+        beginAtPromotion(planned) || beginInSteps(planned)) {
         return;
     }
     beginAtServer(planned);
@@ -117,6 +123,38 @@
     }
 }
 
+void SoakFaults::beginSlowReplicaAhead(const PlannedFault& planned) {
+    PlannedFault slow = planned;
+    slow.lasts += kFallsBehind + kChoiceTime;
+    _serverFaults.slowReplicaAhead(slow);
+    _healing.after(kFallsBehind, [this, planned] {
+        PlannedFault failure = planned;
+        failure.lasts += kChoiceTime;
+        if (failure.variant % 2 == 0) {
+            _serverFaults.crashPrimary(failure);
+        } else {
+            cutPrimaryFromSome(failure);
+        }
+    });
+}
+
+void SoakFaults::beginOldPrimaryReturns(const PlannedFault& planned) {
+    PlannedFault cut = planned;
+    cut.lasts += kReplacedAfter;
+    const ServerName old = _serverFaults.primary().name;
+    _serverFaults.isolatePrimary(cut);
+    cut.lasts = kReplacedAfter;
+    for (const auto& [key, relay] : _targets.serverRelays) {
+        if (key.second == old.value()) {
+            disturb(relay.get(), silence(), cut);
+        }
+    }
+    _healing.after(kReplacedAfter, [this, planned] {
+        cutFromSome(_serverFaults.primary().name, planned);
+        _serverFaults.deafenReplica(planned);
+    });
+}
+
 void SoakFaults::refuseCalls(const PlannedFault& planned) {
     StoreFaults& store = _targets.store;
     store.refuses = true;
@@ -239,12 +277,26 @@
     return true;
 }
 
+bool SoakFaults::beginInSteps(const PlannedFault& planned) {
+    switch (planned.fault) {
+        case SoakFault::SlowReplicaAhead:
+            beginSlowReplicaAhead(planned);
+            return true;
+        case SoakFault::OldPrimaryReturns:
+            beginOldPrimaryReturns(planned);
+            return true;
+        case SoakFault::PrimaryCutFromSome:
+            cutPrimaryFromSome(planned);
+            return true;
+        default:
+            return false;
+    }
+}
+
 void SoakFaults::beginAtServer(const PlannedFault& planned) {
     switch (planned.fault) {
         case SoakFault::ServerCutFromSome:
             return cutFromSome(_serverFaults.serverOf(planned).name, planned);
-        case SoakFault::PrimaryCutFromSome:
-            return cutPrimaryFromSome(planned);
         case SoakFault::PrimaryCrashes:
             return _serverFaults.crashPrimary(planned);
         case SoakFault::ReplicaCrashes:
--- a/lab/soak/SoakFaults.h
+++ b/lab/soak/SoakFaults.h
@@ -57,6 +57,7 @@
     bool beginAtLink(const PlannedFault& planned);
     bool beginAtStore(const PlannedFault& planned);
     bool beginAtPromotion(const PlannedFault& planned);
+    bool beginInSteps(const PlannedFault& planned);
     void beginAtServer(const PlannedFault& planned);
     void disturb(FaultyRelay* relay, const RelayFaults& faults, const PlannedFault& planned);
     /** Silences the links of one or more proxies, not of all, to a server. */
@@ -64,6 +65,8 @@
     void cutPrimaryFromSome(const PlannedFault& planned);
     /** Crashes the primary, or cuts it off, or leaves it alone, so that promotions are called. */
     void strikePrimary(const PlannedFault& planned);
+    void beginSlowReplicaAhead(const PlannedFault& planned);
+    void beginOldPrimaryReturns(const PlannedFault& planned);
     void refuseCalls(const PlannedFault& planned);
     FaultyRelay* relayOf(const RelaysByName& relays, const PlannedFault& planned);
     FaultyRelay* storeRelayOf(const PlannedFault& planned);
--- a/lab/soak/SoakPlan.cpp
+++ b/lab/soak/SoakPlan.cpp
@@ -65,7 +65,9 @@
                                                         "all servers crowded",
                                                         "orders slow",
                                                         "connections limited",
-                                                        "configuration changes"};
+                                                        "configuration changes",
+                                                        "primary fails, the replica ahead is slow",
+                                                        "old primary returns"};
     return kNames.at(static_cast<std::size_t>(fault));
 }
 
--- a/lab/soak/SoakPlan.h
+++ b/lab/soak/SoakPlan.h
@@ -48,6 +48,10 @@
     OrdersSlow, /**< Status questions and orders are answered late. */
     ConnectionsLimited,
     ConfigurationChanges,
+    SlowReplicaAhead, /**< The primary fails while the replica with the longest log is slow. */
+    /** A primary that all had lost is reached again, still cut off from the servers, while some
+     * proxies lose the one that has replaced it. */
+    OldPrimaryReturns,
     Count
 };
 
--- a/tests/soak/SoakPlanTest.cpp
+++ b/tests/soak/SoakPlanTest.cpp
@@ -1,9 +1,11 @@
 #include <CppUTest/TestHarness.h>
 
 #include <set>
+#include <sstream>
 
 #include "lab/soak/FaultHealing.h"
 #include "lab/soak/ServerSlots.h"
+#include "lab/soak/SoakCases.h"
 #include "lab/soak/SoakPlan.h"
 
 namespace coralhoist::soak {
@@ -91,5 +93,24 @@
     LONGS_EQUAL(2, healed);
 }
 
+TEST_GROUP(SoakCases){};
+
+TEST(SoakCases, ReadsCasesAndPassesOverComments) {
+    std::istringstream text("# cause of the next one\n12 15 4\n\n13 20 12  # open\n");
+    const auto cases = readCases(text);
+    CHECK_TRUE(cases.has_value());
+    LONGS_EQUAL(2, cases->size());
+    LONGS_EQUAL(12, cases->front().seed);
+    LONGS_EQUAL(20, cases->back().seconds);
+    LONGS_EQUAL(12, cases->back().proxies);
+}
+
+TEST(SoakCases, RefusesALineThatIsNoCase) {
+    for (const char* line : {"12 15\n", "12 15 4 9\n", "x 15 4\n", "12 0 4\n"}) {
+        std::istringstream text(line);
+        CHECK_FALSE(readCases(text).has_value());
+    }
+}
+
 }  // namespace
 }  // namespace coralhoist::soak
