--- a/lab/soak/SoakRun.cpp
+++ b/lab/soak/SoakRun.cpp
@@ -198,9 +198,10 @@
         return spec;
     }
 
+    /** @return whether the server is the present primary, for which a call changes nothing. */
     bool isLeading(const PromotionCall& call) {
         const pooled::LogServer& target = _group.server(ServerName(call.server));
-        return target.running && target.primary;
+        return target.running && target.primary && !_group.isReplaced(target);
     }
 
     void onPromotionCalled(const PromotionCall& call) {
