--- a/lab/soak/SoakCommand.cpp
+++ b/lab/soak/SoakCommand.cpp
@@ -84,6 +84,7 @@
         return input ? readCases(input) : std::nullopt;
     }
     std::vector<SoakCase> cases;
+    cases.reserve(static_cast<std::size_t>(flags.runs));
     for (int run = 0; run < flags.runs; ++run) {
         cases.push_back({static_cast<std::uint64_t>(flags.seed + run),
                          static_cast<std::uint32_t>(flags.seconds),
--- a/lab/soak/StandInStore.cpp
+++ b/lab/soak/StandInStore.cpp
@@ -246,6 +246,11 @@
     serveWatches();
 }
 
+bool StandInStore::contains(const std::string& kind, const std::string& name) const {
+    const auto found = _objects.find(kind);
+    return found != _objects.end() && found->second.contains(name);
+}
+
 void StandInStore::startWatch(std::size_t proxy, QTcpSocket* socket, const std::string& kind,
                               const Request& request) {
     if (_faults.forgotten) {
--- a/lab/soak/StandInStore.h
+++ b/lab/soak/StandInStore.h
@@ -77,6 +77,7 @@
     /** Writes an object on the operator's or a server's behalf. */
     void put(const std::string& kind, const std::string& name, const QJsonObject& spec);
     void remove(const std::string& kind, const std::string& name);
+    bool contains(const std::string& kind, const std::string& name) const;
 
     StoreFaults& faults() { return _faults; }
 
--- a/lab/soak/WireServer.cpp
+++ b/lab/soak/WireServer.cpp
@@ -291,6 +291,9 @@
 }
 
 void WireServer::onOpened(ConnectionId connection, OpTime position) {
+    if (Session* session = sessionOf(connection); session != nullptr) {
+        session->position = position;
+    }
     std::string out;
     appendReady(out, SessionState::Idle, position);
     write(connection, out);
