--- a/lab/soak/ProxyProcess.cpp
+++ b/lab/soak/ProxyProcess.cpp
@@ -1,8 +1,7 @@
 #include "lab/soak/ProxyProcess.h"
 
 #include <QFile>
-#include <QHostAddress>
-#include <QTcpServer>
+#include <QSaveFile>
 #include <QTextStream>
 #include <QTimer>
 #include <csignal>
@@ -16,12 +15,6 @@
 
 }  // namespace
 
-std::uint16_t freePort() {
-    QTcpServer server;
-    server.listen(QHostAddress::LocalHost, 0);
-    return server.serverPort();
-}
-
 ProxyProcess::ProxyProcess(std::string program, ProxySurroundings surroundings,
                            const std::string& logFile, std::function<void(int)> unexpectedEnd)
     : _program(std::move(program)),
@@ -29,11 +22,12 @@
       _unexpectedEnd(std::move(unexpectedEnd)) {
     _process.setProcessChannelMode(QProcess::MergedChannels);
     _process.setStandardOutputFile(QString::fromStdString(logFile), QIODevice::Append);
-    connect(&_process, &QProcess::finished, this, [this](int exitCode) {
-        if (!_endExpected) {
-            _unexpectedEnd(exitCode);
-        }
-    });
+    connect(&_process, &QProcess::finished, this,
+            [this](int exitCode, QProcess::ExitStatus status) {
+                if (!isExpected(exitCode, status)) {
+                    _unexpectedEnd(exitCode);
+                }
+            });
     writeSettings();
 }
 
@@ -44,7 +38,7 @@
 }
 
 void ProxyProcess::writeSettings() const {
-    QFile file(_folder.path() + kSettingsName);
+    QSaveFile file(_folder.path() + kSettingsName);
     if (!file.open(QIODevice::WriteOnly)) {
         return;
     }
@@ -54,15 +48,26 @@
     QTextStream out(&file);
     out << "[node]\nname = \"" << QString::fromStdString(_surroundings.name.value())
         << "\"\nzone = \"" << QString::fromStdString(_surroundings.zone.value())
-        << "\"\naddress = \"127.0.0.1\"\ndrain_timeout_ms = 6000\n"
-        << "[peer]\nport = 0\n[metrics]\nport = 0\n[pool]\nlisten = "
+        << "\"\naddress = \"127.0.0.1\"\ndrain_timeout_ms = " << _drainTimeout.count()
+        << "\n[peer]\nport = 0\n[metrics]\nport = 0\n[pool]\nlisten = "
         << address(_surroundings.callerPort)
         << "\n[readiness]\nlisten = " << address(_surroundings.readinessPort)
         << "\n[platform]\nurl = \"http://127.0.0.1:" << _surroundings.storePort
         << "\"\n[promotion]\naddress = " << address(_surroundings.storePort) << "\n";
+    out.flush();
+    file.commit();
+}
+
+/** A process that crashes while it stops has not stopped as planned. */
+bool ProxyProcess::isExpected(int exitCode, QProcess::ExitStatus status) const {
+    const bool signalled = exitCode == SIGKILL || exitCode == SIGTERM;
+    return _endExpected && (status == QProcess::NormalExit || signalled);
 }
 
 void ProxyProcess::start() {
+    if (isRunning()) {
+        return;
+    }
     _endExpected = false;
     _process.start(QString::fromStdString(_program),
                    {"--settings", _folder.path() + kSettingsName});
@@ -90,6 +95,35 @@
     });
 }
 
+/** Reads the mask of handled signals that the kernel shows for the process. */
+bool ProxyProcess::handles(int signal) const {
+    constexpr int kHexadecimal = 16;
+    QFile status("/proc/" + QString::number(_process.processId()) + "/status");
+    if (!status.open(QIODevice::ReadOnly)) {
+        return false;
+    }
+    const QList<QByteArray> lines = status.readAll().split('\n');
+    for (const QByteArray& line : lines) {
+        if (line.startsWith("SigCgt:")) {
+            const qulonglong mask =
+                line.mid(line.indexOf(':') + 1).trimmed().toULongLong(nullptr, kHexadecimal);
+            return ((mask >> (signal - 1)) & 1U) != 0;
+        }
+    }
+    return false;
+}
+
+void ProxyProcess::reload() {
+    if (handles(SIGHUP)) {
+        sendSignal(SIGHUP);
+    }
+}
+
+void ProxyProcess::setDrainTimeout(std::chrono::milliseconds time) {
+    _drainTimeout = time;
+    writeSettings();
+}
+
 void ProxyProcess::pause() {
     sendSignal(SIGSTOP);
 }
