--- a/src/cluster/ClusterControl.cpp
+++ b/src/cluster/ClusterControl.cpp
@@ -35,13 +35,6 @@
     return timing;
 }
 
-/** @return what the pooler needs to know of the record. */
-pooling::PromotionNotice noticeOf(const failover::PromotionRecord& record) {
-    pooling::PromotionNotice notice = record.notice();
-    notice.base = record.base;
-    return notice;
-}
-
 }  // namespace
 
 class ClusterControl::KindSink final : public store::WatchSink {
@@ -253,7 +246,7 @@
     }
     failover.onRecord(*record);
     _proofs.noteRecord(record->version);
-    _pooler.applyNotice(group, noticeOf(failover.record()));
+    _pooler.applyNotice(group, failover.record().notice());
 }
 
 void ClusterControl::wantLeadershipProof(const GroupName& group) {
@@ -283,7 +276,7 @@
         if (failover->record().version > told) {
             told = failover->record().version;
             _proofs.noteRecord(told);
-            _pooler.applyNotice(group, noticeOf(failover->record()));
+            _pooler.applyNotice(group, failover->record().notice());
         }
     }
     _proofs.onTick(now);
--- a/src/failover/PromotionRecord.h
+++ b/src/failover/PromotionRecord.h
@@ -40,7 +40,7 @@
     bool operator==(const PromotionRecord&) const = default;
 
     /** @return what the pooler needs to know of it. */
-    pooling::PromotionNotice notice() const { return {phase, successor, term, version}; }
+    pooling::PromotionNotice notice() const { return {phase, successor, term, version, base}; }
 };
 
 /** How a call of the store ended. */
