--- a/src/failover/GroupFailover.h
+++ b/src/failover/GroupFailover.h
@@ -116,7 +116,7 @@
     void check(TimePoint now);
     void load();
     void onLoaded(const LoadedRecord& loaded);
-    void claim(TimePoint now);
+    void claim();
     void enterSecuring(TimePoint now);
     void secure(TimePoint now);
     void refreshRecord(TimePoint now);
@@ -135,7 +135,9 @@
     bool isOwn(const PromotionRecord& record) const;
     bool isDriving() const;
     bool mustLeaveToHolder(TimePoint now) const;
+    Term newestShownTerm() const;
     Term nextTerm() const;
+    Term termToAnnounce() const;
     std::string describeMembers(const CommitQuorum& quorum, TimePoint now) const;
     void logWaiting(const CommitQuorum& quorum, TimePoint now);
     bool isSettled(TimePoint now) const;
--- a/src/failover/PromotionSteps.cpp
+++ b/src/failover/PromotionSteps.cpp
@@ -26,7 +26,7 @@
 
 void GroupFailover::announce(TimePoint now) {
     const CommitQuorum quorum = viewMembers(now);
-    _successorTerm = nextTerm();
+    _successorTerm = termToAnnounce();
     _successorPosition = link(_successor).report()->report.received;
     const PromotionRecord record = recordOfSuccessor(PromotionPhase::Promoting);
     LogEvent("failover", LogLevel::Info, "failover.successor_chosen")
--- /dev/null
+++ b/src/failover/RecordClaim.cpp
@@ -0,0 +1,136 @@
+/** The claim on a group's record: reading it, writing it under its version, and losing it. */
+#include <utility>
+
+#include "base/Backoff.h"
+#include "base/Log.h"
+#include "failover/FailoverTiming.h"
+#include "failover/GroupFailover.h"
+
+namespace coralhoist::failover {
+
+using pooling::PromotionPhase;
+
+void GroupFailover::load() {
+    if (_busy) {
+        return;
+    }
+    _busy = true;
+    _dependencies.store.load(_group, [this, alive = std::weak_ptr<bool>(_alive),
+                                      attempt = _attempt](const LoadedRecord& loaded) {
+        if (!alive.expired() && attempt == _attempt) {
+            _busy = false;
+            onLoaded(loaded);
+        }
+    });
+}
+
+void GroupFailover::onLoaded(const LoadedRecord& loaded) {
+    if (_phase != Phase::Loading) {
+        return;
+    }
+    const TimePoint now = _dependencies.clock.now();
+    if (loaded.outcome != StoreOutcome::Done) {
+        // Without the store nothing is promoted: nobody could know who may.
+        _storePause = nextBackoff(_storePause, kStorePause, kLongestStorePause);
+        giveUp("the store can't be read", _storePause);
+        return;
+    }
+    _storePause = Duration(0);
+    onRecord(loaded.record);
+    // A record of an earlier life is taken over by a claim of this one.
+    const bool own = _record.holder == _dependencies.holder;
+    if (_record.phase == PromotionPhase::None) {
+        if (mustLeaveToHolder(now)) {
+            giveUp("another node has just promoted", kConflictPause);
+            return;
+        }
+        claim();
+    } else if (own) {
+        // An announcement of its own may be old: what it rests on is looked at again.
+        _successor = _record.successor;
+        _announcedVersion = _record.version;
+        enterSecuring(now);
+    } else if (isOwn(_record) || now - _recordSeenAt > kTakeOverAfter) {
+        claim();
+    } else {
+        giveUp("another node is at it", kConflictPause);
+    }
+}
+
+void GroupFailover::save(PromotionRecord record,
+                         void (GroupFailover::*done)(const SavedRecord&, TimePoint)) {
+    _busy = true;
+    record.holder = _dependencies.holder;
+    ++record.renewals;
+    const TimePoint askedAt = _dependencies.clock.now();
+    _dependencies.store.save(_group, record,
+                             [this, alive = std::weak_ptr<bool>(_alive), record, done, askedAt,
+                              attempt = _attempt](const SavedRecord& saved) {
+                                 if (alive.expired()) {
+                                     return;
+                                 }
+                                 if (saved.outcome == StoreOutcome::Done) {
+                                     PromotionRecord written = record;
+                                     written.version = saved.version;
+                                     onRecord(written);
+                                 }
+                                 if (attempt == _attempt) {
+                                     _busy = false;
+                                     (this->*done)(saved, askedAt);
+                                 }
+                             });
+}
+
+void GroupFailover::claim() {
+    PromotionRecord record = _record;
+    // An announced successor may lead already; its announcement stays until another follows.
+    record.phase = record.phase == PromotionPhase::Promoting ? PromotionPhase::Promoting
+                                                             : PromotionPhase::Preparing;
+    enter(Phase::Claiming);
+    save(record, &GroupFailover::onClaimed);
+}
+
+void GroupFailover::onClaimed(const SavedRecord& saved, TimePoint /*askedAt*/) {
+    const bool overtaken = _record.holder != _dependencies.holder;
+    if (saved.outcome == StoreOutcome::Done && !overtaken) {
+        _announcedVersion = saved.version;
+        enterSecuring(_dependencies.clock.now());
+        return;
+    }
+    giveUp(saved.outcome == StoreOutcome::Conflict ? "another node was first"
+                                                   : "the store did not take the claim",
+           saved.outcome == StoreOutcome::Conflict ? kConflictPause : kStorePause);
+}
+
+void GroupFailover::refreshRecord(TimePoint now) {
+    if (!_busy && now - _refreshedAt > kRefreshEvery) {
+        _refreshedAt = now;
+        save(_record, &GroupFailover::onRefreshed);
+    }
+}
+
+void GroupFailover::onRefreshed(const SavedRecord& saved, TimePoint /*askedAt*/) {
+    if (saved.outcome == StoreOutcome::Conflict && _phase == Phase::Securing) {
+        giveUp("another node took the record over", kConflictPause);
+    }
+}
+
+/** @return whether the record is this node's claim to promote. */
+bool GroupFailover::isDriving() const {
+    switch (_phase) {
+        case Phase::Idle:
+        case Phase::Checking:
+        case Phase::Loading:
+            return false;
+        case Phase::Claiming:
+        case Phase::Securing:
+        case Phase::Announcing:
+        case Phase::Calling:
+        case Phase::Confirming:
+        case Phase::Closing:
+            return true;
+    }
+    return false;
+}
+
+}  // namespace coralhoist::failover
