--- a/tests/pooled_simulation/PooledRegressionTest.cpp
+++ b/tests/pooled_simulation/PooledRegressionTest.cpp
@@ -11,8 +11,8 @@
 namespace {
 
 /** The run must keep all promises and recover. */
-void check(std::uint64_t seed, const std::vector<PooledFault>& faults) {
-    PooledRunOptions options = crowdedOptions();
+void check(std::uint64_t seed, const std::vector<PooledFault>& faults,
+           PooledRunOptions options = crowdedOptions()) {
     options.seed = seed;
     options.faults = faults;
     const PooledReport report = runPooled(options);
@@ -31,6 +31,12 @@
                PooledFault::PrimaryCutFromSomeNodes});
 }
 
+/** As above, when the primary crashes: 299 is promoted, 521 answers late. */
+TEST(PooledRegression, ALateAnswerHidesNoLogOfACrashedPrimary) {
+    check(325,
+          {PooledFault::ServersCrowded, PooledFault::ReplicaDeaf, PooledFault::PrimaryCrashes});
+}
+
 /** After a step-down at 500 the replica with 480 is promoted: the one with 485 answers late. */
 TEST(PooledRegression, ALateAnswerHidesNoLogAfterAStepDown) {
     check(11, {PooledFault::ServersCrowded, PooledFault::ReplicaDeaf,
@@ -74,5 +80,12 @@
     check(1711, {PooledFault::ServerRenamed, PooledFault::ReplicasRestart});
 }
 
+/** A call for one server is not answered, another is promoted, then the first call is done. */
+TEST(PooledRegression, ALateCallWithoutAFenceDoesNotEndALaterPromotion) {
+    PooledRunOptions options = crowdedOptions();
+    options.group.checksFence = false;
+    check(9, {PooledFault::PromotionCallTroubled, PooledFault::ReplicaDeaf}, options);
+}
+
 }  // namespace
 }  // namespace coralhoist::pooled
--- a/tests/pooled_simulation/PooledServerFaultTest.cpp
+++ b/tests/pooled_simulation/PooledServerFaultTest.cpp
@@ -1,7 +1,9 @@
 /** Seeded runs on crowded servers with faults of how nodes and servers see each other. */
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
 #include <functional>
+#include <vector>
 
 #include "PlanRunner.h"
 #include "lab/pooled/PooledRun.h"
@@ -103,6 +105,17 @@
                numberFromEnvironment("CORALHOIST_SERVER_FAULT_ROUNDS", kDefaultRounds));
 }
 
+TEST(PooledServerFault, KeepsThePromisesWhenLateCallsAreNotFenced) {
+    PooledRunOptions options = crowdedOptions();
+    options.group.checksFence = false;
+    std::vector<std::vector<PooledFault>> plans = serverFaultPlans();
+    std::erase_if(plans, [](const std::vector<PooledFault>& plan) {
+        return std::count(plan.begin(), plan.end(), PooledFault::PromotionCallTroubled) == 0;
+    });
+    checkPlans(options, plans,
+               numberFromEnvironment("CORALHOIST_SERVER_FAULT_ROUNDS", kDefaultRounds));
+}
+
 TEST(PooledServerFault, KeepsThePromisesWhenCrowdedServersPromote) {
     checkPlans(crowdedOptions(), crowdedPromotionPlans(),
                numberFromEnvironment("CORALHOIST_SERVER_FAULT_ROUNDS", kDefaultRounds) *
