--- a/lab/pooled/PooledFault.h
+++ b/lab/pooled/PooledFault.h
@@ -35,7 +35,7 @@
     ReplicasRestart,       /**< Quick restarts in a series: pauses are forgotten. */
 };
 
-/** Faults of which the first so many are of nodes, the store and single servers' ends. */
+/** Number of the first fault that only servers with slots and heartbeats are played with. */
 inline constexpr std::size_t kFirstServerFault = 16;
 inline constexpr std::size_t kPooledFaultCount = 24;
 
--- a/tests/pooled_simulation/PooledRegressionTest.cpp
+++ b/tests/pooled_simulation/PooledRegressionTest.cpp
@@ -80,6 +80,13 @@
     check(1711, {PooledFault::ServerRenamed, PooledFault::ReplicasRestart});
 }
 
+/** A node starts while two of three announcements lapse, and promotes the only server that it
+ * lists; the primary and the replica that it does not know of go on meanwhile. */
+TEST(PooledRegression, ANodeThatStartsWithLapsedAnnouncementsLosesNoCommit) {
+    check(135, {PooledFault::NodeDies, PooledFault::AnnouncementsLapse,
+                PooledFault::AnnouncementsLapse});
+}
+
 /** A call for one server is not answered, another is promoted, then the first call is done. */
 TEST(PooledRegression, ALateCallWithoutAFenceDoesNotEndALaterPromotion) {
     PooledRunOptions options = crowdedOptions();
