--- a/lab/pooled/LogConnector.cpp
+++ b/lab/pooled/LogConnector.cpp
@@ -18,6 +18,8 @@
 /** How long a slot is held by an order or a status question, and by a new connection. */
 constexpr Duration kOrderWork = milliseconds(1);
 constexpr Duration kOpeningWork = milliseconds(2);
+/** Work takes 50 % of the model's, and a random part of so many percent. */
+constexpr std::uint64_t kWorkSpread = 150;
 /** Answers to orders that take longer count as slow. */
 constexpr Duration kSlowOrder = milliseconds(100);
 
@@ -213,6 +215,10 @@
     connection->commands.pop_front();
     connection->running = true;
     connection->takenUpAt = _queue.now();
+    if (!isWork(command) && connection->group->model().slots == 0) {
+        // Without slots each command draws its work, so that runs stay those of their seeds.
+        _random.below(kWorkSpread);
+    }
     if (isWork(command)) {
         workOnStatement(connection, command);
     } else if (isOrder(command)) {
@@ -231,7 +237,7 @@
 void LogConnector::workOnStatement(const ConnectionPointer& connection,
                                    const ServerCommand& command) {
     LogServer& server = *connection->server;
-    const auto share = static_cast<std::int64_t>(50 + _random.below(150));
+    const auto share = static_cast<std::int64_t>(50 + _random.below(kWorkSpread));
     const Duration work = connection->group->model().work * share * server.slowness / 100;
     connection->group->startWork(
         server, [this, connection, command, work, activity = _activity, life = server.life] {
