--- a/src/failover/MemberSurvey.cpp
+++ b/src/failover/MemberSurvey.cpp
@@ -132,6 +132,7 @@
     return _former.value_or(ServerName());
 }
 
+/** Members that the record names and no list has named yet count as gone no sooner than others. */
 CommitQuorum GroupFailover::viewMembers(TimePoint now) const {
     std::vector<MemberView> members;
     for (const auto& [name, member] : _links) {
@@ -154,6 +155,13 @@
         }
         members.push_back(view);
     }
+    if (_listedSince && now - *_listedSince < kGoneAfter) {
+        for (const ServerName& name : _record.members) {
+            if (!_servers.contains(name)) {
+                members.push_back({name, MemberRole::Unknown, 0, {}, false});
+            }
+        }
+    }
     return {std::move(members), newestLeader()};
 }
 
--- a/src/failover/PromotionRecord.h
+++ b/src/failover/PromotionRecord.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "base/Identifier.h"
 #include "base/OpTime.h"
@@ -34,6 +35,11 @@
      * raises no version, so that without it nobody could see that the holder still drives.
      */
     std::uint64_t renewals = 0;
+    /**
+     * Servers that were listed when that successor was announced. Announcements lapse also of
+     * servers that live; a node that has just started would take the rest for the whole group.
+     */
+    std::vector<ServerName> members;
     /** Version in the store; 0 when there is no record. */
     std::uint64_t version = 0;
 
--- a/src/failover/PromotionSteps.cpp
+++ b/src/failover/PromotionSteps.cpp
@@ -21,6 +21,12 @@
     record.successor = _successor;
     record.term = _successorTerm;
     record.base = _successorPosition;
+    record.members.clear();
+    for (const auto& [name, server] : _servers) {
+        if (!server.removed) {
+            record.members.push_back(name);
+        }
+    }
     return record;
 }
 
--- a/tests/platform_adapter/CodecTest.cpp
+++ b/tests/platform_adapter/CodecTest.cpp
@@ -91,6 +91,8 @@
     record.term = 4;
     record.base = OpTime{3, 77};
     record.version = 12;
+    record.renewals = 7;
+    record.members = {ServerName("i-1"), ServerName("i-2")};
     const store::StoredObject written = codec.writePromotion(GroupName("g1"), record);
     STRCMP_EQUAL("g1", written.name.c_str());
     CHECK_TRUE(codec.readPromotion(written) == record);
