--- a/src/failover/SuccessorChoice.cpp
+++ b/src/failover/SuccessorChoice.cpp
@@ -69,7 +69,7 @@
 
 std::optional<ServerName> GroupFailover::chooseSuccessor(const CommitQuorum& quorum,
                                                          TimePoint now) const {
-    const std::optional<ServerName> best = mostAdvanced(quorum, now);
+    std::optional<ServerName> best = mostAdvanced(quorum, now);
     if (best && quorum.reachesFormerLeader(*best)) {
         return best;
     }
