--- a/src/failover/GroupFailover.cpp
+++ b/src/failover/GroupFailover.cpp
@@ -254,7 +254,7 @@
 }
 
 /** @return whether lists have come for long enough to name every server that lives. */
-bool GroupFailover::isSettled(TimePoint now) const {
+bool GroupFailover::hasSettledList(TimePoint now) const {
     return _listedSince && now - *_listedSince >= kListSettles;
 }
 
@@ -281,7 +281,7 @@
     }
     _securedAt = _securedAt.value_or(now);
     const std::optional<ServerName> successor = chooseSuccessor(quorum, now);
-    if (successor && !_busy && isSettled(now) && !mustAwaitCall(*successor, now)) {
+    if (successor && !_busy && hasSettledList(now) && !mustAwaitCall(*successor, now)) {
         _successor = *successor;
         announce(now);
     }
--- a/src/failover/GroupFailover.h
+++ b/src/failover/GroupFailover.h
@@ -140,7 +140,7 @@
     Term termToAnnounce() const;
     std::string describeMembers(const CommitQuorum& quorum, TimePoint now) const;
     void logWaiting(const CommitQuorum& quorum, TimePoint now);
-    bool isSettled(TimePoint now) const;
+    bool hasSettledList(TimePoint now) const;
     void resumeReceivers(TimePoint now);
     void askAll(TimePoint now);
     PromotionRecord recordOfSuccessor(pooling::PromotionPhase phase) const;
--- a/src/failover/PromotionSteps.cpp
+++ b/src/failover/PromotionSteps.cpp
@@ -40,8 +40,7 @@
         .field("successor", _successor)
         .field("term", _successorTerm)
         .field("former", _former ? _former->value() : std::string("none"))
-        .field("secured_by",
-               viewMembers(now).formerLeader() != nullptr ? "step_down" : "paused_receivers")
+        .field("secured_by", quorum.formerLeader() != nullptr ? "step_down" : "paused_receivers")
         .field("members", describeMembers(quorum, now))
         .field("record_version", _record.version)
         .field("record_holder", _record.holder);
--- a/tests/failover/LostCommitTest.cpp
+++ b/tests/failover/LostCommitTest.cpp
@@ -23,17 +23,25 @@
 TEST_GROUP(LostCommit) {
     FailoverFixture fixture;
 
-    /** Server 1 receives all commits, server 2 only the first ones. */
-    void commitWithADeafReplica() {
-        fixture.commit(kCommitsOfAll);
-        fixture.server(2).deaf = true;
-        fixture.commit(kCommitsOfOne);
-    }
-
     void crashThePrimary() {
         fixture.group.crash(fixture.server(0));
         fixture.suspect(0, SuspicionReason::Unreachable);
     }
+
+    /** The first node claims the record; no node reaches the server with the longest log. */
+    static void claimWhileTheLongestLogIsOutOfReach(FailoverFixture & several) {
+        several.commit(kCommitsOfAll);
+        several.server(2).deaf = true;
+        several.commit(kCommitsOfOne);
+        for (FailoverNode& node : several.nodes) {
+            node.connector->faults().cut.insert(several.server(1).name);
+        }
+        several.group.crash(several.server(0));
+        several.suspect(0, SuspicionReason::Unreachable);
+        while (several.record().phase == PromotionPhase::None) {
+            several.run(milliseconds(2));
+        }
+    }
 };
 
 /**
@@ -94,18 +102,7 @@
  */
 TEST(LostCommit, OneNodeDrivesAPromotionAtATime) {
     FailoverFixture two(2);
-    two.commit(kCommitsOfAll);
-    two.server(2).deaf = true;
-    two.commit(kCommitsOfOne);
-    // Without this server's answer nobody knows which log is the longest.
-    for (FailoverNode& node : two.nodes) {
-        node.connector->faults().cut.insert(two.server(1).name);
-    }
-    two.group.crash(two.server(0));
-    two.suspect(0, SuspicionReason::Unreachable);
-    while (two.record().phase == PromotionPhase::None) {
-        two.run(milliseconds(2));
-    }
+    claimWhileTheLongestLogIsOutOfReach(two);
     const std::string holder = two.record().holder;
     for (int step = 0; step < 800; ++step) {
         two.run(milliseconds(10));
@@ -127,17 +124,7 @@
  */
 TEST(LostCommit, ANodeWhoseRecordWasTakenOverStops) {
     FailoverFixture two(2);
-    two.commit(kCommitsOfAll);
-    two.server(2).deaf = true;
-    two.commit(kCommitsOfOne);
-    for (FailoverNode& node : two.nodes) {
-        node.connector->faults().cut.insert(two.server(1).name);
-    }
-    two.group.crash(two.server(0));
-    two.suspect(0, SuspicionReason::Unreachable);
-    while (two.record().phase == PromotionPhase::None) {
-        two.run(milliseconds(2));
-    }
+    claimWhileTheLongestLogIsOutOfReach(two);
     two.nodes[0].client->setCut(true);
     while (two.record().holder != "n2/1") {
         two.run(milliseconds(2));
