--- a/src/failover/CommitQuorum.cpp
+++ b/src/failover/CommitQuorum.cpp
@@ -9,10 +9,6 @@
 /** Servers besides the leader that have a commit when it is acknowledged: the groups' setting. */
 constexpr std::ptrdiff_t kReplicasOfACommit = 1;
 
-bool isReplica(const MemberView& member) {
-    return member.role == MemberRole::Following || member.role == MemberRole::Paused;
-}
-
 /** Who is unknown may lead. */
 bool mayLead(const MemberView& member) {
     return !isReplica(member);
@@ -39,6 +35,10 @@
     return "unknown";
 }
 
+bool isReplica(const MemberView& member) {
+    return member.role == MemberRole::Following || member.role == MemberRole::Paused;
+}
+
 CommitQuorum::CommitQuorum(std::vector<MemberView> members, const ServerName& newestLeader)
     : _members(std::move(members)), _newestLeader(newestLeader) {}
 
--- a/src/failover/CommitQuorum.h
+++ b/src/failover/CommitQuorum.h
@@ -2,7 +2,6 @@
  */
 #pragma once
 
-#include <string>
 #include <vector>
 
 #include "base/Identifier.h"
@@ -35,6 +34,9 @@
     bool isSettled = false;
 };
 
+/** @return whether it has told that it is a replica. */
+bool isReplica(const MemberView& member);
+
 /**
  * The members of one group at one moment. A commit is acknowledged by a leader once one replica
  * has received it, so it is on two servers at least, and two servers take part in it.
--- a/src/failover/GroupFailover.cpp
+++ b/src/failover/GroupFailover.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "base/Backoff.h"
 #include "base/Log.h"
 #include "failover/FailoverTiming.h"
 
@@ -11,7 +10,6 @@
 namespace {
 
 using pooling::ListedServer;
-using pooling::PromotionPhase;
 using pooling::ServerCommand;
 using std::chrono::milliseconds;
 
--- a/src/failover/MemberLink.cpp
+++ b/src/failover/MemberLink.cpp
@@ -145,8 +145,6 @@
     _report = answer;
     if (awaited.kind == ServerCommand::Kind::Pause) {
         _paused = answer;
-    } else if (awaited.kind == ServerCommand::Kind::StepDown) {
-        _steppedDown = answer;
     }
 }
 
@@ -156,7 +154,6 @@
     // It may have restarted: a replica receives again then, and a primary may lead again.
     _report.reset();
     _paused.reset();
-    _steppedDown.reset();
 }
 
 }  // namespace coralhoist::failover
--- a/src/failover/MemberLink.h
+++ b/src/failover/MemberLink.h
@@ -42,8 +42,6 @@
     const std::optional<MemberAnswer>& report() const { return _report; }
     /** @return the answer to the order that makes a replica stop receiving. */
     const std::optional<MemberAnswer>& paused() const { return _paused; }
-    /** @return the answer to the order to step down. */
-    const std::optional<MemberAnswer>& steppedDown() const { return _steppedDown; }
 
     /** @return when the server last said anything, be it a refusal. */
     std::optional<TimePoint> heardAt() const { return _heardAt; }
@@ -94,7 +92,6 @@
     std::deque<Awaited> _sent;
     std::optional<MemberAnswer> _report;
     std::optional<MemberAnswer> _paused;
-    std::optional<MemberAnswer> _steppedDown;
 };
 
 }  // namespace coralhoist::failover
--- a/src/failover/SuccessorChoice.cpp
+++ b/src/failover/SuccessorChoice.cpp
@@ -131,9 +131,7 @@
         const auto stopped = _notRunning.find(member.server);
         const bool excluded = stopped != _notRunning.end() && now < stopped->second;
         const bool former = _former && member.server == *_former;
-        const bool replica =
-            member.role == MemberRole::Following || member.role == MemberRole::Paused;
-        if (!replica || server == nullptr || excluded || former) {
+        if (!isReplica(member) || server == nullptr || excluded || former) {
             continue;
         }
         const bool stays = !server->removed && !server->announcement.draining;
