--- a/gen/unit.thrift
+++ b/gen/unit.thrift
@@ -113,20 +113,59 @@
   6: optional i64 provenAgeUs        // the same for the first kind as a linearizable call showed it
 }
 
+// What became of a batch of units.
+struct QuotaSettlement {
+  1: required i64 term
+  2: required i64 number
+  3: required i32 used
+  4: required i64 lastUseAgeUs
+}
+
 // Asks for units of a tenant's quota.
 struct QuotaRequest {
   1: required i64 question
   2: required string tenantName
   3: required i32 wanted
-  4: required i32 returned           // granted earlier and expired unused
+  4: required i64 usableForUs        // from the moment of asking
+  5: required i32 hops
+  6: optional list<QuotaSettlement> settled
 }
 
 struct QuotaReply {
   1: required i64 question
-  2: required bool declined          // the node does not account for the tenant
+  2: required bool declined          // nothing was granted: no leader could be asked
   3: required i32 granted
   4: required i64 retryAfterUs
   5: required bool scarce            // the tenant uses most of its quota
+  6: required i64 term               // names the batch that was granted, with the next
+  7: required i64 number
+  8: required string leader
+}
+
+// A batch of units that a standby counts.
+struct LedgerBatch {
+  1: required string tenantName
+  2: required i64 term
+  3: required i64 number
+  4: required i32 units
+  5: required i64 usableForUs        // below 0 when its units only count
+}
+
+// Keeps a standby's copy of the grants of a shard's leader up to date.
+struct LedgerUpdateRequest {
+  1: required i64 question
+  2: required i32 shard
+  3: required string leaderLife
+  4: required i64 copy
+  5: required bool whole             // the copy begins anew
+  6: required bool released          // the leader grants no more
+  7: required list<LedgerBatch> batches
+}
+
+struct LedgerUpdateReply {
+  1: required i64 question
+  2: required bool accepted
+  3: required string life
 }
 
 // One frame holds exactly one of these.
@@ -142,4 +181,6 @@
   9: optional ChangesReply changesReply
   10: optional QuotaRequest quotaRequest
   11: optional QuotaReply quotaReply
+  12: optional LedgerUpdateRequest ledgerRequest
+  13: optional LedgerUpdateReply ledgerReply
 }
--- a/gen/unit_types.cpp
+++ b/gen/unit_types.cpp
@@ -2772,33 +2772,940 @@
 }
 
 
+QuotaSettlement::~QuotaSettlement() noexcept {
+}
+
+
+void QuotaSettlement::__set_term(const int64_t val) {
+  this->term = val;
+}
+
+void QuotaSettlement::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void QuotaSettlement::__set_used(const int32_t val) {
+  this->used = val;
+}
+
+void QuotaSettlement::__set_lastUseAgeUs(const int64_t val) {
+  this->lastUseAgeUs = val;
+}
+std::ostream& operator<<(std::ostream& out, const QuotaSettlement& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QuotaSettlement::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_term = false;
+  bool isset_number = false;
+  bool isset_used = false;
+  bool isset_lastUseAgeUs = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          isset_term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          isset_number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->used);
+          isset_used = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lastUseAgeUs);
+          isset_lastUseAgeUs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_term)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_number)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_used)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_lastUseAgeUs)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t QuotaSettlement::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QuotaSettlement");
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("used", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->used);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lastUseAgeUs", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->lastUseAgeUs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QuotaSettlement &a, QuotaSettlement &b) {
+  using ::std::swap;
+  swap(a.term, b.term);
+  swap(a.number, b.number);
+  swap(a.used, b.used);
+  swap(a.lastUseAgeUs, b.lastUseAgeUs);
+}
+
+QuotaSettlement::QuotaSettlement(const QuotaSettlement& other98) noexcept {
+  term = other98.term;
+  number = other98.number;
+  used = other98.used;
+  lastUseAgeUs = other98.lastUseAgeUs;
+}
+QuotaSettlement::QuotaSettlement(QuotaSettlement&& other99) noexcept {
+  term = other99.term;
+  number = other99.number;
+  used = other99.used;
+  lastUseAgeUs = other99.lastUseAgeUs;
+}
+QuotaSettlement& QuotaSettlement::operator=(const QuotaSettlement& other100) noexcept {
+  term = other100.term;
+  number = other100.number;
+  used = other100.used;
+  lastUseAgeUs = other100.lastUseAgeUs;
+  return *this;
+}
+QuotaSettlement& QuotaSettlement::operator=(QuotaSettlement&& other101) noexcept {
+  term = other101.term;
+  number = other101.number;
+  used = other101.used;
+  lastUseAgeUs = other101.lastUseAgeUs;
+  return *this;
+}
+void QuotaSettlement::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QuotaSettlement(";
+  out << "term=" << to_string(term);
+  out << ", " << "number=" << to_string(number);
+  out << ", " << "used=" << to_string(used);
+  out << ", " << "lastUseAgeUs=" << to_string(lastUseAgeUs);
+  out << ")";
+}
+
+
 QuotaRequest::~QuotaRequest() noexcept {
 }
 
 
-void QuotaRequest::__set_question(const int64_t val) {
+void QuotaRequest::__set_question(const int64_t val) {
+  this->question = val;
+}
+
+void QuotaRequest::__set_tenantName(const std::string& val) {
+  this->tenantName = val;
+}
+
+void QuotaRequest::__set_wanted(const int32_t val) {
+  this->wanted = val;
+}
+
+void QuotaRequest::__set_usableForUs(const int64_t val) {
+  this->usableForUs = val;
+}
+
+void QuotaRequest::__set_hops(const int32_t val) {
+  this->hops = val;
+}
+
+void QuotaRequest::__set_settled(const std::vector<QuotaSettlement> & val) {
+  this->settled = val;
+__isset.settled = true;
+}
+std::ostream& operator<<(std::ostream& out, const QuotaRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QuotaRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_question = false;
+  bool isset_tenantName = false;
+  bool isset_wanted = false;
+  bool isset_usableForUs = false;
+  bool isset_hops = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->question);
+          isset_question = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->tenantName);
+          isset_tenantName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->wanted);
+          isset_wanted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->usableForUs);
+          isset_usableForUs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->hops);
+          isset_hops = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->settled.clear();
+            uint32_t _size102;
+            ::apache::thrift::protocol::TType _etype105;
+            xfer += iprot->readListBegin(_etype105, _size102);
+            this->settled.resize(_size102);
+            uint32_t _i106;
+            for (_i106 = 0; _i106 < _size102; ++_i106)
+            {
+              xfer += this->settled[_i106].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.settled = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_question)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_tenantName)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_wanted)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_usableForUs)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_hops)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t QuotaRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QuotaRequest");
+
+  xfer += oprot->writeFieldBegin("question", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->question);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tenantName", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->tenantName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("wanted", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->wanted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("usableForUs", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->usableForUs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("hops", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->hops);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.settled) {
+    xfer += oprot->writeFieldBegin("settled", ::apache::thrift::protocol::T_LIST, 6);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->settled.size()));
+      std::vector<QuotaSettlement> ::const_iterator _iter107;
+      for (_iter107 = this->settled.begin(); _iter107 != this->settled.end(); ++_iter107)
+      {
+        xfer += (*_iter107).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QuotaRequest &a, QuotaRequest &b) {
+  using ::std::swap;
+  swap(a.question, b.question);
+  swap(a.tenantName, b.tenantName);
+  swap(a.wanted, b.wanted);
+  swap(a.usableForUs, b.usableForUs);
+  swap(a.hops, b.hops);
+  swap(a.settled, b.settled);
+  swap(a.__isset, b.__isset);
+}
+
+QuotaRequest::QuotaRequest(const QuotaRequest& other108) {
+  question = other108.question;
+  tenantName = other108.tenantName;
+  wanted = other108.wanted;
+  usableForUs = other108.usableForUs;
+  hops = other108.hops;
+  settled = other108.settled;
+  __isset = other108.__isset;
+}
+QuotaRequest::QuotaRequest(QuotaRequest&& other109) noexcept {
+  question = other109.question;
+  tenantName = std::move(other109.tenantName);
+  wanted = other109.wanted;
+  usableForUs = other109.usableForUs;
+  hops = other109.hops;
+  settled = std::move(other109.settled);
+  __isset = other109.__isset;
+}
+QuotaRequest& QuotaRequest::operator=(const QuotaRequest& other110) {
+  question = other110.question;
+  tenantName = other110.tenantName;
+  wanted = other110.wanted;
+  usableForUs = other110.usableForUs;
+  hops = other110.hops;
+  settled = other110.settled;
+  __isset = other110.__isset;
+  return *this;
+}
+QuotaRequest& QuotaRequest::operator=(QuotaRequest&& other111) noexcept {
+  question = other111.question;
+  tenantName = std::move(other111.tenantName);
+  wanted = other111.wanted;
+  usableForUs = other111.usableForUs;
+  hops = other111.hops;
+  settled = std::move(other111.settled);
+  __isset = other111.__isset;
+  return *this;
+}
+void QuotaRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QuotaRequest(";
+  out << "question=" << to_string(question);
+  out << ", " << "tenantName=" << to_string(tenantName);
+  out << ", " << "wanted=" << to_string(wanted);
+  out << ", " << "usableForUs=" << to_string(usableForUs);
+  out << ", " << "hops=" << to_string(hops);
+  out << ", " << "settled="; (__isset.settled ? (out << to_string(settled)) : (out << "<null>"));
+  out << ")";
+}
+
+
+QuotaReply::~QuotaReply() noexcept {
+}
+
+
+void QuotaReply::__set_question(const int64_t val) {
+  this->question = val;
+}
+
+void QuotaReply::__set_declined(const bool val) {
+  this->declined = val;
+}
+
+void QuotaReply::__set_granted(const int32_t val) {
+  this->granted = val;
+}
+
+void QuotaReply::__set_retryAfterUs(const int64_t val) {
+  this->retryAfterUs = val;
+}
+
+void QuotaReply::__set_scarce(const bool val) {
+  this->scarce = val;
+}
+
+void QuotaReply::__set_term(const int64_t val) {
+  this->term = val;
+}
+
+void QuotaReply::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void QuotaReply::__set_leader(const std::string& val) {
+  this->leader = val;
+}
+std::ostream& operator<<(std::ostream& out, const QuotaReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QuotaReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_question = false;
+  bool isset_declined = false;
+  bool isset_granted = false;
+  bool isset_retryAfterUs = false;
+  bool isset_scarce = false;
+  bool isset_term = false;
+  bool isset_number = false;
+  bool isset_leader = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->question);
+          isset_question = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->declined);
+          isset_declined = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->granted);
+          isset_granted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->retryAfterUs);
+          isset_retryAfterUs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->scarce);
+          isset_scarce = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          isset_term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          isset_number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->leader);
+          isset_leader = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_question)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_declined)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_granted)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_retryAfterUs)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_scarce)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_term)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_number)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_leader)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t QuotaReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QuotaReply");
+
+  xfer += oprot->writeFieldBegin("question", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->question);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("declined", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->declined);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("granted", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->granted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("retryAfterUs", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->retryAfterUs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("scarce", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->scarce);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leader", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->leader);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QuotaReply &a, QuotaReply &b) {
+  using ::std::swap;
+  swap(a.question, b.question);
+  swap(a.declined, b.declined);
+  swap(a.granted, b.granted);
+  swap(a.retryAfterUs, b.retryAfterUs);
+  swap(a.scarce, b.scarce);
+  swap(a.term, b.term);
+  swap(a.number, b.number);
+  swap(a.leader, b.leader);
+}
+
+QuotaReply::QuotaReply(const QuotaReply& other112) {
+  question = other112.question;
+  declined = other112.declined;
+  granted = other112.granted;
+  retryAfterUs = other112.retryAfterUs;
+  scarce = other112.scarce;
+  term = other112.term;
+  number = other112.number;
+  leader = other112.leader;
+}
+QuotaReply::QuotaReply(QuotaReply&& other113) noexcept {
+  question = other113.question;
+  declined = other113.declined;
+  granted = other113.granted;
+  retryAfterUs = other113.retryAfterUs;
+  scarce = other113.scarce;
+  term = other113.term;
+  number = other113.number;
+  leader = std::move(other113.leader);
+}
+QuotaReply& QuotaReply::operator=(const QuotaReply& other114) {
+  question = other114.question;
+  declined = other114.declined;
+  granted = other114.granted;
+  retryAfterUs = other114.retryAfterUs;
+  scarce = other114.scarce;
+  term = other114.term;
+  number = other114.number;
+  leader = other114.leader;
+  return *this;
+}
+QuotaReply& QuotaReply::operator=(QuotaReply&& other115) noexcept {
+  question = other115.question;
+  declined = other115.declined;
+  granted = other115.granted;
+  retryAfterUs = other115.retryAfterUs;
+  scarce = other115.scarce;
+  term = other115.term;
+  number = other115.number;
+  leader = std::move(other115.leader);
+  return *this;
+}
+void QuotaReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QuotaReply(";
+  out << "question=" << to_string(question);
+  out << ", " << "declined=" << to_string(declined);
+  out << ", " << "granted=" << to_string(granted);
+  out << ", " << "retryAfterUs=" << to_string(retryAfterUs);
+  out << ", " << "scarce=" << to_string(scarce);
+  out << ", " << "term=" << to_string(term);
+  out << ", " << "number=" << to_string(number);
+  out << ", " << "leader=" << to_string(leader);
+  out << ")";
+}
+
+
+LedgerBatch::~LedgerBatch() noexcept {
+}
+
+
+void LedgerBatch::__set_tenantName(const std::string& val) {
+  this->tenantName = val;
+}
+
+void LedgerBatch::__set_term(const int64_t val) {
+  this->term = val;
+}
+
+void LedgerBatch::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void LedgerBatch::__set_units(const int32_t val) {
+  this->units = val;
+}
+
+void LedgerBatch::__set_usableForUs(const int64_t val) {
+  this->usableForUs = val;
+}
+std::ostream& operator<<(std::ostream& out, const LedgerBatch& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LedgerBatch::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_tenantName = false;
+  bool isset_term = false;
+  bool isset_number = false;
+  bool isset_units = false;
+  bool isset_usableForUs = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->tenantName);
+          isset_tenantName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          isset_term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          isset_number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->units);
+          isset_units = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->usableForUs);
+          isset_usableForUs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_tenantName)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_term)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_number)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_units)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_usableForUs)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t LedgerBatch::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LedgerBatch");
+
+  xfer += oprot->writeFieldBegin("tenantName", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->tenantName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("units", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->units);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("usableForUs", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->usableForUs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LedgerBatch &a, LedgerBatch &b) {
+  using ::std::swap;
+  swap(a.tenantName, b.tenantName);
+  swap(a.term, b.term);
+  swap(a.number, b.number);
+  swap(a.units, b.units);
+  swap(a.usableForUs, b.usableForUs);
+}
+
+LedgerBatch::LedgerBatch(const LedgerBatch& other116) {
+  tenantName = other116.tenantName;
+  term = other116.term;
+  number = other116.number;
+  units = other116.units;
+  usableForUs = other116.usableForUs;
+}
+LedgerBatch::LedgerBatch(LedgerBatch&& other117) noexcept {
+  tenantName = std::move(other117.tenantName);
+  term = other117.term;
+  number = other117.number;
+  units = other117.units;
+  usableForUs = other117.usableForUs;
+}
+LedgerBatch& LedgerBatch::operator=(const LedgerBatch& other118) {
+  tenantName = other118.tenantName;
+  term = other118.term;
+  number = other118.number;
+  units = other118.units;
+  usableForUs = other118.usableForUs;
+  return *this;
+}
+LedgerBatch& LedgerBatch::operator=(LedgerBatch&& other119) noexcept {
+  tenantName = std::move(other119.tenantName);
+  term = other119.term;
+  number = other119.number;
+  units = other119.units;
+  usableForUs = other119.usableForUs;
+  return *this;
+}
+void LedgerBatch::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LedgerBatch(";
+  out << "tenantName=" << to_string(tenantName);
+  out << ", " << "term=" << to_string(term);
+  out << ", " << "number=" << to_string(number);
+  out << ", " << "units=" << to_string(units);
+  out << ", " << "usableForUs=" << to_string(usableForUs);
+  out << ")";
+}
+
+
+LedgerUpdateRequest::~LedgerUpdateRequest() noexcept {
+}
+
+
+void LedgerUpdateRequest::__set_question(const int64_t val) {
   this->question = val;
 }
 
-void QuotaRequest::__set_tenantName(const std::string& val) {
-  this->tenantName = val;
+void LedgerUpdateRequest::__set_shard(const int32_t val) {
+  this->shard = val;
 }
 
-void QuotaRequest::__set_wanted(const int32_t val) {
-  this->wanted = val;
+void LedgerUpdateRequest::__set_leaderLife(const std::string& val) {
+  this->leaderLife = val;
 }
 
-void QuotaRequest::__set_returned(const int32_t val) {
-  this->returned = val;
+void LedgerUpdateRequest::__set_copy(const int64_t val) {
+  this->copy = val;
 }
-std::ostream& operator<<(std::ostream& out, const QuotaRequest& obj)
+
+void LedgerUpdateRequest::__set_whole(const bool val) {
+  this->whole = val;
+}
+
+void LedgerUpdateRequest::__set_released(const bool val) {
+  this->released = val;
+}
+
+void LedgerUpdateRequest::__set_batches(const std::vector<LedgerBatch> & val) {
+  this->batches = val;
+}
+std::ostream& operator<<(std::ostream& out, const LedgerUpdateRequest& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t QuotaRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t LedgerUpdateRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2811,9 +3718,12 @@
   using ::apache::thrift::protocol::TProtocolException;
 
   bool isset_question = false;
-  bool isset_tenantName = false;
-  bool isset_wanted = false;
-  bool isset_returned = false;
+  bool isset_shard = false;
+  bool isset_leaderLife = false;
+  bool isset_copy = false;
+  bool isset_whole = false;
+  bool isset_released = false;
+  bool isset_batches = false;
 
   while (true)
   {
@@ -2832,25 +3742,61 @@
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->tenantName);
-          isset_tenantName = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->shard);
+          isset_shard = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->wanted);
-          isset_wanted = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->leaderLife);
+          isset_leaderLife = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->returned);
-          isset_returned = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->copy);
+          isset_copy = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->whole);
+          isset_whole = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->released);
+          isset_released = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->batches.clear();
+            uint32_t _size120;
+            ::apache::thrift::protocol::TType _etype123;
+            xfer += iprot->readListBegin(_etype123, _size120);
+            this->batches.resize(_size120);
+            uint32_t _i124;
+            for (_i124 = 0; _i124 < _size120; ++_i124)
+            {
+              xfer += this->batches[_i124].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_batches = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2866,34 +3812,60 @@
 
   if (!isset_question)
     throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_tenantName)
+  if (!isset_shard)
     throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_wanted)
+  if (!isset_leaderLife)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_copy)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_whole)
     throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_returned)
+  if (!isset_released)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_batches)
     throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
-uint32_t QuotaRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t LedgerUpdateRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("QuotaRequest");
+  xfer += oprot->writeStructBegin("LedgerUpdateRequest");
 
   xfer += oprot->writeFieldBegin("question", ::apache::thrift::protocol::T_I64, 1);
   xfer += oprot->writeI64(this->question);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("tenantName", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->tenantName);
+  xfer += oprot->writeFieldBegin("shard", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->shard);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("wanted", ::apache::thrift::protocol::T_I32, 3);
-  xfer += oprot->writeI32(this->wanted);
+  xfer += oprot->writeFieldBegin("leaderLife", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->leaderLife);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("copy", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->copy);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("whole", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->whole);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("released", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->released);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("returned", ::apache::thrift::protocol::T_I32, 4);
-  xfer += oprot->writeI32(this->returned);
+  xfer += oprot->writeFieldBegin("batches", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->batches.size()));
+    std::vector<LedgerBatch> ::const_iterator _iter125;
+    for (_iter125 = this->batches.begin(); _iter125 != this->batches.end(); ++_iter125)
+    {
+      xfer += (*_iter125).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -2901,82 +3873,92 @@
   return xfer;
 }
 
-void swap(QuotaRequest &a, QuotaRequest &b) {
+void swap(LedgerUpdateRequest &a, LedgerUpdateRequest &b) {
   using ::std::swap;
   swap(a.question, b.question);
-  swap(a.tenantName, b.tenantName);
-  swap(a.wanted, b.wanted);
-  swap(a.returned, b.returned);
-}
-
-QuotaRequest::QuotaRequest(const QuotaRequest& other98) {
-  question = other98.question;
-  tenantName = other98.tenantName;
-  wanted = other98.wanted;
-  returned = other98.returned;
-}
-QuotaRequest::QuotaRequest(QuotaRequest&& other99) noexcept {
-  question = other99.question;
-  tenantName = std::move(other99.tenantName);
-  wanted = other99.wanted;
-  returned = other99.returned;
-}
-QuotaRequest& QuotaRequest::operator=(const QuotaRequest& other100) {
-  question = other100.question;
-  tenantName = other100.tenantName;
-  wanted = other100.wanted;
-  returned = other100.returned;
+  swap(a.shard, b.shard);
+  swap(a.leaderLife, b.leaderLife);
+  swap(a.copy, b.copy);
+  swap(a.whole, b.whole);
+  swap(a.released, b.released);
+  swap(a.batches, b.batches);
+}
+
+LedgerUpdateRequest::LedgerUpdateRequest(const LedgerUpdateRequest& other126) {
+  question = other126.question;
+  shard = other126.shard;
+  leaderLife = other126.leaderLife;
+  copy = other126.copy;
+  whole = other126.whole;
+  released = other126.released;
+  batches = other126.batches;
+}
+LedgerUpdateRequest::LedgerUpdateRequest(LedgerUpdateRequest&& other127) noexcept {
+  question = other127.question;
+  shard = other127.shard;
+  leaderLife = std::move(other127.leaderLife);
+  copy = other127.copy;
+  whole = other127.whole;
+  released = other127.released;
+  batches = std::move(other127.batches);
+}
+LedgerUpdateRequest& LedgerUpdateRequest::operator=(const LedgerUpdateRequest& other128) {
+  question = other128.question;
+  shard = other128.shard;
+  leaderLife = other128.leaderLife;
+  copy = other128.copy;
+  whole = other128.whole;
+  released = other128.released;
+  batches = other128.batches;
   return *this;
 }
-QuotaRequest& QuotaRequest::operator=(QuotaRequest&& other101) noexcept {
-  question = other101.question;
-  tenantName = std::move(other101.tenantName);
-  wanted = other101.wanted;
-  returned = other101.returned;
+LedgerUpdateRequest& LedgerUpdateRequest::operator=(LedgerUpdateRequest&& other129) noexcept {
+  question = other129.question;
+  shard = other129.shard;
+  leaderLife = std::move(other129.leaderLife);
+  copy = other129.copy;
+  whole = other129.whole;
+  released = other129.released;
+  batches = std::move(other129.batches);
   return *this;
 }
-void QuotaRequest::printTo(std::ostream& out) const {
+void LedgerUpdateRequest::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "QuotaRequest(";
+  out << "LedgerUpdateRequest(";
   out << "question=" << to_string(question);
-  out << ", " << "tenantName=" << to_string(tenantName);
-  out << ", " << "wanted=" << to_string(wanted);
-  out << ", " << "returned=" << to_string(returned);
+  out << ", " << "shard=" << to_string(shard);
+  out << ", " << "leaderLife=" << to_string(leaderLife);
+  out << ", " << "copy=" << to_string(copy);
+  out << ", " << "whole=" << to_string(whole);
+  out << ", " << "released=" << to_string(released);
+  out << ", " << "batches=" << to_string(batches);
   out << ")";
 }
 
 
-QuotaReply::~QuotaReply() noexcept {
+LedgerUpdateReply::~LedgerUpdateReply() noexcept {
 }
 
 
-void QuotaReply::__set_question(const int64_t val) {
+void LedgerUpdateReply::__set_question(const int64_t val) {
   this->question = val;
 }
 
-void QuotaReply::__set_declined(const bool val) {
-  this->declined = val;
-}
-
-void QuotaReply::__set_granted(const int32_t val) {
-  this->granted = val;
-}
-
-void QuotaReply::__set_retryAfterUs(const int64_t val) {
-  this->retryAfterUs = val;
+void LedgerUpdateReply::__set_accepted(const bool val) {
+  this->accepted = val;
 }
 
-void QuotaReply::__set_scarce(const bool val) {
-  this->scarce = val;
+void LedgerUpdateReply::__set_life(const std::string& val) {
+  this->life = val;
 }
-std::ostream& operator<<(std::ostream& out, const QuotaReply& obj)
+std::ostream& operator<<(std::ostream& out, const LedgerUpdateReply& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t QuotaReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t LedgerUpdateReply::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2989,10 +3971,8 @@
   using ::apache::thrift::protocol::TProtocolException;
 
   bool isset_question = false;
-  bool isset_declined = false;
-  bool isset_granted = false;
-  bool isset_retryAfterUs = false;
-  bool isset_scarce = false;
+  bool isset_accepted = false;
+  bool isset_life = false;
 
   while (true)
   {
@@ -3012,32 +3992,16 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->declined);
-          isset_declined = true;
+          xfer += iprot->readBool(this->accepted);
+          isset_accepted = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->granted);
-          isset_granted = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->retryAfterUs);
-          isset_retryAfterUs = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->scarce);
-          isset_scarce = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->life);
+          isset_life = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3053,40 +4017,28 @@
 
   if (!isset_question)
     throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_declined)
-    throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_granted)
-    throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_retryAfterUs)
+  if (!isset_accepted)
     throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_scarce)
+  if (!isset_life)
     throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
-uint32_t QuotaReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t LedgerUpdateReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("QuotaReply");
+  xfer += oprot->writeStructBegin("LedgerUpdateReply");
 
   xfer += oprot->writeFieldBegin("question", ::apache::thrift::protocol::T_I64, 1);
   xfer += oprot->writeI64(this->question);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("declined", ::apache::thrift::protocol::T_BOOL, 2);
-  xfer += oprot->writeBool(this->declined);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("granted", ::apache::thrift::protocol::T_I32, 3);
-  xfer += oprot->writeI32(this->granted);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("retryAfterUs", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->retryAfterUs);
+  xfer += oprot->writeFieldBegin("accepted", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->accepted);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("scarce", ::apache::thrift::protocol::T_BOOL, 5);
-  xfer += oprot->writeBool(this->scarce);
+  xfer += oprot->writeFieldBegin("life", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->life);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -3094,53 +4046,41 @@
   return xfer;
 }
 
-void swap(QuotaReply &a, QuotaReply &b) {
+void swap(LedgerUpdateReply &a, LedgerUpdateReply &b) {
   using ::std::swap;
   swap(a.question, b.question);
-  swap(a.declined, b.declined);
-  swap(a.granted, b.granted);
-  swap(a.retryAfterUs, b.retryAfterUs);
-  swap(a.scarce, b.scarce);
+  swap(a.accepted, b.accepted);
+  swap(a.life, b.life);
 }
 
-QuotaReply::QuotaReply(const QuotaReply& other102) noexcept {
-  question = other102.question;
-  declined = other102.declined;
-  granted = other102.granted;
-  retryAfterUs = other102.retryAfterUs;
-  scarce = other102.scarce;
-}
-QuotaReply::QuotaReply(QuotaReply&& other103) noexcept {
-  question = other103.question;
-  declined = other103.declined;
-  granted = other103.granted;
-  retryAfterUs = other103.retryAfterUs;
-  scarce = other103.scarce;
-}
-QuotaReply& QuotaReply::operator=(const QuotaReply& other104) noexcept {
-  question = other104.question;
-  declined = other104.declined;
-  granted = other104.granted;
-  retryAfterUs = other104.retryAfterUs;
-  scarce = other104.scarce;
+LedgerUpdateReply::LedgerUpdateReply(const LedgerUpdateReply& other130) {
+  question = other130.question;
+  accepted = other130.accepted;
+  life = other130.life;
+}
+LedgerUpdateReply::LedgerUpdateReply(LedgerUpdateReply&& other131) noexcept {
+  question = other131.question;
+  accepted = other131.accepted;
+  life = std::move(other131.life);
+}
+LedgerUpdateReply& LedgerUpdateReply::operator=(const LedgerUpdateReply& other132) {
+  question = other132.question;
+  accepted = other132.accepted;
+  life = other132.life;
   return *this;
 }
-QuotaReply& QuotaReply::operator=(QuotaReply&& other105) noexcept {
-  question = other105.question;
-  declined = other105.declined;
-  granted = other105.granted;
-  retryAfterUs = other105.retryAfterUs;
-  scarce = other105.scarce;
+LedgerUpdateReply& LedgerUpdateReply::operator=(LedgerUpdateReply&& other133) noexcept {
+  question = other133.question;
+  accepted = other133.accepted;
+  life = std::move(other133.life);
   return *this;
 }
-void QuotaReply::printTo(std::ostream& out) const {
+void LedgerUpdateReply::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "QuotaReply(";
+  out << "LedgerUpdateReply(";
   out << "question=" << to_string(question);
-  out << ", " << "declined=" << to_string(declined);
-  out << ", " << "granted=" << to_string(granted);
-  out << ", " << "retryAfterUs=" << to_string(retryAfterUs);
-  out << ", " << "scarce=" << to_string(scarce);
+  out << ", " << "accepted=" << to_string(accepted);
+  out << ", " << "life=" << to_string(life);
   out << ")";
 }
 
@@ -3203,6 +4143,16 @@
   this->quotaReply = val;
 __isset.quotaReply = true;
 }
+
+void UnitFrame::__set_ledgerRequest(const LedgerUpdateRequest& val) {
+  this->ledgerRequest = val;
+__isset.ledgerRequest = true;
+}
+
+void UnitFrame::__set_ledgerReply(const LedgerUpdateReply& val) {
+  this->ledgerReply = val;
+__isset.ledgerReply = true;
+}
 std::ostream& operator<<(std::ostream& out, const UnitFrame& obj)
 {
   obj.printTo(out);
@@ -3319,6 +4269,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->ledgerRequest.read(iprot);
+          this->__isset.ledgerRequest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->ledgerReply.read(iprot);
+          this->__isset.ledgerReply = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3391,6 +4357,16 @@
     xfer += this->quotaReply.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.ledgerRequest) {
+    xfer += oprot->writeFieldBegin("ledgerRequest", ::apache::thrift::protocol::T_STRUCT, 12);
+    xfer += this->ledgerRequest.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.ledgerReply) {
+    xfer += oprot->writeFieldBegin("ledgerReply", ::apache::thrift::protocol::T_STRUCT, 13);
+    xfer += this->ledgerReply.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3409,65 +4385,75 @@
   swap(a.changesReply, b.changesReply);
   swap(a.quotaRequest, b.quotaRequest);
   swap(a.quotaReply, b.quotaReply);
+  swap(a.ledgerRequest, b.ledgerRequest);
+  swap(a.ledgerReply, b.ledgerReply);
   swap(a.__isset, b.__isset);
 }
 
-UnitFrame::UnitFrame(const UnitFrame& other106) {
-  request = other106.request;
-  answer = other106.answer;
-  ended = other106.ended;
-  heartbeat = other106.heartbeat;
-  leaving = other106.leaving;
-  proofRequest = other106.proofRequest;
-  proofReply = other106.proofReply;
-  changesRequest = other106.changesRequest;
-  changesReply = other106.changesReply;
-  quotaRequest = other106.quotaRequest;
-  quotaReply = other106.quotaReply;
-  __isset = other106.__isset;
-}
-UnitFrame::UnitFrame(UnitFrame&& other107) noexcept {
-  request = std::move(other107.request);
-  answer = std::move(other107.answer);
-  ended = other107.ended;
-  heartbeat = other107.heartbeat;
-  leaving = other107.leaving;
-  proofRequest = std::move(other107.proofRequest);
-  proofReply = std::move(other107.proofReply);
-  changesRequest = std::move(other107.changesRequest);
-  changesReply = std::move(other107.changesReply);
-  quotaRequest = std::move(other107.quotaRequest);
-  quotaReply = std::move(other107.quotaReply);
-  __isset = other107.__isset;
-}
-UnitFrame& UnitFrame::operator=(const UnitFrame& other108) {
-  request = other108.request;
-  answer = other108.answer;
-  ended = other108.ended;
-  heartbeat = other108.heartbeat;
-  leaving = other108.leaving;
-  proofRequest = other108.proofRequest;
-  proofReply = other108.proofReply;
-  changesRequest = other108.changesRequest;
-  changesReply = other108.changesReply;
-  quotaRequest = other108.quotaRequest;
-  quotaReply = other108.quotaReply;
-  __isset = other108.__isset;
+UnitFrame::UnitFrame(const UnitFrame& other134) {
+  request = other134.request;
+  answer = other134.answer;
+  ended = other134.ended;
+  heartbeat = other134.heartbeat;
+  leaving = other134.leaving;
+  proofRequest = other134.proofRequest;
+  proofReply = other134.proofReply;
+  changesRequest = other134.changesRequest;
+  changesReply = other134.changesReply;
+  quotaRequest = other134.quotaRequest;
+  quotaReply = other134.quotaReply;
+  ledgerRequest = other134.ledgerRequest;
+  ledgerReply = other134.ledgerReply;
+  __isset = other134.__isset;
+}
+UnitFrame::UnitFrame(UnitFrame&& other135) noexcept {
+  request = std::move(other135.request);
+  answer = std::move(other135.answer);
+  ended = other135.ended;
+  heartbeat = other135.heartbeat;
+  leaving = other135.leaving;
+  proofRequest = std::move(other135.proofRequest);
+  proofReply = std::move(other135.proofReply);
+  changesRequest = std::move(other135.changesRequest);
+  changesReply = std::move(other135.changesReply);
+  quotaRequest = std::move(other135.quotaRequest);
+  quotaReply = std::move(other135.quotaReply);
+  ledgerRequest = std::move(other135.ledgerRequest);
+  ledgerReply = std::move(other135.ledgerReply);
+  __isset = other135.__isset;
+}
+UnitFrame& UnitFrame::operator=(const UnitFrame& other136) {
+  request = other136.request;
+  answer = other136.answer;
+  ended = other136.ended;
+  heartbeat = other136.heartbeat;
+  leaving = other136.leaving;
+  proofRequest = other136.proofRequest;
+  proofReply = other136.proofReply;
+  changesRequest = other136.changesRequest;
+  changesReply = other136.changesReply;
+  quotaRequest = other136.quotaRequest;
+  quotaReply = other136.quotaReply;
+  ledgerRequest = other136.ledgerRequest;
+  ledgerReply = other136.ledgerReply;
+  __isset = other136.__isset;
   return *this;
 }
-UnitFrame& UnitFrame::operator=(UnitFrame&& other109) noexcept {
-  request = std::move(other109.request);
-  answer = std::move(other109.answer);
-  ended = other109.ended;
-  heartbeat = other109.heartbeat;
-  leaving = other109.leaving;
-  proofRequest = std::move(other109.proofRequest);
-  proofReply = std::move(other109.proofReply);
-  changesRequest = std::move(other109.changesRequest);
-  changesReply = std::move(other109.changesReply);
-  quotaRequest = std::move(other109.quotaRequest);
-  quotaReply = std::move(other109.quotaReply);
-  __isset = other109.__isset;
+UnitFrame& UnitFrame::operator=(UnitFrame&& other137) noexcept {
+  request = std::move(other137.request);
+  answer = std::move(other137.answer);
+  ended = other137.ended;
+  heartbeat = other137.heartbeat;
+  leaving = other137.leaving;
+  proofRequest = std::move(other137.proofRequest);
+  proofReply = std::move(other137.proofReply);
+  changesRequest = std::move(other137.changesRequest);
+  changesReply = std::move(other137.changesReply);
+  quotaRequest = std::move(other137.quotaRequest);
+  quotaReply = std::move(other137.quotaReply);
+  ledgerRequest = std::move(other137.ledgerRequest);
+  ledgerReply = std::move(other137.ledgerReply);
+  __isset = other137.__isset;
   return *this;
 }
 void UnitFrame::printTo(std::ostream& out) const {
@@ -3484,6 +4470,8 @@
   out << ", " << "changesReply="; (__isset.changesReply ? (out << to_string(changesReply)) : (out << "<null>"));
   out << ", " << "quotaRequest="; (__isset.quotaRequest ? (out << to_string(quotaRequest)) : (out << "<null>"));
   out << ", " << "quotaReply="; (__isset.quotaReply ? (out << to_string(quotaReply)) : (out << "<null>"));
+  out << ", " << "ledgerRequest="; (__isset.ledgerRequest ? (out << to_string(ledgerRequest)) : (out << "<null>"));
+  out << ", " << "ledgerReply="; (__isset.ledgerReply ? (out << to_string(ledgerReply)) : (out << "<null>"));
   out << ")";
 }
 
--- a/gen/unit_types.h
+++ b/gen/unit_types.h
@@ -51,10 +51,18 @@
 
 class ChangesReply;
 
+class QuotaSettlement;
+
 class QuotaRequest;
 
 class QuotaReply;
 
+class LedgerBatch;
+
+class LedgerUpdateRequest;
+
+class LedgerUpdateReply;
+
 class UnitFrame;
 
 
@@ -968,6 +976,67 @@
 std::ostream& operator<<(std::ostream& out, const ChangesReply& obj);
 
 
+class QuotaSettlement : public virtual ::apache::thrift::TBase {
+ public:
+
+  QuotaSettlement(const QuotaSettlement&) noexcept;
+  QuotaSettlement(QuotaSettlement&&) noexcept;
+  QuotaSettlement& operator=(const QuotaSettlement&) noexcept;
+  QuotaSettlement& operator=(QuotaSettlement&&) noexcept;
+  QuotaSettlement() noexcept
+                  : term(0),
+                    number(0),
+                    used(0),
+                    lastUseAgeUs(0) {
+  }
+
+  virtual ~QuotaSettlement() noexcept;
+  int64_t term;
+  int64_t number;
+  int32_t used;
+  int64_t lastUseAgeUs;
+
+  void __set_term(const int64_t val);
+
+  void __set_number(const int64_t val);
+
+  void __set_used(const int32_t val);
+
+  void __set_lastUseAgeUs(const int64_t val);
+
+  bool operator == (const QuotaSettlement & rhs) const
+  {
+    if (!(term == rhs.term))
+      return false;
+    if (!(number == rhs.number))
+      return false;
+    if (!(used == rhs.used))
+      return false;
+    if (!(lastUseAgeUs == rhs.lastUseAgeUs))
+      return false;
+    return true;
+  }
+  bool operator != (const QuotaSettlement &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QuotaSettlement & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QuotaSettlement &a, QuotaSettlement &b);
+
+std::ostream& operator<<(std::ostream& out, const QuotaSettlement& obj);
+
+typedef struct _QuotaRequest__isset {
+  _QuotaRequest__isset() : settled(false) {}
+  bool settled :1;
+} _QuotaRequest__isset;
+
 class QuotaRequest : public virtual ::apache::thrift::TBase {
  public:
 
@@ -979,14 +1048,19 @@
                : question(0),
                  tenantName(),
                  wanted(0),
-                 returned(0) {
+                 usableForUs(0),
+                 hops(0) {
   }
 
   virtual ~QuotaRequest() noexcept;
   int64_t question;
   std::string tenantName;
   int32_t wanted;
-  int32_t returned;
+  int64_t usableForUs;
+  int32_t hops;
+  std::vector<QuotaSettlement>  settled;
+
+  _QuotaRequest__isset __isset;
 
   void __set_question(const int64_t val);
 
@@ -994,7 +1068,11 @@
 
   void __set_wanted(const int32_t val);
 
-  void __set_returned(const int32_t val);
+  void __set_usableForUs(const int64_t val);
+
+  void __set_hops(const int32_t val);
+
+  void __set_settled(const std::vector<QuotaSettlement> & val);
 
   bool operator == (const QuotaRequest & rhs) const
   {
@@ -1004,7 +1082,13 @@
       return false;
     if (!(wanted == rhs.wanted))
       return false;
-    if (!(returned == rhs.returned))
+    if (!(usableForUs == rhs.usableForUs))
+      return false;
+    if (!(hops == rhs.hops))
+      return false;
+    if (__isset.settled != rhs.__isset.settled)
+      return false;
+    else if (__isset.settled && !(settled == rhs.settled))
       return false;
     return true;
   }
@@ -1028,16 +1112,19 @@
 class QuotaReply : public virtual ::apache::thrift::TBase {
  public:
 
-  QuotaReply(const QuotaReply&) noexcept;
+  QuotaReply(const QuotaReply&);
   QuotaReply(QuotaReply&&) noexcept;
-  QuotaReply& operator=(const QuotaReply&) noexcept;
+  QuotaReply& operator=(const QuotaReply&);
   QuotaReply& operator=(QuotaReply&&) noexcept;
   QuotaReply() noexcept
              : question(0),
                declined(0),
                granted(0),
                retryAfterUs(0),
-               scarce(0) {
+               scarce(0),
+               term(0),
+               number(0),
+               leader() {
   }
 
   virtual ~QuotaReply() noexcept;
@@ -1046,6 +1133,9 @@
   int32_t granted;
   int64_t retryAfterUs;
   bool scarce;
+  int64_t term;
+  int64_t number;
+  std::string leader;
 
   void __set_question(const int64_t val);
 
@@ -1057,6 +1147,12 @@
 
   void __set_scarce(const bool val);
 
+  void __set_term(const int64_t val);
+
+  void __set_number(const int64_t val);
+
+  void __set_leader(const std::string& val);
+
   bool operator == (const QuotaReply & rhs) const
   {
     if (!(question == rhs.question))
@@ -1069,6 +1165,12 @@
       return false;
     if (!(scarce == rhs.scarce))
       return false;
+    if (!(term == rhs.term))
+      return false;
+    if (!(number == rhs.number))
+      return false;
+    if (!(leader == rhs.leader))
+      return false;
     return true;
   }
   bool operator != (const QuotaReply &rhs) const {
@@ -1087,8 +1189,196 @@
 
 std::ostream& operator<<(std::ostream& out, const QuotaReply& obj);
 
+
+class LedgerBatch : public virtual ::apache::thrift::TBase {
+ public:
+
+  LedgerBatch(const LedgerBatch&);
+  LedgerBatch(LedgerBatch&&) noexcept;
+  LedgerBatch& operator=(const LedgerBatch&);
+  LedgerBatch& operator=(LedgerBatch&&) noexcept;
+  LedgerBatch() noexcept
+              : tenantName(),
+                term(0),
+                number(0),
+                units(0),
+                usableForUs(0) {
+  }
+
+  virtual ~LedgerBatch() noexcept;
+  std::string tenantName;
+  int64_t term;
+  int64_t number;
+  int32_t units;
+  int64_t usableForUs;
+
+  void __set_tenantName(const std::string& val);
+
+  void __set_term(const int64_t val);
+
+  void __set_number(const int64_t val);
+
+  void __set_units(const int32_t val);
+
+  void __set_usableForUs(const int64_t val);
+
+  bool operator == (const LedgerBatch & rhs) const
+  {
+    if (!(tenantName == rhs.tenantName))
+      return false;
+    if (!(term == rhs.term))
+      return false;
+    if (!(number == rhs.number))
+      return false;
+    if (!(units == rhs.units))
+      return false;
+    if (!(usableForUs == rhs.usableForUs))
+      return false;
+    return true;
+  }
+  bool operator != (const LedgerBatch &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LedgerBatch & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LedgerBatch &a, LedgerBatch &b);
+
+std::ostream& operator<<(std::ostream& out, const LedgerBatch& obj);
+
+
+class LedgerUpdateRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  LedgerUpdateRequest(const LedgerUpdateRequest&);
+  LedgerUpdateRequest(LedgerUpdateRequest&&) noexcept;
+  LedgerUpdateRequest& operator=(const LedgerUpdateRequest&);
+  LedgerUpdateRequest& operator=(LedgerUpdateRequest&&) noexcept;
+  LedgerUpdateRequest() noexcept
+                      : question(0),
+                        shard(0),
+                        leaderLife(),
+                        copy(0),
+                        whole(0),
+                        released(0) {
+  }
+
+  virtual ~LedgerUpdateRequest() noexcept;
+  int64_t question;
+  int32_t shard;
+  std::string leaderLife;
+  int64_t copy;
+  bool whole;
+  bool released;
+  std::vector<LedgerBatch>  batches;
+
+  void __set_question(const int64_t val);
+
+  void __set_shard(const int32_t val);
+
+  void __set_leaderLife(const std::string& val);
+
+  void __set_copy(const int64_t val);
+
+  void __set_whole(const bool val);
+
+  void __set_released(const bool val);
+
+  void __set_batches(const std::vector<LedgerBatch> & val);
+
+  bool operator == (const LedgerUpdateRequest & rhs) const
+  {
+    if (!(question == rhs.question))
+      return false;
+    if (!(shard == rhs.shard))
+      return false;
+    if (!(leaderLife == rhs.leaderLife))
+      return false;
+    if (!(copy == rhs.copy))
+      return false;
+    if (!(whole == rhs.whole))
+      return false;
+    if (!(released == rhs.released))
+      return false;
+    if (!(batches == rhs.batches))
+      return false;
+    return true;
+  }
+  bool operator != (const LedgerUpdateRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LedgerUpdateRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LedgerUpdateRequest &a, LedgerUpdateRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const LedgerUpdateRequest& obj);
+
+
+class LedgerUpdateReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  LedgerUpdateReply(const LedgerUpdateReply&);
+  LedgerUpdateReply(LedgerUpdateReply&&) noexcept;
+  LedgerUpdateReply& operator=(const LedgerUpdateReply&);
+  LedgerUpdateReply& operator=(LedgerUpdateReply&&) noexcept;
+  LedgerUpdateReply() noexcept
+                    : question(0),
+                      accepted(0),
+                      life() {
+  }
+
+  virtual ~LedgerUpdateReply() noexcept;
+  int64_t question;
+  bool accepted;
+  std::string life;
+
+  void __set_question(const int64_t val);
+
+  void __set_accepted(const bool val);
+
+  void __set_life(const std::string& val);
+
+  bool operator == (const LedgerUpdateReply & rhs) const
+  {
+    if (!(question == rhs.question))
+      return false;
+    if (!(accepted == rhs.accepted))
+      return false;
+    if (!(life == rhs.life))
+      return false;
+    return true;
+  }
+  bool operator != (const LedgerUpdateReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LedgerUpdateReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LedgerUpdateReply &a, LedgerUpdateReply &b);
+
+std::ostream& operator<<(std::ostream& out, const LedgerUpdateReply& obj);
+
 typedef struct _UnitFrame__isset {
-  _UnitFrame__isset() : request(false), answer(false), ended(false), heartbeat(false), leaving(false), proofRequest(false), proofReply(false), changesRequest(false), changesReply(false), quotaRequest(false), quotaReply(false) {}
+  _UnitFrame__isset() : request(false), answer(false), ended(false), heartbeat(false), leaving(false), proofRequest(false), proofReply(false), changesRequest(false), changesReply(false), quotaRequest(false), quotaReply(false), ledgerRequest(false), ledgerReply(false) {}
   bool request :1;
   bool answer :1;
   bool ended :1;
@@ -1100,6 +1390,8 @@
   bool changesReply :1;
   bool quotaRequest :1;
   bool quotaReply :1;
+  bool ledgerRequest :1;
+  bool ledgerReply :1;
 } _UnitFrame__isset;
 
 class UnitFrame : public virtual ::apache::thrift::TBase {
@@ -1127,6 +1419,8 @@
   ChangesReply changesReply;
   QuotaRequest quotaRequest;
   QuotaReply quotaReply;
+  LedgerUpdateRequest ledgerRequest;
+  LedgerUpdateReply ledgerReply;
 
   _UnitFrame__isset __isset;
 
@@ -1152,6 +1446,10 @@
 
   void __set_quotaReply(const QuotaReply& val);
 
+  void __set_ledgerRequest(const LedgerUpdateRequest& val);
+
+  void __set_ledgerReply(const LedgerUpdateReply& val);
+
   bool operator == (const UnitFrame & rhs) const
   {
     if (__isset.request != rhs.__isset.request)
@@ -1198,6 +1496,14 @@
       return false;
     else if (__isset.quotaReply && !(quotaReply == rhs.quotaReply))
       return false;
+    if (__isset.ledgerRequest != rhs.__isset.ledgerRequest)
+      return false;
+    else if (__isset.ledgerRequest && !(ledgerRequest == rhs.ledgerRequest))
+      return false;
+    if (__isset.ledgerReply != rhs.__isset.ledgerReply)
+      return false;
+    else if (__isset.ledgerReply && !(ledgerReply == rhs.ledgerReply))
+      return false;
     return true;
   }
   bool operator != (const UnitFrame &rhs) const {
--- a/lab/pooled/PooledNode.cpp
+++ b/lab/pooled/PooledNode.cpp
@@ -237,7 +237,7 @@
         const GroupName group = entry->name();
         _storeClient.load(group, [this, group, versions, left, failed,
                                   callback](const failover::LoadedRecord& loaded) {
-            if (loaded.outcome == failover::StoreOutcome::Done) {
+            if (loaded.outcome == StoreOutcome::Done) {
                 _failovers[group]->onRecord(loaded.record);
                 _pooler.applyNotice(group, _failovers[group]->record().notice());
                 (*versions)[group] = loaded.record.version;
--- a/lab/pooled/RecordStore.cpp
+++ b/lab/pooled/RecordStore.cpp
@@ -9,7 +9,6 @@
 using failover::LoadedRecord;
 using failover::PromoteOutcome;
 using failover::SavedRecord;
-using failover::StoreOutcome;
 
 constexpr Duration kTimeout = std::chrono::milliseconds(700);
 /** A server that restarts is back after a time up to this. */
--- a/src/cluster/ClusterCodec.h
+++ b/src/cluster/ClusterCodec.h
@@ -10,6 +10,7 @@
 #include "link/store/ObjectProtocol.h"
 #include "pooling/ExecutorPlacement.h"
 #include "pooling/ServerDirectory.h"
+#include "tenancy/QuotaShardRecord.h"
 
 namespace coralhoist::cluster {
 
@@ -19,6 +20,7 @@
     std::string servers;
     std::string promotions;
     std::string nodes;
+    std::string quotaShards;
 };
 
 /** Turns objects into the product's types and back. Decides nothing. */
@@ -48,6 +50,12 @@
     virtual store::StoredObject writePromotion(const GroupName& group,
                                                const failover::PromotionRecord& record) const = 0;
 
+    /** Each shard of tenants has one object. */
+    virtual std::optional<tenancy::QuotaShardRecord> readQuotaShard(
+        const store::StoredObject& object) const = 0;
+    virtual store::StoredObject writeQuotaShard(const std::string& name,
+                                                const tenancy::QuotaShardRecord& record) const = 0;
+
     /** The call that promotes a server. */
     virtual socket::HttpCall promoteCall(const GroupName& group, const ServerName& server,
                                          const NodeName& holder, std::uint64_t fence) const = 0;
--- a/src/cluster/StoredPromotions.h
+++ b/src/cluster/StoredPromotions.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "cluster/ClusterCodec.h"
+#include "cluster/RecordCalls.h"
 #include "failover/PromotionRecord.h"
 #include "link/socket/HttpClient.h"
 
@@ -22,9 +23,8 @@
                  std::function<void(failover::PromoteOutcome)> callback) override;
 
 private:
-    socket::HttpClient& _storeClient;
+    RecordCalls _records;
     socket::HttpClient& _promotionClient;
-    const store::ObjectProtocol& _protocol;
     const ClusterCodec& _codec;
     NodeName _self;
 };
--- a/src/duty/pooling/PoolingDuty.cpp
+++ b/src/duty/pooling/PoolingDuty.cpp
@@ -41,6 +41,8 @@
       _pooler(_clock, _connector, *this, makeKnobs(_options)),
       _unitLinks(_poller, _clock, _pooler),
       _unitService(_poller, _pooler),
+      _storeClient(_poller, _clock, _options.store.host, _options.store.port),
+      _quotaShards(_storeClient, _adapter.objectProtocol, _adapter.clusterCodec),
       _quotas(quotaDependencies(), _options.quota),
       _gate(
           _clock, _pooler, _quotas, [this] { return settingsProvenAt(); },
@@ -48,7 +50,6 @@
       _callers(_poller, _adapter.callerCodec, _pooler, _gate, _clock, _options.maximumConnections),
       _readiness(_poller, [this](const std::string& path) { return answer(path); }),
       _metrics(_poller, [this](const std::string& path) { return answerMetrics(path); }),
-      _storeClient(_poller, _clock, _options.store.host, _options.store.port),
       _promotionClient(_poller, _clock, _options.promotion.host, _options.promotion.port) {
     _pooler.setForwarder(_unitLinks);
 }
@@ -57,11 +58,17 @@
     return {_clock,
             _unitLinks,
             _unitService,
-            _options.name,
-            [this] { return settingsProvenAt(); },
+            _quotaShards,
+            {_options.name, life()},
+            _options.zone,
             [this](const TenantName& tenant) { _gate.onQuotaChange(tenant); }};
 }
 
+/** @return a name of this life of the node. */
+std::string PoolingDuty::life() const {
+    return _options.name.value() + "/" + std::to_string(_options.seed);
+}
+
 TimePoint PoolingDuty::settingsProvenAt() const {
     return _control ? _control->settingsProvenAt() : TimePoint{};
 }
@@ -97,7 +104,7 @@
             [this](const std::shared_ptr<const tenancy::TenantDirectory>& tenants) {
                 applyTenants(tenants);
             },
-            _options.name.value() + "/" + std::to_string(_options.seed)};
+            life()};
 }
 
 PoolingDuty::~PoolingDuty() = default;
@@ -136,6 +143,8 @@
     _ticks.add([this] { return readyTick(); }, [this](TimePoint /*now*/) { becomeReady(); });
     _ticks.add([this] { return _unitLinks.nextTick(); },
                [this](TimePoint now) { _unitLinks.onTick(now); });
+    _ticks.add([this] { return std::optional<TimePoint>(_quotas.nextTick()); },
+               [this](TimePoint now) { _quotas.onTick(now); });
     _ticks.add([this] { return _gate.nextTick(); }, [this](TimePoint now) { _gate.onTick(now); });
     _ticks.add([this] { return _callers.nextTick(); },
                [this](TimePoint now) { _callers.onTick(now); });
@@ -230,6 +239,7 @@
     figures.storeReachable = _control->isStoreReachable();
     figures.gate = _gate.statistics();
     figures.quotas = _quotas.statistics();
+    figures.quotaShardsLed = _quotas.shardsLed();
     return {kOk, renderMetrics(figures)};
 }
 
@@ -239,6 +249,7 @@
     }
     LogEvent("daemon", LogLevel::Info, "daemon.draining").field("sessions", _pooler.sessionCount());
     _drainBegan = _clock.now();
+    _quotas.beginLeaving();
     _unitService.beginLeaving();
     _drainTimer.start(kDrainStep);
 }
--- a/src/duty/pooling/PoolingDuty.h
+++ b/src/duty/pooling/PoolingDuty.h
@@ -13,6 +13,7 @@
 
 #include "base/SystemTime.h"
 #include "cluster/ClusterControl.h"
+#include "cluster/StoredQuotaShards.h"
 #include "duty/event/DutyThread.h"
 #include "duty/event/TickScheduler.h"
 #include "link/forwarding/UnitLinks.h"
@@ -108,6 +109,7 @@
     void continueDrain();
     cluster::ClusterDependencies controlDependencies();
     tenancy::QuotaDependencies quotaDependencies();
+    std::string life() const;
     TimePoint settingsProvenAt() const;
     void applyNodes(const std::vector<pooling::ProxyNode>& nodes);
     void applyTenants(const std::shared_ptr<const tenancy::TenantDirectory>& tenants);
@@ -123,12 +125,13 @@
     pooling::StatementPooler _pooler;
     forwarding::UnitLinks _unitLinks;
     forwarding::UnitService _unitService;
+    socket::HttpClient _storeClient;
+    cluster::StoredQuotaShards _quotaShards;
     tenancy::QuotaExchange _quotas;
     tenancy::TenantGate _gate;
     session::CallerListener _callers;
     socket::HttpResponder _readiness;
     socket::HttpResponder _metrics;
-    socket::HttpClient _storeClient;
     socket::HttpClient _promotionClient;
     /** Made by start(): it needs to know the port on which units are taken. */
     std::unique_ptr<cluster::ClusterControl> _control;
--- a/src/duty/pooling/PoolingMetrics.cpp
+++ b/src/duty/pooling/PoolingMetrics.cpp
@@ -53,21 +53,29 @@
                 gate.waitedForQuota);
 }
 
-void appendQuotas(Page& page, const tenancy::QuotaStatistics& quotas) {
-    page.metric("counter", "quota_units_granted_total",
-                "Units of tenants' quotas that ran by a grant of an accounting node.",
-                quotas.ranGranted);
-    page.metric("counter", "quota_units_without_account_total",
-                "Units that ran while no accounting node answered.", quotas.ranWithoutAccount);
-    page.metric("counter", "quota_units_returned_total", "Granted units that were not used.",
-                quotas.returned);
-    page.metric("counter", "quota_units_returned_late_total",
-                "Those of them that were returned a lease after they ended, or later.",
-                quotas.returnedLate);
-    page.metric("counter", "quota_accounts_opened_total",
-                "Accounts of tenants that this node opened.", quotas.accountsOpened);
-    page.metric("counter", "quota_accounts_reset_total",
-                "Accounts that this node took up again.", quotas.accountsReset);
+void appendQuotas(Page& page, const PoolingFigures& figures) {
+    const tenancy::QuotaStatistics& quotas = figures.quotas;
+    page.metric("gauge", "quota_shards_led", "Shards of tenants whose quotas this node grants.",
+                figures.quotaShardsLed);
+    page.metric("counter", "quota_units_total", "Units of tenants' quotas that ran here.",
+                quotas.ran);
+    page.metric("counter", "quota_units_unused_total", "Granted units that were not used in time.",
+                quotas.unused);
+    page.metric("counter", "quota_answers_late_total",
+                "Answers whose units could no longer be used.", quotas.lateAnswers);
+    page.metric("counter", "quota_questions_granted_total",
+                "Questions that this node answered as leader.", quotas.granted);
+    page.metric("counter", "quota_questions_relayed_total",
+                "Questions that this node handed on to a leader or standby.", quotas.relayed);
+    page.metric("counter", "quota_questions_declined_total",
+                "Questions that this node could not have answered.", quotas.declined);
+    page.metric("counter", "quota_led_with_copy_total",
+                "Shards that this node began to lead as their standby.", quotas.ledWithCopy);
+    page.metric("counter", "quota_led_without_copy_total",
+                "Shards that this node began to lead without a copy of their ledgers.",
+                quotas.ledWithoutCopy);
+    page.metric("counter", "quota_standbys_lost_total", "Standbys that this node gave up.",
+                quotas.standbysLost);
 }
 
 void appendLatency(Page& page, const LatencyHistogram& latency) {
@@ -123,7 +131,7 @@
     page.metric("counter", "server_connections_replaced_total",
                 "Idle connections closed for one of another tenant.", pooler.connectionsReplaced);
     appendGate(page, figures.gate);
-    appendQuotas(page, figures.quotas);
+    appendQuotas(page, figures);
     appendFaults(page, pooler);
     appendLatency(page, pooler.latency);
     return std::move(page.text()).str();
--- a/src/duty/pooling/PoolingMetrics.h
+++ b/src/duty/pooling/PoolingMetrics.h
@@ -14,6 +14,8 @@
     pooling::PoolerStatistics pooler;
     tenancy::GateStatistics gate;
     tenancy::QuotaStatistics quotas;
+    /** Shards of tenants whose quotas this node grants. */
+    std::size_t quotaShardsLed = 0;
     std::size_t sessions = 0;
     std::size_t nodes = 0;
     std::uint64_t settingsVersion = 0;
--- a/src/failover/PromotionRecord.h
+++ b/src/failover/PromotionRecord.h
@@ -9,6 +9,7 @@
 
 #include "base/Identifier.h"
 #include "base/OpTime.h"
+#include "base/StoreOutcome.h"
 #include "pooling/LeadershipTracker.h"
 
 namespace coralhoist::failover {
@@ -49,14 +50,6 @@
     pooling::PromotionNotice notice() const { return {phase, successor, term, version, base}; }
 };
 
-/** How a call of the store ended. */
-enum class StoreOutcome {
-    Done,
-    Conflict,    /**< The record has another version. */
-    Unavailable, /**< Nothing was done. */
-    Unknown,     /**< It may have been done, or may be done later. */
-};
-
 /** Answer to a load. */
 struct LoadedRecord {
     StoreOutcome outcome = StoreOutcome::Unavailable;
--- a/src/link/forwarding/QuestionCodec.cpp
+++ b/src/link/forwarding/QuestionCodec.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "link/store/ObjectPacking.h"
+#include "tenancy/QuotaShardRecord.h"
 
 namespace coralhoist::forwarding {
 namespace {
@@ -21,6 +22,17 @@
     return toMicroseconds(age) + 1;
 }
 
+/** Units may seem usable for longer than they are, but not shorter. */
+std::int64_t roundedUp(Duration duration) {
+    return std::chrono::ceil<microseconds>(duration).count();
+}
+
+/** @return the name of a batch in any record that has one. */
+template <typename Record>
+tenancy::BatchId batchOf(const Record& record) {
+    return {static_cast<std::uint64_t>(record.term), static_cast<std::uint64_t>(record.number)};
+}
+
 gen::ProofRequest writeProofRequest(const UnitMessage& message) {
     gen::ProofRequest record;
     record.question = static_cast<std::int64_t>(message.question);
@@ -198,34 +210,59 @@
 }
 
 gen::QuotaRequest writeQuotaRequest(const UnitMessage& message) {
+    const tenancy::QuotaQuestion& question = message.quotaQuestion;
     gen::QuotaRequest record;
     record.question = static_cast<std::int64_t>(message.question);
-    record.tenantName = message.quotaQuestion.tenant.value();
-    record.wanted = static_cast<std::int32_t>(message.quotaQuestion.wanted);
-    record.returned = static_cast<std::int32_t>(message.quotaQuestion.returned);
+    record.tenantName = question.tenant.value();
+    record.wanted = static_cast<std::int32_t>(question.wanted);
+    record.usableForUs = roundedUp(question.usableFor);
+    record.hops = static_cast<std::int32_t>(question.hops);
+    for (const tenancy::BatchSettlement& settlement : question.settled) {
+        gen::QuotaSettlement entry;
+        entry.term = static_cast<std::int64_t>(settlement.batch.term);
+        entry.number = static_cast<std::int64_t>(settlement.batch.number);
+        entry.used = static_cast<std::int32_t>(settlement.used);
+        // Rounded down: the last use may seem later than it was, but not earlier.
+        entry.lastUseAgeUs = toMicroseconds(settlement.lastUseAge);
+        record.settled.push_back(entry);
+    }
+    record.__isset.settled = !record.settled.empty();
     return record;
 }
 
 std::optional<UnitMessage> readQuotaRequest(const gen::QuotaRequest& record) {
-    if (record.wanted < 0 || record.returned < 0) {
+    if (record.wanted < 0 || record.usableForUs < 0 || record.hops < 0) {
         return std::nullopt;
     }
     UnitMessage message;
     message.kind = UnitMessage::Kind::QuotaAsked;
     message.question = static_cast<std::uint64_t>(record.question);
-    message.quotaQuestion = {TenantName(record.tenantName),
-                             static_cast<std::uint32_t>(record.wanted),
-                             static_cast<std::uint32_t>(record.returned)};
+    tenancy::QuotaQuestion& question = message.quotaQuestion;
+    question.tenant = TenantName(record.tenantName);
+    question.wanted = static_cast<std::uint32_t>(record.wanted);
+    question.usableFor = microseconds(record.usableForUs);
+    question.hops = static_cast<std::uint32_t>(record.hops);
+    for (const gen::QuotaSettlement& entry : record.settled) {
+        if (entry.used < 0 || entry.lastUseAgeUs < 0) {
+            return std::nullopt;
+        }
+        question.settled.push_back({batchOf(entry), static_cast<std::uint32_t>(entry.used),
+                                    microseconds(entry.lastUseAgeUs)});
+    }
     return message;
 }
 
 gen::QuotaReply writeQuotaReply(const UnitMessage& message) {
+    const tenancy::QuotaAnswer& answer = message.quotaAnswer;
     gen::QuotaReply record;
     record.question = static_cast<std::int64_t>(message.question);
-    record.declined = message.quotaAnswer.declined;
-    record.granted = static_cast<std::int32_t>(message.quotaAnswer.granted);
-    record.retryAfterUs = toMicroseconds(message.quotaAnswer.retryAfter);
-    record.scarce = message.quotaAnswer.scarce;
+    record.declined = answer.declined;
+    record.granted = static_cast<std::int32_t>(answer.granted);
+    record.retryAfterUs = toMicroseconds(answer.retryAfter);
+    record.scarce = answer.scarce;
+    record.term = static_cast<std::int64_t>(answer.batch.term);
+    record.number = static_cast<std::int64_t>(answer.batch.number);
+    record.leader = answer.leader.value();
     return record;
 }
 
@@ -236,8 +273,75 @@
     UnitMessage message;
     message.kind = UnitMessage::Kind::Quota;
     message.question = static_cast<std::uint64_t>(record.question);
-    message.quotaAnswer = {record.declined, static_cast<std::uint32_t>(record.granted),
-                           microseconds(record.retryAfterUs), record.scarce};
+    message.quotaAnswer = {record.declined,
+                           batchOf(record),
+                           static_cast<std::uint32_t>(record.granted),
+                           microseconds(record.retryAfterUs),
+                           record.scarce,
+                           NodeName(record.leader)};
+    return message;
+}
+
+gen::LedgerUpdateRequest writeLedgerUpdate(const UnitMessage& message) {
+    const tenancy::LedgerUpdate& update = message.ledgerUpdate;
+    gen::LedgerUpdateRequest record;
+    record.question = static_cast<std::int64_t>(message.question);
+    record.shard = static_cast<std::int32_t>(update.shard);
+    record.leaderLife = update.leaderLife;
+    record.copy = static_cast<std::int64_t>(update.copy);
+    record.whole = update.whole;
+    record.released = update.released;
+    for (const tenancy::CopiedBatch& batch : update.batches) {
+        gen::LedgerBatch entry;
+        entry.tenantName = batch.tenant.value();
+        entry.term = static_cast<std::int64_t>(batch.batch.term);
+        entry.number = static_cast<std::int64_t>(batch.batch.number);
+        entry.units = static_cast<std::int32_t>(batch.units);
+        entry.usableForUs = roundedUp(batch.usableFor);
+        record.batches.push_back(std::move(entry));
+    }
+    return record;
+}
+
+std::optional<UnitMessage> readLedgerUpdate(const gen::LedgerUpdateRequest& record) {
+    const bool isShard =
+        record.shard >= 0 && record.shard < static_cast<std::int32_t>(tenancy::kQuotaShards);
+    if (!isShard) {
+        return std::nullopt;
+    }
+    UnitMessage message;
+    message.kind = UnitMessage::Kind::LedgerUpdate;
+    message.question = static_cast<std::uint64_t>(record.question);
+    tenancy::LedgerUpdate& update = message.ledgerUpdate;
+    update.shard = static_cast<std::uint32_t>(record.shard);
+    update.leaderLife = record.leaderLife;
+    update.copy = static_cast<std::uint64_t>(record.copy);
+    update.whole = record.whole;
+    update.released = record.released;
+    for (const gen::LedgerBatch& entry : record.batches) {
+        if (entry.units < 0) {
+            return std::nullopt;
+        }
+        update.batches.push_back({TenantName(entry.tenantName), batchOf(entry),
+                                  static_cast<std::uint32_t>(entry.units),
+                                  microseconds(entry.usableForUs)});
+    }
+    return message;
+}
+
+gen::LedgerUpdateReply writeLedgerAck(const UnitMessage& message) {
+    gen::LedgerUpdateReply record;
+    record.question = static_cast<std::int64_t>(message.question);
+    record.accepted = message.ledgerAck.accepted;
+    record.life = message.ledgerAck.life;
+    return record;
+}
+
+UnitMessage readLedgerAck(const gen::LedgerUpdateReply& record) {
+    UnitMessage message;
+    message.kind = UnitMessage::Kind::LedgerAck;
+    message.question = static_cast<std::uint64_t>(record.question);
+    message.ledgerAck = {record.accepted, record.life};
     return message;
 }
 
@@ -245,7 +349,8 @@
 
 bool isQuestionFrame(const gen::UnitFrame& frame) {
     return frame.__isset.proofRequest || frame.__isset.proofReply || frame.__isset.changesRequest ||
-           frame.__isset.changesReply || frame.__isset.quotaRequest || frame.__isset.quotaReply;
+           frame.__isset.changesReply || frame.__isset.quotaRequest || frame.__isset.quotaReply ||
+           frame.__isset.ledgerRequest || frame.__isset.ledgerReply;
 }
 
 std::optional<UnitMessage> readQuestionFrame(const gen::UnitFrame& frame) {
@@ -264,7 +369,13 @@
     if (frame.__isset.quotaRequest) {
         return readQuotaRequest(frame.quotaRequest);
     }
-    return readQuotaReply(frame.quotaReply);
+    if (frame.__isset.quotaReply) {
+        return readQuotaReply(frame.quotaReply);
+    }
+    if (frame.__isset.ledgerRequest) {
+        return readLedgerUpdate(frame.ledgerRequest);
+    }
+    return readLedgerAck(frame.ledgerReply);
 }
 
 void writeQuestionFrame(const UnitMessage& message, gen::UnitFrame& frame) {
@@ -287,6 +398,12 @@
         case UnitMessage::Kind::Quota:
             frame.__set_quotaReply(writeQuotaReply(message));
             return;
+        case UnitMessage::Kind::LedgerUpdate:
+            frame.__set_ledgerRequest(writeLedgerUpdate(message));
+            return;
+        case UnitMessage::Kind::LedgerAck:
+            frame.__set_ledgerReply(writeLedgerAck(message));
+            return;
         default:
             return;
     }
--- a/src/link/forwarding/UnitCodec.cpp
+++ b/src/link/forwarding/UnitCodec.cpp
@@ -254,6 +254,8 @@
         case UnitMessage::Kind::Changes:
         case UnitMessage::Kind::QuotaAsked:
         case UnitMessage::Kind::Quota:
+        case UnitMessage::Kind::LedgerUpdate:
+        case UnitMessage::Kind::LedgerAck:
             writeQuestionFrame(message, frame);
             break;
     }
--- a/src/link/forwarding/UnitCodec.h
+++ b/src/link/forwarding/UnitCodec.h
@@ -33,6 +33,8 @@
         Changes,      /**< `question` and `feedAnswer`, if there is one. */
         QuotaAsked,   /**< `question` and `quotaQuestion`. */
         Quota,        /**< `question` and `quotaAnswer`. */
+        LedgerUpdate, /**< `question` and `ledgerUpdate`. */
+        LedgerAck,    /**< `question` and `ledgerAck`. */
     };
     Kind kind = Kind::Heartbeat;
     UnitId unit;
@@ -47,6 +49,8 @@
     std::optional<store::FeedAnswer> feedAnswer;
     tenancy::QuotaQuestion quotaQuestion;
     tenancy::QuotaAnswer quotaAnswer;
+    tenancy::LedgerUpdate ledgerUpdate;
+    tenancy::LedgerAck ledgerAck;
 };
 
 /** Appends one frame. */
--- a/src/link/forwarding/UnitLinkQuestions.cpp
+++ b/src/link/forwarding/UnitLinkQuestions.cpp
@@ -39,9 +39,22 @@
     send(link, message);
 }
 
+void UnitLinks::updateLedger(const NodeName& node, std::uint64_t question,
+                             const tenancy::LedgerUpdate& update) {
+    Link& link = connectedLink(node);
+    noteWaiting(link);
+    link.ledgerUpdates.insert(question);
+    UnitMessage message;
+    message.kind = UnitMessage::Kind::LedgerUpdate;
+    message.question = question;
+    message.ledgerUpdate = update;
+    send(link, message);
+}
+
 /** @return whether the other node must answer something soon. */
 bool UnitLinks::isWaitedFor(const Link& link) {
-    return link.unanswered > 0 || link.proofQuestion || !link.quotaQuestions.empty();
+    return link.unanswered > 0 || link.proofQuestion || !link.quotaQuestions.empty() ||
+           !link.ledgerUpdates.empty();
 }
 
 void UnitLinks::onProof(Link& link, const UnitMessage& message) {
@@ -69,6 +82,13 @@
     }
 }
 
+void UnitLinks::onLedgerAck(Link& link, const UnitMessage& message) {
+    link.ledgerUpdates.erase(message.question);
+    if (_questionEvents.quotas != nullptr) {
+        _questionEvents.quotas->onLedgerAck(message.question, message.ledgerAck);
+    }
+}
+
 /** The link is gone: its questions will not be answered. */
 void UnitLinks::loseQuestions(const Link& link) {
     if (link.proofQuestion && _questionEvents.proofs != nullptr) {
@@ -82,6 +102,11 @@
             _questionEvents.quotas->onQuotaAnswer(question, std::nullopt);
         }
     }
+    for (const std::uint64_t update : link.ledgerUpdates) {
+        if (_questionEvents.quotas != nullptr) {
+            _questionEvents.quotas->onLedgerAck(update, std::nullopt);
+        }
+    }
 }
 
 }  // namespace coralhoist::forwarding
--- a/src/link/forwarding/UnitLinks.cpp
+++ b/src/link/forwarding/UnitLinks.cpp
@@ -214,12 +214,16 @@
         case UnitMessage::Kind::Quota:
             onQuota(link, message);
             return;
+        case UnitMessage::Kind::LedgerAck:
+            onLedgerAck(link, message);
+            return;
         case UnitMessage::Kind::Request:
         case UnitMessage::Kind::Ended:
         case UnitMessage::Kind::Heartbeat:
         case UnitMessage::Kind::ProofAsked:
         case UnitMessage::Kind::ChangesAsked:
         case UnitMessage::Kind::QuotaAsked:
+        case UnitMessage::Kind::LedgerUpdate:
             return;
     }
 }
--- a/src/link/forwarding/UnitLinks.h
+++ b/src/link/forwarding/UnitLinks.h
@@ -53,6 +53,9 @@
     void askForQuota(const NodeName& node, std::uint64_t question,
                      const tenancy::QuotaQuestion& asked) override;
 
+    void updateLedger(const NodeName& node, std::uint64_t question,
+                      const tenancy::LedgerUpdate& update) override;
+
     /** Passes answers to questions on from now on. All outlive the links' use. */
     void setQuestionEvents(const QuestionEvents& events) { _questionEvents = events; }
 
@@ -79,8 +82,9 @@
         /** The same for changes of the store. It may wait long, so no sign of life is asked for. */
         std::optional<std::uint64_t> feedQuestion;
         TimePoint feedAskedAt{};
-        /** Questions for units of quotas that are not answered. */
+        /** Questions for units of quotas that are not answered, and updates of ledgers. */
         std::set<std::uint64_t> quotaQuestions;
+        std::set<std::uint64_t> ledgerUpdates;
         /** When the connection was begun, or the first of the unanswered statements was sent. */
         TimePoint waitingSince{};
         TimePoint heardAt{};
@@ -105,6 +109,7 @@
     void onProof(Link& link, const UnitMessage& message);
     void onChanges(Link& link, const UnitMessage& message);
     void onQuota(Link& link, const UnitMessage& message);
+    void onLedgerAck(Link& link, const UnitMessage& message);
     static bool isWaitedFor(const Link& link);
     static bool isSilent(const Link& link, TimePoint now);
     void loseQuestions(const Link& link);
--- a/src/link/forwarding/UnitService.cpp
+++ b/src/link/forwarding/UnitService.cpp
@@ -94,6 +94,9 @@
         case UnitMessage::Kind::QuotaAsked:
             onQuotaAsked(link, message);
             return;
+        case UnitMessage::Kind::LedgerUpdate:
+            onLedgerUpdate(link, message);
+            return;
         case UnitMessage::Kind::Answer:
         case UnitMessage::Kind::Declined:
         case UnitMessage::Kind::Heartbeat:
@@ -101,6 +104,7 @@
         case UnitMessage::Kind::Proof:
         case UnitMessage::Kind::Changes:
         case UnitMessage::Kind::Quota:
+        case UnitMessage::Kind::LedgerAck:
             return;
     }
 }
@@ -164,6 +168,23 @@
     answerQuestion(asker, std::move(answer));
 }
 
+/** A node that is leaving or has just started keeps no copy. */
+void UnitService::onLedgerUpdate(const Link& link, const UnitMessage& message) {
+    const std::uint64_t asker = noteQuestion(link, message);
+    if (_questionEvents.quotas == nullptr || !_serving) {
+        acknowledgeLedger(asker, {});
+        return;
+    }
+    _questionEvents.quotas->onLedgerUpdate(asker, message.ledgerUpdate);
+}
+
+void UnitService::acknowledgeLedger(std::uint64_t asker, const tenancy::LedgerAck& ack) {
+    UnitMessage answer;
+    answer.kind = UnitMessage::Kind::LedgerAck;
+    answer.ledgerAck = ack;
+    answerQuestion(asker, std::move(answer));
+}
+
 void UnitService::answerProof(std::uint64_t asker,
                               const std::optional<pooling::HandedProof>& proof) {
     UnitMessage answer;
--- a/src/link/forwarding/UnitService.h
+++ b/src/link/forwarding/UnitService.h
@@ -51,6 +51,7 @@
     void answerFeed(std::uint64_t asker, const std::optional<store::FeedAnswer>& answer) override;
 
     void answerQuota(std::uint64_t asker, const tenancy::QuotaAnswer& answer) override;
+    void acknowledgeLedger(std::uint64_t asker, const tenancy::LedgerAck& ack) override;
 
     /** Passes questions on from now on. All outlive the service's use. */
     void setQuestionEvents(const QuestionEvents& events) { _questionEvents = events; }
@@ -89,6 +90,7 @@
     void onProofAsked(const Link& link, const UnitMessage& message);
     void onChangesAsked(const Link& link, const UnitMessage& message);
     void onQuotaAsked(const Link& link, const UnitMessage& message);
+    void onLedgerUpdate(const Link& link, const UnitMessage& message);
     void answerQuestion(std::uint64_t asker, UnitMessage answer);
     void decline(Link& link, UnitId unit);
     void endUnit(Link& link, UnitId unit);
--- /dev/null
+++ b/src/tenancy/LedgerCopy.h
@@ -0,0 +1,48 @@
+/** A standby's copy of the ledgers of a shard's leader. */
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "tenancy/QuotaLedger.h"
+#include "tenancy/QuotaMessages.h"
+
+namespace coralhoist::tenancy {
+
+/**
+ * Takes a leader's updates until it is sealed. It learns no settlements, so more counts in it than
+ * in the original, never less.
+ */
+class LedgerCopy {
+public:
+    /** @return whether the copy holds the update's batches now. */
+    bool take(const LedgerUpdate& update, Duration window, TimePoint now);
+
+    /** From now on no batch of this copy is acknowledged, so that it lacks none that was answered.
+     */
+    void seal() { _sealed = true; }
+
+    /** Forgets the copy; another may begin. */
+    void drop() { *this = LedgerCopy(); }
+
+    /** @return whether it holds all batches that this life of a leader ever answered. */
+    bool isOf(const std::string& leaderLife) const {
+        return !leaderLife.empty() && _leaderLife == leaderLife;
+    }
+
+    /** @return whether the leader has stopped as planned. */
+    bool isReleased() const { return _released; }
+    bool isSealed() const { return _sealed; }
+
+    const ShardLedgers& ledgers() const { return _ledgers; }
+
+private:
+    std::string _leaderLife;
+    std::uint64_t _copy = 0;
+    bool _sealed = false;
+    bool _released = false;
+    ShardLedgers _ledgers;
+};
+
+}  // namespace coralhoist::tenancy
--- a/src/tenancy/QuotaExchange.cpp
+++ b/src/tenancy/QuotaExchange.cpp
@@ -1,269 +1,275 @@
 #include "tenancy/QuotaExchange.h"
 
 #include <algorithm>
-#include <cmath>
+#include <string>
 #include <utility>
 
-#include "base/Log.h"
 #include "pooling/NodeRanking.h"
 
 namespace coralhoist::tenancy {
 namespace {
 
 using std::chrono::milliseconds;
-using Seconds = std::chrono::duration<double>;
 
-/** Time over which the rate of a tenant at this node is smoothed. */
-constexpr Duration kRateSpan = std::chrono::seconds(1);
-/** Part of the lease time for which units are asked ahead: more would expire unused. */
-constexpr double kAskedAhead = 0.75;
-/** An answer takes about 2 ms between zones; a node that has not answered by then is busy. */
-constexpr Duration kAnswerPatience = milliseconds(60);
-/** After a node declined, none is asked for so long. The others would decline as well, since one
- * that ranks before them is there; asking them in turn took 145 s of processor time in place of 100
- * s on a day on which the store is down for 4 s, over 83 nodes (one play each). */
-constexpr Duration kDeclinedPause = milliseconds(100);
-/** A node whose settings are older than this may be cut off, and grants nothing: settings reach
- * each node within 2.1 s. */
-constexpr Duration kOldestSettings = milliseconds(2500);
-/** A node goes on without an accounting node for so long. A store that is away for 4.5 s stops all
- * accounts after 2.5 s. */
-constexpr Duration kAllowedFor = milliseconds(3500);
-/** The rate that goes on is measured over a second: of few units it is often too low. */
-constexpr double kAllowedShare = 1.5;
-constexpr double kAllowedBesides = 1.0;
-constexpr double kAllowedShareWhenScarce = 0.5;
-/** When a caller without an allowance should come back: about when the next node accounts. */
-constexpr Duration kRetryWithoutAccount = milliseconds(300);
+/** Part of the time for which units are usable that is asked ahead: more would end unused. */
+constexpr double kAskedAhead = 0.6;
+/** Units stay usable so many times longer than the newest answer took, besides the usual time. */
+constexpr int kAnswerTimes = 2;
+/** A statement waits this long at most for an answer to the question that was sent for it or before
+ * it. An answer takes 3 ms between zones, and that of a machine with a tenth of a core under load
+ * up to some hundred. */
+constexpr Duration kAnswerPatience = milliseconds(300);
+/** Statements that come so long after the newest question wait anew for an answer. */
+constexpr Duration kSilenceForgotten = std::chrono::seconds(1);
+/** A node that has just started, or is leaving, is not asked again before. */
+constexpr Duration kUnhelpfulFor = milliseconds(500);
+/** When a caller should come back while no leader answers. */
+constexpr Duration kRetryWithoutAnswer = milliseconds(300);
+
+/** @return the key by which all nodes order themselves for a shard. */
+std::string orderKey(std::uint32_t shard) {
+    return "quota/" + std::to_string(shard);
+}
 
 }  // namespace
 
 QuotaExchange::QuotaExchange(QuotaDependencies dependencies, QuotaTerms terms)
     : _dependencies(std::move(dependencies)),
       _terms(terms),
+      _startedAt(_dependencies.clock.now()),
+      _calls(_dependencies.questions),
       _tenants(std::make_shared<TenantDirectory>()) {}
 
 void QuotaExchange::applyNodes(const std::vector<pooling::ProxyNode>& nodes) {
-    _nodes = {_dependencies.self};
+    _nodes.clear();
     for (const pooling::ProxyNode& node : nodes) {
-        if (node.name != _dependencies.self && node.port != 0) {
-            _nodes.push_back(node.name);
+        if (node.name != _dependencies.self.node && node.port != 0) {
+            _nodes.push_back(node);
         }
     }
-    _rankings.clear();
+    _peers.clear();
 }
 
 void QuotaExchange::applyTenants(std::shared_ptr<const TenantDirectory> tenants) {
     _tenants = std::move(tenants);
-    const auto isGone = [this](const auto& entry) {
-        return _tenants->find(entry.first) == nullptr;
-    };
-    std::erase_if(_leases, isGone);
-    std::erase_if(_accounts, isGone);
+    std::erase_if(_accounts,
+                  [this](const auto& entry) { return _tenants->find(entry.first) == nullptr; });
 }
 
-const std::vector<NodeName>& QuotaExchange::ranking(const TenantName& tenant) const {
-    const auto [entry, added] = _rankings.try_emplace(tenant);
+const std::vector<pooling::ProxyNode>& QuotaExchange::peersOf(std::uint32_t shard) {
+    const auto [entry, added] = _peers.try_emplace(shard);
     if (added) {
-        entry->second = pooling::rankedNodes(tenant.value(), _nodes);
+        std::map<NodeName, pooling::ProxyNode> byName;
+        std::vector<NodeName> names;
+        for (const pooling::ProxyNode& node : _nodes) {
+            byName[node.name] = node;
+            names.push_back(node.name);
+        }
+        for (const NodeName& name : pooling::rankedNodes(orderKey(shard), names)) {
+            entry->second.push_back(byName[name]);
+        }
     }
     return entry->second;
 }
 
-void QuotaExchange::expire(Lease& lease, TimePoint now) {
-    while (!lease.batches.empty() && now >= lease.batches.front().expiresAt) {
-        if (lease.expired == 0) {
-            lease.expiredSince = lease.batches.front().expiresAt;
+QuotaShard& QuotaExchange::shardOf(std::uint32_t shard) {
+    std::unique_ptr<QuotaShard>& entry = _shards[shard];
+    if (!entry) {
+        entry = std::make_unique<QuotaShard>(ShardContext{
+            shard, _dependencies.self, _startedAt, _terms, _dependencies.clock, _calls,
+            _dependencies.store, _statistics,
+            [this]() -> const TenantDirectory& { return *_tenants; },
+            [this, shard]() -> const std::vector<pooling::ProxyNode>& { return peersOf(shard); },
+            _dependencies.zone});
+        if (_leaving) {
+            entry->release();
         }
-        lease.expired += lease.batches.front().units;
-        lease.batches.pop_front();
-    }
-}
-
-std::uint32_t QuotaExchange::unitsOf(const Lease& lease) {
-    std::uint32_t units = 0;
-    for (const Batch& batch : lease.batches) {
-        units += batch.units;
     }
-    return units;
+    return *entry;
 }
 
-void QuotaExchange::noteUse(Lease& lease, TimePoint now) {
-    const double fading = std::exp(-(Seconds(now - lease.ratedAt) / Seconds(kRateSpan)));
-    lease.rate = lease.rate * fading + 1 / Seconds(kRateSpan).count();
-    lease.ratedAt = now;
+Duration QuotaExchange::usableFor(const Account& account) const {
+    return std::min(_terms.lease() + account.answerTime * kAnswerTimes, kLongestQuotaLease);
 }
 
-/** @return how many units this node will probably use before they expire. */
-std::uint32_t QuotaExchange::unitsAhead(const Lease& lease, TimePoint now) const {
-    const double fading = std::exp(-(Seconds(now - lease.ratedAt) / Seconds(kRateSpan)));
-    const double ahead = lease.rate * fading * Seconds(_terms.lease()).count() * kAskedAhead;
-    return static_cast<std::uint32_t>(std::ceil(ahead));
+void QuotaExchange::ask(const TenantName& tenant, Account& account, std::uint32_t wanted,
+                        TimePoint now) {
+    const Asked asked{++_lastQuestion, now};
+    account.asked = asked;
+    if (!account.unansweredSince || now - account.lastAskedAt >= kSilenceForgotten) {
+        account.unansweredSince = now;
+    }
+    account.lastAskedAt = now;
+    QuotaQuestion question;
+    question.tenant = tenant;
+    question.wanted = wanted;
+    question.usableFor = usableFor(account);
+    question.settled = account.lease.settlements(now);
+    _statistics.unused += account.lease.takeUnused();
+    _sending = true;
+    send(quotaShardOf(tenant), question,
+         [this, alive = std::weak_ptr<bool>(_alive), tenant, asked,
+          question](const QuotaAnswer& answer) {
+             if (!alive.expired()) {
+                 onAnswer(tenant, asked, question, answer);
+             }
+         });
+    _sending = false;
 }
 
-/** @return the first node of the ranking that can be asked now; this one when it ranks first. */
-std::optional<NodeName> QuotaExchange::accountant(const TenantName& tenant) const {
-    for (const NodeName& node : ranking(tenant)) {
-        if (node == _dependencies.self || _dependencies.questions.canReach(node)) {
-            return node;
+/**
+ * @return the leader that answered last, else the first node in the shard's order, which finds the
+ * leader; nothing when that is this node.
+ */
+std::optional<NodeName> QuotaExchange::remoteTarget(std::uint32_t shard, TimePoint now) {
+    std::erase_if(_unhelpful,
+                  [now](const auto& entry) { return now - entry.second >= kUnhelpfulFor; });
+    const auto known = _leaders.find(shard);
+    if (known != _leaders.end() && _calls.canReach(known->second)) {
+        return known->second;
+    }
+    std::vector<NodeName> names{_dependencies.self.node};
+    for (const pooling::ProxyNode& node : _nodes) {
+        if (_calls.canReach(node.name) && !_unhelpful.contains(node.name)) {
+            names.push_back(node.name);
         }
     }
-    return std::nullopt;
+    const NodeName first = pooling::rankedNodes(orderKey(shard), names).front();
+    return first == _dependencies.self.node ? std::nullopt : std::optional<NodeName>(first);
 }
 
-void QuotaExchange::ask(const TenantName& tenant, Lease& lease, std::uint32_t wanted,
-                        TimePoint now) {
-    const std::optional<NodeName> node = accountant(tenant);
-    if (lease.question || !node || now < lease.declinedUntil) {
-        return;
-    }
-    if (lease.expired > 0) {
-        _statistics.returned += lease.expired;
-        _statistics.returnedLate += now - lease.expiredSince > _terms.lease() ? lease.expired : 0;
-    }
-    const QuotaQuestion question{tenant, wanted, std::exchange(lease.expired, 0)};
-    lease.askedAt = now;
-    if (*node != _dependencies.self) {
-        lease.question = ++_lastQuestion;
-        _questions[*lease.question] = tenant;
-        _dependencies.questions.askForQuota(*node, *lease.question, question);
+void QuotaExchange::send(std::uint32_t shard, const QuotaQuestion& question, QuotaReply reply) {
+    const auto own = _shards.find(shard);
+    const bool leads = own != _shards.end() && own->second->leads();
+    const TimePoint now = _dependencies.clock.now();
+    const std::optional<NodeName> target = leads ? std::nullopt : remoteTarget(shard, now);
+    if (!target) {
+        shardOf(shard).ask(question, std::move(reply));
         return;
     }
-    takeAnswer(lease, grantHere(question, now), now);
+    _calls.ask(*target, question,
+               [this, alive = std::weak_ptr<bool>(_alive), node = *target,
+                reply = std::move(reply)](const std::optional<QuotaAnswer>& answer) {
+                   if (alive.expired()) {
+                       return;
+                   }
+                   const QuotaAnswer taken = answer.value_or(declinedAnswer(Duration(0)));
+                   if (taken.declined && taken.retryAfter == Duration(0)) {
+                       _unhelpful[node] = _dependencies.clock.now();
+                   }
+                   reply(taken);
+               });
 }
 
-void QuotaExchange::takeAnswer(Lease& lease, const QuotaAnswer& answer, TimePoint now) const {
-    if (answer.declined) {
-        lease.declinedUntil = now + kDeclinedPause;
+void QuotaExchange::onAnswer(const TenantName& tenant, const Asked& asked,
+                             const QuotaQuestion& question, const QuotaAnswer& answer) {
+    const auto found = _accounts.find(tenant);
+    if (found == _accounts.end()) {
         return;
     }
-    if (answer.granted > 0) {
-        lease.batches.push_back({answer.granted, lease.askedAt + _terms.lease()});
-        expire(lease, now);
+    Account& account = found->second;
+    const TimePoint now = _dependencies.clock.now();
+    const std::uint32_t shard = quotaShardOf(tenant);
+    if (answer.declined) {
+        _leaders.erase(shard);
+        if (answer.retryAfter > Duration(0)) {
+            account.unansweredSince.reset();
+        }
+    } else {
+        _leaders[shard] = answer.leader;
+        account.unansweredSince.reset();
+        account.answerTime = now - asked.at;
+        account.lease.forget(question.settled);
+        account.lease.add(answer, asked.at + question.usableFor, now);
+        if (answer.granted > 0 && now >= asked.at + question.usableFor) {
+            ++_statistics.lateAnswers;
+        }
+    }
+    // An answer that nobody waits for any more only brings units.
+    if (account.asked && account.asked->number == asked.number) {
+        account.asked.reset();
+        const bool isEmpty = answer.declined || answer.granted < question.wanted;
+        account.notBefore = isEmpty ? now + answer.retryAfter : TimePoint{};
+        account.scarce = answer.scarce;
+    }
+    if (!_sending) {
+        _dependencies.onChange(tenant);
     }
-    lease.emptyUntil = answer.granted == 0 ? now + answer.retryAfter : TimePoint{};
-    lease.scarce = answer.scarce;
-    lease.heardAt = now;
-    lease.rateWhenHeard = lease.rate;
-    lease.allowance = lease.scarce ? 0 : 1;
-    lease.allowedAt = now;
 }
 
 QuotaVerdict QuotaExchange::take(const TenantName& tenant, std::uint32_t waiting) {
     const TimePoint now = _dependencies.clock.now();
-    Lease& lease = _leases[tenant];
-    expire(lease, now);
-    const std::uint32_t ahead = unitsAhead(lease, now);
-    const std::uint32_t units = unitsOf(lease);
-    if (now >= lease.emptyUntil && units < waiting + ahead / 2) {
-        ask(tenant, lease, waiting + ahead, now);
-    }
-    if (!lease.batches.empty()) {
-        if (--lease.batches.front().units == 0) {
-            lease.batches.pop_front();
-        }
-        noteUse(lease, now);
-        ++_statistics.ranGranted;
-        return {QuotaVerdict::Kind::Granted, {}};
-    }
-    if (now < lease.emptyUntil) {
-        return {QuotaVerdict::Kind::Refused, lease.emptyUntil - now};
+    Account& account = _accounts[tenant];
+    if (account.asked && now - account.asked->at >= kAnswerPatience) {
+        account.asked.reset();
+        account.notBefore = now;
     }
-    if (lease.question && now - lease.askedAt < kAnswerPatience) {
-        return {QuotaVerdict::Kind::Waiting, kAnswerPatience - (now - lease.askedAt)};
+    const Duration span = std::chrono::duration_cast<Duration>(usableFor(account) * kAskedAhead);
+    const std::uint32_t ahead = account.scarce ? 0 : account.lease.unitsAhead(span, now);
+    const std::uint32_t units = account.lease.units(now);
+    if (!account.asked && now >= account.notBefore && units < waiting + ahead / 2) {
+        ask(tenant, account, waiting + ahead - units, now);
     }
-    if (takeAllowance(lease, now)) {
-        noteUse(lease, now);
-        ++_statistics.ranWithoutAccount;
+    if (account.lease.takeUnit(now)) {
+        ++_statistics.ran;
         return {QuotaVerdict::Kind::Granted, {}};
     }
-    return {QuotaVerdict::Kind::Refused, kRetryWithoutAccount};
-}
-
-/** @return units a second that this node may run while no accounting node answers. */
-double QuotaExchange::allowedRate(const Lease& lease) {
-    return lease.scarce ? lease.rateWhenHeard * kAllowedShareWhenScarce
-                        : lease.rateWhenHeard * kAllowedShare + kAllowedBesides;
-}
-
-/** No accounting node answers: the node goes on as it did, for a while. */
-bool QuotaExchange::takeAllowance(Lease& lease, TimePoint now) {
-    if (now - lease.heardAt > kAllowedFor) {
-        return false;
+    if (account.asked && now - *account.unansweredSince < kAnswerPatience) {
+        return {QuotaVerdict::Kind::Waiting, *account.unansweredSince + kAnswerPatience - now};
     }
-    const double rate = allowedRate(lease);
-    lease.allowance = std::min(lease.allowance + Seconds(now - lease.allowedAt).count() * rate,
-                               std::max(1.0, rate));
-    lease.allowedAt = now;
-    if (lease.allowance < 1) {
-        return false;
-    }
-    lease.allowance -= 1;
-    return true;
+    return {QuotaVerdict::Kind::Refused,
+            now < account.notBefore ? account.notBefore - now : kRetryWithoutAnswer};
 }
 
-void QuotaExchange::onQuotaAnswer(std::uint64_t question,
-                                  const std::optional<QuotaAnswer>& answer) {
-    const auto asked = _questions.find(question);
-    if (asked == _questions.end()) {
-        return;
-    }
-    const TenantName tenant = asked->second;
-    _questions.erase(asked);
-    const auto found = _leases.find(tenant);
-    if (found == _leases.end() || found->second.question != question) {
-        return;
+void QuotaExchange::beginLeaving() {
+    _leaving = true;
+    for (const auto& [number, shard] : _shards) {
+        shard->release();
     }
-    Lease& lease = found->second;
-    lease.question.reset();
-    const TimePoint now = _dependencies.clock.now();
-    if (answer) {
-        takeAnswer(lease, *answer, now);
-    }
-    _dependencies.onChange(tenant);
 }
 
-/** @return a node that ranks before this one and seems to be there. */
-std::optional<NodeName> QuotaExchange::betterRanked(const TenantName& tenant) const {
-    for (const NodeName& node : ranking(tenant)) {
-        if (node == _dependencies.self) {
-            return std::nullopt;
-        }
-        if (_dependencies.questions.canReach(node)) {
-            return node;
+void QuotaExchange::onTick(TimePoint now) {
+    for (const auto& [number, shard] : _shards) {
+        if (shard->nextTick() <= now) {
+            shard->onTick(now);
         }
     }
-    return std::nullopt;
 }
 
-QuotaAnswer QuotaExchange::grantHere(const QuotaQuestion& question, TimePoint now) {
-    QuotaAnswer declined;
-    declined.declined = true;
-    if (const std::optional<NodeName> better = betterRanked(question.tenant)) {
-        // Only an attempt shows whether a node that was never needed so far is there.
-        _dependencies.questions.askForQuota(*better, ++_lastQuestion, {question.tenant, 0, 0});
-        return declined;
+TimePoint QuotaExchange::nextTick() const {
+    TimePoint next = TimePoint::max();
+    for (const auto& [number, shard] : _shards) {
+        next = std::min(next, shard->nextTick());
     }
-    const Tenant* tenant = _tenants->find(question.tenant);
-    const auto [account, opened] = _accounts.try_emplace(question.tenant, _terms, now);
-    if (opened) {
-        ++_statistics.accountsOpened;
-        LogEvent("tenancy", LogLevel::Info, "quota.account_opened")
-            .field("tenant", question.tenant);
-    }
-    if (now - _dependencies.settingsKnownAt() > kOldestSettings || _nodes.empty()) {
-        account->second.reset(now);
-        ++_statistics.accountsReset;
-        return declined;
-    }
-    if (tenant == nullptr) {
-        return declined;
-    }
-    return account->second.grant(tenant->quota, question, now);
+    return next;
+}
+
+std::size_t QuotaExchange::shardsLed() const {
+    return static_cast<std::size_t>(std::count_if(
+        _shards.begin(), _shards.end(), [](const auto& entry) { return entry.second->leads(); }));
 }
 
 void QuotaExchange::onQuotaAsked(std::uint64_t asker, const QuotaQuestion& question) {
-    _dependencies.answers.answerQuota(asker, grantHere(question, _dependencies.clock.now()));
+    shardOf(quotaShardOf(question.tenant))
+        .ask(question,
+             [this, alive = std::weak_ptr<bool>(_alive), asker](const QuotaAnswer& answer) {
+                 if (!alive.expired()) {
+                     _dependencies.answers.answerQuota(asker, answer);
+                 }
+             });
+}
+
+void QuotaExchange::onQuotaAnswer(std::uint64_t question,
+                                  const std::optional<QuotaAnswer>& answer) {
+    _calls.onAnswer(question, answer);
+}
+
+void QuotaExchange::onLedgerUpdate(std::uint64_t asker, const LedgerUpdate& update) {
+    _dependencies.answers.acknowledgeLedger(asker, shardOf(update.shard).takeUpdate(update));
+}
+
+void QuotaExchange::onLedgerAck(std::uint64_t question, const std::optional<LedgerAck>& ack) {
+    _calls.onAck(question, ack);
 }
 
 }  // namespace coralhoist::tenancy
--- a/src/tenancy/QuotaExchange.h
+++ b/src/tenancy/QuotaExchange.h
@@ -1,8 +1,7 @@
-/** Shares tenants' quotas among all nodes: grants units to others, and takes units for this one. */
+/** Shares tenants' quotas among all nodes: takes units for this one, and grants them to others. */
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -11,8 +10,11 @@
 
 #include "base/Time.h"
 #include "pooling/ExecutorPlacement.h"
-#include "tenancy/QuotaAccount.h"
+#include "tenancy/QuotaCalls.h"
+#include "tenancy/QuotaLease.h"
 #include "tenancy/QuotaMessages.h"
+#include "tenancy/QuotaShard.h"
+#include "tenancy/QuotaTerms.h"
 #include "tenancy/TenantDirectory.h"
 
 namespace coralhoist::tenancy {
@@ -22,9 +24,9 @@
     const Clock& clock;
     QuotaQuestions& questions;
     QuotaAnswers& answers;
-    NodeName self;
-    /** @return a time not later than the moment up to which this node knows the settings. */
-    std::function<TimePoint()> settingsKnownAt;
+    QuotaShardStore& store;
+    NodeLife self;
+    ZoneName zone;
     /** Told that units of a tenant have come, or that none will. */
     std::function<void(const TenantName&)> onChange;
 };
@@ -40,31 +42,10 @@
     Duration retryAfter{0};
 };
 
-/** Counters, for metrics. */
-struct QuotaStatistics {
-    /** Units that ran by a grant of the accounting node. */
-    std::uint64_t ranGranted = 0;
-    /** Units that ran while no accounting node answered. */
-    std::uint64_t ranWithoutAccount = 0;
-    /** Units that were returned unused, and those of them whose lease had ended a lease ago. */
-    std::uint64_t returned = 0;
-    std::uint64_t returnedLate = 0;
-    /** Accounts that this node opened, and those that it took up after another node's turn. */
-    std::uint64_t accountsOpened = 0;
-    std::uint64_t accountsReset = 0;
-};
-
 /**
- * One node accounts for a tenant: the first in the order of their hashes that can be reached. It
- * keeps a token bucket and grants a few units at a time, by what the asking node uses; a grant ends
- * after the lease time. So the sum of all nodes is bounded whatever becomes of nodes and messages.
- *
- * Invariants: a unit is used at most once, and within the lease time from the moment of asking. A
- * node grants only while its settings are known to be young and while it can't reach a node that
- * ranks before it; so a node that is cut off from the store stops before it is replaced for long.
- *
- * A node that hears of no accounting node goes on for a few seconds at the rate that it had, or at
- * half of it when the tenant was near its quota.
+ * Tenants are spread over shards, and each shard has one leader at a time, proven by its record in
+ * the store. The leader grants a few units at a time, by what the asking node uses; a node runs
+ * nothing without a unit. No call of the store is made for a statement.
  */
 class QuotaExchange final : public QuotaEvents {
 public:
@@ -79,65 +60,71 @@
      */
     QuotaVerdict take(const TenantName& tenant, std::uint32_t waiting);
 
+    /** A planned stop: others lead this node's shards at once. */
+    void beginLeaving();
+
+    void onTick(TimePoint now);
+    TimePoint nextTick() const;
+
     void onQuotaAsked(std::uint64_t asker, const QuotaQuestion& question) override;
     void onQuotaAnswer(std::uint64_t question, const std::optional<QuotaAnswer>& answer) override;
+    void onLedgerUpdate(std::uint64_t asker, const LedgerUpdate& update) override;
+    void onLedgerAck(std::uint64_t question, const std::optional<LedgerAck>& ack) override;
 
     const QuotaStatistics& statistics() const { return _statistics; }
 
+    /** @return shards that this node leads. */
+    std::size_t shardsLed() const;
+
 private:
-    /** Units of one answer. */
-    struct Batch {
-        std::uint32_t units = 0;
-        TimePoint expiresAt{};
+    /** A question that was sent and is waited for. */
+    struct Asked {
+        std::uint64_t number = 0;
+        TimePoint at{};
     };
-    /** What this node may still run of one tenant. */
-    struct Lease {
-        /** Granted units, those that expire first in front. */
-        std::deque<Batch> batches;
-        /** Units that expired and were not told yet, and when the first of them did. */
-        std::uint32_t expired = 0;
-        TimePoint expiredSince{};
-        /** Smoothed units a second that this node ran, and when that was counted. */
-        double rate = 0;
-        TimePoint ratedAt{};
-        /** The account was empty: it is not asked again before. */
-        TimePoint emptyUntil{};
+    /** What this node does about one tenant. */
+    struct Account {
+        QuotaLease lease;
+        std::optional<Asked> asked;
+        /** Since when no answer has come to any question. */
+        std::optional<TimePoint> unansweredSince;
+        TimePoint lastAskedAt{};
+        /** No units are to be had: the leader is not asked again before. */
+        TimePoint notBefore{};
         bool scarce = false;
-        /** When an accounting node was heard last, and the rate at that time. */
-        TimePoint heardAt{};
-        double rateWhenHeard = 0;
-        /** Units that may run without one, and since when they are counted. */
-        double allowance = 0;
-        TimePoint allowedAt{};
-        std::optional<std::uint64_t> question;
-        TimePoint askedAt{};
-        /** A node declined: none is asked before. */
-        TimePoint declinedUntil{};
+        /** Time that the newest answer took. */
+        Duration answerTime{0};
     };
 
-    static void expire(Lease& lease, TimePoint now);
-    static std::uint32_t unitsOf(const Lease& lease);
-    static void noteUse(Lease& lease, TimePoint now);
-    std::uint32_t unitsAhead(const Lease& lease, TimePoint now) const;
-    std::optional<NodeName> accountant(const TenantName& tenant) const;
-    void ask(const TenantName& tenant, Lease& lease, std::uint32_t wanted, TimePoint now);
-    void takeAnswer(Lease& lease, const QuotaAnswer& answer, TimePoint now) const;
-    QuotaAnswer grantHere(const QuotaQuestion& question, TimePoint now);
-    std::optional<NodeName> betterRanked(const TenantName& tenant) const;
-    static double allowedRate(const Lease& lease);
-    static bool takeAllowance(Lease& lease, TimePoint now);
-    const std::vector<NodeName>& ranking(const TenantName& tenant) const;
+    Duration usableFor(const Account& account) const;
+    void ask(const TenantName& tenant, Account& account, std::uint32_t wanted, TimePoint now);
+    std::optional<NodeName> remoteTarget(std::uint32_t shard, TimePoint now);
+    void send(std::uint32_t shard, const QuotaQuestion& question, QuotaReply reply);
+    void onAnswer(const TenantName& tenant, const Asked& asked, const QuotaQuestion& question,
+                  const QuotaAnswer& answer);
+    QuotaShard& shardOf(std::uint32_t shard);
+    const std::vector<pooling::ProxyNode>& peersOf(std::uint32_t shard);
 
     QuotaDependencies _dependencies;
     QuotaTerms _terms;
+    TimePoint _startedAt;
+    QuotaCalls _calls;
+    QuotaStatistics _statistics;
     std::shared_ptr<const TenantDirectory> _tenants;
-    std::vector<NodeName> _nodes;
-    mutable std::map<TenantName, std::vector<NodeName>> _rankings;
-    std::map<TenantName, Lease> _leases;
-    std::map<TenantName, QuotaAccount> _accounts;
-    std::map<std::uint64_t, TenantName> _questions;
+    /** Other nodes, and their order for each shard. */
+    std::vector<pooling::ProxyNode> _nodes;
+    std::map<std::uint32_t, std::vector<pooling::ProxyNode>> _peers;
+    std::map<std::uint32_t, std::unique_ptr<QuotaShard>> _shards;
+    /** Leaders that answered last. */
+    std::map<std::uint32_t, NodeName> _leaders;
+    /** Nodes that could not help lately, and when they said so. */
+    std::map<NodeName, TimePoint> _unhelpful;
+    std::map<TenantName, Account> _accounts;
     std::uint64_t _lastQuestion = 0;
-    QuotaStatistics _statistics;
+    bool _leaving = false;
+    /** A question is being sent: its answer may come at once. */
+    bool _sending = false;
+    std::shared_ptr<bool> _alive = std::make_shared<bool>(true);
 };
 
 }  // namespace coralhoist::tenancy
--- /dev/null
+++ b/src/tenancy/QuotaLease.cpp
@@ -0,0 +1,94 @@
+#include "tenancy/QuotaLease.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace coralhoist::tenancy {
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+
+/** Time over which the rate of a tenant at a node is smoothed. */
+constexpr Duration kRateSpan = std::chrono::seconds(1);
+/** Ended batches of which the leader is still to be told. Of others it learns nothing, and counts
+ * all their units to their end. */
+constexpr std::size_t kMostEnded = 32;
+
+}  // namespace
+
+void QuotaLease::add(const QuotaAnswer& answer, TimePoint usableUntil, TimePoint now) {
+    if (answer.granted == 0) {
+        return;
+    }
+    const Batch batch{answer.batch, answer.granted, 0, usableUntil, usableUntil};
+    const auto later =
+        std::find_if(_batches.begin(), _batches.end(),
+                     [usableUntil](const Batch& other) { return other.usableUntil > usableUntil; });
+    _batches.insert(later, batch);
+    expire(now);
+}
+
+void QuotaLease::end(const Batch& batch) {
+    _unused += batch.left;
+    _ended.push_back(batch);
+    if (_ended.size() > kMostEnded) {
+        _ended.pop_front();
+    }
+}
+
+void QuotaLease::expire(TimePoint now) {
+    while (!_batches.empty() && now >= _batches.front().usableUntil) {
+        end(_batches.front());
+        _batches.pop_front();
+    }
+}
+
+bool QuotaLease::takeUnit(TimePoint now) {
+    expire(now);
+    if (_batches.empty()) {
+        return false;
+    }
+    Batch& batch = _batches.front();
+    --batch.left;
+    ++batch.used;
+    batch.lastUse = now;
+    if (batch.left == 0) {
+        end(batch);
+        _batches.pop_front();
+    }
+    const double fading = std::exp(-(Seconds(now - _ratedAt) / Seconds(kRateSpan)));
+    _rate = _rate * fading + 1 / Seconds(kRateSpan).count();
+    _ratedAt = now;
+    return true;
+}
+
+std::uint32_t QuotaLease::units(TimePoint now) {
+    expire(now);
+    std::uint32_t units = 0;
+    for (const Batch& batch : _batches) {
+        units += batch.left;
+    }
+    return units;
+}
+
+std::uint32_t QuotaLease::unitsAhead(Duration span, TimePoint now) const {
+    const double fading = std::exp(-(Seconds(now - _ratedAt) / Seconds(kRateSpan)));
+    return static_cast<std::uint32_t>(std::ceil(_rate * fading * Seconds(span).count()));
+}
+
+std::vector<BatchSettlement> QuotaLease::settlements(TimePoint now) const {
+    std::vector<BatchSettlement> result;
+    for (const Batch& batch : _ended) {
+        result.push_back({batch.id, batch.used, std::max(Duration(0), now - batch.lastUse)});
+    }
+    return result;
+}
+
+void QuotaLease::forget(const std::vector<BatchSettlement>& told) {
+    for (const BatchSettlement& settlement : told) {
+        std::erase_if(_ended,
+                      [&settlement](const Batch& batch) { return batch.id == settlement.batch; });
+    }
+}
+
+}  // namespace coralhoist::tenancy
--- a/src/tenancy/QuotaMessages.h
+++ b/src/tenancy/QuotaMessages.h
@@ -1,39 +1,104 @@
 /** What nodes tell each other of tenants' quotas, and the interfaces that carry it. */
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <optional>
+#include <string>
+#include <vector>
 
 #include "base/Identifier.h"
 #include "base/Time.h"
 
 namespace coralhoist::tenancy {
 
-/** Asks the node that accounts for a tenant for units that the asking node may run. */
+/** Names the units of one grant. */
+struct BatchId {
+    /** Version of the shard's record under which the granting leader began to lead. */
+    std::uint64_t term = 0;
+    std::uint64_t number = 0;
+
+    auto operator<=>(const BatchId&) const = default;
+};
+
+/** What became of a batch of which nothing will run any more. Final, and so told again at will. */
+struct BatchSettlement {
+    BatchId batch;
+    /** Units that ran. */
+    std::uint32_t used = 0;
+    /** Time since the last of them began, when this was sent. */
+    Duration lastUseAge{0};
+
+    bool operator==(const BatchSettlement&) const = default;
+};
+
+/** Asks the leader of a tenant's shard for units that the asking node may run. */
 struct QuotaQuestion {
     TenantName tenant;
-    /** Units wanted; 0 only asks for a sign of life. */
+    /** Units wanted; 0 only settles batches. */
     std::uint32_t wanted = 0;
-    /** Units of earlier answers that expired unused. */
-    std::uint32_t returned = 0;
+    /** The asking node uses no unit later than this after it sent the question. */
+    Duration usableFor{0};
+    /** Nodes that handed the question on. */
+    std::uint32_t hops = 0;
+    std::vector<BatchSettlement> settled;
 
     bool operator==(const QuotaQuestion&) const = default;
 };
 
-/** Answer of the node that was asked. */
+/** Answer to a question. */
 struct QuotaAnswer {
-    /** The node does not account for the tenant now: another one does, or it can't be sure. */
+    /** Nothing was granted: no leader could be asked, or it can't be sure that it leads. */
     bool declined = false;
-    /** Units that may be run within the lease time from the moment of asking. */
+    BatchId batch;
     std::uint32_t granted = 0;
-    /** When the rest could be granted. */
+    /** When the rest could be granted, or when to ask again. */
     Duration retryAfter{0};
     /** The tenant uses most of what it may. */
     bool scarce = false;
+    /** The leader that granted; empty when declined. */
+    NodeName leader;
 
     bool operator==(const QuotaAnswer&) const = default;
 };
 
+/** A batch as a standby keeps it. */
+struct CopiedBatch {
+    TenantName tenant;
+    BatchId batch;
+    std::uint32_t units = 0;
+    /** Longest time for which its units may still be used, when this was sent; below 0 when they
+     * only count. */
+    Duration usableFor{0};
+
+    bool operator==(const CopiedBatch&) const = default;
+};
+
+/** Keeps a standby's copy of a leader's ledgers up to date. */
+struct LedgerUpdate {
+    std::uint32_t shard = 0;
+    /** Life of the leader, and which of its copies this is. */
+    std::string leaderLife;
+    std::uint64_t copy = 0;
+    /** The batches are all that count; the copy begins anew. */
+    bool whole = false;
+    /** The leader grants no more: the standby may lead. */
+    bool released = false;
+    std::vector<CopiedBatch> batches;
+
+    bool operator==(const LedgerUpdate&) const = default;
+};
+
+/** Answer to an update. */
+struct LedgerAck {
+    /** The batches are part of the copy now. */
+    bool accepted = false;
+    /** Life of the standby. */
+    std::string life;
+
+    bool operator==(const LedgerAck&) const = default;
+};
+
 /** Asks other nodes. No call delivers an answer before it returns. */
 class QuotaQuestions {
 public:
@@ -45,6 +110,10 @@
     /** One onQuotaAnswer follows, without an answer when the link is lost. */
     virtual void askForQuota(const NodeName& node, std::uint64_t question,
                              const QuotaQuestion& asked) = 0;
+
+    /** One onLedgerAck follows, without one when the link is lost. Updates arrive in order. */
+    virtual void updateLedger(const NodeName& node, std::uint64_t question,
+                              const LedgerUpdate& update) = 0;
 };
 
 /** Answers other nodes. */
@@ -53,6 +122,7 @@
     virtual ~QuotaAnswers() = default;
 
     virtual void answerQuota(std::uint64_t asker, const QuotaAnswer& answer) = 0;
+    virtual void acknowledgeLedger(std::uint64_t asker, const LedgerAck& ack) = 0;
 };
 
 /** Receives questions and answers of other nodes. */
@@ -63,6 +133,8 @@
     virtual void onQuotaAsked(std::uint64_t asker, const QuotaQuestion& question) = 0;
     virtual void onQuotaAnswer(std::uint64_t question,
                                const std::optional<QuotaAnswer>& answer) = 0;
+    virtual void onLedgerUpdate(std::uint64_t asker, const LedgerUpdate& update) = 0;
+    virtual void onLedgerAck(std::uint64_t question, const std::optional<LedgerAck>& ack) = 0;
 };
 
 }  // namespace coralhoist::tenancy
--- /dev/null
+++ b/src/tenancy/QuotaShard.cpp
@@ -0,0 +1,350 @@
+#include "tenancy/QuotaShard.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/Log.h"
+
+namespace coralhoist::tenancy {
+namespace {
+
+using std::chrono::milliseconds;
+
+/** What was read of the record serves so long for deciding who may lead. */
+constexpr Duration kReadAgainAfter = milliseconds(300);
+/** Pause after a call of the store that failed, and between readings that changed nothing. */
+constexpr Duration kRetryPause = milliseconds(200);
+/** A question waits this long at most for the record. */
+constexpr Duration kHeldFor = milliseconds(250);
+constexpr std::size_t kMostHeld = 512;
+/** Asking node, a node that knows the record, the standby, the leader. */
+constexpr std::uint32_t kMostHops = 2;
+/** A leader that declined a question may have lost its lease: it can't reach the store. */
+constexpr Duration kDeclinedCounts = std::chrono::seconds(1);
+constexpr Duration kLongestRetry = std::chrono::seconds(1);
+/** Part of what a tenant's bound leaves beyond its inherited count that a new leader may grant
+ * before it writes the record again. The rest is for a successor. */
+constexpr double kFirstCeiling = 0.6;
+
+}  // namespace
+
+void QuotaShard::ask(const QuotaQuestion& question, QuotaReply reply) {
+    if (leads()) {
+        _leader->ask(question, std::move(reply));
+        return;
+    }
+    const TimePoint now = _context.clock.now();
+    relayOrSeek({question, std::move(reply), now}, now);
+}
+
+bool QuotaShard::canReach(const NodeLife& life) const {
+    return life.exists() && life.node != _context.self.node && _context.calls.canReach(life.node);
+}
+
+/** @return the node to which a question is handed on, by what is known. */
+std::optional<NodeName> QuotaShard::relayTarget() const {
+    if (!_known) {
+        return std::nullopt;
+    }
+    if (canReach(_known->record.leader)) {
+        return _known->record.leader.node;
+    }
+    if (canReach(_known->record.standby)) {
+        return _known->record.standby.node;
+    }
+    return std::nullopt;
+}
+
+void QuotaShard::relayOrSeek(HeldQuestion held, TimePoint now) {
+    const std::optional<NodeName> target = relayTarget();
+    if (target && held.question.hops < kMostHops && !_copy.isReleased()) {
+        relay(*target, std::move(held));
+        return;
+    }
+    if (_held.size() >= kMostHeld) {
+        decline(held, kRetryPause);
+        return;
+    }
+    _held.push_back(std::move(held));
+    seek(now);
+}
+
+/** An answer that declines shows that the record has changed, or that the node can't tell. */
+void QuotaShard::relay(const NodeName& node, HeldQuestion held) {
+    ++_context.statistics.relayed;
+    QuotaQuestion question = held.question;
+    ++question.hops;
+    _context.calls.ask(
+        node, question,
+        [this, alive = std::weak_ptr<bool>(_alive), node,
+         held = std::move(held)](const std::optional<QuotaAnswer>& answer) mutable {
+            if (alive.expired()) {
+                return;
+            }
+            if (answer && !answer->declined) {
+                held.reply(*answer);
+                return;
+            }
+            const TimePoint now = _context.clock.now();
+            if (_known) {
+                _known->loadedAt = std::min(_known->loadedAt, now - kReadAgainAfter);
+                if (answer && node == _known->record.leader.node) {
+                    _leaderDeclinedAt = now;
+                }
+            }
+            if (answer || now - held.since >= kHeldFor || _held.size() >= kMostHeld) {
+                decline(held, answer ? answer->retryAfter : kRetryPause);
+            } else {
+                _held.push_back(std::move(held));
+            }
+            seek(now);
+        });
+}
+
+void QuotaShard::decline(HeldQuestion& held, Duration retryAfter) {
+    ++_context.statistics.declined;
+    held.reply(declinedAnswer(std::clamp(retryAfter, kRetryPause, kLongestRetry)));
+}
+
+void QuotaShard::declineHeld(Duration retryAfter) {
+    for (HeldQuestion& held : std::exchange(_held, {})) {
+        decline(held, retryAfter);
+    }
+}
+
+/** Questions that waited for the record go to whom it names. */
+void QuotaShard::handOnHeld(TimePoint now) {
+    const std::optional<NodeName> target = relayTarget();
+    for (HeldQuestion& held : std::exchange(_held, {})) {
+        if (leads()) {
+            _leader->ask(held.question, std::move(held.reply));
+        } else if (target && held.question.hops < kMostHops) {
+            relay(*target, std::move(held));
+        } else {
+            const Duration rest = _known ? _known->seenAt + kShardLeaseOfOthers - now : kRetryPause;
+            decline(held, rest);
+        }
+    }
+}
+
+/** Finds out who leads, or leads. */
+void QuotaShard::seek(TimePoint now) {
+    if (_calling || leads() || now < _notBefore) {
+        return;
+    }
+    if (!_known || now - _known->loadedAt >= kReadAgainAfter) {
+        load(now);
+    } else {
+        decide(now);
+    }
+}
+
+void QuotaShard::load(TimePoint now) {
+    _calling = true;
+    _notBefore = now + kRetryPause;
+    _context.store.load(_context.shard,
+                        [this, alive = std::weak_ptr<bool>(_alive)](const LoadedShard& loaded) {
+                            if (!alive.expired()) {
+                                _calling = false;
+                                onLoaded(loaded);
+                            }
+                        });
+}
+
+void QuotaShard::onLoaded(const LoadedShard& loaded) {
+    const TimePoint now = _context.clock.now();
+    if (loaded.outcome != StoreOutcome::Done) {
+        declineHeld(kRetryPause);
+        return;
+    }
+    if (!_known || _known->record.version != loaded.record.version) {
+        _known = KnownRecord{loaded.record, now, now};
+    }
+    _known->loadedAt = now;
+    const bool isCopied =
+        _copy.isOf(loaded.record.leader.life) && loaded.record.standby == _context.self;
+    if ((_copy.isSealed() || _copy.isReleased()) && !isCopied) {
+        _copy.drop();
+    }
+    decide(now);
+}
+
+bool QuotaShard::mayLeadWithCopy() const {
+    const QuotaShardRecord& record = _known->record;
+    return record.standby == _context.self && _copy.isOf(record.leader.life) &&
+           (_copy.isReleased() || !canReach(record.leader));
+}
+
+bool QuotaShard::mayLeadWithoutCopy(TimePoint now) const {
+    const QuotaShardRecord& record = _known->record;
+    const bool isFree = !record.leader.exists();
+    // A standby to which this node has handed over leads with a copy.
+    const bool hasHandedOver = record.leader == _context.self && canReach(record.standby);
+    const bool wasSelf = record.leader.node == _context.self.node && !hasHandedOver;
+    // The lease of whoever wrote this version has ended, if nobody writes another one meanwhile;
+    // the claim fails then.
+    const bool isSilent = !canReach(record.leader) || now - _leaderDeclinedAt < kDeclinedCounts;
+    const bool hasLapsed = isSilent && now - _known->seenAt >= kShardLeaseOfOthers;
+    return isFree || wasSelf || hasLapsed;
+}
+
+/** The record was read a moment ago. */
+void QuotaShard::decide(TimePoint now) {
+    if (_known->record.leader == _context.self && _claimPending) {
+        // The claim was done. It grants once it has renewed the record.
+        lead(_known->record, now);
+    } else if (!_released && mayLeadWithCopy()) {
+        _copy.seal();
+        claim(_copy.ledgers(), true, now);
+        return;
+    } else if (!_released && mayLeadWithoutCopy(now)) {
+        claim(inheritedLedgers(now), false, now);
+        return;
+    }
+    handOnHeld(now);
+}
+
+/** @return ledgers that count all that the former leader may have granted. */
+ShardLedgers QuotaShard::inheritedLedgers(TimePoint now) const {
+    // A former life of this node stopped before this one began; of all others it is only known that
+    // they have stopped by now, also where this life handed over and nobody took the lead.
+    const NodeLife& leader = _known->record.leader;
+    const bool wasFormerLife = leader.node == _context.self.node && leader != _context.self;
+    const TimePoint stoppedAt = wasFormerLife ? _context.startedAt : now;
+    ShardLedgers ledgers;
+    std::uint64_t number = 0;
+    for (const auto& [tenant, ceiling] : _known->record.ceilings) {
+        // No question settles a batch of term 0.
+        ledgers.try_emplace(tenant, _context.terms.window)
+            .first->second.add({0, ++number}, ceiling, stoppedAt + kLongestQuotaLease);
+    }
+    return ledgers;
+}
+
+std::map<TenantName, std::uint32_t> QuotaShard::firstCeilings(ShardLedgers& ledgers,
+                                                              TimePoint now) const {
+    std::map<TenantName, std::uint32_t> ceilings;
+    for (auto& [tenant, ledger] : ledgers) {
+        ceilings[tenant] = ledger.counted(now);
+    }
+    for (const auto& [name, tenant] : _context.tenants().all()) {
+        if (quotaShardOf(name) != _context.shard) {
+            continue;
+        }
+        std::uint32_t& ceiling = ceilings[name];
+        const std::uint32_t bound = _context.terms.bound(tenant.quota);
+        const std::uint32_t left = bound - std::min(bound, ceiling);
+        ceiling += static_cast<std::uint32_t>(left * kFirstCeiling);
+    }
+    return ceilings;
+}
+
+void QuotaShard::claim(ShardLedgers ledgers, bool withCopy, TimePoint now) {
+    QuotaShardRecord claimed = _known->record;
+    claimed.leader = _context.self;
+    claimed.standby = {};
+    claimed.ceilings = firstCeilings(ledgers, now);
+    ++claimed.renewals;
+    _claimedLedgers = std::move(ledgers);
+    _claimedWithCopy = withCopy;
+    _claimPending = true;
+    _calling = true;
+    _notBefore = now + kRetryPause;
+    _context.store.save(
+        _context.shard, claimed,
+        [this, alive = std::weak_ptr<bool>(_alive), claimed, now](const SavedShard& saved) {
+            if (!alive.expired()) {
+                _calling = false;
+                onClaimed(saved, claimed, now);
+            }
+        });
+}
+
+void QuotaShard::onClaimed(const SavedShard& saved, const QuotaShardRecord& claimed,
+                           TimePoint sentAt) {
+    const TimePoint now = _context.clock.now();
+    _claimPending = saved.outcome == StoreOutcome::Unknown;
+    if (saved.outcome == StoreOutcome::Done) {
+        QuotaShardRecord record = claimed;
+        record.version = saved.version;
+        lead(record, sentAt + kShardLease);
+        handOnHeld(now);
+    } else if (saved.outcome == StoreOutcome::Unavailable) {
+        declineHeld(kRetryPause);
+    } else {
+        load(now);
+    }
+}
+
+void QuotaShard::lead(const QuotaShardRecord& record, TimePoint leaseUntil) {
+    ++(_claimedWithCopy ? _context.statistics.ledWithCopy : _context.statistics.ledWithoutCopy);
+    LogEvent("tenancy", LogLevel::Info, "quota.leader")
+        .field("shard", _context.shard)
+        .field("former", _known->record.leader.node)
+        .field("with_copy", _claimedWithCopy)
+        .field("version", record.version);
+    _claimPending = false;
+    _copy.drop();
+    _leader = std::make_unique<ShardLeader>(_context, record, leaseUntil,
+                                            std::exchange(_claimedLedgers, {}));
+    _known.reset();
+    _leader->onTick(_context.clock.now());
+}
+
+LedgerAck QuotaShard::takeUpdate(const LedgerUpdate& update) {
+    const TimePoint now = _context.clock.now();
+    LedgerAck ack;
+    ack.life = _context.self.life;
+    ack.accepted = !leads() && !_released && _copy.take(update, _context.terms.window, now);
+    if (ack.accepted && update.released) {
+        if (_known) {
+            _known->loadedAt = std::min(_known->loadedAt, now - kReadAgainAfter);
+        }
+        seek(now);
+    }
+    return ack;
+}
+
+void QuotaShard::release() {
+    _released = true;
+    if (leads()) {
+        _leader->release();
+    }
+}
+
+void QuotaShard::onTick(TimePoint now) {
+    if (_leader && _leader->hasEnded()) {
+        for (HeldQuestion& held : _leader->takeHeld()) {
+            _held.push_back(std::move(held));
+        }
+        _leader.reset();
+    }
+    if (_leader) {
+        _leader->onTick(now);
+        return;
+    }
+    while (!_held.empty() && now - _held.front().since >= kHeldFor) {
+        HeldQuestion overdue = std::move(_held.front());
+        _held.pop_front();
+        decline(overdue, kRetryPause);
+    }
+    if (!_held.empty() || _copy.isReleased()) {
+        seek(now);
+    }
+}
+
+TimePoint QuotaShard::nextTick() const {
+    if (_leader) {
+        return _leader->hasEnded() ? TimePoint::min() : _leader->nextTick();
+    }
+    TimePoint next = TimePoint::max();
+    if (!_held.empty()) {
+        next = _held.front().since + kHeldFor;
+    }
+    if (!_calling && (!_held.empty() || _copy.isReleased())) {
+        next = std::min(next, _notBefore);
+    }
+    return next;
+}
+
+}  // namespace coralhoist::tenancy
--- /dev/null
+++ b/src/tenancy/QuotaShard.h
@@ -0,0 +1,86 @@
+/** One node's part in one shard of tenants: leader, standby, or whoever finds the leader. */
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <optional>
+
+#include "tenancy/LedgerCopy.h"
+#include "tenancy/ShardContext.h"
+#include "tenancy/ShardLeader.h"
+
+namespace coralhoist::tenancy {
+
+/**
+ * Answers questions for units of the shard's tenants: by itself while it leads, else by handing
+ * them to the leader or its standby. Begins to lead where the record names nobody, a former life of
+ * this node, or a leader that can't be reached: as its standby at once, else after its lease.
+ *
+ * Invariant: at most one node grants at a time, and the ledger with which one begins counts
+ * whatever its predecessors may have granted. Neither rests on a node's list, on links or on
+ * silence, but on writing the record under the version that was read.
+ */
+class QuotaShard {
+public:
+    explicit QuotaShard(ShardContext context) : _context(std::move(context)) {}
+
+    /** @param reply called once, now or later. */
+    void ask(const QuotaQuestion& question, QuotaReply reply);
+
+    LedgerAck takeUpdate(const LedgerUpdate& update);
+
+    void onTick(TimePoint now);
+    TimePoint nextTick() const;
+
+    /** A planned stop: grants no more and leads no more. */
+    void release();
+
+    bool leads() const { return _leader && !_leader->hasEnded(); }
+
+private:
+    /** What was read of the record. */
+    struct KnownRecord {
+        QuotaShardRecord record;
+        /** When this version was read first and last. */
+        TimePoint seenAt{};
+        TimePoint loadedAt{};
+    };
+
+    void relayOrSeek(HeldQuestion held, TimePoint now);
+    std::optional<NodeName> relayTarget() const;
+    bool canReach(const NodeLife& life) const;
+    void relay(const NodeName& node, HeldQuestion held);
+    void seek(TimePoint now);
+    void load(TimePoint now);
+    void onLoaded(const LoadedShard& loaded);
+    void decide(TimePoint now);
+    bool mayLeadWithCopy() const;
+    bool mayLeadWithoutCopy(TimePoint now) const;
+    void claim(ShardLedgers ledgers, bool withCopy, TimePoint now);
+    void onClaimed(const SavedShard& saved, const QuotaShardRecord& claimed, TimePoint sentAt);
+    void lead(const QuotaShardRecord& record, TimePoint leaseUntil);
+    ShardLedgers inheritedLedgers(TimePoint now) const;
+    std::map<TenantName, std::uint32_t> firstCeilings(ShardLedgers& ledgers, TimePoint now) const;
+    void decline(HeldQuestion& held, Duration retryAfter);
+    void declineHeld(Duration retryAfter);
+    void handOnHeld(TimePoint now);
+
+    ShardContext _context;
+    std::unique_ptr<ShardLeader> _leader;
+    LedgerCopy _copy;
+    std::optional<KnownRecord> _known;
+    /** What would count if the newest claim, of which no answer came, was done all the same. */
+    ShardLedgers _claimedLedgers;
+    bool _claimedWithCopy = false;
+    bool _claimPending = false;
+    /** When the leader declined a question last. */
+    TimePoint _leaderDeclinedAt{};
+    bool _calling = false;
+    bool _released = false;
+    TimePoint _notBefore{};
+    std::deque<HeldQuestion> _held;
+    std::shared_ptr<bool> _alive = std::make_shared<bool>(true);
+};
+
+}  // namespace coralhoist::tenancy
--- /dev/null
+++ b/src/tenancy/QuotaShardRecord.h
@@ -0,0 +1,80 @@
+/** The record of a shard of tenants in the platform's store: which node may grant their quotas. */
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "base/Identifier.h"
+#include "base/StoreOutcome.h"
+
+namespace coralhoist::tenancy {
+
+/** One life of a node. */
+struct NodeLife {
+    NodeName node;
+    /** Differs after each start of the node. */
+    std::string life;
+
+    /** @return whether it names a node at all. */
+    bool exists() const { return !life.empty(); }
+
+    bool operator==(const NodeLife&) const = default;
+};
+
+/**
+ * One shard's record. The leader writes it anew before its lease ends; whoever else changes it
+ * under its version leads from then on, and the former leader must have stopped before.
+ */
+struct QuotaShardRecord {
+    /** Grants units; nobody when the former leader has stopped as planned. */
+    NodeLife leader;
+    /** Has a copy of every grant that was ever answered, and may lead at once; or nobody. */
+    NodeLife standby;
+    /** The most units of each tenant that count at any moment in the leader's ledger. A tenant that
+     * is not listed has none. */
+    std::map<TenantName, std::uint32_t> ceilings;
+    /** Makes each writing differ: the store takes one of the same content for no change. */
+    std::uint64_t renewals = 0;
+    /** Version in the store; 0 when there is no record. */
+    std::uint64_t version = 0;
+
+    bool operator==(const QuotaShardRecord&) const = default;
+};
+
+/** Answer to a load. A record that is missing has version 0. */
+struct LoadedShard {
+    StoreOutcome outcome = StoreOutcome::Unavailable;
+    QuotaShardRecord record;
+};
+
+/** Answer to a save. */
+struct SavedShard {
+    StoreOutcome outcome = StoreOutcome::Unavailable;
+    /** Version of the record after it was done. */
+    std::uint64_t version = 0;
+};
+
+/** The store. Callbacks come later, on the same thread, once. */
+class QuotaShardStore {
+public:
+    virtual ~QuotaShardStore() = default;
+
+    virtual void load(std::uint32_t shard, std::function<void(const LoadedShard&)> callback) = 0;
+
+    /** Writes the record if the store has the version that it names. */
+    virtual void save(std::uint32_t shard, const QuotaShardRecord& record,
+                      std::function<void(const SavedShard&)> callback) = 0;
+};
+
+/** Tenants are spread over so many shards. Each costs a writing call of the store every 2 s while
+ * its tenants are active; one that loses its leader and standby at once is the loss of a share of
+ * the tenants. All nodes must agree. */
+constexpr std::uint32_t kQuotaShards = 16;
+
+/** @return the shard of a tenant. */
+std::uint32_t quotaShardOf(const TenantName& tenant);
+
+}  // namespace coralhoist::tenancy
--- /dev/null
+++ b/src/tenancy/ShardContext.h
@@ -0,0 +1,74 @@
+/** What the parts of a node that account for one shard share. */
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "base/Time.h"
+#include "pooling/ExecutorPlacement.h"
+#include "tenancy/QuotaCalls.h"
+#include "tenancy/QuotaShardRecord.h"
+#include "tenancy/QuotaTerms.h"
+#include "tenancy/TenantDirectory.h"
+
+namespace coralhoist::tenancy {
+
+/** Counters, for metrics. */
+struct QuotaStatistics {
+    /** Units that ran at this node, and granted ones that it did not use. */
+    std::uint64_t ran = 0;
+    std::uint64_t unused = 0;
+    /** Answers that came too late for their units to be used. */
+    std::uint64_t lateAnswers = 0;
+    /** Questions of other nodes and of this one that were answered as leader, handed on, declined.
+     */
+    std::uint64_t granted = 0;
+    std::uint64_t relayed = 0;
+    std::uint64_t declined = 0;
+    /** Shards that this node began to lead with a copy of their ledgers, and without one. */
+    std::uint64_t ledWithCopy = 0;
+    std::uint64_t ledWithoutCopy = 0;
+    /** Standbys that this node gave up. */
+    std::uint64_t standbysLost = 0;
+};
+
+/** One shard, as all its parts see it. */
+struct ShardContext {
+    std::uint32_t shard = 0;
+    NodeLife self;
+    /** When this life of the node began; its former one granted nothing later. */
+    TimePoint startedAt{};
+    QuotaTerms terms;
+    const Clock& clock;
+    QuotaCalls& calls;
+    QuotaShardStore& store;
+    QuotaStatistics& statistics;
+    /** @return the tenants in force. */
+    std::function<const TenantDirectory&()> tenants;
+    /** @return the other nodes, those first that should be asked or copied to first. */
+    std::function<const std::vector<pooling::ProxyNode>&()> peers;
+    ZoneName zone;
+};
+
+/** Takes the answer to a question; called once, at once or later. */
+using QuotaReply = std::function<void(const QuotaAnswer&)>;
+
+/** A question that waits for an answer. */
+struct HeldQuestion {
+    QuotaQuestion question;
+    QuotaReply reply;
+    TimePoint since{};
+};
+
+/** Units that a leader may grant beyond what counts end with this time after its last renewal was
+ * begun. It outlasts an outage of the store of 4 s; with 5 s in place of 6 it is 3 s. */
+constexpr Duration kShardLease = std::chrono::seconds(6);
+/** Others wait for this time: clocks of two nodes may differ by a tenth in their pace. */
+constexpr Duration kShardLeaseOfOthers = std::chrono::milliseconds(6600);
+
+/** @return an answer without units. */
+QuotaAnswer declinedAnswer(Duration retryAfter);
+
+}  // namespace coralhoist::tenancy
--- /dev/null
+++ b/src/tenancy/ShardLeader.cpp
@@ -0,0 +1,507 @@
+#include "tenancy/ShardLeader.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "base/Log.h"
+
+namespace coralhoist::tenancy {
+namespace {
+
+using std::chrono::milliseconds;
+
+/** The record is written anew after this time, so that an outage of the store finds two thirds of
+ * the lease left. */
+constexpr Duration kRenewEvery = std::chrono::seconds(2);
+/** A shard that nobody asks is not renewed. */
+constexpr Duration kIdleAfter = std::chrono::seconds(10);
+/** Pause after a call of the store that failed. */
+constexpr Duration kRetryPause = milliseconds(100);
+/** A node that could not be copied to is left alone for so long. */
+constexpr Duration kStandbyPause = std::chrono::seconds(2);
+/** Without a node to copy to, one is looked for again after this time. */
+constexpr Duration kStandbyRetry = milliseconds(500);
+/** A question waits this long at most for a copy or for the store. */
+constexpr Duration kHeldFor = milliseconds(250);
+constexpr std::size_t kMostHeld = 512;
+/** When to ask again after that. */
+constexpr Duration kRetryAfterHeld = milliseconds(200);
+constexpr Duration kLongestRetry = std::chrono::seconds(1);
+/** A tenant of which more than this part of its bound counts uses most of its quota. */
+constexpr double kScarceAbove = 0.75;
+/** A ceiling is at least this part of what its tenant's bound leaves. */
+constexpr double kLeastCeiling = 0.5;
+/** A ceiling leaves room above what counted lately; it is raised when a part of that is needed. */
+constexpr double kRoomAbovePeak = 1.25;
+constexpr double kRaiseAbove = 0.9;
+
+}  // namespace
+
+QuotaAnswer declinedAnswer(Duration retryAfter) {
+    QuotaAnswer answer;
+    answer.declined = true;
+    answer.retryAfter = retryAfter;
+    return answer;
+}
+
+ShardLeader::ShardLeader(const ShardContext& context, QuotaShardRecord record, TimePoint leaseUntil,
+                         ShardLedgers ledgers)
+    : _context(context),
+      _record(std::move(record)),
+      _term(_record.version),
+      _leaseUntil(leaseUntil),
+      _ledgers(std::move(ledgers)),
+      _ceilings(_record.ceilings),
+      _savedAt(leaseUntil - kShardLease),
+      _askedAt(context.clock.now()) {}
+
+bool ShardLeader::mayGrant(TimePoint now) const {
+    return !_ended && now < _leaseUntil && _standbyState != StandbyState::Leaving;
+}
+
+QuotaLedger& ShardLeader::ledgerOf(const TenantName& tenant) {
+    return _ledgers.try_emplace(tenant, _context.terms.window).first->second;
+}
+
+std::uint32_t ShardLeader::ceilingOf(const TenantName& tenant) const {
+    const auto found = _ceilings.find(tenant);
+    return found == _ceilings.end() ? 0 : found->second;
+}
+
+bool ShardLeader::isBelowBound(const Tenant& tenant) const {
+    return ceilingOf(tenant.name) < _context.terms.bound(tenant.quota);
+}
+
+void ShardLeader::ask(const QuotaQuestion& question, QuotaReply reply) {
+    const TimePoint now = _context.clock.now();
+    _askedAt = now;
+    for (const BatchSettlement& settlement : question.settled) {
+        ledgerOf(question.tenant).settle(settlement, now);
+    }
+    HeldQuestion held{question, std::move(reply), now};
+    if (mayGrant(now)) {
+        answer(std::move(held), now);
+    } else {
+        hold(std::move(held));
+    }
+    if (wantsSave(now)) {
+        save(now);
+    }
+}
+
+void ShardLeader::hold(HeldQuestion held) {
+    if (_held.size() >= kMostHeld) {
+        ++_context.statistics.declined;
+        held.reply(declinedAnswer(kRetryAfterHeld));
+        return;
+    }
+    _held.push_back(std::move(held));
+}
+
+/** @return units that bound and ceiling leave. */
+std::uint32_t ShardLeader::grantable(const Tenant& tenant, std::uint32_t wanted, TimePoint now) {
+    const std::uint32_t counted = ledgerOf(tenant.name).counted(now);
+    noteNeed(tenant, counted + wanted);
+    const std::uint32_t limit =
+        std::min(_context.terms.bound(tenant.quota), ceilingOf(tenant.name));
+    return std::min(wanted, limit - std::min(limit, counted));
+}
+
+void ShardLeader::answer(HeldQuestion held, TimePoint now) {
+    const QuotaQuestion& question = held.question;
+    const Tenant* tenant = _context.tenants().find(question.tenant);
+    if (tenant == nullptr) {
+        ++_context.statistics.declined;
+        held.reply(declinedAnswer(kRetryAfterHeld));
+        return;
+    }
+    const std::uint32_t units = grantable(*tenant, question.wanted, now);
+    if (units == 0 && question.wanted > 0 && isLimitedByCeiling(*tenant, now)) {
+        hold(std::move(held));
+        return;
+    }
+    const QuotaAnswer granted = grant(*tenant, question, units, now);
+    ++_context.statistics.granted;
+    if (units == 0 || _standbyState == StandbyState::None) {
+        held.reply(granted);
+        return;
+    }
+    LedgerUpdate update;
+    update.batches.push_back(
+        {question.tenant, granted.batch, units, std::min(question.usableFor, kLongestQuotaLease)});
+    if (_standbyState == StandbyState::Copying) {
+        sendUpdate(std::move(update), std::nullopt);
+        held.reply(granted);
+    } else {
+        sendUpdate(std::move(update), UnacknowledgedGrant{std::move(held.reply), granted});
+    }
+}
+
+/** @return whether the tenant's bound leaves more units than its ceiling. */
+bool ShardLeader::isLimitedByCeiling(const Tenant& tenant, TimePoint now) {
+    return isBelowBound(tenant) &&
+           ledgerOf(tenant.name).counted(now) < _context.terms.bound(tenant.quota);
+}
+
+QuotaAnswer ShardLeader::grant(const Tenant& tenant, const QuotaQuestion& question,
+                               std::uint32_t units, TimePoint now) {
+    QuotaLedger& ledger = ledgerOf(tenant.name);
+    QuotaAnswer answer;
+    answer.leader = _context.self.node;
+    answer.granted = units;
+    if (units > 0) {
+        answer.batch = {_term, ++_lastBatch};
+        ledger.add(answer.batch, units, now + std::min(question.usableFor, kLongestQuotaLease));
+    }
+    answer.scarce = ledger.counted(now) > kScarceAbove * _context.terms.bound(tenant.quota);
+    // The ceiling is being raised, so the rest may be had at once.
+    if (units < question.wanted && !isLimitedByCeiling(tenant, now)) {
+        answer.retryAfter =
+            std::min(ledger.untilFreed(question.wanted - units, now), kLongestRetry);
+    }
+    return answer;
+}
+
+void ShardLeader::answerHeld(TimePoint now) {
+    for (HeldQuestion& held : std::exchange(_held, {})) {
+        if (mayGrant(now)) {
+            answer(std::move(held), now);
+        } else {
+            _held.push_back(std::move(held));
+        }
+    }
+}
+
+void ShardLeader::declineOverdue(TimePoint now) {
+    while (!_held.empty() && now - _held.front().since >= kHeldFor) {
+        const HeldQuestion overdue = std::move(_held.front());
+        _held.pop_front();
+        ++_context.statistics.declined;
+        overdue.reply(declinedAnswer(kRetryAfterHeld));
+    }
+}
+
+void ShardLeader::noteNeed(const Tenant& tenant, std::uint32_t units) {
+    std::uint32_t& peak = _peaks[tenant.name];
+    peak = std::max(peak, units);
+    if (units > kRaiseAbove * ceilingOf(tenant.name) && isBelowBound(tenant)) {
+        _needsRaise = true;
+    }
+}
+
+/** @return ceilings for all tenants of the shard: never below what counts now. */
+std::map<TenantName, std::uint32_t> ShardLeader::wantedCeilings(TimePoint now) {
+    std::map<TenantName, std::uint32_t> ceilings;
+    for (const auto& [name, tenant] : _context.tenants().all()) {
+        if (quotaShardOf(name) != _context.shard) {
+            continue;
+        }
+        const std::uint32_t peak = std::max(_peaks[name], _formerPeaks[name]);
+        const double bound = _context.terms.bound(tenant.quota);
+        const double room = std::clamp(peak * kRoomAbovePeak, bound * kLeastCeiling, bound);
+        ceilings[name] = static_cast<std::uint32_t>(std::ceil(room));
+    }
+    for (auto& [name, ledger] : _ledgers) {
+        if (const std::uint32_t counted = ledger.counted(now); counted > 0) {
+            ceilings[name] = std::max(ceilings[name], counted);
+        }
+    }
+    return ceilings;
+}
+
+void ShardLeader::chooseStandby(TimePoint now) {
+    _nextStandby = now + kStandbyRetry;
+    std::erase_if(_failedStandbys,
+                  [now](const auto& entry) { return now - entry.second >= kStandbyPause; });
+    const pooling::ProxyNode* chosen = nullptr;
+    for (const pooling::ProxyNode& peer : _context.peers()) {
+        const bool usable =
+            _context.calls.canReach(peer.name) && !_failedStandbys.contains(peer.name);
+        if (usable && peer.zone == _context.zone) {
+            chosen = &peer;
+            break;
+        }
+        if (usable && chosen == nullptr) {
+            chosen = &peer;
+        }
+    }
+    if (chosen == nullptr) {
+        return;
+    }
+    _standby = {chosen->name, {}};
+    _standbyState = StandbyState::Copying;
+    ++_copy;
+    LedgerUpdate update;
+    update.whole = true;
+    for (auto& [tenant, ledger] : _ledgers) {
+        ledger.copyTo(update.batches, tenant, now);
+    }
+    sendUpdate(std::move(update), std::nullopt);
+}
+
+void ShardLeader::sendUpdate(LedgerUpdate update, std::optional<UnacknowledgedGrant> grant) {
+    update.shard = _context.shard;
+    update.leaderLife = _context.self.life;
+    update.copy = _copy;
+    const std::uint64_t number = ++_lastUpdate;
+    if (grant) {
+        _unacknowledged[number] = std::move(*grant);
+    }
+    _context.calls.update(_standby.node, update,
+                          [this, alive = std::weak_ptr<bool>(_alive), copy = _copy,
+                           number](const std::optional<LedgerAck>& ack) {
+                              if (!alive.expired()) {
+                                  onAck(copy, number, ack);
+                              }
+                          });
+}
+
+void ShardLeader::onAck(std::uint64_t copy, std::uint64_t update,
+                        const std::optional<LedgerAck>& ack) {
+    if (_ended || copy != _copy) {
+        return;
+    }
+    if (!ack || !ack->accepted) {
+        loseStandby();
+        return;
+    }
+    if (const auto grant = _unacknowledged.extract(update)) {
+        grant.mapped().reply(grant.mapped().answer);
+    }
+    if (_standbyState == StandbyState::Copying && !_standby.exists()) {
+        _standby.life = ack->life;
+        onTick(_context.clock.now());
+    }
+}
+
+/** Grants stop until the record names the standby no more, since it may lead by now. */
+void ShardLeader::loseStandby() {
+    if (_standbyState == StandbyState::None || _standbyState == StandbyState::Leaving) {
+        return;
+    }
+    _failedStandbys[_standby.node] = _context.clock.now();
+    ++_context.statistics.standbysLost;
+    LogEvent("tenancy", LogLevel::Info, "quota.standby_lost")
+        .field("shard", _context.shard)
+        .field("standby", _standby.node);
+    // A copy that no version of the record has named can be left behind at once.
+    _standbyState =
+        _standbyState == StandbyState::Copying ? StandbyState::None : StandbyState::Leaving;
+    ++_copy;
+    _standby = {};
+    _nextStandby = TimePoint{};
+    onTick(_context.clock.now());
+}
+
+/** No standby can lead any more, so what it lacks may be answered. */
+void ShardLeader::answerUnacknowledged() {
+    for (auto& [number, grant] : std::exchange(_unacknowledged, {})) {
+        grant.reply(grant.answer);
+    }
+}
+
+bool ShardLeader::wantsSave(TimePoint now) const {
+    if (_calling || _ended || now < _notBefore) {
+        return false;
+    }
+    const bool joins = _standbyState == StandbyState::Copying && _standby.exists();
+    const bool renews =
+        now - _savedAt >= kRenewEvery && (now - _askedAt < kIdleAfter || !_held.empty());
+    return _mustReload || joins || renews || _needsRaise ||
+           _standbyState == StandbyState::Leaving || _standbyState == StandbyState::Joining;
+}
+
+void ShardLeader::save(TimePoint now) {
+    if (_mustReload) {
+        reload(now);
+        return;
+    }
+    if (_standbyState == StandbyState::Copying && _standby.exists()) {
+        _standbyState = StandbyState::Joining;
+    }
+    QuotaShardRecord attempted = _record;
+    attempted.standby =
+        _standbyState == StandbyState::Joining || _standbyState == StandbyState::InSync
+            ? _standby
+            : NodeLife{};
+    attempted.ceilings = wantedCeilings(now);
+    ++attempted.renewals;
+    // Whichever of the two versions turns out to be the newest, its ceilings hold.
+    for (auto& [tenant, ceiling] : _ceilings) {
+        const auto lower = attempted.ceilings.find(tenant);
+        ceiling = std::min(ceiling, lower == attempted.ceilings.end() ? 0 : lower->second);
+    }
+    _formerPeaks = std::exchange(_peaks, {});
+    _needsRaise = false;
+    _calling = true;
+    _context.store.save(
+        _context.shard, attempted,
+        [this, alive = std::weak_ptr<bool>(_alive), attempted, now](const SavedShard& saved) {
+            if (!alive.expired()) {
+                _calling = false;
+                onSaved(saved, attempted, now);
+            }
+        });
+}
+
+void ShardLeader::onSaved(const SavedShard& saved, const QuotaShardRecord& attempted,
+                          TimePoint sentAt) {
+    if (_ended) {
+        return;
+    }
+    const TimePoint now = _context.clock.now();
+    _savesFail = saved.outcome != StoreOutcome::Done;
+    if (saved.outcome == StoreOutcome::Done) {
+        QuotaShardRecord record = attempted;
+        record.version = saved.version;
+        takeRecord(record, sentAt);
+    } else {
+        _mustReload = saved.outcome != StoreOutcome::Unavailable;
+        _notBefore = saved.outcome == StoreOutcome::Conflict ? now : now + kRetryPause;
+    }
+    onTick(now);
+}
+
+/** The record is in force as this node wrote it. */
+void ShardLeader::takeRecord(const QuotaShardRecord& record, TimePoint sentAt) {
+    _record = record;
+    _savedAt = sentAt;
+    _leaseUntil = sentAt + kShardLease;
+    _ceilings = record.ceilings;
+    if (_standbyState == StandbyState::Joining && record.standby == _standby) {
+        _standbyState = StandbyState::InSync;
+        LogEvent("tenancy", LogLevel::Info, "quota.standby_joined")
+            .field("shard", _context.shard)
+            .field("standby", _standby.node)
+            .field("version", record.version);
+    }
+    if (_standbyState == StandbyState::Leaving && !record.standby.exists()) {
+        _standbyState = StandbyState::None;
+    }
+    if (_standbyState == StandbyState::None) {
+        answerUnacknowledged();
+    }
+}
+
+void ShardLeader::reload(TimePoint now) {
+    _calling = true;
+    _notBefore = now + kRetryPause;
+    _context.store.load(_context.shard,
+                        [this, alive = std::weak_ptr<bool>(_alive)](const LoadedShard& loaded) {
+                            if (!alive.expired()) {
+                                _calling = false;
+                                onLoaded(loaded);
+                            }
+                        });
+}
+
+/** A writing that was not answered may have been done, or another node leads. */
+void ShardLeader::onLoaded(const LoadedShard& loaded) {
+    if (_ended || loaded.outcome != StoreOutcome::Done) {
+        return;
+    }
+    if (loaded.record.leader != _context.self) {
+        end();
+        return;
+    }
+    // The content of a late writing of its own is replaced by the next one, whatever it says.
+    _record = loaded.record;
+    _mustReload = false;
+    _notBefore = _context.clock.now();
+    _savedAt = TimePoint{};
+    onTick(_notBefore);
+}
+
+void ShardLeader::end() {
+    _ended = true;
+    ++_copy;
+    for (auto& [number, grant] : std::exchange(_unacknowledged, {})) {
+        ++_context.statistics.declined;
+        grant.reply(declinedAnswer(kRetryAfterHeld));
+    }
+    LogEvent("tenancy", LogLevel::Info, "quota.leadership_ended").field("shard", _context.shard);
+}
+
+void ShardLeader::release() {
+    if (_ended) {
+        return;
+    }
+    const TimePoint now = _context.clock.now();
+    if (_standbyState == StandbyState::InSync) {
+        LedgerUpdate update;
+        update.released = true;
+        sendUpdate(std::move(update), std::nullopt);
+    } else if (!_calling) {
+        // Nobody else knows what counts, so the record says it.
+        QuotaShardRecord released = _record;
+        released.leader = {};
+        released.standby = {};
+        released.ceilings.clear();
+        for (auto& [name, ledger] : _ledgers) {
+            if (const std::uint32_t counted = ledger.counted(now); counted > 0) {
+                released.ceilings[name] = counted;
+            }
+        }
+        ++released.renewals;
+        _context.store.save(_context.shard, released, [](const SavedShard& /*saved*/) {
+            // Where it fails, the lease ends by itself.
+        });
+    }
+    end();
+}
+
+void ShardLeader::onTick(TimePoint now) {
+    if (_ended) {
+        return;
+    }
+    const bool standbyGone = _standbyState != StandbyState::None &&
+                             _standbyState != StandbyState::Leaving &&
+                             !_context.calls.canReach(_standby.node);
+    if (standbyGone) {
+        loseStandby();
+        return;
+    }
+    // The standby may reach the store where this node does not.
+    const bool mustHandOver =
+        _savesFail && _standbyState == StandbyState::InSync && now >= _leaseUntil;
+    if (mustHandOver) {
+        release();
+        return;
+    }
+    if (_standbyState == StandbyState::None && now < _leaseUntil && now >= _nextStandby) {
+        chooseStandby(now);
+    }
+    answerHeld(now);
+    if (wantsSave(now)) {
+        save(now);
+    }
+    declineOverdue(now);
+}
+
+TimePoint ShardLeader::nextTick() const {
+    if (_ended) {
+        return TimePoint::max();
+    }
+    TimePoint next = TimePoint::max();
+    if (!_held.empty()) {
+        next = _held.front().since + kHeldFor;
+    }
+    if (_standbyState == StandbyState::None && _askedAt + kIdleAfter > _nextStandby) {
+        next = std::min(next, _nextStandby);
+    }
+    if (_calling) {
+        return next;
+    }
+    const bool renews = _askedAt + kIdleAfter > _savedAt + kRenewEvery || !_held.empty();
+    if (renews) {
+        next = std::min(next, std::max(_savedAt + kRenewEvery, _notBefore));
+    }
+    if (_mustReload || _needsRaise || _standbyState == StandbyState::Leaving ||
+        _standbyState == StandbyState::Joining) {
+        next = std::min(next, _notBefore);
+    }
+    return next;
+}
+
+}  // namespace coralhoist::tenancy
--- /dev/null
+++ b/src/tenancy/ShardLeader.h
@@ -0,0 +1,130 @@
+/** The leader of one shard of tenants: grants their units. */
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "tenancy/QuotaLedger.h"
+#include "tenancy/ShardContext.h"
+
+namespace coralhoist::tenancy {
+
+/**
+ * Grants within a tenant's bound and within the ceiling that the shard's record names for it, while
+ * its lease of the record lasts. A grant is answered once the standby has it, so that the standby
+ * may lead at any moment without waiting; without a copy, a new leader counts the ceilings as
+ * granted.
+ *
+ * Invariants: nothing is granted after the lease; what counts in a ledger never exceeds the ceiling
+ * of any version of the record that may be the newest; no grant is answered that a standby which
+ * some version may name lacks.
+ */
+class ShardLeader {
+public:
+    /**
+     * @param record as this node wrote it, or a former writing of its own that is in force.
+     * @param leaseUntil until when it may grant.
+     * @param ledgers what counts already.
+     */
+    ShardLeader(const ShardContext& context, QuotaShardRecord record, TimePoint leaseUntil,
+                ShardLedgers ledgers);
+
+    /** The reply comes within the time for which questions are held. */
+    void ask(const QuotaQuestion& question, QuotaReply reply);
+
+    void onTick(TimePoint now);
+    TimePoint nextTick() const;
+
+    /** @return whether another node leads, or this one has stopped as planned. */
+    bool hasEnded() const { return _ended; }
+
+    /** Questions that nobody answered here. */
+    std::deque<HeldQuestion> takeHeld() { return std::exchange(_held, {}); }
+
+    /** Grants no more; the standby, or whoever reads the record, may lead at once. */
+    void release();
+
+private:
+    enum class StandbyState {
+        None,
+        Copying, /**< It receives all batches; no version of the record names it. */
+        Joining, /**< A version of the record that names it may be in force. */
+        InSync,  /**< The record names it. */
+        Leaving, /**< It may lack a batch, and the record may still name it. */
+    };
+    struct UnacknowledgedGrant {
+        QuotaReply reply;
+        QuotaAnswer answer;
+    };
+
+    bool mayGrant(TimePoint now) const;
+    void answer(HeldQuestion held, TimePoint now);
+    std::uint32_t grantable(const Tenant& tenant, std::uint32_t wanted, TimePoint now);
+    QuotaAnswer grant(const Tenant& tenant, const QuotaQuestion& question, std::uint32_t units,
+                      TimePoint now);
+    QuotaLedger& ledgerOf(const TenantName& tenant);
+    void hold(HeldQuestion held);
+    void answerHeld(TimePoint now);
+    void declineOverdue(TimePoint now);
+
+    std::uint32_t ceilingOf(const TenantName& tenant) const;
+    bool isBelowBound(const Tenant& tenant) const;
+    bool isLimitedByCeiling(const Tenant& tenant, TimePoint now);
+    void noteNeed(const Tenant& tenant, std::uint32_t units);
+    std::map<TenantName, std::uint32_t> wantedCeilings(TimePoint now);
+
+    void chooseStandby(TimePoint now);
+    void sendUpdate(LedgerUpdate update, std::optional<UnacknowledgedGrant> grant);
+    void onAck(std::uint64_t copy, std::uint64_t update, const std::optional<LedgerAck>& ack);
+    void loseStandby();
+    void answerUnacknowledged();
+
+    bool wantsSave(TimePoint now) const;
+    void save(TimePoint now);
+    void onSaved(const SavedShard& saved, const QuotaShardRecord& attempted, TimePoint sentAt);
+    void takeRecord(const QuotaShardRecord& record, TimePoint sentAt);
+    void reload(TimePoint now);
+    void onLoaded(const LoadedShard& loaded);
+    void end();
+
+    const ShardContext& _context;
+    QuotaShardRecord _record;
+    std::uint64_t _term;
+    TimePoint _leaseUntil;
+    ShardLedgers _ledgers;
+    std::uint64_t _lastBatch = 0;
+    bool _ended = false;
+
+    /** The lowest ceilings of all versions that may be the newest. */
+    std::map<TenantName, std::uint32_t> _ceilings;
+    /** The most units that counted or were wanted since the last save, and before it. */
+    std::map<TenantName, std::uint32_t> _peaks;
+    std::map<TenantName, std::uint32_t> _formerPeaks;
+    bool _needsRaise = false;
+
+    StandbyState _standbyState = StandbyState::None;
+    NodeLife _standby;
+    std::uint64_t _copy = 0;
+    std::uint64_t _lastUpdate = 0;
+    std::map<std::uint64_t, UnacknowledgedGrant> _unacknowledged;
+    /** Nodes that could not be copied to, and since when. */
+    std::map<NodeName, TimePoint> _failedStandbys;
+    TimePoint _nextStandby{};
+
+    bool _calling = false;
+    bool _mustReload = false;
+    bool _savesFail = false;
+    TimePoint _notBefore{};
+    TimePoint _savedAt{};
+    TimePoint _askedAt{};
+    std::deque<HeldQuestion> _held;
+    std::shared_ptr<bool> _alive = std::make_shared<bool>(true);
+};
+
+}  // namespace coralhoist::tenancy
--- a/src/tenancy/TenantDirectory.h
+++ b/src/tenancy/TenantDirectory.h
@@ -53,6 +53,9 @@
     /** @return the tenant, or null. */
     const Tenant* find(const TenantName& name) const;
 
+    /** @return all tenants by their names. */
+    const std::map<TenantName, Tenant>& all() const { return _tenants; }
+
     std::uint64_t version() const { return _version; }
 
 private:
--- a/tests/cluster/NodeRegistryTest.cpp
+++ b/tests/cluster/NodeRegistryTest.cpp
@@ -47,6 +47,14 @@
                                        const failover::PromotionRecord& record) const override {
         return _codec.writePromotion(group, record);
     }
+    std::optional<tenancy::QuotaShardRecord> readQuotaShard(
+        const store::StoredObject& object) const override {
+        return _codec.readQuotaShard(object);
+    }
+    store::StoredObject writeQuotaShard(const std::string& name,
+                                        const tenancy::QuotaShardRecord& record) const override {
+        return _codec.writeQuotaShard(name, record);
+    }
     socket::HttpCall promoteCall(const GroupName& group, const ServerName& server,
                                  const NodeName& holder, std::uint64_t fence) const override {
         return _codec.promoteCall(group, server, holder, fence);
--- a/tests/forwarding/UnitCodecTest.cpp
+++ b/tests/forwarding/UnitCodecTest.cpp
@@ -5,6 +5,7 @@
 #include <random>
 
 #include "link/forwarding/UnitCodec.h"
+#include "tenancy/QuotaShardRecord.h"
 
 namespace coralhoist::forwarding {
 namespace {
@@ -152,18 +153,72 @@
     UnitMessage message;
     message.kind = UnitMessage::Kind::QuotaAsked;
     message.question = 42;
-    message.quotaQuestion = {TenantName("t"), 7, 2};
+    message.quotaQuestion = {TenantName("t"),
+                             7,
+                             std::chrono::milliseconds(500),
+                             1,
+                             {{{41, 3}, 2, std::chrono::milliseconds(120)}}};
     const UnitMessage result = decoded(bytesOf(message));
     CHECK_TRUE(result.kind == UnitMessage::Kind::QuotaAsked);
     UNSIGNED_LONGS_EQUAL(42, result.question);
     CHECK_TRUE(result.quotaQuestion == message.quotaQuestion);
 }
 
+TEST(UnitCodec, UnitsNeverSeemUsableForShorterThanTheyAre) {
+    UnitMessage message;
+    message.kind = UnitMessage::Kind::QuotaAsked;
+    message.quotaQuestion.usableFor = std::chrono::nanoseconds(1500);
+    CHECK_TRUE(decoded(bytesOf(message)).quotaQuestion.usableFor == std::chrono::microseconds(2));
+}
+
+TEST(UnitCodec, TheLastUseOfABatchNeverSeemsEarlierThanItWas) {
+    UnitMessage message;
+    message.kind = UnitMessage::Kind::QuotaAsked;
+    message.quotaQuestion.settled = {{{41, 3}, 2, std::chrono::nanoseconds(1500)}};
+    const UnitMessage result = decoded(bytesOf(message));
+    CHECK_TRUE(result.quotaQuestion.settled[0].lastUseAge == std::chrono::microseconds(1));
+}
+
+TEST(UnitCodec, AnUpdateOfALedgerArrivesAsItWasSent) {
+    UnitMessage message;
+    message.kind = UnitMessage::Kind::LedgerUpdate;
+    message.question = 44;
+    message.ledgerUpdate = {3,
+                            "n1/5",
+                            2,
+                            true,
+                            true,
+                            {{TenantName("t"), {41, 3}, 7, std::chrono::milliseconds(500)},
+                             {TenantName("u"), {41, 4}, 1, std::chrono::milliseconds(-2500)}}};
+    const UnitMessage result = decoded(bytesOf(message));
+    CHECK_TRUE(result.kind == UnitMessage::Kind::LedgerUpdate);
+    UNSIGNED_LONGS_EQUAL(44, result.question);
+    CHECK_TRUE(result.ledgerUpdate == message.ledgerUpdate);
+}
+
+TEST(UnitCodec, AnUpdateOfAShardThatDoesNotExistIsRefused) {
+    UnitMessage message;
+    message.kind = UnitMessage::Kind::LedgerUpdate;
+    message.ledgerUpdate.shard = tenancy::kQuotaShards;
+    std::string bytes = bytesOf(message);
+    CHECK_FALSE(takeMessage(bytes)->isOk());
+}
+
+TEST(UnitCodec, AnAcknowledgementOfALedgerArrivesAsItWasSent) {
+    UnitMessage message;
+    message.kind = UnitMessage::Kind::LedgerAck;
+    message.question = 45;
+    message.ledgerAck = {true, "n2/7"};
+    const UnitMessage result = decoded(bytesOf(message));
+    CHECK_TRUE(result.kind == UnitMessage::Kind::LedgerAck);
+    CHECK_TRUE(result.ledgerAck == message.ledgerAck);
+}
+
 TEST(UnitCodec, AnAnswerOnQuotaArrivesAsItWasSent) {
     UnitMessage message;
     message.kind = UnitMessage::Kind::Quota;
     message.question = 43;
-    message.quotaAnswer = {true, 3, std::chrono::milliseconds(120), true};
+    message.quotaAnswer = {true, {41, 3}, 3, std::chrono::milliseconds(120), true, NodeName("n")};
     const UnitMessage result = decoded(bytesOf(message));
     CHECK_TRUE(result.kind == UnitMessage::Kind::Quota);
     UNSIGNED_LONGS_EQUAL(43, result.question);
--- a/tests/platform_adapter/CodecTest.cpp
+++ b/tests/platform_adapter/CodecTest.cpp
@@ -99,6 +99,23 @@
     CHECK_FALSE(codec.readPromotion(object("g1", R"({"phase":"?"})")).has_value());
 }
 
+TEST(PlatformCodec, QuotaShardRecordsSurviveTheStore) {
+    tenancy::QuotaShardRecord record;
+    record.leader = {NodeName("n1"), "n1/5"};
+    record.standby = {NodeName("n2"), "n2/7"};
+    record.ceilings = {{TenantName("t1"), 185}, {TenantName("t2"), 0}};
+    record.renewals = 9;
+    record.version = 14;
+    const store::StoredObject written = codec.writeQuotaShard("shard-3", record);
+    STRCMP_EQUAL("shard-3", written.name.c_str());
+    UNSIGNED_LONGS_EQUAL(14, written.version);
+    CHECK_TRUE(codec.readQuotaShard(written) == record);
+}
+
+TEST(PlatformCodec, ARecordWithoutCeilingsIsNotTakenForOneThatGrantedNothing) {
+    CHECK_FALSE(codec.readQuotaShard(object("shard-3", R"({"leader":"n1"})")).has_value());
+}
+
 TEST(PlatformCodec, CallsAPromotionWithItsFence) {
     const socket::HttpCall call =
         codec.promoteCall(GroupName("g1"), ServerName("i-7f"), NodeName("n1"), 31);
--- a/tests/session/CallerListenerTest.cpp
+++ b/tests/session/CallerListenerTest.cpp
@@ -8,6 +8,7 @@
 #include "link/session/CallerListener.h"
 #include "platform/CallerWire.h"
 #include "tests/support/ManualClock.h"
+#include "tests/tenancy/InstantShardStore.h"
 
 namespace coralhoist::session {
 namespace {
@@ -34,7 +35,10 @@
     bool canReach(const NodeName& /*node*/) const override { return false; }
     void askForQuota(const NodeName& /*node*/, std::uint64_t /*question*/,
                      const tenancy::QuotaQuestion& /*asked*/) override {}
+    void updateLedger(const NodeName& /*node*/, std::uint64_t /*question*/,
+                      const tenancy::LedgerUpdate& /*update*/) override {}
     void answerQuota(std::uint64_t /*asker*/, const tenancy::QuotaAnswer& /*answer*/) override {}
+    void acknowledgeLedger(std::uint64_t /*asker*/, const tenancy::LedgerAck& /*ack*/) override {}
 };
 
 TEST_GROUP(CallerListener), public pooling::PoolerOutput {
@@ -48,8 +52,9 @@
     platform_adapter::CallerWire wire;
     pooling::StatementPooler pooler{clock, servers, *this, {}};
     NoQuotaLinks quotaLinks;
+    tenancy::InstantShardStore quotaStore;
     tenancy::QuotaExchange quotas{
-        {clock, quotaLinks, quotaLinks, NodeName("n1"), [this] { return clock.now(); },
+        {clock, quotaLinks, quotaLinks, quotaStore, {NodeName("n1"), "n1/1"}, ZoneName("z"),
          [](const TenantName& /*tenant*/) {}},
         {}};
     tenancy::TenantGate gate{clock, pooler, quotas, [this] { return clock.now(); }, Duration(0)};
--- /dev/null
+++ b/tests/tenancy/InstantShardStore.h
@@ -0,0 +1,40 @@
+/** A store of shard records that answers at once. */
+#pragma once
+
+#include <functional>
+#include <map>
+
+#include "tenancy/QuotaShardRecord.h"
+
+namespace coralhoist::tenancy {
+
+/** Each record has a version that grows with every writing. */
+class InstantShardStore final : public QuotaShardStore {
+public:
+    void load(std::uint32_t shard, std::function<void(const LoadedShard&)> callback) override {
+        callback({outcome, records[shard]});
+    }
+
+    void save(std::uint32_t shard, const QuotaShardRecord& record,
+              std::function<void(const SavedShard&)> callback) override {
+        ++saves;
+        QuotaShardRecord& stored = records[shard];
+        if (outcome != StoreOutcome::Done) {
+            callback({outcome, 0});
+        } else if (stored.version != record.version) {
+            callback({StoreOutcome::Conflict, 0});
+        } else {
+            stored = record;
+            stored.version = ++version;
+            callback({StoreOutcome::Done, version});
+        }
+    }
+
+    /** How each call ends. */
+    StoreOutcome outcome = StoreOutcome::Done;
+    std::map<std::uint32_t, QuotaShardRecord> records;
+    std::uint64_t version = 0;
+    std::size_t saves = 0;
+};
+
+}  // namespace coralhoist::tenancy
--- /dev/null
+++ b/tests/tenancy/QuotaBoundTest.cpp
@@ -0,0 +1,126 @@
+/**
+ * The bound of a tenant's quota under random faults that overlap: kills, freezes, planned stops,
+ * cuts of nodes, links and the store, lists that differ, late answers of nodes and store.
+ *
+ * CORALHOIST_QUOTA_SEEDS sets how many seeds are played, CORALHOIST_QUOTA_FIRST_SEED the first one.
+ */
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <random>
+#include <string>
+
+#include "tests/tenancy/QuotaFaults.h"
+
+namespace coralhoist::tenancy {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr unsigned kSeeds = 1500;
+const QuotaTerms kTerms{seconds(5), 0.1, 20};
+constexpr milliseconds kFaultsFor{15000};
+constexpr milliseconds kHealedFor{14000};
+constexpr milliseconds kCalmFor{4000};
+/** Part of a calm tenant's statements that must run once all faults have ended. */
+constexpr double kLeastServed = 0.97;
+
+unsigned fromEnvironment(const char* name, unsigned otherwise) {
+    const char* text = std::getenv(name);
+    return text == nullptr ? otherwise : static_cast<unsigned>(std::strtoul(text, nullptr, 10));
+}
+
+/** One run: faults under changing load, then a calm time without faults. */
+class FaultyRun {
+public:
+    explicit FaultyRun(unsigned seed)
+        : _random(seed),
+          _nodes(2 + _random() % 9),
+          _quota{static_cast<double>(1 + _random() % 80), static_cast<double>(_random() % 80)},
+          network(_nodes, _quota, kTerms, seed),
+          faults(network, _nodes, _random) {}
+
+    void play() {
+        while (_now < kFaultsFor) {
+            if (_random() % 900 == 0) {
+                faults.begin(_now);
+            }
+            if (_random() % 2000 == 0 || _now == milliseconds(0)) {
+                _perSecond = _quota.ratePerSecond * static_cast<double>(_random() % 100) / 10;
+            }
+            step();
+        }
+        faults.healAll();
+        _perSecond = _quota.ratePerSecond * kCalmShare;
+        playFor(kHealedFor);
+    }
+
+    /** @return the part of a calm tenant's statements that run. */
+    double servedWhenCalm() {
+        const std::size_t ranBefore = network.runCount();
+        const std::size_t refusedBefore = network.refusedCount();
+        playFor(kCalmFor);
+        const auto ran = static_cast<double>(network.runCount() - ranBefore);
+        const auto refused = static_cast<double>(network.refusedCount() - refusedBefore);
+        return ran + refused == 0 ? 1 : ran / (ran + refused);
+    }
+
+    std::size_t bound() const { return kTerms.bound(_quota); }
+
+private:
+    static constexpr double kCalmShare = 0.6;
+
+    void playFor(Duration duration) {
+        for (const Duration end = _now + duration; _now < end;) {
+            step();
+        }
+    }
+
+    void step() {
+        faults.step(_now);
+        network.step();
+        std::poisson_distribution<int> arrivals(_perSecond / 1000);
+        for (int statements = arrivals(_random); statements > 0; --statements) {
+            network.submit(_random() % _nodes);
+        }
+        _now += milliseconds(1);
+    }
+
+    std::mt19937 _random;
+    std::size_t _nodes;
+    TenantQuota _quota;
+    double _perSecond = 0;
+    Duration _now{0};
+
+public:
+    QuotaNetwork network;
+    QuotaFaults faults;
+};
+
+TEST_GROUP(QuotaBound){};
+
+TEST(QuotaBound, HoldsInEveryWindowWhateverHappens) {
+    const unsigned first = fromEnvironment("CORALHOIST_QUOTA_FIRST_SEED", 1);
+    const unsigned seeds = fromEnvironment("CORALHOIST_QUOTA_SEEDS", kSeeds);
+    std::string broken;
+    for (unsigned seed = first; seed < first + seeds; ++seed) {
+        FaultyRun run(seed);
+        run.play();
+        const double served = run.servedWhenCalm();
+        if (run.network.busiestWindow() > run.bound()) {
+            broken += "seed " + std::to_string(seed) + ": " +
+                      std::to_string(run.network.busiestWindow()) + " units of " +
+                      std::to_string(run.bound()) + ": " + run.faults.story() + "\n";
+        }
+        if (served < kLeastServed) {
+            broken += "seed " + std::to_string(seed) + ": served " + std::to_string(served) +
+                      " once calm: " + run.faults.story() + "\n";
+        }
+    }
+    STRCMP_EQUAL("", broken.c_str());
+}
+
+}  // namespace
+}  // namespace coralhoist::tenancy
--- /dev/null
+++ b/tests/tenancy/QuotaFaults.cpp
@@ -0,0 +1,197 @@
+#include "tests/tenancy/QuotaFaults.h"
+
+#include <algorithm>
+#include <array>
+
+namespace coralhoist::tenancy {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kShortest{50};
+constexpr milliseconds kLongest{7000};
+
+}  // namespace
+
+QuotaFaults::QuotaFaults(QuotaNetwork& network, std::size_t nodes, std::mt19937& random)
+    : _network(network), _nodes(nodes), _random(random) {}
+
+std::size_t QuotaFaults::anyNode() {
+    return std::uniform_int_distribution<std::size_t>(0, _nodes - 1)(_random);
+}
+
+/** Faults of the node that leads are those that matter most. */
+std::size_t QuotaFaults::leaderOrAny() {
+    const std::vector<std::size_t> leaders = _network.leaders();
+    return leaders.empty() || _random() % 3 == 0 ? anyNode() : leaders[_random() % leaders.size()];
+}
+
+std::set<std::size_t> QuotaFaults::anyNodes() {
+    std::set<std::size_t> nodes;
+    const std::size_t count = 1 + _random() % _nodes;
+    for (std::size_t drawn = 0; drawn < count; ++drawn) {
+        nodes.insert(anyNode());
+    }
+    return nodes;
+}
+
+void QuotaFaults::note(const char* what, Duration now, Duration length) {
+    _story += std::string(what) + " at " +
+              std::to_string(std::chrono::duration_cast<milliseconds>(now).count()) + " for " +
+              std::to_string(std::chrono::duration_cast<milliseconds>(length).count()) + "; ";
+}
+
+void QuotaFaults::begin(Duration now) {
+    static constexpr std::array<Kind, 15> kKinds{
+        &QuotaFaults::slowAnswers, &QuotaFaults::slowNodes,
+        &QuotaFaults::kill,        &QuotaFaults::killMany,
+        &QuotaFaults::restart,     &QuotaFaults::freeze,
+        &QuotaFaults::leave,       &QuotaFaults::cutOff,
+        &QuotaFaults::cutLinks,    &QuotaFaults::cutFromEachOther,
+        &QuotaFaults::hideNodes,   &QuotaFaults::storeDown,
+        &QuotaFaults::storeSlow,   &QuotaFaults::storeLosesAnswers,
+        &QuotaFaults::storeCut};
+    const Duration length =
+        std::uniform_int_distribution<int>(static_cast<int>(kShortest.count()),
+                                           static_cast<int>(kLongest.count()))(_random) *
+        milliseconds(1);
+    (this->*kKinds[_random() % kKinds.size()])(now, length);
+}
+
+void QuotaFaults::step(Duration now) {
+    while (!_heals.empty() && _heals.begin()->first <= now) {
+        const auto action = _heals.extract(_heals.begin());
+        action.mapped()();
+    }
+}
+
+void QuotaFaults::healAll() {
+    step(Duration::max());
+}
+
+void QuotaFaults::slowAnswers(Duration now, Duration length) {
+    const milliseconds delay(std::uniform_int_distribution<int>(2, 900)(_random));
+    note(("answers " + std::to_string(delay.count()) + " ms").c_str(), now, length);
+    _network.setAnswerDelay(delay);
+    heal(now + length, [this] { _network.setAnswerDelay(milliseconds(1)); });
+}
+
+void QuotaFaults::slowNodes(Duration now, Duration length) {
+    note("slow nodes", now, length);
+    for (const std::size_t node : anyNodes()) {
+        _network.setAnswerDelay(node, milliseconds(_random() % 700));
+    }
+    heal(now + length, [this] { _network.setAnswerDelay(milliseconds(1)); });
+}
+
+void QuotaFaults::kill(Duration now, Duration length) {
+    const std::size_t node = leaderOrAny();
+    if (!_network.isRunning(node)) {
+        return;
+    }
+    note("kill", now, length);
+    _network.stop(node);
+    heal(now + length, [this, node] { _network.restart(node); });
+}
+
+void QuotaFaults::killMany(Duration now, Duration length) {
+    note("kill many", now, length);
+    for (const std::size_t node : anyNodes()) {
+        if (_network.isRunning(node)) {
+            _network.stop(node);
+        }
+        heal(now + length, [this, node] { _network.restart(node); });
+    }
+}
+
+void QuotaFaults::restart(Duration now, Duration /*length*/) {
+    note("restart", now, Duration(0));
+    _network.restart(leaderOrAny());
+}
+
+void QuotaFaults::freeze(Duration now, Duration length) {
+    const std::size_t node = leaderOrAny();
+    if (!_network.isRunning(node)) {
+        return;
+    }
+    note("freeze", now, length);
+    _network.setFrozen(node, true);
+    heal(now + length, [this, node] { _network.setFrozen(node, false); });
+}
+
+void QuotaFaults::leave(Duration now, Duration length) {
+    const std::size_t node = leaderOrAny();
+    if (!_network.isRunning(node)) {
+        return;
+    }
+    note("leave", now, length);
+    _network.beginLeaving(node);
+    heal(now + length, [this, node] { _network.restart(node); });
+}
+
+void QuotaFaults::cutOff(Duration now, Duration length) {
+    note("cut off", now, length);
+    _network.cut(anyNodes());
+    heal(now + length, [this] { _network.cut({}); });
+}
+
+void QuotaFaults::cutFromEachOther(Duration now, Duration length) {
+    note("cut from each other", now, length);
+    _network.cutFromEachOther(anyNodes());
+    heal(now + length, [this] { _network.cutFromEachOther({}); });
+}
+
+void QuotaFaults::cutLinks(Duration now, Duration length) {
+    note("cut links", now, length);
+    const std::size_t node = leaderOrAny();
+    for (const std::size_t other : anyNodes()) {
+        _network.setLinkCut(node, other, true);
+        heal(now + length, [this, node, other] { _network.setLinkCut(node, other, false); });
+    }
+}
+
+/** Some nodes are not listed by others, as when they have just joined. */
+void QuotaFaults::hideNodes(Duration now, Duration length) {
+    note("lists differ", now, length);
+    for (const std::size_t node : anyNodes()) {
+        _network.setListed(node, anyNodes());
+        heal(now + length, [this, node] {
+            std::set<std::size_t> all;
+            for (std::size_t other = 0; other < _nodes; ++other) {
+                all.insert(other);
+            }
+            _network.setListed(node, all);
+        });
+    }
+}
+
+void QuotaFaults::storeDown(Duration now, Duration length) {
+    note("store down", now, length);
+    _network.setStoreDown(true);
+    heal(now + length, [this] { _network.setStoreDown(false); });
+}
+
+void QuotaFaults::storeSlow(Duration now, Duration length) {
+    note("store slow", now, length);
+    _network.store().faults().latency = milliseconds(20 + _random() % 600);
+    heal(now + length, [this] { _network.store().faults().latency = milliseconds(4); });
+}
+
+void QuotaFaults::storeLosesAnswers(Duration now, Duration length) {
+    note("store loses answers", now, length);
+    _network.store().faults().answersLost = 0.5;
+    _network.store().faults().latest = milliseconds(_random() % 6000);
+    heal(now + length, [this] { _network.store().faults().answersLost = 0; });
+}
+
+void QuotaFaults::storeCut(Duration now, Duration length) {
+    note("nodes cut from the store", now, length);
+    std::set<std::size_t> nodes = anyNodes();
+    nodes.insert(leaderOrAny());
+    for (const std::size_t node : nodes) {
+        _network.setStoreCut(node, true);
+        heal(now + length, [this, node] { _network.setStoreCut(node, false); });
+    }
+}
+
+}  // namespace coralhoist::tenancy
