A shard's record says what counts and what it allows; units are paced

Change: the record lists what counts by how long it still counts, and an allowance for what is granted under this version; a grant is taken from the allowance of each version that may be the newest. A token bucket spreads units over time; no bound rests on it.

--- a/src/tenancy/QuotaLedger.cpp
+++ b/src/tenancy/QuotaLedger.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "tenancy/QuotaTerms.h"
+
 namespace coralhoist::tenancy {
 
 void QuotaLedger::remove(std::map<BatchId, Batch>::iterator batch) {
@@ -18,24 +20,24 @@
 }
 
 void QuotaLedger::add(const BatchId& batch, std::uint32_t units, TimePoint usableUntil) {
-    if (_batches.try_emplace(batch, Batch{units, usableUntil}).second) {
+    if (units > 0 && _batches.try_emplace(batch, Batch{units, usableUntil}).second) {
         _ends.insert({usableUntil, batch});
         _units += units;
     }
 }
 
-void QuotaLedger::settle(const BatchSettlement& settlement, TimePoint now) {
+std::uint32_t QuotaLedger::settle(const BatchSettlement& settlement, TimePoint now) {
     const auto found = _batches.find(settlement.batch);
     if (found == _batches.end()) {
-        return;
+        return 0;
     }
     // The message took its time, so the last use was before this.
     const TimePoint lastUse = std::min(found->second.usableUntil, now - settlement.lastUseAge);
-    const std::uint32_t used = std::min(found->second.units, settlement.used);
+    const std::uint32_t granted = found->second.units;
+    const std::uint32_t used = std::min(granted, settlement.used);
     remove(found);
-    if (used > 0) {
-        add(settlement.batch, used, lastUse);
-    }
+    add(settlement.batch, used, lastUse);
+    return granted - used;
 }
 
 Duration QuotaLedger::untilFreed(std::uint32_t units, TimePoint now) const {
@@ -49,6 +51,30 @@
     return _window;
 }
 
+RecordedQuota QuotaLedger::recorded(TimePoint now) {
+    RecordedQuota quota;
+    counted(now);
+    for (const auto& [id, batch] : _batches) {
+        const Duration counts = std::max(Duration(0), batch.usableUntil + _window - now);
+        const auto index = static_cast<std::size_t>(counts / kCountingStep);
+        if (quota.counting.size() <= index) {
+            quota.counting.resize(index + 1);
+        }
+        quota.counting[index] += batch.units;
+    }
+    return quota;
+}
+
+void QuotaLedger::inherit(const RecordedQuota& quota, TimePoint writtenBy, TimePoint stoppedBy) {
+    // No question settles a batch of term 0.
+    std::uint64_t number = 0;
+    for (std::size_t index = 0; index < quota.counting.size(); ++index) {
+        const TimePoint countsUntil = writtenBy + kCountingStep * (index + 1);
+        add({0, ++number}, quota.counting[index], countsUntil - _window);
+    }
+    add({0, ++number}, quota.allowance, stoppedBy + kLongestQuotaLease);
+}
+
 void QuotaLedger::copyTo(std::vector<CopiedBatch>& list, const TenantName& tenant, TimePoint now) {
     counted(now);
     for (const auto& [id, batch] : _batches) {
--- a/src/tenancy/QuotaLedger.h
+++ b/src/tenancy/QuotaLedger.h
@@ -9,6 +9,7 @@
 
 #include "base/Time.h"
 #include "tenancy/QuotaMessages.h"
+#include "tenancy/QuotaShardRecord.h"
 
 namespace coralhoist::tenancy {
 
@@ -31,12 +32,25 @@
     /** @param usableUntil no unit of the batch runs later. */
     void add(const BatchId& batch, std::uint32_t units, TimePoint usableUntil);
 
-    /** Takes a node's word for one of its batches; of an unknown one nothing is left to count. */
-    void settle(const BatchSettlement& settlement, TimePoint now);
+    /**
+     * Takes a node's word for one of its batches; of an unknown one nothing is left to count.
+     * @return units that did not run.
+     */
+    std::uint32_t settle(const BatchSettlement& settlement, TimePoint now);
 
     /** @return after which time so many units fewer count. */
     Duration untilFreed(std::uint32_t units, TimePoint now) const;
 
+    /** @return what counts now, for the shard's record; without an allowance. */
+    RecordedQuota recorded(TimePoint now);
+
+    /**
+     * Counts what another leader recorded.
+     * @param writtenBy the record was not written later.
+     * @param stoppedBy that leader granted nothing later.
+     */
+    void inherit(const RecordedQuota& quota, TimePoint writtenBy, TimePoint stoppedBy);
+
     /** Adds all batches to the list, as of now. */
     void copyTo(std::vector<CopiedBatch>& list, const TenantName& tenant, TimePoint now);
 
--- a/src/tenancy/QuotaShard.cpp
+++ b/src/tenancy/QuotaShard.cpp
@@ -22,9 +22,6 @@
 /** A leader that declined a question may have lost its lease: it can't reach the store. */
 constexpr Duration kDeclinedCounts = std::chrono::seconds(1);
 constexpr Duration kLongestRetry = std::chrono::seconds(1);
-/** Part of what a tenant's bound leaves beyond its inherited count that a new leader may grant
- * before it writes the record again. The rest is for a successor. */
-constexpr double kFirstCeiling = 0.6;
 
 }  // namespace
 
@@ -206,44 +203,26 @@
 
 /** @return ledgers that count all that the former leader may have granted. */
 ShardLedgers QuotaShard::inheritedLedgers(TimePoint now) const {
-    // A former life of this node stopped before this one began; of all others it is only known that
-    // they have stopped by now, also where this life handed over and nobody took the lead.
+    // A former life of this node stopped before this one began. Others wrote the record before it
+    // was read first, and have stopped by now, also where this life handed over and nobody leads.
     const NodeLife& leader = _known->record.leader;
     const bool wasFormerLife = leader.node == _context.self.node && leader != _context.self;
-    const TimePoint stoppedAt = wasFormerLife ? _context.startedAt : now;
+    const TimePoint writtenBy =
+        wasFormerLife ? std::min(_context.startedAt, _known->seenAt) : _known->seenAt;
+    const TimePoint stoppedBy = wasFormerLife ? _context.startedAt : now;
     ShardLedgers ledgers;
-    std::uint64_t number = 0;
-    for (const auto& [tenant, ceiling] : _known->record.ceilings) {
-        // No question settles a batch of term 0.
+    for (const auto& [tenant, quota] : _known->record.tenants) {
         ledgers.try_emplace(tenant, _context.terms.window)
-            .first->second.add({0, ++number}, ceiling, stoppedAt + kLongestQuotaLease);
+            .first->second.inherit(quota, writtenBy, stoppedBy);
     }
     return ledgers;
 }
 
-std::map<TenantName, std::uint32_t> QuotaShard::firstCeilings(ShardLedgers& ledgers,
-                                                              TimePoint now) const {
-    std::map<TenantName, std::uint32_t> ceilings;
-    for (auto& [tenant, ledger] : ledgers) {
-        ceilings[tenant] = ledger.counted(now);
-    }
-    for (const auto& [name, tenant] : _context.tenants().all()) {
-        if (quotaShardOf(name) != _context.shard) {
-            continue;
-        }
-        std::uint32_t& ceiling = ceilings[name];
-        const std::uint32_t bound = _context.terms.bound(tenant.quota);
-        const std::uint32_t left = bound - std::min(bound, ceiling);
-        ceiling += static_cast<std::uint32_t>(left * kFirstCeiling);
-    }
-    return ceilings;
-}
-
 void QuotaShard::claim(ShardLedgers ledgers, bool withCopy, TimePoint now) {
     QuotaShardRecord claimed = _known->record;
     claimed.leader = _context.self;
     claimed.standby = {};
-    claimed.ceilings = firstCeilings(ledgers, now);
+    claimed.tenants = recordedQuotas(_context, ledgers, now);
     ++claimed.renewals;
     _claimedLedgers = std::move(ledgers);
     _claimedWithCopy = withCopy;
--- a/src/tenancy/QuotaShard.h
+++ b/src/tenancy/QuotaShard.h
@@ -61,7 +61,6 @@
     void onClaimed(const SavedShard& saved, const QuotaShardRecord& claimed, TimePoint sentAt);
     void lead(const QuotaShardRecord& record, TimePoint leaseUntil);
     ShardLedgers inheritedLedgers(TimePoint now) const;
-    std::map<TenantName, std::uint32_t> firstCeilings(ShardLedgers& ledgers, TimePoint now) const;
     void decline(HeldQuestion& held, Duration retryAfter);
     void declineHeld(Duration retryAfter);
     void handOnHeld(TimePoint now);
--- a/src/tenancy/QuotaShardRecord.h
+++ b/src/tenancy/QuotaShardRecord.h
@@ -6,9 +6,11 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "base/Identifier.h"
 #include "base/StoreOutcome.h"
+#include "base/Time.h"
 
 namespace coralhoist::tenancy {
 
@@ -24,6 +26,22 @@
     bool operator==(const NodeLife&) const = default;
 };
 
+/** What the record tells of one tenant, for a leader that has no copy of the ledger. */
+struct RecordedQuota {
+    /**
+     * Units that counted when the record was written, by how long they would still count: the entry
+     * at index i counts for (i + 1) steps at most.
+     */
+    std::vector<std::uint32_t> counting;
+    /** The most units that the leader grants under this version of the record. */
+    std::uint32_t allowance = 0;
+
+    bool operator==(const RecordedQuota&) const = default;
+};
+
+/** Step of `RecordedQuota::counting`: with 0.5 s a window and a lease are 12 numbers a tenant. */
+constexpr Duration kCountingStep = std::chrono::milliseconds(500);
+
 /**
  * One shard's record. The leader writes it anew before its lease ends; whoever else changes it
  * under its version leads from then on, and the former leader must have stopped before.
@@ -33,9 +51,8 @@
     NodeLife leader;
     /** Has a copy of every grant that was ever answered, and may lead at once; or nobody. */
     NodeLife standby;
-    /** The most units of each tenant that count at any moment in the leader's ledger. A tenant that
-     * is not listed has none. */
-    std::map<TenantName, std::uint32_t> ceilings;
+    /** A tenant that is not listed was granted nothing. */
+    std::map<TenantName, RecordedQuota> tenants;
     /** Makes each writing differ: the store takes one of the same content for no change. */
     std::uint64_t renewals = 0;
     /** Version in the store; 0 when there is no record. */
--- /dev/null
+++ b/src/tenancy/RecordAllowances.h
@@ -0,0 +1,51 @@
+/** What a leader may still grant under each version of its shard's record that may be the newest.
+ */
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+
+#include "tenancy/QuotaLedger.h"
+#include "tenancy/QuotaShardRecord.h"
+#include "tenancy/ShardContext.h"
+
+namespace coralhoist::tenancy {
+
+/**
+ * While a writing is under way, or was not answered, the record may be either version. So a grant
+ * is taken from the allowances of all of them, and may not exceed any.
+ */
+class RecordAllowances {
+public:
+    /** @param record is in force. */
+    explicit RecordAllowances(const QuotaShardRecord& record) : _inForce(allowancesOf(record)) {}
+
+    /** @return units of the tenant that may still be granted. */
+    std::uint32_t left(const TenantName& tenant) const;
+
+    /** Units were granted. */
+    void take(const TenantName& tenant, std::uint32_t units);
+
+    /** The record is being written. */
+    void onSaving(const QuotaShardRecord& record) { _beingWritten = allowancesOf(record); }
+
+    /** The writing ended as given. */
+    void onSaved(StoreOutcome outcome);
+
+private:
+    using Allowances = std::map<TenantName, std::uint32_t>;
+
+    static Allowances allowancesOf(const QuotaShardRecord& record);
+
+    Allowances _inForce;
+    std::optional<Allowances> _beingWritten;
+    /** The smallest of all versions that may still be written late. */
+    std::optional<Allowances> _doubtful;
+};
+
+/** @return what the record is to say of all tenants of the shard. */
+std::map<TenantName, RecordedQuota> recordedQuotas(const ShardContext& context,
+                                                   ShardLedgers& ledgers, TimePoint now);
+
+}  // namespace coralhoist::tenancy
--- a/src/tenancy/ShardLeader.cpp
+++ b/src/tenancy/ShardLeader.cpp
@@ -30,11 +30,8 @@
 constexpr Duration kLongestRetry = std::chrono::seconds(1);
 /** A tenant of which more than this part of its bound counts uses most of its quota. */
 constexpr double kScarceAbove = 0.75;
-/** A ceiling is at least this part of what its tenant's bound leaves. */
-constexpr double kLeastCeiling = 0.5;
-/** A ceiling leaves room above what counted lately; it is raised when a part of that is needed. */
-constexpr double kRoomAbovePeak = 1.25;
-constexpr double kRaiseAbove = 0.9;
+/** The record is written anew when a tenant has so small a part of its allowance left. */
+constexpr double kAllowanceLow = 0.3;
 
 }  // namespace
 
@@ -52,7 +49,7 @@
       _term(_record.version),
       _leaseUntil(leaseUntil),
       _ledgers(std::move(ledgers)),
-      _ceilings(_record.ceilings),
+      _allowances(_record),
       _savedAt(leaseUntil - kShardLease),
       _askedAt(context.clock.now()) {}
 
@@ -64,20 +61,12 @@
     return _ledgers.try_emplace(tenant, _context.terms.window).first->second;
 }
 
-std::uint32_t ShardLeader::ceilingOf(const TenantName& tenant) const {
-    const auto found = _ceilings.find(tenant);
-    return found == _ceilings.end() ? 0 : found->second;
-}
-
-bool ShardLeader::isBelowBound(const Tenant& tenant) const {
-    return ceilingOf(tenant.name) < _context.terms.bound(tenant.quota);
-}
-
 void ShardLeader::ask(const QuotaQuestion& question, QuotaReply reply) {
     const TimePoint now = _context.clock.now();
     _askedAt = now;
     for (const BatchSettlement& settlement : question.settled) {
-        ledgerOf(question.tenant).settle(settlement, now);
+        const std::uint32_t unused = ledgerOf(question.tenant).settle(settlement, now);
+        _pacers[question.tenant].giveBack(unused);
     }
     HeldQuestion held{question, std::move(reply), now};
     if (mayGrant(now)) {
@@ -99,13 +88,20 @@
     _held.push_back(std::move(held));
 }
 
-/** @return units that bound and ceiling leave. */
+/** @return units that bound and allowance leave. */
 std::uint32_t ShardLeader::grantable(const Tenant& tenant, std::uint32_t wanted, TimePoint now) {
+    const std::uint32_t bound = _context.terms.bound(tenant.quota);
     const std::uint32_t counted = ledgerOf(tenant.name).counted(now);
-    noteNeed(tenant, counted + wanted);
-    const std::uint32_t limit =
-        std::min(_context.terms.bound(tenant.quota), ceilingOf(tenant.name));
-    return std::min(wanted, limit - std::min(limit, counted));
+    const std::uint32_t free = bound - std::min(bound, counted);
+    const std::uint32_t left = _allowances.left(tenant.name);
+    const std::uint32_t allowed = _record.tenants[tenant.name].allowance;
+    _needsAllowance = _needsAllowance || (free > 0 && left <= allowed * kAllowanceLow);
+    return std::min({wanted, free, left});
+}
+
+/** @return units that are granted now, so that a flood is spread over time. */
+std::uint32_t ShardLeader::paced(const Tenant& tenant, std::uint32_t units, TimePoint now) {
+    return std::min(units, _pacers[tenant.name].available(_context.terms, tenant.quota, now));
 }
 
 void ShardLeader::answer(HeldQuestion held, TimePoint now) {
@@ -116,11 +112,12 @@
         held.reply(declinedAnswer(kRetryAfterHeld));
         return;
     }
-    const std::uint32_t units = grantable(*tenant, question.wanted, now);
-    if (units == 0 && question.wanted > 0 && isLimitedByCeiling(*tenant, now)) {
+    const std::uint32_t allowed = grantable(*tenant, question.wanted, now);
+    if (allowed == 0 && question.wanted > 0 && isLimitedByAllowance(*tenant, now)) {
         hold(std::move(held));
         return;
     }
+    const std::uint32_t units = paced(*tenant, allowed, now);
     const QuotaAnswer granted = grant(*tenant, question, units, now);
     ++_context.statistics.granted;
     if (units == 0 || _standbyState == StandbyState::None) {
@@ -138,9 +135,9 @@
     }
 }
 
-/** @return whether the tenant's bound leaves more units than its ceiling. */
-bool ShardLeader::isLimitedByCeiling(const Tenant& tenant, TimePoint now) {
-    return isBelowBound(tenant) &&
+/** @return whether the tenant's bound leaves units, but the record's allowance does not. */
+bool ShardLeader::isLimitedByAllowance(const Tenant& tenant, TimePoint now) {
+    return _allowances.left(tenant.name) == 0 &&
            ledgerOf(tenant.name).counted(now) < _context.terms.bound(tenant.quota);
 }
 
@@ -153,12 +150,20 @@
     if (units > 0) {
         answer.batch = {_term, ++_lastBatch};
         ledger.add(answer.batch, units, now + std::min(question.usableFor, kLongestQuotaLease));
+        _allowances.take(tenant.name, units);
+        _pacers[tenant.name].take(units);
     }
     answer.scarce = ledger.counted(now) > kScarceAbove * _context.terms.bound(tenant.quota);
-    // The ceiling is being raised, so the rest may be had at once.
-    if (units < question.wanted && !isLimitedByCeiling(tenant, now)) {
-        answer.retryAfter =
-            std::min(ledger.untilFreed(question.wanted - units, now), kLongestRetry);
+    const std::uint32_t missing = question.wanted - units;
+    // While the record is written for a new allowance, the rest may be had at once.
+    if (missing > 0 && !isLimitedByAllowance(tenant, now)) {
+        const Duration paced = _pacers[tenant.name].untilAvailable(missing);
+        const std::uint32_t free =
+            _context.terms.bound(tenant.quota) -
+            std::min(_context.terms.bound(tenant.quota), ledger.counted(now));
+        const Duration freed =
+            missing > free ? ledger.untilFreed(missing - free, now) : Duration(0);
+        answer.retryAfter = std::min(std::max(paced, freed), kLongestRetry);
     }
     return answer;
 }
@@ -182,34 +187,6 @@
     }
 }
 
-void ShardLeader::noteNeed(const Tenant& tenant, std::uint32_t units) {
-    std::uint32_t& peak = _peaks[tenant.name];
-    peak = std::max(peak, units);
-    if (units > kRaiseAbove * ceilingOf(tenant.name) && isBelowBound(tenant)) {
-        _needsRaise = true;
-    }
-}
-
-/** @return ceilings for all tenants of the shard: never below what counts now. */
-std::map<TenantName, std::uint32_t> ShardLeader::wantedCeilings(TimePoint now) {
-    std::map<TenantName, std::uint32_t> ceilings;
-    for (const auto& [name, tenant] : _context.tenants().all()) {
-        if (quotaShardOf(name) != _context.shard) {
-            continue;
-        }
-        const std::uint32_t peak = std::max(_peaks[name], _formerPeaks[name]);
-        const double bound = _context.terms.bound(tenant.quota);
-        const double room = std::clamp(peak * kRoomAbovePeak, bound * kLeastCeiling, bound);
-        ceilings[name] = static_cast<std::uint32_t>(std::ceil(room));
-    }
-    for (auto& [name, ledger] : _ledgers) {
-        if (const std::uint32_t counted = ledger.counted(now); counted > 0) {
-            ceilings[name] = std::max(ceilings[name], counted);
-        }
-    }
-    return ceilings;
-}
-
 void ShardLeader::chooseStandby(TimePoint now) {
     _nextStandby = now + kStandbyRetry;
     std::erase_if(_failedStandbys,
@@ -308,7 +285,7 @@
     const bool joins = _standbyState == StandbyState::Copying && _standby.exists();
     const bool renews =
         now - _savedAt >= kRenewEvery && (now - _askedAt < kIdleAfter || !_held.empty());
-    return _mustReload || joins || renews || _needsRaise ||
+    return _mustReload || joins || renews || _needsAllowance ||
            _standbyState == StandbyState::Leaving || _standbyState == StandbyState::Joining;
 }
 
@@ -325,15 +302,10 @@
         _standbyState == StandbyState::Joining || _standbyState == StandbyState::InSync
             ? _standby
             : NodeLife{};
-    attempted.ceilings = wantedCeilings(now);
+    attempted.tenants = recordedQuotas(_context, _ledgers, now);
     ++attempted.renewals;
-    // Whichever of the two versions turns out to be the newest, its ceilings hold.
-    for (auto& [tenant, ceiling] : _ceilings) {
-        const auto lower = attempted.ceilings.find(tenant);
-        ceiling = std::min(ceiling, lower == attempted.ceilings.end() ? 0 : lower->second);
-    }
-    _formerPeaks = std::exchange(_peaks, {});
-    _needsRaise = false;
+    _allowances.onSaving(attempted);
+    _needsAllowance = false;
     _calling = true;
     _context.store.save(
         _context.shard, attempted,
@@ -352,6 +324,7 @@
     }
     const TimePoint now = _context.clock.now();
     _savesFail = saved.outcome != StoreOutcome::Done;
+    _allowances.onSaved(saved.outcome);
     if (saved.outcome == StoreOutcome::Done) {
         QuotaShardRecord record = attempted;
         record.version = saved.version;
@@ -368,7 +341,6 @@
     _record = record;
     _savedAt = sentAt;
     _leaseUntil = sentAt + kShardLease;
-    _ceilings = record.ceilings;
     if (_standbyState == StandbyState::Joining && record.standby == _standby) {
         _standbyState = StandbyState::InSync;
         LogEvent("tenancy", LogLevel::Info, "quota.standby_joined")
@@ -437,10 +409,10 @@
         QuotaShardRecord released = _record;
         released.leader = {};
         released.standby = {};
-        released.ceilings.clear();
+        released.tenants.clear();
         for (auto& [name, ledger] : _ledgers) {
-            if (const std::uint32_t counted = ledger.counted(now); counted > 0) {
-                released.ceilings[name] = counted;
+            if (ledger.counted(now) > 0) {
+                released.tenants[name] = ledger.recorded(now);
             }
         }
         ++released.renewals;
@@ -497,7 +469,7 @@
     if (renews) {
         next = std::min(next, std::max(_savedAt + kRenewEvery, _notBefore));
     }
-    if (_mustReload || _needsRaise || _standbyState == StandbyState::Leaving ||
+    if (_mustReload || _needsAllowance || _standbyState == StandbyState::Leaving ||
         _standbyState == StandbyState::Joining) {
         next = std::min(next, _notBefore);
     }
--- a/src/tenancy/ShardLeader.h
+++ b/src/tenancy/ShardLeader.h
@@ -11,7 +11,9 @@
 #include <utility>
 
 #include "tenancy/QuotaLedger.h"
+#include "tenancy/RecordAllowances.h"
 #include "tenancy/ShardContext.h"
+#include "tenancy/UnitPacer.h"
 
 namespace coralhoist::tenancy {
 
@@ -73,11 +75,8 @@
     void answerHeld(TimePoint now);
     void declineOverdue(TimePoint now);
 
-    std::uint32_t ceilingOf(const TenantName& tenant) const;
-    bool isBelowBound(const Tenant& tenant) const;
-    bool isLimitedByCeiling(const Tenant& tenant, TimePoint now);
-    void noteNeed(const Tenant& tenant, std::uint32_t units);
-    std::map<TenantName, std::uint32_t> wantedCeilings(TimePoint now);
+    bool isLimitedByAllowance(const Tenant& tenant, TimePoint now);
+    std::uint32_t paced(const Tenant& tenant, std::uint32_t units, TimePoint now);
 
     void chooseStandby(TimePoint now);
     void sendUpdate(LedgerUpdate update, std::optional<UnacknowledgedGrant> grant);
@@ -101,12 +100,10 @@
     std::uint64_t _lastBatch = 0;
     bool _ended = false;
 
-    /** The lowest ceilings of all versions that may be the newest. */
-    std::map<TenantName, std::uint32_t> _ceilings;
-    /** The most units that counted or were wanted since the last save, and before it. */
-    std::map<TenantName, std::uint32_t> _peaks;
-    std::map<TenantName, std::uint32_t> _formerPeaks;
-    bool _needsRaise = false;
+    std::map<TenantName, UnitPacer> _pacers;
+    RecordAllowances _allowances;
+    /** A tenant has used up most of its allowance. */
+    bool _needsAllowance = false;
 
     StandbyState _standbyState = StandbyState::None;
     NodeLife _standby;
--- /dev/null
+++ b/src/tenancy/UnitPacer.cpp
@@ -0,0 +1,35 @@
+#include "tenancy/UnitPacer.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace coralhoist::tenancy {
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+
+/** Part of a quota's burst, and of the slack, that may be granted at once at least. */
+constexpr double kBurstAtOnce = 0.5;
+constexpr double kSlackAtOnce = 0.5;
+/** Tokens a second at least, for quotas of 0. */
+constexpr double kLeastRate = 1e-3;
+
+}  // namespace
+
+std::uint32_t UnitPacer::available(const QuotaTerms& terms, const TenantQuota& quota,
+                                   TimePoint now) {
+    const double capacity = std::max({1.0, quota.burst * kBurstAtOnce, terms.slack * kSlackAtOnce});
+    const double rest = terms.bound(quota) - capacity;
+    _rate = std::max(rest / Seconds(terms.window + terms.lease()).count(), kLeastRate);
+    const double filled = Seconds(now - _filledAt).count() * _rate;
+    _tokens = std::min(_tokens + filled, capacity);
+    _filledAt = now;
+    return static_cast<std::uint32_t>(std::max(0.0, std::floor(_tokens)));
+}
+
+Duration UnitPacer::untilAvailable(std::uint32_t units) const {
+    const double missing = std::max(0.0, units - _tokens);
+    return std::chrono::duration_cast<Duration>(Seconds(missing / _rate));
+}
+
+}  // namespace coralhoist::tenancy
