A standby leads when neither it nor an asking node hears from the leader, or when the leader can't write the record

Change: a question says that the leader did not answer it; answers name the standby; updates offer the lead after 3 s without a renewal. Now updates are counted and none may lack, and a standby is named once it has acknowledged all that was answered before.

--- a/gen/unit.thrift
+++ b/gen/unit.thrift
@@ -129,6 +129,7 @@
   4: required i64 usableForUs        // from the moment of asking
   5: required i32 hops
   6: optional list<QuotaSettlement> settled
+  7: required bool leaderSilent      // the leader did not answer
 }
 
 struct QuotaReply {
@@ -140,6 +141,7 @@
   6: required i64 term               // names the batch that was granted, with the next
   7: required i64 number
   8: required string leader
+  9: required string standby
 }
 
 // A batch of units that a standby counts.
@@ -160,6 +162,8 @@
   5: required bool whole             // the copy begins anew
   6: required bool released          // the leader grants no more
   7: required list<LedgerBatch> batches
+  8: required bool offered           // the leader can't write the record
+  9: required i64 sequence           // counts the updates of a copy
 }
 
 struct LedgerUpdateReply {
--- a/gen/unit_types.cpp
+++ b/gen/unit_types.cpp
@@ -2974,6 +2974,10 @@
   this->settled = val;
 __isset.settled = true;
 }
+
+void QuotaRequest::__set_leaderSilent(const bool val) {
+  this->leaderSilent = val;
+}
 std::ostream& operator<<(std::ostream& out, const QuotaRequest& obj)
 {
   obj.printTo(out);
@@ -2998,6 +3002,7 @@
   bool isset_wanted = false;
   bool isset_usableForUs = false;
   bool isset_hops = false;
+  bool isset_leaderSilent = false;
 
   while (true)
   {
@@ -3067,6 +3072,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->leaderSilent);
+          isset_leaderSilent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3086,6 +3099,8 @@
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_hops)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_leaderSilent)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
@@ -3127,6 +3142,10 @@
     }
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("leaderSilent", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->leaderSilent);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3140,6 +3159,7 @@
   swap(a.usableForUs, b.usableForUs);
   swap(a.hops, b.hops);
   swap(a.settled, b.settled);
+  swap(a.leaderSilent, b.leaderSilent);
   swap(a.__isset, b.__isset);
 }
 
@@ -3150,6 +3170,7 @@
   usableForUs = other108.usableForUs;
   hops = other108.hops;
   settled = other108.settled;
+  leaderSilent = other108.leaderSilent;
   __isset = other108.__isset;
 }
 QuotaRequest::QuotaRequest(QuotaRequest&& other109) noexcept {
@@ -3159,6 +3180,7 @@
   usableForUs = other109.usableForUs;
   hops = other109.hops;
   settled = std::move(other109.settled);
+  leaderSilent = other109.leaderSilent;
   __isset = other109.__isset;
 }
 QuotaRequest& QuotaRequest::operator=(const QuotaRequest& other110) {
@@ -3168,6 +3190,7 @@
   usableForUs = other110.usableForUs;
   hops = other110.hops;
   settled = other110.settled;
+  leaderSilent = other110.leaderSilent;
   __isset = other110.__isset;
   return *this;
 }
@@ -3178,6 +3201,7 @@
   usableForUs = other111.usableForUs;
   hops = other111.hops;
   settled = std::move(other111.settled);
+  leaderSilent = other111.leaderSilent;
   __isset = other111.__isset;
   return *this;
 }
@@ -3190,6 +3214,7 @@
   out << ", " << "usableForUs=" << to_string(usableForUs);
   out << ", " << "hops=" << to_string(hops);
   out << ", " << "settled="; (__isset.settled ? (out << to_string(settled)) : (out << "<null>"));
+  out << ", " << "leaderSilent=" << to_string(leaderSilent);
   out << ")";
 }
 
@@ -3229,6 +3254,10 @@
 void QuotaReply::__set_leader(const std::string& val) {
   this->leader = val;
 }
+
+void QuotaReply::__set_standby(const std::string& val) {
+  this->standby = val;
+}
 std::ostream& operator<<(std::ostream& out, const QuotaReply& obj)
 {
   obj.printTo(out);
@@ -3256,6 +3285,7 @@
   bool isset_term = false;
   bool isset_number = false;
   bool isset_leader = false;
+  bool isset_standby = false;
 
   while (true)
   {
@@ -3329,6 +3359,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->standby);
+          isset_standby = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3354,6 +3392,8 @@
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_leader)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_standby)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
@@ -3394,6 +3434,10 @@
   xfer += oprot->writeString(this->leader);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("standby", ::apache::thrift::protocol::T_STRING, 9);
+  xfer += oprot->writeString(this->standby);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3409,6 +3453,7 @@
   swap(a.term, b.term);
   swap(a.number, b.number);
   swap(a.leader, b.leader);
+  swap(a.standby, b.standby);
 }
 
 QuotaReply::QuotaReply(const QuotaReply& other112) {
@@ -3420,6 +3465,7 @@
   term = other112.term;
   number = other112.number;
   leader = other112.leader;
+  standby = other112.standby;
 }
 QuotaReply::QuotaReply(QuotaReply&& other113) noexcept {
   question = other113.question;
@@ -3430,6 +3476,7 @@
   term = other113.term;
   number = other113.number;
   leader = std::move(other113.leader);
+  standby = std::move(other113.standby);
 }
 QuotaReply& QuotaReply::operator=(const QuotaReply& other114) {
   question = other114.question;
@@ -3440,6 +3487,7 @@
   term = other114.term;
   number = other114.number;
   leader = other114.leader;
+  standby = other114.standby;
   return *this;
 }
 QuotaReply& QuotaReply::operator=(QuotaReply&& other115) noexcept {
@@ -3451,6 +3499,7 @@
   term = other115.term;
   number = other115.number;
   leader = std::move(other115.leader);
+  standby = std::move(other115.standby);
   return *this;
 }
 void QuotaReply::printTo(std::ostream& out) const {
@@ -3464,6 +3513,7 @@
   out << ", " << "term=" << to_string(term);
   out << ", " << "number=" << to_string(number);
   out << ", " << "leader=" << to_string(leader);
+  out << ", " << "standby=" << to_string(standby);
   out << ")";
 }
 
@@ -3698,6 +3748,14 @@
 void LedgerUpdateRequest::__set_batches(const std::vector<LedgerBatch> & val) {
   this->batches = val;
 }
+
+void LedgerUpdateRequest::__set_offered(const bool val) {
+  this->offered = val;
+}
+
+void LedgerUpdateRequest::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
 std::ostream& operator<<(std::ostream& out, const LedgerUpdateRequest& obj)
 {
   obj.printTo(out);
@@ -3724,6 +3782,8 @@
   bool isset_whole = false;
   bool isset_released = false;
   bool isset_batches = false;
+  bool isset_offered = false;
+  bool isset_sequence = false;
 
   while (true)
   {
@@ -3801,6 +3861,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->offered);
+          isset_offered = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          isset_sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3824,6 +3900,10 @@
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_batches)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_offered)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_sequence)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
@@ -3868,6 +3948,14 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("offered", ::apache::thrift::protocol::T_BOOL, 8);
+  xfer += oprot->writeBool(this->offered);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3882,6 +3970,8 @@
   swap(a.whole, b.whole);
   swap(a.released, b.released);
   swap(a.batches, b.batches);
+  swap(a.offered, b.offered);
+  swap(a.sequence, b.sequence);
 }
 
 LedgerUpdateRequest::LedgerUpdateRequest(const LedgerUpdateRequest& other126) {
@@ -3892,6 +3982,8 @@
   whole = other126.whole;
   released = other126.released;
   batches = other126.batches;
+  offered = other126.offered;
+  sequence = other126.sequence;
 }
 LedgerUpdateRequest::LedgerUpdateRequest(LedgerUpdateRequest&& other127) noexcept {
   question = other127.question;
@@ -3901,6 +3993,8 @@
   whole = other127.whole;
   released = other127.released;
   batches = std::move(other127.batches);
+  offered = other127.offered;
+  sequence = other127.sequence;
 }
 LedgerUpdateRequest& LedgerUpdateRequest::operator=(const LedgerUpdateRequest& other128) {
   question = other128.question;
@@ -3910,6 +4004,8 @@
   whole = other128.whole;
   released = other128.released;
   batches = other128.batches;
+  offered = other128.offered;
+  sequence = other128.sequence;
   return *this;
 }
 LedgerUpdateRequest& LedgerUpdateRequest::operator=(LedgerUpdateRequest&& other129) noexcept {
@@ -3920,6 +4016,8 @@
   whole = other129.whole;
   released = other129.released;
   batches = std::move(other129.batches);
+  offered = other129.offered;
+  sequence = other129.sequence;
   return *this;
 }
 void LedgerUpdateRequest::printTo(std::ostream& out) const {
@@ -3932,6 +4030,8 @@
   out << ", " << "whole=" << to_string(whole);
   out << ", " << "released=" << to_string(released);
   out << ", " << "batches=" << to_string(batches);
+  out << ", " << "offered=" << to_string(offered);
+  out << ", " << "sequence=" << to_string(sequence);
   out << ")";
 }
 
--- a/gen/unit_types.h
+++ b/gen/unit_types.h
@@ -1049,7 +1049,8 @@
                  tenantName(),
                  wanted(0),
                  usableForUs(0),
-                 hops(0) {
+                 hops(0),
+                 leaderSilent(0) {
   }
 
   virtual ~QuotaRequest() noexcept;
@@ -1059,6 +1060,7 @@
   int64_t usableForUs;
   int32_t hops;
   std::vector<QuotaSettlement>  settled;
+  bool leaderSilent;
 
   _QuotaRequest__isset __isset;
 
@@ -1074,6 +1076,8 @@
 
   void __set_settled(const std::vector<QuotaSettlement> & val);
 
+  void __set_leaderSilent(const bool val);
+
   bool operator == (const QuotaRequest & rhs) const
   {
     if (!(question == rhs.question))
@@ -1090,6 +1094,8 @@
       return false;
     else if (__isset.settled && !(settled == rhs.settled))
       return false;
+    if (!(leaderSilent == rhs.leaderSilent))
+      return false;
     return true;
   }
   bool operator != (const QuotaRequest &rhs) const {
@@ -1124,7 +1130,8 @@
                scarce(0),
                term(0),
                number(0),
-               leader() {
+               leader(),
+               standby() {
   }
 
   virtual ~QuotaReply() noexcept;
@@ -1136,6 +1143,7 @@
   int64_t term;
   int64_t number;
   std::string leader;
+  std::string standby;
 
   void __set_question(const int64_t val);
 
@@ -1153,6 +1161,8 @@
 
   void __set_leader(const std::string& val);
 
+  void __set_standby(const std::string& val);
+
   bool operator == (const QuotaReply & rhs) const
   {
     if (!(question == rhs.question))
@@ -1171,6 +1181,8 @@
       return false;
     if (!(leader == rhs.leader))
       return false;
+    if (!(standby == rhs.standby))
+      return false;
     return true;
   }
   bool operator != (const QuotaReply &rhs) const {
@@ -1266,7 +1278,9 @@
                         leaderLife(),
                         copy(0),
                         whole(0),
-                        released(0) {
+                        released(0),
+                        offered(0),
+                        sequence(0) {
   }
 
   virtual ~LedgerUpdateRequest() noexcept;
@@ -1277,6 +1291,8 @@
   bool whole;
   bool released;
   std::vector<LedgerBatch>  batches;
+  bool offered;
+  int64_t sequence;
 
   void __set_question(const int64_t val);
 
@@ -1292,6 +1308,10 @@
 
   void __set_batches(const std::vector<LedgerBatch> & val);
 
+  void __set_offered(const bool val);
+
+  void __set_sequence(const int64_t val);
+
   bool operator == (const LedgerUpdateRequest & rhs) const
   {
     if (!(question == rhs.question))
@@ -1308,6 +1328,10 @@
       return false;
     if (!(batches == rhs.batches))
       return false;
+    if (!(offered == rhs.offered))
+      return false;
+    if (!(sequence == rhs.sequence))
+      return false;
     return true;
   }
   bool operator != (const LedgerUpdateRequest &rhs) const {
--- a/src/link/forwarding/QuestionCodec.cpp
+++ b/src/link/forwarding/QuestionCodec.cpp
@@ -217,6 +217,7 @@
     record.wanted = static_cast<std::int32_t>(question.wanted);
     record.usableForUs = roundedUp(question.usableFor);
     record.hops = static_cast<std::int32_t>(question.hops);
+    record.leaderSilent = question.leaderSilent;
     for (const tenancy::BatchSettlement& settlement : question.settled) {
         gen::QuotaSettlement entry;
         entry.term = static_cast<std::int64_t>(settlement.batch.term);
@@ -242,6 +243,7 @@
     question.wanted = static_cast<std::uint32_t>(record.wanted);
     question.usableFor = microseconds(record.usableForUs);
     question.hops = static_cast<std::uint32_t>(record.hops);
+    question.leaderSilent = record.leaderSilent;
     for (const gen::QuotaSettlement& entry : record.settled) {
         if (entry.used < 0 || entry.lastUseAgeUs < 0) {
             return std::nullopt;
@@ -263,6 +265,7 @@
     record.term = static_cast<std::int64_t>(answer.batch.term);
     record.number = static_cast<std::int64_t>(answer.batch.number);
     record.leader = answer.leader.value();
+    record.standby = answer.standby.value();
     return record;
 }
 
@@ -278,7 +281,8 @@
                            static_cast<std::uint32_t>(record.granted),
                            microseconds(record.retryAfterUs),
                            record.scarce,
-                           NodeName(record.leader)};
+                           NodeName(record.leader),
+                           NodeName(record.standby)};
     return message;
 }
 
@@ -289,8 +293,10 @@
     record.shard = static_cast<std::int32_t>(update.shard);
     record.leaderLife = update.leaderLife;
     record.copy = static_cast<std::int64_t>(update.copy);
+    record.sequence = static_cast<std::int64_t>(update.sequence);
     record.whole = update.whole;
     record.released = update.released;
+    record.offered = update.offered;
     for (const tenancy::CopiedBatch& batch : update.batches) {
         gen::LedgerBatch entry;
         entry.tenantName = batch.tenant.value();
@@ -316,8 +322,10 @@
     update.shard = static_cast<std::uint32_t>(record.shard);
     update.leaderLife = record.leaderLife;
     update.copy = static_cast<std::uint64_t>(record.copy);
+    update.sequence = static_cast<std::uint64_t>(record.sequence);
     update.whole = record.whole;
     update.released = record.released;
+    update.offered = record.offered;
     for (const gen::LedgerBatch& entry : record.batches) {
         if (entry.units < 0) {
             return std::nullopt;
--- a/src/tenancy/LedgerCopy.cpp
+++ b/src/tenancy/LedgerCopy.cpp
@@ -11,12 +11,17 @@
     if (update.whole && isNewer) {
         _leaderLife = update.leaderLife;
         _copy = update.copy;
+        _sequence = update.sequence - 1;
         _released = false;
         _ledgers.clear();
     }
-    if (!isOf(update.leaderLife) || _copy != update.copy) {
+    const bool isNext = _copy == update.copy && update.sequence == _sequence + 1;
+    if (!isOf(update.leaderLife) || !isNext) {
         return false;
     }
+    _sequence = update.sequence;
+    _heardAt = now;
+    _offered = update.offered;
     _released = _released || update.released;
     for (const CopiedBatch& batch : update.batches) {
         QuotaLedger& ledger = _ledgers.try_emplace(batch.tenant, window).first->second;
--- a/src/tenancy/LedgerCopy.h
+++ b/src/tenancy/LedgerCopy.h
@@ -16,7 +16,7 @@
  */
 class LedgerCopy {
 public:
-    /** @return whether the copy holds the update's batches now. */
+    /** @return whether the copy holds the update's batches now, and those of all before it. */
     bool take(const LedgerUpdate& update, Duration window, TimePoint now);
 
     /** From now on no batch of this copy is acknowledged, so that it lacks none that was answered.
@@ -33,6 +33,12 @@
 
     /** @return whether the leader has stopped as planned. */
     bool isReleased() const { return _released; }
+
+    /** @return whether the leader wants the standby to lead. */
+    bool isOffered() const { return _released || _offered; }
+
+    /** @return when the leader was heard last. */
+    TimePoint heardAt() const { return _heardAt; }
     bool isSealed() const { return _sealed; }
 
     const ShardLedgers& ledgers() const { return _ledgers; }
@@ -40,8 +46,12 @@
 private:
     std::string _leaderLife;
     std::uint64_t _copy = 0;
+    /** Of the newest update. */
+    std::uint64_t _sequence = 0;
     bool _sealed = false;
     bool _released = false;
+    bool _offered = false;
+    TimePoint _heardAt{};
     ShardLedgers _ledgers;
 };
 
--- a/src/tenancy/QuotaExchange.cpp
+++ b/src/tenancy/QuotaExchange.cpp
@@ -77,7 +77,7 @@
     if (!entry) {
         entry = std::make_unique<QuotaShard>(ShardContext{
             shard, _dependencies.self, _startedAt, _terms, _dependencies.clock, _calls,
-            _dependencies.store, _statistics,
+            _dependencies.store, _statistics, _lastCopy,
             [this]() -> const TenantDirectory& { return *_tenants; },
             [this, shard]() -> const std::vector<pooling::ProxyNode>& { return peersOf(shard); },
             _dependencies.zone});
@@ -104,6 +104,7 @@
     question.tenant = tenant;
     question.wanted = wanted;
     question.usableFor = usableFor(account);
+    question.leaderSilent = !_leaders.contains(quotaShardOf(tenant));
     question.settled = account.lease.settlements(now);
     _statistics.unused += account.lease.takeUnused();
     _sending = true;
@@ -124,13 +125,15 @@
 std::optional<NodeName> QuotaExchange::remoteTarget(std::uint32_t shard, TimePoint now) {
     std::erase_if(_unhelpful,
                   [now](const auto& entry) { return now - entry.second >= kUnhelpfulFor; });
-    const auto known = _leaders.find(shard);
-    if (known != _leaders.end() && _calls.canReach(known->second)) {
-        return known->second;
+    for (const auto* names : {&_leaders, &_standbys}) {
+        const auto known = names->find(shard);
+        if (known != names->end() && isUsable(known->second)) {
+            return known->second;
+        }
     }
     std::vector<NodeName> names{_dependencies.self.node};
     for (const pooling::ProxyNode& node : _nodes) {
-        if (_calls.canReach(node.name) && !_unhelpful.contains(node.name)) {
+        if (isUsable(node.name)) {
             names.push_back(node.name);
         }
     }
@@ -138,6 +141,17 @@
     return first == _dependencies.self.node ? std::nullopt : std::optional<NodeName>(first);
 }
 
+bool QuotaExchange::isUsable(const NodeName& node) const {
+    return node != _dependencies.self.node && _calls.canReach(node) && !_unhelpful.contains(node);
+}
+
+/** The leader has not answered in time: its standby is asked next, if there is one. */
+void QuotaExchange::noteSilence(std::uint32_t shard, TimePoint now) {
+    if (const auto leader = _leaders.extract(shard)) {
+        _unhelpful[leader.mapped()] = now;
+    }
+}
+
 void QuotaExchange::send(std::uint32_t shard, const QuotaQuestion& question, QuotaReply reply) {
     const auto own = _shards.find(shard);
     const bool leads = own != _shards.end() && own->second->leads();
@@ -148,7 +162,7 @@
         return;
     }
     _calls.ask(*target, question,
-               [this, alive = std::weak_ptr<bool>(_alive), node = *target,
+               [this, alive = std::weak_ptr<bool>(_alive), shard, node = *target,
                 reply = std::move(reply)](const std::optional<QuotaAnswer>& answer) {
                    if (alive.expired()) {
                        return;
@@ -156,6 +170,7 @@
                    const QuotaAnswer taken = answer.value_or(declinedAnswer(Duration(0)));
                    if (taken.declined && taken.retryAfter == Duration(0)) {
                        _unhelpful[node] = _dependencies.clock.now();
+                       _leaders.erase(shard);
                    }
                    reply(taken);
                });
@@ -173,10 +188,16 @@
     if (answer.declined) {
         _leaders.erase(shard);
         if (answer.retryAfter > Duration(0)) {
+            _standbys.erase(shard);
             account.unansweredSince.reset();
         }
     } else {
         _leaders[shard] = answer.leader;
+        if (answer.standby.value().empty()) {
+            _standbys.erase(shard);
+        } else {
+            _standbys[shard] = answer.standby;
+        }
         account.unansweredSince.reset();
         account.answerTime = now - asked.at;
         account.lease.forget(question.settled);
@@ -203,6 +224,7 @@
     if (account.asked && now - account.asked->at >= kAnswerPatience) {
         account.asked.reset();
         account.notBefore = now;
+        noteSilence(quotaShardOf(tenant), now);
     }
     const Duration span = std::chrono::duration_cast<Duration>(usableFor(account) * kAskedAhead);
     const std::uint32_t ahead = account.scarce ? 0 : account.lease.unitsAhead(span, now);
--- a/src/tenancy/QuotaExchange.h
+++ b/src/tenancy/QuotaExchange.h
@@ -99,6 +99,8 @@
     Duration usableFor(const Account& account) const;
     void ask(const TenantName& tenant, Account& account, std::uint32_t wanted, TimePoint now);
     std::optional<NodeName> remoteTarget(std::uint32_t shard, TimePoint now);
+    bool isUsable(const NodeName& node) const;
+    void noteSilence(std::uint32_t shard, TimePoint now);
     void send(std::uint32_t shard, const QuotaQuestion& question, QuotaReply reply);
     void onAnswer(const TenantName& tenant, const Asked& asked, const QuotaQuestion& question,
                   const QuotaAnswer& answer);
@@ -115,12 +117,14 @@
     std::vector<pooling::ProxyNode> _nodes;
     std::map<std::uint32_t, std::vector<pooling::ProxyNode>> _peers;
     std::map<std::uint32_t, std::unique_ptr<QuotaShard>> _shards;
-    /** Leaders that answered last. */
+    /** Leaders that answered last, and their standbys. */
     std::map<std::uint32_t, NodeName> _leaders;
+    std::map<std::uint32_t, NodeName> _standbys;
     /** Nodes that could not help lately, and when they said so. */
     std::map<NodeName, TimePoint> _unhelpful;
     std::map<TenantName, Account> _accounts;
     std::uint64_t _lastQuestion = 0;
+    std::uint64_t _lastCopy = 0;
     bool _leaving = false;
     /** A question is being sent: its answer may come at once. */
     bool _sending = false;
--- a/src/tenancy/QuotaMessages.h
+++ b/src/tenancy/QuotaMessages.h
@@ -41,6 +41,8 @@
     Duration usableFor{0};
     /** Nodes that handed the question on. */
     std::uint32_t hops = 0;
+    /** The leader did not answer it: a standby that does not hear from it either may lead. */
+    bool leaderSilent = false;
     std::vector<BatchSettlement> settled;
 
     bool operator==(const QuotaQuestion&) const = default;
@@ -56,8 +58,9 @@
     Duration retryAfter{0};
     /** The tenant uses most of what it may. */
     bool scarce = false;
-    /** The leader that granted; empty when declined. */
+    /** The leader that granted, and its standby; empty when declined or there is none. */
     NodeName leader;
+    NodeName standby;
 
     bool operator==(const QuotaAnswer&) const = default;
 };
@@ -80,10 +83,14 @@
     /** Life of the leader, and which of its copies this is. */
     std::string leaderLife;
     std::uint64_t copy = 0;
+    /** Counts the updates of a copy from 1 on: none may lack. */
+    std::uint64_t sequence = 0;
     /** The batches are all that count; the copy begins anew. */
     bool whole = false;
     /** The leader grants no more: the standby may lead. */
     bool released = false;
+    /** The leader can't write the record: the standby may lead if it can. */
+    bool offered = false;
     std::vector<CopiedBatch> batches;
 
     bool operator==(const LedgerUpdate&) const = default;
--- a/src/tenancy/QuotaShard.cpp
+++ b/src/tenancy/QuotaShard.cpp
@@ -19,6 +19,9 @@
 constexpr std::size_t kMostHeld = 512;
 /** Asking node, a node that knows the record, the standby, the leader. */
 constexpr std::uint32_t kMostHops = 2;
+/** A standby that has had no update for so long while questions came to it for want of an answer
+ * leads: each grant is an update. A wrong guess costs two calls of the store. */
+constexpr Duration kLeaderSilence = milliseconds(150);
 /** A leader that declined a question may have lost its lease: it can't reach the store. */
 constexpr Duration kDeclinedCounts = std::chrono::seconds(1);
 constexpr Duration kLongestRetry = std::chrono::seconds(1);
@@ -52,9 +55,16 @@
     return std::nullopt;
 }
 
+/** @return whether neither the asking node nor this one, the standby, hears from the leader. */
+bool QuotaShard::isSilentToStandby(const HeldQuestion& held, TimePoint now) const {
+    return held.question.leaderSilent && _known && _copy.isOf(_known->record.leader.life) &&
+           now - _copy.heardAt() >= kLeaderSilence;
+}
+
 void QuotaShard::relayOrSeek(HeldQuestion held, TimePoint now) {
     const std::optional<NodeName> target = relayTarget();
-    if (target && held.question.hops < kMostHops && !_copy.isReleased()) {
+    const bool mayHandOn = target && held.question.hops < kMostHops;
+    if (mayHandOn && !_copy.isOffered() && !isSilentToStandby(held, now)) {
         relay(*target, std::move(held));
         return;
     }
@@ -71,6 +81,7 @@
     ++_context.statistics.relayed;
     QuotaQuestion question = held.question;
     ++question.hops;
+    question.leaderSilent = question.leaderSilent || node != _known->record.leader.node;
     _context.calls.ask(
         node, question,
         [this, alive = std::weak_ptr<bool>(_alive), node,
@@ -166,10 +177,13 @@
     decide(now);
 }
 
-bool QuotaShard::mayLeadWithCopy() const {
+bool QuotaShard::mayLeadWithCopy(TimePoint now) const {
     const QuotaShardRecord& record = _known->record;
+    const bool isSilent =
+        std::any_of(_held.begin(), _held.end(),
+                    [this, now](const HeldQuestion& held) { return isSilentToStandby(held, now); });
     return record.standby == _context.self && _copy.isOf(record.leader.life) &&
-           (_copy.isReleased() || !canReach(record.leader));
+           (_copy.isOffered() || !canReach(record.leader) || isSilent);
 }
 
 bool QuotaShard::mayLeadWithoutCopy(TimePoint now) const {
@@ -190,7 +204,7 @@
     if (_known->record.leader == _context.self && _claimPending) {
         // The claim was done. It grants once it has renewed the record.
         lead(_known->record, now);
-    } else if (!_released && mayLeadWithCopy()) {
+    } else if (!_released && mayLeadWithCopy(now)) {
         _copy.seal();
         claim(_copy.ledgers(), true, now);
         return;
@@ -275,7 +289,7 @@
     LedgerAck ack;
     ack.life = _context.self.life;
     ack.accepted = !leads() && !_released && _copy.take(update, _context.terms.window, now);
-    if (ack.accepted && update.released) {
+    if (ack.accepted && _copy.isOffered()) {
         if (_known) {
             _known->loadedAt = std::min(_known->loadedAt, now - kReadAgainAfter);
         }
--- a/src/tenancy/QuotaShard.h
+++ b/src/tenancy/QuotaShard.h
@@ -49,13 +49,14 @@
 
     void relayOrSeek(HeldQuestion held, TimePoint now);
     std::optional<NodeName> relayTarget() const;
+    bool isSilentToStandby(const HeldQuestion& held, TimePoint now) const;
     bool canReach(const NodeLife& life) const;
     void relay(const NodeName& node, HeldQuestion held);
     void seek(TimePoint now);
     void load(TimePoint now);
     void onLoaded(const LoadedShard& loaded);
     void decide(TimePoint now);
-    bool mayLeadWithCopy() const;
+    bool mayLeadWithCopy(TimePoint now) const;
     bool mayLeadWithoutCopy(TimePoint now) const;
     void claim(ShardLedgers ledgers, bool withCopy, TimePoint now);
     void onClaimed(const SavedShard& saved, const QuotaShardRecord& claimed, TimePoint sentAt);
--- a/src/tenancy/ShardContext.h
+++ b/src/tenancy/ShardContext.h
@@ -45,6 +45,8 @@
     QuotaCalls& calls;
     QuotaShardStore& store;
     QuotaStatistics& statistics;
+    /** The newest number of a copy that this life of the node has begun, of any shard. */
+    std::uint64_t& lastCopy;
     /** @return the tenants in force. */
     std::function<const TenantDirectory&()> tenants;
     /** @return the other nodes, those first that should be asked or copied to first. */
--- a/src/tenancy/ShardLeader.cpp
+++ b/src/tenancy/ShardLeader.cpp
@@ -20,6 +20,10 @@
 constexpr Duration kRetryPause = milliseconds(100);
 /** A node that could not be copied to is left alone for so long. */
 constexpr Duration kStandbyPause = std::chrono::seconds(2);
+/** A leader that could not write the record for so long offers the lead to its standby, and again
+ * after the second time: half of the lease is left to find one that can. */
+constexpr Duration kOfferAfter = std::chrono::seconds(3);
+constexpr Duration kOfferEvery = milliseconds(500);
 /** Without a node to copy to, one is looked for again after this time. */
 constexpr Duration kStandbyRetry = milliseconds(500);
 /** A question waits this long at most for a copy or for the store. */
@@ -146,6 +150,7 @@
     QuotaLedger& ledger = ledgerOf(tenant.name);
     QuotaAnswer answer;
     answer.leader = _context.self.node;
+    answer.standby = _standbyState == StandbyState::InSync ? _standby.node : NodeName();
     answer.granted = units;
     if (units > 0) {
         answer.batch = {_term, ++_lastBatch};
@@ -208,7 +213,9 @@
     }
     _standby = {chosen->name, {}};
     _standbyState = StandbyState::Copying;
-    ++_copy;
+    _copy = ++_context.lastCopy;
+    _lastUpdate = 0;
+    _acknowledgedUpdate = 0;
     LedgerUpdate update;
     update.whole = true;
     for (auto& [tenant, ledger] : _ledgers) {
@@ -221,7 +228,8 @@
     update.shard = _context.shard;
     update.leaderLife = _context.self.life;
     update.copy = _copy;
-    const std::uint64_t number = ++_lastUpdate;
+    update.sequence = ++_lastUpdate;
+    const std::uint64_t number = update.sequence;
     if (grant) {
         _unacknowledged[number] = std::move(*grant);
     }
@@ -237,21 +245,32 @@
 void ShardLeader::onAck(std::uint64_t copy, std::uint64_t update,
                         const std::optional<LedgerAck>& ack) {
     if (_ended || copy != _copy) {
+        // Of a copy that was given up.
         return;
     }
     if (!ack || !ack->accepted) {
         loseStandby();
         return;
     }
+    _acknowledgedUpdate = std::max(_acknowledgedUpdate, update);
+    if (_standbyState == StandbyState::Copying) {
+        _standby.life = ack->life;
+        _standbyState = StandbyState::CatchingUp;
+        _mustCatchUpTo = _lastUpdate;
+    }
     if (const auto grant = _unacknowledged.extract(update)) {
         grant.mapped().reply(grant.mapped().answer);
     }
-    if (_standbyState == StandbyState::Copying && !_standby.exists()) {
-        _standby.life = ack->life;
+    if (isCaughtUp()) {
         onTick(_context.clock.now());
     }
 }
 
+/** @return whether the record may name the standby: it has every grant that was answered. */
+bool ShardLeader::isCaughtUp() const {
+    return _standbyState == StandbyState::CatchingUp && _acknowledgedUpdate >= _mustCatchUpTo;
+}
+
 /** Grants stop until the record names the standby no more, since it may lead by now. */
 void ShardLeader::loseStandby() {
     if (_standbyState == StandbyState::None || _standbyState == StandbyState::Leaving) {
@@ -263,10 +282,14 @@
         .field("shard", _context.shard)
         .field("standby", _standby.node);
     // A copy that no version of the record has named can be left behind at once.
-    _standbyState =
-        _standbyState == StandbyState::Copying ? StandbyState::None : StandbyState::Leaving;
-    ++_copy;
+    const bool isNamed =
+        _standbyState == StandbyState::Joining || _standbyState == StandbyState::InSync;
+    _standbyState = isNamed ? StandbyState::Leaving : StandbyState::None;
+    _copy = 0;
     _standby = {};
+    if (!isNamed) {
+        answerUnacknowledged();
+    }
     _nextStandby = TimePoint{};
     onTick(_context.clock.now());
 }
@@ -282,10 +305,9 @@
     if (_calling || _ended || now < _notBefore) {
         return false;
     }
-    const bool joins = _standbyState == StandbyState::Copying && _standby.exists();
     const bool renews =
         now - _savedAt >= kRenewEvery && (now - _askedAt < kIdleAfter || !_held.empty());
-    return _mustReload || joins || renews || _needsAllowance ||
+    return _mustReload || isCaughtUp() || renews || _needsAllowance ||
            _standbyState == StandbyState::Leaving || _standbyState == StandbyState::Joining;
 }
 
@@ -294,7 +316,7 @@
         reload(now);
         return;
     }
-    if (_standbyState == StandbyState::Copying && _standby.exists()) {
+    if (isCaughtUp()) {
         _standbyState = StandbyState::Joining;
     }
     QuotaShardRecord attempted = _record;
@@ -323,7 +345,6 @@
         return;
     }
     const TimePoint now = _context.clock.now();
-    _savesFail = saved.outcome != StoreOutcome::Done;
     _allowances.onSaved(saved.outcome);
     if (saved.outcome == StoreOutcome::Done) {
         QuotaShardRecord record = attempted;
@@ -387,7 +408,7 @@
 
 void ShardLeader::end() {
     _ended = true;
-    ++_copy;
+    _copy = 0;
     for (auto& [number, grant] : std::exchange(_unacknowledged, {})) {
         ++_context.statistics.declined;
         grant.reply(declinedAnswer(kRetryAfterHeld));
@@ -423,6 +444,20 @@
     end();
 }
 
+/** @return whether the standby, which may reach the store where this node does not, should lead. */
+bool ShardLeader::wantsToOffer(TimePoint now) const {
+    return _standbyState == StandbyState::InSync && now - _savedAt >= kOfferAfter &&
+           now - _offeredAt >= kOfferEvery && now - _askedAt < kIdleAfter;
+}
+
+/** This node goes on for as long as it may: the standby stops to acknowledge its grants first. */
+void ShardLeader::offerLead(TimePoint now) {
+    _offeredAt = now;
+    LedgerUpdate update;
+    update.offered = true;
+    sendUpdate(std::move(update), std::nullopt);
+}
+
 void ShardLeader::onTick(TimePoint now) {
     if (_ended) {
         return;
@@ -434,12 +469,8 @@
         loseStandby();
         return;
     }
-    // The standby may reach the store where this node does not.
-    const bool mustHandOver =
-        _savesFail && _standbyState == StandbyState::InSync && now >= _leaseUntil;
-    if (mustHandOver) {
-        release();
-        return;
+    if (wantsToOffer(now)) {
+        offerLead(now);
     }
     if (_standbyState == StandbyState::None && now < _leaseUntil && now >= _nextStandby) {
         chooseStandby(now);
--- a/src/tenancy/ShardLeader.h
+++ b/src/tenancy/ShardLeader.h
@@ -55,10 +55,11 @@
 private:
     enum class StandbyState {
         None,
-        Copying, /**< It receives all batches; no version of the record names it. */
-        Joining, /**< A version of the record that names it may be in force. */
-        InSync,  /**< The record names it. */
-        Leaving, /**< It may lack a batch, and the record may still name it. */
+        Copying,    /**< All batches are on their way to it; no version of the record names it. */
+        CatchingUp, /**< As before, but grants wait for it already. */
+        Joining,    /**< A version of the record that names it may be in force. */
+        InSync,     /**< The record names it. */
+        Leaving,    /**< It may lack a batch, and the record may still name it. */
     };
     struct UnacknowledgedGrant {
         QuotaReply reply;
@@ -79,8 +80,11 @@
     std::uint32_t paced(const Tenant& tenant, std::uint32_t units, TimePoint now);
 
     void chooseStandby(TimePoint now);
+    bool wantsToOffer(TimePoint now) const;
+    void offerLead(TimePoint now);
     void sendUpdate(LedgerUpdate update, std::optional<UnacknowledgedGrant> grant);
     void onAck(std::uint64_t copy, std::uint64_t update, const std::optional<LedgerAck>& ack);
+    bool isCaughtUp() const;
     void loseStandby();
     void answerUnacknowledged();
 
@@ -107,8 +111,12 @@
 
     StandbyState _standbyState = StandbyState::None;
     NodeLife _standby;
+    /** Names this copy among all of this life of the node. */
     std::uint64_t _copy = 0;
     std::uint64_t _lastUpdate = 0;
+    std::uint64_t _acknowledgedUpdate = 0;
+    /** Grants up to this update were answered without waiting for the standby. */
+    std::uint64_t _mustCatchUpTo = 0;
     std::map<std::uint64_t, UnacknowledgedGrant> _unacknowledged;
     /** Nodes that could not be copied to, and since when. */
     std::map<NodeName, TimePoint> _failedStandbys;
@@ -116,9 +124,9 @@
 
     bool _calling = false;
     bool _mustReload = false;
-    bool _savesFail = false;
     TimePoint _notBefore{};
     TimePoint _savedAt{};
+    TimePoint _offeredAt{};
     TimePoint _askedAt{};
     std::deque<HeldQuestion> _held;
     std::shared_ptr<bool> _alive = std::make_shared<bool>(true);
--- a/tests/forwarding/UnitCodecTest.cpp
+++ b/tests/forwarding/UnitCodecTest.cpp
@@ -157,6 +157,7 @@
                              7,
                              std::chrono::milliseconds(500),
                              1,
+                             true,
                              {{{41, 3}, 2, std::chrono::milliseconds(120)}}};
     const UnitMessage result = decoded(bytesOf(message));
     CHECK_TRUE(result.kind == UnitMessage::Kind::QuotaAsked);
@@ -186,6 +187,8 @@
     message.ledgerUpdate = {3,
                             "n1/5",
                             2,
+                            9,
+                            true,
                             true,
                             true,
                             {{TenantName("t"), {41, 3}, 7, std::chrono::milliseconds(500)},
@@ -218,7 +221,8 @@
     UnitMessage message;
     message.kind = UnitMessage::Kind::Quota;
     message.question = 43;
-    message.quotaAnswer = {true, {41, 3}, 3, std::chrono::milliseconds(120), true, NodeName("n")};
+    message.quotaAnswer = {true,          {41, 3},      3, std::chrono::milliseconds(120), true,
+                           NodeName("n"), NodeName("m")};
     const UnitMessage result = decoded(bytesOf(message));
     CHECK_TRUE(result.kind == UnitMessage::Kind::Quota);
     UNSIGNED_LONGS_EQUAL(43, result.question);
--- a/tests/tenancy/QuotaLedgerTest.cpp
+++ b/tests/tenancy/QuotaLedgerTest.cpp
@@ -80,10 +80,12 @@
     TimePoint start{std::chrono::hours(1)};
     LedgerCopy copy;
 
-    static LedgerUpdate update(std::uint64_t number, bool whole, std::uint32_t units) {
+    static LedgerUpdate update(std::uint64_t number, bool whole, std::uint32_t units,
+                               std::uint64_t sequence = 1) {
         LedgerUpdate result;
         result.leaderLife = "n1/5";
         result.copy = number;
+        result.sequence = sequence;
         result.whole = whole;
         result.batches.push_back({TenantName("t"), {7, units}, units, milliseconds(500)});
         return result;
@@ -96,7 +98,7 @@
 
 TEST(LedgerCopy, HoldsAllBatchesOfTheLeader) {
     CHECK_TRUE(copy.take(update(1, true, 3), kWindow, start));
-    CHECK_TRUE(copy.take(update(1, false, 4), kWindow, start));
+    CHECK_TRUE(copy.take(update(1, false, 4, 2), kWindow, start));
     UNSIGNED_LONGS_EQUAL(7, counted());
     CHECK_TRUE(copy.isOf("n1/5"));
 }
@@ -104,10 +106,18 @@
 TEST(LedgerCopy, AMessageOfAnOlderCopyChangesNothing) {
     copy.take(update(2, true, 3), kWindow, start);
     CHECK_FALSE(copy.take(update(1, true, 1), kWindow, start));
-    CHECK_FALSE(copy.take(update(1, false, 2), kWindow, start));
+    CHECK_FALSE(copy.take(update(1, false, 2, 2), kWindow, start));
     UNSIGNED_LONGS_EQUAL(3, counted());
 }
 
+TEST(LedgerCopy, AnUpdateAfterOneThatWasLostIsNotAcknowledged) {
+    copy.take(update(1, true, 3), kWindow, start);
+    CHECK_FALSE(copy.take(update(1, false, 5, 3), kWindow, start));
+    CHECK_TRUE(copy.take(update(1, false, 4, 2), kWindow, start));
+    CHECK_FALSE(copy.take(update(1, false, 4, 2), kWindow, start));
+    UNSIGNED_LONGS_EQUAL(7, counted());
+}
+
 TEST(LedgerCopy, WithoutItsBeginningNothingIsACopy) {
     CHECK_FALSE(copy.take(update(1, false, 3), kWindow, start));
     CHECK_FALSE(copy.isOf("n1/5"));
@@ -116,7 +126,7 @@
 TEST(LedgerCopy, NothingIsAcknowledgedOnceItIsSealed) {
     copy.take(update(1, true, 3), kWindow, start);
     copy.seal();
-    CHECK_FALSE(copy.take(update(1, false, 4), kWindow, start));
+    CHECK_FALSE(copy.take(update(1, false, 4, 2), kWindow, start));
     CHECK_FALSE(copy.take(update(2, true, 4), kWindow, start));
     UNSIGNED_LONGS_EQUAL(3, counted());
 }
--- a/tests/tenancy/TenantGateTest.cpp
+++ b/tests/tenancy/TenantGateTest.cpp
@@ -209,7 +209,7 @@
     beginWithAccountingNode();
     CHECK_TRUE(replies.empty());
     quotas.onQuotaAnswer(links.lastQuestion,
-                         QuotaAnswer{false, {1, 1}, 1, {}, false, NodeName("m1")});
+                         QuotaAnswer{false, {1, 1}, 1, {}, false, NodeName("m1"), {}});
     LONGS_EQUAL(1, replies.size());
     CHECK_TRUE(replies.back().succeeded());
 }
