--- a/src/tenancy/QuotaLease.cpp
+++ b/src/tenancy/QuotaLease.cpp
@@ -73,7 +73,7 @@
 
 std::uint32_t QuotaLease::unitsAhead(Duration span, TimePoint now) const {
     const double fading = std::exp(-(Seconds(now - _ratedAt) / Seconds(kRateSpan)));
-    return static_cast<std::uint32_t>(std::ceil(_rate * fading * Seconds(span).count()));
+    return static_cast<std::uint32_t>(std::floor(_rate * fading * Seconds(span).count()));
 }
 
 std::vector<BatchSettlement> QuotaLease::settlements(TimePoint now) const {
--- a/src/tenancy/QuotaLease.h
+++ b/src/tenancy/QuotaLease.h
@@ -26,7 +26,9 @@
     /** @return units that can be used now. */
     std::uint32_t units(TimePoint now);
 
-    /** @return units that will probably be used within the time given. */
+    /** @return whole units that will probably be used within the time given. Rounded up, each
+     * statement of a caller that comes seldom would take two, of which one ends unused and counts
+     * for a window. */
     std::uint32_t unitsAhead(Duration span, TimePoint now) const;
 
     /** @return what is to be told of batches that ended, with their ages as of now. */
--- a/src/tenancy/UnitPacer.cpp
+++ b/src/tenancy/UnitPacer.cpp
@@ -8,8 +8,13 @@
 
 using Seconds = std::chrono::duration<double>;
 
-/** Part of a quota's burst, and of the slack, that may be granted at once at least. */
-constexpr double kBurstAtOnce = 0.5;
+/** Part of a quota's burst that may be granted at once; what is not is granted as a higher rate.
+ * With the whole burst 0.025 to 0.031 of a day's requests failed for want of servers' slots when a
+ * large tenant and all others flooded (five plays), where 0.007 failed before. */
+constexpr double kBurstAtOnce = 0.25;
+/** Part of the slack that may be granted besides: nodes ask ahead for units that they do not use,
+ * and return them later. Without it a tenant at 0.6 of its rate was refused two of 66 statements in
+ * one of 24,000 simulated runs. */
 constexpr double kSlackAtOnce = 0.5;
 /** Tokens a second at least, for quotas of 0. */
 constexpr double kLeastRate = 1e-3;
@@ -18,7 +23,7 @@
 
 std::uint32_t UnitPacer::available(const QuotaTerms& terms, const TenantQuota& quota,
                                    TimePoint now) {
-    const double capacity = std::max({1.0, quota.burst * kBurstAtOnce, terms.slack * kSlackAtOnce});
+    const double capacity = std::max(1.0, quota.burst * kBurstAtOnce + terms.slack * kSlackAtOnce);
     const double rest = terms.bound(quota) - capacity;
     _rate = std::max(rest / Seconds(terms.window + terms.lease()).count(), kLeastRate);
     const double filled = Seconds(now - _filledAt).count() * _rate;
