--- a/lab/soak/ProxyProcess.cpp
+++ b/lab/soak/ProxyProcess.cpp
@@ -7,6 +7,8 @@
 #include <csignal>
 #include <utility>
 
+#include "lab/soak/SoakTenants.h"
+
 namespace coralhoist::soak {
 namespace {
 
@@ -45,6 +47,7 @@
     const auto address = [](std::uint16_t port) {
         return "\"127.0.0.1:" + QString::number(port) + "\"";
     };
+    const tenancy::QuotaTerms terms = soakQuotaTerms();
     QTextStream out(&file);
     out << "[node]\nname = \"" << QString::fromStdString(_surroundings.name.value())
         << "\"\nzone = \"" << QString::fromStdString(_surroundings.zone.value())
@@ -53,7 +56,10 @@
         << address(_surroundings.callerPort)
         << "\n[readiness]\nlisten = " << address(_surroundings.readinessPort)
         << "\n[platform]\nurl = \"http://127.0.0.1:" << _surroundings.storePort
-        << "\"\n[promotion]\naddress = " << address(_surroundings.storePort) << "\n";
+        << "\"\n[promotion]\naddress = " << address(_surroundings.storePort)
+        << "\n[tenants]\nquota_window_ms = "
+        << std::chrono::duration_cast<std::chrono::milliseconds>(terms.window).count()
+        << "\nquota_overrun = \"" << terms.overrun << "\"\nquota_slack = " << terms.slack << "\n";
     out.flush();
     file.commit();
 }
--- a/lab/soak/SoakCommand.cpp
+++ b/lab/soak/SoakCommand.cpp
@@ -30,6 +30,7 @@
     int callers = 24;
     int calm = 0;
     int answersEarly = 0;
+    int tenants = 0;
     std::string program;
     std::string logFolder = ".";
     std::string casesFile;
@@ -50,6 +51,8 @@
         {"calm", 0, POPT_ARG_NONE, &flags.calm, 0, "no faults", nullptr},
         {"answers-early", 0, POPT_ARG_NONE, &flags.answersEarly, 0,
          "servers answer commits before a replica has them: the judge must object", nullptr},
+        {"tenants", 0, POPT_ARG_NONE, &flags.tenants, 0,
+         "callers come as three tenants, of which one sends many times its quota", nullptr},
         {"program", 'P', POPT_ARG_STRING, &programFile.text, 0, "the proxy's program", "FILE"},
         {"logs", 'l', POPT_ARG_STRING, &logFolder.text, 0, "folder for the proxies' logs", "DIR"},
         {"cases", 0, POPT_ARG_STRING, &casesFile.text, 0,
@@ -101,6 +104,7 @@
     options.recoverySeconds = static_cast<std::uint32_t>(flags.recoverySeconds);
     options.callers = static_cast<std::uint32_t>(flags.callers);
     options.faults = flags.calm == 0;
+    options.tenants = flags.tenants != 0;
     options.program = flags.program;
     options.logFolder = flags.logFolder;
     options.group.answersEarly = flags.answersEarly != 0;
@@ -119,6 +123,9 @@
         static_cast<unsigned long long>(report.failed), report.acknowledged,
         report.acknowledgedAfterFaults, static_cast<unsigned long long>(report.promotions),
         report.faults, static_cast<long long>(recovery.count()));
+    if (!report.quotas.empty()) {
+        std::printf("  units in the busiest window of each tenant:%s\n", report.quotas.c_str());
+    }
     if (!kept) {
         for (const std::string& violation : report.violations) {
             std::printf("  %s\n", violation.c_str());
--- a/lab/soak/SoakRun.cpp
+++ b/lab/soak/SoakRun.cpp
@@ -15,6 +15,7 @@
 #include "lab/soak/ServerEntries.h"
 #include "lab/soak/SoakFaults.h"
 #include "lab/soak/SoakPlan.h"
+#include "lab/soak/SoakTenants.h"
 #include "lab/soak/WireCaller.h"
 #include "lab/soak/WireServer.h"
 #include "platform/WireWords.h"
@@ -67,6 +68,7 @@
                    _serverRelays, _peerRelays, [this] { writeConfiguration(); }, _timeline}) {}
 
     SoakReport run() {
+        _callerWorld.quotas = _options.tenants ? &_quotas : nullptr;
         startServers();
         writeConfiguration();
         startProxies();
@@ -100,6 +102,9 @@
         for (const auto& server : _group.servers()) {
             _servers.push_back(std::make_unique<WireServer>(_connector, _random, _judge, _book,
                                                             _group, server->name));
+            if (_options.tenants) {
+                _servers.back()->setQuotaJudge(_quotas);
+            }
             _entries.setPort(server->name, _servers.back()->port());
         }
         stepGroup();
@@ -131,11 +136,14 @@
         const QJsonArray services{
             QJsonObject{{"name", "g"}, {"max_conns", kConnectionsPerServer}, {"sync_replicas", 1}}};
         // The limit differs in each version, so that each one is a change.
-        _store.put("config", "main",
-                   {{"version", _configuration},
-                    {"routes", routes},
-                    {"services", services},
-                    {"limits", QJsonObject{{"tx_idle_ms", 1000 + _configuration}}}});
+        QJsonObject configuration{{"version", _configuration},
+                                  {"routes", routes},
+                                  {"services", services},
+                                  {"limits", QJsonObject{{"tx_idle_ms", 1000 + _configuration}}}};
+        if (_options.tenants) {
+            configuration["tenants"] = soakTenants();
+        }
+        _store.put("config", "main", configuration);
     }
 
     void startProxies() {
@@ -169,8 +177,9 @@
                                            {"bounded", pooled::ReadPromise::Bounded, kStaleness},
                                            {"own", pooled::ReadPromise::OwnAndBounded, kStaleness}};
         for (std::uint32_t index = 0; index < _options.callers; ++index) {
-            _callers.push_back(
-                std::make_unique<WireCaller>(_callerWorld, services[index % std::size(services)]));
+            _callers.push_back(std::make_unique<WireCaller>(
+                _callerWorld, services[index % std::size(services)],
+                _options.tenants ? tenantOfCaller(index) : CallerTenant()));
         }
     }
 
@@ -266,8 +275,22 @@
         }
     }
 
+    /** Judges the tenants' quotas and tells how near to them each came. */
+    std::string judgeQuotas() {
+        std::string text;
+        for (const auto& [tenant, quota] : soakQuotas()) {
+            text += ' ' + std::to_string(_quotas.busiestWindow(tenant)) + "/" +
+                    std::to_string(soakQuotaTerms().bound(quota));
+        }
+        for (const std::string& violation : _quotas.violations(soakQuotas())) {
+            _judge.fail(violation);
+        }
+        return text;
+    }
+
     SoakReport report() {
         _judge.onEnd(_group.finalCommits());
+        const std::string quotas = _options.tenants ? judgeQuotas() : std::string();
         SoakReport report;
         report.violations = _judge.violations();
         report.timeline = _timeline.notes();
@@ -279,6 +302,7 @@
         report.recovered = _recovered;
         report.recovery = _recovery;
         report.promotions = _group.promotions();
+        report.quotas = quotas;
         return report;
     }
 
@@ -302,6 +326,7 @@
     RelaysByName _peerRelays;
     std::vector<std::unique_ptr<ReservedPort>> _ports;
     std::vector<std::unique_ptr<ProxyProcess>> _proxies;
+    QuotaJudge _quotas{soakQuotaTerms(), _clock};
     CallerWorld _callerWorld;
     std::vector<std::unique_ptr<WireCaller>> _callers;
     SoakFaults _faults;
--- a/lab/soak/SoakRun.h
+++ b/lab/soak/SoakRun.h
@@ -20,6 +20,8 @@
     std::uint32_t proxies = 4;
     std::uint32_t callers = 24;
     bool faults = true;
+    /** Callers come as tenants with quotas. */
+    bool tenants = false;
     /** Path of the proxy's program. */
     std::string program;
     /** Folder for the logs of the proxies. */
@@ -46,6 +48,8 @@
     /** Time from the last fault's end to the end of the judged part. */
     Duration recovery{0};
     std::uint64_t promotions = 0;
+    /** Busiest windows of the tenants and their bounds, in words; empty without tenants. */
+    std::string quotas;
 };
 
 /** Runs to the end on the Qt event loop of the calling thread. */
--- a/lab/soak/WireCaller.cpp
+++ b/lab/soak/WireCaller.cpp
@@ -29,8 +29,8 @@
 
 }  // namespace
 
-WireCaller::WireCaller(CallerWorld& world, ServicePromise service)
-    : _world(world), _service(std::move(service)) {
+WireCaller::WireCaller(CallerWorld& world, ServicePromise service, CallerTenant tenant)
+    : _world(world), _service(std::move(service)), _tenant(std::move(tenant)) {
     _next.setSingleShot(true);
     connect(&_next, &QTimer::timeout, this, [this] {
         if (_open) {
@@ -53,7 +53,8 @@
     _socket.abort();
     _session = ++_world.lastSession;
     _socket.connectToHost(QHostAddress::LocalHost, _world.choosePort());
-    const std::string hello = "CONNECT " + _service.database + " caller\r\n";
+    const std::string who = _tenant.credential.empty() ? "caller" : _tenant.credential;
+    const std::string hello = "CONNECT " + _service.database + " " + who + "\r\n";
     _socket.write(hello.c_str());
 }
 
@@ -135,6 +136,7 @@
     const bool writes = kind < kSingleWrites || kind == kWritingTransaction;
     _commit = writes ? ++_world.lastCommit : 0;
     _since = _world.queue.now();
+    _unit = ++_world.lastUnit;
     _busy = true;
     if (kind < kFirstTransaction) {
         _remaining.push_back(writes ? "WRITE 1 a" : "READ 1");
@@ -156,6 +158,9 @@
     _fault.clear();
     const std::string id = std::to_string(++_world.lastRequest);
     _world.book[id] = {_session, _service.promise, _service.staleness, _since, _commit};
+    if (_world.quotas != nullptr) {
+        _world.quotas->onSent(id, _tenant.name, _unit);
+    }
     const std::string line = "QUERY " + id + " " + _sent + "\r\n";
     _socket.write(line.c_str());
 }
--- a/lab/soak/WireCaller.h
+++ b/lab/soak/WireCaller.h
@@ -12,6 +12,8 @@
 #include "lab/pooled/LogConnector.h"
 #include "lab/pooled/PooledJudge.h"
 #include "lab/simulation/EventQueue.h"
+#include "lab/soak/QuotaJudge.h"
+#include "lab/soak/SoakTenants.h"
 
 namespace coralhoist::soak {
 
@@ -26,6 +28,9 @@
     std::uint64_t lastCommit = 0;
     std::uint64_t lastRequest = 0;
     std::uint64_t lastSession = 0;
+    /** Judges tenants' quotas; null without tenants. */
+    QuotaJudge* quotas = nullptr;
+    std::uint64_t lastUnit = 0;
     std::uint64_t answered = 0;
     std::uint64_t failed = 0;
 };
@@ -41,7 +46,7 @@
 class WireCaller final : public QObject {
 public:
     /** References outlive the caller. */
-    WireCaller(CallerWorld& world, ServicePromise service);
+    WireCaller(CallerWorld& world, ServicePromise service, CallerTenant tenant);
 
     ~WireCaller() override { _socket.disconnect(this); }
 
@@ -60,9 +65,12 @@
 
     CallerWorld& _world;
     ServicePromise _service;
+    CallerTenant _tenant;
     QTcpSocket _socket;
     QTimer _next;
     std::uint64_t _session = 0;
+    /** Number of the running operation. */
+    std::uint64_t _unit = 0;
     bool _open = false;
     bool _busy = false;
     bool _retired = false;
--- a/lab/soak/WireServer.cpp
+++ b/lab/soak/WireServer.cpp
@@ -123,6 +123,9 @@
         socket->disconnectFromHost();
         return;
     }
+    if (_quotas != nullptr) {
+        _quotas->onArrived(command->id);
+    }
     session.commands.push_back(*command);
     runNext(*session.id);
 }
@@ -188,7 +191,7 @@
     session->commands.pop_front();
     session->running = true;
     if (!needsSlot(command)) {
-        _connector.send(connection, {command});
+        execute(connection, command);
     } else if (session->state == SessionState::Idle && _slots.isQueueFull()) {
         refuseAsBusy(connection);
     } else {
@@ -203,6 +206,13 @@
     deliver(connection, refusal);
 }
 
+void WireServer::execute(ConnectionId connection, const ServerCommand& command) {
+    if (_quotas != nullptr) {
+        _quotas->onRan(command.id);
+    }
+    _connector.send(connection, {command});
+}
+
 /** The extra time passes before the command runs or before its answer leaves, at random. */
 void WireServer::runInSlot(ConnectionId connection, const ServerCommand& command) {
     Session* session = sessionOf(connection);
@@ -220,12 +230,12 @@
     });
     session->answersLate = _random.below(2) == 0;
     if (session->answersLate) {
-        _connector.send(connection, {command});
+        execute(connection, command);
         return;
     }
     QTimer::singleShot(drawDelay(), this, [this, connection, command] {
         if (sessionOf(connection) != nullptr) {
-            _connector.send(connection, {command});
+            execute(connection, command);
         }
     });
 }
--- a/lab/soak/WireServer.h
+++ b/lab/soak/WireServer.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "lab/pooled/LogConnector.h"
+#include "lab/soak/QuotaJudge.h"
 #include "lab/soak/ServerSlots.h"
 
 namespace coralhoist::soak {
@@ -31,6 +32,9 @@
     const ServerName& name() const { return _name; }
     ServerSlots& slots() { return _slots; }
 
+    /** Judges tenants' quotas from now on. */
+    void setQuotaJudge(QuotaJudge& quotas) { _quotas = &quotas; }
+
     /** Closes what is open when the simulated server has ended. Called often. */
     void step();
 
@@ -63,6 +67,7 @@
     void refuseSession(QTcpSocket* socket, std::string_view word);
     std::optional<pooling::ServerCommand> commandOf(std::string_view fields);
     void runNext(ConnectionId connection);
+    void execute(ConnectionId connection, const pooling::ServerCommand& command);
     void runInSlot(ConnectionId connection, const pooling::ServerCommand& command);
     void refuseAsBusy(ConnectionId connection);
     void deliver(ConnectionId connection, const pooling::StatementResult& result);
@@ -82,6 +87,7 @@
     ServerName _name;
     QTcpServer _server;
     ServerSlots _slots;
+    QuotaJudge* _quotas = nullptr;
     std::uint64_t _lastSlotUse = 0;
     std::map<QTcpSocket*, Session> _sessions;
     std::map<ConnectionId, QTcpSocket*> _socketOf;
