--- /dev/null
+++ b/tests/tenancy/ShardLeaderTest.cpp
@@ -0,0 +1,325 @@
+#include <CppUTest/TestHarness.h>
+
+#include <memory>
+
+#include "tenancy/QuotaShard.h"
+#include "tests/support/ManualClock.h"
+
+namespace coralhoist::tenancy {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const TenantName kTenant{"t"};
+/** Bound 185. */
+const TenantQuota kQuota{25, 25};
+
+QuotaShardRecord recordAllowing(std::uint32_t units) {
+    QuotaShardRecord record;
+    record.tenants[kTenant].allowance = units;
+    return record;
+}
+
+TEST_GROUP(RecordAllowances){};
+
+TEST(RecordAllowances, AGrantIsTakenFromEachVersionThatMayBeTheNewest) {
+    RecordAllowances allowances(recordAllowing(10));
+    allowances.take(kTenant, 4);
+    allowances.onSaving(recordAllowing(3));
+    UNSIGNED_LONGS_EQUAL(3, allowances.left(kTenant));
+    allowances.take(kTenant, 2);
+    allowances.onSaved(StoreOutcome::Unknown);
+    UNSIGNED_LONGS_EQUAL(1, allowances.left(kTenant));
+    allowances.onSaving(recordAllowing(50));
+    UNSIGNED_LONGS_EQUAL(1, allowances.left(kTenant));
+    allowances.onSaved(StoreOutcome::Unknown);
+    UNSIGNED_LONGS_EQUAL(1, allowances.left(kTenant));
+}
+
+TEST(RecordAllowances, AVersionThatIsInForceReplacesAllOthers) {
+    RecordAllowances allowances(recordAllowing(10));
+    allowances.onSaving(recordAllowing(3));
+    allowances.onSaved(StoreOutcome::Unknown);
+    allowances.onSaving(recordAllowing(50));
+    allowances.take(kTenant, 1);
+    allowances.onSaved(StoreOutcome::Done);
+    UNSIGNED_LONGS_EQUAL(49, allowances.left(kTenant));
+}
+
+TEST(RecordAllowances, AWritingThatWasNotDoneChangesNothing) {
+    RecordAllowances allowances(recordAllowing(10));
+    allowances.onSaving(recordAllowing(3));
+    allowances.onSaved(StoreOutcome::Conflict);
+    UNSIGNED_LONGS_EQUAL(10, allowances.left(kTenant));
+}
+
+/** A store that answers when the test lets it. */
+class HeldStore final : public QuotaShardStore {
+public:
+    void load(std::uint32_t /*shard*/, std::function<void(const LoadedShard&)> callback) override {
+        loads.push_back(std::move(callback));
+    }
+    void save(std::uint32_t /*shard*/, const QuotaShardRecord& record,
+              std::function<void(const SavedShard&)> callback) override {
+        saved.push_back(record);
+        saves.push_back(std::move(callback));
+    }
+    void finishLoad(const LoadedShard& answer) {
+        const auto callback = std::exchange(loads, {}).back();
+        callback(answer);
+    }
+    void finishSave(const SavedShard& answer) {
+        const auto callback = std::exchange(saves, {}).back();
+        callback(answer);
+    }
+
+    std::vector<std::function<void(const LoadedShard&)>> loads;
+    std::vector<std::function<void(const SavedShard&)>> saves;
+    std::vector<QuotaShardRecord> saved;
+};
+
+/** Remembers what is sent to other nodes. */
+class SentQuestions final : public QuotaQuestions {
+public:
+    bool canReach(const NodeName& /*node*/) const override { return reachable; }
+    void askForQuota(const NodeName& /*node*/, std::uint64_t number,
+                     const QuotaQuestion& asked) override {
+        questions.push_back(asked);
+        lastNumber = number;
+    }
+    void updateLedger(const NodeName& /*node*/, std::uint64_t number,
+                      const LedgerUpdate& update) override {
+        updates.push_back(update);
+        lastNumber = number;
+    }
+
+    bool reachable = true;
+    std::vector<QuotaQuestion> questions;
+    std::vector<LedgerUpdate> updates;
+    std::uint64_t lastNumber = 0;
+};
+
+TEST_GROUP(QuotaShard) {
+    testing::ManualClock clock;
+    HeldStore store;
+    SentQuestions sent;
+    QuotaCalls calls{sent};
+    QuotaStatistics statistics;
+    std::uint64_t lastCopy = 0;
+    TenantDirectory tenants{1, {{kTenant, kQuota, {}}}, {}};
+    std::vector<pooling::ProxyNode> peers;
+    std::unique_ptr<QuotaShard> shard;
+    std::vector<QuotaAnswer> answers;
+
+    void setup() override {
+        shard = std::make_unique<QuotaShard>(
+            ShardContext{quotaShardOf(kTenant),
+                         {NodeName("n1"), "n1/1"},
+                         clock.now(),
+                         {seconds(5), 0.1, 20},
+                         clock,
+                         calls,
+                         store,
+                         statistics,
+                         lastCopy,
+                         [this]() -> const TenantDirectory& { return tenants; },
+                         [this]() -> const std::vector<pooling::ProxyNode>& { return peers; },
+                         ZoneName("z")});
+    }
+
+    void ask(std::uint32_t units, bool leaderSilent = false) {
+        QuotaQuestion question;
+        question.tenant = kTenant;
+        question.wanted = units;
+        question.usableFor = milliseconds(500);
+        question.leaderSilent = leaderSilent;
+        shard->ask(question, [this](const QuotaAnswer& answer) { answers.push_back(answer); });
+    }
+
+    static LoadedShard loadedRecord(const char* leader, const char* standby,
+                                    std::uint64_t version) {
+        LoadedShard loaded;
+        loaded.outcome = StoreOutcome::Done;
+        loaded.record.version = version;
+        loaded.record.leader = {NodeName(std::string(leader).substr(0, 2)), leader};
+        if (*standby != 0) {
+            loaded.record.standby = {NodeName(std::string(standby).substr(0, 2)), standby};
+        }
+        loaded.record.tenants[kTenant] = {{0, 40}, 30};
+        return loaded;
+    }
+
+    void lead() {
+        ask(1);
+        LoadedShard none;
+        none.outcome = StoreOutcome::Done;
+        store.finishLoad(none);
+        store.finishSave({StoreOutcome::Done, 11});
+    }
+};
+
+TEST(QuotaShard, LeadsOnlyOnceTheRecordSaysSo) {
+    ask(1);
+    CHECK_TRUE(answers.empty());
+    LoadedShard none;
+    none.outcome = StoreOutcome::Done;
+    store.finishLoad(none);
+    CHECK_TRUE(answers.empty());
+    store.finishSave({StoreOutcome::Done, 11});
+    LONGS_EQUAL(1, answers.size());
+    UNSIGNED_LONGS_EQUAL(1, answers[0].granted);
+}
+
+TEST(QuotaShard, TheLeaseCountsFromWhenTheWritingWasSent) {
+    ask(1);
+    LoadedShard none;
+    none.outcome = StoreOutcome::Done;
+    store.finishLoad(none);
+    clock.advance(milliseconds(600));
+    store.finishSave({StoreOutcome::Done, 11});
+    // The renewal is not answered: the lease of 6 s began 0.6 s before the first answer.
+    clock.advance(milliseconds(5399));
+    ask(1);
+    LONGS_EQUAL(2, answers.size());
+    UNSIGNED_LONGS_EQUAL(1, answers[1].granted);
+    clock.advance(milliseconds(1));
+    ask(1);
+    LONGS_EQUAL(2, answers.size());
+    clock.advance(milliseconds(250));
+    shard->onTick(clock.now());
+    CHECK_TRUE(answers.back().declined);
+}
+
+TEST(QuotaShard, AnotherNodesShardIsNotTakenBeforeItsLeaseHasEnded) {
+    sent.reachable = false;
+    ask(1);
+    store.finishLoad(loadedRecord("n2/1", "", 7));
+    CHECK_TRUE(answers.back().declined);
+    clock.advance(milliseconds(6599));
+    ask(1);
+    store.finishLoad(loadedRecord("n2/1", "", 7));
+    LONGS_EQUAL(0, store.saves.size());
+    clock.advance(milliseconds(301));
+    ask(1);
+    store.finishLoad(loadedRecord("n2/1", "", 7));
+    LONGS_EQUAL(1, store.saves.size());
+}
+
+TEST(QuotaShard, ARenewalInBetweenBeginsTheWaitAnew) {
+    sent.reachable = false;
+    ask(1);
+    store.finishLoad(loadedRecord("n2/1", "", 7));
+    clock.advance(milliseconds(6000));
+    ask(1);
+    store.finishLoad(loadedRecord("n2/1", "", 8));
+    clock.advance(milliseconds(700));
+    ask(1);
+    store.finishLoad(loadedRecord("n2/1", "", 8));
+    LONGS_EQUAL(0, store.saves.size());
+}
+
+TEST(QuotaShard, WhatAFormerLifeMayHaveGrantedCounts) {
+    ask(1);
+    store.finishLoad(loadedRecord("n1/0", "", 7));
+    store.finishSave({StoreOutcome::Done, 8});
+    // 185 allowed; 40 counted for a second at most, 30 were allowed besides.
+    std::uint32_t granted = answers.back().granted;
+    while (answers.back().granted > 0) {
+        ask(100);
+        granted += answers.back().granted;
+        clock.advance(milliseconds(200));
+        if (clock.now() - TimePoint(std::chrono::hours(1)) > milliseconds(900)) {
+            break;
+        }
+    }
+    CHECK_TRUE(granted <= 185 - 40 - 30);
+}
+
+TEST(QuotaShard, AGrantIsAnsweredOnceTheStandbyHasIt) {
+    peers.push_back({NodeName("n2"), ZoneName("z"), "h", 1});
+    lead();
+    // The first grant was answered while the copy is on its way, so it must arrive before the
+    // naming.
+    LONGS_EQUAL(2, sent.updates.size());
+    CHECK_TRUE(sent.updates[0].whole);
+    LONGS_EQUAL(1, store.saved.size());
+    calls.onAck(sent.lastNumber - 1, LedgerAck{true, "n2/1"});
+    LONGS_EQUAL(1, store.saved.size());
+    calls.onAck(sent.lastNumber, LedgerAck{true, "n2/1"});
+    CHECK_TRUE(store.saved.back().standby == (NodeLife{NodeName("n2"), "n2/1"}));
+    const std::size_t before = answers.size();
+    ask(1);
+    LONGS_EQUAL(before, answers.size());
+    LONGS_EQUAL(3, sent.updates.size());
+    calls.onAck(sent.lastNumber, LedgerAck{true, "n2/1"});
+    LONGS_EQUAL(before + 1, answers.size());
+}
+
+TEST(QuotaShard, WithoutItsStandbyALeaderGrantsNothingBeforeTheRecordNamesItNoMore) {
+    peers.push_back({NodeName("n2"), ZoneName("z"), "h", 1});
+    lead();
+    calls.onAck(sent.lastNumber, LedgerAck{true, "n2/1"});
+    store.finishSave({StoreOutcome::Done, 12});
+    const std::size_t before = answers.size();
+    ask(1);
+    calls.onAck(sent.lastNumber, std::nullopt);
+    ask(1);
+    LONGS_EQUAL(before, answers.size());
+    CHECK_FALSE(store.saved.back().standby.exists());
+    peers.clear();
+    store.finishSave({StoreOutcome::Done, 13});
+    LONGS_EQUAL(before + 2, answers.size());
+}
+
+TEST(QuotaShard, AStandbyLeadsAtOnceWhenNobodyHearsFromTheLeader) {
+    LedgerUpdate update;
+    update.shard = quotaShardOf(kTenant);
+    update.leaderLife = "n2/1";
+    update.copy = 1;
+    update.sequence = 1;
+    update.whole = true;
+    update.batches.push_back({kTenant, {7, 1}, 100, milliseconds(500)});
+    CHECK_TRUE(shard->takeUpdate(update).accepted);
+    clock.advance(milliseconds(200));
+    ask(1, true);
+    store.finishLoad(loadedRecord("n2/1", "n1/1", 7));
+    LONGS_EQUAL(1, store.saves.size());
+    // From here on it acknowledges nothing more.
+    update.whole = false;
+    update.sequence = 2;
+    CHECK_FALSE(shard->takeUpdate(update).accepted);
+    store.finishSave({StoreOutcome::Done, 8});
+    UNSIGNED_LONGS_EQUAL(1, answers.back().granted);
+    UNSIGNED_LONGS_EQUAL(1, statistics.ledWithCopy);
+}
+
+TEST(QuotaShard, HandsAQuestionOnToTheLeader) {
+    ask(3);
+    store.finishLoad(loadedRecord("n2/1", "", 7));
+    LONGS_EQUAL(1, sent.questions.size());
+    UNSIGNED_LONGS_EQUAL(1, sent.questions[0].hops);
+    QuotaAnswer answer;
+    answer.granted = 3;
+    answer.leader = NodeName("n2");
+    calls.onAnswer(sent.lastNumber, answer);
+    CHECK_TRUE(answers.back() == answer);
+}
+
+TEST(QuotaShard, AfterAPlannedStopTheRecordSaysWhatCounts) {
+    lead();
+    shard->release();
+    const QuotaShardRecord& released = store.saved.back();
+    CHECK_FALSE(released.leader.exists());
+    UNSIGNED_LONGS_EQUAL(0, released.tenants.at(kTenant).allowance);
+    std::uint32_t counting = 0;
+    for (const std::uint32_t units : released.tenants.at(kTenant).counting) {
+        counting += units;
+    }
+    UNSIGNED_LONGS_EQUAL(1, counting);
+    ask(1);
+    CHECK_TRUE(answers.size() == 1 || answers.back().declined);
+}
+
+}  // namespace
+}  // namespace coralhoist::tenancy
