--- a/src/tenancy/QuotaMessages.h
+++ b/src/tenancy/QuotaMessages.h
@@ -1,10 +1,10 @@
 /** What nodes tell each other of tenants' quotas, and the interfaces that carry it. */
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "base/Identifier.h"
@@ -18,7 +18,10 @@
     std::uint64_t term = 0;
     std::uint64_t number = 0;
 
-    auto operator<=>(const BatchId&) const = default;
+    bool operator==(const BatchId&) const = default;
+    bool operator<(const BatchId& other) const {
+        return std::tie(term, number) < std::tie(other.term, other.number);
+    }
 };
 
 /** What became of a batch of which nothing will run any more. Final, and so told again at will. */
