--- a/src/tenancy/ShardLeader.cpp
+++ b/src/tenancy/ShardLeader.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <utility>
 
+#include "base/Backoff.h"
 #include "base/Log.h"
 
 namespace coralhoist::tenancy {
@@ -16,16 +17,10 @@
 constexpr Duration kRenewEvery = std::chrono::seconds(2);
 /** A shard that nobody asks is not renewed. */
 constexpr Duration kIdleAfter = std::chrono::seconds(10);
-/** Pause after a call of the store that failed. */
-constexpr Duration kRetryPause = milliseconds(100);
-/** A node that could not be copied to is left alone for so long. */
-constexpr Duration kStandbyPause = std::chrono::seconds(2);
-/** A leader that could not write the record for so long offers the lead to its standby, and again
- * after the second time: half of the lease is left to find one that can. */
-constexpr Duration kOfferAfter = std::chrono::seconds(3);
-constexpr Duration kOfferEvery = milliseconds(500);
-/** Without a node to copy to, one is looked for again after this time. */
-constexpr Duration kStandbyRetry = milliseconds(500);
+/** Pauses after calls of the store that failed: each is doubled. All shards' leaders retry, and the
+ * store counts the calls that it refuses. */
+constexpr Duration kFirstPause = milliseconds(100);
+constexpr Duration kLongestPause = milliseconds(800);
 /** A question waits this long at most for a copy or for the store. */
 constexpr Duration kHeldFor = milliseconds(250);
 constexpr std::size_t kMostHeld = 512;
@@ -210,122 +205,15 @@
     }
 }
 
-void ShardLeader::chooseStandby(TimePoint now) {
-    _nextStandby = now + kStandbyRetry;
-    std::erase_if(_failedStandbys,
-                  [now](const auto& entry) { return now - entry.second >= kStandbyPause; });
-    const pooling::ProxyNode* chosen = nullptr;
-    for (const pooling::ProxyNode& peer : _context.peers()) {
-        const bool usable =
-            _context.calls.canReach(peer.name) && !_failedStandbys.contains(peer.name);
-        if (usable && peer.zone == _context.zone) {
-            chosen = &peer;
-            break;
-        }
-        if (usable && chosen == nullptr) {
-            chosen = &peer;
-        }
-    }
-    if (chosen == nullptr) {
-        return;
-    }
-    _standby = {chosen->name, {}};
-    _standbyState = StandbyState::Copying;
-    _copy = ++_context.lastCopy;
-    _lastUpdate = 0;
-    _acknowledgedUpdate = 0;
-    LedgerUpdate update;
-    update.whole = true;
-    for (auto& [tenant, ledger] : _ledgers) {
-        ledger.copyTo(update.batches, tenant, now);
-    }
-    sendUpdate(std::move(update), std::nullopt);
-}
-
-void ShardLeader::sendUpdate(LedgerUpdate update, std::optional<UnacknowledgedGrant> grant) {
-    update.shard = _context.shard;
-    update.leaderLife = _context.self.life;
-    update.copy = _copy;
-    update.sequence = ++_lastUpdate;
-    const std::uint64_t number = update.sequence;
-    if (grant) {
-        _unacknowledged[number] = std::move(*grant);
-    }
-    _context.calls.update(_standby.node, update,
-                          [this, alive = std::weak_ptr<bool>(_alive), copy = _copy,
-                           number](const std::optional<LedgerAck>& ack) {
-                              if (!alive.expired()) {
-                                  onAck(copy, number, ack);
-                              }
-                          });
-}
-
-void ShardLeader::onAck(std::uint64_t copy, std::uint64_t update,
-                        const std::optional<LedgerAck>& ack) {
-    if (_ended || copy != _copy) {
-        // Of a copy that was given up.
-        return;
-    }
-    if (!ack || !ack->accepted) {
-        _successor = ack ? _standby.node : NodeName();
-        loseStandby();
-        return;
-    }
-    _acknowledgedUpdate = std::max(_acknowledgedUpdate, update);
-    if (_standbyState == StandbyState::Copying) {
-        _standby.life = ack->life;
-        _standbyState = StandbyState::CatchingUp;
-        _mustCatchUpTo = _lastUpdate;
-    }
-    if (const auto grant = _unacknowledged.extract(update)) {
-        grant.mapped().reply(grant.mapped().answer);
-    }
-    if (isCaughtUp()) {
-        onTick(_context.clock.now());
-    }
-}
-
-/** @return whether the record may name the standby: it has every grant that was answered. */
-bool ShardLeader::isCaughtUp() const {
-    return _standbyState == StandbyState::CatchingUp && _acknowledgedUpdate >= _mustCatchUpTo;
-}
-
-/** Grants stop until the record names the standby no more, since it may lead by now. */
-void ShardLeader::loseStandby() {
-    if (_standbyState == StandbyState::None || _standbyState == StandbyState::Leaving) {
-        return;
-    }
-    _failedStandbys[_standby.node] = _context.clock.now();
-    ++_context.statistics.standbysLost;
-    LogEvent("tenancy", LogLevel::Info, "quota.standby_lost")
-        .field("shard", _context.shard)
-        .field("standby", _standby.node);
-    // A copy that no version of the record has named can be left behind at once.
-    const bool isNamed =
-        _standbyState == StandbyState::Joining || _standbyState == StandbyState::InSync;
-    _standbyState = isNamed ? StandbyState::Leaving : StandbyState::None;
-    _copy = 0;
-    _standby = {};
-    if (!isNamed) {
-        answerUnacknowledged();
-    }
-    _nextStandby = TimePoint{};
-    onTick(_context.clock.now());
-}
-
-/** No standby can lead any more, so what it lacks may be answered. */
-void ShardLeader::answerUnacknowledged() {
-    for (auto& [number, grant] : std::exchange(_unacknowledged, {})) {
-        grant.reply(grant.answer);
-    }
+bool ShardLeader::isIdle(TimePoint now) const {
+    return now - _askedAt >= kIdleAfter && _held.empty();
 }
 
 bool ShardLeader::wantsSave(TimePoint now) const {
     if (_calling || _ended || now < _notBefore) {
         return false;
     }
-    const bool renews =
-        now - _savedAt >= kRenewEvery && (now - _askedAt < kIdleAfter || !_held.empty());
+    const bool renews = now - _savedAt >= kRenewEvery && !isIdle(now);
     return _mustReload || isCaughtUp() || renews || _needsAllowance ||
            _standbyState == StandbyState::Leaving || _standbyState == StandbyState::Joining;
 }
@@ -371,7 +259,7 @@
         takeRecord(record, sentAt);
     } else {
         _mustReload = saved.outcome != StoreOutcome::Unavailable;
-        _notBefore = saved.outcome == StoreOutcome::Conflict ? now : now + kRetryPause;
+        _notBefore = saved.outcome == StoreOutcome::Conflict ? now : now + nextPause();
     }
     onTick(now);
 }
@@ -380,6 +268,7 @@
 void ShardLeader::takeRecord(const QuotaShardRecord& record, TimePoint sentAt) {
     _record = record;
     _savedAt = sentAt;
+    _pause = Duration(0);
     _leaseUntil = sentAt + kShardLease;
     if (_standbyState == StandbyState::Joining && record.standby == _standby) {
         _standbyState = StandbyState::InSync;
@@ -396,9 +285,14 @@
     }
 }
 
+Duration ShardLeader::nextPause() {
+    _pause = nextBackoff(_pause, kFirstPause, kLongestPause);
+    return _pause;
+}
+
 void ShardLeader::reload(TimePoint now) {
     _calling = true;
-    _notBefore = now + kRetryPause;
+    _notBefore = now + nextPause();
     _context.store.load(_context.shard,
                         [this, alive = std::weak_ptr<bool>(_alive)](const LoadedShard& loaded) {
                             if (!alive.expired()) {
@@ -463,20 +357,6 @@
     end();
 }
 
-/** @return whether the standby, which may reach the store where this node does not, should lead. */
-bool ShardLeader::wantsToOffer(TimePoint now) const {
-    return _standbyState == StandbyState::InSync && now - _savedAt >= kOfferAfter &&
-           now - _offeredAt >= kOfferEvery && now - _askedAt < kIdleAfter;
-}
-
-/** This node goes on for as long as it may: the standby stops to acknowledge its grants first. */
-void ShardLeader::offerLead(TimePoint now) {
-    _offeredAt = now;
-    LedgerUpdate update;
-    update.offered = true;
-    sendUpdate(std::move(update), std::nullopt);
-}
-
 void ShardLeader::onTick(TimePoint now) {
     if (_ended) {
         return;
--- a/src/tenancy/ShardLeader.h
+++ b/src/tenancy/ShardLeader.h
@@ -6,8 +6,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
-#include <string>
 #include <utility>
 
 #include "tenancy/QuotaLedger.h"
@@ -18,14 +16,14 @@
 namespace coralhoist::tenancy {
 
 /**
- * Grants within a tenant's bound and within the ceiling that the shard's record names for it, while
- * its lease of the record lasts. A grant is answered once the standby has it, so that the standby
- * may lead at any moment without waiting; without a copy, a new leader counts the ceilings as
- * granted.
+ * Grants within a tenant's bound and within the allowance that the shard's record names for it,
+ * while its lease of the record lasts. A grant is answered once the standby has it, so that the
+ * standby may lead at any moment without waiting; without a copy, a new leader counts what the
+ * record lists and the whole allowance.
  *
- * Invariants: nothing is granted after the lease; what counts in a ledger never exceeds the ceiling
- * of any version of the record that may be the newest; no grant is answered that a standby which
- * some version may name lacks.
+ * Invariants: nothing is granted after the lease; each grant is part of what every version of the
+ * record lists or allows that may be the newest; no grant is answered that a standby which some
+ * version may name lacks.
  */
 class ShardLeader {
 public:
@@ -90,10 +88,12 @@
     void loseStandby();
     void answerUnacknowledged();
 
+    bool isIdle(TimePoint now) const;
     bool wantsSave(TimePoint now) const;
     void save(TimePoint now);
     void onSaved(const SavedShard& saved, const QuotaShardRecord& attempted, TimePoint sentAt);
     void takeRecord(const QuotaShardRecord& record, TimePoint sentAt);
+    Duration nextPause();
     void reload(TimePoint now);
     void onLoaded(const LoadedShard& loaded);
     void end();
@@ -128,6 +128,8 @@
 
     bool _calling = false;
     bool _mustReload = false;
+    /** After calls of the store that failed. */
+    Duration _pause{0};
     TimePoint _notBefore{};
     TimePoint _savedAt{};
     TimePoint _offeredAt{};
