--- a/tests/session/CallerListenerTest.cpp
+++ b/tests/session/CallerListenerTest.cpp
@@ -53,10 +53,14 @@
     pooling::StatementPooler pooler{clock, servers, *this, {}};
     NoQuotaLinks quotaLinks;
     tenancy::InstantShardStore quotaStore;
-    tenancy::QuotaExchange quotas{
-        {clock, quotaLinks, quotaLinks, quotaStore, {NodeName("n1"), "n1/1"}, ZoneName("z"),
-         [](const TenantName& /*tenant*/) {}},
-        {}};
+    tenancy::QuotaExchange quotas{{clock,
+                                   quotaLinks,
+                                   quotaLinks,
+                                   quotaStore,
+                                   {NodeName("n1"), "n1/1"},
+                                   ZoneName("z"),
+                                   [](const TenantName& /*tenant*/) {}},
+                                  {}};
     tenancy::TenantGate gate{clock, pooler, quotas, [this] { return clock.now(); }, Duration(0)};
     CallerListener listener{poller, wire, pooler, gate, clock, 10};
     QTcpSocket caller;
