Sight for late settings: age and source; calls of the store behind an interface

Cause: logs and metrics could not tell how old a node's settings were when it refused a database, nor who had told it of a version. Change: session.refused with settings_version and settings_age_ms, source in settings.in_force, gauge settings_age_seconds; the check for an unknown service moved from the listener to the gate, which knows that age. Tests: TenantGate, PoolingMetrics.

--- a/src/cluster/ClusterCodec.h
+++ b/src/cluster/ClusterCodec.h
@@ -6,7 +6,7 @@
 
 #include "cluster/EstateImport.h"
 #include "failover/PromotionRecord.h"
-#include "link/socket/HttpClient.h"
+#include "link/socket/HttpCaller.h"
 #include "link/store/ObjectProtocol.h"
 #include "pooling/ExecutorPlacement.h"
 #include "pooling/ServerDirectory.h"
--- a/src/cluster/ClusterControl.cpp
+++ b/src/cluster/ClusterControl.cpp
@@ -140,6 +140,7 @@
     const ImportOutcome outcome = _import.apply(*image);
     LogEvent("settings", LogLevel::Info, "settings.in_force")
         .field("version", image->version)
+        .field("source", _follower->source())
         .field("services", image->services.size())
         .field("changed", outcome.changed)
         .field("refused", outcome.refused.size());
--- a/src/cluster/ClusterControl.h
+++ b/src/cluster/ClusterControl.h
@@ -34,8 +34,8 @@
 struct ClusterDependencies {
     const Clock& clock;
     RandomSource& random;
-    socket::HttpClient& storeClient;
-    socket::HttpClient& promotionClient;
+    socket::HttpCaller& storeClient;
+    socket::HttpCaller& promotionClient;
     const store::ObjectProtocol& protocol;
     const ClusterCodec& codec;
     pooling::ServerConnector& connector;
--- a/src/cluster/NodeRegistry.cpp
+++ b/src/cluster/NodeRegistry.cpp
@@ -30,7 +30,7 @@
 
 }  // namespace
 
-NodeRegistry::NodeRegistry(socket::HttpClient& client, const store::ObjectProtocol& protocol,
+NodeRegistry::NodeRegistry(socket::HttpCaller& client, const store::ObjectProtocol& protocol,
                            const ClusterCodec& codec, const Clock& clock, RandomSource& random,
                            pooling::ProxyNode self)
     : _client(client),
--- a/src/cluster/NodeRegistry.h
+++ b/src/cluster/NodeRegistry.h
@@ -10,7 +10,7 @@
 
 #include "base/Time.h"
 #include "cluster/ClusterCodec.h"
-#include "link/socket/HttpClient.h"
+#include "link/socket/HttpCaller.h"
 #include "link/store/ObjectProtocol.h"
 #include "pooling/ExecutorPlacement.h"
 
@@ -24,7 +24,7 @@
 class NodeRegistry {
 public:
     /** References outlive the registry. @param self as the other nodes are to know this one. */
-    NodeRegistry(socket::HttpClient& client, const store::ObjectProtocol& protocol,
+    NodeRegistry(socket::HttpCaller& client, const store::ObjectProtocol& protocol,
                  const ClusterCodec& codec, const Clock& clock, RandomSource& random,
                  pooling::ProxyNode self);
     ~NodeRegistry();
@@ -59,7 +59,7 @@
     bool takePage(const socket::HttpAnswer& answer);
     void replaceNodes();
 
-    socket::HttpClient& _client;
+    socket::HttpCaller& _client;
     const store::ObjectProtocol& _protocol;
     const ClusterCodec& _codec;
     const Clock& _clock;
--- a/src/cluster/PromotionRecordReader.cpp
+++ b/src/cluster/PromotionRecordReader.cpp
@@ -16,7 +16,7 @@
 
 }  // namespace
 
-PromotionRecordReader::PromotionRecordReader(socket::HttpClient& client, const Clock& clock,
+PromotionRecordReader::PromotionRecordReader(socket::HttpCaller& client, const Clock& clock,
                                              const store::ObjectProtocol& protocol,
                                              const ClusterCodec& codec, RecordHandler onRecord)
     : _client(client),
--- a/src/cluster/PromotionRecordReader.h
+++ b/src/cluster/PromotionRecordReader.h
@@ -8,7 +8,7 @@
 
 #include "base/Time.h"
 #include "cluster/ClusterCodec.h"
-#include "link/socket/HttpClient.h"
+#include "link/socket/HttpCaller.h"
 #include "link/store/ObjectProtocol.h"
 #include "pooling/LeadershipProof.h"
 
@@ -23,7 +23,7 @@
      * References outlive the reader.
      * @param onRecord told of each record that is read, before the callback of the reading.
      */
-    PromotionRecordReader(socket::HttpClient& client, const Clock& clock,
+    PromotionRecordReader(socket::HttpCaller& client, const Clock& clock,
                           const store::ObjectProtocol& protocol, const ClusterCodec& codec,
                           RecordHandler onRecord);
     ~PromotionRecordReader() override;
@@ -36,7 +36,7 @@
     void finish(bool succeeded);
     Duration timeout() const;
 
-    socket::HttpClient& _client;
+    socket::HttpCaller& _client;
     const Clock& _clock;
     const store::ObjectProtocol& _protocol;
     const ClusterCodec& _codec;
--- a/src/cluster/RecordCalls.h
+++ b/src/cluster/RecordCalls.h
@@ -7,14 +7,14 @@
 #include <utility>
 
 #include "base/StoreOutcome.h"
-#include "link/socket/HttpClient.h"
+#include "link/socket/HttpCaller.h"
 #include "link/store/ObjectProtocol.h"
 
 namespace coralhoist::cluster {
 
 /** What a call of a record needs. References outlive it. */
 struct RecordCalls {
-    socket::HttpClient& client;
+    socket::HttpCaller& client;
     const store::ObjectProtocol& protocol;
     std::string kind;
 
--- a/src/cluster/SettingsConfirmation.h
+++ b/src/cluster/SettingsConfirmation.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "base/Time.h"
-#include "link/socket/HttpClient.h"
+#include "link/socket/HttpCaller.h"
 #include "link/store/ObjectProtocol.h"
 
 namespace coralhoist::cluster {
@@ -17,7 +17,7 @@
 struct ConfirmationDependencies {
     const Clock& clock;
     RandomSource& random;
-    socket::HttpClient& storeClient;
+    socket::HttpCaller& storeClient;
     const store::ObjectProtocol& protocol;
     /** Told of the objects, the version of the store and the time of the call that showed them. */
     std::function<void(const std::vector<store::StoredObject>&, std::uint64_t, TimePoint)> onList;
--- a/src/cluster/StoreFollower.h
+++ b/src/cluster/StoreFollower.h
@@ -21,7 +21,7 @@
 struct FollowerDependencies {
     const Clock& clock;
     RandomSource& random;
-    socket::HttpClient& storeClient;
+    socket::HttpCaller& storeClient;
     const store::ObjectProtocol& protocol;
     store::FeedQuestions& questions;
     store::FeedAnswers& answers;
@@ -61,6 +61,9 @@
     /** @return whether the knowledge comes from another node. */
     bool isFed() const { return _fedBy.has_value(); }
 
+    /** @return the node that tells of changes; "store" while this node asks the store itself. */
+    std::string source() const { return _fedBy ? _fedBy->value() : "store"; }
+
     /** @return a time not later than the moment up to which the first kind is known, as
      * linearizable calls showed it; unlike a watch, these can't miss a change. */
     TimePoint provenAt() const;
--- a/src/cluster/StoredPromotions.cpp
+++ b/src/cluster/StoredPromotions.cpp
@@ -12,8 +12,8 @@
 
 }  // namespace
 
-StoredPromotions::StoredPromotions(socket::HttpClient& storeClient,
-                                   socket::HttpClient& promotionClient,
+StoredPromotions::StoredPromotions(socket::HttpCaller& storeClient,
+                                   socket::HttpCaller& promotionClient,
                                    const store::ObjectProtocol& protocol, const ClusterCodec& codec,
                                    NodeName self)
     : _records{storeClient, protocol, codec.kinds().promotions},
--- a/src/cluster/StoredPromotions.h
+++ b/src/cluster/StoredPromotions.h
@@ -4,14 +4,14 @@
 #include "cluster/ClusterCodec.h"
 #include "cluster/RecordCalls.h"
 #include "failover/PromotionRecord.h"
-#include "link/socket/HttpClient.h"
+#include "link/socket/HttpCaller.h"
 
 namespace coralhoist::cluster {
 
 /** Implements what failovers need of the outside. References outlive it. */
 class StoredPromotions final : public failover::PromotionStore, public failover::PromotionCaller {
 public:
-    StoredPromotions(socket::HttpClient& storeClient, socket::HttpClient& promotionClient,
+    StoredPromotions(socket::HttpCaller& storeClient, socket::HttpCaller& promotionClient,
                      const store::ObjectProtocol& protocol, const ClusterCodec& codec,
                      NodeName self);
 
@@ -24,7 +24,7 @@
 
 private:
     RecordCalls _records;
-    socket::HttpClient& _promotionClient;
+    socket::HttpCaller& _promotionClient;
     const ClusterCodec& _codec;
     NodeName _self;
 };
--- a/src/cluster/StoredQuotaShards.cpp
+++ b/src/cluster/StoredQuotaShards.cpp
@@ -12,7 +12,7 @@
 
 }  // namespace
 
-StoredQuotaShards::StoredQuotaShards(socket::HttpClient& client,
+StoredQuotaShards::StoredQuotaShards(socket::HttpCaller& client,
                                      const store::ObjectProtocol& protocol,
                                      const ClusterCodec& codec)
     : _records{client, protocol, codec.kinds().quotaShards}, _codec(codec) {}
--- a/src/cluster/StoredQuotaShards.h
+++ b/src/cluster/StoredQuotaShards.h
@@ -10,7 +10,7 @@
 /** Implements what quota shards need of the store. References outlive it. */
 class StoredQuotaShards final : public tenancy::QuotaShardStore {
 public:
-    StoredQuotaShards(socket::HttpClient& client, const store::ObjectProtocol& protocol,
+    StoredQuotaShards(socket::HttpCaller& client, const store::ObjectProtocol& protocol,
                       const ClusterCodec& codec);
 
     void load(std::uint32_t shard,
--- a/src/duty/pooling/PoolingDuty.cpp
+++ b/src/duty/pooling/PoolingDuty.cpp
@@ -234,6 +234,7 @@
     figures.sessions = _pooler.sessionCount();
     figures.nodes = _control->nodeCount();
     figures.settingsVersion = _control->settingsVersion();
+    figures.settingsAge = _clock.now() - _control->settingsProvenAt();
     figures.promotions = _control->promotions();
     figures.ready = isReady();
     figures.storeReachable = _control->isStoreReachable();
--- a/src/duty/pooling/PoolingMetrics.cpp
+++ b/src/duty/pooling/PoolingMetrics.cpp
@@ -107,6 +107,9 @@
     page.metric("gauge", "nodes", "Nodes that share the servers' connections.", figures.nodes);
     page.metric("gauge", "settings_version", "Version of the settings in force.",
                 figures.settingsVersion);
+    page.metric("gauge", "settings_age_seconds",
+                "Time since the call whose answer last proved the settings complete.",
+                std::chrono::duration<double>(figures.settingsAge).count());
     page.metric("counter", "promotions_total", "Promotions carried out by this node.",
                 figures.promotions);
     page.metric("counter", "statements_total", "Statements of callers.", pooler.statements);
--- a/src/duty/pooling/PoolingMetrics.h
+++ b/src/duty/pooling/PoolingMetrics.h
@@ -19,6 +19,8 @@
     std::size_t sessions = 0;
     std::size_t nodes = 0;
     std::uint64_t settingsVersion = 0;
+    /** Time since the newest moment up to which the settings are known to be complete. */
+    Duration settingsAge{0};
     std::uint64_t promotions = 0;
     bool ready = false;
     bool storeReachable = false;
--- a/src/link/session/CallerListener.cpp
+++ b/src/link/session/CallerListener.cpp
@@ -162,10 +162,6 @@
         refuse(caller, StatementFault::Malformed, "a session is open already");
         return;
     }
-    if (!_pooler.hasService(service)) {
-        refuse(caller, StatementFault::UnknownDatabase, "no such database");
-        return;
-    }
     const tenancy::SessionOpening opening = _gate.openSession(service, message.credential);
     if (opening.refusal) {
         refuse(caller, opening.refusal->fault, opening.refusal->message);
--- a/src/link/socket/HttpClient.h
+++ b/src/link/socket/HttpClient.h
@@ -6,57 +6,25 @@
 #pragma once
 
 #include <cstdint>
-#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "base/Time.h"
+#include "link/socket/HttpCaller.h"
 #include "link/socket/StreamConnection.h"
 
 namespace coralhoist::socket {
 
-/** One header of a request. */
-struct HttpHeader {
-    std::string name;
-    std::string value;
-};
-
-/** One call. */
-struct HttpCall {
-    std::string method;
-    /** Absolute path with the query. */
-    std::string target;
-    std::string body;
-    std::vector<HttpHeader> headers;
-    /** From sending until the answer begins; while it arrives, the call goes on. */
-    Duration timeout{};
-};
-
-/** How a call ended. */
-struct HttpAnswer {
-    enum class Outcome {
-        Answered, /**< status and body are set. */
-        NotSent,  /**< No connection came to be; nothing was done. */
-        Lost,     /**< No whole answer came; the call may have been carried out. */
-    };
-    Outcome outcome = Outcome::Lost;
-    int status = 0;
-    std::string body;
-};
-
-using HttpCallback = std::function<void(const HttpAnswer&)>;
-
 /** Calls to one server; each runs on a connection of its own, which is kept for later calls. */
-class HttpClient final : public StreamHandler {
+class HttpClient final : public HttpCaller, public StreamHandler {
 public:
     /** @param poller, clock outlive the client. */
     HttpClient(SocketPoller& poller, const Clock& clock, std::string host, std::uint16_t port);
     ~HttpClient() override;
 
-    /** Starts a call; the callback comes later, once, unless the client is destroyed first. */
-    void call(const HttpCall& call, HttpCallback callback);
+    void call(const HttpCall& call, HttpCallback callback) override;
 
     /** Ends calls that have run out of time. */
     void onTick(TimePoint now);
--- a/src/link/store/ObjectProtocol.h
+++ b/src/link/store/ObjectProtocol.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "base/Time.h"
-#include "link/socket/HttpClient.h"
+#include "link/socket/HttpCaller.h"
 
 namespace coralhoist::store {
 
--- a/src/link/store/ObjectWatch.cpp
+++ b/src/link/store/ObjectWatch.cpp
@@ -16,7 +16,7 @@
 
 }  // namespace
 
-ObjectWatch::ObjectWatch(std::string kind, socket::HttpClient& client,
+ObjectWatch::ObjectWatch(std::string kind, socket::HttpCaller& client,
                          const ObjectProtocol& protocol, const Clock& clock, RandomSource& random,
                          WatchSink& sink, WatchTiming timing)
     : _kind(std::move(kind)),
--- a/src/link/store/ObjectWatch.h
+++ b/src/link/store/ObjectWatch.h
@@ -47,7 +47,7 @@
 class ObjectWatch {
 public:
     /** References outlive the watch. */
-    ObjectWatch(std::string kind, socket::HttpClient& client, const ObjectProtocol& protocol,
+    ObjectWatch(std::string kind, socket::HttpCaller& client, const ObjectProtocol& protocol,
                 const Clock& clock, RandomSource& random, WatchSink& sink, WatchTiming timing);
     ~ObjectWatch();
 
@@ -85,7 +85,7 @@
     void fail(int status);
 
     std::string _kind;
-    socket::HttpClient& _client;
+    socket::HttpCaller& _client;
     const ObjectProtocol& _protocol;
     const Clock& _clock;
     RandomSource& _random;
--- a/src/tenancy/TenantGate.cpp
+++ b/src/tenancy/TenantGate.cpp
@@ -25,6 +25,10 @@
            " ms";
 }
 
+std::int64_t inMilliseconds(Duration span) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+}
+
 }  // namespace
 
 TenantGate::TenantGate(const Clock& clock, pooling::StatementPooler& pooler, QuotaExchange& quotas,
@@ -45,6 +49,10 @@
 }
 
 SessionOpening TenantGate::openSession(const ServiceName& service, const std::string& credential) {
+    if (!_pooler.hasService(service)) {
+        logUnknownService(service);
+        return {std::nullopt, StatementError{StatementFault::UnknownDatabase, "no such database"}};
+    }
     GatedSession session;
     session.service = service;
     session.credential = CredentialDigest::of(credential);
@@ -155,6 +163,15 @@
     _pooler.refuse(id, statement, std::move(error));
 }
 
+/** The age tells a service that does not exist from settings that do not know it yet. */
+void TenantGate::logUnknownService(const ServiceName& service) const {
+    LogEvent("session", LogLevel::Warning, "session.refused")
+        .field("service", service)
+        .field("fault", describe(StatementFault::UnknownDatabase))
+        .field("settings_version", _tenants->version())
+        .field("settings_age_ms", inMilliseconds(_clock.now() - _settingsKnownAt()));
+}
+
 void TenantGate::logRefusal(const GatedSession& session, const Statement& statement,
                             const StatementError& error, Duration settingsAge) const {
     LogEvent("tenancy", LogLevel::Warning, "request.refused")
@@ -164,8 +181,7 @@
         .field("fault", describe(error.fault))
         .field("why", error.message)
         .field("settings_version", _tenants->version())
-        .field("settings_age_ms",
-               std::chrono::duration_cast<std::chrono::milliseconds>(settingsAge).count());
+        .field("settings_age_ms", inMilliseconds(settingsAge));
 }
 
 /** Passes statements of the tenant on while there are units, in the order in which they came. */
--- a/src/tenancy/TenantGate.h
+++ b/src/tenancy/TenantGate.h
@@ -52,7 +52,7 @@
 
     void applyTenants(std::shared_ptr<const TenantDirectory> tenants);
 
-    /** Opens a session of a service that exists. */
+    /** Opens a session, or tells why not. */
     SessionOpening openSession(const ServiceName& service, const std::string& credential);
 
     /** Runs a statement of a session that waits for none, or refuses it. */
@@ -85,6 +85,7 @@
     bool beginsUnit(SessionId id, const pooling::Statement& statement) const;
     void admitWaiting(const TenantName& tenant);
     void passOn(SessionId id, GatedSession& session, const QuotaVerdict& verdict);
+    void logUnknownService(const ServiceName& service) const;
     void logRefusal(const GatedSession& session, const pooling::Statement& statement,
                     const pooling::StatementError& error, Duration settingsAge) const;
     void refuse(SessionId id, const GatedSession& session, const pooling::Statement& statement,
--- a/tests/cluster/NodeRegistryTest.cpp
+++ b/tests/cluster/NodeRegistryTest.cpp
@@ -6,6 +6,7 @@
 
 #include "base/SystemTime.h"
 #include "cluster/NodeRegistry.h"
+#include "link/socket/HttpClient.h"
 #include "link/socket/HttpResponder.h"
 #include "platform/PlatformCodec.h"
 #include "platform/StoreProtocol.h"
--- a/tests/cluster/StoreFollowerTest.cpp
+++ b/tests/cluster/StoreFollowerTest.cpp
@@ -8,6 +8,7 @@
 
 #include "base/SystemTime.h"
 #include "cluster/StoreFollower.h"
+#include "link/socket/HttpClient.h"
 #include "link/socket/HttpResponder.h"
 #include "platform/StoreProtocol.h"
 #include "tests/support/ManualClock.h"
--- a/tests/duty/PoolingMetricsTest.cpp
+++ b/tests/duty/PoolingMetricsTest.cpp
@@ -14,6 +14,7 @@
 TEST(PoolingMetrics, ShowsCountersByFaultAndCumulativeBuckets) {
     PoolingFigures figures;
     figures.ready = true;
+    figures.settingsAge = std::chrono::milliseconds(1250);
     figures.pooler.statements = 7;
     figures.pooler.failedByFault[static_cast<std::size_t>(pooling::StatementFault::InDoubt)] = 3;
     figures.pooler.latency.add(std::chrono::milliseconds(3));
@@ -21,6 +22,7 @@
     figures.pooler.latency.add(std::chrono::seconds(9));
     const std::string page = renderMetrics(figures);
     CHECK_TRUE(contains(page, "coralhoist_ready 1\n"));
+    CHECK_TRUE(contains(page, "coralhoist_settings_age_seconds 1.25\n"));
     CHECK_TRUE(contains(page, "coralhoist_statements_total 7\n"));
     CHECK_TRUE(contains(page, "coralhoist_requests_failed_total{fault=\"in_doubt\"} 3\n"));
     CHECK_TRUE(contains(page, "duration_seconds_bucket{le=\"0.002\"} 0\n"));
--- a/tests/tenancy/TenantGateTest.cpp
+++ b/tests/tenancy/TenantGateTest.cpp
@@ -112,6 +112,12 @@
                         pooling::SuspicionReason /*reason*/) override {}
 };
 
+TEST(TenantGate, AServiceThatIsNotInTheSettingsOpensNoSession) {
+    const SessionOpening opening = gate.openSession(ServiceName("other"), "key-a");
+    CHECK_FALSE(opening.session.has_value());
+    CHECK_TRUE(opening.refusal->fault == StatementFault::UnknownDatabase);
+}
+
 TEST(TenantGate, AnUnknownCredentialOpensNoSession) {
     const SessionOpening opening = gate.openSession(ServiceName("db"), "key-c");
     CHECK_FALSE(opening.session.has_value());
