--- /dev/null
+++ b/tests/cluster/FollowerNetwork.h
@@ -0,0 +1,94 @@
+/** Nodes that follow a simulated store through each other, and a judge of how late they are. */
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/SystemTime.h"
+#include "lab/simulation/EventQueue.h"
+#include "tests/cluster/SimulatedObjectStore.h"
+
+namespace coralhoist::cluster {
+
+/** A kind and the time within which each node in contact with the store must know its changes. */
+struct BoundedKind {
+    std::string name;
+    Duration bound{0};
+};
+
+/**
+ * Follows the kinds "config", "servers" and "promotions" on a number of nodes in three zones.
+ *
+ * The judge holds a node to the bounds while it is in contact: for `contact` it has neither stood
+ * still nor started, and neither the store nor its own way there has been in trouble. Trouble of
+ * other nodes, of links between nodes, of open connections, of watches and of one kind excuses
+ * nothing but that kind.
+ */
+class FollowerNetwork {
+public:
+    FollowerNetwork(std::size_t nodes, unsigned seed);
+    ~FollowerNetwork();
+
+    /** Runs for a span, judging every 5 ms. */
+    void run(Duration span);
+
+    /** Runs an action at a time since the start. */
+    void at(Duration time, std::function<void()> action);
+
+    /** Changes an object of the kind; from now on the bound runs. */
+    void change(const std::string& kind);
+
+    void setStoreTrouble(StoreTrouble trouble);
+    void setStoreTrouble(std::size_t node, StoreTrouble trouble);
+    void setThrottledKind(const std::string& kind, bool throttled);
+    void makeWatchesDeaf() { _store.makeWatchesDeaf(); }
+    void forgetHistory() { _store.forgetHistory(); }
+    void silenceConnections(std::size_t node);
+    /** The process stands still; what comes meanwhile is read afterwards. */
+    void setFrozen(std::size_t node, bool frozen);
+    void restart(std::size_t node);
+    void setLinkCut(std::size_t left, std::size_t right, bool cut);
+
+    std::size_t nodeCount() const { return _nodes.size(); }
+    std::size_t storeCalls() const { return _store.calls(); }
+
+    /** @return each bound that was exceeded, a line each; empty when all were kept. */
+    const std::string& violations() const { return _violations; }
+    /** @return the longest time for which a change that was in force in the store was unknown to a
+     * node in contact. */
+    Duration worstDelay(const std::string& kind) const;
+
+private:
+    class Node;
+    struct Change {
+        std::uint64_t revision = 0;
+        TimePoint at{};
+    };
+
+    void judge();
+    void judge(const Node& node, const BoundedKind& kind);
+    bool isLinked(std::size_t left, std::size_t right) const;
+
+    simulation::EventQueue _queue;
+    SeededRandom _random;
+    SimulatedObjectStore _store{_queue};
+    TimePoint _start;
+    std::vector<std::unique_ptr<Node>> _nodes;
+    std::set<std::pair<std::size_t, std::size_t>> _cutLinks;
+    std::map<std::string, std::vector<Change>> _changes;
+    /** When all callers, or all calls of one kind, were in trouble last. */
+    TimePoint _troubledAt{};
+    std::map<std::string, TimePoint> _kindTroubledAt;
+    std::set<std::string> _throttledKinds;
+    std::map<std::string, Duration> _worst;
+    std::string _violations;
+    std::set<std::pair<std::size_t, std::string>> _reported;
+};
+
+}  // namespace coralhoist::cluster
