--- a/lab/soak/FaultyRelay.cpp
+++ b/lab/soak/FaultyRelay.cpp
@@ -46,7 +46,16 @@
     std::erase_if(_directions, [](const auto& direction) { return !direction->from; });
 }
 
+void FaultyRelay::silenceOpenConnections() {
+    for (const auto& direction : _directions) {
+        direction->silenced = true;
+    }
+}
+
 bool FaultyRelay::isSilent(const Direction& direction) const {
+    if (direction.silenced) {
+        return true;
+    }
     return direction.toTarget ? _faults.silenceToTarget : _faults.silenceToCaller;
 }
 
--- a/lab/soak/FaultyRelay.h
+++ b/lab/soak/FaultyRelay.h
@@ -37,12 +37,16 @@
     /** Resets all connections; bytes on the way are lost. */
     void resetAll();
 
+    /** The connections that are open now pass nothing more, for good; new ones work. */
+    void silenceOpenConnections();
+
 private:
     /** One direction of one connection. */
     struct Direction {
         QPointer<QTcpSocket> from;
         QPointer<QTcpSocket> to;
         bool toTarget = false;
+        bool silenced = false;
         QByteArray waiting;
     };
 
--- a/lab/soak/SoakCommand.cpp
+++ b/lab/soak/SoakCommand.cpp
@@ -31,6 +31,7 @@
     int calm = 0;
     int answersEarly = 0;
     int tenants = 0;
+    int settings = 0;
     std::string program;
     std::string logFolder = ".";
     std::string casesFile;
@@ -53,6 +54,9 @@
          "servers answer commits before a replica has them: the judge must object", nullptr},
         {"tenants", 0, POPT_ARG_NONE, &flags.tenants, 0,
          "callers come as three tenants, of which one sends many times its quota", nullptr},
+        {"settings", 0, POPT_ARG_NONE, &flags.settings, 0,
+         "settings change in quick succession beside outages of the store and lost sources",
+         nullptr},
         {"program", 'P', POPT_ARG_STRING, &programFile.text, 0, "the proxy's program", "FILE"},
         {"logs", 'l', POPT_ARG_STRING, &logFolder.text, 0, "folder for the proxies' logs", "DIR"},
         {"cases", 0, POPT_ARG_STRING, &casesFile.text, 0,
@@ -105,6 +109,7 @@
     options.callers = static_cast<std::uint32_t>(flags.callers);
     options.faults = flags.calm == 0;
     options.tenants = flags.tenants != 0;
+    options.settings = flags.settings != 0;
     options.program = flags.program;
     options.logFolder = flags.logFolder;
     options.group.answersEarly = flags.answersEarly != 0;
@@ -126,6 +131,9 @@
     if (!report.quotas.empty()) {
         std::printf("  units in the busiest window of each tenant:%s\n", report.quotas.c_str());
     }
+    if (report.settingsJudged > 0) {
+        std::printf("  %zu answers held to the bound of the settings\n", report.settingsJudged);
+    }
     if (!kept) {
         for (const std::string& violation : report.violations) {
             std::printf("  %s\n", violation.c_str());
--- a/lab/soak/SoakRun.cpp
+++ b/lab/soak/SoakRun.cpp
@@ -15,6 +15,7 @@
 #include "lab/soak/ServerEntries.h"
 #include "lab/soak/SoakFaults.h"
 #include "lab/soak/SoakPlan.h"
+#include "lab/soak/SoakSettings.h"
 #include "lab/soak/SoakTenants.h"
 #include "lab/soak/WireCaller.h"
 #include "lab/soak/WireServer.h"
@@ -72,6 +73,11 @@
         startServers();
         writeConfiguration();
         startProxies();
+        if (_options.settings) {
+            _settings = std::make_unique<SoakSettings>(_queue, _options.seed, _store.faults(),
+                                                       _proxies, _storeRelays, _peerRelays,
+                                                       _timeline, [this] { writeConfiguration(); });
+        }
         QTimer pump;
         pump.setTimerType(Qt::PreciseTimer);
         QObject::connect(&pump, &QTimer::timeout, [this] { this->pump(); });
@@ -79,10 +85,10 @@
         _queue.after(kStart, [this] { startCallers(); });
         if (_options.faults) {
             const Duration length = seconds(_options.seconds);
-            _queue.after(kStart, [this, length] { _faults.play(drawPlan(_options.seed, length)); });
+            _queue.after(kStart, [this, length] { playFaults(length); });
         }
         _queue.after(kStart + seconds(_options.seconds), [this] {
-            _faults.healAll();
+            healFaults();
             _healedAt = _queue.now();
             watchRecovery();
         });
@@ -98,6 +104,21 @@
         }
     }
 
+    void playFaults(Duration length) {
+        if (_settings) {
+            _settings->play(length);
+        } else {
+            _faults.play(drawPlan(_options.seed, length));
+        }
+    }
+
+    void healFaults() {
+        _faults.healAll();
+        if (_settings) {
+            _settings->healAll();
+        }
+    }
+
     void startServers() {
         for (const auto& server : _group.servers()) {
             _servers.push_back(std::make_unique<WireServer>(_connector, _random, _judge, _book,
@@ -131,8 +152,13 @@
 
     void writeConfiguration() {
         ++_configuration;
-        const QJsonArray routes{route("current", "primary"), route("bounded", "bounded_staleness"),
-                                route("own", "read_your_writes")};
+        QJsonArray routes{route("current", "primary"), route("bounded", "bounded_staleness"),
+                          route("own", "read_your_writes")};
+        if (_settings) {
+            for (const std::string& database : _settings->databases()) {
+                routes.append(route(database.c_str(), "primary"));
+            }
+        }
         const QJsonArray services{
             QJsonObject{{"name", "g"}, {"max_conns", kConnectionsPerServer}, {"sync_replicas", 1}}};
         // The limit differs in each version, so that each one is a change.
@@ -270,6 +296,9 @@
     }
 
     void retire() {
+        if (_settings) {
+            _settings->stop();
+        }
         for (const auto& caller : _callers) {
             caller->retire();
         }
@@ -292,9 +321,15 @@
         _judge.onEnd(_group.finalCommits());
         const std::string quotas = _options.tenants ? judgeQuotas() : std::string();
         SoakReport report;
+        if (_settings) {
+            for (const std::string& violation : _settings->judge().violations()) {
+                _judge.fail(violation);
+            }
+            report.settingsJudged = _settings->judge().judged();
+        }
         report.violations = _judge.violations();
         report.timeline = _timeline.notes();
-        report.faults = _faults.begun();
+        report.faults = _settings ? _settings->begun() : _faults.begun();
         report.answered = _callerWorld.answered;
         report.failed = _callerWorld.failed;
         report.acknowledged = _judge.acknowledged();
@@ -330,6 +365,7 @@
     CallerWorld _callerWorld;
     std::vector<std::unique_ptr<WireCaller>> _callers;
     SoakFaults _faults;
+    std::unique_ptr<SoakSettings> _settings;
     int _configuration = 0;
     std::uint64_t _newestFence = 0;
     TimePoint _healedAt{};
--- a/lab/soak/SoakRun.h
+++ b/lab/soak/SoakRun.h
@@ -22,6 +22,9 @@
     bool faults = true;
     /** Callers come as tenants with quotas. */
     bool tenants = false;
+    /** Settings change in quick succession beside outages and lost sources, in place of the other
+     * faults; judged is how soon they are in force. */
+    bool settings = false;
     /** Path of the proxy's program. */
     std::string program;
     /** Folder for the logs of the proxies. */
@@ -48,6 +51,8 @@
     /** Time from the last fault's end to the end of the judged part. */
     Duration recovery{0};
     std::uint64_t promotions = 0;
+    /** Answers that were held to the bound of the settings. */
+    std::size_t settingsJudged = 0;
     /** Busiest windows of the tenants and their bounds, in words; empty without tenants. */
     std::string quotas;
 };
