A server is its id and its start; entries of other writers name no server and hide no other

Cause: a server may start again under its id and then knows nothing of before; others write into the servers' list. What was learnt of a server outlived it, unknown words were taken for ready replicas, and one item's bytes failed a whole list, for ever. Change: a server's name in the product is its id and the start that it tells (pooling/ServerLife); the adapter alone speaks of ids. ServerDirectory lists one life of an id at most; a life that was followed by another stays away while it is remembered (15 s), whatever version its late entry has. ServerEntry reads each field into a type or says why the entry names none: it is logged once a version and counted, and takes away the server that it named before. Servers of groups that no settings name are not published: nothing is promoted there. Ways weighed: ordering lives by their start (trusts clocks), by the store's versions alone (a late write of a former life becomes the present one), a pair of values as key everywhere (the same, in more places). A server that tells no start keeps its id as its name.

--- a/lab/pooled/PooledNode.cpp
+++ b/lab/pooled/PooledNode.cpp
@@ -210,7 +210,7 @@
     std::set<ServerName> present;
     for (const pooling::ServerAnnouncement& announcement : announcements) {
         present.insert(announcement.address.server);
-        changed |= _directory.put(announcement);
+        changed |= _directory.put(announcement, now);
     }
     const pooling::ServerDirectory::Servers known = _directory.serversOf(group);
     for (const auto& [name, server] : known) {
--- a/src/cluster/ClusterCodec.h
+++ b/src/cluster/ClusterCodec.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 
+#include "base/Status.h"
 #include "cluster/EstateImport.h"
 #include "failover/PromotionRecord.h"
 #include "link/socket/HttpCaller.h"
@@ -30,10 +31,12 @@
 
     virtual ClusterKinds kinds() const = 0;
 
+    /** An object that others may write, too. @return a server, or why it names none. */
+    virtual StatusWith<pooling::ServerAnnouncement> readServer(
+        const store::StoredObject& object) const = 0;
+
     /** Each returns nothing for an object that can't be understood. */
     virtual std::optional<EstateImage> readEstate(const store::StoredObject& object) const = 0;
-    virtual std::optional<pooling::ServerAnnouncement> readServer(
-        const store::StoredObject& object) const = 0;
     virtual std::optional<failover::PromotionRecord> readPromotion(
         const store::StoredObject& object) const = 0;
 
--- a/src/cluster/ClusterControl.cpp
+++ b/src/cluster/ClusterControl.cpp
@@ -138,13 +138,14 @@
     _settingsKnown = true;
     _dependencies.onTenants(tenantsOf(*image));
     _pooler.applyCatalog(pooling::makeCatalog(*_tree.snapshot()));
+    noteGroups(*image);
 }
 
 void ClusterControl::onServersListed(const std::vector<StoredObject>& objects,
                                      std::uint64_t version) {
     std::vector<pooling::ServerAnnouncement> announcements;
     for (const StoredObject& object : objects) {
-        if (const auto announcement = _dependencies.codec.readServer(object)) {
+        if (const auto announcement = readServer(object)) {
             announcements.push_back(*announcement);
         }
     }
@@ -152,26 +153,41 @@
     publishDirectory();
 }
 
+/** @return the server that the entry names; why it names none is logged once a version. */
+std::optional<pooling::ServerAnnouncement> ClusterControl::readServer(const StoredObject& object) {
+    const StatusWith<pooling::ServerAnnouncement> server = _dependencies.codec.readServer(object);
+    if (server.isOk()) {
+        _unreadableVersions.erase(object.name);
+        return server.value();
+    }
+    std::uint64_t& logged = _unreadableVersions[object.name];
+    if (logged < object.version) {
+        logged = object.version;
+        ++_unreadableEntries;
+        LogEvent("directory", LogLevel::Warning, "entry.unreadable")
+            .field("entry", object.name)
+            .field("version", object.version)
+            .field("reason", server.status().message());
+    }
+    return std::nullopt;
+}
+
+/** An entry that names no server takes away the one that it named before. */
 void ClusterControl::onServerEvent(const ObjectEvent& event) {
+    const TimePoint now = _dependencies.clock.now();
     const std::optional<pooling::ServerAnnouncement> announcement =
-        _dependencies.codec.readServer(event.object);
-    bool changed = false;
-    const GroupName group = event.removed  ? _directory.groupOf(ServerName(event.object.name))
-                            : announcement ? announcement->address.group
-                                           : GroupName();
-    if (event.removed) {
-        changed = _directory.remove(ServerName(event.object.name), event.object.version,
-                                    _dependencies.clock.now());
-    } else if (announcement) {
-        changed = _directory.put(*announcement);
-    }
+        event.removed ? std::nullopt : readServer(event.object);
+    const ServerName id(event.object.name);
+    const GroupName group = announcement ? announcement->address.group : _directory.groupOf(id);
+    const bool changed = announcement ? _directory.put(*announcement, now)
+                                      : _directory.remove(id, event.object.version, now);
     if (!changed) {
         return;
     }
     LogEvent("directory", LogLevel::Info, "server.announced")
-        .field("server", event.object.name)
+        .field("server", announcement ? announcement->address.server : id)
         .field("version", event.object.version)
-        .field("removed", event.removed)
+        .field("removed", !announcement.has_value())
         .field("draining", announcement && announcement->draining)
         .field("primary", announcement && announcement->role == pooling::ServerRole::Primary);
     publishGroup(group);
@@ -199,7 +215,25 @@
     }
 }
 
+void ClusterControl::noteGroups(const EstateImage& image) {
+    std::set<GroupName> groups;
+    for (const ImportedGroup& group : image.groups) {
+        groups.insert(group.name);
+    }
+    for (const ImportedService& service : image.services) {
+        groups.insert(service.group);
+    }
+    for (const GroupName& group : groups) {
+        if (_namedGroups.insert(group).second) {
+            publishGroup(group);
+        }
+    }
+}
+
 void ClusterControl::publishGroup(const GroupName& group) {
+    if (!_namedGroups.contains(group)) {
+        return;
+    }
     const pooling::ServerDirectory::Servers& servers = _directory.serversOf(group);
     failoverOf(group).onDirectory(servers);
     _pooler.applyServers(group, servers);
--- a/src/cluster/ClusterControl.h
+++ b/src/cluster/ClusterControl.h
@@ -88,6 +88,9 @@
     /** @return promotions carried out by this node. */
     std::uint64_t promotions() const;
 
+    /** @return versions of entries that named no server, each counted once. */
+    std::uint64_t unreadableEntries() const { return _unreadableEntries; }
+
     std::size_t nodeCount() const { return _publishedNodes.size(); }
 
     /** @return whether another node tells of changes, or the newest call of each watch was
@@ -111,7 +114,9 @@
     void onSettings(const store::StoredObject& object);
     void onServersListed(const std::vector<store::StoredObject>& objects, std::uint64_t version);
     void onServerEvent(const store::ObjectEvent& event);
+    std::optional<pooling::ServerAnnouncement> readServer(const store::StoredObject& object);
     void onPromotion(const store::StoredObject& object);
+    void noteGroups(const EstateImage& image);
     void publishDirectory();
     void publishGroup(const GroupName& group);
     void publishNodes();
@@ -127,6 +132,12 @@
     EstateImport _import;
     bool _settingsKnown = false;
     pooling::ServerDirectory _directory;
+    /** Groups that settings have named. Servers of others are nobody's: no statement goes there,
+     * and no server is promoted. */
+    std::set<GroupName> _namedGroups;
+    /** Newest version of each entry that named no server. */
+    std::map<std::string, std::uint64_t> _unreadableVersions;
+    std::uint64_t _unreadableEntries = 0;
     StoredPromotions _promotions;
     NodeRegistry _registry;
     std::map<GroupName, std::unique_ptr<failover::GroupFailover>> _failovers;
--- a/src/duty/pooling/PoolingMetrics.cpp
+++ b/src/duty/pooling/PoolingMetrics.cpp
@@ -110,6 +110,9 @@
     page.metric("gauge", "settings_age_seconds",
                 "Time since the call whose answer last proved the settings complete.",
                 std::chrono::duration<double>(figures.settingsAge).count());
+    page.metric("counter", "unreadable_entries_total",
+                "Versions of entries of the store that named no server.",
+                figures.unreadableEntries);
     page.metric("counter", "promotions_total", "Promotions carried out by this node.",
                 figures.promotions);
     page.metric("counter", "statements_total", "Statements of callers.", pooler.statements);
--- a/src/pooling/ServerDirectory.cpp
+++ b/src/pooling/ServerDirectory.cpp
@@ -1,12 +1,40 @@
 #include "pooling/ServerDirectory.h"
 
+#include <algorithm>
 #include <set>
+#include <string>
+
+#include "pooling/ServerLife.h"
 
 namespace coralhoist::pooling {
 
-bool ServerDirectory::put(const ServerAnnouncement& announcement) {
+/** Ends other lives of the server. @return whether the announcement is of its present life. */
+bool ServerDirectory::supersede(const ServerAnnouncement& announcement, TimePoint now) {
+    const ServerName& server = announcement.address.server;
+    const std::string id = idOf(server);
+    for (auto& [group, servers] : _groups) {
+        for (auto& [name, listed] : servers) {
+            const bool isSame = name == server && group == announcement.address.group;
+            if (isSame || idOf(name) != id) {
+                continue;
+            }
+            if (listed.announcement.version > announcement.version) {
+                return false;
+            }
+            listed.removedAt = listed.removed ? listed.removedAt : now;
+            listed.removed = true;
+            listed.superseded = listed.superseded || name != server;
+        }
+    }
+    return true;
+}
+
+bool ServerDirectory::put(const ServerAnnouncement& announcement, TimePoint now) {
     ListedServer& listed = _groups[announcement.address.group][announcement.address.server];
-    if (announcement.version < listed.announcement.version) {
+    if (listed.superseded || announcement.version < listed.announcement.version ||
+        !supersede(announcement, now)) {
+        // A name that was not listed before stays away.
+        listed.removed = listed.removed || listed.announcement.version == 0;
         return false;
     }
     const bool changed = listed.removed || !(listed.announcement == announcement);
@@ -16,30 +44,31 @@
 }
 
 bool ServerDirectory::remove(const ServerName& server, std::uint64_t version, TimePoint now) {
+    const bool anyLife = idOf(server) == server.value();
     for (auto& [group, servers] : _groups) {
-        const auto found = servers.find(server);
-        if (found == servers.end() || found->second.removed ||
-            found->second.announcement.version > version) {
-            continue;
+        for (auto& [name, listed] : servers) {
+            const bool isMeant = name == server || (anyLife && idOf(name) == server.value());
+            if (isMeant && !listed.removed && listed.announcement.version <= version) {
+                listed.removed = true;
+                listed.removedAt = now;
+                return true;
+            }
         }
-        found->second.removed = true;
-        found->second.removedAt = now;
-        return true;
     }
     return false;
 }
 
 void ServerDirectory::replaceAll(const std::vector<ServerAnnouncement>& announcements,
                                  std::uint64_t version, TimePoint now) {
-    std::set<ServerName> present;
+    std::set<std::string> present;
     for (const ServerAnnouncement& announcement : announcements) {
-        present.insert(announcement.address.server);
-        put(announcement);
+        present.insert(idOf(announcement.address.server));
+        put(announcement, now);
     }
     for (auto& [group, servers] : _groups) {
         for (auto& [name, listed] : servers) {
             const bool older = listed.announcement.version <= version;
-            if (older && !listed.removed && !present.contains(name)) {
+            if (older && !listed.removed && !present.contains(idOf(name))) {
                 listed.removed = true;
                 listed.removedAt = now;
             }
@@ -57,7 +86,10 @@
 
 GroupName ServerDirectory::groupOf(const ServerName& server) const {
     for (const auto& [group, servers] : _groups) {
-        if (servers.contains(server)) {
+        const bool isListed =
+            std::any_of(servers.begin(), servers.end(),
+                        [&server](const auto& entry) { return idOf(entry.first) == idOf(server); });
+        if (isListed) {
             return group;
         }
     }
--- a/src/pooling/ServerDirectory.h
+++ b/src/pooling/ServerDirectory.h
@@ -34,20 +34,31 @@
     /** Whether the announcement has been removed; it is kept for a while. */
     bool removed = false;
     TimePoint removedAt{};
+    /** Whether the server has been seen to live again under its id: this life is over for good. */
+    bool superseded = false;
 };
 
 /**
- * Announcements by server. Invariant: an announcement never replaces one of a higher version, so
- * that late lists and events change nothing back.
+ * Announcements by server. Invariants: an announcement never replaces one of a higher version, so
+ * that late lists and events change nothing back; of the lives of a server one is listed at most.
+ *
+ * A life that was followed by another does not come back while it is remembered, whatever the
+ * version of its announcement: the store may carry out a write of it seconds late. Ordering lives
+ * by the moment of their start would trust clocks; ordering them by versions alone would take such
+ * a late write for the present life.
  */
 class ServerDirectory {
 public:
     using Servers = std::map<ServerName, ListedServer>;
 
     /** Takes one announcement. @return whether anything changed. */
-    bool put(const ServerAnnouncement& announcement);
+    bool put(const ServerAnnouncement& announcement, TimePoint now);
 
-    /** An announcement of this or a lower version was removed. @return whether it was known. */
+    /**
+     * An announcement of this or a lower version was removed.
+     * @param server a life, or the id alone for whichever life is listed.
+     * @return whether it was known.
+     */
     bool remove(const ServerName& server, std::uint64_t version, TimePoint now);
 
     /**
@@ -63,12 +74,15 @@
     /** @return the servers of a group, removed ones included; empty for an unknown group. */
     const Servers& serversOf(const GroupName& group) const;
 
-    /** @return the group of a server, removed or not; an empty name for one that is not known. */
+    /** @return the group of a server by its id, removed or not; an empty name for one that is not
+     * known. */
     GroupName groupOf(const ServerName& server) const;
 
     const std::map<GroupName, Servers>& groups() const { return _groups; }
 
 private:
+    bool supersede(const ServerAnnouncement& announcement, TimePoint now);
+
     std::map<GroupName, Servers> _groups;
 };
 
--- /dev/null
+++ b/src/pooling/ServerLife.cpp
@@ -0,0 +1,14 @@
+#include "pooling/ServerLife.h"
+
+namespace coralhoist::pooling {
+
+ServerName nameOfLife(const std::string& id, std::optional<std::int64_t> startedAt) {
+    return startedAt ? ServerName(id + kLifeSeparator + std::to_string(*startedAt))
+                     : ServerName(id);
+}
+
+std::string idOf(const ServerName& server) {
+    return server.value().substr(0, server.value().find(kLifeSeparator));
+}
+
+}  // namespace coralhoist::pooling
--- a/tests/cluster/NodeRegistryTest.cpp
+++ b/tests/cluster/NodeRegistryTest.cpp
@@ -28,7 +28,7 @@
     std::optional<EstateImage> readEstate(const store::StoredObject& object) const override {
         return _codec.readEstate(object);
     }
-    std::optional<pooling::ServerAnnouncement> readServer(
+    StatusWith<pooling::ServerAnnouncement> readServer(
         const store::StoredObject& object) const override {
         return _codec.readServer(object);
     }
--- a/tests/failover/FailoverFixture.cpp
+++ b/tests/failover/FailoverFixture.cpp
@@ -76,7 +76,7 @@
         if (unlisted.contains(announcement.address.server)) {
             continue;
         }
-        directory.put(announcement);
+        directory.put(announcement, queue.now());
         const auto lapsed = removed.find(announcement.address.server);
         if (lapsed != removed.end()) {
             directory.remove(lapsed->first, announcement.version, lapsed->second);
--- a/tests/failover/LeadershipProbeTest.cpp
+++ b/tests/failover/LeadershipProbeTest.cpp
@@ -23,7 +23,7 @@
 
     std::optional<TimePoint> ask() {
         for (const pooling::ServerAnnouncement& announcement : fixture.group.announcements()) {
-            directory.put(announcement);
+            directory.put(announcement, fixture.queue.now());
         }
         probe.ask(directory.serversOf(fixture.group.name()), fixture.queue.now());
         for (int step = 0; step < 10; ++step) {
--- a/tests/forwarding/UnitLinkTest.cpp
+++ b/tests/forwarding/UnitLinkTest.cpp
@@ -106,7 +106,7 @@
         primary.slots = 3;
         primary.role = pooling::ServerRole::Primary;
         primary.version = 1;
-        directory.put(primary);
+        directory.put(primary, {});
         pooler.applyDirectory(directory);
         pooler.onTick();
         pooler.onOpened(servers.opening.at(0), {1, 1});
--- a/tests/platform_adapter/CodecTest.cpp
+++ b/tests/platform_adapter/CodecTest.cpp
@@ -5,6 +5,7 @@
 
 #include "platform/PlatformCodec.h"
 #include "platform/StoreProtocol.h"
+#include "pooling/ServerLife.h"
 
 namespace coralhoist::platform_adapter {
 namespace {
@@ -75,12 +76,23 @@
     const auto server = codec.readServer(
         object("i-7f", R"({"service":"g1","addr":"10.128.0.9:8080","zone":"z","slots":3,
                            "state":"draining","db_role":"primary","seq":4})"));
-    CHECK_TRUE(server.has_value());
-    STRCMP_EQUAL("10.128.0.9", server->address.host.c_str());
-    UNSIGNED_LONGS_EQUAL(8080, server->address.port);
-    CHECK_TRUE(server->draining);
-    CHECK_TRUE(server->role == pooling::ServerRole::Primary);
-    CHECK_FALSE(codec.readServer(object("i-7f", R"({"addr":"nowhere"})")).has_value());
+    CHECK_TRUE(server.isOk());
+    STRCMP_EQUAL("10.128.0.9", server.value().address.host.c_str());
+    UNSIGNED_LONGS_EQUAL(8080, server.value().address.port);
+    CHECK_TRUE(server.value().draining);
+    CHECK_TRUE(server.value().role == pooling::ServerRole::Primary);
+    CHECK_FALSE(codec.readServer(object("i-7f", R"({"addr":"nowhere"})")).isOk());
+}
+
+TEST(PlatformCodec, AServerIsKnownToThePlatformByItsIdAlone) {
+    const ServerName life = pooling::nameOfLife("i-7f", 1756);
+    const socket::HttpCall call = codec.promoteCall(GroupName("g1"), life, NodeName("n1"), 31);
+    STRCMP_EQUAL(R"({"id":"i-7f","service":"g1"})", call.body.c_str());
+    failover::PromotionRecord record;
+    record.successor = life;
+    record.members = {life};
+    CHECK_TRUE(codec.readPromotion(codec.writePromotion(GroupName("g1"), record))->successor ==
+               life);
 }
 
 TEST(PlatformCodec, PromotionRecordsSurviveTheStore) {
--- a/tests/pooling/LeadershipTrackerTest.cpp
+++ b/tests/pooling/LeadershipTrackerTest.cpp
@@ -26,7 +26,7 @@
             announcement.address = {GroupName("g"), ServerName(name), "10.0.0.1", 1};
             announcement.role = ServerRole::Primary;
             announcement.version = 1;
-            directory.put(announcement);
+            directory.put(announcement, {});
         }
         tracker.onDirectory(directory.serversOf(GroupName("g")), start);
     }
--- a/tests/pooling/PoolerFixture.cpp
+++ b/tests/pooling/PoolerFixture.cpp
@@ -79,7 +79,7 @@
         announcement.slots = 3;
         announcement.role = name == primary ? ServerRole::Primary : ServerRole::Replica;
         announcement.version = version * 10 + static_cast<std::uint64_t>(index);
-        directory.put(announcement);
+        directory.put(announcement, clock.now());
     }
     pooler.applyDirectory(directory);
 }
--- /dev/null
+++ b/tests/pooling/ServerDirectoryTest.cpp
@@ -0,0 +1,102 @@
+#include <CppUTest/TestHarness.h>
+
+#include "pooling/ServerDirectory.h"
+#include "pooling/ServerLife.h"
+#include "tests/support/ManualClock.h"
+
+namespace coralhoist::pooling {
+namespace {
+
+using std::chrono::seconds;
+
+const GroupName kGroup{"g"};
+
+TEST_GROUP(ServerDirectory) {
+    testing::ManualClock clock;
+    ServerDirectory directory;
+
+    static ServerAnnouncement life(std::int64_t startedAt, std::uint64_t version,
+                                   const char* group = "g") {
+        ServerAnnouncement announcement;
+        announcement.address.group = GroupName(group);
+        announcement.address.server = nameOfLife("s1", startedAt);
+        announcement.version = version;
+        return announcement;
+    }
+    bool put(const ServerAnnouncement& announcement) {
+        return directory.put(announcement, clock.now());
+    }
+    bool isListed(std::int64_t startedAt, const GroupName& group = kGroup) const {
+        const auto& servers = directory.serversOf(group);
+        const auto found = servers.find(nameOfLife("s1", startedAt));
+        return found != servers.end() && !found->second.removed;
+    }
+};
+
+TEST(ServerDirectory, AServerThatStartsAgainIsAnother) {
+    CHECK_TRUE(put(life(100, 5)));
+    CHECK_TRUE(put(life(200, 6)));
+    CHECK_FALSE(isListed(100));
+    CHECK_TRUE(isListed(200));
+    STRCMP_EQUAL("s1", idOf(nameOfLife("s1", 200)).c_str());
+}
+
+/** Clocks are not trusted: a later life may tell an earlier start. */
+TEST(ServerDirectory, TheOrderOfStartsDoesNotCount) {
+    put(life(200, 5));
+    CHECK_TRUE(put(life(100, 6)));
+    CHECK_TRUE(isListed(100));
+    CHECK_FALSE(isListed(200));
+}
+
+/** The store may carry out a write seconds after it was sent, under a higher version. */
+TEST(ServerDirectory, ALateEntryOfAFormerLifeReplacesNoLaterOne) {
+    put(life(100, 5));
+    put(life(200, 6));
+    CHECK_FALSE(put(life(100, 7)));
+    CHECK_TRUE(isListed(200));
+    directory.replaceAll({life(100, 7)}, 8, clock.now());
+    CHECK_TRUE(isListed(200));
+    CHECK_FALSE(isListed(100));
+    CHECK_FALSE(put(life(100, 4)));
+    CHECK_TRUE(put(life(200, 9)));
+}
+
+TEST(ServerDirectory, AnOlderEntryOfAnotherLifeChangesNothing) {
+    put(life(200, 6));
+    CHECK_FALSE(put(life(100, 5)));
+    CHECK_TRUE(isListed(200));
+    CHECK_FALSE(isListed(100));
+}
+
+TEST(ServerDirectory, ARemovedIdTakesAwayWhicheverLifeIsListed) {
+    put(life(100, 5));
+    put(life(200, 6));
+    CHECK_TRUE(directory.remove(ServerName("s1"), 7, clock.now()));
+    CHECK_FALSE(isListed(200));
+    CHECK_TRUE(directory.groupOf(ServerName("s1")) == kGroup);
+}
+
+TEST(ServerDirectory, AListWithoutTheServerTakesItAway) {
+    put(life(100, 5));
+    directory.replaceAll({}, 6, clock.now());
+    CHECK_FALSE(isListed(100));
+}
+
+TEST(ServerDirectory, AServerThatChangesItsGroupLeavesTheFormerOne) {
+    put(life(100, 5));
+    CHECK_TRUE(put(life(100, 6, "h")));
+    CHECK_FALSE(isListed(100));
+    CHECK_TRUE(isListed(100, GroupName("h")));
+}
+
+TEST(ServerDirectory, LivesAreForgottenAfterAWhile) {
+    put(life(100, 5));
+    put(life(200, 6));
+    clock.advance(seconds(16));
+    directory.expire(clock.now(), seconds(15));
+    UNSIGNED_LONGS_EQUAL(1, directory.serversOf(kGroup).size());
+}
+
+}  // namespace
+}  // namespace coralhoist::pooling
