--- a/src/tenancy/QuotaExchange.cpp
+++ b/src/tenancy/QuotaExchange.cpp
@@ -28,11 +28,6 @@
 /** When a caller should come back while no leader answers. */
 constexpr Duration kRetryWithoutAnswer = milliseconds(300);
 
-/** @return the key by which all nodes order themselves for a shard. */
-std::string orderKey(std::uint32_t shard) {
-    return "quota/" + std::to_string(shard);
-}
-
 }  // namespace
 
 QuotaExchange::QuotaExchange(QuotaDependencies dependencies, QuotaTerms terms)
@@ -40,16 +35,17 @@
       _terms(terms),
       _startedAt(_dependencies.clock.now()),
       _calls(_dependencies.questions),
-      _tenants(std::make_shared<TenantDirectory>()) {}
+      _tenants(std::make_shared<TenantDirectory>()),
+      _nodes{{_dependencies.self.node, _dependencies.zone, {}, 0}} {}
 
 void QuotaExchange::applyNodes(const std::vector<pooling::ProxyNode>& nodes) {
-    _nodes.clear();
+    _nodes = {{_dependencies.self.node, _dependencies.zone, {}, 0}};
     for (const pooling::ProxyNode& node : nodes) {
         if (node.name != _dependencies.self.node && node.port != 0) {
             _nodes.push_back(node);
         }
     }
-    _peers.clear();
+    _orders.clear();
 }
 
 void QuotaExchange::applyTenants(std::shared_ptr<const TenantDirectory> tenants) {
@@ -58,8 +54,9 @@
                   [this](const auto& entry) { return _tenants->find(entry.first) == nullptr; });
 }
 
-const std::vector<pooling::ProxyNode>& QuotaExchange::peersOf(std::uint32_t shard) {
-    const auto [entry, added] = _peers.try_emplace(shard);
+/** @return all nodes in the order that all nodes agree on. */
+const std::vector<pooling::ProxyNode>& QuotaExchange::orderOf(std::uint32_t shard) {
+    const auto [entry, added] = _orders.try_emplace(shard);
     if (added) {
         std::map<NodeName, pooling::ProxyNode> byName;
         std::vector<NodeName> names;
@@ -67,7 +64,7 @@
             byName[node.name] = node;
             names.push_back(node.name);
         }
-        for (const NodeName& name : pooling::rankedNodes(orderKey(shard), names)) {
+        for (const NodeName& name : pooling::rankedNodes("quota/" + std::to_string(shard), names)) {
             entry->second.push_back(byName[name]);
         }
     }
@@ -81,7 +78,7 @@
             shard, _dependencies.self, _startedAt, _terms, _dependencies.clock, _calls,
             _dependencies.store, _statistics, _lastCopy,
             [this]() -> const TenantDirectory& { return *_tenants; },
-            [this, shard]() -> const std::vector<pooling::ProxyNode>& { return peersOf(shard); },
+            [this, shard]() -> const std::vector<pooling::ProxyNode>& { return orderOf(shard); },
             _dependencies.zone});
         if (_leaving) {
             entry->release();
@@ -133,14 +130,15 @@
             return known->second;
         }
     }
-    std::vector<NodeName> names{_dependencies.self.node};
-    for (const pooling::ProxyNode& node : _nodes) {
+    for (const pooling::ProxyNode& node : orderOf(shard)) {
+        if (node.name == _dependencies.self.node) {
+            return std::nullopt;
+        }
         if (isUsable(node.name)) {
-            names.push_back(node.name);
+            return node.name;
         }
     }
-    const NodeName first = pooling::rankedNodes(orderKey(shard), names).front();
-    return first == _dependencies.self.node ? std::nullopt : std::optional<NodeName>(first);
+    return std::nullopt;
 }
 
 bool QuotaExchange::isUsable(const NodeName& node) const {
--- a/src/tenancy/QuotaExchange.h
+++ b/src/tenancy/QuotaExchange.h
@@ -105,7 +105,7 @@
     void onAnswer(const TenantName& tenant, const Asked& asked, const QuotaQuestion& question,
                   const QuotaAnswer& answer);
     QuotaShard& shardOf(std::uint32_t shard);
-    const std::vector<pooling::ProxyNode>& peersOf(std::uint32_t shard);
+    const std::vector<pooling::ProxyNode>& orderOf(std::uint32_t shard);
 
     QuotaDependencies _dependencies;
     QuotaTerms _terms;
@@ -113,9 +113,9 @@
     QuotaCalls _calls;
     QuotaStatistics _statistics;
     std::shared_ptr<const TenantDirectory> _tenants;
-    /** Other nodes, and their order for each shard. */
+    /** All nodes, and their order for each shard. */
     std::vector<pooling::ProxyNode> _nodes;
-    std::map<std::uint32_t, std::vector<pooling::ProxyNode>> _peers;
+    std::map<std::uint32_t, std::vector<pooling::ProxyNode>> _orders;
     std::map<std::uint32_t, std::unique_ptr<QuotaShard>> _shards;
     /** Leaders that answered last, and their standbys. */
     std::map<std::uint32_t, NodeName> _leaders;
--- a/src/tenancy/QuotaLease.h
+++ b/src/tenancy/QuotaLease.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <utility>
 #include <vector>
 
 #include "base/Time.h"
--- a/src/tenancy/QuotaMessages.h
+++ b/src/tenancy/QuotaMessages.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <tuple>
@@ -68,6 +69,9 @@
     bool operator==(const QuotaAnswer&) const = default;
 };
 
+/** Takes the answer to a question; called once, at once or later. */
+using QuotaReply = std::function<void(const QuotaAnswer&)>;
+
 /** A batch as a standby keeps it. */
 struct CopiedBatch {
     TenantName tenant;
--- a/src/tenancy/QuotaShard.cpp
+++ b/src/tenancy/QuotaShard.cpp
@@ -14,9 +14,6 @@
 constexpr Duration kReadAgainAfter = milliseconds(300);
 /** Pause after a call of the store that failed, and between readings that changed nothing. */
 constexpr Duration kRetryPause = milliseconds(200);
-/** A question waits this long at most for the record. */
-constexpr Duration kHeldFor = milliseconds(250);
-constexpr std::size_t kMostHeld = 512;
 /** A standby that has had no update for so long while questions came to it for want of an answer
  * leads: each grant is an update. A wrong guess costs two calls of the store. */
 constexpr Duration kLeaderSilence = milliseconds(150);
@@ -66,11 +63,7 @@
         relay(*target, std::move(held));
         return;
     }
-    if (_held.size() >= kMostHeld) {
-        decline(held, kRetryPause);
-        return;
-    }
-    _held.push_back(std::move(held));
+    _held.hold(std::move(held));
     seek(now);
 }
 
@@ -80,40 +73,43 @@
     QuotaQuestion question = held.question;
     ++question.hops;
     question.leaderSilent = question.leaderSilent || node != _known->record.leader.node;
-    _context.calls.ask(
-        node, question,
-        [this, alive = std::weak_ptr<bool>(_alive), node,
-         held = std::move(held)](const std::optional<QuotaAnswer>& answer) mutable {
-            if (alive.expired()) {
-                return;
-            }
-            if (answer && !answer->declined) {
-                held.reply(*answer);
-                return;
-            }
-            const TimePoint now = _context.clock.now();
-            if (_known) {
-                _known->loadedAt = std::min(_known->loadedAt, now - kReadAgainAfter);
-                if (answer && node == _known->record.leader.node) {
-                    _leaderDeclinedAt = now;
-                }
-            }
-            if (answer || now - held.since >= kHeldFor || _held.size() >= kMostHeld) {
-                decline(held, answer ? answer->retryAfter : kRetryPause);
-            } else {
-                _held.push_back(std::move(held));
-            }
-            seek(now);
-        });
+    _context.calls.ask(node, question,
+                       [this, alive = std::weak_ptr<bool>(_alive), node,
+                        held = std::move(held)](const std::optional<QuotaAnswer>& answer) mutable {
+                           if (alive.expired()) {
+                               return;
+                           }
+                           if (answer && !answer->declined) {
+                               held.reply(*answer);
+                               return;
+                           }
+                           const TimePoint now = _context.clock.now();
+                           mustReadAgain(now);
+                           if (answer && _known && node == _known->record.leader.node) {
+                               _leaderDeclinedAt = now;
+                           }
+                           if (answer || held.isOverdue(now)) {
+                               decline(held, answer ? answer->retryAfter : kRetryPause);
+                           } else {
+                               _held.hold(std::move(held));
+                           }
+                           seek(now);
+                       });
 }
 
-void QuotaShard::decline(HeldQuestion& held, Duration retryAfter) {
-    ++_context.statistics.declined;
-    held.reply(declinedAnswer(std::clamp(retryAfter, kRetryPause, kLongestRetry)));
+/** What is known of the record is not enough for the next decision. */
+void QuotaShard::mustReadAgain(TimePoint now) {
+    if (_known) {
+        _known->loadedAt = std::min(_known->loadedAt, now - kReadAgainAfter);
+    }
+}
+
+void QuotaShard::decline(const HeldQuestion& held, Duration retryAfter) {
+    _held.decline(held, std::clamp(retryAfter, kRetryPause, kLongestRetry));
 }
 
 void QuotaShard::declineHeld(Duration retryAfter) {
-    for (HeldQuestion& held : std::exchange(_held, {})) {
+    for (const HeldQuestion& held : _held.takeAll()) {
         decline(held, retryAfter);
     }
 }
@@ -121,7 +117,7 @@
 /** Questions that waited for the record go to whom it names. */
 void QuotaShard::handOnHeld(TimePoint now) {
     const std::optional<NodeName> target = relayTarget();
-    for (HeldQuestion& held : std::exchange(_held, {})) {
+    for (HeldQuestion& held : _held.takeAll()) {
         if (leads()) {
             _leader->ask(held.question, std::move(held.reply));
         } else if (target && held.question.hops < kMostQuotaHops) {
@@ -178,7 +174,7 @@
 bool QuotaShard::mayLeadWithCopy(TimePoint now) const {
     const QuotaShardRecord& record = _known->record;
     const bool isSilent =
-        std::any_of(_held.begin(), _held.end(),
+        std::any_of(_held.all().begin(), _held.all().end(),
                     [this, now](const HeldQuestion& held) { return isSilentToStandby(held, now); });
     return record.standby == _context.self && _copy.isOf(record.leader.life) &&
            (_copy.isOffered(now) || !canReach(record.leader) || isSilent);
@@ -288,9 +284,7 @@
     ack.life = _context.self.life;
     ack.accepted = !leads() && !_released && _copy.take(update, _context.terms.window, now);
     if (ack.accepted && _copy.isOffered(now)) {
-        if (_known) {
-            _known->loadedAt = std::min(_known->loadedAt, now - kReadAgainAfter);
-        }
+        mustReadAgain(now);
         seek(now);
     }
     return ack;
@@ -306,7 +300,7 @@
 void QuotaShard::onTick(TimePoint now) {
     if (_leader && _leader->hasEnded()) {
         for (HeldQuestion& held : _leader->takeHeld()) {
-            _held.push_back(std::move(held));
+            _held.hold(std::move(held));
         }
         _leader.reset();
     }
@@ -314,11 +308,7 @@
         _leader->onTick(now);
         return;
     }
-    while (!_held.empty() && now - _held.front().since >= kHeldFor) {
-        HeldQuestion overdue = std::move(_held.front());
-        _held.pop_front();
-        decline(overdue, kRetryPause);
-    }
+    _held.declineOverdue(now);
     if (!_held.empty() || _copy.isReleased()) {
         seek(now);
     }
@@ -328,10 +318,7 @@
     if (_leader) {
         return _leader->hasEnded() ? TimePoint::min() : _leader->nextTick();
     }
-    TimePoint next = TimePoint::max();
-    if (!_held.empty()) {
-        next = _held.front().since + kHeldFor;
-    }
+    TimePoint next = _held.dueAt();
     if (!_calling && (!_held.empty() || _copy.isReleased())) {
         next = std::min(next, _notBefore);
     }
--- a/src/tenancy/QuotaShard.h
+++ b/src/tenancy/QuotaShard.h
@@ -2,10 +2,10 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <memory>
 #include <optional>
 
+#include "tenancy/HeldQuestions.h"
 #include "tenancy/LedgerCopy.h"
 #include "tenancy/ShardContext.h"
 #include "tenancy/ShardLeader.h"
@@ -23,7 +23,8 @@
  */
 class QuotaShard {
 public:
-    explicit QuotaShard(ShardContext context) : _context(std::move(context)) {}
+    explicit QuotaShard(ShardContext context)
+        : _context(std::move(context)), _held(_context.statistics.declined) {}
 
     /** @param reply called once, now or later. */
     void ask(const QuotaQuestion& question, QuotaReply reply);
@@ -62,7 +63,8 @@
     void onClaimed(const SavedShard& saved, const QuotaShardRecord& claimed, TimePoint sentAt);
     void lead(const QuotaShardRecord& record, TimePoint leaseUntil);
     ShardLedgers inheritedLedgers(TimePoint now) const;
-    void decline(HeldQuestion& held, Duration retryAfter);
+    void mustReadAgain(TimePoint now);
+    void decline(const HeldQuestion& held, Duration retryAfter);
     void declineHeld(Duration retryAfter);
     void handOnHeld(TimePoint now);
 
@@ -79,7 +81,7 @@
     bool _calling = false;
     bool _released = false;
     TimePoint _notBefore{};
-    std::deque<HeldQuestion> _held;
+    HeldQuestions _held;
     std::shared_ptr<bool> _alive = std::make_shared<bool>(true);
 };
 
--- a/src/tenancy/QuotaShardRecord.h
+++ b/src/tenancy/QuotaShardRecord.h
@@ -39,7 +39,8 @@
     bool operator==(const RecordedQuota&) const = default;
 };
 
-/** Step of `RecordedQuota::counting`: with 0.5 s a window and a lease are 12 numbers a tenant. */
+/** Step of `RecordedQuota::counting`: with 0.5 s a window and the longest lease are 14 numbers a
+ * tenant. */
 constexpr Duration kCountingStep = std::chrono::milliseconds(500);
 
 /**
--- a/src/tenancy/RecordAllowances.cpp
+++ b/src/tenancy/RecordAllowances.cpp
@@ -80,14 +80,19 @@
     }
 }
 
-std::map<TenantName, RecordedQuota> recordedQuotas(const ShardContext& context,
-                                                   ShardLedgers& ledgers, TimePoint now) {
+std::map<TenantName, RecordedQuota> countedQuotas(ShardLedgers& ledgers, TimePoint now) {
     std::map<TenantName, RecordedQuota> quotas;
     for (auto& [name, ledger] : ledgers) {
         if (ledger.counted(now) > 0) {
             quotas[name] = ledger.recorded(now);
         }
     }
+    return quotas;
+}
+
+std::map<TenantName, RecordedQuota> recordedQuotas(const ShardContext& context,
+                                                   ShardLedgers& ledgers, TimePoint now) {
+    std::map<TenantName, RecordedQuota> quotas = countedQuotas(ledgers, now);
     for (const auto& [name, tenant] : context.tenants().all()) {
         if (quotaShardOf(name) == context.shard) {
             const auto ledger = ledgers.find(name);
--- a/src/tenancy/RecordAllowances.h
+++ b/src/tenancy/RecordAllowances.h
@@ -44,6 +44,9 @@
     std::optional<Allowances> _doubtful;
 };
 
+/** @return what counts of each tenant now, without allowances. */
+std::map<TenantName, RecordedQuota> countedQuotas(ShardLedgers& ledgers, TimePoint now);
+
 /** @return what the record is to say of all tenants of the shard. */
 std::map<TenantName, RecordedQuota> recordedQuotas(const ShardContext& context,
                                                    ShardLedgers& ledgers, TimePoint now);
--- a/src/tenancy/ShardContext.h
+++ b/src/tenancy/ShardContext.h
@@ -3,7 +3,6 @@
 
 #include <cstdint>
 #include <functional>
-#include <memory>
 #include <vector>
 
 #include "base/Time.h"
@@ -49,21 +48,11 @@
     std::uint64_t& lastCopy;
     /** @return the tenants in force. */
     std::function<const TenantDirectory&()> tenants;
-    /** @return the other nodes, those first that should be asked or copied to first. */
-    std::function<const std::vector<pooling::ProxyNode>&()> peers;
+    /** @return all nodes, this one included, in the order in which they are asked or copied to. */
+    std::function<const std::vector<pooling::ProxyNode>&()> nodes;
     ZoneName zone;
 };
 
-/** Takes the answer to a question; called once, at once or later. */
-using QuotaReply = std::function<void(const QuotaAnswer&)>;
-
-/** A question that waits for an answer. */
-struct HeldQuestion {
-    QuotaQuestion question;
-    QuotaReply reply;
-    TimePoint since{};
-};
-
 /** Units that a leader may grant beyond what counts end with this time after its last renewal was
  * begun. It outlasts an outage of the store of 4 s; with 5 s in place of 6 it is 3 s. */
 constexpr Duration kShardLease = std::chrono::seconds(6);
@@ -73,7 +62,4 @@
 /** Asking node, a node that knows the record, the standby, the leader. */
 constexpr std::uint32_t kMostQuotaHops = 2;
 
-/** @return an answer without units. */
-QuotaAnswer declinedAnswer(Duration retryAfter);
-
 }  // namespace coralhoist::tenancy
--- a/src/tenancy/ShardLeader.cpp
+++ b/src/tenancy/ShardLeader.cpp
@@ -21,26 +21,21 @@
  * store counts the calls that it refuses. */
 constexpr Duration kFirstPause = milliseconds(100);
 constexpr Duration kLongestPause = milliseconds(800);
-/** A question waits this long at most for a copy or for the store. */
-constexpr Duration kHeldFor = milliseconds(250);
-constexpr std::size_t kMostHeld = 512;
-/** When to ask again after that. */
-constexpr Duration kRetryAfterHeld = milliseconds(200);
+/** When to ask again a leader that can't answer now. */
+constexpr Duration kRetryAfterDecline = milliseconds(200);
 constexpr Duration kLongestRetry = std::chrono::seconds(1);
 /** A tenant of which more than this part of its bound counts uses most of its quota. */
 constexpr double kScarceAbove = 0.75;
 /** The record is written anew when a tenant has so small a part of its allowance left. */
 constexpr double kAllowanceLow = 0.3;
 
-}  // namespace
-
-QuotaAnswer declinedAnswer(Duration retryAfter) {
-    QuotaAnswer answer;
-    answer.declined = true;
-    answer.retryAfter = retryAfter;
-    return answer;
+/** @return how long the units that are asked for are usable. */
+Duration usableFor(const QuotaQuestion& question) {
+    return std::min(question.usableFor, kLongestQuotaLease);
 }
 
+}  // namespace
+
 ShardLeader::ShardLeader(const ShardContext& context, QuotaShardRecord record, TimePoint leaseUntil,
                          ShardLedgers ledgers)
     : _context(context),
@@ -50,7 +45,8 @@
       _ledgers(std::move(ledgers)),
       _allowances(_record),
       _savedAt(leaseUntil - kShardLease),
-      _askedAt(context.clock.now()) {}
+      _askedAt(context.clock.now()),
+      _held(context.statistics.declined) {}
 
 bool ShardLeader::mayGrant(TimePoint now) const {
     return !_ended && now < _leaseUntil && _standbyState != StandbyState::Leaving;
@@ -73,7 +69,7 @@
     } else if (mayHandOn(question)) {
         handOn(held);
     } else {
-        hold(std::move(held));
+        _held.hold(std::move(held));
     }
     if (wantsSave(now)) {
         save(now);
@@ -92,24 +88,19 @@
     ++question.hops;
     _context.calls.ask(_successor, question,
                        [reply = held.reply](const std::optional<QuotaAnswer>& answer) {
-                           reply(answer.value_or(declinedAnswer(kRetryAfterHeld)));
+                           reply(answer.value_or(declinedAnswer(kRetryAfterDecline)));
                        });
 }
 
-void ShardLeader::hold(HeldQuestion held) {
-    if (_held.size() >= kMostHeld) {
-        ++_context.statistics.declined;
-        held.reply(declinedAnswer(kRetryAfterHeld));
-        return;
-    }
-    _held.push_back(std::move(held));
+/** @return units that the tenant's bound leaves. */
+std::uint32_t ShardLeader::freeUnits(const Tenant& tenant, TimePoint now) {
+    const std::uint32_t bound = _context.terms.bound(tenant.quota);
+    return bound - std::min(bound, ledgerOf(tenant.name).counted(now));
 }
 
 /** @return units that bound and allowance leave. */
 std::uint32_t ShardLeader::grantable(const Tenant& tenant, std::uint32_t wanted, TimePoint now) {
-    const std::uint32_t bound = _context.terms.bound(tenant.quota);
-    const std::uint32_t counted = ledgerOf(tenant.name).counted(now);
-    const std::uint32_t free = bound - std::min(bound, counted);
+    const std::uint32_t free = freeUnits(tenant, now);
     const std::uint32_t left = _allowances.left(tenant.name);
     const std::uint32_t allowed = _record.tenants[tenant.name].allowance;
     _needsAllowance = _needsAllowance || (free > 0 && left <= allowed * kAllowanceLow);
@@ -125,13 +116,12 @@
     const QuotaQuestion& question = held.question;
     const Tenant* tenant = _context.tenants().find(question.tenant);
     if (tenant == nullptr) {
-        ++_context.statistics.declined;
-        held.reply(declinedAnswer(kRetryAfterHeld));
+        _held.decline(held, kRetryAfterDecline);
         return;
     }
     const std::uint32_t allowed = grantable(*tenant, question.wanted, now);
     if (allowed == 0 && question.wanted > 0 && isLimitedByAllowance(*tenant, now)) {
-        hold(std::move(held));
+        _held.hold(std::move(held));
         return;
     }
     const std::uint32_t units = paced(*tenant, allowed, now);
@@ -142,8 +132,7 @@
         return;
     }
     LedgerUpdate update;
-    update.batches.push_back(
-        {question.tenant, granted.batch, units, std::min(question.usableFor, kLongestQuotaLease)});
+    update.batches.push_back({question.tenant, granted.batch, units, usableFor(question)});
     if (_standbyState == StandbyState::Copying) {
         sendUpdate(std::move(update), std::nullopt);
         held.reply(granted);
@@ -154,8 +143,7 @@
 
 /** @return whether the tenant's bound leaves units, but the record's allowance does not. */
 bool ShardLeader::isLimitedByAllowance(const Tenant& tenant, TimePoint now) {
-    return _allowances.left(tenant.name) == 0 &&
-           ledgerOf(tenant.name).counted(now) < _context.terms.bound(tenant.quota);
+    return _allowances.left(tenant.name) == 0 && freeUnits(tenant, now) > 0;
 }
 
 QuotaAnswer ShardLeader::grant(const Tenant& tenant, const QuotaQuestion& question,
@@ -167,7 +155,7 @@
     answer.granted = units;
     if (units > 0) {
         answer.batch = {_term, ++_lastBatch};
-        ledger.add(answer.batch, units, now + std::min(question.usableFor, kLongestQuotaLease));
+        ledger.add(answer.batch, units, now + usableFor(question));
         _allowances.take(tenant.name, units);
         _pacers[tenant.name].take(units);
     }
@@ -176,9 +164,7 @@
     // While the record is written for a new allowance, the rest may be had at once.
     if (missing > 0 && !isLimitedByAllowance(tenant, now)) {
         const Duration paced = _pacers[tenant.name].untilAvailable(missing);
-        const std::uint32_t free =
-            _context.terms.bound(tenant.quota) -
-            std::min(_context.terms.bound(tenant.quota), ledger.counted(now));
+        const std::uint32_t free = freeUnits(tenant, now);
         const Duration freed =
             missing > free ? ledger.untilFreed(missing - free, now) : Duration(0);
         answer.retryAfter = std::min(std::max(paced, freed), kLongestRetry);
@@ -187,24 +173,15 @@
 }
 
 void ShardLeader::answerHeld(TimePoint now) {
-    for (HeldQuestion& held : std::exchange(_held, {})) {
+    for (HeldQuestion& held : _held.takeAll()) {
         if (mayGrant(now)) {
             answer(std::move(held), now);
         } else {
-            _held.push_back(std::move(held));
+            _held.hold(std::move(held));
         }
     }
 }
 
-void ShardLeader::declineOverdue(TimePoint now) {
-    while (!_held.empty() && now - _held.front().since >= kHeldFor) {
-        const HeldQuestion overdue = std::move(_held.front());
-        _held.pop_front();
-        ++_context.statistics.declined;
-        overdue.reply(declinedAnswer(kRetryAfterHeld));
-    }
-}
-
 bool ShardLeader::isIdle(TimePoint now) const {
     return now - _askedAt >= kIdleAfter && _held.empty();
 }
@@ -324,7 +301,7 @@
     _copy = 0;
     for (auto& [number, grant] : std::exchange(_unacknowledged, {})) {
         ++_context.statistics.declined;
-        grant.reply(declinedAnswer(kRetryAfterHeld));
+        grant.reply(declinedAnswer(kRetryAfterDecline));
     }
     LogEvent("tenancy", LogLevel::Info, "quota.leadership_ended").field("shard", _context.shard);
 }
@@ -343,12 +320,7 @@
         QuotaShardRecord released = _record;
         released.leader = {};
         released.standby = {};
-        released.tenants.clear();
-        for (auto& [name, ledger] : _ledgers) {
-            if (ledger.counted(now) > 0) {
-                released.tenants[name] = ledger.recorded(now);
-            }
-        }
+        released.tenants = countedQuotas(_ledgers, now);
         ++released.renewals;
         _context.store.save(_context.shard, released, [](const SavedShard& /*saved*/) {
             // Where it fails, the lease ends by itself.
@@ -378,17 +350,14 @@
     if (wantsSave(now)) {
         save(now);
     }
-    declineOverdue(now);
+    _held.declineOverdue(now);
 }
 
 TimePoint ShardLeader::nextTick() const {
     if (_ended) {
         return TimePoint::max();
     }
-    TimePoint next = TimePoint::max();
-    if (!_held.empty()) {
-        next = _held.front().since + kHeldFor;
-    }
+    TimePoint next = _held.dueAt();
     if (_standbyState == StandbyState::None && _askedAt + kIdleAfter > _nextStandby) {
         next = std::min(next, _nextStandby);
     }
--- a/src/tenancy/ShardLeader.h
+++ b/src/tenancy/ShardLeader.h
@@ -6,8 +6,8 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <utility>
 
+#include "tenancy/HeldQuestions.h"
 #include "tenancy/QuotaLedger.h"
 #include "tenancy/RecordAllowances.h"
 #include "tenancy/ShardContext.h"
@@ -45,7 +45,7 @@
     bool hasEnded() const { return _ended; }
 
     /** Questions that nobody answered here. */
-    std::deque<HeldQuestion> takeHeld() { return std::exchange(_held, {}); }
+    std::deque<HeldQuestion> takeHeld() { return _held.takeAll(); }
 
     /** Grants no more; the standby, or whoever reads the record, may lead at once. */
     void release();
@@ -66,15 +66,14 @@
 
     bool mayGrant(TimePoint now) const;
     void answer(HeldQuestion held, TimePoint now);
+    std::uint32_t freeUnits(const Tenant& tenant, TimePoint now);
     std::uint32_t grantable(const Tenant& tenant, std::uint32_t wanted, TimePoint now);
     QuotaAnswer grant(const Tenant& tenant, const QuotaQuestion& question, std::uint32_t units,
                       TimePoint now);
     QuotaLedger& ledgerOf(const TenantName& tenant);
     bool mayHandOn(const QuotaQuestion& question) const;
     void handOn(const HeldQuestion& held);
-    void hold(HeldQuestion held);
     void answerHeld(TimePoint now);
-    void declineOverdue(TimePoint now);
 
     bool isLimitedByAllowance(const Tenant& tenant, TimePoint now);
     std::uint32_t paced(const Tenant& tenant, std::uint32_t units, TimePoint now);
@@ -134,7 +133,7 @@
     TimePoint _savedAt{};
     TimePoint _offeredAt{};
     TimePoint _askedAt{};
-    std::deque<HeldQuestion> _held;
+    HeldQuestions _held;
     std::shared_ptr<bool> _alive = std::make_shared<bool>(true);
 };
 
--- a/src/tenancy/ShardLeaderStandby.cpp
+++ b/src/tenancy/ShardLeaderStandby.cpp
@@ -26,15 +26,15 @@
     std::erase_if(_failedStandbys,
                   [now](const auto& entry) { return now - entry.second >= kStandbyPause; });
     const pooling::ProxyNode* chosen = nullptr;
-    for (const pooling::ProxyNode& peer : _context.peers()) {
-        const bool usable =
-            _context.calls.canReach(peer.name) && !_failedStandbys.contains(peer.name);
-        if (usable && peer.zone == _context.zone) {
-            chosen = &peer;
+    for (const pooling::ProxyNode& node : _context.nodes()) {
+        const bool usable = node.name != _context.self.node && _context.calls.canReach(node.name) &&
+                            !_failedStandbys.contains(node.name);
+        if (usable && node.zone == _context.zone) {
+            chosen = &node;
             break;
         }
         if (usable && chosen == nullptr) {
-            chosen = &peer;
+            chosen = &node;
         }
     }
     if (chosen == nullptr) {
