--- a/src/cluster/KindFollower.cpp
+++ b/src/cluster/KindFollower.cpp
@@ -12,11 +12,11 @@
                            bool& news)
     : _watch(kind.name, dependencies.storeClient, dependencies.protocol, dependencies.clock,
              dependencies.random, *this, kind.timing),
-      _renewal(
-          kind.name, RenewalTiming::forBound(kind.bound),
+      _refresh(
+          kind.name, RefreshTiming::forBound(kind.bound),
           {dependencies.clock, dependencies.random, dependencies.storeClient, dependencies.protocol,
            [this](const std::vector<StoredObject>& objects, std::uint64_t version,
-                  TimePoint askedAt) { onRenewed(objects, version, askedAt); }}),
+                  TimePoint askedAt) { onRefreshed(objects, version, askedAt); }}),
       _sink(kind.sink),
       _news(news),
       _startedAt(dependencies.clock.now()) {}
@@ -45,13 +45,13 @@
 /** A list tells whether the store answers; until then the watch rests. */
 void KindFollower::onReachable(bool reachable) {
     if (!reachable) {
-        _renewal.askSoon();
+        _refresh.askSoon();
     }
     _sink.onReachable(reachable);
 }
 
-void KindFollower::onRenewed(const std::vector<StoredObject>& objects, std::uint64_t version,
-                             TimePoint askedAt) {
+void KindFollower::onRefreshed(const std::vector<StoredObject>& objects, std::uint64_t version,
+                               TimePoint askedAt) {
     const bool missed = takeObjects(objects, version);
     _watch.noteList(version, askedAt, missed);
     noteProven(askedAt);
@@ -79,7 +79,7 @@
 }
 
 void KindFollower::onTick(TimePoint now, bool isFed) {
-    _renewal.onTick(now, renewedAt(), isFed);
+    _refresh.onTick(now, refreshedAt(), isFed);
     if (isFed || !_watch.isReachable()) {
         return;
     }
@@ -90,7 +90,7 @@
 }
 
 TimePoint KindFollower::nextTick(bool isFed) const {
-    TimePoint next = _renewal.nextTick(renewedAt(), isFed);
+    TimePoint next = _refresh.nextTick(refreshedAt(), isFed);
     if (!isFed && _watch.isReachable()) {
         next = std::min(next, _watch.nextTick().value_or(next));
     }
--- a/src/cluster/KindFollower.h
+++ b/src/cluster/KindFollower.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "base/Time.h"
-#include "cluster/ListRenewal.h"
+#include "cluster/ListRefresh.h"
 #include "link/socket/HttpCaller.h"
 #include "link/store/ObjectTable.h"
 #include "link/store/ObjectWatch.h"
@@ -32,7 +32,7 @@
 };
 
 /**
- * Fills a table from three sides: other nodes, a watch of the store, and lists that renew it. The
+ * Fills a table from three sides: other nodes, a watch of the store, and lists that refresh it. The
  * watch brings changes soon while no other node does; the lists alone prove what is known, and go
  * on whatever becomes of the others. No kind waits for another.
  */
@@ -47,7 +47,7 @@
 
     /** @return whether what is known is so old that it must not be taken from another node. */
     bool isLate(TimePoint provenAt, TimePoint now) const {
-        return now - provenAt > _renewal.timing().lateAfter;
+        return now - provenAt > _refresh.timing().lateAfter;
     }
 
     bool isListed() const { return _table.isListed(); }
@@ -73,13 +73,13 @@
     void onReachable(bool reachable) override;
 
     bool takeObjects(const std::vector<store::StoredObject>& objects, std::uint64_t version);
-    void onRenewed(const std::vector<store::StoredObject>& objects, std::uint64_t version,
-                   TimePoint askedAt);
-    TimePoint renewedAt() const { return std::max(provenAt(), _startedAt); }
+    void onRefreshed(const std::vector<store::StoredObject>& objects, std::uint64_t version,
+                     TimePoint askedAt);
+    TimePoint refreshedAt() const { return std::max(provenAt(), _startedAt); }
 
     store::ObjectTable _table;
     store::ObjectWatch _watch;
-    ListRenewal _renewal;
+    ListRefresh _refresh;
     store::WatchSink& _sink;
     bool& _news;
     TimePoint _startedAt;
--- a/src/cluster/ListRenewal.cpp
+++ b/src/cluster/ListRefresh.cpp
@@ -1,4 +1,4 @@
-#include "cluster/ListRenewal.h"
+#include "cluster/ListRefresh.h"
 
 #include <algorithm>
 #include <optional>
@@ -14,33 +14,33 @@
 
 }  // namespace
 
-ListRenewal::ListRenewal(std::string kind, RenewalTiming timing, RenewalDependencies dependencies)
+ListRefresh::ListRefresh(std::string kind, RefreshTiming timing, RefreshDependencies dependencies)
     : _kind(std::move(kind)),
       _timing(timing),
       _dependencies(std::move(dependencies)),
       _alive(std::make_shared<bool>(true)),
       _spread(_dependencies.random.below(static_cast<std::uint64_t>(_timing.spread.count()) + 1)) {}
 
-TimePoint ListRenewal::dueAt(TimePoint provenAt, bool isFed) const {
+TimePoint ListRefresh::dueAt(TimePoint provenAt, bool isFed) const {
     if (_isWanted && !isFed) {
         return _nextCall;
     }
     return std::max(_nextCall,
-                    provenAt + (isFed ? _timing.lateAfter + _spread : _timing.renewAfter));
+                    provenAt + (isFed ? _timing.lateAfter + _spread : _timing.refreshAfter));
 }
 
-void ListRenewal::onTick(TimePoint now, TimePoint provenAt, bool isFed) {
+void ListRefresh::onTick(TimePoint now, TimePoint provenAt, bool isFed) {
     if (!_running && now >= dueAt(provenAt, isFed)) {
         _askedAt = now;
         call();
     }
 }
 
-TimePoint ListRenewal::nextTick(TimePoint provenAt, bool isFed) const {
+TimePoint ListRefresh::nextTick(TimePoint provenAt, bool isFed) const {
     return _running ? TimePoint::max() : dueAt(provenAt, isFed);
 }
 
-void ListRenewal::call() {
+void ListRefresh::call() {
     socket::HttpCall call = _dependencies.protocol.listCall(_kind, _after);
     call.timeout = _timing.answerTimeout;
     call.stallTimeout = _timing.answerTimeout;
@@ -54,7 +54,7 @@
         });
 }
 
-void ListRenewal::onAnswer(const socket::HttpAnswer& answer) {
+void ListRefresh::onAnswer(const socket::HttpAnswer& answer) {
     _running = false;
     const bool answered = answer.outcome == socket::HttpAnswer::Outcome::Answered;
     if (!answered || answer.status != kSuccess || !takePage(answer)) {
@@ -63,7 +63,7 @@
 }
 
 /** @return whether the answer could be read; the last page ends the list. */
-bool ListRenewal::takePage(const socket::HttpAnswer& answer) {
+bool ListRefresh::takePage(const socket::HttpAnswer& answer) {
     const std::optional<store::ObjectPage> page = _dependencies.protocol.readPage(answer.body);
     if (!page) {
         return false;
@@ -85,7 +85,7 @@
     return true;
 }
 
-void ListRenewal::fail(int status) {
+void ListRefresh::fail(int status) {
     if (_pause == Duration(0)) {
         LogEvent("cluster", LogLevel::Warning, "list.failed")
             .field("kind", _kind)
--- a/src/cluster/ListRenewal.h
+++ b/src/cluster/ListRefresh.h
@@ -1,4 +1,4 @@
-/** Renews what a node knows of a kind with linearizable lists, before it is too old. */
+/** Refreshes what a node knows of a kind with linearizable lists, before it is too old. */
 #pragma once
 
 #include <cstdint>
@@ -8,14 +8,14 @@
 #include <vector>
 
 #include "base/Time.h"
-#include "cluster/RenewalTiming.h"
+#include "cluster/RefreshTiming.h"
 #include "link/socket/HttpCaller.h"
 #include "link/store/ObjectProtocol.h"
 
 namespace coralhoist::cluster {
 
-/** What a renewal is made of. All outlive it. */
-struct RenewalDependencies {
+/** What a refresh is made of. All outlive it. */
+struct RefreshDependencies {
     const Clock& clock;
     RandomSource& random;
     socket::HttpCaller& storeClient;
@@ -30,23 +30,23 @@
  * has a connection of its own. One call runs at a time. Nothing but the age and the outcome of its
  * own calls decides when the next one is made.
  */
-class ListRenewal {
+class ListRefresh {
 public:
-    ListRenewal(std::string kind, RenewalTiming timing, RenewalDependencies dependencies);
+    ListRefresh(std::string kind, RefreshTiming timing, RefreshDependencies dependencies);
 
     /**
      * Asks when it is due.
      * @param provenAt up to when the kind is known.
-     * @param isFed other nodes renew it, too: this one asks only when they are late.
+     * @param isFed other nodes refresh it, too: this one asks only when they are late.
      */
     void onTick(TimePoint now, TimePoint provenAt, bool isFed);
     TimePoint nextTick(TimePoint provenAt, bool isFed) const;
 
-    /** While no other node renews the kind, the next call is made whatever the age: a watch has
+    /** While no other node refreshes the kind, the next call is made whatever the age: a watch has
      * failed. Pauses are kept. */
     void askSoon() { _isWanted = true; }
 
-    const RenewalTiming& timing() const { return _timing; }
+    const RefreshTiming& timing() const { return _timing; }
 
 private:
     void call();
@@ -56,8 +56,8 @@
     TimePoint dueAt(TimePoint provenAt, bool isFed) const;
 
     std::string _kind;
-    RenewalTiming _timing;
-    RenewalDependencies _dependencies;
+    RefreshTiming _timing;
+    RefreshDependencies _dependencies;
     std::shared_ptr<bool> _alive;
     /** This node's part of the time over which late nodes ask. */
     Duration _spread;
--- a/tests/cluster/ListRenewalTest.cpp
+++ b/tests/cluster/ListRefreshTest.cpp
@@ -5,7 +5,7 @@
 #include <string>
 
 #include "base/SystemTime.h"
-#include "cluster/ListRenewal.h"
+#include "cluster/ListRefresh.h"
 #include "link/socket/HttpClient.h"
 #include "link/socket/HttpResponder.h"
 #include "platform/StoreProtocol.h"
@@ -21,7 +21,7 @@
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
 
-TEST_GROUP(ListRenewal) {
+TEST_GROUP(ListRefresh) {
     int count = 1;
     char name[8] = "test";
     char* arguments[1] = {name};
@@ -44,7 +44,7 @@
                                     }};
     platform_adapter::StoreProtocol protocol;
     std::unique_ptr<socket::HttpClient> client;
-    std::unique_ptr<ListRenewal> renewal;
+    std::unique_ptr<ListRefresh> refresh;
     TimePoint provenAt = clock.now();
     std::size_t lists = 0;
     std::size_t listed = 0;
@@ -53,9 +53,9 @@
     void setup() override {
         CHECK_TRUE(responder.listen(kHost, 0).isOk());
         client = std::make_unique<socket::HttpClient>(poller, clock, kHost, responder.port());
-        renewal = std::make_unique<ListRenewal>(
-            "config", RenewalTiming::forBound(milliseconds(3000)),
-            RenewalDependencies{clock, random, *client, protocol,
+        refresh = std::make_unique<ListRefresh>(
+            "config", RefreshTiming::forBound(milliseconds(3000)),
+            RefreshDependencies{clock, random, *client, protocol,
                                 [this](const std::vector<store::StoredObject>& objects,
                                        std::uint64_t listVersion, TimePoint askedAt) {
                                     ++lists;
@@ -68,7 +68,7 @@
     void advance(Duration span, bool isFed) {
         clock.advance(span);
         client->onTick(clock.now());
-        renewal->onTick(clock.now(), provenAt, isFed);
+        refresh->onTick(clock.now(), provenAt, isFed);
     }
 
     void waitForCalls(std::size_t expected) {
@@ -76,9 +76,9 @@
     }
 };
 
-TEST(ListRenewal, ANodeThatReadsTheStoreAsksEverySecond) {
+TEST(ListRefresh, ANodeThatReadsTheStoreAsksEverySecond) {
     advance(milliseconds(999), false);
-    CHECK_TRUE(renewal->nextTick(provenAt, false) == clock.now() + milliseconds(1));
+    CHECK_TRUE(refresh->nextTick(provenAt, false) == clock.now() + milliseconds(1));
     advance(milliseconds(1), false);
     const TimePoint askedAt = clock.now();
     waitForCalls(1);
@@ -86,33 +86,33 @@
     CHECK_TRUE(provenAt == askedAt);
 }
 
-TEST(ListRenewal, ANodeThatIsToldByOthersAsksOnlyWhenTheyAreLate) {
+TEST(ListRefresh, ANodeThatIsToldByOthersAsksOnlyWhenTheyAreLate) {
     advance(milliseconds(1799), true);
-    CHECK_TRUE(renewal->nextTick(provenAt, true) > clock.now());
+    CHECK_TRUE(refresh->nextTick(provenAt, true) > clock.now());
     advance(milliseconds(301), true);
     waitForCalls(1);
 }
 
-TEST(ListRenewal, AStoreThatDoesNotAnswerProvesNothingAndIsAskedAgainAfterAPause) {
+TEST(ListRefresh, AStoreThatDoesNotAnswerProvesNothingAndIsAskedAgainAfterAPause) {
     status = kUnavailable;
     advance(milliseconds(1000), false);
     waitForCalls(1);
     CHECK_TRUE(testing::waitUntil(
-        [this] { return renewal->nextTick(provenAt, false) != TimePoint::max(); }));
-    CHECK_TRUE(renewal->nextTick(provenAt, false) > clock.now());
-    CHECK_TRUE(renewal->nextTick(provenAt, false) <= clock.now() + milliseconds(125));
+        [this] { return refresh->nextTick(provenAt, false) != TimePoint::max(); }));
+    CHECK_TRUE(refresh->nextTick(provenAt, false) > clock.now());
+    CHECK_TRUE(refresh->nextTick(provenAt, false) <= clock.now() + milliseconds(125));
     UNSIGNED_LONGS_EQUAL(0, lists);
     advance(milliseconds(125), false);
     waitForCalls(2);
 }
 
-TEST(ListRenewal, AFailedWatchIsReasonToAskAtOnceUnlessOthersTell) {
-    renewal->askSoon();
-    CHECK_TRUE(renewal->nextTick(provenAt, true) > clock.now());
-    CHECK_TRUE(renewal->nextTick(provenAt, false) <= clock.now());
+TEST(ListRefresh, AFailedWatchIsReasonToAskAtOnceUnlessOthersTell) {
+    refresh->askSoon();
+    CHECK_TRUE(refresh->nextTick(provenAt, true) > clock.now());
+    CHECK_TRUE(refresh->nextTick(provenAt, false) <= clock.now());
 }
 
-TEST(ListRenewal, PagesMakeOneListThatIsDatedFromTheFirst) {
+TEST(ListRefresh, PagesMakeOneListThatIsDatedFromTheFirst) {
     bodies = {R"({"items":[{"meta":{"name":"a","revision":3}}],"has_more":true,"at":10})",
               R"({"items":[{"meta":{"name":"b","revision":11}}],"has_more":false,"at":12})"};
     advance(milliseconds(1000), false);
@@ -127,13 +127,13 @@
 }
 
 /** Each part of the time that a late node has fits into the bound, whatever the bound is. */
-TEST(ListRenewal, ACallThatFailsLeavesTimeForAnotherWithinTheBound) {
+TEST(ListRefresh, ACallThatFailsLeavesTimeForAnotherWithinTheBound) {
     for (const Duration bound : {milliseconds(1000), milliseconds(3000), milliseconds(20000)}) {
-        const RenewalTiming timing = RenewalTiming::forBound(bound);
+        const RefreshTiming timing = RefreshTiming::forBound(bound);
         const Duration secondCall =
             timing.lateAfter + timing.spread + timing.answerTimeout + timing.firstPause;
         CHECK_TRUE(secondCall + bound / 8 <= bound);
-        CHECK_TRUE(timing.renewAfter < timing.lateAfter);
+        CHECK_TRUE(timing.refreshAfter < timing.lateAfter);
         CHECK_TRUE(2 * (timing.longestPause + timing.answerTimeout) <= bound / 2);
     }
 }
