Tests that a refresh has a connection of its own; broken variants of the mend played

Cause: of six broken variants two were caught by no test of the followers: calls on kept connections, and an empty answer that moves a watch on.

--- a/tests/cluster/ListRefreshTest.cpp
+++ b/tests/cluster/ListRefreshTest.cpp
@@ -126,6 +126,25 @@
     CHECK_TRUE(provenAt == askedAt);
 }
 
+/** An open connection may be silent for good, and costs a call its whole time. */
+TEST(ListRefresh, EachCallHasAConnectionOfItsOwnAndGivesUpAnAnswerThatStalls) {
+    class RecordingCaller final : public socket::HttpCaller {
+    public:
+        void call(const socket::HttpCall& call, socket::HttpCallback /*callback*/) override {
+            made = call;
+        }
+        socket::HttpCall made;
+    };
+    RecordingCaller caller;
+    const RefreshTiming timing = RefreshTiming::forBound(milliseconds(3000));
+    ListRefresh recorded("config", timing,
+                         RefreshDependencies{clock, random, caller, protocol, {}});
+    recorded.onTick(clock.now() + timing.refreshAfter, clock.now(), false);
+    CHECK_TRUE(caller.made.connection == socket::HttpCall::Connection::New);
+    CHECK_TRUE(caller.made.timeout == timing.answerTimeout);
+    CHECK_TRUE(caller.made.stallTimeout == timing.answerTimeout);
+}
+
 /** Each part of the time that a late node has fits into the bound, whatever the bound is. */
 TEST(ListRefresh, ACallThatFailsLeavesTimeForAnotherWithinTheBound) {
     for (const Duration bound : {milliseconds(1000), milliseconds(3000), milliseconds(20000)}) {
--- a/tests/socket/HttpTest.cpp
+++ b/tests/socket/HttpTest.cpp
@@ -87,6 +87,24 @@
 }
 
 /** Connections that are open may go silent for good while new ones work. */
+TEST(Http, ACallMayHaveANewConnectionThoughOneIsOpen) {
+    testing::ManualClock manual;
+    QTcpServer server;
+    CHECK_TRUE(server.listen(QHostAddress::LocalHost, 0));
+    HttpClient client(poller, manual, kHost, server.serverPort());
+    bool answered = false;
+    HttpCall call{"GET", "/x", "", {}, std::chrono::milliseconds(700)};
+    client.call(call, [&answered](const HttpAnswer& /*given*/) { answered = true; });
+    CHECK_TRUE(testing::waitUntil([&server] { return server.hasPendingConnections(); }));
+    QTcpSocket* first = server.nextPendingConnection();
+    CHECK_TRUE(testing::waitUntil([first] { return first->bytesAvailable() > 0; }));
+    first->write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    CHECK_TRUE(testing::waitUntil([&answered] { return answered; }));
+    call.connection = HttpCall::Connection::New;
+    client.call(call, [](const HttpAnswer& /*given*/) {});
+    CHECK_TRUE(testing::waitUntil([&server] { return server.hasPendingConnections(); }));
+}
+
 TEST(Http, AfterACallWithoutAnswerTheOtherKeptConnectionsAreNotUsed) {
     testing::ManualClock manual;
     QTcpServer server;
