The planned stop of a pooling node in a class of its own

Cause: its steps stood in the duty, among sockets and timers, where no test without a network reaches them. Change: PlannedStop takes the clock, the pooler and what it needs of those who speak with callers. No behaviour changes. Conclusion: tests of the drain itself are possible.

--- a/src/duty/pooling/PoolingDuty.cpp
+++ b/src/duty/pooling/PoolingDuty.cpp
@@ -15,13 +15,6 @@
 constexpr const char* kReadyPath = "/ready";
 constexpr const char* kMetricsPath = "/metrics";
 constexpr std::chrono::milliseconds kDrainStep{50};
-/** New connections may still come until those who send them have seen that it is not ready. */
-constexpr Duration kDrainAccepts = std::chrono::milliseconds(2300);
-/** A session that has been idle for so long is closed while draining. */
-constexpr Duration kDrainIdle = std::chrono::milliseconds(100);
-/** Part of the drain timeout that is kept for the end of the process. */
-constexpr Duration kDrainReserve = std::chrono::milliseconds(700);
-
 pooling::PoolerKnobs makeKnobs(const PoolingOptions& options) {
     pooling::PoolerKnobs knobs = options.pooler;
     knobs.node = options.name;
@@ -50,7 +43,8 @@
       _callers(_poller, _adapter.callerCodec, _pooler, _gate, _clock, _options.maximumConnections),
       _readiness(_poller, [this](const std::string& path) { return answer(path); }),
       _metrics(_poller, [this](const std::string& path) { return answerMetrics(path); }),
-      _promotionClient(_poller, _clock, _options.promotion.host, _options.promotion.port) {
+      _promotionClient(_poller, _clock, _options.promotion.host, _options.promotion.port),
+      _stop(_clock, _pooler, *this) {
     _pooler.setForwarder(_unitLinks);
 }
 
@@ -193,13 +187,13 @@
     LogEvent("daemon", LogLevel::Info, "daemon.ready")
         .field("settings_version", _control->settingsVersion());
     _callers.startServing();
-    if (!_drainBegan) {
+    if (!_stop.hasBegun()) {
         _unitService.startServing();
     }
 }
 
 bool PoolingDuty::isReady() const {
-    return !_drainBegan && _control->isReady();
+    return !_stop.hasBegun() && _control->isReady();
 }
 
 socket::HttpPage PoolingDuty::answer(const std::string& path) const {
@@ -256,28 +250,21 @@
 }
 
 void PoolingDuty::beginDrain() {
-    if (_drainBegan) {
+    if (_stop.hasBegun()) {
         return;
     }
-    LogEvent("daemon", LogLevel::Info, "daemon.draining").field("sessions", _pooler.sessionCount());
-    _drainBegan = _clock.now();
+    _stop.begin(_options.drainTimeout);
     _quotas.beginLeaving();
     _unitService.beginLeaving();
     _drainTimer.start(kDrainStep);
 }
 
+std::size_t PoolingDuty::openCount() const {
+    return _callers.connectionCount() + _unitService.unitCount();
+}
+
 void PoolingDuty::continueDrain() {
-    const Duration elapsed = _clock.now() - *_drainBegan;
-    if (elapsed >= kDrainAccepts) {
-        _callers.stopListening();
-        _pooler.closeIdleSessions(kDrainIdle);
-    }
-    const bool late = elapsed + kDrainReserve >= _options.drainTimeout;
-    const bool empty = _callers.connectionCount() == 0 && _unitService.unitCount() == 0;
-    if (late || (elapsed >= kDrainAccepts && empty)) {
-        LogEvent("daemon", LogLevel::Info, "daemon.drained")
-            .field("sessions", _pooler.sessionCount())
-            .field("late", late);
+    if (_stop.advance()) {
         _drainTimer.stop();
         _stopped();
     }
--- a/src/duty/pooling/PoolingDuty.h
+++ b/src/duty/pooling/PoolingDuty.h
@@ -24,6 +24,7 @@
 #include "link/socket/HttpClient.h"
 #include "link/socket/HttpResponder.h"
 #include "link/socket/SocketPoller.h"
+#include "pooling/PlannedStop.h"
 #include "pooling/StatementPooler.h"
 #include "tenancy/QuotaExchange.h"
 #include "tenancy/TenantGate.h"
@@ -74,7 +75,9 @@
 };
 
 /** Builds and joins the parts. */
-class PoolingDuty final : public Duty, public pooling::PoolerOutput {
+class PoolingDuty final : public Duty,
+                          public pooling::PoolerOutput,
+                          public pooling::StopSurroundings {
 public:
     /** @param stopped called on this thread when a planned stop is complete. */
     PoolingDuty(PoolingOptions options, PoolingAdapter adapter, std::function<void()> stopped);
@@ -100,6 +103,8 @@
     void wantLeadershipProof(const GroupName& group) override;
     void suspectPrimary(const GroupName& group, const ServerName& server,
                         pooling::SuspicionReason reason) override;
+    void stopListening() override { _callers.stopListening(); }
+    std::size_t openCount() const override;
 
     socket::HttpPage answer(const std::string& path) const;
     socket::HttpPage answerMetrics(const std::string& path) const;
@@ -140,7 +145,7 @@
     socket::HttpClient _promotionClient;
     /** Made by start(): it needs to know the port on which units are taken. */
     std::unique_ptr<cluster::ClusterControl> _control;
-    std::optional<TimePoint> _drainBegan;
+    pooling::PlannedStop _stop;
     bool _wasReady = false;
     QTimer _drainTimer;
 };
