Every statement that came has its answer before a planned stop ends the process

Cause: the end looked at the time alone: what was queued got no "not run", what was sent no truthful answer, and a session whose statement waited for a unit of its tenant's quota was closed as idle. Ruled out: a longer reserve (the statement comes when it comes); closing busy sessions earlier (a cut commit is in doubt). Change: from half of the grace on nothing new is begun (refused at once as not run, the session closed after the answer) and resting transactions end; 0.7 s before the end each statement that is left gets what is known of it. One giveUp for deadlines here, at other nodes, and the stop. A session is closed after the answers to all that it has sent.

--- a/src/duty/pooling/PoolingDuty.h
+++ b/src/duty/pooling/PoolingDuty.h
@@ -104,6 +104,7 @@
     void suspectPrimary(const GroupName& group, const ServerName& server,
                         pooling::SuspicionReason reason) override;
     void stopListening() override { _callers.stopListening(); }
+    void passOnWaiting() override { _gate.passOnWaiting(); }
     std::size_t openCount() const override;
 
     socket::HttpPage answer(const std::string& path) const;
--- a/src/pooling/PlannedStop.cpp
+++ b/src/pooling/PlannedStop.cpp
@@ -11,7 +11,8 @@
 constexpr Duration kAcceptsFor = milliseconds(2300);
 /** A session that has been idle for so long is closed. */
 constexpr Duration kIdleBeforeClose = milliseconds(100);
-/** Part of the grace that is kept for the end of the process. */
+/** What is left of the grace when the last answers are written: a crowded machine with a tenth of a
+ * core needs some hundred milliseconds to send them and to end. */
 constexpr Duration kReserve = milliseconds(700);
 
 }  // namespace
@@ -28,7 +29,14 @@
         _surroundings.stopListening();
         _pooler.closeIdleSessions(kIdleBeforeClose);
     }
+    if (elapsed >= _grace / 2) {
+        _pooler.finishWork();
+        _surroundings.passOnWaiting();
+    }
     const bool late = elapsed + kReserve >= _grace;
+    if (late) {
+        _pooler.answerAll();
+    }
     const bool empty = elapsed >= kAcceptsFor && _surroundings.openCount() == 0;
     if (late || empty) {
         LogEvent("daemon", LogLevel::Info, "daemon.drained")
--- a/src/pooling/PlannedStop.h
+++ b/src/pooling/PlannedStop.h
@@ -17,11 +17,22 @@
     /** No further connection of a caller is accepted. */
     virtual void stopListening() = 0;
 
+    /** What waits before it reaches the pooler goes on there; the pooler begins nothing new. */
+    virtual void passOnWaiting() = 0;
+
     /** @return connections of callers and units of other nodes that are open. */
     virtual std::size_t openCount() const = 0;
 };
 
-/** Ends the sessions of one process within the time that it is given. Single-threaded. */
+/**
+ * Ends the sessions of one process within the time that it is given. Single-threaded.
+ *
+ * Connections are accepted until nobody sends any; then idle sessions are closed. In its second
+ * half, nothing new is begun, since another node can serve it at once, and open transactions end.
+ * What was sent to a server is waited for until just the time to write the answer is left.
+ *
+ * Invariant: when the process may end, every statement that came has had its answer.
+ */
 class PlannedStop {
 public:
     /** References outlive the stop. */
--- a/src/pooling/PooledSession.h
+++ b/src/pooling/PooledSession.h
@@ -104,6 +104,8 @@
     OpTime ownFloor;
     SessionTransaction transaction;
     std::optional<Operation> operation;
+    /** A statement has come and is submitted later. */
+    bool expectsStatement = false;
     /** When the last statement came or ended. */
     TimePoint activeAt{};
     /** It stands for a unit that another node forwarded and whose settings that node decides. */
--- a/src/pooling/PoolerForwarding.cpp
+++ b/src/pooling/PoolerForwarding.cpp
@@ -153,13 +153,7 @@
         wakeAt(session, operation.deadline);
         return;
     }
-    endUnit(session.operation->unit);
-    session.transaction.unit.reset();
-    if (isSingleRead(session)) {
-        replyError(session, StatementFault::Timeout, "no answer within the statement timeout");
-        return;
-    }
-    onSentLost(session, "no answer of the executing node within the statement timeout");
+    giveUp(session, "no answer of the executing node within the statement timeout");
 }
 
 void StatementPooler::endUnit(std::optional<UnitId>& unit) {
--- a/src/pooling/PoolerStatements.cpp
+++ b/src/pooling/PoolerStatements.cpp
@@ -21,8 +21,14 @@
     }
     ++_statistics.statements;
     session->activeAt = _clock.now();
+    session->expectsStatement = false;
     session->transaction.lastActivity = session->activeAt;
     const TransactionPhase phase = session->transaction.phase;
+    if (_stopping && phase == TransactionPhase::None) {
+        refuseAsStopping(*session);
+        settle();
+        return;
+    }
     if (phase == TransactionPhase::Failed) {
         endFailedTransaction(*session, statement);
         settle();
@@ -175,6 +181,7 @@
     ++_statistics.statements;
     ++_statistics.failedByFault[static_cast<std::size_t>(error.fault)];
     session->activeAt = _clock.now();
+    session->expectsStatement = false;
     if (session->transaction.phase != TransactionPhase::None) {
         rollBack(*session);
         if (statement.verb != StatementVerb::Commit) {
--- /dev/null
+++ b/src/pooling/PoolerStop.cpp
@@ -0,0 +1,105 @@
+/** The planned stop: what becomes of statements and transactions that are still open. */
+#include <vector>
+
+#include "base/Log.h"
+#include "pooling/StatementPooler.h"
+
+namespace coralhoist::pooling {
+namespace {
+
+/** Another node can serve the caller at once. */
+constexpr const char* kStopping = "not run (the node is stopping); come back in 0 ms";
+
+}  // namespace
+
+void StatementPooler::refuseAsStopping(PooledSession& session) {
+    replyError(session, StatementFault::Busy, kStopping);
+    _closing.push_back(session.id);
+}
+
+void StatementPooler::finishWork() {
+    _stopping = true;
+    std::vector<SessionId> resting;
+    for (const SessionId id : _openTransactions) {
+        const PooledSession& session = _sessions.at(id);
+        if (!session.operation && session.transaction.phase != TransactionPhase::Failed) {
+            resting.push_back(id);
+        }
+    }
+    for (const SessionId id : resting) {
+        endTransaction(_sessions.at(id), "the node is stopping");
+    }
+    settle();
+}
+
+void StatementPooler::answerAll() {
+    _stopping = true;
+    std::vector<SessionId> open;
+    for (const auto& [id, session] : _sessions) {
+        open.push_back(id);
+    }
+    for (const SessionId id : open) {
+        PooledSession& session = _sessions.at(id);
+        if (session.operation) {
+            giveUp(session, "the node stops before the answer");
+        }
+        _closing.push_back(id);
+    }
+    settle();
+}
+
+/** Its answer is not waited for any longer: the caller is told what is known of the statement. */
+void StatementPooler::giveUp(PooledSession& session, const char* reason) {
+    switch (session.operation->phase) {
+        case OperationPhase::Queued:
+            giveUpQueued(session, reason);
+            return;
+        case OperationPhase::Beginning:
+            discard(session.operation->connection);
+            failTransaction(session);
+            replyError(session, StatementFault::Aborted, reason);
+            return;
+        case OperationPhase::Sent:
+            giveUpSent(session, reason);
+            return;
+    }
+}
+
+void StatementPooler::giveUpQueued(PooledSession& session, const char* reason) {
+    if (session.transaction.phase == TransactionPhase::None) {
+        refuseAsStopping(session);
+        return;
+    }
+    ServerConnection* connection =
+        session.transaction.connection ? findConnection(*session.transaction.connection) : nullptr;
+    if (session.operation->statement.verb == StatementVerb::Commit) {
+        forgetTransaction(session);
+    } else {
+        failTransaction(session);
+    }
+    replyError(session, StatementFault::Aborted, reason);
+    if (connection != nullptr) {
+        sendRollback(*connection);
+    }
+}
+
+/** An answer that comes later finds nobody; a write's connection is closed with it. */
+void StatementPooler::giveUpSent(PooledSession& session, const char* reason) {
+    const bool readsOnly = isSingleRead(session);
+    if (session.operation->unit) {
+        endUnit(session.operation->unit);
+        session.transaction.unit.reset();
+    } else if (ServerConnection* connection = findConnection(session.operation->connection);
+               readsOnly && connection != nullptr) {
+        abandon(*connection);
+    } else {
+        discard(session.operation->connection);
+    }
+    if (readsOnly) {
+        replyError(session, StatementFault::Timeout, reason);
+        return;
+    }
+    onSentLost(session, reason);
+}
+
+}  // namespace coralhoist::pooling
--- a/src/pooling/PoolerTimers.cpp
+++ b/src/pooling/PoolerTimers.cpp
@@ -123,21 +123,9 @@
                             : operation.deadline);
         return;
     }
-    if (operation.phase == OperationPhase::Beginning) {
-        discard(operation.connection);
-        failTransaction(session);
-        replyError(session, StatementFault::Aborted, "the server did not open the transaction");
-        return;
-    }
-    if (readsOnly) {
-        if (connection != nullptr) {
-            abandon(*connection);
-        }
-        replyError(session, StatementFault::Timeout, "no answer within the statement timeout");
-        return;
-    }
-    discard(operation.connection);
-    onSentLost(session, "no answer within the statement timeout");
+    giveUp(session, operation.phase == OperationPhase::Beginning
+                        ? "the server did not open the transaction"
+                        : "no answer within the statement timeout");
 }
 
 void StatementPooler::everyTick(TimePoint now) {
@@ -199,17 +187,21 @@
         }
     }
     for (const SessionId id : resting) {
-        PooledSession& session = _sessions.at(id);
-        ServerConnection* connection = session.transaction.connection
-                                           ? findConnection(*session.transaction.connection)
-                                           : nullptr;
-        LogEvent("pooling.transaction", LogLevel::Info, "transaction.rested")
-            .field("request", session.transaction.begin.id)
-            .field("group", session.group);
-        failTransaction(session);
-        if (connection != nullptr) {
-            sendRollback(*connection);
-        }
+        endTransaction(_sessions.at(id), "rested for too long");
+    }
+}
+
+/** Between two of its statements: the next one is told that it was rolled back. */
+void StatementPooler::endTransaction(PooledSession& session, const char* reason) {
+    ServerConnection* connection =
+        session.transaction.connection ? findConnection(*session.transaction.connection) : nullptr;
+    LogEvent("pooling.transaction", LogLevel::Info, "transaction.ended")
+        .field("request", session.transaction.begin.id)
+        .field("group", session.group)
+        .field("why", reason);
+    failTransaction(session);
+    if (connection != nullptr) {
+        sendRollback(*connection);
     }
 }
 
--- a/src/pooling/StatementPooler.cpp
+++ b/src/pooling/StatementPooler.cpp
@@ -163,9 +163,9 @@
     }
 }
 
-void StatementPooler::noteActivity(SessionId id) {
+void StatementPooler::expectStatement(SessionId id) {
     if (PooledSession* session = findSession(id)) {
-        session->activeAt = _clock.now();
+        session->expectsStatement = true;
     }
 }
 
@@ -196,7 +196,8 @@
 void StatementPooler::closeIdleSessions(Duration idleFor) {
     const TimePoint now = _clock.now();
     for (const auto& [id, session] : _sessions) {
-        const bool busy = session.operation || session.transaction.phase != TransactionPhase::None;
+        const bool busy = session.operation || session.expectsStatement ||
+                          session.transaction.phase != TransactionPhase::None;
         if (!busy && now - session.activeAt >= idleFor) {
             _closing.push_back(id);
         }
@@ -238,10 +239,15 @@
     for (PendingReply& pending : replies) {
         _output.reply(pending.session, std::move(pending.result));
     }
+    if (!_replies.empty()) {
+        // A session is closed after the answers to all that it has sent.
+        return;
+    }
     std::vector<SessionId> closing;
     closing.swap(_closing);
     for (const SessionId id : closing) {
-        if (_sessions.contains(id)) {
+        const PooledSession* session = findSession(id);
+        if (session != nullptr && !session->operation) {
             _output.closeSession(id);
         }
     }
--- a/src/pooling/StatementPooler.h
+++ b/src/pooling/StatementPooler.h
@@ -127,8 +127,8 @@
      */
     void refuse(SessionId session, const Statement& statement, StatementError error);
 
-    /** A statement of the session has come that is not submitted yet: the session is not idle. */
-    void noteActivity(SessionId session);
+    /** A statement of the session has come and is submitted later: the session is not idle. */
+    void expectStatement(SessionId session);
 
     /** Callers come as tenants: connections that belong to none serve nobody. */
     void setCallersHaveTenants(bool haveTenants);
@@ -154,6 +154,18 @@
     /** Closes sessions outside transactions that have been idle for the time given. */
     void closeIdleSessions(Duration idleFor);
 
+    /**
+     * Begins nothing new from now on: what comes outside a transaction is refused as not run and
+     * its session closed. Transactions that rest are rolled back; call it again while any is open.
+     */
+    void finishWork();
+
+    /** @return whether nothing new is begun. */
+    bool isStopping() const { return _stopping; }
+
+    /** Gives each statement that is left its answer, by what is known of it, and closes all. */
+    void answerAll();
+
     std::size_t sessionCount() const { return _sessions.size(); }
 
     void onOpened(ConnectionId connection, OpTime position) override;
@@ -331,6 +343,12 @@
     void reviewForwarded(PooledSession& session, TimePoint now);
     void endUnit(std::optional<UnitId>& unit);
 
+    // PoolerStop.cpp: what a planned stop, or the end of its time, makes of a statement.
+    void refuseAsStopping(PooledSession& session);
+    void giveUp(PooledSession& session, const char* reason);
+    void giveUpQueued(PooledSession& session, const char* reason);
+    void giveUpSent(PooledSession& session, const char* reason);
+
     // PoolerTimers.cpp
     void wakeAt(const PooledSession& session, TimePoint at);
     void review(PooledSession& session, TimePoint now);
@@ -340,6 +358,7 @@
     void everyTick(TimePoint now);
     void reportServers(const GroupName& name, GroupState& group);
     void endRestingTransactions(TimePoint now);
+    void endTransaction(PooledSession& session, const char* reason);
     void watchPrimary(const GroupName& name, GroupState& group, TimePoint now);
     void closeLateConnections(TimePoint now);
 
@@ -380,6 +399,7 @@
     std::uint64_t _lastSession = 0;
     std::uint64_t _lastSerial = 0;
     bool _settling = false;
+    bool _stopping = false;
 };
 
 }  // namespace coralhoist::pooling
--- a/src/tenancy/TenantGate.cpp
+++ b/src/tenancy/TenantGate.cpp
@@ -142,11 +142,12 @@
             return;
         }
     }
-    if (session.tenant.value().empty() || !beginsUnit(id, statement)) {
+    const bool needsUnit = !session.tenant.value().empty() && beginsUnit(id, statement);
+    if (!needsUnit || _pooler.isStopping()) {
         _pooler.submit(id, std::move(statement));
         return;
     }
-    _pooler.noteActivity(id);
+    _pooler.expectStatement(id);
     session.waiting = std::move(statement);
     const TenantName tenant = session.tenant;
     _waiting[tenant].push_back(id);
@@ -234,6 +235,18 @@
     admitWaiting(tenant);
 }
 
+void TenantGate::passOnWaiting() {
+    for (const auto& [tenant, queue] : std::exchange(_waiting, {})) {
+        for (const SessionId id : queue) {
+            const auto found = _sessions.find(id);
+            if (found != _sessions.end() && found->second.waiting) {
+                _pooler.submit(id, *std::exchange(found->second.waiting, std::nullopt));
+            }
+        }
+    }
+    _due.clear();
+}
+
 void TenantGate::endSession(SessionId id) {
     _sessions.erase(id);
     _pooler.endSession(id);
--- a/src/tenancy/TenantGate.h
+++ b/src/tenancy/TenantGate.h
@@ -65,6 +65,9 @@
     /** Runs a statement of a session that waits for none, or refuses it. */
     void submit(SessionId session, pooling::Statement statement);
 
+    /** Statements that wait for a unit go to the pooler, which begins nothing new any more. */
+    void passOnWaiting();
+
     void endSession(SessionId session);
 
     /** Units of the tenant have come, or none will. */
--- a/tests/pooling/PlannedStopTest.cpp
+++ b/tests/pooling/PlannedStopTest.cpp
@@ -32,6 +32,7 @@
     explicit OpenSessions(const PoolerFixture& fixture) : _fixture(fixture) {}
 
     void stopListening() override { listens = false; }
+    void passOnWaiting() override {}
     std::size_t openCount() const override {
         return std::count_if(sessions.begin(), sessions.end(), [this](SessionId session) {
             const auto& closed = _fixture.closedSessions;
--- a/tests/tenancy/TenantGateTest.cpp
+++ b/tests/tenancy/TenantGateTest.cpp
@@ -253,5 +253,21 @@
     LONGS_EQUAL(0, closedSessions);
 }
 
+TEST(TenantGate, AStopRefusesAtOnceWhatWaitsForAUnit) {
+    beginWithAccountingNode();
+    pooler.finishWork();
+    gate.passOnWaiting();
+    LONGS_EQUAL(1, replies.size());
+    CHECK_TRUE(lastFault() == StatementFault::Busy);
+    LONGS_EQUAL(1, closedSessions);
+}
+
+TEST(TenantGate, AStopRefusesAtOnceWhatWouldWaitForAUnit) {
+    pooler.finishWork();
+    beginWithAccountingNode();
+    LONGS_EQUAL(1, replies.size());
+    CHECK_TRUE(lastFault() == StatementFault::Busy);
+}
+
 }  // namespace
 }  // namespace coralhoist::tenancy
