--- a/gen/unit.thrift
+++ b/gen/unit.thrift
@@ -33,6 +33,8 @@
   9: required UnitPosition ownFloor
   10: optional UnitCommand opener    // BEGIN, when the unit is a transaction
   11: optional string tenantName     // absent: on behalf of no tenant
+  12: required i32 rank              // lower ones go first
+  13: required i64 waitedUs          // since the caller first asked, refusals included
 }
 
 // A statement of a unit. The first one of a unit carries the context.
@@ -47,6 +49,7 @@
 struct UnitError {
   1: required i32 fault              // pooling::StatementFault
   2: required string message
+  3: optional i64 retryAfterUs       // when a repetition has a chance
 }
 
 struct UnitAnswer {
@@ -129,6 +132,7 @@
   5: required i32 hops
   6: optional list<QuotaSettlement> settled
   7: required bool leaderSilent      // the leader did not answer
+  8: required list<i32> wantedByRank // sums up to `wanted`; rank 0 first
 }
 
 struct QuotaReply {
@@ -141,6 +145,14 @@
   7: required i64 number
   8: required string leader
   9: required string standby
+  10: required list<i32> grantedByRank // sums up to `granted`
+}
+
+// What one executor of a group has to do, told to the others while the group is crowded.
+struct GroupLoadReport {
+  1: required string sender
+  2: required string groupName
+  3: required list<i64> demandByRankUs // time of slots that waiting and running statements need
 }
 
 // A batch of units that a standby counts.
@@ -186,4 +198,5 @@
   11: optional QuotaReply quotaReply
   12: optional LedgerUpdateRequest ledgerRequest
   13: optional LedgerUpdateReply ledgerReply
+  14: optional GroupLoadReport loadReport // no answer is expected
 }
--- a/gen/unit_types.cpp
+++ b/gen/unit_types.cpp
@@ -514,6 +514,14 @@
   this->tenantName = val;
 __isset.tenantName = true;
 }
+
+void UnitContext::__set_rank(const int32_t val) {
+  this->rank = val;
+}
+
+void UnitContext::__set_waitedUs(const int64_t val) {
+  this->waitedUs = val;
+}
 std::ostream& operator<<(std::ostream& out, const UnitContext& obj)
 {
   obj.printTo(out);
@@ -541,6 +549,8 @@
   bool isset_objectiveUs = false;
   bool isset_idleInTransactionUs = false;
   bool isset_ownFloor = false;
+  bool isset_rank = false;
+  bool isset_waitedUs = false;
 
   while (true)
   {
@@ -638,6 +648,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->rank);
+          isset_rank = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->waitedUs);
+          isset_waitedUs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -663,6 +689,10 @@
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_ownFloor)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_rank)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_waitedUs)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
@@ -718,6 +748,14 @@
     xfer += oprot->writeString(this->tenantName);
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("rank", ::apache::thrift::protocol::T_I32, 12);
+  xfer += oprot->writeI32(this->rank);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waitedUs", ::apache::thrift::protocol::T_I64, 13);
+  xfer += oprot->writeI64(this->waitedUs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -736,6 +774,8 @@
   swap(a.ownFloor, b.ownFloor);
   swap(a.opener, b.opener);
   swap(a.tenantName, b.tenantName);
+  swap(a.rank, b.rank);
+  swap(a.waitedUs, b.waitedUs);
   swap(a.__isset, b.__isset);
 }
 
@@ -751,6 +791,8 @@
   ownFloor = other12.ownFloor;
   opener = other12.opener;
   tenantName = other12.tenantName;
+  rank = other12.rank;
+  waitedUs = other12.waitedUs;
   __isset = other12.__isset;
 }
 UnitContext::UnitContext(UnitContext&& other13) noexcept {
@@ -765,6 +807,8 @@
   ownFloor = std::move(other13.ownFloor);
   opener = std::move(other13.opener);
   tenantName = std::move(other13.tenantName);
+  rank = other13.rank;
+  waitedUs = other13.waitedUs;
   __isset = other13.__isset;
 }
 UnitContext& UnitContext::operator=(const UnitContext& other14) {
@@ -779,6 +823,8 @@
   ownFloor = other14.ownFloor;
   opener = other14.opener;
   tenantName = other14.tenantName;
+  rank = other14.rank;
+  waitedUs = other14.waitedUs;
   __isset = other14.__isset;
   return *this;
 }
@@ -794,6 +840,8 @@
   ownFloor = std::move(other15.ownFloor);
   opener = std::move(other15.opener);
   tenantName = std::move(other15.tenantName);
+  rank = other15.rank;
+  waitedUs = other15.waitedUs;
   __isset = other15.__isset;
   return *this;
 }
@@ -811,6 +859,8 @@
   out << ", " << "ownFloor=" << to_string(ownFloor);
   out << ", " << "opener="; (__isset.opener ? (out << to_string(opener)) : (out << "<null>"));
   out << ", " << "tenantName="; (__isset.tenantName ? (out << to_string(tenantName)) : (out << "<null>"));
+  out << ", " << "rank=" << to_string(rank);
+  out << ", " << "waitedUs=" << to_string(waitedUs);
   out << ")";
 }
 
@@ -1052,6 +1102,11 @@
 void UnitError::__set_message(const std::string& val) {
   this->message = val;
 }
+
+void UnitError::__set_retryAfterUs(const int64_t val) {
+  this->retryAfterUs = val;
+__isset.retryAfterUs = true;
+}
 std::ostream& operator<<(std::ostream& out, const UnitError& obj)
 {
   obj.printTo(out);
@@ -1098,6 +1153,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->retryAfterUs);
+          this->__isset.retryAfterUs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1127,6 +1190,11 @@
   xfer += oprot->writeString(this->message);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.retryAfterUs) {
+    xfer += oprot->writeFieldBegin("retryAfterUs", ::apache::thrift::protocol::T_I64, 3);
+    xfer += oprot->writeI64(this->retryAfterUs);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1136,24 +1204,34 @@
   using ::std::swap;
   swap(a.fault, b.fault);
   swap(a.message, b.message);
+  swap(a.retryAfterUs, b.retryAfterUs);
+  swap(a.__isset, b.__isset);
 }
 
 UnitError::UnitError(const UnitError& other28) {
   fault = other28.fault;
   message = other28.message;
+  retryAfterUs = other28.retryAfterUs;
+  __isset = other28.__isset;
 }
 UnitError::UnitError(UnitError&& other29) noexcept {
   fault = other29.fault;
   message = std::move(other29.message);
+  retryAfterUs = other29.retryAfterUs;
+  __isset = other29.__isset;
 }
 UnitError& UnitError::operator=(const UnitError& other30) {
   fault = other30.fault;
   message = other30.message;
+  retryAfterUs = other30.retryAfterUs;
+  __isset = other30.__isset;
   return *this;
 }
 UnitError& UnitError::operator=(UnitError&& other31) noexcept {
   fault = other31.fault;
   message = std::move(other31.message);
+  retryAfterUs = other31.retryAfterUs;
+  __isset = other31.__isset;
   return *this;
 }
 void UnitError::printTo(std::ostream& out) const {
@@ -1161,6 +1239,7 @@
   out << "UnitError(";
   out << "fault=" << to_string(fault);
   out << ", " << "message=" << to_string(message);
+  out << ", " << "retryAfterUs="; (__isset.retryAfterUs ? (out << to_string(retryAfterUs)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2969,6 +3048,10 @@
 void QuotaRequest::__set_leaderSilent(const bool val) {
   this->leaderSilent = val;
 }
+
+void QuotaRequest::__set_wantedByRank(const std::vector<int32_t> & val) {
+  this->wantedByRank = val;
+}
 std::ostream& operator<<(std::ostream& out, const QuotaRequest& obj)
 {
   obj.printTo(out);
@@ -2994,6 +3077,7 @@
   bool isset_usableForUs = false;
   bool isset_hops = false;
   bool isset_leaderSilent = false;
+  bool isset_wantedByRank = false;
 
   while (true)
   {
@@ -3071,6 +3155,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->wantedByRank.clear();
+            uint32_t _size113;
+            ::apache::thrift::protocol::TType _etype116;
+            xfer += iprot->readListBegin(_etype116, _size113);
+            this->wantedByRank.resize(_size113);
+            uint32_t _i117;
+            for (_i117 = 0; _i117 < _size113; ++_i117)
+            {
+              xfer += iprot->readI32(this->wantedByRank[_i117]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_wantedByRank = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3092,6 +3196,8 @@
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_leaderSilent)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_wantedByRank)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
@@ -3124,10 +3230,10 @@
     xfer += oprot->writeFieldBegin("settled", ::apache::thrift::protocol::T_LIST, 6);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->settled.size()));
-      std::vector<QuotaSettlement> ::const_iterator _iter113;
-      for (_iter113 = this->settled.begin(); _iter113 != this->settled.end(); ++_iter113)
+      std::vector<QuotaSettlement> ::const_iterator _iter118;
+      for (_iter118 = this->settled.begin(); _iter118 != this->settled.end(); ++_iter118)
       {
-        xfer += (*_iter113).write(oprot);
+        xfer += (*_iter118).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3137,6 +3243,18 @@
   xfer += oprot->writeBool(this->leaderSilent);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("wantedByRank", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->wantedByRank.size()));
+    std::vector<int32_t> ::const_iterator _iter119;
+    for (_iter119 = this->wantedByRank.begin(); _iter119 != this->wantedByRank.end(); ++_iter119)
+    {
+      xfer += oprot->writeI32((*_iter119));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3151,49 +3269,54 @@
   swap(a.hops, b.hops);
   swap(a.settled, b.settled);
   swap(a.leaderSilent, b.leaderSilent);
+  swap(a.wantedByRank, b.wantedByRank);
   swap(a.__isset, b.__isset);
 }
 
-QuotaRequest::QuotaRequest(const QuotaRequest& other114) {
-  question = other114.question;
-  tenantName = other114.tenantName;
-  wanted = other114.wanted;
-  usableForUs = other114.usableForUs;
-  hops = other114.hops;
-  settled = other114.settled;
-  leaderSilent = other114.leaderSilent;
-  __isset = other114.__isset;
-}
-QuotaRequest::QuotaRequest(QuotaRequest&& other115) noexcept {
-  question = other115.question;
-  tenantName = std::move(other115.tenantName);
-  wanted = other115.wanted;
-  usableForUs = other115.usableForUs;
-  hops = other115.hops;
-  settled = std::move(other115.settled);
-  leaderSilent = other115.leaderSilent;
-  __isset = other115.__isset;
-}
-QuotaRequest& QuotaRequest::operator=(const QuotaRequest& other116) {
-  question = other116.question;
-  tenantName = other116.tenantName;
-  wanted = other116.wanted;
-  usableForUs = other116.usableForUs;
-  hops = other116.hops;
-  settled = other116.settled;
-  leaderSilent = other116.leaderSilent;
-  __isset = other116.__isset;
+QuotaRequest::QuotaRequest(const QuotaRequest& other120) {
+  question = other120.question;
+  tenantName = other120.tenantName;
+  wanted = other120.wanted;
+  usableForUs = other120.usableForUs;
+  hops = other120.hops;
+  settled = other120.settled;
+  leaderSilent = other120.leaderSilent;
+  wantedByRank = other120.wantedByRank;
+  __isset = other120.__isset;
+}
+QuotaRequest::QuotaRequest(QuotaRequest&& other121) noexcept {
+  question = other121.question;
+  tenantName = std::move(other121.tenantName);
+  wanted = other121.wanted;
+  usableForUs = other121.usableForUs;
+  hops = other121.hops;
+  settled = std::move(other121.settled);
+  leaderSilent = other121.leaderSilent;
+  wantedByRank = std::move(other121.wantedByRank);
+  __isset = other121.__isset;
+}
+QuotaRequest& QuotaRequest::operator=(const QuotaRequest& other122) {
+  question = other122.question;
+  tenantName = other122.tenantName;
+  wanted = other122.wanted;
+  usableForUs = other122.usableForUs;
+  hops = other122.hops;
+  settled = other122.settled;
+  leaderSilent = other122.leaderSilent;
+  wantedByRank = other122.wantedByRank;
+  __isset = other122.__isset;
   return *this;
 }
-QuotaRequest& QuotaRequest::operator=(QuotaRequest&& other117) noexcept {
-  question = other117.question;
-  tenantName = std::move(other117.tenantName);
-  wanted = other117.wanted;
-  usableForUs = other117.usableForUs;
-  hops = other117.hops;
-  settled = std::move(other117.settled);
-  leaderSilent = other117.leaderSilent;
-  __isset = other117.__isset;
+QuotaRequest& QuotaRequest::operator=(QuotaRequest&& other123) noexcept {
+  question = other123.question;
+  tenantName = std::move(other123.tenantName);
+  wanted = other123.wanted;
+  usableForUs = other123.usableForUs;
+  hops = other123.hops;
+  settled = std::move(other123.settled);
+  leaderSilent = other123.leaderSilent;
+  wantedByRank = std::move(other123.wantedByRank);
+  __isset = other123.__isset;
   return *this;
 }
 void QuotaRequest::printTo(std::ostream& out) const {
@@ -3206,6 +3329,7 @@
   out << ", " << "hops=" << to_string(hops);
   out << ", " << "settled="; (__isset.settled ? (out << to_string(settled)) : (out << "<null>"));
   out << ", " << "leaderSilent=" << to_string(leaderSilent);
+  out << ", " << "wantedByRank=" << to_string(wantedByRank);
   out << ")";
 }
 
@@ -3249,6 +3373,10 @@
 void QuotaReply::__set_standby(const std::string& val) {
   this->standby = val;
 }
+
+void QuotaReply::__set_grantedByRank(const std::vector<int32_t> & val) {
+  this->grantedByRank = val;
+}
 std::ostream& operator<<(std::ostream& out, const QuotaReply& obj)
 {
   obj.printTo(out);
@@ -3277,6 +3405,7 @@
   bool isset_number = false;
   bool isset_leader = false;
   bool isset_standby = false;
+  bool isset_grantedByRank = false;
 
   while (true)
   {
@@ -3358,6 +3487,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->grantedByRank.clear();
+            uint32_t _size124;
+            ::apache::thrift::protocol::TType _etype127;
+            xfer += iprot->readListBegin(_etype127, _size124);
+            this->grantedByRank.resize(_size124);
+            uint32_t _i128;
+            for (_i128 = 0; _i128 < _size124; ++_i128)
+            {
+              xfer += iprot->readI32(this->grantedByRank[_i128]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_grantedByRank = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3385,6 +3534,8 @@
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_standby)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_grantedByRank)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
@@ -3429,6 +3580,18 @@
   xfer += oprot->writeString(this->standby);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("grantedByRank", ::apache::thrift::protocol::T_LIST, 10);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->grantedByRank.size()));
+    std::vector<int32_t> ::const_iterator _iter129;
+    for (_iter129 = this->grantedByRank.begin(); _iter129 != this->grantedByRank.end(); ++_iter129)
+    {
+      xfer += oprot->writeI32((*_iter129));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3445,52 +3608,57 @@
   swap(a.number, b.number);
   swap(a.leader, b.leader);
   swap(a.standby, b.standby);
-}
-
-QuotaReply::QuotaReply(const QuotaReply& other118) {
-  question = other118.question;
-  declined = other118.declined;
-  granted = other118.granted;
-  retryAfterUs = other118.retryAfterUs;
-  scarce = other118.scarce;
-  term = other118.term;
-  number = other118.number;
-  leader = other118.leader;
-  standby = other118.standby;
-}
-QuotaReply::QuotaReply(QuotaReply&& other119) noexcept {
-  question = other119.question;
-  declined = other119.declined;
-  granted = other119.granted;
-  retryAfterUs = other119.retryAfterUs;
-  scarce = other119.scarce;
-  term = other119.term;
-  number = other119.number;
-  leader = std::move(other119.leader);
-  standby = std::move(other119.standby);
-}
-QuotaReply& QuotaReply::operator=(const QuotaReply& other120) {
-  question = other120.question;
-  declined = other120.declined;
-  granted = other120.granted;
-  retryAfterUs = other120.retryAfterUs;
-  scarce = other120.scarce;
-  term = other120.term;
-  number = other120.number;
-  leader = other120.leader;
-  standby = other120.standby;
+  swap(a.grantedByRank, b.grantedByRank);
+}
+
+QuotaReply::QuotaReply(const QuotaReply& other130) {
+  question = other130.question;
+  declined = other130.declined;
+  granted = other130.granted;
+  retryAfterUs = other130.retryAfterUs;
+  scarce = other130.scarce;
+  term = other130.term;
+  number = other130.number;
+  leader = other130.leader;
+  standby = other130.standby;
+  grantedByRank = other130.grantedByRank;
+}
+QuotaReply::QuotaReply(QuotaReply&& other131) noexcept {
+  question = other131.question;
+  declined = other131.declined;
+  granted = other131.granted;
+  retryAfterUs = other131.retryAfterUs;
+  scarce = other131.scarce;
+  term = other131.term;
+  number = other131.number;
+  leader = std::move(other131.leader);
+  standby = std::move(other131.standby);
+  grantedByRank = std::move(other131.grantedByRank);
+}
+QuotaReply& QuotaReply::operator=(const QuotaReply& other132) {
+  question = other132.question;
+  declined = other132.declined;
+  granted = other132.granted;
+  retryAfterUs = other132.retryAfterUs;
+  scarce = other132.scarce;
+  term = other132.term;
+  number = other132.number;
+  leader = other132.leader;
+  standby = other132.standby;
+  grantedByRank = other132.grantedByRank;
   return *this;
 }
-QuotaReply& QuotaReply::operator=(QuotaReply&& other121) noexcept {
-  question = other121.question;
-  declined = other121.declined;
-  granted = other121.granted;
-  retryAfterUs = other121.retryAfterUs;
-  scarce = other121.scarce;
-  term = other121.term;
-  number = other121.number;
-  leader = std::move(other121.leader);
-  standby = std::move(other121.standby);
+QuotaReply& QuotaReply::operator=(QuotaReply&& other133) noexcept {
+  question = other133.question;
+  declined = other133.declined;
+  granted = other133.granted;
+  retryAfterUs = other133.retryAfterUs;
+  scarce = other133.scarce;
+  term = other133.term;
+  number = other133.number;
+  leader = std::move(other133.leader);
+  standby = std::move(other133.standby);
+  grantedByRank = std::move(other133.grantedByRank);
   return *this;
 }
 void QuotaReply::printTo(std::ostream& out) const {
@@ -3505,6 +3673,176 @@
   out << ", " << "number=" << to_string(number);
   out << ", " << "leader=" << to_string(leader);
   out << ", " << "standby=" << to_string(standby);
+  out << ", " << "grantedByRank=" << to_string(grantedByRank);
+  out << ")";
+}
+
+
+GroupLoadReport::~GroupLoadReport() noexcept {
+}
+
+
+void GroupLoadReport::__set_sender(const std::string& val) {
+  this->sender = val;
+}
+
+void GroupLoadReport::__set_groupName(const std::string& val) {
+  this->groupName = val;
+}
+
+void GroupLoadReport::__set_demandByRankUs(const std::vector<int64_t> & val) {
+  this->demandByRankUs = val;
+}
+std::ostream& operator<<(std::ostream& out, const GroupLoadReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t GroupLoadReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_sender = false;
+  bool isset_groupName = false;
+  bool isset_demandByRankUs = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->sender);
+          isset_sender = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->groupName);
+          isset_groupName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->demandByRankUs.clear();
+            uint32_t _size134;
+            ::apache::thrift::protocol::TType _etype137;
+            xfer += iprot->readListBegin(_etype137, _size134);
+            this->demandByRankUs.resize(_size134);
+            uint32_t _i138;
+            for (_i138 = 0; _i138 < _size134; ++_i138)
+            {
+              xfer += iprot->readI64(this->demandByRankUs[_i138]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_demandByRankUs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_sender)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_groupName)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_demandByRankUs)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t GroupLoadReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("GroupLoadReport");
+
+  xfer += oprot->writeFieldBegin("sender", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->sender);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("groupName", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->groupName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("demandByRankUs", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->demandByRankUs.size()));
+    std::vector<int64_t> ::const_iterator _iter139;
+    for (_iter139 = this->demandByRankUs.begin(); _iter139 != this->demandByRankUs.end(); ++_iter139)
+    {
+      xfer += oprot->writeI64((*_iter139));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(GroupLoadReport &a, GroupLoadReport &b) {
+  using ::std::swap;
+  swap(a.sender, b.sender);
+  swap(a.groupName, b.groupName);
+  swap(a.demandByRankUs, b.demandByRankUs);
+}
+
+GroupLoadReport::GroupLoadReport(const GroupLoadReport& other140) {
+  sender = other140.sender;
+  groupName = other140.groupName;
+  demandByRankUs = other140.demandByRankUs;
+}
+GroupLoadReport::GroupLoadReport(GroupLoadReport&& other141) noexcept {
+  sender = std::move(other141.sender);
+  groupName = std::move(other141.groupName);
+  demandByRankUs = std::move(other141.demandByRankUs);
+}
+GroupLoadReport& GroupLoadReport::operator=(const GroupLoadReport& other142) {
+  sender = other142.sender;
+  groupName = other142.groupName;
+  demandByRankUs = other142.demandByRankUs;
+  return *this;
+}
+GroupLoadReport& GroupLoadReport::operator=(GroupLoadReport&& other143) noexcept {
+  sender = std::move(other143.sender);
+  groupName = std::move(other143.groupName);
+  demandByRankUs = std::move(other143.demandByRankUs);
+  return *this;
+}
+void GroupLoadReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "GroupLoadReport(";
+  out << "sender=" << to_string(sender);
+  out << ", " << "groupName=" << to_string(groupName);
+  out << ", " << "demandByRankUs=" << to_string(demandByRankUs);
   out << ")";
 }
 
@@ -3666,34 +4004,34 @@
   swap(a.usableForUs, b.usableForUs);
 }
 
-LedgerBatch::LedgerBatch(const LedgerBatch& other122) {
-  tenantName = other122.tenantName;
-  term = other122.term;
-  number = other122.number;
-  units = other122.units;
-  usableForUs = other122.usableForUs;
-}
-LedgerBatch::LedgerBatch(LedgerBatch&& other123) noexcept {
-  tenantName = std::move(other123.tenantName);
-  term = other123.term;
-  number = other123.number;
-  units = other123.units;
-  usableForUs = other123.usableForUs;
-}
-LedgerBatch& LedgerBatch::operator=(const LedgerBatch& other124) {
-  tenantName = other124.tenantName;
-  term = other124.term;
-  number = other124.number;
-  units = other124.units;
-  usableForUs = other124.usableForUs;
+LedgerBatch::LedgerBatch(const LedgerBatch& other144) {
+  tenantName = other144.tenantName;
+  term = other144.term;
+  number = other144.number;
+  units = other144.units;
+  usableForUs = other144.usableForUs;
+}
+LedgerBatch::LedgerBatch(LedgerBatch&& other145) noexcept {
+  tenantName = std::move(other145.tenantName);
+  term = other145.term;
+  number = other145.number;
+  units = other145.units;
+  usableForUs = other145.usableForUs;
+}
+LedgerBatch& LedgerBatch::operator=(const LedgerBatch& other146) {
+  tenantName = other146.tenantName;
+  term = other146.term;
+  number = other146.number;
+  units = other146.units;
+  usableForUs = other146.usableForUs;
   return *this;
 }
-LedgerBatch& LedgerBatch::operator=(LedgerBatch&& other125) noexcept {
-  tenantName = std::move(other125.tenantName);
-  term = other125.term;
-  number = other125.number;
-  units = other125.units;
-  usableForUs = other125.usableForUs;
+LedgerBatch& LedgerBatch::operator=(LedgerBatch&& other147) noexcept {
+  tenantName = std::move(other147.tenantName);
+  term = other147.term;
+  number = other147.number;
+  units = other147.units;
+  usableForUs = other147.usableForUs;
   return *this;
 }
 void LedgerBatch::printTo(std::ostream& out) const {
@@ -3836,14 +4174,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->batches.clear();
-            uint32_t _size126;
-            ::apache::thrift::protocol::TType _etype129;
-            xfer += iprot->readListBegin(_etype129, _size126);
-            this->batches.resize(_size126);
-            uint32_t _i130;
-            for (_i130 = 0; _i130 < _size126; ++_i130)
+            uint32_t _size148;
+            ::apache::thrift::protocol::TType _etype151;
+            xfer += iprot->readListBegin(_etype151, _size148);
+            this->batches.resize(_size148);
+            uint32_t _i152;
+            for (_i152 = 0; _i152 < _size148; ++_i152)
             {
-              xfer += this->batches[_i130].read(iprot);
+              xfer += this->batches[_i152].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3930,10 +4268,10 @@
   xfer += oprot->writeFieldBegin("batches", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->batches.size()));
-    std::vector<LedgerBatch> ::const_iterator _iter131;
-    for (_iter131 = this->batches.begin(); _iter131 != this->batches.end(); ++_iter131)
+    std::vector<LedgerBatch> ::const_iterator _iter153;
+    for (_iter153 = this->batches.begin(); _iter153 != this->batches.end(); ++_iter153)
     {
-      xfer += (*_iter131).write(oprot);
+      xfer += (*_iter153).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3965,50 +4303,50 @@
   swap(a.sequence, b.sequence);
 }
 
-LedgerUpdateRequest::LedgerUpdateRequest(const LedgerUpdateRequest& other132) {
-  question = other132.question;
-  shard = other132.shard;
-  leaderLife = other132.leaderLife;
-  copy = other132.copy;
-  whole = other132.whole;
-  released = other132.released;
-  batches = other132.batches;
-  offered = other132.offered;
-  sequence = other132.sequence;
-}
-LedgerUpdateRequest::LedgerUpdateRequest(LedgerUpdateRequest&& other133) noexcept {
-  question = other133.question;
-  shard = other133.shard;
-  leaderLife = std::move(other133.leaderLife);
-  copy = other133.copy;
-  whole = other133.whole;
-  released = other133.released;
-  batches = std::move(other133.batches);
-  offered = other133.offered;
-  sequence = other133.sequence;
-}
-LedgerUpdateRequest& LedgerUpdateRequest::operator=(const LedgerUpdateRequest& other134) {
-  question = other134.question;
-  shard = other134.shard;
-  leaderLife = other134.leaderLife;
-  copy = other134.copy;
-  whole = other134.whole;
-  released = other134.released;
-  batches = other134.batches;
-  offered = other134.offered;
-  sequence = other134.sequence;
+LedgerUpdateRequest::LedgerUpdateRequest(const LedgerUpdateRequest& other154) {
+  question = other154.question;
+  shard = other154.shard;
+  leaderLife = other154.leaderLife;
+  copy = other154.copy;
+  whole = other154.whole;
+  released = other154.released;
+  batches = other154.batches;
+  offered = other154.offered;
+  sequence = other154.sequence;
+}
+LedgerUpdateRequest::LedgerUpdateRequest(LedgerUpdateRequest&& other155) noexcept {
+  question = other155.question;
+  shard = other155.shard;
+  leaderLife = std::move(other155.leaderLife);
+  copy = other155.copy;
+  whole = other155.whole;
+  released = other155.released;
+  batches = std::move(other155.batches);
+  offered = other155.offered;
+  sequence = other155.sequence;
+}
+LedgerUpdateRequest& LedgerUpdateRequest::operator=(const LedgerUpdateRequest& other156) {
+  question = other156.question;
+  shard = other156.shard;
+  leaderLife = other156.leaderLife;
+  copy = other156.copy;
+  whole = other156.whole;
+  released = other156.released;
+  batches = other156.batches;
+  offered = other156.offered;
+  sequence = other156.sequence;
   return *this;
 }
-LedgerUpdateRequest& LedgerUpdateRequest::operator=(LedgerUpdateRequest&& other135) noexcept {
-  question = other135.question;
-  shard = other135.shard;
-  leaderLife = std::move(other135.leaderLife);
-  copy = other135.copy;
-  whole = other135.whole;
-  released = other135.released;
-  batches = std::move(other135.batches);
-  offered = other135.offered;
-  sequence = other135.sequence;
+LedgerUpdateRequest& LedgerUpdateRequest::operator=(LedgerUpdateRequest&& other157) noexcept {
+  question = other157.question;
+  shard = other157.shard;
+  leaderLife = std::move(other157.leaderLife);
+  copy = other157.copy;
+  whole = other157.whole;
+  released = other157.released;
+  batches = std::move(other157.batches);
+  offered = other157.offered;
+  sequence = other157.sequence;
   return *this;
 }
 void LedgerUpdateRequest::printTo(std::ostream& out) const {
@@ -4144,26 +4482,26 @@
   swap(a.life, b.life);
 }
 
-LedgerUpdateReply::LedgerUpdateReply(const LedgerUpdateReply& other136) {
-  question = other136.question;
-  accepted = other136.accepted;
-  life = other136.life;
+LedgerUpdateReply::LedgerUpdateReply(const LedgerUpdateReply& other158) {
+  question = other158.question;
+  accepted = other158.accepted;
+  life = other158.life;
 }
-LedgerUpdateReply::LedgerUpdateReply(LedgerUpdateReply&& other137) noexcept {
-  question = other137.question;
-  accepted = other137.accepted;
-  life = std::move(other137.life);
+LedgerUpdateReply::LedgerUpdateReply(LedgerUpdateReply&& other159) noexcept {
+  question = other159.question;
+  accepted = other159.accepted;
+  life = std::move(other159.life);
 }
-LedgerUpdateReply& LedgerUpdateReply::operator=(const LedgerUpdateReply& other138) {
-  question = other138.question;
-  accepted = other138.accepted;
-  life = other138.life;
+LedgerUpdateReply& LedgerUpdateReply::operator=(const LedgerUpdateReply& other160) {
+  question = other160.question;
+  accepted = other160.accepted;
+  life = other160.life;
   return *this;
 }
-LedgerUpdateReply& LedgerUpdateReply::operator=(LedgerUpdateReply&& other139) noexcept {
-  question = other139.question;
-  accepted = other139.accepted;
-  life = std::move(other139.life);
+LedgerUpdateReply& LedgerUpdateReply::operator=(LedgerUpdateReply&& other161) noexcept {
+  question = other161.question;
+  accepted = other161.accepted;
+  life = std::move(other161.life);
   return *this;
 }
 void LedgerUpdateReply::printTo(std::ostream& out) const {
@@ -4244,6 +4582,11 @@
   this->ledgerReply = val;
 __isset.ledgerReply = true;
 }
+
+void UnitFrame::__set_loadReport(const GroupLoadReport& val) {
+  this->loadReport = val;
+__isset.loadReport = true;
+}
 std::ostream& operator<<(std::ostream& out, const UnitFrame& obj)
 {
   obj.printTo(out);
@@ -4376,6 +4719,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->loadReport.read(iprot);
+          this->__isset.loadReport = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4458,6 +4809,11 @@
     xfer += this->ledgerReply.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.loadReport) {
+    xfer += oprot->writeFieldBegin("loadReport", ::apache::thrift::protocol::T_STRUCT, 14);
+    xfer += this->loadReport.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4478,73 +4834,78 @@
   swap(a.quotaReply, b.quotaReply);
   swap(a.ledgerRequest, b.ledgerRequest);
   swap(a.ledgerReply, b.ledgerReply);
+  swap(a.loadReport, b.loadReport);
   swap(a.__isset, b.__isset);
 }
 
-UnitFrame::UnitFrame(const UnitFrame& other140) {
-  request = other140.request;
-  answer = other140.answer;
-  ended = other140.ended;
-  heartbeat = other140.heartbeat;
-  leaving = other140.leaving;
-  proofRequest = other140.proofRequest;
-  proofReply = other140.proofReply;
-  changesRequest = other140.changesRequest;
-  changesReply = other140.changesReply;
-  quotaRequest = other140.quotaRequest;
-  quotaReply = other140.quotaReply;
-  ledgerRequest = other140.ledgerRequest;
-  ledgerReply = other140.ledgerReply;
-  __isset = other140.__isset;
-}
-UnitFrame::UnitFrame(UnitFrame&& other141) noexcept {
-  request = std::move(other141.request);
-  answer = std::move(other141.answer);
-  ended = other141.ended;
-  heartbeat = other141.heartbeat;
-  leaving = other141.leaving;
-  proofRequest = std::move(other141.proofRequest);
-  proofReply = std::move(other141.proofReply);
-  changesRequest = std::move(other141.changesRequest);
-  changesReply = std::move(other141.changesReply);
-  quotaRequest = std::move(other141.quotaRequest);
-  quotaReply = std::move(other141.quotaReply);
-  ledgerRequest = std::move(other141.ledgerRequest);
-  ledgerReply = std::move(other141.ledgerReply);
-  __isset = other141.__isset;
-}
-UnitFrame& UnitFrame::operator=(const UnitFrame& other142) {
-  request = other142.request;
-  answer = other142.answer;
-  ended = other142.ended;
-  heartbeat = other142.heartbeat;
-  leaving = other142.leaving;
-  proofRequest = other142.proofRequest;
-  proofReply = other142.proofReply;
-  changesRequest = other142.changesRequest;
-  changesReply = other142.changesReply;
-  quotaRequest = other142.quotaRequest;
-  quotaReply = other142.quotaReply;
-  ledgerRequest = other142.ledgerRequest;
-  ledgerReply = other142.ledgerReply;
-  __isset = other142.__isset;
+UnitFrame::UnitFrame(const UnitFrame& other162) {
+  request = other162.request;
+  answer = other162.answer;
+  ended = other162.ended;
+  heartbeat = other162.heartbeat;
+  leaving = other162.leaving;
+  proofRequest = other162.proofRequest;
+  proofReply = other162.proofReply;
+  changesRequest = other162.changesRequest;
+  changesReply = other162.changesReply;
+  quotaRequest = other162.quotaRequest;
+  quotaReply = other162.quotaReply;
+  ledgerRequest = other162.ledgerRequest;
+  ledgerReply = other162.ledgerReply;
+  loadReport = other162.loadReport;
+  __isset = other162.__isset;
+}
+UnitFrame::UnitFrame(UnitFrame&& other163) noexcept {
+  request = std::move(other163.request);
+  answer = std::move(other163.answer);
+  ended = other163.ended;
+  heartbeat = other163.heartbeat;
+  leaving = other163.leaving;
+  proofRequest = std::move(other163.proofRequest);
+  proofReply = std::move(other163.proofReply);
+  changesRequest = std::move(other163.changesRequest);
+  changesReply = std::move(other163.changesReply);
+  quotaRequest = std::move(other163.quotaRequest);
+  quotaReply = std::move(other163.quotaReply);
+  ledgerRequest = std::move(other163.ledgerRequest);
+  ledgerReply = std::move(other163.ledgerReply);
+  loadReport = std::move(other163.loadReport);
+  __isset = other163.__isset;
+}
+UnitFrame& UnitFrame::operator=(const UnitFrame& other164) {
+  request = other164.request;
+  answer = other164.answer;
+  ended = other164.ended;
+  heartbeat = other164.heartbeat;
+  leaving = other164.leaving;
+  proofRequest = other164.proofRequest;
+  proofReply = other164.proofReply;
+  changesRequest = other164.changesRequest;
+  changesReply = other164.changesReply;
+  quotaRequest = other164.quotaRequest;
+  quotaReply = other164.quotaReply;
+  ledgerRequest = other164.ledgerRequest;
+  ledgerReply = other164.ledgerReply;
+  loadReport = other164.loadReport;
+  __isset = other164.__isset;
   return *this;
 }
-UnitFrame& UnitFrame::operator=(UnitFrame&& other143) noexcept {
-  request = std::move(other143.request);
-  answer = std::move(other143.answer);
-  ended = other143.ended;
-  heartbeat = other143.heartbeat;
-  leaving = other143.leaving;
-  proofRequest = std::move(other143.proofRequest);
-  proofReply = std::move(other143.proofReply);
-  changesRequest = std::move(other143.changesRequest);
-  changesReply = std::move(other143.changesReply);
-  quotaRequest = std::move(other143.quotaRequest);
-  quotaReply = std::move(other143.quotaReply);
-  ledgerRequest = std::move(other143.ledgerRequest);
-  ledgerReply = std::move(other143.ledgerReply);
-  __isset = other143.__isset;
+UnitFrame& UnitFrame::operator=(UnitFrame&& other165) noexcept {
+  request = std::move(other165.request);
+  answer = std::move(other165.answer);
+  ended = other165.ended;
+  heartbeat = other165.heartbeat;
+  leaving = other165.leaving;
+  proofRequest = std::move(other165.proofRequest);
+  proofReply = std::move(other165.proofReply);
+  changesRequest = std::move(other165.changesRequest);
+  changesReply = std::move(other165.changesReply);
+  quotaRequest = std::move(other165.quotaRequest);
+  quotaReply = std::move(other165.quotaReply);
+  ledgerRequest = std::move(other165.ledgerRequest);
+  ledgerReply = std::move(other165.ledgerReply);
+  loadReport = std::move(other165.loadReport);
+  __isset = other165.__isset;
   return *this;
 }
 void UnitFrame::printTo(std::ostream& out) const {
@@ -4563,6 +4924,7 @@
   out << ", " << "quotaReply="; (__isset.quotaReply ? (out << to_string(quotaReply)) : (out << "<null>"));
   out << ", " << "ledgerRequest="; (__isset.ledgerRequest ? (out << to_string(ledgerRequest)) : (out << "<null>"));
   out << ", " << "ledgerReply="; (__isset.ledgerReply ? (out << to_string(ledgerReply)) : (out << "<null>"));
+  out << ", " << "loadReport="; (__isset.loadReport ? (out << to_string(loadReport)) : (out << "<null>"));
   out << ")";
 }
 
--- a/gen/unit_types.h
+++ b/gen/unit_types.h
@@ -57,6 +57,8 @@
 
 class QuotaReply;
 
+class GroupLoadReport;
+
 class LedgerBatch;
 
 class LedgerUpdateRequest;
@@ -252,7 +254,9 @@
                 timeoutUs(0),
                 objectiveUs(0),
                 idleInTransactionUs(0),
-                tenantName() {
+                tenantName(),
+                rank(0),
+                waitedUs(0) {
   }
 
   virtual ~UnitContext() noexcept;
@@ -267,6 +271,8 @@
   UnitPosition ownFloor;
   UnitCommand opener;
   std::string tenantName;
+  int32_t rank;
+  int64_t waitedUs;
 
   _UnitContext__isset __isset;
 
@@ -292,6 +298,10 @@
 
   void __set_tenantName(const std::string& val);
 
+  void __set_rank(const int32_t val);
+
+  void __set_waitedUs(const int64_t val);
+
   bool operator == (const UnitContext & rhs) const
   {
     if (!(serviceName == rhs.serviceName))
@@ -322,6 +332,10 @@
       return false;
     else if (__isset.tenantName && !(tenantName == rhs.tenantName))
       return false;
+    if (!(rank == rhs.rank))
+      return false;
+    if (!(waitedUs == rhs.waitedUs))
+      return false;
     return true;
   }
   bool operator != (const UnitContext &rhs) const {
@@ -410,6 +424,10 @@
 
 std::ostream& operator<<(std::ostream& out, const UnitRequest& obj);
 
+typedef struct _UnitError__isset {
+  _UnitError__isset() : retryAfterUs(false) {}
+  bool retryAfterUs :1;
+} _UnitError__isset;
 
 class UnitError : public virtual ::apache::thrift::TBase {
  public:
@@ -420,23 +438,33 @@
   UnitError& operator=(UnitError&&) noexcept;
   UnitError() noexcept
             : fault(0),
-              message() {
+              message(),
+              retryAfterUs(0) {
   }
 
   virtual ~UnitError() noexcept;
   int32_t fault;
   std::string message;
+  int64_t retryAfterUs;
+
+  _UnitError__isset __isset;
 
   void __set_fault(const int32_t val);
 
   void __set_message(const std::string& val);
 
+  void __set_retryAfterUs(const int64_t val);
+
   bool operator == (const UnitError & rhs) const
   {
     if (!(fault == rhs.fault))
       return false;
     if (!(message == rhs.message))
       return false;
+    if (__isset.retryAfterUs != rhs.__isset.retryAfterUs)
+      return false;
+    else if (__isset.retryAfterUs && !(retryAfterUs == rhs.retryAfterUs))
+      return false;
     return true;
   }
   bool operator != (const UnitError &rhs) const {
@@ -1046,6 +1074,7 @@
   int32_t hops;
   std::vector<QuotaSettlement>  settled;
   bool leaderSilent;
+  std::vector<int32_t>  wantedByRank;
 
   _QuotaRequest__isset __isset;
 
@@ -1063,6 +1092,8 @@
 
   void __set_leaderSilent(const bool val);
 
+  void __set_wantedByRank(const std::vector<int32_t> & val);
+
   bool operator == (const QuotaRequest & rhs) const
   {
     if (!(question == rhs.question))
@@ -1081,6 +1112,8 @@
       return false;
     if (!(leaderSilent == rhs.leaderSilent))
       return false;
+    if (!(wantedByRank == rhs.wantedByRank))
+      return false;
     return true;
   }
   bool operator != (const QuotaRequest &rhs) const {
@@ -1129,6 +1162,7 @@
   int64_t number;
   std::string leader;
   std::string standby;
+  std::vector<int32_t>  grantedByRank;
 
   void __set_question(const int64_t val);
 
@@ -1148,6 +1182,8 @@
 
   void __set_standby(const std::string& val);
 
+  void __set_grantedByRank(const std::vector<int32_t> & val);
+
   bool operator == (const QuotaReply & rhs) const
   {
     if (!(question == rhs.question))
@@ -1168,6 +1204,8 @@
       return false;
     if (!(standby == rhs.standby))
       return false;
+    if (!(grantedByRank == rhs.grantedByRank))
+      return false;
     return true;
   }
   bool operator != (const QuotaReply &rhs) const {
@@ -1187,6 +1225,56 @@
 std::ostream& operator<<(std::ostream& out, const QuotaReply& obj);
 
 
+class GroupLoadReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  GroupLoadReport(const GroupLoadReport&);
+  GroupLoadReport(GroupLoadReport&&) noexcept;
+  GroupLoadReport& operator=(const GroupLoadReport&);
+  GroupLoadReport& operator=(GroupLoadReport&&) noexcept;
+  GroupLoadReport() noexcept
+                  : sender(),
+                    groupName() {
+  }
+
+  virtual ~GroupLoadReport() noexcept;
+  std::string sender;
+  std::string groupName;
+  std::vector<int64_t>  demandByRankUs;
+
+  void __set_sender(const std::string& val);
+
+  void __set_groupName(const std::string& val);
+
+  void __set_demandByRankUs(const std::vector<int64_t> & val);
+
+  bool operator == (const GroupLoadReport & rhs) const
+  {
+    if (!(sender == rhs.sender))
+      return false;
+    if (!(groupName == rhs.groupName))
+      return false;
+    if (!(demandByRankUs == rhs.demandByRankUs))
+      return false;
+    return true;
+  }
+  bool operator != (const GroupLoadReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const GroupLoadReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(GroupLoadReport &a, GroupLoadReport &b);
+
+std::ostream& operator<<(std::ostream& out, const GroupLoadReport& obj);
+
+
 class LedgerBatch : public virtual ::apache::thrift::TBase {
  public:
 
@@ -1387,7 +1475,7 @@
 std::ostream& operator<<(std::ostream& out, const LedgerUpdateReply& obj);
 
 typedef struct _UnitFrame__isset {
-  _UnitFrame__isset() : request(false), answer(false), ended(false), heartbeat(false), leaving(false), proofRequest(false), proofReply(false), changesRequest(false), changesReply(false), quotaRequest(false), quotaReply(false), ledgerRequest(false), ledgerReply(false) {}
+  _UnitFrame__isset() : request(false), answer(false), ended(false), heartbeat(false), leaving(false), proofRequest(false), proofReply(false), changesRequest(false), changesReply(false), quotaRequest(false), quotaReply(false), ledgerRequest(false), ledgerReply(false), loadReport(false) {}
   bool request :1;
   bool answer :1;
   bool ended :1;
@@ -1401,6 +1489,7 @@
   bool quotaReply :1;
   bool ledgerRequest :1;
   bool ledgerReply :1;
+  bool loadReport :1;
 } _UnitFrame__isset;
 
 class UnitFrame : public virtual ::apache::thrift::TBase {
@@ -1430,6 +1519,7 @@
   QuotaReply quotaReply;
   LedgerUpdateRequest ledgerRequest;
   LedgerUpdateReply ledgerReply;
+  GroupLoadReport loadReport;
 
   _UnitFrame__isset __isset;
 
@@ -1459,6 +1549,8 @@
 
   void __set_ledgerReply(const LedgerUpdateReply& val);
 
+  void __set_loadReport(const GroupLoadReport& val);
+
   bool operator == (const UnitFrame & rhs) const
   {
     if (__isset.request != rhs.__isset.request)
@@ -1513,6 +1605,10 @@
       return false;
     else if (__isset.ledgerReply && !(ledgerReply == rhs.ledgerReply))
       return false;
+    if (__isset.loadReport != rhs.__isset.loadReport)
+      return false;
+    else if (__isset.loadReport && !(loadReport == rhs.loadReport))
+      return false;
     return true;
   }
   bool operator != (const UnitFrame &rhs) const {
--- a/src/cluster/EstateImport.cpp
+++ b/src/cluster/EstateImport.cpp
@@ -39,9 +39,12 @@
     return compact(document);
 }
 
-std::string serviceDocument(const ImportedService& service, bool urgent) {
+std::string serviceDocument(const ImportedService& service, std::optional<std::uint32_t> rank) {
     QJsonObject document;
-    document["admission.priority"] = urgent ? "urgent" : "ordinary";
+    document["admission.priority"] = rank == 0 ? "urgent" : "ordinary";
+    if (rank) {
+        document["admission.rank"] = static_cast<int>(*rank);
+    }
     const bool replica = service.readRouting == settings::ReadRouting::Replica;
     document["routing.reads"] = replica ? "replica" : "primary";
     if (service.maxStaleness) {
@@ -56,15 +59,23 @@
     return compact(document);
 }
 
-/** @return the lowest rank when ranks differ. */
-std::optional<int> urgentRank(const std::vector<ImportedService>& services) {
-    const auto [lowest, highest] =
-        std::minmax_element(services.begin(), services.end(),
-                            [](const auto& a, const auto& b) { return a.rank < b.rank; });
-    if (lowest == services.end() || lowest->rank == highest->rank) {
-        return std::nullopt;
+/**
+ * @return the place of each rank among those that occur; empty where all are equal. What exceeds
+ * the number of ranks shares the last one.
+ */
+std::map<int, std::uint32_t> placesOfRanks(const std::vector<ImportedService>& services) {
+    std::map<int, std::uint32_t> places;
+    for (const ImportedService& service : services) {
+        places[service.rank] = 0;
+    }
+    if (places.size() < 2) {
+        return {};
+    }
+    std::uint32_t next = 0;
+    for (auto& [rank, place] : places) {
+        place = std::min(next++, settings::kAdmissionRanks - 1);
     }
-    return lowest->rank;
+    return places;
 }
 
 }  // namespace
@@ -94,9 +105,11 @@
     for (const ImportedGroup& group : image.groups) {
         put(settings::NodePath::ofGroup(group.name).text(), groupDocument(group), outcome);
     }
-    const std::optional<int> urgent = urgentRank(image.services);
+    const std::map<int, std::uint32_t> places = placesOfRanks(image.services);
     for (const ImportedService& service : image.services) {
-        putService({service, urgent == service.rank}, outcome);
+        const auto place = places.find(service.rank);
+        putService({service, place == places.end() ? std::nullopt : std::optional(place->second)},
+                   outcome);
     }
     for (const std::string& path : before) {
         if (!_paths.contains(path)) {
@@ -120,7 +133,7 @@
         _paths.insert(path);
         return;
     }
-    if (put(path, serviceDocument(taken.service, taken.urgent), outcome)) {
+    if (put(path, serviceDocument(taken.service, taken.rank), outcome)) {
         _services.insert_or_assign(path, taken);
     } else {
         _services.erase(path);
--- a/src/cluster/EstateImport.h
+++ b/src/cluster/EstateImport.h
@@ -64,7 +64,8 @@
 /**
  * Merges an image into the tree, node by node: estate, groups, services. Nodes that an earlier
  * image had and this one lacks are deleted. An image that is older than the newest one is ignored.
- * Services of the lowest rank are urgent where ranks differ.
+ * Where ranks differ, services of the lowest one are urgent, and each has its place among the
+ * ranks.
  */
 class EstateImport {
 public:
@@ -79,7 +80,7 @@
     /** A service as it was imported last. */
     struct TakenService {
         ImportedService service;
-        bool urgent = false;
+        std::optional<std::uint32_t> rank;
 
         bool operator==(const TakenService&) const = default;
     };
--- /dev/null
+++ b/src/link/forwarding/LoadReportCodec.cpp
@@ -0,0 +1,37 @@
+#include "link/forwarding/LoadReportCodec.h"
+
+#include <chrono>
+
+#include "settings/EffectiveSettings.h"
+
+namespace coralhoist::forwarding {
+
+using std::chrono::microseconds;
+
+gen::GroupLoadReport writeLoadReport(const pooling::LoadReport& report) {
+    gen::GroupLoadReport record;
+    record.sender = report.sender.value();
+    record.groupName = report.group.value();
+    for (const Duration demand : report.demandByRank) {
+        record.demandByRankUs.push_back(std::chrono::duration_cast<microseconds>(demand).count());
+    }
+    return record;
+}
+
+std::optional<pooling::LoadReport> readLoadReport(const gen::GroupLoadReport& record) {
+    if (record.demandByRankUs.size() > settings::kAdmissionRanks) {
+        return std::nullopt;
+    }
+    pooling::LoadReport report;
+    report.sender = NodeName(record.sender);
+    report.group = GroupName(record.groupName);
+    for (const std::int64_t demand : record.demandByRankUs) {
+        if (demand < 0) {
+            return std::nullopt;
+        }
+        report.demandByRank.emplace_back(microseconds(demand));
+    }
+    return report;
+}
+
+}  // namespace coralhoist::forwarding
--- a/src/link/forwarding/QuestionCodec.cpp
+++ b/src/link/forwarding/QuestionCodec.cpp
@@ -1,5 +1,6 @@
 #include "link/forwarding/QuestionCodec.h"
 
+#include <algorithm>
 #include <chrono>
 #include <memory>
 #include <utility>
@@ -27,6 +28,20 @@
     return std::chrono::ceil<microseconds>(duration).count();
 }
 
+std::vector<std::int32_t> writeUnits(const std::vector<std::uint32_t>& units) {
+    return {units.begin(), units.end()};
+}
+
+/** @return nothing when a number is below 0. */
+std::optional<std::vector<std::uint32_t>> readUnits(const std::vector<std::int32_t>& record) {
+    const bool valid =
+        std::all_of(record.begin(), record.end(), [](std::int32_t units) { return units >= 0; });
+    if (!valid) {
+        return std::nullopt;
+    }
+    return std::vector<std::uint32_t>(record.begin(), record.end());
+}
+
 /** @return the name of a batch in any record that has one. */
 template <typename Record>
 tenancy::BatchId batchOf(const Record& record) {
@@ -215,6 +230,7 @@
     record.usableForUs = roundedUp(question.usableFor);
     record.hops = static_cast<std::int32_t>(question.hops);
     record.leaderSilent = question.leaderSilent;
+    record.wantedByRank = writeUnits(question.wantedByRank);
     for (const tenancy::BatchSettlement& settlement : question.settled) {
         gen::QuotaSettlement entry;
         entry.term = static_cast<std::int64_t>(settlement.batch.term);
@@ -229,7 +245,8 @@
 }
 
 std::optional<UnitMessage> readQuotaRequest(const gen::QuotaRequest& record) {
-    if (record.wanted < 0 || record.usableForUs < 0 || record.hops < 0) {
+    std::optional<std::vector<std::uint32_t>> wantedByRank = readUnits(record.wantedByRank);
+    if (record.wanted < 0 || record.usableForUs < 0 || record.hops < 0 || !wantedByRank) {
         return std::nullopt;
     }
     UnitMessage message;
@@ -241,6 +258,7 @@
     question.usableFor = microseconds(record.usableForUs);
     question.hops = static_cast<std::uint32_t>(record.hops);
     question.leaderSilent = record.leaderSilent;
+    question.wantedByRank = std::move(*wantedByRank);
     for (const gen::QuotaSettlement& entry : record.settled) {
         if (entry.used < 0 || entry.lastUseAgeUs < 0) {
             return std::nullopt;
@@ -257,6 +275,7 @@
     record.question = static_cast<std::int64_t>(message.question);
     record.declined = answer.declined;
     record.granted = static_cast<std::int32_t>(answer.granted);
+    record.grantedByRank = writeUnits(answer.grantedByRank);
     record.retryAfterUs = toMicroseconds(answer.retryAfter);
     record.scarce = answer.scarce;
     record.term = static_cast<std::int64_t>(answer.batch.term);
@@ -267,7 +286,8 @@
 }
 
 std::optional<UnitMessage> readQuotaReply(const gen::QuotaReply& record) {
-    if (record.granted < 0 || record.retryAfterUs < 0) {
+    std::optional<std::vector<std::uint32_t>> grantedByRank = readUnits(record.grantedByRank);
+    if (record.granted < 0 || record.retryAfterUs < 0 || !grantedByRank) {
         return std::nullopt;
     }
     UnitMessage message;
@@ -279,7 +299,8 @@
                            microseconds(record.retryAfterUs),
                            record.scarce,
                            NodeName(record.leader),
-                           NodeName(record.standby)};
+                           NodeName(record.standby),
+                           std::move(*grantedByRank)};
     return message;
 }
 
--- a/src/link/forwarding/UnitCodec.cpp
+++ b/src/link/forwarding/UnitCodec.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "gen/unit_types.h"
+#include "link/forwarding/LoadReportCodec.h"
 #include "link/forwarding/QuestionCodec.h"
 #include "link/frame/ThriftCodec.h"
 
@@ -74,6 +75,8 @@
     record.groupName = opening.group.value();
     record.primaryOnly = settings.readRouting == settings::ReadRouting::Primary;
     record.urgent = settings.priority == settings::Priority::Urgent;
+    record.rank = static_cast<std::int32_t>(settings.admissionRank());
+    record.waitedUs = toMicroseconds(opening.waited);
     if (settings.maxStaleness) {
         record.__set_maximumStalenessUs(toMicroseconds(*settings.maxStaleness));
     }
@@ -91,7 +94,13 @@
 }
 
 std::optional<UnitOpening> read(const gen::UnitContext& record) {
+    const bool knownRank =
+        record.rank >= 0 && record.rank < static_cast<std::int32_t>(settings::kAdmissionRanks);
+    if (!knownRank || record.waitedUs < 0) {
+        return std::nullopt;
+    }
     UnitOpening opening;
+    opening.waited = microseconds(record.waitedUs);
     opening.service = ServiceName(record.serviceName);
     opening.group = GroupName(record.groupName);
     opening.tenant = TenantName(record.tenantName);
@@ -100,6 +109,7 @@
     settings.readRouting =
         record.primaryOnly ? settings::ReadRouting::Primary : settings::ReadRouting::Replica;
     settings.priority = record.urgent ? settings::Priority::Urgent : settings::Priority::Ordinary;
+    settings.rank = static_cast<std::uint32_t>(record.rank);
     if (record.__isset.maximumStalenessUs) {
         settings.maxStaleness = microseconds(record.maximumStalenessUs);
     }
@@ -166,6 +176,9 @@
         gen::UnitError error;
         error.fault = static_cast<std::int32_t>(result.error->fault);
         error.message = result.error->message;
+        if (result.error->retryAfter) {
+            error.__set_retryAfterUs(toMicroseconds(*result.error->retryAfter));
+        }
         record.__set_error(error);
     }
     record.state = static_cast<std::int32_t>(result.state);
@@ -192,12 +205,26 @@
     if (record.__isset.error) {
         result.error =
             StatementError{static_cast<StatementFault>(record.error.fault), record.error.message};
+        if (record.error.__isset.retryAfterUs) {
+            result.error->retryAfter = microseconds(record.error.retryAfterUs);
+        }
     }
     result.state = static_cast<SessionState>(record.state);
     message.result.ownFloor = read(record.ownFloor);
     return message;
 }
 
+std::optional<UnitMessage> readLoadTold(const gen::GroupLoadReport& record) {
+    std::optional<pooling::LoadReport> report = readLoadReport(record);
+    if (!report) {
+        return std::nullopt;
+    }
+    UnitMessage message;
+    message.kind = UnitMessage::Kind::LoadTold;
+    message.loadReport = std::move(*report);
+    return message;
+}
+
 std::optional<UnitMessage> readFrame(const gen::UnitFrame& frame) {
     if (frame.__isset.request) {
         return readRequest(frame.request);
@@ -208,6 +235,9 @@
     if (isQuestionFrame(frame)) {
         return readQuestionFrame(frame);
     }
+    if (frame.__isset.loadReport) {
+        return readLoadTold(frame.loadReport);
+    }
     UnitMessage message;
     if (frame.__isset.ended) {
         message.kind = UnitMessage::Kind::Ended;
@@ -258,6 +288,9 @@
         case UnitMessage::Kind::LedgerAck:
             writeQuestionFrame(message, frame);
             break;
+        case UnitMessage::Kind::LoadTold:
+            frame.__set_loadReport(writeLoadReport(message.loadReport));
+            break;
     }
     return frame;
 }
--- a/src/link/forwarding/UnitCodec.h
+++ b/src/link/forwarding/UnitCodec.h
@@ -9,6 +9,7 @@
 #include "base/Status.h"
 #include "link/store/FeedMessages.h"
 #include "pooling/LeadershipProof.h"
+#include "pooling/LoadReport.h"
 #include "pooling/UnitForwarding.h"
 #include "tenancy/QuotaMessages.h"
 
@@ -35,6 +36,7 @@
         Quota,        /**< `question` and `quotaAnswer`. */
         LedgerUpdate, /**< `question` and `ledgerUpdate`. */
         LedgerAck,    /**< `question` and `ledgerAck`. */
+        LoadTold,     /**< `loadReport`; no answer is expected. */
     };
     Kind kind = Kind::Heartbeat;
     UnitId unit;
@@ -51,6 +53,7 @@
     tenancy::QuotaAnswer quotaAnswer;
     tenancy::LedgerUpdate ledgerUpdate;
     tenancy::LedgerAck ledgerAck;
+    pooling::LoadReport loadReport;
 };
 
 /** Appends one frame. */
--- a/src/link/forwarding/UnitLinks.cpp
+++ b/src/link/forwarding/UnitLinks.cpp
@@ -224,6 +224,7 @@
         case UnitMessage::Kind::ChangesAsked:
         case UnitMessage::Kind::QuotaAsked:
         case UnitMessage::Kind::LedgerUpdate:
+        case UnitMessage::Kind::LoadTold:
             return;
     }
 }
--- a/src/link/forwarding/UnitService.cpp
+++ b/src/link/forwarding/UnitService.cpp
@@ -105,6 +105,7 @@
         case UnitMessage::Kind::Changes:
         case UnitMessage::Kind::Quota:
         case UnitMessage::Kind::LedgerAck:
+        case UnitMessage::Kind::LoadTold:
             return;
     }
 }
--- a/src/pooling/PoolerQueue.cpp
+++ b/src/pooling/PoolerQueue.cpp
@@ -19,15 +19,32 @@
     }
     GroupState& group = groupOf(session);
     session.operation->phase = OperationPhase::Queued;
-    const bool urgent = session.settings.priority == settings::Priority::Urgent;
-    (urgent ? group.urgent : group.ordinary).push_back(session.id);
+    group.waiting.add(waitingStatement(group, session));
     group.dirty = true;
     wakeAt(session, session.operation->holdUntil);
 }
 
+admission::WaitingStatement StatementPooler::waitingStatement(const GroupState& group,
+                                                              const PooledSession& session) const {
+    admission::WaitingStatement waiting;
+    waiting.session = session.id;
+    waiting.rank = session.settings.admissionRank();
+    waiting.arrivedAt = session.operation->arrivedAt;
+    waiting.onTimeFor = std::chrono::duration_cast<Duration>(session.settings.latencyObjective *
+                                                             _knobs.onTimeShare);
+    if (_knobs.orderBySlotTime > 0) {
+        waiting.slotTime = group.slotTimes.expected(session.service, unitKindOf(session));
+    }
+    return waiting;
+}
+
 void StatementPooler::dispatch(GroupState& group) {
-    dispatchQueue(group, group.urgent);
-    dispatchQueue(group, group.ordinary);
+    for (const SessionId id : group.waiting.order(_clock.now())) {
+        PooledSession* session = findSession(id);
+        if (session == nullptr || !isQueued(*session) || place(group, *session)) {
+            group.waiting.remove(id);
+        }
+    }
 }
 
 UnitKind StatementPooler::unitKindOf(const PooledSession& session) {
@@ -41,61 +58,11 @@
     return unitKindOf(session) == UnitKind::Read;
 }
 
-/**
- * Statements that can still meet their objective go first; those that have waited too long for that
- * take what is left. Otherwise an overload would make every statement late. Among the former, those
- * that are expected to occupy a slot for the least time go first, so that an overload leaves the
- * fewest unserved.
- */
-void StatementPooler::sortQueue(const GroupState& group, std::vector<SessionId>& queue) {
-    struct Entry {
-        bool late = false;
-        Duration expected{0};
-        SessionId session;
-    };
-    std::vector<Entry> entries;
-    entries.reserve(queue.size());
-    for (const SessionId id : queue) {
-        const PooledSession* session = findSession(id);
-        if (session == nullptr || !isQueued(*session)) {
-            continue;
-        }
-        Entry entry{!isOnTime(*session), Duration(0), id};
-        if (_knobs.orderBySlotTime > 0 && !entry.late) {
-            entry.expected = group.slotTimes.expected(session->service, unitKindOf(*session));
-        }
-        entries.push_back(entry);
-    }
-    std::stable_sort(entries.begin(), entries.end(), [](const Entry& left, const Entry& right) {
-        return left.late != right.late ? right.late : left.expected < right.expected;
-    });
-    queue.clear();
-    for (const Entry& entry : entries) {
-        queue.push_back(entry.session);
-    }
-}
-
-void StatementPooler::dispatchQueue(GroupState& group, std::vector<SessionId>& queue) {
-    sortQueue(group, queue);
-    // A session that was refused and asked again at once stands here twice: once it is placed, its
-    // other entry is void.
-    std::erase_if(queue, [this, &group](SessionId id) {
-        PooledSession& session = *findSession(id);
-        return !isQueued(session) || place(group, session);
-    });
-}
-
 bool StatementPooler::isQueued(const PooledSession& session) const {
     return session.operation && session.operation->phase == OperationPhase::Queued &&
            session.transaction.phase != TransactionPhase::Open;
 }
 
-bool StatementPooler::isOnTime(const PooledSession& session) const {
-    const auto allowance = std::chrono::duration_cast<Duration>(session.settings.latencyObjective *
-                                                                _knobs.onTimeShare);
-    return _clock.now() - session.operation->arrivedAt < allowance;
-}
-
 /** @return whether the statement no longer waits. */
 bool StatementPooler::place(GroupState& group, PooledSession& session) {
     Operation& operation = *session.operation;
--- a/src/pooling/PoolerStatements.cpp
+++ b/src/pooling/PoolerStatements.cpp
@@ -190,7 +190,7 @@
             session->transaction.failureTold = true;
         }
     }
-    replyError(*session, error.fault, std::move(error.message));
+    replyError(*session, std::move(error));
     settle();
 }
 
@@ -247,8 +247,12 @@
 
 void StatementPooler::replyError(PooledSession& session, StatementFault fault,
                                  std::string message) {
+    replyError(session, StatementError{fault, std::move(message)});
+}
+
+void StatementPooler::replyError(PooledSession& session, StatementError error) {
     StatementResult result;
-    result.error = StatementError{fault, std::move(message)};
+    result.error = std::move(error);
     if (session.operation) {
         finishOperation(session, std::move(result));
         return;
@@ -262,9 +266,7 @@
     const bool leaderless =
         !group.leadership.primary() || group.leadership.notice().phase != PromotionPhase::None;
     const auto pause = leaderless ? kComeBackAfterPromotion : kComeBackAfterOverload;
-    replyError(session, StatementFault::Busy,
-               std::string("not run (") + session.operation->lastObstacle + "); come back in " +
-                   std::to_string(pause.count()) + " ms");
+    replyError(session, notRun(session.operation->lastObstacle, pause));
 }
 
 void StatementPooler::queueReply(const PooledSession& session, StatementResult result) {
--- a/src/pooling/PoolerStop.cpp
+++ b/src/pooling/PoolerStop.cpp
@@ -8,12 +8,12 @@
 namespace {
 
 /** Another node can serve the caller at once. */
-constexpr const char* kStopping = "not run (the node is stopping); come back in 0 ms";
+constexpr const char* kStopping = "the node is stopping";
 
 }  // namespace
 
 void StatementPooler::refuseAsStopping(PooledSession& session) {
-    replyError(session, StatementFault::Busy, kStopping);
+    replyError(session, notRun(kStopping, Duration(0)));
     _closing.push_back(session.id);
 }
 
--- a/src/pooling/PoolerTimers.cpp
+++ b/src/pooling/PoolerTimers.cpp
@@ -144,7 +144,7 @@
         } else {
             releaseUnused(group, now);
         }
-        if (!group.urgent.empty() || !group.ordinary.empty()) {
+        if (!group.waiting.empty()) {
             group.dirty = true;
         }
     }
@@ -168,8 +168,8 @@
             .field("succeeded", server.succeeded)
             .field("busy", server.refusedBusy)
             .field("lagging", server.refusedLagging)
-            .field("urgent_waiting", group.urgent.size())
-            .field("ordinary_waiting", group.ordinary.size());
+            .field("urgent_waiting", group.waiting.sizeOf(0))
+            .field("waiting", group.waiting.size());
         server.succeeded = 0;
         server.refusedBusy = 0;
         server.refusedLagging = 0;
--- a/src/pooling/Statement.cpp
+++ b/src/pooling/Statement.cpp
@@ -41,4 +41,10 @@
            fault != StatementFault::InDoubt;
 }
 
+StatementError notRun(const std::string& reason, Duration retryAfter) {
+    const auto pause = std::chrono::ceil<std::chrono::milliseconds>(retryAfter).count();
+    return {StatementFault::Busy,
+            "not run (" + reason + "); come back in " + std::to_string(pause) + " ms", retryAfter};
+}
+
 }  // namespace coralhoist::pooling
--- a/src/pooling/Statement.h
+++ b/src/pooling/Statement.h
@@ -11,6 +11,7 @@
 
 #include "base/Identifier.h"
 #include "base/OpTime.h"
+#include "base/Time.h"
 
 namespace coralhoist::pooling {
 
@@ -77,8 +78,17 @@
 struct StatementError {
     StatementFault fault = StatementFault::Failed;
     std::string message;
+    /** When a repetition has a chance, as the message tells the caller too. */
+    std::optional<Duration> retryAfter = std::nullopt;
 };
 
+/**
+ * @return the refusal of a statement that did not run.
+ * @param reason a word or a few, for callers and logs.
+ * @param retryAfter time from now on after which a repetition has a chance.
+ */
+StatementError notRun(const std::string& reason, Duration retryAfter);
+
 /** Transaction state of a session or a server connection. */
 enum class SessionState { Idle, InTransaction, Failed };
 
--- a/src/pooling/StatementPooler.h
+++ b/src/pooling/StatementPooler.h
@@ -14,6 +14,7 @@
 #include <unordered_set>
 #include <vector>
 
+#include "admission/WaitingQueue.h"
 #include "base/Time.h"
 #include "pooling/ExecutorPlacement.h"
 #include "pooling/FreshnessFloors.h"
@@ -189,15 +190,14 @@
     const PoolerStatistics& statistics() const { return _statistics; }
 
 private:
-    /** Statements that wait for a server of a group, by class. */
+    /** What is known of a group, and the statements that wait for one of its servers. */
     struct GroupState {
         LeadershipTracker leadership;
         FreshnessFloors floors;
         SlotTimeEstimates slotTimes;
         TenantActivity activity;
         std::map<ServerName, ServerState> servers;
-        std::vector<SessionId> urgent;
-        std::vector<SessionId> ordinary;
+        admission::WaitingQueue waiting;
         bool dirty = false;
         /** Latency of a server above which less is sent to it. */
         Duration latencyTarget = std::chrono::milliseconds(100);
@@ -237,6 +237,7 @@
     bool isWrite(const PooledSession& session, const Statement& statement) const;
     void replyCompleted(const PooledSession& session);
     void replyError(PooledSession& session, StatementFault fault, std::string message);
+    void replyError(PooledSession& session, StatementError error);
     void refuseAsBusy(PooledSession& session);
     void queueReply(const PooledSession& session, StatementResult result);
     void finishOperation(PooledSession& session, StatementResult result);
@@ -245,12 +246,11 @@
     // PoolerQueue.cpp: statements that wait, and what each needs of a server.
     void enqueue(PooledSession& session);
     void dispatch(GroupState& group);
-    void dispatchQueue(GroupState& group, std::vector<SessionId>& queue);
-    void sortQueue(const GroupState& group, std::vector<SessionId>& queue);
     static UnitKind unitKindOf(const PooledSession& session);
     static bool isSingleRead(const PooledSession& session);
     bool isQueued(const PooledSession& session) const;
-    bool isOnTime(const PooledSession& session) const;
+    admission::WaitingStatement waitingStatement(const GroupState& group,
+                                                 const PooledSession& session) const;
     bool place(GroupState& group, PooledSession& session);
     Requirement requirementOf(GroupState& group, PooledSession& session);
     Requirement readRequirement(GroupState& group, const PooledSession& session) const;
--- a/src/pooling/UnitForwarding.h
+++ b/src/pooling/UnitForwarding.h
@@ -23,6 +23,8 @@
     TenantName tenant;
     /** Settings by which the unit is decided, as the forwarding node knows them. */
     settings::ServiceSettings settings;
+    /** Time since the caller first asked for it, refusals and pauses included. */
+    Duration waited{0};
     /** Position of the log that has all commits of the session. */
     OpTime ownFloor;
     /** BEGIN when the unit is a transaction. */
--- a/src/settings/EffectiveSettings.h
+++ b/src/settings/EffectiveSettings.h
@@ -84,6 +84,8 @@
     ServiceName name;
     ReadRouting readRouting = ReadRouting::Primary;
     Priority priority = Priority::Ordinary;
+    /** Rank among statements of pooled sessions; empty: by the priority. */
+    std::optional<std::uint32_t> rank;
     /** Reads may be this stale and need no sample of their own. Empty: reads see all acknowledged
      * writes. */
     std::optional<Duration> maxStaleness;
@@ -99,7 +101,15 @@
     /** Most caller connections of the service on one proxy. */
     std::uint32_t connectionLimit = 10000;
 
+    /** @return the rank among waiting statements of pooled sessions; lower ones go first. */
+    std::uint32_t admissionRank() const {
+        return rank.value_or(priority == Priority::Urgent ? 0 : 1);
+    }
+
     bool operator==(const ServiceSettings&) const = default;
 };
 
+/** Number of ranks: each has a queue of its own in every group. */
+constexpr std::uint32_t kAdmissionRanks = 8;
+
 }  // namespace coralhoist::settings
--- a/src/settings/KeyTable.cpp
+++ b/src/settings/KeyTable.cpp
@@ -73,6 +73,13 @@
     settings.priority = urgent ? Priority::Urgent : Priority::Ordinary;
 }
 
+void setRank(const SettingValue& value, ServiceSettings& settings) {
+    settings.rank.reset();
+    if (const auto* rank = std::get_if<std::int64_t>(&value)) {
+        settings.rank = static_cast<std::uint32_t>(*rank);
+    }
+}
+
 void setMaxStaleness(const SettingValue& value, ServiceSettings& settings) {
     settings.maxStaleness.reset();
     if (const auto* duration = std::get_if<Duration>(&value)) {
@@ -220,6 +227,15 @@
     priority.applyToService = setPriority;
     keys.push_back(std::move(priority));
 
+    KeyDefinition rank =
+        makeKey("admission.rank", KeyType::Integer, NoValue(), {0, kAdmissionRanks - 1}, kAllLevels,
+                "Rank of a service's statements among those of pooled sessions; lower ones go"
+                " first. none: 0 where admission.priority is urgent, else 1.");
+    rank.unit = "ranks";
+    rank.permitsNone = true;
+    rank.applyToService = setRank;
+    keys.push_back(std::move(rank));
+
     keys.push_back(makeCount<&GroupSettings::slotsPerServer>(
         "admission.slots_per_server", "statements", 5, {1, 10000},
         "Statements that one server executes at the same time."));
--- a/src/settings/SettingValue.cpp
+++ b/src/settings/SettingValue.cpp
@@ -271,7 +271,9 @@
         return readJsonList(key, json);
     }
     if (key.type == KeyType::Integer) {
-        return readJsonInteger(key, json);
+        const bool none = key.permitsNone && json.toString().toStdString() == kNone;
+        return none ? StatusWith<SettingValue>(SettingValue(NoValue()))
+                    : readJsonInteger(key, json);
     }
     if (!json.isString()) {
         return invalid("a text is expected, e.g. \"" + formatValue(key.defaultValue) + "\"");
--- a/src/tenancy/QuotaMessages.h
+++ b/src/tenancy/QuotaMessages.h
@@ -48,6 +48,8 @@
     /** The leader did not answer it: a standby that does not hear from it either may lead. */
     bool leaderSilent = false;
     std::vector<BatchSettlement> settled;
+    /** The units wanted by rank, from 0 on; empty where ranks don't matter. */
+    std::vector<std::uint32_t> wantedByRank = {};
 
     bool operator==(const QuotaQuestion&) const = default;
 };
@@ -65,6 +67,8 @@
     /** The leader that granted, and its standby; empty when declined or there is none. */
     NodeName leader;
     NodeName standby;
+    /** The units granted by rank, from 0 on; empty where the question named none. */
+    std::vector<std::uint32_t> grantedByRank = {};
 
     bool operator==(const QuotaAnswer&) const = default;
 };
--- a/src/tenancy/TenantGate.cpp
+++ b/src/tenancy/TenantGate.cpp
@@ -17,12 +17,10 @@
  * has come but was not read yet, and a step of the event loop. */
 constexpr double kTrustedShare = 0.9;
 /** When a caller of a node with old settings should come back; another node may do better. */
-constexpr const char* kOldSettings = "not run (settings not confirmed); come back in 500 ms";
+constexpr Duration kRetryWithOldSettings = std::chrono::milliseconds(500);
 
-std::string quotaMessage(Duration retryAfter) {
-    const auto pause = std::chrono::duration_cast<std::chrono::milliseconds>(retryAfter).count();
-    return "not run (quota of the tenant is used up); come back in " + std::to_string(pause + 1) +
-           " ms";
+StatementError oldSettings() {
+    return pooling::notRun("settings not confirmed", kRetryWithOldSettings);
 }
 
 std::int64_t inMilliseconds(Duration span) {
@@ -65,7 +63,7 @@
             ++(known ? _statistics.refusedCredential : _statistics.refusedOldSettings);
             return {std::nullopt,
                     known ? StatementError{StatementFault::Unauthorized, "unknown credential"}
-                          : StatementError{StatementFault::Busy, kOldSettings}};
+                          : oldSettings()};
         }
         session.tenant = tenant->name;
     }
@@ -81,7 +79,7 @@
     }
     if (!knowsSettings(_clock.now())) {
         ++_statistics.refusedOldSettings;
-        return StatementError{StatementFault::Busy, kOldSettings};
+        return oldSettings();
     }
     return resolve(id, session);
 }
@@ -168,9 +166,8 @@
 StatementError TenantGate::refuseUnknownService(const ServiceName& service) {
     const Duration age = _clock.now() - _settingsKnownAt();
     const bool known = _applied == Duration(0) || age <= _applied;
-    StatementError error = known
-                               ? StatementError{StatementFault::UnknownDatabase, "no such database"}
-                               : StatementError{StatementFault::Busy, kOldSettings};
+    StatementError error =
+        known ? StatementError{StatementFault::UnknownDatabase, "no such database"} : oldSettings();
     _statistics.refusedOldSettings += known ? 0 : 1;
     LogEvent("session", LogLevel::Warning, "session.refused")
         .field("service", service)
@@ -228,7 +225,8 @@
         return;
     }
     ++_statistics.refusedQuota;
-    refuse(id, session, statement, {StatementFault::Busy, quotaMessage(verdict.retryAfter)});
+    refuse(id, session, statement,
+           pooling::notRun("quota of the tenant is used up", verdict.retryAfter));
 }
 
 void TenantGate::onQuotaChange(const TenantName& tenant) {
--- a/tests/cluster/EstateImportTest.cpp
+++ b/tests/cluster/EstateImportTest.cpp
@@ -55,6 +55,33 @@
     UNSIGNED_LONGS_EQUAL(0, services->groups.at(GroupName("g1")).synchronousReplicas);
 }
 
+TEST(EstateImport, EachRankHasItsPlace) {
+    import.apply(image(5, {service("a", 7), service("b", 0), service("c", 3), service("d", 7)}));
+    const auto services = catalog();
+    const auto rankOf = [&](const char* name) {
+        return services->find(ServiceName(name))->settings.admissionRank();
+    };
+    UNSIGNED_LONGS_EQUAL(0, rankOf("b"));
+    UNSIGNED_LONGS_EQUAL(1, rankOf("c"));
+    UNSIGNED_LONGS_EQUAL(2, rankOf("a"));
+    UNSIGNED_LONGS_EQUAL(2, rankOf("d"));
+}
+
+TEST(EstateImport, EqualRanksAreAllOrdinary) {
+    import.apply(image(5, {service("a", 2), service("b", 2)}));
+    UNSIGNED_LONGS_EQUAL(1, catalog()->find(ServiceName("a"))->settings.admissionRank());
+}
+
+TEST(EstateImport, RanksBeyondTheLastShareIt) {
+    std::vector<ImportedService> services;
+    for (int rank = 0; rank < 20; ++rank) {
+        services.push_back(service(("s" + std::to_string(rank)).c_str(), rank));
+    }
+    CHECK_TRUE(import.apply(image(5, services)).refused.empty());
+    UNSIGNED_LONGS_EQUAL(settings::kAdmissionRanks - 1,
+                         catalog()->find(ServiceName("s19"))->settings.admissionRank());
+}
+
 TEST(EstateImport, RemovesWhatANewerImageLacks) {
     import.apply(image(5, {service("a", 1), service("b", 1)}));
     CHECK_TRUE(import.apply(image(6, {service("b", 1)})).changed);
--- a/tests/forwarding/UnitCodecTest.cpp
+++ b/tests/forwarding/UnitCodecTest.cpp
@@ -33,6 +33,8 @@
     opening.settings.statementTimeout = milliseconds(780);
     opening.settings.latencyObjective = milliseconds(150);
     opening.settings.idleInTransactionTimeout = milliseconds(4000);
+    opening.settings.rank = 3;
+    opening.waited = milliseconds(250);
     opening.ownFloor = {3, 1207};
     opening.begin = pooling::Statement{
         "id0", StatementVerb::BeginReadOnly, "BEGIN READ", {}, {}, ShapeKind::Read};
@@ -103,6 +105,8 @@
     CHECK_TRUE(settings.statementTimeout == milliseconds(780));
     CHECK_TRUE(settings.latencyObjective == milliseconds(150));
     CHECK_TRUE(settings.idleInTransactionTimeout == milliseconds(4000));
+    LONGS_EQUAL(3, settings.admissionRank());
+    CHECK_TRUE(got.opening->waited == milliseconds(250));
     CHECK_TRUE(got.opening->ownFloor == sent.opening->ownFloor);
     CHECK_TRUE(got.opening->begin->verb == StatementVerb::BeginReadOnly);
 }
@@ -127,6 +131,13 @@
     }
 }
 
+TEST(UnitCodec, ARefusalKeepsWhenToComeBack) {
+    UnitMessage message = answer();
+    message.result.result.error = pooling::notRun("no_slot", milliseconds(40));
+    const UnitMessage got = decoded(bytesOf(message));
+    CHECK_TRUE(got.result.result.error->retryAfter == milliseconds(40));
+}
+
 TEST(UnitCodec, MessagesWithoutContentKeepTheirKind) {
     using Kind = UnitMessage::Kind;
     for (const Kind kind :
@@ -158,7 +169,8 @@
                              std::chrono::milliseconds(500),
                              1,
                              true,
-                             {{{41, 3}, 2, std::chrono::milliseconds(120)}}};
+                             {{{41, 3}, 2, std::chrono::milliseconds(120)}},
+                             {4, 0, 3}};
     const UnitMessage result = decoded(bytesOf(message));
     CHECK_TRUE(result.kind == UnitMessage::Kind::QuotaAsked);
     UNSIGNED_LONGS_EQUAL(42, result.question);
@@ -221,8 +233,9 @@
     UnitMessage message;
     message.kind = UnitMessage::Kind::Quota;
     message.question = 43;
-    message.quotaAnswer = {true,          {41, 3},      3, std::chrono::milliseconds(120), true,
-                           NodeName("n"), NodeName("m")};
+    message.quotaAnswer = {
+        true,          {41, 3},       3,     std::chrono::milliseconds(120), true,
+        NodeName("n"), NodeName("m"), {1, 2}};
     const UnitMessage result = decoded(bytesOf(message));
     CHECK_TRUE(result.kind == UnitMessage::Kind::Quota);
     UNSIGNED_LONGS_EQUAL(43, result.question);
