Soak of planned stops: what a proxy has read is answered, whatever servers do

Cause: the soak ended proxies as planned, but no judge looked at statements without an answer, and callers that never rest met no stop beside servers that refuse. Found in the harness: the end of a stop's grace killed a later life of the proxy; callers' bytes left with the event loop, so that a stall of the soak made them seem idle.

--- a/lab/soak/ProxyProcess.cpp
+++ b/lab/soak/ProxyProcess.cpp
@@ -94,8 +94,10 @@
 void ProxyProcess::stop(std::chrono::milliseconds grace) {
     _endExpected = true;
     sendSignal(SIGTERM);
-    QTimer::singleShot(grace, this, [this] {
-        if (_endExpected && isRunning()) {
+    // A later life has its own grace.
+    const qint64 life = _process.processId();
+    QTimer::singleShot(grace, this, [this, life] {
+        if (_endExpected && isRunning() && _process.processId() == life) {
             kill();
         }
     });
--- a/lab/soak/SoakCommand.cpp
+++ b/lab/soak/SoakCommand.cpp
@@ -32,6 +32,7 @@
     int answersEarly = 0;
     int tenants = 0;
     int settings = 0;
+    int stops = 0;
     std::string program;
     std::string logFolder = ".";
     std::string casesFile;
@@ -57,6 +58,8 @@
         {"settings", 0, POPT_ARG_NONE, &flags.settings, 0,
          "settings change in quick succession beside outages of the store and lost sources",
          nullptr},
+        {"stops", 0, POPT_ARG_NONE, &flags.stops, 0,
+         "proxies stop as planned while servers refuse or are slow: all is answered", nullptr},
         {"program", 'P', POPT_ARG_STRING, &programFile.text, 0, "the proxy's program", "FILE"},
         {"logs", 'l', POPT_ARG_STRING, &logFolder.text, 0, "folder for the proxies' logs", "DIR"},
         {"cases", 0, POPT_ARG_STRING, &casesFile.text, 0,
@@ -110,6 +113,7 @@
     options.faults = flags.calm == 0;
     options.tenants = flags.tenants != 0;
     options.settings = flags.settings != 0;
+    options.stops = flags.stops != 0;
     options.program = flags.program;
     options.logFolder = flags.logFolder;
     options.group.answersEarly = flags.answersEarly != 0;
--- a/lab/soak/SoakRun.cpp
+++ b/lab/soak/SoakRun.cpp
@@ -16,6 +16,7 @@
 #include "lab/soak/SoakFaults.h"
 #include "lab/soak/SoakPlan.h"
 #include "lab/soak/SoakSettings.h"
+#include "lab/soak/SoakStops.h"
 #include "lab/soak/SoakTenants.h"
 #include "lab/soak/WireCaller.h"
 #include "lab/soak/WireServer.h"
@@ -70,6 +71,7 @@
 
     SoakReport run() {
         _callerWorld.quotas = _options.tenants ? &_quotas : nullptr;
+        _callerWorld.allAnswered = _options.stops;
         startServers();
         writeConfiguration();
         startProxies();
@@ -107,6 +109,8 @@
     void playFaults(Duration length) {
         if (_settings) {
             _settings->play(length);
+        } else if (_options.stops) {
+            _stops.play(length);
         } else {
             _faults.play(drawPlan(_options.seed, length));
         }
@@ -114,6 +118,9 @@
 
     void healFaults() {
         _faults.healAll();
+        if (_options.stops) {
+            _stops.healAll();
+        }
         if (_settings) {
             _settings->healAll();
         }
@@ -317,6 +324,13 @@
         return text;
     }
 
+    std::size_t begunFaults() const {
+        if (_options.stops) {
+            return _stops.begun();
+        }
+        return _settings ? _settings->begun() : _faults.begun();
+    }
+
     SoakReport report() {
         _judge.onEnd(_group.finalCommits());
         const std::string quotas = _options.tenants ? judgeQuotas() : std::string();
@@ -329,7 +343,7 @@
         }
         report.violations = _judge.violations();
         report.timeline = _timeline.notes();
-        report.faults = _settings ? _settings->begun() : _faults.begun();
+        report.faults = begunFaults();
         report.answered = _callerWorld.answered;
         report.failed = _callerWorld.failed;
         report.acknowledged = _judge.acknowledged();
@@ -366,6 +380,7 @@
     std::vector<std::unique_ptr<WireCaller>> _callers;
     SoakFaults _faults;
     std::unique_ptr<SoakSettings> _settings;
+    SoakStops _stops{_queue, _options.seed, _proxies, _servers, _timeline};
     int _configuration = 0;
     std::uint64_t _newestFence = 0;
     TimePoint _healedAt{};
--- a/lab/soak/SoakRun.h
+++ b/lab/soak/SoakRun.h
@@ -25,6 +25,9 @@
     /** Settings change in quick succession beside outages and lost sources, in place of the other
      * faults; judged is how soon they are in force. */
     bool settings = false;
+    /** Proxies stop as planned, one after another, while servers refuse or are slow, in place of
+     * the other faults; judged is that nothing that a proxy has read is left without an answer. */
+    bool stops = false;
     /** Path of the proxy's program. */
     std::string program;
     /** Folder for the logs of the proxies. */
--- a/lab/soak/WireCaller.cpp
+++ b/lab/soak/WireCaller.cpp
@@ -22,6 +22,9 @@
 constexpr std::uint64_t kLeavesAfter = 25;
 constexpr std::uint64_t kLongestPauseMs = 50;
 constexpr milliseconds kReconnectPause{60};
+/** A statement that was sent so long ago has been read, unless the connection was already closing.
+ */
+constexpr milliseconds kReadAfter{200};
 
 bool isOwnStatement(const std::string& text) {
     return text.starts_with("BEGIN") || text == "ROLLBACK";
@@ -60,6 +63,13 @@
 
 /** What was being asked has an unknown outcome. */
 void WireCaller::onClosed() {
+    const Duration waited = _world.queue.now() - _sentAt;
+    if (_world.allAnswered && _busy && waited > kReadAfter) {
+        const auto milli = std::chrono::duration_cast<milliseconds>(waited).count();
+        _world.judge.fail("LOST: " + _sent + " of session " + std::to_string(_session) +
+                          " had no answer when the connection closed after " +
+                          std::to_string(milli) + " ms");
+    }
     _world.failed += _busy ? 1 : 0;
     _open = false;
     _busy = false;
@@ -99,6 +109,8 @@
     }
     if (succeeded && !_remaining.empty()) {
         if (_world.random.below(kLeavesMidway) == 0) {
+            ++_world.failed;
+            _busy = false;
             _socket.abort();
             onClosed();
             return;
@@ -156,6 +168,7 @@
     _remaining.pop_front();
     _signature.clear();
     _fault.clear();
+    _sentAt = _world.queue.now();
     const std::string id = std::to_string(++_world.lastRequest);
     _world.book[id] = {_session, _service.promise, _service.staleness, _since, _commit};
     if (_world.quotas != nullptr) {
@@ -163,6 +176,8 @@
     }
     const std::string line = "QUERY " + id + " " + _sent + "\r\n";
     _socket.write(line.c_str());
+    // Not left to the event loop: while that is held up the proxy would take the session for idle.
+    _socket.flush();
 }
 
 void WireCaller::judge() {
--- a/lab/soak/WireCaller.h
+++ b/lab/soak/WireCaller.h
@@ -33,6 +33,8 @@
     std::uint64_t lastUnit = 0;
     std::uint64_t answered = 0;
     std::uint64_t failed = 0;
+    /** A proxy answers all that it has read, since nothing fails but what was planned. */
+    bool allAnswered = false;
 };
 
 /** What a service promises to its reads. */
@@ -78,6 +80,7 @@
     pooled::CommitId _commit = 0;
     TimePoint _since{};
     std::string _sent;
+    TimePoint _sentAt{};
     std::string _signature;
     std::string _fault;
 };
