An entry without a start names no server where its id tells one, and ends no life

Cause: ServerDirectory took any other name of the same id for a later life; a foreign entry hid a server for up to 15 s. Change: such an entry takes the listed life away until the server's own next entry, which is not superseded.

--- a/src/pooling/ServerDirectory.cpp
+++ b/src/pooling/ServerDirectory.cpp
@@ -29,7 +29,25 @@
     return true;
 }
 
+/** @return whether somebody else wrote it: the server itself tells its start in each entry. */
+bool ServerDirectory::isForeign(const ServerAnnouncement& announcement) const {
+    const ServerName& server = announcement.address.server;
+    if (tellsStart(server)) {
+        return false;
+    }
+    const std::string id = idOf(server);
+    return std::any_of(_groups.begin(), _groups.end(), [&id](const auto& group) {
+        return std::any_of(group.second.begin(), group.second.end(), [&id](const auto& entry) {
+            return tellsStart(entry.first) && idOf(entry.first) == id;
+        });
+    });
+}
+
 bool ServerDirectory::put(const ServerAnnouncement& announcement, TimePoint now) {
+    if (isForeign(announcement)) {
+        // It names no server; until the server's own next entry there is none under its id.
+        return remove(announcement.address.server, announcement.version, now);
+    }
     ListedServer& listed = _groups[announcement.address.group][announcement.address.server];
     if (listed.superseded || announcement.version < listed.announcement.version ||
         !supersede(announcement, now)) {
--- a/src/pooling/ServerDirectory.h
+++ b/src/pooling/ServerDirectory.h
@@ -81,6 +81,7 @@
     const std::map<GroupName, Servers>& groups() const { return _groups; }
 
 private:
+    bool isForeign(const ServerAnnouncement& announcement) const;
     bool supersede(const ServerAnnouncement& announcement, TimePoint now);
 
     std::map<GroupName, Servers> _groups;
--- a/src/pooling/ServerLife.cpp
+++ b/src/pooling/ServerLife.cpp
@@ -7,6 +7,10 @@
                      : ServerName(id);
 }
 
+bool tellsStart(const ServerName& server) {
+    return server.value().find(kLifeSeparator) != std::string::npos;
+}
+
 std::string idOf(const ServerName& server) {
     return server.value().substr(0, server.value().find(kLifeSeparator));
 }
--- a/src/pooling/ServerLife.h
+++ b/src/pooling/ServerLife.h
@@ -22,6 +22,9 @@
  */
 ServerName nameOfLife(const std::string& id, std::optional<std::int64_t> startedAt);
 
+/** @return whether the name tells a start. */
+bool tellsStart(const ServerName& server);
+
 /** @return the id by which the server itself and the platform know it. */
 std::string idOf(const ServerName& server);
 
--- a/tests/pooling/ServerDirectoryTest.cpp
+++ b/tests/pooling/ServerDirectoryTest.cpp
@@ -98,5 +98,25 @@
     UNSIGNED_LONGS_EQUAL(1, directory.serversOf(kGroup).size());
 }
 
+/** An entry without a start, under the id of a server that tells one, is somebody else's. */
+TEST(ServerDirectory, AnEntryOfAnotherWriterNamesNoServerAndEndsNoLife) {
+    put(life(100, 5));
+    ServerAnnouncement foreign = life(100, 6);
+    foreign.address.server = ServerName("s1");
+    CHECK_TRUE(put(foreign));
+    CHECK_FALSE(isListed(100));
+    UNSIGNED_LONGS_EQUAL(1, directory.serversOf(kGroup).size());
+    CHECK_TRUE(put(life(100, 7)));
+    CHECK_TRUE(isListed(100));
+}
+
+TEST(ServerDirectory, AnOlderEntryOfAnotherWriterChangesNothing) {
+    put(life(100, 5));
+    ServerAnnouncement foreign = life(100, 4);
+    foreign.address.server = ServerName("s1");
+    CHECK_FALSE(put(foreign));
+    CHECK_TRUE(isListed(100));
+}
+
 }  // namespace
 }  // namespace coralhoist::pooling
