Ranks and fair shares within a rank: tenants take turns by slot time, a minimum share for lower ranks, an order that is kept and not sorted

Cause: within a rank a flood took the others' turns (order of arrival among statements alike), a long statement of one tenant stood behind all short ones of another, a rank behind one that floods got nothing, and each event sorted the whole queue. Change: admission::FairShares (start-time fair queueing by expected slot time over flows, one number a flow); WaitingQueue keeps its entries sorted by rank and flow, `placed` charges flow and rank, `remove` nobody. A flow is the session's tenant. Services are flows only with admission.fairness=services (estate, group; default tenants). admission.minimum_share (percent, 0 by default, 50 at most). Gauge coralhoist_waiting by rank. With one flow and no minimum share the order is as before; existing tests of the queue are unchanged. Not solved: a kept turn takes no urgent headroom. Where urgent statements keep a server's slots and the headroom taken, a lower rank finds no room whatever is kept for it.

--- /dev/null
+++ b/src/admission/FairShares.cpp
@@ -0,0 +1,107 @@
+#include "admission/FairShares.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace coralhoist::admission {
+namespace {
+
+/** What a statement is charged at least: one whose slot time is not known yet takes a turn too. */
+constexpr Duration kLeastCharge = std::chrono::milliseconds(1);
+
+/** Slot time that a flow which could not be placed has in advance of others at most. More than a
+ * long statement takes, and less than would make others late in their turn. */
+constexpr Duration kMostCredit = std::chrono::milliseconds(100);
+
+/** Flows that wait for nothing are looked for when so many are known. */
+constexpr std::size_t kManyFlows = 1024;
+
+}  // namespace
+
+bool FairShares::Turn::operator<(const Turn& other) const {
+    return std::tie(other.start, *other.next) < std::tie(start, *next);
+}
+
+Duration FairShares::chargeOf(Duration slotTime) {
+    return std::max(slotTime, kLeastCharge);
+}
+
+void FairShares::add(const std::string& flow, const Waiting& waiting) {
+    Flow& state = _flows[flow];
+    if (state.waiting.empty()) {
+        state.finish = std::max(state.finish, _virtualTime);
+    }
+    state.waiting.insert(std::ranges::lower_bound(state.waiting, waiting), waiting);
+}
+
+void FairShares::remove(const std::string& flow, const Waiting& waiting) {
+    const auto found = _flows.find(flow);
+    if (found == _flows.end()) {
+        return;
+    }
+    std::vector<Waiting>& all = found->second.waiting;
+    const auto place = std::ranges::lower_bound(all, waiting);
+    if (place != all.end() && *place == waiting) {
+        all.erase(place);
+    }
+}
+
+void FairShares::charge(const std::string& flow, Duration slotTime) {
+    Flow& state = _flows[flow];
+    const Duration start =
+        state.waiting.empty() ? std::max(state.finish, _virtualTime) : startOf(state);
+    _virtualTime = std::max(_virtualTime, start);
+    state.finish = start + chargeOf(slotTime);
+    if (_flows.size() >= kManyFlows) {
+        dropIdle();
+    }
+}
+
+void FairShares::appendOrder(std::vector<SessionId>& order) const {
+    std::vector<Turn> heap = turns();
+    while (heap.size() > 1) {
+        std::pop_heap(heap.begin(), heap.end());
+        Turn& turn = heap.back();
+        order.push_back(turn.next->session);
+        turn.start += chargeOf(turn.next->slotTime);
+        ++turn.next;
+        if (turn.next == turn.end) {
+            heap.pop_back();
+        } else {
+            std::push_heap(heap.begin(), heap.end());
+        }
+    }
+    for (const Turn& turn : heap) {
+        for (const Waiting* waiting = turn.next; waiting != turn.end; ++waiting) {
+            order.push_back(waiting->session);
+        }
+    }
+}
+
+/** @return a heap of the flows that wait. */
+std::vector<FairShares::Turn> FairShares::turns() const {
+    std::vector<Turn> heap;
+    heap.reserve(_flows.size());
+    for (const auto& [name, flow] : _flows) {
+        if (!flow.waiting.empty()) {
+            const Waiting* first = flow.waiting.data();
+            heap.push_back({startOf(flow), first, first + flow.waiting.size()});
+        }
+    }
+    std::make_heap(heap.begin(), heap.end());
+    return heap;
+}
+
+/** @return the virtual start of the next statement of a flow that waits. */
+Duration FairShares::startOf(const Flow& flow) const {
+    return std::max(flow.finish, _virtualTime - kMostCredit);
+}
+
+/** A flow that waits for nothing and lies behind the virtual time is as good as a new one. */
+void FairShares::dropIdle() {
+    std::erase_if(_flows, [this](const auto& entry) {
+        return entry.second.waiting.empty() && entry.second.finish <= _virtualTime;
+    });
+}
+
+}  // namespace coralhoist::admission
--- a/src/admission/WaitingQueue.cpp
+++ b/src/admission/WaitingQueue.cpp
@@ -1,41 +1,140 @@
 #include "admission/WaitingQueue.h"
 
 #include <algorithm>
-#include <tuple>
+#include <iterator>
 
 namespace coralhoist::admission {
+namespace {
+
+/** Slot time kept for one rank at most. Covers the longest statements; more would make the first
+ * rank wait for a while once a rank that could not be placed can. */
+constexpr Duration kMostKept = std::chrono::milliseconds(200);
+
+constexpr std::uint32_t kWhole = 100;
+
+}  // namespace
 
 void WaitingQueue::add(const WaitingStatement& statement) {
-    _entries.insert_or_assign(statement.session, Entry{statement, ++_lastNumber});
+    remove(statement.session);
+    const Entry entry{statement, ++_lastNumber};
+    RankQueue& rank = _ranks[statement.rank];
+    rank.onTime.add(statement.flow, turnOf(entry));
+    rank.lateFrom.emplace(lateFrom(statement), statement.session);
+    _entries.emplace(statement.session, entry);
 }
 
 void WaitingQueue::remove(SessionId session) {
-    _entries.erase(session);
+    const auto found = _entries.find(session);
+    if (found == _entries.end()) {
+        return;
+    }
+    const std::uint32_t rank = found->second.statement.rank;
+    take(found->second);
+    _entries.erase(found);
+    if (_ranks[rank].size() == 0) {
+        _ranks.erase(rank);
+    }
+}
+
+void WaitingQueue::placed(SessionId session) {
+    const auto found = _entries.find(session);
+    if (found == _entries.end()) {
+        return;
+    }
+    const WaitingStatement& statement = found->second.statement;
+    _ranks[statement.rank].onTime.charge(statement.flow, statement.slotTime);
+    chargeRank(statement.rank, FairShares::chargeOf(statement.slotTime));
+    remove(session);
 }
 
 std::vector<SessionId> WaitingQueue::order(TimePoint now) const {
-    using Key = std::tuple<std::uint32_t, bool, Duration, std::uint64_t, SessionId>;
-    std::vector<Key> keys;
-    keys.reserve(_entries.size());
-    for (const auto& [session, entry] : _entries) {
-        const WaitingStatement& statement = entry.statement;
-        const bool late = now - statement.arrivedAt >= statement.onTimeFor;
-        keys.emplace_back(statement.rank, late, late ? Duration(0) : statement.slotTime,
-                          entry.number, session);
-    }
-    std::sort(keys.begin(), keys.end());
+    moveLate(now);
     std::vector<SessionId> sessions;
-    sessions.reserve(keys.size());
-    for (const Key& key : keys) {
-        sessions.push_back(std::get<SessionId>(key));
+    sessions.reserve(_entries.size());
+    auto keptEnd = std::ptrdiff_t{0};
+    for (const auto& [number, rank] : _ranks) {
+        const std::size_t from = sessions.size();
+        rank.onTime.appendOrder(sessions);
+        for (const Arrival& arrival : rank.late) {
+            sessions.push_back(arrival.second);
+        }
+        const std::size_t kept = keptTurns(rank, sessions, from);
+        if (kept > 0) {
+            const auto first = sessions.begin() + static_cast<std::ptrdiff_t>(from);
+            const auto end = first + static_cast<std::ptrdiff_t>(kept);
+            std::rotate(sessions.begin() + keptEnd, first, end);
+            keptEnd += static_cast<std::ptrdiff_t>(kept);
+        }
     }
     return sessions;
 }
 
 std::size_t WaitingQueue::sizeOf(std::uint32_t rank) const {
-    return static_cast<std::size_t>(
-        std::count_if(_entries.begin(), _entries.end(),
-                      [rank](const auto& entry) { return entry.second.statement.rank == rank; }));
+    const auto found = _ranks.find(rank);
+    return found == _ranks.end() ? 0 : found->second.size();
+}
+
+FairShares::Waiting WaitingQueue::turnOf(const Entry& entry) {
+    return {entry.statement.slotTime, entry.number, entry.statement.session};
+}
+
+TimePoint WaitingQueue::lateFrom(const WaitingStatement& statement) {
+    return statement.arrivedAt + statement.onTimeFor;
+}
+
+/** Takes the statement out of its rank. */
+void WaitingQueue::take(const Entry& entry) {
+    RankQueue& rank = _ranks[entry.statement.rank];
+    const SessionId session = entry.statement.session;
+    if (rank.lateFrom.erase({lateFrom(entry.statement), session}) > 0) {
+        rank.onTime.remove(entry.statement.flow, turnOf(entry));
+        return;
+    }
+    const Arrival arrival{entry.number, session};
+    rank.late.erase(std::ranges::lower_bound(rank.late, arrival));
+}
+
+/** Slot time was given to a rank: each that waits behind the first gets its part of it. */
+void WaitingQueue::chargeRank(std::uint32_t rank, Duration slotTime) {
+    if (_minimumShare == 0 || _ranks.size() < 2) {
+        return;
+    }
+    const Duration part = slotTime * _minimumShare / (kWhole * (_ranks.size() - 1));
+    for (auto each = std::next(_ranks.begin()); each != _ranks.end(); ++each) {
+        const Duration used = each->first == rank ? slotTime : Duration(0);
+        each->second.kept = std::clamp(each->second.kept + part - used, Duration(0), kMostKept);
+    }
+}
+
+/** Moves what is no longer on time behind what is. */
+void WaitingQueue::moveLate(TimePoint now) const {
+    for (auto& [number, rank] : _ranks) {
+        while (!rank.lateFrom.empty() && rank.lateFrom.begin()->first <= now) {
+            const SessionId session = rank.lateFrom.begin()->second;
+            const Entry& entry = _entries.at(session);
+            rank.lateFrom.erase(rank.lateFrom.begin());
+            rank.onTime.remove(entry.statement.flow, turnOf(entry));
+            const Arrival arrival{entry.number, session};
+            rank.late.insert(std::ranges::lower_bound(rank.late, arrival), arrival);
+        }
+    }
+}
+
+/** @return how many of the rank's statements, which begin at a place, its kept slot time covers. */
+std::size_t WaitingQueue::keptTurns(const RankQueue& rank, const std::vector<SessionId>& order,
+                                    std::size_t from) const {
+    Duration left = rank.kept;
+    std::size_t turns = 0;
+    while (left > Duration(0) && from + turns < order.size()) {
+        const Entry& next = _entries.at(order[from + turns]);
+        const Duration charge = FairShares::chargeOf(next.statement.slotTime);
+        if (left < std::min(charge, kMostKept)) {
+            break;
+        }
+        left -= charge;
+        ++turns;
+    }
+    return turns;
 }
 
 }  // namespace coralhoist::admission
--- a/src/duty/pooling/PoolingDuty.cpp
+++ b/src/duty/pooling/PoolingDuty.cpp
@@ -236,6 +236,7 @@
     PoolingFigures figures;
     figures.pooler = _pooler.statistics();
     figures.sessions = _pooler.sessionCount();
+    figures.waitingByRank = _pooler.waitingByRank();
     figures.nodes = _control->nodeCount();
     figures.settingsVersion = _control->settingsVersion();
     figures.settingsAge = _clock.now() - _control->settingsProvenAt();
--- a/src/duty/pooling/PoolingMetrics.cpp
+++ b/src/duty/pooling/PoolingMetrics.cpp
@@ -41,6 +41,14 @@
     }
 }
 
+void appendWaiting(Page& page, const PoolingFigures& figures) {
+    page.head("gauge", "waiting", "Statements that wait here for a server, by rank.");
+    for (std::size_t rank = 0; rank < figures.waitingByRank.size(); ++rank) {
+        page.text() << "coralhoist_waiting{rank=\"" << rank << "\"} " << figures.waitingByRank[rank]
+                    << '\n';
+    }
+}
+
 void appendGate(Page& page, const tenancy::GateStatistics& gate) {
     page.metric("counter", "refused_credential_total",
                 "Requests refused for want of a valid credential.", gate.refusedCredential);
@@ -136,6 +144,7 @@
                 pooler.connectionsLost);
     page.metric("counter", "server_connections_replaced_total",
                 "Idle connections closed for one of another tenant.", pooler.connectionsReplaced);
+    appendWaiting(page, figures);
     appendGate(page, figures.gate);
     appendQuotas(page, figures);
     appendFaults(page, pooler);
--- a/src/duty/pooling/PoolingMetrics.h
+++ b/src/duty/pooling/PoolingMetrics.h
@@ -1,10 +1,12 @@
 /** The pooler's figures as text for a metrics collector. */
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <string>
 
 #include "pooling/PoolerStatistics.h"
+#include "settings/EffectiveSettings.h"
 #include "tenancy/TenantGate.h"
 
 namespace coralhoist::duty {
@@ -17,6 +19,8 @@
     /** Shards of tenants whose quotas this node grants. */
     std::size_t quotaShardsLed = 0;
     std::size_t sessions = 0;
+    /** Statements that wait here for a server, by rank. */
+    std::array<std::size_t, settings::kAdmissionRanks> waitingByRank{};
     std::size_t nodes = 0;
     std::uint64_t settingsVersion = 0;
     /** Time since the newest moment up to which the settings are known to be complete. */
--- a/src/pooling/PoolerQueue.cpp
+++ b/src/pooling/PoolerQueue.cpp
@@ -32,19 +32,46 @@
     waiting.arrivedAt = session.operation->arrivedAt;
     waiting.onTimeFor = std::chrono::duration_cast<Duration>(session.settings.latencyObjective *
                                                              _knobs.onTimeShare);
+    waiting.flow = flowOf(group, session);
     if (_knobs.orderBySlotTime > 0) {
         waiting.slotTime = group.slotTimes.expected(session.service, unitKindOf(session));
     }
     return waiting;
 }
 
+/** @return the flow whose turn the session's statements take. */
+std::string StatementPooler::flowOf(const GroupState& group, const PooledSession& session) {
+    if (!session.tenant.value().empty()) {
+        return "tenant " + session.tenant.value();
+    }
+    return group.fairServices ? "service " + session.service.value() : std::string();
+}
+
 void StatementPooler::dispatch(GroupState& group) {
     for (const SessionId id : group.waiting.order(_clock.now())) {
         PooledSession* session = findSession(id);
-        if (session == nullptr || !isQueued(*session) || place(group, *session)) {
+        if (session == nullptr || !isQueued(*session)) {
             group.waiting.remove(id);
+        } else if (place(group, *session)) {
+            hasSlot(*session) ? group.waiting.placed(id) : group.waiting.remove(id);
+        }
+    }
+}
+
+std::array<std::size_t, settings::kAdmissionRanks> StatementPooler::waitingByRank() const {
+    std::array<std::size_t, settings::kAdmissionRanks> waiting{};
+    for (const auto& [name, group] : _groups) {
+        for (std::uint32_t rank = 0; rank < settings::kAdmissionRanks; ++rank) {
+            waiting[rank] += group.waiting.sizeOf(rank);
         }
     }
+    return waiting;
+}
+
+/** @return whether the session's statement was sent to a server of this node. */
+bool StatementPooler::hasSlot(const PooledSession& session) {
+    return session.operation && session.operation->phase != OperationPhase::Queued &&
+           !session.operation->unit;
 }
 
 UnitKind StatementPooler::unitKindOf(const PooledSession& session) {
--- a/src/pooling/StatementPooler.cpp
+++ b/src/pooling/StatementPooler.cpp
@@ -33,9 +33,19 @@
 void StatementPooler::applyCatalog(std::shared_ptr<const ServiceCatalog> catalog) {
     _catalog = std::move(catalog);
     setLatencyTargets();
+    setTurns();
     settle();
 }
 
+/** Puts in force who takes turns in each group's queue. */
+void StatementPooler::setTurns() {
+    for (const auto& [name, settings] : _catalog->groups) {
+        GroupState& group = _groups[name];
+        group.waiting.setMinimumShare(settings.minimumShare);
+        group.fairServices = settings.fairServices;
+    }
+}
+
 void StatementPooler::setLatencyTargets() {
     std::map<GroupName, Duration> least;
     for (const auto& [service, entry] : _catalog->services) {
--- a/src/pooling/StatementPooler.h
+++ b/src/pooling/StatementPooler.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -169,6 +170,9 @@
 
     std::size_t sessionCount() const { return _sessions.size(); }
 
+    /** @return how many statements wait here for a server, by rank. */
+    std::array<std::size_t, settings::kAdmissionRanks> waitingByRank() const;
+
     void onOpened(ConnectionId connection, OpTime position) override;
     void onOpenFailed(ConnectionId connection,
                       const std::optional<StatementError>& refusal) override;
@@ -198,6 +202,8 @@
         TenantActivity activity;
         std::map<ServerName, ServerState> servers;
         admission::WaitingQueue waiting;
+        /** Services take turns within a rank where callers have no tenants. */
+        bool fairServices = false;
         bool dirty = false;
         /** Latency of a server above which less is sent to it. */
         Duration latencyTarget = std::chrono::milliseconds(100);
@@ -249,8 +255,10 @@
     static UnitKind unitKindOf(const PooledSession& session);
     static bool isSingleRead(const PooledSession& session);
     bool isQueued(const PooledSession& session) const;
+    static bool hasSlot(const PooledSession& session);
     admission::WaitingStatement waitingStatement(const GroupState& group,
                                                  const PooledSession& session) const;
+    static std::string flowOf(const GroupState& group, const PooledSession& session);
     bool place(GroupState& group, PooledSession& session);
     Requirement requirementOf(GroupState& group, PooledSession& session);
     Requirement readRequirement(GroupState& group, const PooledSession& session) const;
@@ -308,6 +316,7 @@
     void noteBusy(ServerState& server);
     void noteLagging(ServerState& server, OpTime floor);
     void setLatencyTargets();
+    void setTurns();
     void noteFault(PooledSession& session, StatementFault fault);
     void notePosition(const ServerConnection& connection, OpTime position);
     void requeue(PooledSession& session, const char* obstacle);
--- a/src/settings/EffectiveSettings.h
+++ b/src/settings/EffectiveSettings.h
@@ -66,6 +66,10 @@
     std::uint32_t standbyOwners = 1;
     /** Most statements waiting per server and class; more are refused as not run. */
     std::uint32_t queueLimit = 512;
+    /** Percent of the slot time kept for ranks of waiting statements other than the first. */
+    std::uint32_t minimumShare = 0;
+    /** Statements without a tenant take turns by service within a rank. */
+    bool fairServices = false;
     /** Query that returns one row: in recovery (boolean), term, received position, replayed
      * position. */
     std::string statusQuery;
--- a/src/settings/KeyTable.cpp
+++ b/src/settings/KeyTable.cpp
@@ -63,6 +63,10 @@
     }
 }
 
+void setFairness(const SettingValue& value, GroupSettings& settings) {
+    settings.fairServices = std::get<std::string>(value) == "services";
+}
+
 void setReadRouting(const SettingValue& value, ServiceSettings& settings) {
     const bool replica = std::get<std::string>(value) == "replica";
     settings.readRouting = replica ? ReadRouting::Replica : ReadRouting::Primary;
@@ -246,6 +250,20 @@
     keys.push_back(makeCount<&GroupSettings::queueLimit>(
         "admission.queue_limit", "statements", 512, {1, 1000000},
         "Most statements that wait for a server in each class; more are refused as not run."));
+    keys.push_back(makeCount<&GroupSettings::minimumShare>(
+        "admission.minimum_share", "percent", 0, {0, 50},
+        "Part of a group's slot time that is kept for statements of pooled sessions whose rank is"
+        " not the first of those that wait, in equal parts for each rank. 0: a rank is served when"
+        " nothing of those before it can be."));
+
+    KeyDefinition fairness = makeChoice(
+        "admission.fairness", "tenants", {"tenants", "services"},
+        "Who takes turns for slots within a rank of pooled sessions. Tenants always do. With"
+        " services, so do the services of callers without a tenant; otherwise, of their statements,"
+        " the shortest go first, which serves most of them in an overload.");
+    fairness.levels = kEstateAndGroup;
+    fairness.applyToGroup = setFairness;
+    keys.push_back(std::move(fairness));
 }
 
 void addPoolKeys(std::vector<KeyDefinition>& keys) {
--- /dev/null
+++ b/tests/admission/FairSharesTest.cpp
@@ -0,0 +1,92 @@
+#include <CppUTest/TestHarness.h>
+
+#include "admission/FairShares.h"
+
+namespace coralhoist::admission {
+namespace {
+
+using std::chrono::milliseconds;
+
+TEST_GROUP(FairShares) {
+    FairShares shares;
+
+    static FairShares::Waiting statement(std::uint64_t number, Duration slotTime) {
+        return {slotTime, number, SessionId(number)};
+    }
+    void add(const char* flow, std::uint64_t number, Duration slotTime) {
+        shares.add(flow, statement(number, slotTime));
+    }
+    void checkOrder(const std::vector<std::uint64_t>& expected) const {
+        std::vector<SessionId> order;
+        shares.appendOrder(order);
+        LONGS_EQUAL(expected.size(), order.size());
+        for (std::size_t index = 0; index < expected.size(); ++index) {
+            LONGS_EQUAL(expected[index], order[index].value());
+        }
+    }
+};
+
+TEST(FairShares, OfOneFlowTheShortestGoesFirst) {
+    add("a", 1, milliseconds(50));
+    add("a", 2, milliseconds(5));
+    add("a", 3, milliseconds(50));
+    checkOrder({2, 1, 3});
+}
+
+TEST(FairShares, FlowsTakeTurnsBySlotTime) {
+    for (const std::uint64_t number : {1, 2, 3}) {
+        add("long", number, milliseconds(20));
+    }
+    for (const std::uint64_t number : {4, 5, 6, 7}) {
+        add("short", number, milliseconds(10));
+    }
+    // Two short ones for each long one.
+    checkOrder({4, 1, 5, 6, 2, 7, 3});
+}
+
+TEST(FairShares, AFlowThatWasServedLessGoesFirst) {
+    add("a", 1, milliseconds(10));
+    add("b", 2, milliseconds(10));
+    shares.charge("a", milliseconds(10));
+    checkOrder({2, 1});
+}
+
+TEST(FairShares, HavingBeenIdleGivesNoCredit) {
+    add("a", 1, milliseconds(10));
+    shares.charge("a", milliseconds(400));
+    shares.charge("a", milliseconds(10));
+    add("b", 2, milliseconds(10));
+    add("b", 3, milliseconds(10));
+    // "a" was served until 410 ms; "b" begins at 400 ms, where the last statement began.
+    checkOrder({2, 1, 3});
+}
+
+TEST(FairShares, HavingBeenHeldUpGivesABoundedCredit) {
+    add("held up", 1, milliseconds(60));
+    add("held up", 2, milliseconds(60));
+    add("held up", 3, milliseconds(60));
+    add("other", 4, milliseconds(60));
+    for (int turn = 0; turn < 100; ++turn) {
+        shares.charge("other", milliseconds(10));
+    }
+    // 100 ms in advance of a virtual time of 990 ms: 890, 950, 1010 against 1000.
+    checkOrder({1, 2, 4, 3});
+}
+
+TEST(FairShares, AStatementOfUnknownSlotTimeTakesATurnToo) {
+    add("a", 1, Duration(0));
+    add("b", 2, Duration(0));
+    shares.charge("a", Duration(0));
+    checkOrder({2, 1});
+}
+
+TEST(FairShares, WhatIsTakenOutTakesNoTurn) {
+    add("a", 1, milliseconds(10));
+    add("b", 2, milliseconds(10));
+    add("a", 3, milliseconds(10));
+    shares.remove("a", statement(1, milliseconds(10)));
+    checkOrder({2, 3});
+}
+
+}  // namespace
+}  // namespace coralhoist::admission
--- a/tests/admission/WaitingQueueTest.cpp
+++ b/tests/admission/WaitingQueueTest.cpp
@@ -55,5 +55,47 @@
     checkOrder({1});
 }
 
+TEST(WaitingQueue, WhatIsLateKeepsTheOrderOfItsArrival) {
+    add(1, 1, milliseconds(50));
+    add(2, 1, milliseconds(5));
+    clock.advance(milliseconds(100));
+    checkOrder({1, 2});
+    queue.remove(SessionId(1));
+    checkOrder({2});
+}
+
+TEST(WaitingQueue, APlacedStatementTakesATurnOfItsFlow) {
+    for (const std::uint64_t session : {1, 2}) {
+        queue.add({SessionId(session), 1, clock.now(), milliseconds(100), milliseconds(5), "a"});
+    }
+    queue.add({SessionId(3), 1, clock.now(), milliseconds(100), milliseconds(5), "b"});
+    queue.placed(SessionId(1));
+    checkOrder({3, 2});
+}
+
+TEST(WaitingQueue, AStatementThatLeavesTakesNoTurn) {
+    for (const std::uint64_t session : {1, 2}) {
+        queue.add({SessionId(session), 1, clock.now(), milliseconds(100), milliseconds(5), "a"});
+    }
+    queue.add({SessionId(3), 1, clock.now(), milliseconds(100), milliseconds(5), "b"});
+    queue.remove(SessionId(1));
+    checkOrder({2, 3});
+}
+
+TEST(WaitingQueue, ALowerRankGoesFirstOnceItsMinimumShareCoversAStatement) {
+    queue.setMinimumShare(25);
+    add(9, 1, milliseconds(5));
+    for (const std::uint64_t session : {1, 2, 3, 4}) {
+        add(session, 0, milliseconds(5));
+        checkOrder({session, 9});
+        queue.placed(SessionId(session));
+    }
+    add(5, 0, milliseconds(5));
+    checkOrder({9, 5});
+    queue.placed(SessionId(9));
+    add(9, 1, milliseconds(5));
+    checkOrder({5, 9});
+}
+
 }  // namespace
 }  // namespace coralhoist::admission
--- a/tests/duty/PoolingMetricsTest.cpp
+++ b/tests/duty/PoolingMetricsTest.cpp
@@ -15,6 +15,7 @@
     PoolingFigures figures;
     figures.ready = true;
     figures.settingsAge = std::chrono::milliseconds(1250);
+    figures.waitingByRank[2] = 5;
     figures.pooler.statements = 7;
     figures.pooler.failedByFault[static_cast<std::size_t>(pooling::StatementFault::InDoubt)] = 3;
     figures.pooler.latency.add(std::chrono::milliseconds(3));
@@ -24,6 +25,7 @@
     CHECK_TRUE(contains(page, "coralhoist_ready 1\n"));
     CHECK_TRUE(contains(page, "coralhoist_settings_age_seconds 1.25\n"));
     CHECK_TRUE(contains(page, "coralhoist_statements_total 7\n"));
+    CHECK_TRUE(contains(page, "coralhoist_waiting{rank=\"2\"} 5\n"));
     CHECK_TRUE(contains(page, "coralhoist_requests_failed_total{fault=\"in_doubt\"} 3\n"));
     CHECK_TRUE(contains(page, "duration_seconds_bucket{le=\"0.002\"} 0\n"));
     CHECK_TRUE(contains(page, "duration_seconds_bucket{le=\"0.005\"} 1\n"));
--- /dev/null
+++ b/tests/pooling/TurnsTest.cpp
@@ -0,0 +1,106 @@
+/** Who takes whose turn when more is asked than the servers take. */
+#include <CppUTest/TestHarness.h>
+
+#include <memory>
+
+#include "PoolerFixture.h"
+
+namespace coralhoist::pooling {
+namespace {
+
+constexpr std::size_t kFlood = 30;
+
+TEST_GROUP(Turns) {
+    PoolerFixture fixture;
+
+    /** Puts two services of ranks behind the first in force, with the fixture's groupSettings. */
+    void applyRanks() {
+        auto catalog = std::make_shared<ServiceCatalog>();
+        settings::ServiceSettings service;
+        service.rank = 1;
+        catalog->services[ServiceName("second")] = {fixture.group, service};
+        service.rank = 2;
+        catalog->services[ServiceName("third")] = {fixture.group, service};
+        catalog->groups[fixture.group] = fixture.groupSettings;
+        fixture.pooler.applyCatalog(catalog);
+    }
+
+    SessionId write(const char* service, const char* tenant) {
+        const SessionId session =
+            fixture.pooler.openSession(ServiceName(service), TenantName(tenant));
+        fixture.submit(session, StatementVerb::Write, "WRITE 1 a");
+        fixture.openConnections();
+        return session;
+    }
+
+    void flood(const char* service, const char* tenant) {
+        for (std::size_t index = 0; index < kFlood; ++index) {
+            write(service, tenant);
+        }
+    }
+
+    /** Answers what the primary was sent, one after the other, until the session has its reply.
+     * @return how many replies came before. */
+    std::size_t repliesBefore(SessionId session) {
+        const std::size_t before = fixture.replies.size();
+        while (fixture.pendingCount() > 0) {
+            fixture.succeed();
+            fixture.openConnections();
+            if (fixture.replies.back().session == session) {
+                break;
+            }
+        }
+        return fixture.replies.size() - before - 1;
+    }
+};
+
+TEST(Turns, AFloodOfOneTenantTakesNoTurnOfAnother) {
+    fixture.pooler.setCallersHaveTenants(true);
+    flood("current", "flood");
+    const std::size_t sent = fixture.pendingCount();
+    const SessionId session = write("current", "other");
+    // Of the turns that follow what was sent before, one goes by while its connection opens.
+    LONGS_EQUAL(sent + 2, repliesBefore(session));
+}
+
+TEST(Turns, AFloodOfARankLeavesTheNextItsMinimumShare) {
+    fixture.groupSettings.minimumShare = 20;
+    applyRanks();
+    flood("second", "");
+    const std::size_t sent = fixture.pendingCount();
+    const SessionId session = write("third", "");
+    // One turn in five is kept for it.
+    LONGS_EQUAL(sent + 5, repliesBefore(session));
+}
+
+TEST(Turns, WithoutAMinimumShareAFloodOfARankGoesFirst) {
+    applyRanks();
+    flood("second", "");
+    LONGS_EQUAL(kFlood, repliesBefore(write("third", "")));
+}
+
+TEST(Turns, ServicesTakeTurnsWhereTheOperatorAsksForIt) {
+    fixture.groupSettings.fairServices = true;
+    fixture.applySettings();
+    flood("bounded", "");
+    const std::size_t sent = fixture.pendingCount();
+    const SessionId session = write("own", "");
+    CHECK_TRUE(repliesBefore(session) <= sent + 1);
+}
+
+TEST(Turns, OtherwiseServicesGoInTheOrderOfArrival) {
+    flood("bounded", "");
+    const SessionId session = write("own", "");
+    LONGS_EQUAL(kFlood, repliesBefore(session));
+}
+
+TEST(Turns, StatementsThatWaitAreCountedByRank) {
+    flood("current", "");
+    const std::size_t sent = fixture.pendingCount();
+    write("own", "");
+    LONGS_EQUAL(kFlood - sent, fixture.pooler.waitingByRank()[0]);
+    LONGS_EQUAL(1, fixture.pooler.waitingByRank()[1]);
+}
+
+}  // namespace
+}  // namespace coralhoist::pooling
