Servers chosen by expected completion; lagging replicas by an estimate; outliers ejected

Cause: a server that runs longer statements looked slow for all of them, so the primary, which also runs short statements, drew reads that any server could run. Reads whose floor lay between a lagging replica's position and the one it had refused last asked it in vain (the mark covered higher floors only). Grey servers were left alone for nothing but silence.

Ruled out: limits (a primary's 8 executors allow 18 to 25 in flight on six slots while its replicas lag, at 75 to 100 ms), pauses after lagging replicas (positions in their own answers show them 3 to 30 s behind until the end of the overload; a replica that caught up at once was in use within two seconds).

Change: ServerChoice, CatchUpEstimate and OutlierDetector, each without a network; reads wait for a replica that is about to have their position in place of a crowded primary.

--- a/src/duty/pooling/PoolingMetrics.cpp
+++ b/src/duty/pooling/PoolingMetrics.cpp
@@ -124,6 +124,13 @@
     page.metric("counter", "hedges_total", "Reads sent to a second server.", pooler.hedges);
     page.metric("counter", "lagging_total", "Reads that a replica was too far behind for.",
                 pooler.lagging);
+    page.metric("counter", "waited_for_replica_total",
+                "Reads that waited for a replica that would soon have their position.",
+                pooler.waitedForReplica);
+    page.metric("counter", "servers_ejected_total",
+                "Servers left alone for what became of requests there.", pooler.serversEjected);
+    page.metric("counter", "servers_admitted_total", "Ejected servers that serve again.",
+                pooler.serversAdmitted);
     page.metric("counter", "leadership_proofs_wanted_total",
                 "Times that a statement waited for a proof of leadership.", pooler.proofsWanted);
     page.metric("counter", "forwarded_total", "Statements that other nodes executed.",
--- a/src/pooling/FreshnessFloors.cpp
+++ b/src/pooling/FreshnessFloors.cpp
@@ -21,6 +21,23 @@
     return found->position;
 }
 
+std::optional<TimePoint> FreshnessFloors::reachedAt(OpTime position) const {
+    const auto found =
+        std::partition_point(_samples.begin(), _samples.end(),
+                             [=](const Sample& sample) { return sample.position < position; });
+    if (found == _samples.end()) {
+        return std::nullopt;
+    }
+    return found->askedAt;
+}
+
+Duration FreshnessFloors::lagOf(OpTime position, TimePoint now) const {
+    const auto found =
+        std::partition_point(_samples.begin(), _samples.end(),
+                             [=](const Sample& sample) { return sample.position <= position; });
+    return found == _samples.end() ? Duration(0) : now - found->askedAt;
+}
+
 void FreshnessFloors::dropBefore(TimePoint time) {
     while (_samples.size() > 1 && _samples.front().askedAt < time) {
         _samples.pop_front();
--- a/src/pooling/FreshnessFloors.h
+++ b/src/pooling/FreshnessFloors.h
@@ -22,6 +22,12 @@
     /** @return the lowest position that covers all commits acknowledged before `since`. */
     std::optional<OpTime> covering(TimePoint since) const;
 
+    /** @return since when the log is known to have had the position; none when it is not. */
+    std::optional<TimePoint> reachedAt(OpTime position) const;
+
+    /** @return the time since the log went beyond the position; zero when it is not known to. */
+    Duration lagOf(OpTime position, TimePoint now) const;
+
     /** Drops samples that no read needs any more. */
     void dropBefore(TimePoint time);
 
--- /dev/null
+++ b/src/pooling/OutlierDetector.cpp
@@ -0,0 +1,203 @@
+#include "pooling/OutlierDetector.h"
+
+#include <algorithm>
+
+#include "base/Backoff.h"
+
+namespace coralhoist::pooling {
+namespace {
+
+/** Part of the window; all of them are one second: a few reads of a server that is little used, and
+ * no more than callers' patience with one that fails. */
+constexpr Duration kPart = std::chrono::milliseconds(250);
+/** Fewer requests show nothing: one that fails among three is chance. */
+constexpr std::uint32_t kLeastRequests = 8;
+/** One failure in so many makes an outlier. */
+constexpr std::uint32_t kFailuresOneIn = 3;
+/** Times of its requests over the others' that make an outlier. */
+constexpr double kSlowTimes = 3;
+/** An ejection holds for so long, and twice as long each time in a row up to the bound. */
+constexpr Duration kShortestEjection = std::chrono::milliseconds(500);
+constexpr Duration kLongestEjection = std::chrono::seconds(8);
+/** Successes in a row that end a probation. */
+constexpr std::uint32_t kProof = 5;
+/** After so long without an ejection the next one is the first again. */
+constexpr Duration kForgiven = std::chrono::seconds(10);
+
+std::int64_t partAt(TimePoint now) {
+    return now.time_since_epoch() / kPart;
+}
+
+}  // namespace
+
+void OutlierDetector::onSuccess(const ServerName& server, std::optional<double> slowness,
+                                TimePoint now) {
+    Record& record = _records[server];
+    Tally& tally = tallyAt(record, now);
+    ++tally.successes;
+    if (slowness) {
+        ++tally.timed;
+        tally.slowness += *slowness;
+    }
+    record.proven = slowness.value_or(0) < kSlowTimes ? record.proven + 1 : 0;
+}
+
+void OutlierDetector::onFailure(const ServerName& server, TimePoint now) {
+    Record& record = _records[server];
+    ++tallyAt(record, now).failures;
+    record.failedAgain = record.standing == ServerStanding::OnProbation;
+}
+
+std::vector<StandingChange> OutlierDetector::review(const std::vector<ServerName>& serving,
+                                                    TimePoint now) {
+    std::vector<StandingChange> changes;
+    auto outside = static_cast<std::size_t>(
+        std::count_if(serving.begin(), serving.end(), [this](const ServerName& server) {
+            return standingOf(server) != ServerStanding::Admitted;
+        }));
+    for (const ServerName& server : serving) {
+        const auto found = _records.find(server);
+        if (found == _records.end()) {
+            continue;
+        }
+        Record& record = found->second;
+        const ServerStanding before = record.standing;
+        if (before != ServerStanding::Admitted) {
+            step(record, now);
+        } else if ((outside + 1) * 2 <= serving.size() && isOutlier(server, serving, now)) {
+            ++outside;
+            eject(record, now);
+        }
+        if (record.standing != before) {
+            changes.push_back(changeOf(server, record, now));
+            record.tallies = {};
+        }
+    }
+    return changes;
+}
+
+/** Ejection, probation, and what that shows. */
+void OutlierDetector::step(Record& record, TimePoint now) {
+    if (record.standing == ServerStanding::Ejected) {
+        if (now >= record.probationAt) {
+            record.standing = ServerStanding::OnProbation;
+            record.proven = 0;
+            record.failedAgain = false;
+        }
+        return;
+    }
+    if (record.failedAgain) {
+        eject(record, now);
+    } else if (record.proven >= kProof) {
+        record.standing = ServerStanding::Admitted;
+        record.admittedAt = now;
+    }
+}
+
+ServerStanding OutlierDetector::standingOf(const ServerName& server) const {
+    const auto found = _records.find(server);
+    return found == _records.end() ? ServerStanding::Admitted : found->second.standing;
+}
+
+OutlierDetector::Tally& OutlierDetector::tallyAt(Record& record, TimePoint now) {
+    const std::int64_t part = partAt(now);
+    Tally& tally = record.tallies[static_cast<std::size_t>(part) % kParts];
+    if (tally.part != part) {
+        tally = Tally{};
+        tally.part = part;
+    }
+    return tally;
+}
+
+OutlierDetector::Evidence OutlierDetector::evidenceOf(const Record& record, TimePoint now) {
+    Evidence evidence;
+    double slowness = 0;
+    const std::int64_t oldest = partAt(now) - static_cast<std::int64_t>(kParts);
+    for (const Tally& tally : record.tallies) {
+        if (tally.part > oldest) {
+            evidence.successes += tally.successes;
+            evidence.failures += tally.failures;
+            evidence.timed += tally.timed;
+            slowness += tally.slowness;
+        }
+    }
+    if (evidence.timed > 0) {
+        evidence.slowness = slowness / evidence.timed;
+    }
+    return evidence;
+}
+
+bool OutlierDetector::isOutlier(const ServerName& server, const std::vector<ServerName>& serving,
+                                TimePoint now) const {
+    const Evidence evidence = evidenceOf(_records.at(server), now);
+    if (evidence.requests() < kLeastRequests) {
+        return false;
+    }
+    const std::vector<Evidence> others = othersEvidence(server, serving, now);
+    return failsMore(evidence, others) || isSlower(evidence, others);
+}
+
+std::vector<OutlierDetector::Evidence> OutlierDetector::othersEvidence(
+    const ServerName& server, const std::vector<ServerName>& serving, TimePoint now) const {
+    std::vector<Evidence> others;
+    for (const ServerName& other : serving) {
+        const auto found = _records.find(other);
+        if (other == server || found == _records.end()) {
+            continue;
+        }
+        const Evidence evidence = evidenceOf(found->second, now);
+        if (evidence.requests() >= kLeastRequests) {
+            others.push_back(evidence);
+        }
+    }
+    return others;
+}
+
+bool OutlierDetector::failsMore(const Evidence& evidence, const std::vector<Evidence>& others) {
+    if (evidence.failures * kFailuresOneIn < evidence.requests()) {
+        return false;
+    }
+    return std::none_of(others.begin(), others.end(), [](const Evidence& other) {
+        return other.failures * kFailuresOneIn >= other.requests();
+    });
+}
+
+/** Compares with the median of the others. */
+bool OutlierDetector::isSlower(const Evidence& evidence, const std::vector<Evidence>& others) {
+    std::vector<double> times;
+    for (const Evidence& other : others) {
+        if (other.timed >= kLeastRequests) {
+            times.push_back(other.slowness);
+        }
+    }
+    if (times.empty() || evidence.timed < kLeastRequests) {
+        return false;
+    }
+    std::sort(times.begin(), times.end());
+    return evidence.slowness >= times[times.size() / 2] * kSlowTimes;
+}
+
+void OutlierDetector::eject(Record& record, TimePoint now) {
+    const bool forgiven =
+        record.standing == ServerStanding::Admitted && now - record.admittedAt > kForgiven;
+    record.ejectedFor = forgiven
+                            ? kShortestEjection
+                            : nextBackoff(record.ejectedFor, kShortestEjection, kLongestEjection);
+    record.standing = ServerStanding::Ejected;
+    record.probationAt = now + record.ejectedFor;
+}
+
+StandingChange OutlierDetector::changeOf(const ServerName& server, const Record& record,
+                                         TimePoint now) {
+    const Evidence evidence = evidenceOf(record, now);
+    StandingChange change;
+    change.server = server;
+    change.standing = record.standing;
+    change.requests = evidence.requests();
+    change.failures = evidence.failures;
+    change.slowness = evidence.slowness;
+    change.ejectedFor = record.ejectedFor;
+    return change;
+}
+
+}  // namespace coralhoist::pooling
--- a/src/pooling/PooledSession.h
+++ b/src/pooling/PooledSession.h
@@ -72,6 +72,8 @@
     TimePoint holdUntil{};
     /** Not tried again before. */
     TimePoint notBefore{};
+    /** When the replica for which it waits is expected to have its position. */
+    TimePoint replicaAt{};
     TimePoint sentAt{};
     std::uint32_t attempts = 0;
     std::set<ServerName> avoided;
--- a/src/pooling/PoolerConnections.cpp
+++ b/src/pooling/PoolerConnections.cpp
@@ -173,6 +173,7 @@
         server->losingSince = _clock.now();
     }
     ++server->lostInRow;
+    noteRequestLost(server);
 }
 
 void StatementPooler::onUserLost(PooledSession& session, const char* reason) {
--- a/src/pooling/PoolerDispatch.cpp
+++ b/src/pooling/PoolerDispatch.cpp
@@ -1,91 +1,151 @@
 /** Choice of a server and of a connection to it. */
 #include <algorithm>
+#include <vector>
 
 #include "pooling/StatementPooler.h"
 
 namespace coralhoist::pooling {
 namespace {
 
-/** Cost added to a server that seems to have failed: taken only when there is no other. */
-constexpr Duration kSuspectCost = std::chrono::seconds(1);
-/** Time over which an unused estimate of latency fades to half. */
-constexpr Duration kLatencyFade = std::chrono::milliseconds(500);
+/** Time over which what is known of a server that is not used fades to half. */
+constexpr Duration kSlownessFade = std::chrono::milliseconds(500);
+/** A unit of which nothing has been observed is expected to take so long. */
+constexpr Duration kUnknownUnitTime = std::chrono::milliseconds(15);
 /** A connection that has not run anything is not closed for another tenant for so long: its
  * statement takes it within one round of the event loop, 1 ms at most. */
 constexpr Duration kUnusedConnectionKept = std::chrono::milliseconds(100);
 
 }  // namespace
 
-ServerState* StatementPooler::chooseServer(GroupState& group, const PooledSession& session,
+ServerState* StatementPooler::chooseServer(GroupState& group, PooledSession& session,
                                            const Requirement& requirement) {
-    ServerState* best = nullptr;
-    Duration bestCost{0};
-    bool anyCandidate = false;
+    std::vector<ServerState*> servers;
+    std::vector<ServerCandidate> candidates;
     for (auto& [name, server] : group.servers) {
-        if (!isCandidate(group, server, session, requirement)) {
-            continue;
-        }
-        anyCandidate = true;
-        if (!hasRoom(server, session)) {
-            continue;
-        }
-        const Duration cost = costOf(group, server, session.tenant, requirement);
-        if (best == nullptr || cost < bestCost) {
-            best = &server;
-            bestCost = cost;
+        if (const auto candidate = candidateOf(group, server, session, requirement)) {
+            servers.push_back(&server);
+            candidates.push_back(*candidate);
         }
     }
-    Operation& operation = *findSession(session.id)->operation;
-    if (best == nullptr) {
-        operation.lastObstacle = anyCandidate ? "no_slot" : "no_server";
+    Operation& operation = *session.operation;
+    const ServerChosen chosen = ServerChoice::choose(candidates, replicaPatience(group, session));
+    if (chosen.index) {
+        return servers[*chosen.index];
+    }
+    operation.lastObstacle = chosen.anyCandidate ? "no_slot" : "no_server";
+    if (chosen.replicaIn) {
+        waitForReplica(session, *chosen.replicaIn);
     }
-    if (!anyCandidate && !operation.avoided.empty()) {
+    if (!chosen.anyCandidate && !operation.avoided.empty()) {
         operation.avoided.clear();
     }
-    return best;
+    return nullptr;
 }
 
 bool StatementPooler::isCandidate(const GroupState& group, const ServerState& server,
                                   const PooledSession& session,
                                   const Requirement& requirement) const {
-    const ServerName& name = server.address.server;
     if (requirement.primary) {
-        return server.ready && group.leadership.primary()->server == name;
+        return server.ready && isPrimary(group, server);
     }
-    if (!server.ready || session.operation->avoided.contains(name)) {
+    if (!server.ready || session.operation->avoided.contains(server.address.server)) {
         return false;
     }
-    const TimePoint now = _clock.now();
-    if (server.unreachable && server.idle.empty() && now < server.nextConnect) {
-        return false;
-    }
-    const bool lacks = requirement.floor && now < server.lackedUntil &&
-                       server.position < *requirement.floor && server.lacked <= *requirement.floor;
-    return !lacks;
+    return !server.unreachable || !server.idle.empty() || _clock.now() >= server.nextConnect;
 }
 
-Duration StatementPooler::costOf(const GroupState& group, const ServerState& server,
-                                 const TenantName& tenant, const Requirement& requirement) const {
-    const TimePoint now = _clock.now();
-    Duration cost = server.latency;
-    if (now - server.latencyAt > kLatencyFade) {
-        cost /= 2;
+/** @return what is known of the server for the session's unit; none when it can't run that. */
+std::optional<ServerCandidate> StatementPooler::candidateOf(const GroupState& group,
+                                                            const ServerState& server,
+                                                            const PooledSession& session,
+                                                            const Requirement& requirement) const {
+    if (!isCandidate(group, server, session, requirement)) {
+        return std::nullopt;
+    }
+    ServerCandidate candidate;
+    candidate.unitTime = unitTimeOf(group, session);
+    candidate.slowness = slownessOf(server);
+    candidate.inflight = server.inflight;
+    candidate.concurrency = firstLimit(server.address.group, server);
+    candidate.connecting = hasIdleFor(server, session.tenant) ? Duration(0) : _knobs.connectPenalty;
+    candidate.penalty = server.zone == _knobs.zone ? Duration(0) : _knobs.otherZonePenalty;
+    candidate.suspect = isSuspect(server);
+    candidate.hasRoom = hasRoom(server, session);
+    if (requirement.primary) {
+        return candidate;
+    }
+    candidate.standing = group.outliers.standingOf(server.address.server);
+    if (isPrimary(group, server)) {
+        candidate.penalty += _knobs.primaryPenalty;
+        if (session.settings.maxStaleness && isCrowded(server)) {
+            candidate.penalty += candidate.unitTime;
+        }
+        return candidate;
     }
-    cost += _knobs.inflightPenalty * server.inflight;
-    if (server.zone != _knobs.zone) {
-        cost += _knobs.otherZonePenalty;
+    const bool isTried = candidate.standing == ServerStanding::OnProbation && server.inflight > 0;
+    candidate.hasRoom = candidate.hasRoom && !isTried;
+    if (requirement.floor) {
+        const std::optional<Duration> readyIn =
+            server.catchUp.timeUntil(*requirement.floor, requirement.reachedAt, _clock.now());
+        if (!readyIn) {
+            return std::nullopt;
+        }
+        candidate.readyIn = *readyIn;
     }
+    return candidate;
+}
+
+/**
+ * @return how long a read may wait for a replica. Half of what is left of its objective: if the
+ * expectation fails, the primary still serves it in time. A primary with slots to spare serves it.
+ */
+Duration StatementPooler::replicaPatience(const GroupState& group,
+                                          const PooledSession& session) const {
     const std::optional<Primary>& primary = group.leadership.primary();
-    if (!requirement.primary && primary && primary->server == server.address.server) {
-        cost += _knobs.primaryPenalty;
+    const auto found = primary ? group.servers.find(primary->server) : group.servers.end();
+    if (found != group.servers.end() && found->second.ready && !isCrowded(found->second)) {
+        return Duration(0);
     }
-    if (!hasIdleFor(server, tenant)) {
-        cost += _knobs.connectPenalty;
+    const Duration age = _clock.now() - session.operation->arrivedAt;
+    return std::max(Duration(0), (session.settings.latencyObjective - age) / 2);
+}
+
+void StatementPooler::waitForReplica(PooledSession& session, Duration wait) {
+    Operation& operation = *session.operation;
+    const TimePoint now = _clock.now();
+    operation.lastObstacle = "replica_behind";
+    if (operation.replicaAt > now) {
+        return;
     }
-    if (isSuspect(server)) {
-        cost += kSuspectCost;
+    if (operation.replicaAt == TimePoint{}) {
+        ++_statistics.waitedForReplica;
     }
-    return cost;
+    operation.replicaAt = now + wait;
+    wakeAt(session, operation.replicaAt);
+}
+
+bool StatementPooler::isPrimary(const GroupState& group, const ServerState& server) const {
+    const std::optional<Primary>& primary = group.leadership.primary();
+    return primary && primary->server == server.address.server;
+}
+
+/** @return whether half of what the server takes from this process is in use, or it refuses. */
+bool StatementPooler::isCrowded(const ServerState& server) const {
+    return _clock.now() < server.busyUntil || server.inflight * 2 >= server.inflightLimit;
+}
+
+Duration StatementPooler::unitTimeOf(const GroupState& group, const PooledSession& session) const {
+    const Duration time = group.slotTimes.expected(session.service, unitKindOf(session));
+    return time > Duration(0) ? time : kUnknownUnitTime;
+}
+
+double StatementPooler::slownessOf(const ServerState& server) const {
+    const bool isOld = _clock.now() - server.slownessAt > kSlownessFade;
+    return isOld ? (1 + server.slowness) / 2 : server.slowness;
+}
+
+ProbePauses StatementPooler::probePauses() const {
+    return {_knobs.laggingPause, _knobs.longestLaggingPause};
 }
 
 bool StatementPooler::hasRoom(const ServerState& server, const PooledSession& session) const {
--- a/src/pooling/PoolerQueue.cpp
+++ b/src/pooling/PoolerQueue.cpp
@@ -130,6 +130,7 @@
         return requirement;
     }
     requirement.floor = std::max(*floor, session.ownFloor);
+    requirement.reachedAt = group.floors.reachedAt(*requirement.floor).value_or(_clock.now());
     return requirement;
 }
 
--- a/src/pooling/PoolerResults.cpp
+++ b/src/pooling/PoolerResults.cpp
@@ -126,10 +126,11 @@
     const TimePoint now = _clock.now();
     const Duration took = now - session.operation->sentAt;
     server->latency += (took - server->latency) / kLatencySmoothing;
+    noteSlowness(*server, session, took);
     noteSlotTime(session, took);
     server->latencyAt = now;
     ++server->succeeded;
-    server->lackingPause = Duration(0);
+    server->catchUp.succeed();
     server->busyPause = Duration(0);
     if (server->latency > groupOf(session).latencyTarget) {
         lowerLimit(*server, _knobs.latencyDecrease);
@@ -139,6 +140,60 @@
                                      std::max(1.0, server->slots * _knobs.inflightPerSlot));
 }
 
+/** Only reads that any server may run compare servers: writes run at the primary alone. */
+void StatementPooler::noteSlowness(ServerState& server, const PooledSession& session,
+                                   Duration took) {
+    GroupState& group = groupOf(session);
+    const TimePoint now = _clock.now();
+    std::optional<double> slowness;
+    if (isSingleRead(session) && session.settings.readRouting == settings::ReadRouting::Replica) {
+        const auto usual = static_cast<double>(unitTimeOf(group, session).count());
+        slowness = static_cast<double>(took.count()) / usual;
+        server.slowness += (*slowness - server.slowness) / kLatencySmoothing;
+        server.slownessAt = now;
+    }
+    group.outliers.onSuccess(server.address.server, slowness, now);
+}
+
+/** Its answer was lost or will not come. */
+void StatementPooler::noteRequestLost(ServerState* server) {
+    if (server != nullptr) {
+        _groups[server->address.group].outliers.onFailure(server->address.server, _clock.now());
+    }
+}
+
+/** Slow start: a replica that is admitted again takes more as it answers. */
+void StatementPooler::reviewOutliers(const GroupName& name, GroupState& group) {
+    std::vector<ServerName> serving;
+    for (const auto& [serverName, server] : group.servers) {
+        if (server.ready) {
+            serving.push_back(serverName);
+        }
+    }
+    for (const StandingChange& change : group.outliers.review(serving, _clock.now())) {
+        ServerState& server = group.servers[change.server];
+        const bool admitted = change.standing == ServerStanding::Admitted;
+        if (change.standing == ServerStanding::OnProbation) {
+            continue;
+        }
+        ++(admitted ? _statistics.serversAdmitted : _statistics.serversEjected);
+        if (admitted && !isPrimary(group, server)) {
+            server.inflightLimit = 1;
+            server.slowness = 1;
+        }
+        LogEvent("pooling", LogLevel::Info, admitted ? "server.admitted" : "server.ejected")
+            .field("group", name)
+            .field("server", change.server)
+            .field("primary", isPrimary(group, server))
+            .field("requests", change.requests)
+            .field("failures", change.failures)
+            .field("slowness", change.slowness)
+            .field(
+                "ejected_ms",
+                std::chrono::duration_cast<std::chrono::milliseconds>(change.ejectedFor).count());
+    }
+}
+
 void StatementPooler::noteSlotTime(PooledSession& session, Duration took) {
     const UnitKind kind = unitKindOf(session);
     if (kind == UnitKind::Transaction) {
@@ -170,14 +225,10 @@
     server.busyUntil = _clock.now() + server.busyPause;
 }
 
-/** A replica that is far behind is asked less and less often. */
 void StatementPooler::noteLagging(ServerState& server, OpTime floor) {
     ++_statistics.lagging;
     ++server.refusedLagging;
-    server.lackingPause =
-        nextBackoff(server.lackingPause, _knobs.laggingPause, _knobs.longestLaggingPause);
-    server.lacked = floor;
-    server.lackedUntil = _clock.now() + server.lackingPause;
+    server.catchUp.refuse(floor, _clock.now(), probePauses());
 }
 
 void StatementPooler::onSucceeded(ServerConnection& connection, PooledSession& session,
@@ -291,6 +342,10 @@
             server->second.unreachable = true;
             server->second.nextConnect = now + _knobs.reconnectPause;
             break;
+        case StatementFault::Failed:
+        case StatementFault::Timeout:
+            group.outliers.onFailure(operation.server, now);
+            break;
         default:
             break;
     }
@@ -311,7 +366,8 @@
         markDirty(connection.group);
     }
     if (ServerState* server = serverOf(connection)) {
-        server->position = std::max(server->position, position);
+        const TimePoint now = _clock.now();
+        server->catchUp.observe(position, group.floors.lagOf(position, now), now);
     }
 }
 
--- a/src/pooling/PoolerSending.cpp
+++ b/src/pooling/PoolerSending.cpp
@@ -18,6 +18,7 @@
     operation.server = server.address.server;
     operation.connection = connection.id;
     operation.floor = requirement.floor.value_or(OpTime{});
+    server.catchUp.ask(operation.floor, requirement.reachedAt, _clock.now(), probePauses());
     const bool atPrimary =
         group.leadership.primary() && group.leadership.primary()->server == server.address.server;
     ++(atPrimary ? _statistics.primaryStatements : _statistics.replicaReads);
--- a/src/pooling/PoolerStatistics.h
+++ b/src/pooling/PoolerStatistics.h
@@ -46,6 +46,11 @@
     std::uint64_t retries = 0;
     std::uint64_t hedges = 0;
     std::uint64_t lagging = 0;
+    /** Reads that waited for a replica that would soon have their position. */
+    std::uint64_t waitedForReplica = 0;
+    /** Servers that were ejected for what became of requests, and admitted again. */
+    std::uint64_t serversEjected = 0;
+    std::uint64_t serversAdmitted = 0;
     std::uint64_t connectionsOpened = 0;
     /** Idle connections closed so that one of another tenant could be opened. */
     std::uint64_t connectionsReplaced = 0;
--- a/src/pooling/PoolerTimers.cpp
+++ b/src/pooling/PoolerTimers.cpp
@@ -112,6 +112,7 @@
         const bool mayHedge = readsOnly && operation.attempts < _knobs.hedgesPerRead;
         if (mayHedge && overdue && now < operation.holdUntil) {
             ++_statistics.hedges;
+            noteRequestLost(server);
             if (connection != nullptr) {
                 abandon(*connection);
             }
@@ -138,6 +139,7 @@
             reportServers(name, group);
         }
         group.floors.dropBefore(now - kFloorRetention);
+        reviewOutliers(name, group);
         watchPrimary(name, group, now);
         if (keepsWarm(name)) {
             keepWarm(group);
@@ -168,6 +170,10 @@
             .field("succeeded", server.succeeded)
             .field("busy", server.refusedBusy)
             .field("lagging", server.refusedLagging)
+            .field("position", server.catchUp.position().position)
+            .field("lag_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                                 server.catchUp.lagAt(_clock.now()))
+                                 .count())
             .field("urgent_waiting", group.waiting.sizeOf(0))
             .field("waiting", group.waiting.size());
         server.succeeded = 0;
--- /dev/null
+++ b/src/pooling/ServerChoice.cpp
@@ -0,0 +1,55 @@
+#include "pooling/ServerChoice.h"
+
+#include <algorithm>
+
+namespace coralhoist::pooling {
+namespace {
+
+/** Added for a server that seems to have failed: longer than what callers wait for, so it is taken
+ * only when there is no other. */
+constexpr Duration kSuspectCost = std::chrono::seconds(1);
+
+}  // namespace
+
+ServerChosen ServerChoice::choose(const std::vector<ServerCandidate>& candidates,
+                                  Duration patience) {
+    ServerChosen chosen;
+    const bool anyTrusted =
+        std::any_of(candidates.begin(), candidates.end(), [=](const ServerCandidate& candidate) {
+            return candidate.standing != ServerStanding::Ejected && mayServe(candidate, patience);
+        });
+    Duration best{0};
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+        const ServerCandidate& candidate = candidates[index];
+        const bool isLeftOut = anyTrusted && candidate.standing == ServerStanding::Ejected;
+        if (isLeftOut || !mayServe(candidate, patience)) {
+            continue;
+        }
+        chosen.anyCandidate = true;
+        const Duration completion = completionAt(candidate);
+        if (candidate.hasRoom && (!chosen.index || completion < best)) {
+            chosen.index = index;
+            best = completion;
+        }
+    }
+    if (chosen.index && candidates[*chosen.index].readyIn > Duration(0)) {
+        chosen.replicaIn = candidates[*chosen.index].readyIn;
+        chosen.index.reset();
+    }
+    return chosen;
+}
+
+bool ServerChoice::mayServe(const ServerCandidate& candidate, Duration patience) {
+    return candidate.readyIn <= patience;
+}
+
+/** The time observed there holds the queue as it was; what is in flight from here comes on top. */
+Duration ServerChoice::completionAt(const ServerCandidate& candidate) {
+    const double crowd = candidate.inflight / std::max(1.0, candidate.concurrency);
+    const auto unitTime = static_cast<double>(candidate.unitTime.count());
+    const Duration running(static_cast<Duration::rep>(unitTime * (candidate.slowness + crowd)));
+    const Duration suspicion = candidate.suspect ? kSuspectCost : Duration(0);
+    return candidate.readyIn + candidate.connecting + running + candidate.penalty + suspicion;
+}
+
+}  // namespace coralhoist::pooling
--- a/src/pooling/ServerState.h
+++ b/src/pooling/ServerState.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "pooling/CatchUpEstimate.h"
 #include "pooling/PooledSession.h"
 #include "pooling/ServerDirectory.h"
 
@@ -86,13 +87,11 @@
     std::uint32_t succeeded = 0;
     std::uint32_t refusedBusy = 0;
     std::uint32_t refusedLagging = 0;
-    /** Highest position that its log has shown. */
-    OpTime position;
-    /** It lacked this position a moment ago. */
-    OpTime lacked;
-    TimePoint lackedUntil{};
-    /** Pause until it is asked again; grows while it lacks what is asked. */
-    Duration lackingPause{0};
+    /** Where its log is, and when it will have what it lacks. */
+    CatchUpEstimate catchUp;
+    /** Smoothed times of reads that any server of the group may run, over the group's. */
+    double slowness = 1;
+    TimePoint slownessAt{};
 
     /** @return whether a statement has succeeded there. */
     bool hasAnswered() const { return latencyAt != TimePoint{}; }
--- a/src/pooling/StatementPooler.cpp
+++ b/src/pooling/StatementPooler.cpp
@@ -89,6 +89,9 @@
         if (!(server.address == entry.announcement.address)) {
             server.unreachable = false;
             server.nextConnect = now;
+            server.catchUp = CatchUpEstimate{};
+            server.slowness = 1;
+            group.outliers.forget(serverName);
         }
         server.address = entry.announcement.address;
         server.zone = entry.announcement.zone;
--- a/src/pooling/StatementPooler.h
+++ b/src/pooling/StatementPooler.h
@@ -19,9 +19,11 @@
 #include "pooling/ExecutorPlacement.h"
 #include "pooling/FreshnessFloors.h"
 #include "pooling/LeadershipTracker.h"
+#include "pooling/OutlierDetector.h"
 #include "pooling/PooledSession.h"
 #include "pooling/PoolerKnobs.h"
 #include "pooling/PoolerStatistics.h"
+#include "pooling/ServerChoice.h"
 #include "pooling/ServerDirectory.h"
 #include "pooling/ServerLink.h"
 #include "pooling/ServerState.h"
@@ -197,6 +199,7 @@
         SlotTimeEstimates slotTimes;
         TenantActivity activity;
         std::map<ServerName, ServerState> servers;
+        OutlierDetector outliers;
         admission::WaitingQueue waiting;
         bool dirty = false;
         /** Latency of a server above which less is sent to it. */
@@ -215,6 +218,8 @@
     struct Requirement {
         bool primary = false;
         std::optional<OpTime> floor;
+        /** When the log is known to have had the floor. */
+        TimePoint reachedAt{};
         /** Nothing can serve it now. */
         bool impossible = false;
     };
@@ -259,12 +264,20 @@
     bool moveToOther(const GroupState& group, PooledSession& session);
 
     // PoolerDispatch.cpp: choice of server and connection.
-    ServerState* chooseServer(GroupState& group, const PooledSession& session,
+    ServerState* chooseServer(GroupState& group, PooledSession& session,
                               const Requirement& requirement);
     bool isCandidate(const GroupState& group, const ServerState& server,
                      const PooledSession& session, const Requirement& requirement) const;
-    Duration costOf(const GroupState& group, const ServerState& server, const TenantName& tenant,
-                    const Requirement& requirement) const;
+    std::optional<ServerCandidate> candidateOf(const GroupState& group, const ServerState& server,
+                                               const PooledSession& session,
+                                               const Requirement& requirement) const;
+    Duration replicaPatience(const GroupState& group, const PooledSession& session) const;
+    void waitForReplica(PooledSession& session, Duration wait);
+    bool isPrimary(const GroupState& group, const ServerState& server) const;
+    bool isCrowded(const ServerState& server) const;
+    Duration unitTimeOf(const GroupState& group, const PooledSession& session) const;
+    double slownessOf(const ServerState& server) const;
+    ProbePauses probePauses() const;
     double firstLimit(const GroupName& group, const ServerState& server) const;
     bool hasRoom(const ServerState& server, const PooledSession& session) const;
     bool hasIdleFor(const ServerState& server, const TenantName& tenant) const;
@@ -302,7 +315,10 @@
     void onTransactionRefused(ServerConnection& connection, PooledSession& session,
                               StatementResult result);
     void noteLatency(ServerConnection& connection, PooledSession& session);
+    void noteSlowness(ServerState& server, const PooledSession& session, Duration took);
     void noteSlotTime(PooledSession& session, Duration took);
+    void noteRequestLost(ServerState* server);
+    void reviewOutliers(const GroupName& name, GroupState& group);
     void noteTransactionTime(const PooledSession& session);
     void lowerLimit(ServerState& server, double factor);
     void noteBusy(ServerState& server);
