Executors of a crowded group share what its servers take, by need

Cause: each executor of a group finds a limit of its own (additive increase, multiplicative decrease), so eight of them meet at a server that refuses for want of room, and each refusal costs its statement an attempt and the executor a pause.

Change: CapacityShares, one for each group at each executor. A refusal for want of room begins a crowd; executors tell each other their demand by rank over the links of units (LoadTold, which now says whether the sender itself is crowded, so that reports don't keep each other alive); while demand exceeds what all servers take, each keeps to its part. In a crowd of 8 executors a node tells 7 others 3.3 to 10 times a second: 23 to 70 messages out and as many in, some 90 bytes each; it sends its full rate only while its demand changes by more than a quarter.

--- a/gen/unit_types.cpp
+++ b/gen/unit_types.cpp
@@ -3693,6 +3693,10 @@
 void GroupLoadReport::__set_demandByRankUs(const std::vector<int64_t> & val) {
   this->demandByRankUs = val;
 }
+
+void GroupLoadReport::__set_crowded(const bool val) {
+  this->crowded = val;
+}
 std::ostream& operator<<(std::ostream& out, const GroupLoadReport& obj)
 {
   obj.printTo(out);
@@ -3715,6 +3719,7 @@
   bool isset_sender = false;
   bool isset_groupName = false;
   bool isset_demandByRankUs = false;
+  bool isset_crowded = false;
 
   while (true)
   {
@@ -3760,6 +3765,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->crowded);
+          isset_crowded = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3775,6 +3788,8 @@
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_demandByRankUs)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_crowded)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
@@ -3803,6 +3818,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("crowded", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->crowded);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3813,28 +3832,33 @@
   swap(a.sender, b.sender);
   swap(a.groupName, b.groupName);
   swap(a.demandByRankUs, b.demandByRankUs);
+  swap(a.crowded, b.crowded);
 }
 
 GroupLoadReport::GroupLoadReport(const GroupLoadReport& other140) {
   sender = other140.sender;
   groupName = other140.groupName;
   demandByRankUs = other140.demandByRankUs;
+  crowded = other140.crowded;
 }
 GroupLoadReport::GroupLoadReport(GroupLoadReport&& other141) noexcept {
   sender = std::move(other141.sender);
   groupName = std::move(other141.groupName);
   demandByRankUs = std::move(other141.demandByRankUs);
+  crowded = other141.crowded;
 }
 GroupLoadReport& GroupLoadReport::operator=(const GroupLoadReport& other142) {
   sender = other142.sender;
   groupName = other142.groupName;
   demandByRankUs = other142.demandByRankUs;
+  crowded = other142.crowded;
   return *this;
 }
 GroupLoadReport& GroupLoadReport::operator=(GroupLoadReport&& other143) noexcept {
   sender = std::move(other143.sender);
   groupName = std::move(other143.groupName);
   demandByRankUs = std::move(other143.demandByRankUs);
+  crowded = other143.crowded;
   return *this;
 }
 void GroupLoadReport::printTo(std::ostream& out) const {
@@ -3843,6 +3867,7 @@
   out << "sender=" << to_string(sender);
   out << ", " << "groupName=" << to_string(groupName);
   out << ", " << "demandByRankUs=" << to_string(demandByRankUs);
+  out << ", " << "crowded=" << to_string(crowded);
   out << ")";
 }
 
--- a/gen/unit_types.h
+++ b/gen/unit_types.h
@@ -1234,13 +1234,15 @@
   GroupLoadReport& operator=(GroupLoadReport&&) noexcept;
   GroupLoadReport() noexcept
                   : sender(),
-                    groupName() {
+                    groupName(),
+                    crowded(0) {
   }
 
   virtual ~GroupLoadReport() noexcept;
   std::string sender;
   std::string groupName;
   std::vector<int64_t>  demandByRankUs;
+  bool crowded;
 
   void __set_sender(const std::string& val);
 
@@ -1248,6 +1250,8 @@
 
   void __set_demandByRankUs(const std::vector<int64_t> & val);
 
+  void __set_crowded(const bool val);
+
   bool operator == (const GroupLoadReport & rhs) const
   {
     if (!(sender == rhs.sender))
@@ -1256,6 +1260,8 @@
       return false;
     if (!(demandByRankUs == rhs.demandByRankUs))
       return false;
+    if (!(crowded == rhs.crowded))
+      return false;
     return true;
   }
   bool operator != (const GroupLoadReport &rhs) const {
--- a/src/duty/pooling/PoolingDuty.cpp
+++ b/src/duty/pooling/PoolingDuty.cpp
@@ -46,6 +46,7 @@
       _promotionClient(_poller, _clock, _options.promotion.host, _options.promotion.port),
       _stop(_clock, _pooler, *this) {
     _pooler.setForwarder(_unitLinks);
+    _pooler.setLoadReporter(_unitLinks);
 }
 
 tenancy::QuotaDependencies PoolingDuty::quotaDependencies() {
@@ -126,7 +127,7 @@
     }
     _control = std::make_unique<cluster::ClusterControl>(controlDependencies(), _pooler);
     const forwarding::QuestionEvents events{&_control->proofEvents(), &_control->feedEvents(),
-                                            &_quotas};
+                                            &_quotas, &_pooler};
     _unitLinks.setQuestionEvents(events);
     _unitService.setQuestionEvents(events);
     listenForMetrics();
--- a/src/duty/pooling/PoolingMetrics.cpp
+++ b/src/duty/pooling/PoolingMetrics.cpp
@@ -41,6 +41,16 @@
     }
 }
 
+void appendShares(Page& page, const PoolerStatistics& statistics) {
+    page.metric("gauge", "groups_sharing",
+                "Crowded groups whose executors keep to their shares of the servers.",
+                statistics.groupsSharing);
+    page.metric("counter", "load_reports_told_total", "Reports of load told to other executors.",
+                statistics.loadReportsTold);
+    page.metric("counter", "load_reports_taken_total", "Reports of load taken from them.",
+                statistics.loadReportsTaken);
+}
+
 void appendGate(Page& page, const tenancy::GateStatistics& gate) {
     page.metric("counter", "refused_credential_total",
                 "Requests refused for want of a valid credential.", gate.refusedCredential);
@@ -136,6 +146,7 @@
                 pooler.connectionsLost);
     page.metric("counter", "server_connections_replaced_total",
                 "Idle connections closed for one of another tenant.", pooler.connectionsReplaced);
+    appendShares(page, pooler);
     appendGate(page, figures.gate);
     appendQuotas(page, figures);
     appendFaults(page, pooler);
--- a/src/link/forwarding/LoadReportCodec.cpp
+++ b/src/link/forwarding/LoadReportCodec.cpp
@@ -15,6 +15,7 @@
     for (const Duration demand : report.demandByRank) {
         record.demandByRankUs.push_back(std::chrono::duration_cast<microseconds>(demand).count());
     }
+    record.crowded = report.crowded;
     return record;
 }
 
@@ -31,6 +32,7 @@
         }
         report.demandByRank.emplace_back(microseconds(demand));
     }
+    report.crowded = record.crowded;
     return report;
 }
 
--- a/src/link/forwarding/QuestionEvents.h
+++ b/src/link/forwarding/QuestionEvents.h
@@ -1,8 +1,9 @@
-/** Who takes other nodes' questions and their answers. */
+/** Who takes other nodes' questions and their answers, and what they tell. */
 #pragma once
 
 #include "link/store/FeedMessages.h"
 #include "pooling/LeadershipProof.h"
+#include "pooling/LoadReport.h"
 #include "tenancy/QuotaMessages.h"
 
 namespace coralhoist::forwarding {
@@ -12,6 +13,8 @@
     pooling::ProofEvents* proofs = nullptr;
     store::FeedEvents* feed = nullptr;
     tenancy::QuotaEvents* quotas = nullptr;
+    /** Not a question: nothing is answered. */
+    pooling::LoadReportEvents* loads = nullptr;
 };
 
 }  // namespace coralhoist::forwarding
--- a/src/link/forwarding/UnitLinkQuestions.cpp
+++ b/src/link/forwarding/UnitLinkQuestions.cpp
@@ -1,7 +1,14 @@
-/** Questions for proofs of leadership, changes of the store and quotas, over the links of units. */
+/** Questions for proofs of leadership, changes of the store and quotas, and reports of load, over
+ * the links of units. */
 #include "link/forwarding/UnitLinks.h"
 
 namespace coralhoist::forwarding {
+namespace {
+
+/** Reports of load are dropped while so many bytes wait to be sent: they would arrive too old. */
+constexpr std::size_t kMostUnsent = 64U << 10U;
+
+}  // namespace
 
 void UnitLinks::askForProof(const NodeName& node, std::uint64_t question,
                             const pooling::ProofNeed& need) {
@@ -51,6 +58,22 @@
     send(link, message);
 }
 
+/** Nobody waits for an answer, so a lost report costs nothing but its news. */
+void UnitLinks::tellLoad(const NodeName& node, const pooling::LoadReport& report) {
+    const auto found = _links.find(node);
+    if (found == _links.end() || found->second.node.port == 0 || _failed.contains(node)) {
+        return;
+    }
+    Link& link = connectedLink(node);
+    if (link.stream->unsentBytes() > kMostUnsent) {
+        return;
+    }
+    UnitMessage message;
+    message.kind = UnitMessage::Kind::LoadTold;
+    message.loadReport = report;
+    send(link, message);
+}
+
 /** @return whether the other node must answer something soon. */
 bool UnitLinks::isWaitedFor(const Link& link) {
     return link.unanswered > 0 || link.proofQuestion || !link.quotaQuestions.empty() ||
--- a/src/link/forwarding/UnitLinks.h
+++ b/src/link/forwarding/UnitLinks.h
@@ -14,6 +14,7 @@
 #include "link/socket/StreamConnection.h"
 #include "pooling/ExecutorPlacement.h"
 #include "pooling/LeadershipProof.h"
+#include "pooling/LoadReport.h"
 #include "pooling/UnitForwarding.h"
 
 namespace coralhoist::forwarding {
@@ -30,6 +31,7 @@
                         public pooling::ProofQuestions,
                         public store::FeedQuestions,
                         public tenancy::QuotaQuestions,
+                        public pooling::LoadReporter,
                         public socket::StreamHandler {
 public:
     /** References outlive the links. */
@@ -56,6 +58,9 @@
     void updateLedger(const NodeName& node, std::uint64_t question,
                       const tenancy::LedgerUpdate& update) override;
 
+    /** A node whose link was lost, or does not take what was sent before, is told nothing. */
+    void tellLoad(const NodeName& node, const pooling::LoadReport& report) override;
+
     /** Passes answers to questions on from now on. All outlive the links' use. */
     void setQuestionEvents(const QuestionEvents& events) { _questionEvents = events; }
 
--- a/src/link/forwarding/UnitService.cpp
+++ b/src/link/forwarding/UnitService.cpp
@@ -97,6 +97,11 @@
         case UnitMessage::Kind::LedgerUpdate:
             onLedgerUpdate(link, message);
             return;
+        case UnitMessage::Kind::LoadTold:
+            if (_questionEvents.loads != nullptr) {
+                _questionEvents.loads->onLoadReport(message.loadReport);
+            }
+            return;
         case UnitMessage::Kind::Answer:
         case UnitMessage::Kind::Declined:
         case UnitMessage::Kind::Heartbeat:
@@ -105,7 +110,6 @@
         case UnitMessage::Kind::Changes:
         case UnitMessage::Kind::Quota:
         case UnitMessage::Kind::LedgerAck:
-        case UnitMessage::Kind::LoadTold:
             return;
     }
 }
--- /dev/null
+++ b/src/pooling/CapacityShares.cpp
@@ -0,0 +1,231 @@
+#include "pooling/CapacityShares.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+#include <utility>
+
+namespace coralhoist::pooling {
+namespace {
+
+/** A statement that found no room still waits so long after: the pooler tries each 50 ms. */
+constexpr Duration kSameQueue = std::chrono::milliseconds(120);
+/** A rank is served ahead of the higher ones as far as it fills the slots for so long: about the
+ * time of one statement. With more, what waits of a low rank would wait behind a high one. */
+constexpr Duration kRankHorizon = std::chrono::milliseconds(50);
+/** A turn that is used late by no more than this does not put off the next one: the pooler looks at
+ * its queue each 50 ms at least. */
+constexpr Duration kLateTurn = std::chrono::milliseconds(50);
+/** Demand that has changed by less than one part in so many is not told at once. */
+constexpr int kNoticeablePart = 4;
+
+Duration sumOf(const std::vector<Duration>& demand) {
+    return std::accumulate(demand.begin(), demand.end(), Duration(0));
+}
+
+Duration rankOf(const std::vector<Duration>& demand, std::size_t rank) {
+    return rank < demand.size() ? demand[rank] : Duration(0);
+}
+
+double ratio(Duration part, Duration whole) {
+    return static_cast<double>(part.count()) / static_cast<double>(whole.count());
+}
+
+bool differs(Duration now, Duration before) {
+    const Duration change = now > before ? now - before : before - now;
+    return change * kNoticeablePart > before;
+}
+
+}  // namespace
+
+void CapacityShares::noteNoRoom(TimePoint now) {
+    _queuedUntil = now + kSameQueue;
+}
+
+void CapacityShares::noteRefused(TimePoint now) {
+    _lacksRoomUntil = now + kCrowdEndsAfter;
+}
+
+bool CapacityShares::take(const LoadReport& report, const std::vector<NodeName>& executors,
+                          TimePoint now) {
+    if (std::find(executors.begin(), executors.end(), report.sender) == executors.end()) {
+        return false;
+    }
+    _heard[report.sender] = {report.demandByRank, report.crowded, now};
+    return true;
+}
+
+void CapacityShares::update(const std::vector<NodeName>& executors, OwnLoad load, TimePoint now) {
+    _others = executors.size();
+    _load = std::move(load);
+    std::erase_if(_heard, [&](const auto& entry) {
+        const bool executes =
+            std::find(executors.begin(), executors.end(), entry.first) != executors.end();
+        return !executes || !isFresh(entry.second, now);
+    });
+    const double equalPart = _load.taken / static_cast<double>(_others + 1);
+    const bool queued = now < _queuedUntil;
+    if (_inForce && queued && static_cast<double>(_load.statements) > equalPart) {
+        _lacksRoomUntil = now + kCrowdEndsAfter;
+    }
+    if (!isCrowded(now)) {
+        _crowdedSince.reset();
+        _inForce = false;
+        _turns.clear();
+        return;
+    }
+    _crowdedSince = _crowdedSince.value_or(now);
+    _inForce = now - *_crowdedSince >= kSettling && exceedsServers(now);
+}
+
+/** @return whether all executors together have more than the servers take at once; silent ones are
+ * taken for ones that use an equal part. */
+bool CapacityShares::exceedsServers(TimePoint now) {
+    const Duration own = sumOf(_load.demandByRank);
+    if (_load.statements > 0) {
+        _statementTime = own / static_cast<Duration::rep>(_load.statements);
+    }
+    const double known = ratio(sumOf(demandOfAll(now)), _statementTime);
+    return known > _load.taken * knownPart(now);
+}
+
+bool CapacityShares::isCrowded(TimePoint now) const {
+    const auto tellsCrowd = [&](const auto& entry) {
+        return entry.second.crowded && isFresh(entry.second, now);
+    };
+    return _others > 0 && (lacksRoom(now) || std::any_of(_heard.begin(), _heard.end(), tellsCrowd));
+}
+
+bool CapacityShares::takeTelling(TimePoint now) {
+    const Duration since = now - _toldAt;
+    const bool due = since >= kRepeatEvery || (since >= kReportEvery && hasChanged());
+    if (!due || !isCrowded(now)) {
+        return false;
+    }
+    _told = _load.demandByRank;
+    _toldAt = now;
+    return true;
+}
+
+bool CapacityShares::hasChanged() const {
+    const std::vector<Duration>& own = _load.demandByRank;
+    const std::size_t ranks = std::max(own.size(), _told.size());
+    for (std::size_t rank = 0; rank < ranks; ++rank) {
+        if (differs(rankOf(own, rank), rankOf(_told, rank))) {
+            return true;
+        }
+    }
+    return false;
+}
+
+std::size_t CapacityShares::heardCount(TimePoint now) const {
+    return static_cast<std::size_t>(
+        std::count_if(_heard.begin(), _heard.end(),
+                      [&](const auto& entry) { return isFresh(entry.second, now); }));
+}
+
+/** @return the part of all executors whose demand is known. */
+double CapacityShares::knownPart(TimePoint now) const {
+    return static_cast<double>(heardCount(now) + 1) / static_cast<double>(_others + 1);
+}
+
+/** @return the demand that is known, by rank. */
+std::vector<Duration> CapacityShares::demandOfAll(TimePoint now) const {
+    std::vector<Duration> all = _load.demandByRank;
+    for (const auto& [name, heard] : _heard) {
+        if (!isFresh(heard, now)) {
+            continue;
+        }
+        all.resize(std::max(all.size(), heard.demandByRank.size()));
+        for (std::size_t rank = 0; rank < heard.demandByRank.size(); ++rank) {
+            all[rank] += heard.demandByRank[rank];
+        }
+    }
+    return all;
+}
+
+/** @return this executor's part of a server, from 0 to 1. */
+double CapacityShares::partOf(std::uint32_t slots, TimePoint now) const {
+    const std::vector<Duration>& own = _load.demandByRank;
+    const std::vector<Duration> all = demandOfAll(now);
+    const Duration whole = sumOf(all);
+    if (whole == Duration(0)) {
+        return 1 / static_cast<double>(_others + 1);
+    }
+    double left = 1;
+    double part = 0;
+    for (std::size_t rank = 0; rank < all.size() && left > 0; ++rank) {
+        if (all[rank] == Duration(0)) {
+            continue;
+        }
+        const double ranksPart = std::min(left, ratio(all[rank], kRankHorizon * slots));
+        part += ranksPart * ratio(rankOf(own, rank), all[rank]);
+        left -= ranksPart;
+    }
+    part += left * ratio(sumOf(own), whole);
+    return part * knownPart(now);
+}
+
+double CapacityShares::boundAt(const SharedServer& server, TimePoint now) const {
+    if (!_inForce) {
+        return std::numeric_limits<double>::infinity();
+    }
+    return partOf(server.slots, now) * std::max(1.0, server.taken);
+}
+
+/** @return the time between two turns in which a fraction of a statement is served on average. */
+Duration CapacityShares::intervalOf(const SharedServer& server, double fraction) const {
+    const double turns = ratio(server.latency, kLongestTurn);
+    return fraction <= turns ? kLongestTurn
+                             : std::chrono::duration_cast<Duration>(
+                                   std::chrono::duration<double>(server.latency) / fraction);
+}
+
+bool CapacityShares::admits(const SharedServer& server, std::uint32_t inflight,
+                            TimePoint now) const {
+    if (!_inForce) {
+        return true;
+    }
+    const double bound = boundAt(server, now);
+    const double whole = std::floor(bound);
+    if (inflight + 1 <= whole) {
+        return true;
+    }
+    if (inflight > whole) {
+        return false;
+    }
+    const auto found = _turns.find(server.name);
+    return found == _turns.end() || now - found->second.last >= intervalOf(server, bound - whole);
+}
+
+void CapacityShares::noteSent(const SharedServer& server, std::uint32_t inflight, TimePoint now) {
+    if (!_inForce) {
+        return;
+    }
+    const double bound = boundAt(server, now);
+    const double whole = std::floor(bound);
+    if (inflight + 1 <= whole) {
+        return;
+    }
+    const Duration interval = intervalOf(server, bound - whole);
+    Turns& turns = _turns[server.name];
+    const TimePoint due = turns.last + interval;
+    const bool late = due <= now && now - due <= kLateTurn;
+    turns.last = late ? due : now;
+}
+
+std::optional<TimePoint> CapacityShares::takeTurnWake(const SharedServer& server, TimePoint now) {
+    const auto found = _turns.find(server.name);
+    if (!_inForce || found == _turns.end()) {
+        return std::nullopt;
+    }
+    const double bound = boundAt(server, now);
+    const TimePoint due = found->second.last + intervalOf(server, bound - std::floor(bound));
+    if (due <= now || found->second.wakeAt > now) {
+        return std::nullopt;
+    }
+    found->second.wakeAt = due;
+    return due;
+}
+
+}  // namespace coralhoist::pooling
--- a/src/pooling/PoolerDispatch.cpp
+++ b/src/pooling/PoolerDispatch.cpp
@@ -39,6 +39,9 @@
     if (best == nullptr) {
         operation.lastObstacle = anyCandidate ? "no_slot" : "no_server";
     }
+    if (best == nullptr && anyCandidate) {
+        noteNoRoom(group, session);
+    }
     if (!anyCandidate && !operation.avoided.empty()) {
         operation.avoided.clear();
     }
@@ -95,12 +98,13 @@
     const bool urgent = session.settings.priority == settings::Priority::Urgent;
     const double limit = server.inflightLimit + (urgent ? _knobs.urgentHeadroom : 0);
     if (hasIdleFor(server, session.tenant)) {
-        return server.inflight + 1 <= limit;
+        return server.inflight + 1 <= limit && isWithinShare(server, server.inflight);
     }
     // A connection that is being opened occupies a slot like a statement.
     const Operation& operation = *session.operation;
     const std::uint32_t others = server.opening - (isOpening(operation) ? 1 : 0);
-    return server.inflight + others + 1 <= limit && mayOpenFor(server, operation);
+    return server.inflight + others + 1 <= limit &&
+           isWithinShare(server, server.inflight + others) && mayOpenFor(server, operation);
 }
 
 bool StatementPooler::hasIdleFor(const ServerState& server, const TenantName& tenant) const {
--- a/src/pooling/PoolerKnobs.h
+++ b/src/pooling/PoolerKnobs.h
@@ -36,7 +36,8 @@
     std::uint32_t moveToOthers = 1;
     /** Connections being opened to one server at a time. */
     std::uint32_t concurrentConnects = 2;
-    /** Most statements outside transactions in flight to a server for each of its slots. */
+    /** Most statements outside transactions in flight to a server for each of its slots: from this
+     * executor, and from all together while they share what servers take. */
     double inflightPerSlot = 1.5;
     /** Factor of that limit when the server had no capacity, and its growth with each success. */
     double inflightDecrease = 0.7;
--- a/src/pooling/PoolerSending.cpp
+++ b/src/pooling/PoolerSending.cpp
@@ -14,6 +14,7 @@
     connection.user = session.id;
     connection.inflight = true;
     connection.used = true;
+    group.shares.noteSent(sharedServer(server), server.inflight, _clock.now());
     ++server.inflight;
     operation.server = server.address.server;
     operation.connection = connection.id;
--- a/src/pooling/PoolerStatistics.h
+++ b/src/pooling/PoolerStatistics.h
@@ -36,7 +36,7 @@
     Duration _sum{0};
 };
 
-/** Grows only. */
+/** Grows only, but for what says otherwise. */
 struct PoolerStatistics {
     std::uint64_t statements = 0;
     std::uint64_t replicaReads = 0;
@@ -54,6 +54,11 @@
     /** Statements sent to other nodes, and executed for them. */
     std::uint64_t forwarded = 0;
     std::uint64_t executedForOthers = 0;
+    /** Reports of load told to other executors, and taken from them. */
+    std::uint64_t loadReportsTold = 0;
+    std::uint64_t loadReportsTaken = 0;
+    /** Groups whose executors share their servers by need at present; not a counter. */
+    std::uint64_t groupsSharing = 0;
     LatencyHistogram latency;
 };
 
--- a/src/pooling/PoolerTimers.cpp
+++ b/src/pooling/PoolerTimers.cpp
@@ -133,11 +133,13 @@
     closeLateConnections(now);
     const bool report = now >= _nextReport;
     _nextReport = report ? now + kReportEvery : _nextReport;
+    _statistics.groupsSharing = 0;
     for (auto& [name, group] : _groups) {
         if (report) {
             reportServers(name, group);
         }
         group.floors.dropBefore(now - kFloorRetention);
+        updateShares(name, group, now);
         watchPrimary(name, group, now);
         if (keepsWarm(name)) {
             keepWarm(group);
--- a/src/pooling/StatementPooler.h
+++ b/src/pooling/StatementPooler.h
@@ -16,9 +16,11 @@
 
 #include "admission/WaitingQueue.h"
 #include "base/Time.h"
+#include "pooling/CapacityShares.h"
 #include "pooling/ExecutorPlacement.h"
 #include "pooling/FreshnessFloors.h"
 #include "pooling/LeadershipTracker.h"
+#include "pooling/LoadReport.h"
 #include "pooling/PooledSession.h"
 #include "pooling/PoolerKnobs.h"
 #include "pooling/PoolerStatistics.h"
@@ -71,7 +73,7 @@
  * end; a write or COMMIT is sent at most once; a refusal that promises "not run" is given only
  * before a write was sent or after the server itself said so.
  */
-class StatementPooler final : public ServerEvents, public UnitEvents {
+class StatementPooler final : public ServerEvents, public UnitEvents, public LoadReportEvents {
 public:
     /** References outlive the pooler. */
     StatementPooler(const Clock& clock, ServerConnector& connector, PoolerOutput& output,
@@ -86,6 +88,9 @@
     /** Forwards from now on what other nodes execute. @param forwarder outlives the pooler. */
     void setForwarder(UnitForwarder& forwarder) { _forwarder = &forwarder; }
 
+    /** Tells other executors of crowded groups from now on. @param reporter outlives the pooler. */
+    void setLoadReporter(LoadReporter& reporter) { _loadReporter = &reporter; }
+
     /** @return whether this node executes the group's statements. */
     bool executesHere(const GroupName& group) const;
 
@@ -178,6 +183,8 @@
     void onUnitResult(UnitId unit, UnitResult result) override;
     void onUnitLost(UnitId unit, UnitLoss loss) override;
 
+    void onLoadReport(const LoadReport& report) override;
+
     /** Handles everything that is due. */
     void onTick();
 
@@ -198,6 +205,10 @@
         TenantActivity activity;
         std::map<ServerName, ServerState> servers;
         admission::WaitingQueue waiting;
+        CapacityShares shares;
+        /** The begin of shares is not logged before; whether that of the present ones was. */
+        TimePoint nextShareLog{};
+        bool sharesLogged = false;
         bool dirty = false;
         /** Latency of a server above which less is sent to it. */
         Duration latencyTarget = std::chrono::milliseconds(100);
@@ -278,6 +289,14 @@
     std::optional<ConnectionId> openConnection(ServerState& server, const TenantName& tenant);
     ServerConnection* takeIdle(ServerState& server, const PooledSession& session);
 
+    // PoolerShares.cpp: what the executors of a group leave to each other.
+    SharedServer sharedServer(const ServerState& server) const;
+    bool isWithinShare(const ServerState& server, std::uint32_t inflight) const;
+    void noteNoRoom(GroupState& group, const PooledSession& session);
+    OwnLoad ownLoad(const GroupName& name, GroupState& group);
+    void updateShares(const GroupName& name, GroupState& group, TimePoint now);
+    void logShares(const GroupName& name, GroupState& group, TimePoint now);
+
     // PoolerSending.cpp: what is sent on a connection.
     void start(GroupState& group, ServerState& server, ServerConnection& connection,
                PooledSession& session, const Requirement& requirement);
@@ -388,6 +407,7 @@
     PoolerStatistics _statistics;
     ExecutorPlacement _placement;
     UnitForwarder* _forwarder = nullptr;
+    LoadReporter* _loadReporter = nullptr;
     /** The other nodes are known; before, this one alone seems to execute everything. */
     bool _nodesKnown = false;
     bool _callersHaveTenants = false;
--- a/tests/duty/PoolingMetricsTest.cpp
+++ b/tests/duty/PoolingMetricsTest.cpp
@@ -32,5 +32,16 @@
     CHECK_TRUE(contains(page, "duration_seconds_count 3\n"));
 }
 
+TEST(PoolingMetrics, ShowsSharesOfCrowdedGroups) {
+    PoolingFigures figures;
+    figures.pooler.groupsSharing = 2;
+    figures.pooler.loadReportsTold = 70;
+    figures.pooler.loadReportsTaken = 63;
+    const std::string page = renderMetrics(figures);
+    CHECK_TRUE(contains(page, "coralhoist_groups_sharing 2\n"));
+    CHECK_TRUE(contains(page, "coralhoist_load_reports_told_total 70\n"));
+    CHECK_TRUE(contains(page, "coralhoist_load_reports_taken_total 63\n"));
+}
+
 }  // namespace
 }  // namespace coralhoist::duty
--- a/tests/forwarding/LoadReportCodecTest.cpp
+++ b/tests/forwarding/LoadReportCodecTest.cpp
@@ -9,8 +9,10 @@
 using std::chrono::milliseconds;
 
 TEST_GROUP(LoadReportCodec) {
-    pooling::LoadReport report{
-        NodeName("n1"), GroupName("ledger"), {milliseconds(30), Duration(0), milliseconds(900)}};
+    pooling::LoadReport report{NodeName("n1"),
+                               GroupName("ledger"),
+                               {milliseconds(30), Duration(0), milliseconds(900)},
+                               true};
 };
 
 TEST(LoadReportCodec, AReportArrivesAsItWasSent) {
--- a/tests/forwarding/UnitLinkTest.cpp
+++ b/tests/forwarding/UnitLinkTest.cpp
@@ -54,8 +54,11 @@
 };
 
 /** Takes questions and answers of other nodes. */
-class QuestionRecorder final : public pooling::ProofEvents, public store::FeedEvents {
+class QuestionRecorder final : public pooling::ProofEvents,
+                               public store::FeedEvents,
+                               public pooling::LoadReportEvents {
 public:
+    void onLoadReport(const pooling::LoadReport& report) override { reports.push_back(report); }
     void onProofAsked(const pooling::ProofAsker& asker) override { proofAskers.push_back(asker); }
     void onProofAnswer(std::uint64_t question,
                        const std::optional<pooling::HandedProof>& proof) override {
@@ -69,6 +72,7 @@
         feedAnswers.emplace_back(question, answer);
     }
 
+    std::vector<pooling::LoadReport> reports;
     std::vector<pooling::ProofAsker> proofAskers;
     std::vector<std::pair<std::uint64_t, std::optional<pooling::HandedProof>>> proofAnswers;
     std::vector<std::pair<std::uint64_t, store::FeedQuestion>> feedAskers;
@@ -308,6 +312,35 @@
     CHECK_FALSE(here.feedAnswers[0].second.has_value());
 }
 
+TEST(UnitLink, AReportOfLoadIsTakenAndNotAnswered) {
+    QuestionRecorder questions;
+    service.setQuestionEvents({nullptr, nullptr, nullptr, &questions});
+    const pooling::LoadReport report{NodeName("n1"), group, {milliseconds(30)}, true};
+    links.tellLoad(executor, report);
+    waitFor([&] { return questions.reports.size() == 1; });
+    CHECK_TRUE(questions.reports.front() == report);
+    // Nobody waits for an answer, so silence does not end the link.
+    clock.advance(milliseconds(5000));
+    links.onTick(clock.now());
+    links.tellLoad(executor, report);
+    waitFor([&] { return questions.reports.size() == 2; });
+}
+
+TEST(UnitLink, ANodeThatIsNotKnownOrWasLostIsToldNothing) {
+    const pooling::LoadReport report{NodeName("n1"), group, {milliseconds(30)}, true};
+    links.tellLoad(NodeName("unknown"), report);
+    CHECK_FALSE(links.canReach(NodeName("unknown")));
+    QTcpServer closed;
+    CHECK_TRUE(closed.listen(QHostAddress(kHost)));
+    const std::uint16_t port = closed.serverPort();
+    closed.close();
+    links.applyNodes({{executor, ZoneName("z"), kHost, port}});
+    links.tellLoad(executor, report);
+    waitFor([&] { return !links.canReach(executor); });
+    links.tellLoad(executor, report);
+    CHECK_FALSE(links.canReach(executor));
+}
+
 TEST(UnitLink, QuestionsOfALostLinkAreAnsweredWithNothing) {
     QuestionRecorder here;
     QuestionRecorder there;
