--- a/src/pooling/PoolerDispatch.cpp
+++ b/src/pooling/PoolerDispatch.cpp
@@ -33,6 +33,9 @@
         return servers[*chosen.index];
     }
     operation.lastObstacle = chosen.anyCandidate ? "no_slot" : "no_server";
+    if (chosen.anyCandidate) {
+        noteNoRoom(group, session);
+    }
     if (chosen.replicaIn) {
         waitForReplica(session, *chosen.replicaIn);
     }
@@ -155,12 +158,13 @@
     const bool urgent = session.settings.priority == settings::Priority::Urgent;
     const double limit = server.inflightLimit + (urgent ? _knobs.urgentHeadroom : 0);
     if (hasIdleFor(server, session.tenant)) {
-        return server.inflight + 1 <= limit;
+        return server.inflight + 1 <= limit && isWithinShare(server, server.inflight);
     }
     // A connection that is being opened occupies a slot like a statement.
     const Operation& operation = *session.operation;
     const std::uint32_t others = server.opening - (isOpening(operation) ? 1 : 0);
-    return server.inflight + others + 1 <= limit && mayOpenFor(server, operation);
+    return server.inflight + others + 1 <= limit &&
+           isWithinShare(server, server.inflight + others) && mayOpenFor(server, operation);
 }
 
 bool StatementPooler::hasIdleFor(const ServerState& server, const TenantName& tenant) const {
