--- /dev/null
+++ b/src/admission/AdmissionPolicy.cpp
@@ -0,0 +1,79 @@
+#include "admission/AdmissionPolicy.h"
+
+#include <algorithm>
+
+namespace coralhoist::admission {
+namespace {
+
+/** Time between two looks: a refusal this much later is still one at once for a caller, and a look
+ * costs as much as a choice of server for all that wait. */
+constexpr Duration kLookEvery = std::chrono::milliseconds(10);
+/** Least time after which a caller is asked back: what a statement takes at a fast server. */
+constexpr Duration kLeastTurn = std::chrono::milliseconds(20);
+/** Turns are spread over no more than this: beyond it callers have left. */
+constexpr Duration kLongestSpread = std::chrono::seconds(1);
+
+Lane laneOf(const Applicant& applicant, TimePoint now) {
+    return now < applicant.onTimeUntil ? Lane::OnTime : Lane::Late;
+}
+
+}  // namespace
+
+std::vector<ForecastRefusal> AdmissionPolicy::look(TimePoint now,
+                                                   const std::vector<Applicant>& applicants) {
+    _nextLook = now + kLookEvery;
+    _waiting.clear();
+    for (const Applicant& applicant : applicants) {
+        if (!applicant.obstacle.empty()) {
+            _obstacles.noteSeen(applicant.obstacle, now);
+            continue;
+        }
+        LaneCounts& counts = _waiting[applicant.flow];
+        ++(laneOf(applicant, now) == Lane::OnTime ? counts.onTime : counts.late);
+    }
+    _obstacles.noteLook(now);
+    _forecast.observe(now, _waiting);
+    std::map<Flow, LaneCounts> ahead;
+    std::vector<ForecastRefusal> refusals;
+    for (const Applicant& applicant : applicants) {
+        const bool queued = applicant.obstacle.empty();
+        LaneCounts& before = ahead[applicant.flow];
+        LaneCounts counted = before;
+        if (queued && laneOf(applicant, now) == Lane::OnTime) {
+            // What is late already goes before it once it is late itself.
+            counted.late = _waiting[applicant.flow].late;
+        }
+        const std::optional<Duration> wait =
+            queued ? _forecast.waitOf(applicant.flow, counted, applicant.onTimeUntil - now)
+                   : waitBehindObstacle(applicant, now);
+        if (wait && *wait > Duration(0) && now + *wait > applicant.latestStart) {
+            refusals.push_back({applicant.session, *wait, turnAfter(now, applicant.flow, *wait)});
+            continue;
+        }
+        if (queued) {
+            ++(laneOf(applicant, now) == Lane::OnTime ? before.onTime : before.late);
+        }
+    }
+    return refusals;
+}
+
+std::optional<Duration> AdmissionPolicy::waitBehindObstacle(const Applicant& applicant,
+                                                            TimePoint now) const {
+    return _obstacles.untilEnd(applicant.obstacle, now);
+}
+
+Duration AdmissionPolicy::waitOfNext(const Flow& flow) const {
+    const auto found = _waiting.find(flow);
+    return _forecast.waitOf(flow, found == _waiting.end() ? LaneCounts{} : found->second,
+                            Duration(0));
+}
+
+Duration AdmissionPolicy::turnAfter(TimePoint now, const Flow& flow, Duration forecast) {
+    const Duration pace = std::max(_forecast.pace(flow, Lane::OnTime), Duration(1));
+    const TimePoint first = now + std::max(forecast, kLeastTurn);
+    const bool follows = _lastTurn >= first && _lastTurn + pace <= first + kLongestSpread;
+    _lastTurn = follows ? _lastTurn + pace : first;
+    return _lastTurn - now;
+}
+
+}  // namespace coralhoist::admission
--- /dev/null
+++ b/src/admission/ObstacleTimes.cpp
@@ -0,0 +1,45 @@
+#include "admission/ObstacleTimes.h"
+
+namespace coralhoist::admission {
+namespace {
+
+/** An obstacle that nobody has met for so long is over; statements are looked at every 50 ms. */
+constexpr Duration kOver = std::chrono::milliseconds(150);
+/** Weight of a new time: one in so many. */
+constexpr int kSmoothing = 4;
+/** One end alone may have been an exception: a refusal rests on several. */
+constexpr std::uint32_t kLeastEnds = 3;
+
+}  // namespace
+
+void ObstacleTimes::noteSeen(std::string_view name, TimePoint now) {
+    Obstacle& obstacle = _obstacles[name];
+    if (!obstacle.since) {
+        obstacle.since = now;
+    }
+    obstacle.seenAt = now;
+}
+
+void ObstacleTimes::noteLook(TimePoint now) {
+    for (auto& [name, obstacle] : _obstacles) {
+        if (!obstacle.since || now - obstacle.seenAt < kOver) {
+            continue;
+        }
+        const Duration lasted = obstacle.seenAt - *obstacle.since;
+        obstacle.usual =
+            obstacle.ends == 0 ? lasted : obstacle.usual + (lasted - obstacle.usual) / kSmoothing;
+        ++obstacle.ends;
+        obstacle.since.reset();
+    }
+}
+
+std::optional<Duration> ObstacleTimes::untilEnd(std::string_view name, TimePoint now) const {
+    const auto found = _obstacles.find(name);
+    if (found == _obstacles.end() || !found->second.since || found->second.ends < kLeastEnds) {
+        return std::nullopt;
+    }
+    const TimePoint end = *found->second.since + found->second.usual;
+    return now < end ? std::optional<Duration>(end - now) : std::nullopt;
+}
+
+}  // namespace coralhoist::admission
--- /dev/null
+++ b/src/admission/WaitForecast.cpp
@@ -0,0 +1,81 @@
+#include "admission/WaitForecast.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace coralhoist::admission {
+namespace {
+
+/** Time over which an observation fades to a third: as long as common timeouts, so that it can
+ * tell of a wait that long, and no longer than a burst. */
+constexpr Duration kFading = std::chrono::seconds(2);
+/** Between two looks further apart than this nobody has waited all the time. */
+constexpr Duration kLongestGap = std::chrono::milliseconds(150);
+/** What was watched for less tells nothing and is forgotten. */
+constexpr Duration kForgotten = std::chrono::milliseconds(2);
+
+}  // namespace
+
+void WaitForecast::noteStart(const Flow& flow, Lane lane) {
+    const auto found = _observations.find({flow, lane});
+    if (found != _observations.end()) {
+        ++found->second.newStarts;
+    }
+}
+
+void WaitForecast::observe(TimePoint now, const std::map<Flow, LaneCounts>& waiting) {
+    const Duration span = _observedAt ? now - *_observedAt : Duration(0);
+    _observedAt = now;
+    for (const auto& [flow, counts] : waiting) {
+        if (counts.onTime > 0) {
+            _observations.try_emplace({flow, Lane::OnTime});
+        }
+        if (counts.late > 0) {
+            _observations.try_emplace({flow, Lane::Late});
+        }
+    }
+    for (auto& [key, observation] : _observations) {
+        const auto found = waiting.find(key.first);
+        const LaneCounts counts = found == waiting.end() ? LaneCounts{} : found->second;
+        const std::size_t count = key.second == Lane::OnTime ? counts.onTime : counts.late;
+        update(observation, span, count > 0);
+    }
+    std::erase_if(_observations, [](const auto& entry) {
+        return !entry.second.waiting && entry.second.watched < kForgotten;
+    });
+}
+
+void WaitForecast::update(Observation& observation, Duration span, bool waiting) const {
+    const double kept =
+        std::exp(-std::chrono::duration<double>(span) / std::chrono::duration<double>(kFading));
+    observation.watched = std::chrono::duration_cast<Duration>(observation.watched * kept);
+    observation.starts *= kept;
+    if (observation.waiting && span <= kLongestGap) {
+        observation.watched += span;
+        observation.starts += observation.newStarts;
+    }
+    observation.newStarts = 0;
+    observation.waiting = waiting;
+}
+
+Duration WaitForecast::pace(const Flow& flow, Lane lane) const {
+    const auto found = _observations.find({flow, lane});
+    if (found == _observations.end()) {
+        return Duration(0);
+    }
+    const Observation& observation = found->second;
+    return std::chrono::duration_cast<Duration>(observation.watched / (observation.starts + 1));
+}
+
+Duration WaitForecast::waitOf(const Flow& flow, const LaneCounts& ahead,
+                              Duration onTimeLeft) const {
+    if (onTimeLeft > Duration(0)) {
+        const Duration wait = pace(flow, Lane::OnTime) * (ahead.onTime + 1);
+        if (wait < onTimeLeft) {
+            return wait;
+        }
+    }
+    return std::max(onTimeLeft, Duration(0)) + pace(flow, Lane::Late) * (ahead.late + 1);
+}
+
+}  // namespace coralhoist::admission
--- a/src/duty/pooling/PoolingMetrics.cpp
+++ b/src/duty/pooling/PoolingMetrics.cpp
@@ -122,6 +122,12 @@
                 pooler.primaryStatements);
     page.metric("counter", "retries_total", "Statements tried again.", pooler.retries);
     page.metric("counter", "hedges_total", "Reads sent to a second server.", pooler.hedges);
+    page.metric("counter", "refused_by_forecast_total",
+                "Statements refused because they would not have started in time.",
+                pooler.refusedByForecast);
+    page.metric("counter", "returns_in_turn_total",
+                "Statements asked again after a refusal, queued by their first arrival.",
+                pooler.returnsInTurn);
     page.metric("counter", "lagging_total", "Reads that a replica was too far behind for.",
                 pooler.lagging);
     page.metric("counter", "leadership_proofs_wanted_total",
--- a/src/pooling/PooledSession.h
+++ b/src/pooling/PooledSession.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 
+#include "admission/FirstAsking.h"
 #include "base/Identifier.h"
 #include "base/OpTime.h"
 #include "base/Time.h"
@@ -67,6 +68,8 @@
     TimePoint arrivedAt{};
     /** First moment of the statement or of its transaction; consistency counts from here. */
     TimePoint consistentSince{};
+    /** When its caller first asked for it, over refusals and nodes; not after arrivedAt. */
+    TimePoint firstAskedAt{};
     TimePoint deadline{};
     /** Refused as not run when it has not been sent by then. */
     TimePoint holdUntil{};
@@ -83,6 +86,8 @@
     std::optional<UnitId> unit;
     NodeName executor;
     std::set<NodeName> avoidedExecutors;
+    /** Time for which it would have waited still when it was refused; zero when that is unknown. */
+    Duration forecast{0};
     /** Floor that the server had to have reached, for logs. */
     OpTime floor;
     /** Why it last did not run, for logs. */
@@ -110,6 +115,10 @@
     TimePoint activeAt{};
     /** It stands for a unit that another node forwarded and whose settings that node decides. */
     bool forwarded = false;
+    /** Time since its caller first asked for the unit's first statement, until that has come. */
+    Duration waited{0};
+    /** What was refused, for the case that the caller asks again. */
+    admission::FirstAsking firstAsking;
 };
 
 }  // namespace coralhoist::pooling
--- /dev/null
+++ b/src/pooling/PoolerAdmission.cpp
@@ -0,0 +1,144 @@
+/** Admission: until when a statement is held, whose wait is too long, and when callers return. */
+#include <algorithm>
+#include <array>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "pooling/StatementPooler.h"
+
+namespace coralhoist::pooling {
+namespace {
+
+constexpr std::uint32_t kPercent = 100;
+/** When a refused caller should come back while no forecast is known: after a promotion, or when a
+ * queue has moved on. */
+constexpr std::chrono::milliseconds kComeBackAfterPromotion{500};
+constexpr std::chrono::milliseconds kComeBackAfterOverload{100};
+/** Time that a statement takes at a server of which nothing is known. */
+constexpr Duration kLeastSlotTime = std::chrono::milliseconds(15);
+/** A caller that comes back waits for at least this part of its timeout: it wouldn't have come if
+ * it had given the statement up. */
+constexpr int kReturnsShare = 5;
+/** Timeouts for which a refused statement is taken for the same one when it is asked again. */
+constexpr int kTurnKeptFor = 2;
+/** Obstacles that are no queue: no slot that gets free helps. */
+constexpr std::array<std::string_view, 3> kQueueless{"no_primary", "promotion_settling",
+                                                     "leadership_unproven"};
+
+std::string_view queuelessObstacle(const Operation& operation) {
+    const auto found = std::find(kQueueless.begin(), kQueueless.end(), operation.lastObstacle);
+    return found == kQueueless.end() ? std::string_view() : *found;
+}
+
+/** @return a number that the same statement under another id has too. */
+std::size_t fingerprint(const Statement& statement) {
+    const std::string shown = std::to_string(static_cast<int>(statement.verb)) + ' ' +
+                              statement.text + ' ' + statement.name + ' ' + statement.argument;
+    return std::hash<std::string>()(shown);
+}
+
+}  // namespace
+
+/** Sets the times of a statement that has come: a return counts from its first arrival. */
+void StatementPooler::setTimes(PooledSession& session) {
+    Operation& operation = *session.operation;
+    const TimePoint now = operation.arrivedAt;
+    const Duration timeout = session.settings.statementTimeout;
+    const Duration waited = std::exchange(session.waited, Duration(0));
+    const std::optional<TimePoint> first =
+        session.firstAsking.of(fingerprint(operation.statement), now);
+    operation.firstAskedAt = first.value_or(now - waited);
+    operation.deadline = operation.firstAskedAt + timeout;
+    if (first) {
+        ++_statistics.returnsInTurn;
+        operation.deadline = std::max(operation.deadline, now + timeout / kReturnsShare);
+    }
+    const Duration shortened = timeout * (kPercent - std::min(_knobs.holdPercent, kPercent));
+    operation.holdUntil = std::min(latestStart(session), operation.deadline - shortened / kPercent);
+}
+
+/** @return the last moment at which the statement can be sent and still be answered in time. */
+TimePoint StatementPooler::latestStart(const PooledSession& session) {
+    const Duration slotTime =
+        groupOf(session).slotTimes.expected(session.service, unitKindOf(session));
+    return session.operation->deadline - std::max(slotTime, kLeastSlotTime);
+}
+
+/** Remembers what a caller may ask again, or that it has got what it asked for. */
+void StatementPooler::noteAsked(PooledSession& session, const StatementResult& result) {
+    const Operation& operation = *session.operation;
+    if (!result.error) {
+        session.firstAsking.noteSucceeded();
+    } else if (result.error->fault == StatementFault::Busy) {
+        session.firstAsking.noteRefused(fingerprint(operation.statement), operation.firstAskedAt,
+                                        session.settings.statementTimeout * kTurnKeptFor);
+    }
+}
+
+admission::Flow StatementPooler::flowOf(const PooledSession& session) {
+    return {session.service, static_cast<std::uint32_t>(unitKindOf(session))};
+}
+
+TimePoint StatementPooler::onTimeUntil(const PooledSession& session) const {
+    return session.operation->firstAskedAt +
+           std::chrono::duration_cast<Duration>(session.settings.latencyObjective *
+                                                _knobs.onTimeShare);
+}
+
+void StatementPooler::noteStarted(GroupState& group, const PooledSession& session) {
+    if (session.operation->unit) {
+        return;
+    }
+    const bool late = _clock.now() >= onTimeUntil(session);
+    group.admission.noteStart(flowOf(session),
+                              late ? admission::Lane::Late : admission::Lane::OnTime);
+}
+
+/** Refuses those of the group's waiting statements that are not expected to start in time. */
+void StatementPooler::reviewWaits(GroupState& group) {
+    const TimePoint now = _clock.now();
+    if (group.waiting.empty() || !group.admission.isDue(now)) {
+        return;
+    }
+    std::vector<admission::Applicant> applicants;
+    for (const SessionId id : group.waiting.order(now)) {
+        const PooledSession* session = findSession(id);
+        if (session != nullptr && isQueued(*session)) {
+            applicants.push_back({id, flowOf(*session), onTimeUntil(*session),
+                                  latestStart(*session), queuelessObstacle(*session->operation)});
+        }
+    }
+    for (const admission::ForecastRefusal& refusal : group.admission.look(now, applicants)) {
+        PooledSession& session = _sessions.at(refusal.session);
+        group.waiting.remove(refusal.session);
+        session.operation->forecast = refusal.forecast;
+        ++_statistics.refusedByForecast;
+        refuseQueued(session, refusal.retryAfter);
+    }
+}
+
+/** The statement was not sent: the caller is told when a repetition has a chance. */
+void StatementPooler::refuseAsBusy(PooledSession& session) {
+    GroupState& group = groupOf(session);
+    const bool leaderless =
+        !group.leadership.primary() || group.leadership.notice().phase != PromotionPhase::None;
+    const auto pause = leaderless ? kComeBackAfterPromotion : kComeBackAfterOverload;
+    const TimePoint now = _clock.now();
+    const bool queued = queuelessObstacle(*session.operation).empty() && !leaderless;
+    session.operation->forecast = group.admission.waitOfNext(flowOf(session));
+    group.waiting.remove(session.id);
+    refuseQueued(session, queued ? group.admission.turnAfter(now, flowOf(session),
+                                                             session.operation->forecast)
+                                 : pause);
+}
+
+void StatementPooler::refuseQueued(PooledSession& session, Duration retryAfter) {
+    if (session.transaction.phase != TransactionPhase::None) {
+        failTransaction(session);
+    }
+    replyError(session, notRun(session.operation->lastObstacle, retryAfter));
+}
+
+}  // namespace coralhoist::pooling
--- a/src/pooling/PoolerForwarding.cpp
+++ b/src/pooling/PoolerForwarding.cpp
@@ -81,8 +81,12 @@
     opening.group = session.group;
     opening.tenant = session.tenant;
     opening.settings = session.settings;
-    const Duration remaining = session.operation->deadline - _clock.now() - _knobs.forwardingMargin;
-    opening.settings.statementTimeout = std::max(remaining, _knobs.forwardingMargin);
+    const Operation& operation = *session.operation;
+    const Duration remaining = operation.deadline - _clock.now() - _knobs.forwardingMargin;
+    opening.waited = _clock.now() - operation.firstAskedAt;
+    // The executing node counts the timeout from the first asking too.
+    opening.settings.statementTimeout =
+        opening.waited + std::max(remaining, _knobs.forwardingMargin);
     opening.ownFloor = session.ownFloor;
     if (session.transaction.phase == TransactionPhase::Unstarted) {
         opening.begin = session.transaction.begin;
@@ -175,6 +179,7 @@
     session.tenant = opening.tenant;
     session.settings = opening.settings;
     session.ownFloor = opening.ownFloor;
+    session.waited = opening.waited;
     session.activeAt = _clock.now();
     session.forwarded = true;
     if (opening.begin) {
--- a/src/pooling/PoolerKnobs.h
+++ b/src/pooling/PoolerKnobs.h
@@ -82,8 +82,9 @@
      * while the server lacks what it is asked for. */
     Duration laggingPause = std::chrono::milliseconds(60);
     Duration longestLaggingPause = std::chrono::milliseconds(480);
-    /** Share of the statement timeout for which an unsent statement is held, in percent. */
-    std::uint32_t holdPercent = 70;
+    /** Share of the statement timeout for which an unsent statement is held at most, in percent:
+     * less than 100 leaves callers time for something else. */
+    std::uint32_t holdPercent = 100;
     /** Abandoned statements are waited for this long before their connection is closed. */
     Duration abandonedFor = std::chrono::milliseconds(600);
     /** Most prepared names on one server connection before it is reset. */
--- a/src/pooling/PoolerQueue.cpp
+++ b/src/pooling/PoolerQueue.cpp
@@ -29,7 +29,7 @@
     admission::WaitingStatement waiting;
     waiting.session = session.id;
     waiting.rank = session.settings.admissionRank();
-    waiting.arrivedAt = session.operation->arrivedAt;
+    waiting.arrivedAt = session.operation->firstAskedAt;
     waiting.onTimeFor = std::chrono::duration_cast<Duration>(session.settings.latencyObjective *
                                                              _knobs.onTimeShare);
     if (_knobs.orderBySlotTime > 0) {
@@ -41,10 +41,14 @@
 void StatementPooler::dispatch(GroupState& group) {
     for (const SessionId id : group.waiting.order(_clock.now())) {
         PooledSession* session = findSession(id);
-        if (session == nullptr || !isQueued(*session) || place(group, *session)) {
+        if (session == nullptr || !isQueued(*session)) {
             group.waiting.remove(id);
+        } else if (place(group, *session)) {
+            group.waiting.remove(id);
+            noteStarted(group, *session);
         }
     }
+    reviewWaits(group);
 }
 
 UnitKind StatementPooler::unitKindOf(const PooledSession& session) {
--- a/src/pooling/PoolerResults.cpp
+++ b/src/pooling/PoolerResults.cpp
@@ -324,9 +324,6 @@
     operation.lastObstacle = obstacle;
     operation.phase = OperationPhase::Queued;
     if (now >= operation.holdUntil || operation.attempts >= kMaximumAttempts) {
-        if (session.transaction.phase != TransactionPhase::None) {
-            failTransaction(session);
-        }
         refuseAsBusy(session);
         return;
     }
--- a/src/pooling/PoolerStatements.cpp
+++ b/src/pooling/PoolerStatements.cpp
@@ -5,15 +5,6 @@
 #include "pooling/StatementPooler.h"
 
 namespace coralhoist::pooling {
-namespace {
-
-constexpr std::uint32_t kPercent = 100;
-/** When a refused caller should come back: after a promotion, or when a queue has moved on. */
-constexpr std::chrono::milliseconds kComeBackAfterPromotion{500};
-constexpr std::chrono::milliseconds kComeBackAfterOverload{100};
-
-}  // namespace
-
 void StatementPooler::submit(SessionId id, Statement statement) {
     PooledSession* session = findSession(id);
     if (session == nullptr || session->operation) {
@@ -207,16 +198,14 @@
         return;
     }
     const TimePoint now = _clock.now();
-    const Duration timeout = session.settings.statementTimeout;
     Operation operation;
     operation.statement = std::move(statement);
     operation.writes = isWrite(session, operation.statement);
     operation.arrivedAt = now;
     operation.consistentSince = inTransaction ? session.transaction.arrivedAt : now;
-    operation.deadline = now + timeout;
-    operation.holdUntil = now + timeout * _knobs.holdPercent / kPercent;
     operation.serial = ++_lastSerial;
     session.operation = std::move(operation);
+    setTimes(session);
     if (session.transaction.unit) {
         forwardInTransaction(session);
         return;
@@ -260,15 +249,6 @@
     queueReply(session, std::move(result));
 }
 
-/** The statement was not sent: the caller is told when a repetition has a chance. */
-void StatementPooler::refuseAsBusy(PooledSession& session) {
-    const GroupState& group = groupOf(session);
-    const bool leaderless =
-        !group.leadership.primary() || group.leadership.notice().phase != PromotionPhase::None;
-    const auto pause = leaderless ? kComeBackAfterPromotion : kComeBackAfterOverload;
-    replyError(session, notRun(session.operation->lastObstacle, pause));
-}
-
 void StatementPooler::queueReply(const PooledSession& session, StatementResult result) {
     result.state = stateOf(session);
     _replies.push_back({session.id, std::move(result)});
@@ -276,6 +256,7 @@
 
 void StatementPooler::finishOperation(PooledSession& session, StatementResult result) {
     const TimePoint now = _clock.now();
+    noteAsked(session, result);
     if (result.error) {
         const StatementFault fault = result.error->fault;
         ++_statistics.failedByFault[static_cast<std::size_t>(fault)];
--- a/src/pooling/PoolerStatistics.h
+++ b/src/pooling/PoolerStatistics.h
@@ -45,6 +45,10 @@
     std::array<std::uint64_t, kStatementFaults> failedByFault{};
     std::uint64_t retries = 0;
     std::uint64_t hedges = 0;
+    /** Statements refused because they were not expected to start in time. */
+    std::uint64_t refusedByForecast = 0;
+    /** Statements asked again after a refusal, which count from their first arrival. */
+    std::uint64_t returnsInTurn = 0;
     std::uint64_t lagging = 0;
     std::uint64_t connectionsOpened = 0;
     /** Idle connections closed so that one of another tenant could be opened. */
--- a/src/pooling/PoolerTimers.cpp
+++ b/src/pooling/PoolerTimers.cpp
@@ -78,9 +78,6 @@
         markDirty(session.group);
         return;
     }
-    if (session.transaction.phase != TransactionPhase::None) {
-        failTransaction(session);
-    }
     refuseAsBusy(session);
 }
 
--- a/src/pooling/StatementPooler.cpp
+++ b/src/pooling/StatementPooler.cpp
@@ -179,6 +179,7 @@
         connection = session->operation->connection;
     }
     endUnit(session->operation ? session->operation->unit : session->transaction.unit);
+    _groups[session->group].waiting.remove(id);
     _openTransactions.erase(id);
     _sessions.erase(id);
     ServerConnection* used = connection ? findConnection(*connection) : nullptr;
@@ -321,6 +322,8 @@
         .field("server", operation.server)
         .field("attempts", operation.attempts)
         .field("age_ms", milliseconds(now - operation.arrivedAt))
+        .field("asked_ms", milliseconds(now - operation.firstAskedAt))
+        .field("forecast_ms", milliseconds(operation.forecast))
         .field("primary", primary ? primary->server.value() : std::string("none"))
         .field("term", group.leadership.newestTerm())
         .field("settings_version", _catalog->version);
--- a/src/pooling/StatementPooler.h
+++ b/src/pooling/StatementPooler.h
@@ -14,6 +14,7 @@
 #include <unordered_set>
 #include <vector>
 
+#include "admission/AdmissionPolicy.h"
 #include "admission/WaitingQueue.h"
 #include "base/Time.h"
 #include "pooling/ExecutorPlacement.h"
@@ -198,6 +199,7 @@
         TenantActivity activity;
         std::map<ServerName, ServerState> servers;
         admission::WaitingQueue waiting;
+        admission::AdmissionPolicy admission;
         bool dirty = false;
         /** Latency of a server above which less is sent to it. */
         Duration latencyTarget = std::chrono::milliseconds(100);
@@ -238,7 +240,6 @@
     void replyCompleted(const PooledSession& session);
     void replyError(PooledSession& session, StatementFault fault, std::string message);
     void replyError(PooledSession& session, StatementError error);
-    void refuseAsBusy(PooledSession& session);
     void queueReply(const PooledSession& session, StatementResult result);
     void finishOperation(PooledSession& session, StatementResult result);
     SessionState stateOf(const PooledSession& session) const;
@@ -258,6 +259,17 @@
     const char* obstacleHere(const GroupState& group, const Operation& operation) const;
     bool moveToOther(const GroupState& group, PooledSession& session);
 
+    // PoolerAdmission.cpp: until when a statement is held, and when its caller returns.
+    void setTimes(PooledSession& session);
+    TimePoint latestStart(const PooledSession& session);
+    static void noteAsked(PooledSession& session, const StatementResult& result);
+    static admission::Flow flowOf(const PooledSession& session);
+    TimePoint onTimeUntil(const PooledSession& session) const;
+    void noteStarted(GroupState& group, const PooledSession& session);
+    void reviewWaits(GroupState& group);
+    void refuseAsBusy(PooledSession& session);
+    void refuseQueued(PooledSession& session, Duration retryAfter);
+
     // PoolerDispatch.cpp: choice of server and connection.
     ServerState* chooseServer(GroupState& group, const PooledSession& session,
                               const Requirement& requirement);
--- a/src/program/PoolerKeys.cpp
+++ b/src/program/PoolerKeys.cpp
@@ -93,7 +93,7 @@
               "1: statements that take less of a server's time go first; 0: in order of arrival",
               &PoolerKnobs::orderBySlotTime),
         count("pool.hold_percent", 0,
-              "an unsent statement is refused after this part of the statement timeout",
+              "an unsent statement is held for this part of the statement timeout at most",
               &PoolerKnobs::holdPercent),
         count("pool.urgent_headroom", 0, "statements in flight above the limit for urgent ones",
               &PoolerKnobs::urgentHeadroom),
