--- a/src/admission/AdmissionPolicy.cpp
+++ b/src/admission/AdmissionPolicy.cpp
@@ -8,6 +8,10 @@
 /** Time between two looks: a refusal this much later is still one at once for a caller, and a look
  * costs as much as a choice of server for all that wait. */
 constexpr Duration kLookEvery = std::chrono::milliseconds(10);
+/** A wait is taken for too long when it is so many times the time left. Forecasts are wrong by as
+ * much, and a caller refused wrongly leaves after its second return, long before its time is over;
+ * one held wrongly loses nothing but the time itself. */
+constexpr int kDoubt = 2;
 /** Least time after which a caller is asked back: what a statement takes at a fast server. */
 constexpr Duration kLeastTurn = std::chrono::milliseconds(20);
 /** Turns are spread over no more than this: beyond it callers have left. */
@@ -46,7 +50,7 @@
         const std::optional<Duration> wait =
             queued ? _forecast.waitOf(applicant.flow, counted, applicant.onTimeUntil - now)
                    : waitBehindObstacle(applicant, now);
-        if (wait && *wait > Duration(0) && now + *wait > applicant.latestStart) {
+        if (wait && *wait > Duration(0) && now + *wait / kDoubt > applicant.latestStart) {
             refusals.push_back({applicant.session, *wait, turnAfter(now, applicant.flow, *wait)});
             continue;
         }
