--- a/src/admission/WaitForecast.cpp
+++ b/src/admission/WaitForecast.cpp
@@ -9,6 +9,9 @@
 /** Time over which an observation fades to a third: as long as common timeouts, so that it can
  * tell of a wait that long, and no longer than a burst. */
 constexpr Duration kFading = std::chrono::seconds(2);
+/** Starts assumed beside those seen: as many as may fail to be seen by chance, so that a lane in
+ * which nothing has started yet is not taken for one that stands still. */
+constexpr double kAssumedStarts = 3;
 /** Between two looks further apart than this nobody has waited all the time. */
 constexpr Duration kLongestGap = std::chrono::milliseconds(150);
 /** What was watched for less tells nothing and is forgotten. */
@@ -64,7 +67,8 @@
         return Duration(0);
     }
     const Observation& observation = found->second;
-    return std::chrono::duration_cast<Duration>(observation.watched / (observation.starts + 1));
+    return std::chrono::duration_cast<Duration>(observation.watched /
+                                                (observation.starts + kAssumedStarts));
 }
 
 Duration WaitForecast::waitOf(const Flow& flow, const LaneCounts& ahead,
--- a/src/admission/WaitForecast.h
+++ b/src/admission/WaitForecast.h
@@ -39,9 +39,8 @@
  * lag serve nobody. All of that shows in the pace at which statements of one flow and lane are
  * started while others of them wait, so the forecast is that pace times the number ahead.
  *
- * One start more than were seen is assumed: a pace is then never taken for slower than it was
- * watched for, without an observation the forecast is zero, and a lane that gets no slot has to be
- * watched for as long as the wait that is inferred from it.
+ * A few starts more than were seen are assumed: without an observation the forecast is zero, and a
+ * lane that gets no slot has to be watched for a while before anything is inferred from it.
  */
 class WaitForecast {
 public:
--- /dev/null
+++ b/tests/admission/AdmissionPolicyTest.cpp
@@ -0,0 +1,137 @@
+#include <CppUTest/TestHarness.h>
+
+#include "admission/AdmissionPolicy.h"
+#include "tests/support/ManualClock.h"
+
+namespace coralhoist::admission {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kLook = milliseconds(10);
+constexpr Duration kObjective = milliseconds(100);
+
+const Flow kReads{ServiceName("reads"), 0};
+
+}  // namespace
+
+TEST_GROUP(AdmissionPolicy) {
+    testing::ManualClock clock;
+    AdmissionPolicy policy;
+
+    /** @return a late statement with this time left. */
+    Applicant late(std::uint64_t session, Duration timeLeft) const {
+        return {SessionId(session), kReads, clock.now(), clock.now() + timeLeft, {}};
+    }
+    Applicant hindered(std::uint64_t session, Duration timeLeft) const {
+        return {SessionId(session), kReads, clock.now() + kObjective, clock.now() + timeLeft,
+                "no_primary"};
+    }
+    std::vector<Applicant> manyLate(std::size_t count, Duration timeLeft) const {
+        std::vector<Applicant> applicants;
+        for (std::size_t index = 0; index < count; ++index) {
+            applicants.push_back(late(index + 1, timeLeft));
+        }
+        return applicants;
+    }
+    /** So many wait for this time with endless patience, of which one starts at each look. */
+    void watch(Duration span, std::size_t waiting, bool starting = true) {
+        for (Duration watched(0); watched < span; watched += kLook) {
+            CHECK_TRUE(policy.look(clock.now(), manyLate(waiting, std::chrono::hours(1))).empty());
+            if (starting) {
+                policy.noteStart(kReads, Lane::Late);
+            }
+            clock.advance(kLook);
+        }
+    }
+    /** A primary is missing for this time, and things run well for as long. */
+    void loseThePrimary(Duration span) {
+        for (Duration lost(0); lost < span; lost += kLook) {
+            policy.look(clock.now(), {hindered(1, std::chrono::hours(1))});
+            clock.advance(kLook);
+        }
+        clock.advance(std::chrono::seconds(1));
+        policy.look(clock.now(), {});
+    }
+};
+
+TEST(AdmissionPolicy, WithoutAnObservationNothingIsRefused) {
+    CHECK_TRUE(policy.look(clock.now(), manyLate(500, milliseconds(1))).empty());
+}
+
+TEST(AdmissionPolicy, WhatWillStartInTimeWaits) {
+    watch(milliseconds(1000), 20);
+    CHECK_TRUE(policy.look(clock.now(), manyLate(20, milliseconds(250))).empty());
+}
+
+TEST(AdmissionPolicy, WhatWillNotStartInTimeIsRefusedAtOnceWithItsForecast) {
+    watch(milliseconds(1000), 100);
+    const std::vector<ForecastRefusal> refusals =
+        policy.look(clock.now(), manyLate(100, milliseconds(250)));
+    CHECK_FALSE(refusals.empty());
+    // Those ahead start, one each 10 ms, and wait.
+    CHECK_TRUE(refusals.front().session > SessionId(25));
+    CHECK_TRUE(refusals.front().forecast > milliseconds(250));
+    CHECK_TRUE(refusals.front().retryAfter >= refusals.front().forecast);
+}
+
+TEST(AdmissionPolicy, AForecastWrongByAFactorOfTwoRefusesNobodyWhoWouldHaveBeenServed) {
+    watch(milliseconds(1000), 100);
+    // From here on two start where one did.
+    const std::vector<ForecastRefusal> refusals =
+        policy.look(clock.now(), manyLate(100, milliseconds(250)));
+    CHECK_TRUE(refusals.front().session > SessionId(50));
+}
+
+TEST(AdmissionPolicy, ALaneThatGetsNothingIsWatchedBeforeAnythingIsInferred) {
+    watch(milliseconds(100), 1, false);
+    CHECK_TRUE(policy.look(clock.now(), manyLate(1, milliseconds(600))).empty());
+    watch(milliseconds(3000), 20, false);
+    CHECK_FALSE(policy.look(clock.now(), manyLate(20, milliseconds(600))).empty());
+}
+
+TEST(AdmissionPolicy, AnObservationExpires) {
+    watch(milliseconds(3000), 20, false);
+    clock.advance(std::chrono::seconds(20));
+    CHECK_TRUE(policy.look(clock.now(), manyLate(100, milliseconds(250))).empty());
+}
+
+TEST(AdmissionPolicy, TurnsFollowEachOtherAtThePaceOfStartsWithinABound) {
+    watch(milliseconds(1000), 100);
+    const std::vector<ForecastRefusal> refusals =
+        policy.look(clock.now(), manyLate(100, milliseconds(100)));
+    CHECK_TRUE(refusals.size() > 10);
+    for (std::size_t index = 1; index < refusals.size(); ++index) {
+        CHECK_TRUE(refusals[index].retryAfter > refusals[index - 1].retryAfter);
+        CHECK_TRUE(refusals[index].retryAfter <=
+                   refusals[index].forecast + std::chrono::seconds(1));
+    }
+}
+
+TEST(AdmissionPolicy, AnObstacleIsNoReasonToRefuseUntilItsUsualTimeIsKnown) {
+    CHECK_TRUE(policy.look(clock.now(), {hindered(1, milliseconds(50))}).empty());
+    loseThePrimary(milliseconds(800));
+    CHECK_TRUE(policy.look(clock.now(), {hindered(1, milliseconds(50))}).empty());
+}
+
+TEST(AdmissionPolicy, AnObstacleThatUsuallyOutlastsTheStatementRefusesItAtOnce) {
+    for (int loss = 0; loss < 3; ++loss) {
+        loseThePrimary(milliseconds(3000));
+    }
+    const std::vector<ForecastRefusal> refusals =
+        policy.look(clock.now(), {hindered(1, milliseconds(500)), hindered(2, milliseconds(5000))});
+    LONGS_EQUAL(1, refusals.size());
+    LONGS_EQUAL(1, refusals[0].session.value());
+    CHECK_TRUE(refusals[0].retryAfter >= milliseconds(2900));
+}
+
+TEST(AdmissionPolicy, AnObstacleThatOutlastsItsUsualTimeTellsNothing) {
+    for (int loss = 0; loss < 3; ++loss) {
+        loseThePrimary(milliseconds(200));
+    }
+    policy.look(clock.now(), {hindered(1, milliseconds(500))});
+    clock.advance(milliseconds(300));
+    CHECK_TRUE(policy.look(clock.now(), {hindered(1, milliseconds(1))}).empty());
+}
+
+}  // namespace coralhoist::admission
