--- a/src/pooling/PoolerAdmission.cpp
+++ b/src/pooling/PoolerAdmission.cpp
@@ -18,9 +18,9 @@
 constexpr std::chrono::milliseconds kComeBackAfterOverload{100};
 /** Time that a statement takes at a server of which nothing is known. */
 constexpr Duration kLeastSlotTime = std::chrono::milliseconds(15);
-/** A caller that comes back waits for at least this part of its timeout: it wouldn't have come if
- * it had given the statement up. */
-constexpr int kReturnsShare = 5;
+/** A caller that comes back near the end of its timeout waits on for this part of it: it wouldn't
+ * have come if it had given the statement up. */
+constexpr int kReturnsShare = 10;
 /** Timeouts for which a refused statement is taken for the same one when it is asked again. */
 constexpr int kTurnKeptFor = 2;
 /** Obstacles that are no queue: no slot that gets free helps. */
@@ -53,7 +53,8 @@
     operation.deadline = operation.firstAskedAt + timeout;
     if (first) {
         ++_statistics.returnsInTurn;
-        operation.deadline = std::max(operation.deadline, now + timeout / kReturnsShare);
+        operation.deadline = std::max(operation.deadline,
+                                      std::min(now, operation.deadline) + timeout / kReturnsShare);
     }
     const Duration shortened = timeout * (kPercent - std::min(_knobs.holdPercent, kPercent));
     operation.holdUntil = std::min(latestStart(session), operation.deadline - shortened / kPercent);
@@ -106,8 +107,10 @@
     for (const SessionId id : group.waiting.order(now)) {
         const PooledSession* session = findSession(id);
         if (session != nullptr && isQueued(*session)) {
-            applicants.push_back({id, flowOf(*session), onTimeUntil(*session),
-                                  latestStart(*session), queuelessObstacle(*session->operation)});
+            const Operation& operation = *session->operation;
+            applicants.push_back(
+                {id, flowOf(*session), onTimeUntil(*session), latestStart(*session),
+                 operation.arrivedAt - operation.firstAskedAt, queuelessObstacle(operation)});
         }
     }
     for (const admission::ForecastRefusal& refusal : group.admission.look(now, applicants)) {
--- /dev/null
+++ b/tests/admission/OverloadTest.cpp
@@ -0,0 +1,295 @@
+/** Plays an overload of one group, order by order, and checks what callers get. */
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+
+#include "admission/AdmissionPolicy.h"
+#include "admission/WaitingQueue.h"
+#include "tests/support/ManualClock.h"
+
+namespace coralhoist::admission {
+namespace {
+
+using std::chrono::milliseconds;
+
+/** A primary alone, while its replicas lag. */
+constexpr int kSlots = 6;
+constexpr Duration kSlotTime = milliseconds(25);
+/** 240 statements a second can be served; 336 come for 4 s, then 120 for 2 s. */
+constexpr Duration kOverload = milliseconds(4000);
+constexpr Duration kPlay = milliseconds(8000);
+constexpr Duration kTimeout = milliseconds(1000);
+constexpr Duration kObjective = milliseconds(200);
+constexpr Duration kOnTime = milliseconds(100);
+/** Callers leave then, whatever they were told, and come back twice at most after this time. */
+constexpr Duration kPatience = milliseconds(1200);
+constexpr Duration kReturn = milliseconds(120);
+constexpr int kReturns = 2;
+const Flow kFlow{ServiceName("orders"), 0};
+
+enum class Order { AsItStands, EarliestDeadline, LastInPastOverload, FirstInFirstOut };
+/** Refused after 70% of the timeout and queued anew; held to the last useful moment; by forecast.
+ */
+enum class Admission { FixedShare, HeldToTheEnd, Forecast };
+
+struct Caller {
+    TimePoint firstAt{};
+    /** When the present attempt came, by which it is queued. */
+    TimePoint arrivedAt{};
+    TimePoint queuedAt{};
+    TimePoint comesAt{};
+    int returns = 0;
+};
+
+struct Outcome {
+    int asked = 0;
+    int inObjective = 0;
+    int served = 0;
+    std::vector<Duration> refusalAges;
+    /** Longest time after the first asking at which one that was never served was refused. */
+    Duration longestRefused{0};
+
+    double share(int count) const { return static_cast<double>(count) / asked; }
+    Duration medianAge() const {
+        if (refusalAges.empty()) {
+            return Duration(0);
+        }
+        std::vector<Duration> ages = refusalAges;
+        std::sort(ages.begin(), ages.end());
+        return ages[ages.size() / 2];
+    }
+};
+
+class Play {
+public:
+    Play(Order order, Admission admission) : _order(order), _admission(admission) {}
+
+    Outcome run() {
+        int sent = 0;
+        while (_elapsed < kPlay) {
+            arrive(sent);
+            comeBack();
+            finish();
+            place();
+            refuse();
+            _clock.advance(milliseconds(1));
+            _elapsed += milliseconds(1);
+        }
+        return _outcome;
+    }
+
+private:
+    /** Three in 9 ms while overloaded, then one in 8 ms for two seconds. */
+    void arrive(int& sent) {
+        const auto elapsed = std::chrono::duration_cast<milliseconds>(_elapsed).count();
+        const auto overload = kOverload / milliseconds(1);
+        const auto due = elapsed < overload
+                             ? elapsed * 336 / 1000
+                             : overload * 336 / 1000 +
+                                   std::min<std::int64_t>(elapsed - overload, 2000) * 120 / 1000;
+        for (; sent < due; ++sent) {
+            const SessionId session(static_cast<std::uint64_t>(sent) + 1);
+            const TimePoint now = _clock.now();
+            _callers[session] = {now, now, now, now, 0};
+            ++_outcome.asked;
+            enqueue(session);
+        }
+    }
+
+    void comeBack() {
+        const TimePoint now = _clock.now();
+        for (auto& [session, caller] : _callers) {
+            if (!_waiting.contains(session) && caller.comesAt > TimePoint{} &&
+                now >= caller.comesAt && caller.returns > 0 && now - caller.firstAt < kPatience) {
+                caller.arrivedAt = now;
+                caller.queuedAt = _admission == Admission::FixedShare ? now : caller.firstAt;
+                caller.comesAt = TimePoint{};
+                enqueue(session);
+            }
+        }
+        std::erase_if(_waiting, [&](const auto& entry) {
+            return now - _callers.at(entry.first).firstAt >= kPatience;
+        });
+    }
+
+    void enqueue(SessionId session) {
+        const Caller& caller = _callers.at(session);
+        _waiting[session] = caller.queuedAt;
+        _queue.add({session, 0, caller.queuedAt, kOnTime, kSlotTime});
+    }
+
+    void finish() {
+        while (!_running.empty() && _running.front().second <= _clock.now()) {
+            const Caller& caller = _callers.at(_running.front().first);
+            _running.pop_front();
+            const Duration took = _clock.now() - caller.firstAt;
+            if (took < kPatience) {
+                ++_outcome.served;
+                _outcome.inObjective += took <= kObjective ? 1 : 0;
+            }
+        }
+    }
+
+    std::vector<SessionId> ordered() const {
+        if (_order == Order::AsItStands) {
+            std::vector<SessionId> order = _queue.order(_clock.now());
+            std::erase_if(order, [&](SessionId id) { return !_waiting.contains(id); });
+            return order;
+        }
+        std::vector<SessionId> order;
+        for (const auto& [session, at] : _waiting) {
+            order.push_back(session);
+        }
+        // One timeout for all: the earliest deadline is that of the earliest arrival, over refusals
+        // in the order of deadlines, and of the attempt in the order of arrival.
+        const auto arrival = [&](SessionId id) {
+            const Caller& caller = _callers.at(id);
+            return _order == Order::EarliestDeadline ? caller.firstAt : caller.arrivedAt;
+        };
+        std::stable_sort(order.begin(), order.end(), [&](SessionId left, SessionId right) {
+            return arrival(left) < arrival(right);
+        });
+        const bool crowded = order.size() > kSlots;
+        if (_order == Order::LastInPastOverload && crowded) {
+            std::reverse(order.begin(), order.end());
+        }
+        return order;
+    }
+
+    void place() {
+        if (_running.size() >= kSlots) {
+            return;
+        }
+        for (const SessionId session : ordered()) {
+            if (_running.size() >= kSlots) {
+                return;
+            }
+            const bool late = _clock.now() >= _callers.at(session).queuedAt + kOnTime;
+            _policy.noteStart(kFlow, late ? Lane::Late : Lane::OnTime);
+            _running.emplace_back(session, _clock.now() + kSlotTime);
+            _waiting.erase(session);
+            _queue.remove(session);
+        }
+    }
+
+    void refuse() {
+        const TimePoint now = _clock.now();
+        if (_admission == Admission::FixedShare) {
+            refuseWhere(
+                [&](const Caller& caller) { return now - caller.arrivedAt >= kTimeout * 7 / 10; });
+            return;
+        }
+        refuseWhere([&](const Caller& caller) { return now >= latestStart(caller); });
+        if (_admission != Admission::Forecast || !_policy.isDue(now)) {
+            return;
+        }
+        std::vector<Applicant> applicants;
+        for (const SessionId session : ordered()) {
+            const Caller& caller = _callers.at(session);
+            applicants.push_back({session,
+                                  kFlow,
+                                  caller.queuedAt + kOnTime,
+                                  latestStart(caller),
+                                  caller.arrivedAt - caller.firstAt,
+                                  {}});
+        }
+        for (const ForecastRefusal& refusal : _policy.look(now, applicants)) {
+            refuseOne(refusal.session);
+        }
+    }
+
+    static TimePoint latestStart(const Caller& caller) {
+        return std::max(caller.firstAt + kTimeout,
+                        std::min(caller.firstAt + kTimeout, caller.arrivedAt) + kTimeout / 10) -
+               kSlotTime;
+    }
+
+    void refuseWhere(const std::function<bool(const Caller&)>& isOver) {
+        std::vector<SessionId> over;
+        for (const auto& [session, at] : _waiting) {
+            if (isOver(_callers.at(session))) {
+                over.push_back(session);
+            }
+        }
+        for (const SessionId session : over) {
+            refuseOne(session);
+        }
+    }
+
+    void refuseOne(SessionId session) {
+        Caller& caller = _callers.at(session);
+        _waiting.erase(session);
+        _queue.remove(session);
+        _outcome.refusalAges.push_back(_clock.now() - caller.arrivedAt);
+        const Duration asked = _clock.now() - caller.firstAt;
+        _outcome.longestRefused = std::max(_outcome.longestRefused, asked);
+        if (caller.returns < kReturns) {
+            ++caller.returns;
+            caller.comesAt = _clock.now() + kReturn;
+        }
+    }
+
+    Order _order;
+    Admission _admission;
+    testing::ManualClock _clock;
+    Duration _elapsed{0};
+    WaitingQueue _queue;
+    AdmissionPolicy _policy;
+    std::map<SessionId, Caller> _callers;
+    std::map<SessionId, TimePoint> _waiting;
+    std::deque<std::pair<SessionId, TimePoint>> _running;
+    Outcome _outcome;
+};
+
+Outcome play(const char* name, Order order, Admission admission) {
+    const Outcome outcome = Play(order, admission).run();
+    std::printf(
+        "\n%-42s in objective %.3f, served %.3f, refusals %zu, median age %lld ms, longest "
+        "%lld ms",
+        name, outcome.share(outcome.inObjective), outcome.share(outcome.served),
+        outcome.refusalAges.size(), static_cast<long long>(outcome.medianAge() / milliseconds(1)),
+        static_cast<long long>(outcome.longestRefused / milliseconds(1)));
+    return outcome;
+}
+
+}  // namespace
+
+TEST_GROUP(Overload){};
+
+TEST(Overload, RefusalsAreEarlyAndCostNobodyAnAnswer) {
+    const Outcome held =
+        play("held to the end, as it stands", Order::AsItStands, Admission::HeldToTheEnd);
+    const Outcome forecast = play("forecast, as it stands", Order::AsItStands, Admission::Forecast);
+    CHECK_TRUE(held.medianAge() > milliseconds(900));
+    CHECK_TRUE(forecast.medianAge() < milliseconds(50));
+    CHECK_TRUE(forecast.share(forecast.inObjective) > held.share(held.inObjective) - 0.01);
+    CHECK_TRUE(forecast.share(forecast.served) > held.share(held.served) - 0.01);
+    CHECK_TRUE(forecast.longestRefused <= kPatience);
+}
+
+/** A return that counts as new takes the place of younger ones and makes them late. */
+TEST(Overload, ReturnsInTurnLeaveMoreInTheirObjective) {
+    const Outcome fixed =
+        play("70% of the timeout, as it stands", Order::AsItStands, Admission::FixedShare);
+    const Outcome forecast = play("forecast, as it stands", Order::AsItStands, Admission::Forecast);
+    CHECK_TRUE(forecast.share(forecast.inObjective) > fixed.share(fixed.inObjective) + 0.1);
+    CHECK_TRUE(forecast.share(forecast.served) > fixed.share(fixed.served) - 0.03);
+}
+
+TEST(Overload, NoOtherOrderLeavesMoreInTheirObjective) {
+    const Outcome standing = play("forecast, as it stands", Order::AsItStands, Admission::Forecast);
+    for (const auto& [name, order] : std::map<const char*, Order>{
+             {"earliest deadline first", Order::EarliestDeadline},
+             {"last in first out past overload", Order::LastInPastOverload},
+             {"first in first out", Order::FirstInFirstOut}}) {
+        const Outcome other = play(name, order, Admission::Forecast);
+        CHECK_TRUE(standing.share(standing.inObjective) > other.share(other.inObjective));
+    }
+}
+
+}  // namespace coralhoist::admission
--- /dev/null
+++ b/tests/pooling/AdmissionTest.cpp
@@ -0,0 +1,138 @@
+/** Until when statements are held, and how returns after a refusal are queued. */
+#include <CppUTest/TestHarness.h>
+
+#include "PoolerFixture.h"
+
+namespace coralhoist::pooling {
+namespace {
+
+using std::chrono::milliseconds;
+
+/** Of the fixture's 800 ms, with the time left that a statement takes. */
+constexpr Duration kHeld = milliseconds(785);
+
+}  // namespace
+
+TEST_GROUP(Admission) {
+    PoolerFixture fixture;
+
+    SessionId read(const char* text = "READ 1") {
+        const SessionId session = fixture.session("current");
+        fixture.submit(session, StatementVerb::Read, text);
+        return session;
+    }
+    /** No read can be served for want of a proof of leadership. */
+    SessionId readInVain() {
+        fixture.advance(milliseconds(600));
+        const SessionId session = read();
+        fixture.advance(kHeld);
+        UNSIGNED_LONGS_EQUAL(1, fixture.replies.size());
+        return session;
+    }
+    /** The session asks; @return the time until it is refused. */
+    Duration heldAgain(SessionId session, const char* text) {
+        const std::size_t before = fixture.replies.size();
+        fixture.submit(session, StatementVerb::Read, text);
+        Duration held(0);
+        while (fixture.replies.size() == before && held < std::chrono::seconds(2)) {
+            fixture.advance(milliseconds(5));
+            held += milliseconds(5);
+        }
+        return held;
+    }
+};
+
+TEST(Admission, AReturnHasWhatIsLeftOfItsTime) {
+    const SessionId session = readInVain();
+    fixture.advance(milliseconds(10));
+    // Until 10% beyond the timeout, with the time left that a statement takes.
+    CHECK_TRUE(heldAgain(session, "READ 1") <= milliseconds(70));
+    UNSIGNED_LONGS_EQUAL(1, fixture.pooler.statistics().returnsInTurn);
+}
+
+TEST(Admission, AnotherStatementIsNoReturn) {
+    const SessionId session = readInVain();
+    CHECK_TRUE(heldAgain(session, "READ 2") >= kHeld);
+    UNSIGNED_LONGS_EQUAL(0, fixture.pooler.statistics().returnsInTurn);
+}
+
+TEST(Admission, ATurnExpires) {
+    const SessionId session = readInVain();
+    fixture.advance(milliseconds(900));
+    CHECK_TRUE(heldAgain(session, "READ 1") >= kHeld);
+}
+
+TEST(Admission, ASuccessEndsTheTurn) {
+    const SessionId session = readInVain();
+    fixture.pooler.confirmLeadership(fixture.group, fixture.clock.now());
+    fixture.submit(session, StatementVerb::Read, "READ 1");
+    fixture.succeed();
+    fixture.advance(milliseconds(600));
+    CHECK_TRUE(heldAgain(session, "READ 1") >= kHeld);
+}
+
+TEST(Admission, AUnitCountsFromTheFirstAskingAtTheNodeThatForwards) {
+    fixture.advance(milliseconds(600));
+    UnitOpening opening;
+    opening.service = ServiceName("current");
+    opening.group = fixture.group;
+    opening.settings.statementTimeout = milliseconds(800);
+    opening.settings.latencyObjective = milliseconds(200);
+    opening.waited = milliseconds(400);
+    const SessionId unit = fixture.pooler.openUnit(opening);
+    UnitStatement statement;
+    statement.statement.verb = StatementVerb::Read;
+    statement.statement.text = "READ 1";
+    fixture.pooler.submitUnit(unit, statement);
+    fixture.advance(milliseconds(380));
+    UNSIGNED_LONGS_EQUAL(0, fixture.replies.size());
+    fixture.advance(milliseconds(5));
+    UNSIGNED_LONGS_EQUAL(1, fixture.replies.size());
+}
+
+TEST(Admission, ACallerThatLeftLeavesTheQueueAtOnce) {
+    std::vector<SessionId> sessions;
+    for (int index = 0; index < 8; ++index) {
+        sessions.push_back(read());
+    }
+    fixture.openConnections();
+    const std::size_t running = fixture.pendingCount();
+    CHECK_TRUE(running < sessions.size());
+    for (const SessionId session : sessions) {
+        fixture.pooler.endSession(session);
+    }
+    while (fixture.pendingCount() > 0) {
+        fixture.succeed();
+    }
+    fixture.advance(milliseconds(100));
+    UNSIGNED_LONGS_EQUAL(0, fixture.pendingCount());
+    UNSIGNED_LONGS_EQUAL(0, fixture.replies.size());
+}
+
+TEST(Admission, WhatAServerThatStandsStillWillNotServeIsRefusedBeforeItsTimeIsOver) {
+    for (int index = 0; index < 60; ++index) {
+        fixture.submit(fixture.session("current"), StatementVerb::Write, "WRITE 1 a");
+    }
+    fixture.openConnections();
+    for (int round = 0; round < 40; ++round) {
+        fixture.advance(milliseconds(10));
+    }
+    CHECK_TRUE(fixture.pooler.statistics().refusedByForecast > 0);
+    CHECK_FALSE(fixture.replies.empty());
+    for (const RecordedReply& reply : fixture.replies) {
+        CHECK_TRUE(reply.result.error->fault == StatementFault::Busy);
+        CHECK_TRUE(reply.result.error->retryAfter > milliseconds(300));
+    }
+}
+
+TEST(Admission, WithoutWaitingNothingIsRefusedByForecast) {
+    for (int index = 0; index < 60; ++index) {
+        fixture.submit(fixture.session("current"), StatementVerb::Write, "WRITE 1 a");
+    }
+    fixture.openConnections();
+    fixture.advance(milliseconds(10));
+    UNSIGNED_LONGS_EQUAL(0, fixture.pooler.statistics().refusedByForecast);
+    UNSIGNED_LONGS_EQUAL(0, fixture.replies.size());
+}
+
+}  // namespace coralhoist::pooling
--- a/tests/pooling/ForwardingTest.cpp
+++ b/tests/pooling/ForwardingTest.cpp
@@ -105,6 +105,30 @@
     STRCMP_EQUAL("sig", fixture.replies.back().result.signature.c_str());
 }
 
+TEST(Forwarding, AReturnTellsTheExecutorSinceWhenItIsAskedFor) {
+    const SessionId session = fixture.session("bounded");
+    fixture.submit(session, StatementVerb::Read, "READ 1");
+    CHECK_TRUE(forwarder.sent.back().opening->waited == Duration(0));
+    fixture.advance(milliseconds(100));
+    answer(failure(StatementFault::Busy, SessionState::Idle));
+    fixture.advance(milliseconds(120));
+    fixture.submit(session, StatementVerb::Read, "READ 1");
+    CHECK_TRUE(forwarder.sent.back().opening->waited == milliseconds(220));
+}
+
+TEST(Forwarding, ATurnGoesOnElsewhereWhenItsExecutorIsLost) {
+    const SessionId session = fixture.session("bounded");
+    fixture.submit(session, StatementVerb::Read, "READ 1");
+    answer(failure(StatementFault::Busy, SessionState::Idle));
+    fixture.advance(milliseconds(120));
+    fixture.submit(session, StatementVerb::Read, "READ 1");
+    const NodeName first = forwarder.sent.back().node;
+    fixture.advance(milliseconds(30));
+    lose(UnitLoss::NotTaken);
+    CHECK_FALSE(forwarder.sent.back().node == first);
+    CHECK_TRUE(forwarder.sent.back().opening->waited == milliseconds(150));
+}
+
 TEST(Forwarding, TheFloorOfOwnCommitsComesBackAndTravelsOn) {
     const SessionId session = fixture.session("own");
     fixture.submit(session, StatementVerb::Write, "WRITE 1 a");
