--- a/src/admission/WaitForecast.h
+++ b/src/admission/WaitForecast.h
@@ -18,6 +18,7 @@
     /** Number of the kind: what it needs of servers and how long it takes there. */
     std::uint32_t kind = 0;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): the linter takes the generated comparison for a null.
     auto operator<=>(const Flow&) const = default;
 };
 
--- a/tests/admission/OverloadTest.cpp
+++ b/tests/admission/OverloadTest.cpp
@@ -247,7 +247,7 @@
 };
 
 Outcome play(const char* name, Order order, Admission admission) {
-    const Outcome outcome = Play(order, admission).run();
+    Outcome outcome = Play(order, admission).run();
     std::printf(
         "\n%-42s in objective %.3f, served %.3f, refusals %zu, median age %lld ms, longest "
         "%lld ms",
--- a/tests/pooling/AdmissionTest.cpp
+++ b/tests/pooling/AdmissionTest.cpp
@@ -92,6 +92,7 @@
 
 TEST(Admission, ACallerThatLeftLeavesTheQueueAtOnce) {
     std::vector<SessionId> sessions;
+    sessions.reserve(8);
     for (int index = 0; index < 8; ++index) {
         sessions.push_back(read());
     }
