--- a/src/pooling/PooledSession.h
+++ b/src/pooling/PooledSession.h
@@ -70,6 +70,9 @@
     TimePoint consistentSince{};
     /** When its caller first asked for it, over refusals and nodes; not after arrivedAt. */
     TimePoint firstAskedAt{};
+    /** An answer to it is expected to reach its caller until then. */
+    TimePoint usefulUntil{};
+    /** The answer to a statement that was sent is waited for until then. */
     TimePoint deadline{};
     /** Refused as not run when it has not been sent by then. */
     TimePoint holdUntil{};
--- a/src/pooling/PoolerAdmission.cpp
+++ b/src/pooling/PoolerAdmission.cpp
@@ -50,21 +50,23 @@
     const std::optional<TimePoint> first =
         session.firstAsking.of(fingerprint(operation.statement), now);
     operation.firstAskedAt = first.value_or(now - waited);
-    operation.deadline = operation.firstAskedAt + timeout;
-    if (first) {
-        ++_statistics.returnsInTurn;
-        operation.deadline = std::max(operation.deadline,
-                                      std::min(now, operation.deadline) + timeout / kReturnsShare);
+    operation.deadline = now + timeout;
+    operation.usefulUntil = operation.firstAskedAt + timeout;
+    if (operation.firstAskedAt < now) {
+        operation.usefulUntil = std::max(
+            operation.usefulUntil, std::min(now, operation.usefulUntil) + timeout / kReturnsShare);
     }
+    _statistics.returnsInTurn += first ? 1 : 0;
     const Duration shortened = timeout * (kPercent - std::min(_knobs.holdPercent, kPercent));
-    operation.holdUntil = std::min(latestStart(session), operation.deadline - shortened / kPercent);
+    operation.holdUntil =
+        std::min(latestStart(session), operation.usefulUntil - shortened / kPercent);
 }
 
 /** @return the last moment at which the statement can be sent and still be answered in time. */
 TimePoint StatementPooler::latestStart(const PooledSession& session) {
     const Duration slotTime =
         groupOf(session).slotTimes.expected(session.service, unitKindOf(session));
-    return session.operation->deadline - std::max(slotTime, kLeastSlotTime);
+    return session.operation->usefulUntil - std::max(slotTime, kLeastSlotTime);
 }
 
 /** Remembers what a caller may ask again, or that it has got what it asked for. */
--- a/src/pooling/PoolerForwarding.cpp
+++ b/src/pooling/PoolerForwarding.cpp
@@ -84,9 +84,7 @@
     const Operation& operation = *session.operation;
     const Duration remaining = operation.deadline - _clock.now() - _knobs.forwardingMargin;
     opening.waited = _clock.now() - operation.firstAskedAt;
-    // The executing node counts the timeout from the first asking too.
-    opening.settings.statementTimeout =
-        opening.waited + std::max(remaining, _knobs.forwardingMargin);
+    opening.settings.statementTimeout = std::max(remaining, _knobs.forwardingMargin);
     opening.ownFloor = session.ownFloor;
     if (session.transaction.phase == TransactionPhase::Unstarted) {
         opening.begin = session.transaction.begin;
