--- a/src/pooling/PoolerQueue.cpp
+++ b/src/pooling/PoolerQueue.cpp
@@ -29,7 +29,7 @@
     admission::WaitingStatement waiting;
     waiting.session = session.id;
     waiting.rank = session.settings.admissionRank();
-    waiting.arrivedAt = session.operation->arrivedAt;
+    waiting.arrivedAt = session.operation->firstAskedAt;
     waiting.onTimeFor = std::chrono::duration_cast<Duration>(session.settings.latencyObjective *
                                                              _knobs.onTimeShare);
     waiting.flow = flowOf(group, session);
@@ -53,9 +53,11 @@
         if (session == nullptr || !isQueued(*session)) {
             group.waiting.remove(id);
         } else if (place(group, *session)) {
+            noteStarted(group, *session);
             hasSlot(*session) ? group.waiting.placed(id) : group.waiting.remove(id);
         }
     }
+    reviewWaits(group);
 }
 
 std::array<std::size_t, settings::kAdmissionRanks> StatementPooler::waitingByRank() const {
--- a/src/pooling/StatementPooler.h
+++ b/src/pooling/StatementPooler.h
@@ -15,14 +15,15 @@
 #include <unordered_set>
 #include <vector>
 
+#include "admission/AdmissionPolicy.h"
 #include "admission/WaitingQueue.h"
 #include "base/Time.h"
 #include "pooling/CapacityShares.h"
 #include "pooling/ExecutorPlacement.h"
 #include "pooling/FreshnessFloors.h"
 #include "pooling/LeadershipTracker.h"
-#include "pooling/OutlierDetector.h"
 #include "pooling/LoadReport.h"
+#include "pooling/OutlierDetector.h"
 #include "pooling/PooledSession.h"
 #include "pooling/PoolerKnobs.h"
 #include "pooling/PoolerStatistics.h"
@@ -218,6 +219,7 @@
         /** The begin of shares is not logged before; whether that of the present ones was. */
         TimePoint nextShareLog{};
         bool sharesLogged = false;
+        admission::AdmissionPolicy admission;
         bool dirty = false;
         /** Latency of a server above which less is sent to it. */
         Duration latencyTarget = std::chrono::milliseconds(100);
@@ -260,7 +262,6 @@
     void replyCompleted(const PooledSession& session);
     void replyError(PooledSession& session, StatementFault fault, std::string message);
     void replyError(PooledSession& session, StatementError error);
-    void refuseAsBusy(PooledSession& session);
     void queueReply(const PooledSession& session, StatementResult result);
     void finishOperation(PooledSession& session, StatementResult result);
     SessionState stateOf(const PooledSession& session) const;
@@ -282,6 +283,17 @@
     const char* obstacleHere(const GroupState& group, const Operation& operation) const;
     bool moveToOther(const GroupState& group, PooledSession& session);
 
+    // PoolerAdmission.cpp: until when a statement is held, and when its caller returns.
+    void setTimes(PooledSession& session);
+    TimePoint latestStart(const PooledSession& session);
+    static void noteAsked(PooledSession& session, const StatementResult& result);
+    static admission::Flow admissionFlow(const PooledSession& session);
+    TimePoint onTimeUntil(const PooledSession& session) const;
+    void noteStarted(GroupState& group, const PooledSession& session);
+    void reviewWaits(GroupState& group);
+    void refuseAsBusy(PooledSession& session);
+    void refuseQueued(PooledSession& session, Duration retryAfter);
+
     // PoolerDispatch.cpp: choice of server and connection.
     ServerState* chooseServer(GroupState& group, PooledSession& session,
                               const Requirement& requirement);
