A tenant beyond its limit runs all that its rate and burst allow

Cause: the pacer spread a tenant's bound over the window and the whole time for which units are usable, as if each were used at its end. In a flood nodes ask for each statement and run it within milliseconds, so the bucket, not the bound, was what refused.

Ruled out by virtual time (78 nodes, no faults, answers after 2 and 30 ms): ledger full (busiest window 984 of a bound of 1,076), units granted and unused (0 a second beyond the limit, 3 to 6 at 0.8 of it), late answers, no leader. At 0.8 of the limit nothing is refused.

--- a/src/tenancy/UnitPacer.cpp
+++ b/src/tenancy/UnitPacer.cpp
@@ -18,6 +18,11 @@
  */
 constexpr double kSlackAtOnce = 0.5;
 constexpr double kRateAtOnce = 0.2;
+/** A unit counts from its grant until a window after its use. Nodes that ask for each statement run
+ * it within a few milliseconds of its grant; what counts for longer is found by the ledger. With
+ * the whole time for which units are usable in its place, a tenant beyond its limit ran 0.94 of
+ * what its rate and burst allow (78 simulated nodes). */
+constexpr Duration kUsedAfter = std::chrono::milliseconds(100);
 /** Tokens a second at least, for quotas of 0. */
 constexpr double kLeastRate = 1e-3;
 
@@ -29,7 +34,7 @@
         quota.burst * kBurstAtOnce + quota.ratePerSecond * kRateAtOnce + terms.slack * kSlackAtOnce;
     const double capacity = std::max(1.0, atOnce);
     const double rest = terms.bound(quota) - capacity;
-    _rate = std::max(rest / Seconds(terms.window + terms.lease()).count(), kLeastRate);
+    _rate = std::max(rest / Seconds(terms.window + kUsedAfter).count(), kLeastRate);
     const double filled = Seconds(now - _filledAt).count() * _rate;
     _tokens = std::min(_tokens + filled, capacity);
     _filledAt = now;
