Ranks also where the bound limits; nodes ask again; half of an objective is for waiting

The kept part looked at the bucket alone, nodes believed a time of seconds and did not ask before it, and statements that had waited for three quarters of their objective were late at the server.

Change: what is kept counts within what bound and allowance leave; a node asks again after 100 ms; the longest wait for a turn is half of the objective (0.75 before).

--- a/src/tenancy/QuotaExchange.cpp
+++ b/src/tenancy/QuotaExchange.cpp
@@ -26,6 +26,9 @@
 /** A node that declined is not asked again before: it has just started, is leaving, or can't reach
  * the store. Another one may. */
 constexpr Duration kUnhelpfulFor = milliseconds(500);
+/** Where ranks matter, the leader is asked again after this time, however far away a unit was:
+ * nodes settle their batches early, and more urgent demand may end. */
+constexpr Duration kAskAgainAfter = milliseconds(100);
 /** When a caller should come back while no leader answers. */
 constexpr Duration kRetryWithoutAnswer = milliseconds(300);
 
@@ -239,7 +242,9 @@
     const Duration patience = _ranks.patience[asked.rank];
     account.comeBackAt = now + answer.retryAfter;
     if (patience == Duration(0) || answer.retryAfter > patience) {
-        account.notBefore = account.comeBackAt - patience;
+        const TimePoint inReach = account.comeBackAt - patience;
+        account.notBefore =
+            patience == Duration(0) ? inReach : std::min(inReach, now + kAskAgainAfter);
         return;
     }
     const std::uint32_t granted = std::min(asked.waiting, answer.granted);
--- a/src/tenancy/RankTerms.cpp
+++ b/src/tenancy/RankTerms.cpp
@@ -8,7 +8,7 @@
 
 /** Part of a service's objective that a statement may wait for its turn. The rest is for the slot
  * that it takes, and for the way to a server and back. */
-constexpr double kWaitingShare = 0.75;
+constexpr double kWaitingShare = 0.5;
 /** A service may name an objective beyond its timeout: this part of the timeout is the most. */
 constexpr double kMostOfTimeout = 0.5;
 
--- a/src/tenancy/ShardLeader.cpp
+++ b/src/tenancy/ShardLeader.cpp
@@ -154,6 +154,9 @@
     RankedGrant granted;
     granted.byRank.resize(settings::kAdmissionRanks);
     PacedUnits paced = pacer.paced();
+    // After a loss of the leader the bound leaves less than the bucket: the same order holds then.
+    const std::uint32_t left = std::min(freeUnits(tenant, now), _allowances.left(tenant.name));
+    paced.tokens = std::min<double>(paced.tokens, left);
     for (const RankedWish& asked : wishesOf(question)) {
         const std::uint32_t inTurn = turns.claim(asked.rank, asked.inTurn, now);
         // Who has no turn here, as with a new leader, is a new one.
