Operators see ranks and turns; a unit of now only is asked for once

Cause: a statement that asked for a unit of now only and got none asked again with each answer (a test of the gate failed: one reply where two were due), at the leader's cost.

Change: it is refused with the answer, and its rank asks for such units again after 100 ms at most.

--- a/src/duty/pooling/PoolingMetrics.cpp
+++ b/src/duty/pooling/PoolingMetrics.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <sstream>
+#include <string>
 
 #include "pooling/Statement.h"
 
@@ -41,6 +42,18 @@
     }
 }
 
+/** A counter with a value for each rank that has one. */
+void appendByRank(Page& page, const std::string& name, const char* help,
+                  const tenancy::CountersByRank& counters) {
+    page.head("counter", name.c_str(), help);
+    for (std::size_t rank = 0; rank < counters.size(); ++rank) {
+        if (counters[rank] > 0) {
+            page.text() << "coralhoist_" << name << "{rank=\"" << rank << "\"} " << counters[rank]
+                        << '\n';
+        }
+    }
+}
+
 void appendGate(Page& page, const tenancy::GateStatistics& gate) {
     page.metric("counter", "refused_credential_total",
                 "Requests refused for want of a valid credential.", gate.refusedCredential);
@@ -51,6 +64,14 @@
                 gate.refusedOldSettings);
     page.metric("counter", "quota_waits_total", "Times that a request waited for its quota.",
                 gate.waitedForQuota);
+    appendByRank(page, "refused_quota_by_rank_total",
+                 "Requests beyond their tenant's quota, by rank.", gate.refusedQuotaByRank);
+    appendByRank(page, "quota_turn_waits_total",
+                 "Requests that waited for their turn in their tenant's quota, by rank.",
+                 gate.waitedForTurnByRank);
+    appendByRank(page, "quota_turns_kept_total",
+                 "Requests that waited for their turn and got their unit, by rank.",
+                 gate.turnsKeptByRank);
 }
 
 void appendQuotas(Page& page, const PoolingFigures& figures) {
@@ -69,6 +90,20 @@
                 "Questions that this node handed on to a leader or standby.", quotas.relayed);
     page.metric("counter", "quota_questions_declined_total",
                 "Questions that this node could not have answered.", quotas.declined);
+    appendByRank(page, "quota_units_granted_total",
+                 "Units that this node granted as leader, by rank.", quotas.grantedByRank);
+    appendByRank(page, "quota_units_put_off_total",
+                 "Units that this node put off to a later turn as leader, by rank.",
+                 quotas.putOffByRank);
+    appendByRank(page, "quota_units_turned_away_total",
+                 "Units that this node did not grant as leader and gave no turn, by rank.",
+                 quotas.turnedAwayByRank);
+    appendByRank(page, "quota_turns_claimed_total",
+                 "Units whose turn had come that this node was asked for as leader, by rank.",
+                 quotas.turnsByRank);
+    appendByRank(page, "quota_turns_granted_total",
+                 "Units whose turn had come that this node granted as leader, by rank.",
+                 quotas.turnsKeptByRank);
     page.metric("counter", "quota_led_with_copy_total",
                 "Shards that this node began to lead as their standby.", quotas.ledWithCopy);
     page.metric("counter", "quota_led_without_copy_total",
--- a/src/tenancy/QuotaExchange.cpp
+++ b/src/tenancy/QuotaExchange.cpp
@@ -99,7 +99,7 @@
                         TimePoint now) {
     const std::uint32_t rank = wish.units.rank;
     RankAccount& ranked = account.ranks[rank];
-    const Asked asked{++_lastQuestion, now, rank, wish.waiting};
+    const Asked asked{++_lastQuestion, now, rank, wish.waiting, wish.units.nowOnly};
     ranked.asked = asked;
     if (!ranked.unansweredSince || now - ranked.lastAskedAt >= kSilenceForgotten) {
         ranked.unansweredSince = now;
@@ -241,6 +241,9 @@
                                 TimePoint now) {
     const Duration patience = _ranks.patience[asked.rank];
     account.comeBackAt = now + answer.retryAfter;
+    if (asked.nowOnly > 0) {
+        account.nowNotBefore = std::min(account.comeBackAt, now + kAskAgainAfter);
+    }
     if (patience == Duration(0) || answer.retryAfter > patience) {
         const TimePoint inReach = account.comeBackAt - patience;
         account.notBefore =
@@ -268,16 +271,18 @@
     const Duration span = std::chrono::duration_cast<Duration>(usableFor(account) * kAskedAhead);
     const std::uint32_t ahead = account.scarce ? 0 : account.lease.unitsAhead(span, now);
     const std::uint32_t units = account.lease.units(now);
-    const std::uint32_t lacking = waiting.count - std::min(waiting.count, units);
+    const std::uint32_t nowOnly = now >= ranked.nowNotBefore ? waiting.nowOnly : 0;
+    const std::uint32_t count = waiting.count - (waiting.nowOnly - nowOnly);
+    const std::uint32_t lacking = count - std::min(count, units);
     const auto due = static_cast<std::uint32_t>(
         std::distance(ranked.turns.begin(), ranked.turns.upper_bound(now)));
     const std::uint32_t expected = units + static_cast<std::uint32_t>(ranked.turns.size());
     Wish wish;
     wish.units.rank = waiting.rank;
     wish.units.inTurn = std::min(due, lacking);
-    if (now >= ranked.notBefore && expected < waiting.count + ahead / 2) {
-        const std::uint32_t more = waiting.count + ahead - expected;
-        wish.units.nowOnly = std::min(waiting.nowOnly, more);
+    if (now >= ranked.notBefore && expected < count + ahead / 2) {
+        const std::uint32_t more = count + ahead - expected;
+        wish.units.nowOnly = std::min(nowOnly, more);
         wish.units.fresh = more - wish.units.nowOnly;
     }
     const std::uint32_t mayWait = wish.units.inTurn + wish.units.fresh;
--- a/src/tenancy/QuotaExchange.h
+++ b/src/tenancy/QuotaExchange.h
@@ -104,6 +104,8 @@
         std::uint32_t rank = 0;
         /** Statements that wait for it, or for their turn; other units are asked ahead. */
         std::uint32_t waiting = 0;
+        /** Units of now only that were asked for. */
+        std::uint32_t nowOnly = 0;
     };
     /** Units to ask for, and how many of them are waited for, now or until their turn. */
     struct Wish {
@@ -118,6 +120,8 @@
         TimePoint lastAskedAt{};
         /** No units are to be had: the leader is not asked again before. */
         TimePoint notBefore{};
+        /** The same for units of now only. */
+        TimePoint nowNotBefore{};
         /** When a caller that is refused should come back. */
         TimePoint comeBackAt{};
         /** When units that were put off will be there, one entry for each. */
--- a/tests/duty/PoolingMetricsTest.cpp
+++ b/tests/duty/PoolingMetricsTest.cpp
@@ -32,5 +32,19 @@
     CHECK_TRUE(contains(page, "duration_seconds_count 3\n"));
 }
 
+TEST(PoolingMetrics, ShowsQuotasByRankWhereARankHasACount) {
+    PoolingFigures figures;
+    figures.gate.refusedQuotaByRank[2] = 5;
+    figures.gate.waitedForTurnByRank[0] = 4;
+    figures.gate.turnsKeptByRank[0] = 3;
+    figures.quotas.grantedByRank[1] = 9;
+    const std::string page = renderMetrics(figures);
+    CHECK_TRUE(contains(page, "coralhoist_refused_quota_by_rank_total{rank=\"2\"} 5\n"));
+    CHECK_TRUE(contains(page, "coralhoist_quota_turn_waits_total{rank=\"0\"} 4\n"));
+    CHECK_TRUE(contains(page, "coralhoist_quota_turns_kept_total{rank=\"0\"} 3\n"));
+    CHECK_TRUE(contains(page, "coralhoist_quota_units_granted_total{rank=\"1\"} 9\n"));
+    CHECK_FALSE(contains(page, "coralhoist_quota_units_granted_total{rank=\"0\"}"));
+}
+
 }  // namespace
 }  // namespace coralhoist::duty
--- a/tests/tenancy/TenantGateTest.cpp
+++ b/tests/tenancy/TenantGateTest.cpp
@@ -1,5 +1,7 @@
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
+
 #include "tenancy/TenantGate.h"
 #include "tests/support/ManualClock.h"
 #include "tests/tenancy/InstantShardStore.h"
@@ -32,8 +34,9 @@
 public:
     bool canReach(const NodeName& /*node*/) const override { return true; }
     void askForQuota(const NodeName& /*node*/, std::uint64_t question,
-                     const QuotaQuestion& /*asked*/) override {
+                     const QuotaQuestion& asked) override {
         lastQuestion = question;
+        lastAsked = asked;
     }
     void updateLedger(const NodeName& /*node*/, std::uint64_t /*question*/,
                       const LedgerUpdate& /*update*/) override {}
@@ -41,6 +44,7 @@
     void acknowledgeLedger(std::uint64_t /*asker*/, const LedgerAck& /*ack*/) override {}
 
     std::uint64_t lastQuestion = 0;
+    QuotaQuestion lastAsked;
 };
 
 Tenant tenant(const char* name, const char* credential, double rate = 1000) {
@@ -92,13 +96,57 @@
         statement.verb = verb;
         gate.submit(session, statement);
     }
-    /** Opens a transaction of a tenant for which another node accounts. */
-    void beginWithAccountingNode() {
+    /** Services of two ranks, with objectives of 200 and 1,000 ms; another node accounts. */
+    void defineRanks() {
+        auto catalog = std::make_shared<pooling::ServiceCatalog>();
+        for (const std::uint32_t rank : {0U, 2U}) {
+            settings::ServiceSettings service;
+            service.rank = rank;
+            service.latencyObjective = milliseconds(rank == 0 ? 200 : 1000);
+            catalog->services[ServiceName(rank == 0 ? "urgent" : "patient")] = {GroupName("g"),
+                                                                                service};
+        }
+        pooler.applyCatalog(catalog);
+        define(2, {tenant("a", "key-a")});
+        listAccountingNodes();
+    }
+    /** The leader answers the newest question. */
+    void answer(std::uint32_t granted, Duration retryAfter = {}) {
+        QuotaAnswer answer;
+        answer.granted = granted;
+        answer.batch = {1, links.lastQuestion};
+        answer.retryAfter = retryAfter;
+        answer.scarce = true;
+        answer.leader = NodeName("m1");
+        quotas.onQuotaAnswer(links.lastQuestion, answer);
+    }
+    /** @return units that the newest question wants of a rank: part 0 of those that may wait, 1 of
+     * those in turn, 2 of those of now only. */
+    std::uint32_t wanted(std::size_t part, std::size_t rank) const {
+        return links.lastAsked.wantedByRank.at(part * settings::kAdmissionRanks + rank);
+    }
+    void advance(Duration time) {
+        clock.advance(time);
+        settingsKnownAt = clock.now();
+        if (gate.nextTick() <= clock.now()) {
+            gate.onTick(clock.now());
+        }
+    }
+    std::size_t ran() const {
+        return static_cast<std::size_t>(std::count_if(
+            replies.begin(), replies.end(), [](const auto& reply) { return reply.succeeded(); }));
+    }
+
+    void listAccountingNodes() {
         std::vector<pooling::ProxyNode> nodes;
         for (const char* name : {"m1", "m2", "m3", "m4", "m5", "m6", "m7", "m8"}) {
             nodes.push_back({NodeName(name), ZoneName("z"), "h", 1});
         }
         quotas.applyNodes(nodes);
+    }
+    /** Opens a transaction of a tenant for which another node accounts. */
+    void beginWithAccountingNode() {
+        listAccountingNodes();
         submit(open("key-a"), StatementVerb::Begin);
     }
     StatementFault lastFault() const {
@@ -269,5 +317,115 @@
     CHECK_TRUE(lastFault() == StatementFault::Busy);
 }
 
+TEST(TenantGate, AStatementThatIsPutOffWaitsForItsTurnAndAsksAgainThen) {
+    defineRanks();
+    submit(open("key-a", "urgent"), StatementVerb::Begin);
+    UNSIGNED_LONGS_EQUAL(1, wanted(0, 0));
+    answer(0, milliseconds(80));
+    advance(milliseconds(79));
+    UNSIGNED_LONGS_EQUAL(0, replies.size());
+    UNSIGNED_LONGS_EQUAL(1, links.lastQuestion);
+    advance(milliseconds(1));
+    UNSIGNED_LONGS_EQUAL(1, wanted(1, 0));
+    UNSIGNED_LONGS_EQUAL(0, wanted(0, 0));
+    answer(1);
+    UNSIGNED_LONGS_EQUAL(1, ran());
+    UNSIGNED_LONGS_EQUAL(1, gate.statistics().waitedForTurnByRank[0]);
+    UNSIGNED_LONGS_EQUAL(1, gate.statistics().turnsKeptByRank[0]);
+}
+
+TEST(TenantGate, AStatementWhoseTurnComesTooLateIsRefusedAtOnceWithTheTime) {
+    defineRanks();
+    submit(open("key-a", "urgent"), StatementVerb::Begin);
+    answer(0, milliseconds(101));
+    UNSIGNED_LONGS_EQUAL(1, replies.size());
+    CHECK_TRUE(replies.back().error->retryAfter == milliseconds(101));
+    submit(open("key-a", "patient"), StatementVerb::Begin);
+    answer(0, milliseconds(101));
+    UNSIGNED_LONGS_EQUAL(1, replies.size());
+    UNSIGNED_LONGS_EQUAL(1, gate.statistics().refusedQuotaByRank[0]);
+}
+
+TEST(TenantGate, AStatementThatIsPutOffAnewDoesNotWaitBeyondItsUse) {
+    defineRanks();
+    submit(open("key-a", "urgent"), StatementVerb::Begin);
+    answer(0, milliseconds(90));
+    advance(milliseconds(90));
+    answer(0, milliseconds(90));
+    UNSIGNED_LONGS_EQUAL(1, replies.size());
+    CHECK_TRUE(lastFault() == StatementFault::Busy);
+}
+
+TEST(TenantGate, TheMostUrgentStatementTakesTheUnitThatIsThere) {
+    defineRanks();
+    const SessionId patient = open("key-a", "patient");
+    submit(patient, StatementVerb::Begin);
+    answer(0, milliseconds(300));
+    submit(open("key-a", "urgent"), StatementVerb::Begin);
+    answer(1);
+    UNSIGNED_LONGS_EQUAL(1, ran());
+    CHECK_TRUE(pooler.stateOfSession(patient) == SessionState::Idle);
+}
+
+TEST(TenantGate, ACallerWhoLeavesLeavesTheQueue) {
+    defineRanks();
+    const SessionId first = open("key-a", "patient");
+    submit(first, StatementVerb::Begin);
+    answer(0, milliseconds(300));
+    submit(open("key-a", "patient"), StatementVerb::Begin);
+    answer(0, milliseconds(300));
+    gate.endSession(first);
+    advance(milliseconds(300));
+    UNSIGNED_LONGS_EQUAL(1, links.lastAsked.wanted);
+    answer(1);
+    UNSIGNED_LONGS_EQUAL(1, ran());
+}
+
+TEST(TenantGate, TheFirstArrivalCountsOverReturnsWithTheSameStatement) {
+    defineRanks();
+    const SessionId returning = open("key-a", "patient");
+    submit(returning, StatementVerb::Begin);
+    answer(0, milliseconds(600));
+    UNSIGNED_LONGS_EQUAL(1, replies.size());
+    advance(milliseconds(110));
+    const SessionId younger = open("key-a", "patient");
+    submit(younger, StatementVerb::Begin);
+    submit(returning, StatementVerb::Begin);
+    answer(1, milliseconds(100));
+    CHECK_TRUE(pooler.stateOfSession(returning) == SessionState::InTransaction);
+    CHECK_TRUE(pooler.stateOfSession(younger) == SessionState::Idle);
+}
+
+TEST(TenantGate, WhoWouldBeLateAfterAWaitAsksForAUnitOfNowOnly) {
+    defineRanks();
+    const SessionId session = open("key-a", "urgent");
+    submit(session, StatementVerb::Begin);
+    answer(0, milliseconds(150));
+    advance(milliseconds(100));
+    submit(session, StatementVerb::Begin);
+    UNSIGNED_LONGS_EQUAL(1, wanted(2, 0));
+    UNSIGNED_LONGS_EQUAL(0, wanted(0, 0));
+    answer(0, milliseconds(50));
+    UNSIGNED_LONGS_EQUAL(2, replies.size());
+}
+
+TEST(TenantGate, WithOneRankWhatIsPutOffIsRefusedAtOnce) {
+    beginWithAccountingNode();
+    CHECK_TRUE(links.lastAsked.wantedByRank.empty());
+    answer(0, milliseconds(1));
+    UNSIGNED_LONGS_EQUAL(1, replies.size());
+    CHECK_TRUE(replies.back().error->retryAfter == milliseconds(1));
+}
+
+TEST(TenantGate, AStopRefusesAtOnceWhatWaitsForItsTurn) {
+    defineRanks();
+    submit(open("key-a", "patient"), StatementVerb::Begin);
+    answer(0, milliseconds(300));
+    pooler.finishWork();
+    gate.passOnWaiting();
+    UNSIGNED_LONGS_EQUAL(1, replies.size());
+    CHECK_TRUE(lastFault() == StatementFault::Busy);
+}
+
 }  // namespace
 }  // namespace coralhoist::tenancy
