Turns of flows in steps of 50 ms: flows served alike go shortest first

Cause: with exact virtual starts, tenants with one statement waiting each go in the order of arrival, and the long ones of an overload hold up the short ones. Change: virtual starts are compared in steps of 50 ms of slot time; within a step the shortest goes first. A statement of unknown slot time is charged 20 ms (was 1 ms).

--- a/src/admission/FairShares.cpp
+++ b/src/admission/FairShares.cpp
@@ -6,24 +6,32 @@
 namespace coralhoist::admission {
 namespace {
 
-/** What a statement is charged at least: one whose slot time is not known yet takes a turn too. */
-constexpr Duration kLeastCharge = std::chrono::milliseconds(1);
+/** What a statement is charged while its slot time is not known: that of a usual one. */
+constexpr Duration kUnknownCharge = std::chrono::milliseconds(20);
 
 /** Slot time that a flow which could not be placed has in advance of others at most. More than a
  * long statement takes, and less than would make others late in their turn. */
 constexpr Duration kMostCredit = std::chrono::milliseconds(100);
 
+/** Virtual starts are compared in steps of this: flows whose starts lie in one step were served
+ * alike, and the shortest of their statements goes first, as it does within a flow. Most tenants
+ * have one statement waiting at a time; by the exact start they would go in the order of arrival. A
+ * flood is ahead of others by one step at most. */
+constexpr Duration kAlike = std::chrono::milliseconds(50);
+
 /** Flows that wait for nothing are looked for when so many are known. */
 constexpr std::size_t kManyFlows = 1024;
 
 }  // namespace
 
 bool FairShares::Turn::operator<(const Turn& other) const {
-    return std::tie(other.start, *other.next) < std::tie(start, *next);
+    const std::int64_t ownStep = start / kAlike;
+    const std::int64_t otherStep = other.start / kAlike;
+    return std::tie(otherStep, *other.next) < std::tie(ownStep, *next);
 }
 
 Duration FairShares::chargeOf(Duration slotTime) {
-    return std::max(slotTime, kLeastCharge);
+    return slotTime > Duration(0) ? slotTime : kUnknownCharge;
 }
 
 void FairShares::add(const std::string& flow, const Waiting& waiting) {
--- a/src/admission/FairShares.h
+++ b/src/admission/FairShares.h
@@ -26,10 +26,11 @@
  * Start-time fair queueing by slot time: each flow has a virtual finish, which grows by the slot
  * time of each of its statements that is placed. The flow whose next statement has the earliest
  * virtual start goes first, and within a flow the statement that occupies a slot for the least
- * time. With one flow that is shortest first. Virtual time is the start of what was placed last. A
- * flow that begins to wait starts there at the earliest: having been idle gives no credit. One that
- * waits while others are placed, because its statements need another server, keeps a bounded
- * credit.
+ * time. Starts are compared in steps: of flows that were served alike the shortest goes first too,
+ * since most tenants have one statement waiting at a time. With one flow that is shortest first.
+ * Virtual time is the start of what was placed last. A flow that begins to wait starts there at the
+ * earliest: having been idle gives no credit. One that waits while others are placed, because its
+ * statements need another server, keeps a bounded credit.
  */
 class FairShares {
 public:
@@ -44,8 +45,7 @@
         auto operator<=>(const Waiting&) const = default;
     };
 
-    /** @return what a statement is charged for: at least a little while its slot time is unknown.
-     */
+    /** @return what a statement is charged, also while its slot time is unknown, which is 0. */
     static Duration chargeOf(Duration slotTime);
 
     void add(const std::string& flow, const Waiting& waiting);
