Slow servers take what finds no room elsewhere; ejection by more evidence, for shorter

Three failures of eight are chance where a tenth is given up in an overload, and one failure of a probation is as well.

Change: five failures at least and a third; two failures end a probation; ejections last 2 s at most; a server that is slow but answers is used as last resort in place of not at all.

--- a/src/pooling/OutlierDetector.cpp
+++ b/src/pooling/OutlierDetector.cpp
@@ -10,17 +10,21 @@
 /** Part of the window; all of them are one second: a few reads of a server that is little used, and
  * no more than callers' patience with one that fails. */
 constexpr Duration kPart = std::chrono::milliseconds(250);
-/** Fewer requests show nothing: one that fails among three is chance. */
+/** Fewer requests, or failures, show nothing: where one read in ten is given up in an overload,
+ * three of eight are by chance once in a while, and five of twelve next to never. */
 constexpr std::uint32_t kLeastRequests = 8;
+constexpr std::uint32_t kLeastFailures = 5;
 /** One failure in so many makes an outlier. */
 constexpr std::uint32_t kFailuresOneIn = 3;
 /** Times of its requests over the others' that make an outlier. */
 constexpr double kSlowTimes = 3;
-/** An ejection holds for so long, and twice as long each time in a row up to the bound. */
+/** An ejection holds for so long, and twice as long each time in a row up to the bound: a probation
+ * in vain costs two reads their patience, a third of the servers unused costs a burst. */
 constexpr Duration kShortestEjection = std::chrono::milliseconds(500);
-constexpr Duration kLongestEjection = std::chrono::seconds(8);
-/** Successes in a row that end a probation. */
+constexpr Duration kLongestEjection = std::chrono::seconds(2);
+/** Successes in a row, and failures, that end a probation: one failure alone is chance. */
 constexpr std::uint32_t kProof = 5;
+constexpr std::uint32_t kDisproof = 2;
 /** After so long without an ejection the next one is the first again. */
 constexpr Duration kForgiven = std::chrono::seconds(10);
 
@@ -45,7 +49,8 @@
 void OutlierDetector::onFailure(const ServerName& server, TimePoint now) {
     Record& record = _records[server];
     ++tallyAt(record, now).failures;
-    record.failedAgain = record.standing == ServerStanding::OnProbation;
+    record.proven = 0;
+    ++record.failedAgain;
 }
 
 std::vector<StandingChange> OutlierDetector::review(const std::vector<ServerName>& serving,
@@ -64,9 +69,12 @@
         const ServerStanding before = record.standing;
         if (before != ServerStanding::Admitted) {
             step(record, now);
-        } else if ((outside + 1) * 2 <= serving.size() && isOutlier(server, serving, now)) {
-            ++outside;
-            eject(record, now);
+        } else if ((outside + 1) * 2 <= serving.size()) {
+            const ServerStanding judged = judge(server, serving, now);
+            if (judged != ServerStanding::Admitted) {
+                ++outside;
+                eject(record, judged, now);
+            }
         }
         if (record.standing != before) {
             changes.push_back(changeOf(server, record, now));
@@ -78,16 +86,16 @@
 
 /** Ejection, probation, and what that shows. */
 void OutlierDetector::step(Record& record, TimePoint now) {
-    if (record.standing == ServerStanding::Ejected) {
+    if (record.standing != ServerStanding::OnProbation) {
         if (now >= record.probationAt) {
             record.standing = ServerStanding::OnProbation;
             record.proven = 0;
-            record.failedAgain = false;
+            record.failedAgain = 0;
         }
         return;
     }
-    if (record.failedAgain) {
-        eject(record, now);
+    if (record.failedAgain >= kDisproof) {
+        eject(record, ServerStanding::Ejected, now);
     } else if (record.proven >= kProof) {
         record.standing = ServerStanding::Admitted;
         record.admittedAt = now;
@@ -127,14 +135,17 @@
     return evidence;
 }
 
-bool OutlierDetector::isOutlier(const ServerName& server, const std::vector<ServerName>& serving,
-                                TimePoint now) const {
+ServerStanding OutlierDetector::judge(const ServerName& server,
+                                      const std::vector<ServerName>& serving, TimePoint now) const {
     const Evidence evidence = evidenceOf(_records.at(server), now);
     if (evidence.requests() < kLeastRequests) {
-        return false;
+        return ServerStanding::Admitted;
     }
     const std::vector<Evidence> others = othersEvidence(server, serving, now);
-    return failsMore(evidence, others) || isSlower(evidence, others);
+    if (failsMore(evidence, others)) {
+        return ServerStanding::Ejected;
+    }
+    return isSlower(evidence, others) ? ServerStanding::Slow : ServerStanding::Admitted;
 }
 
 std::vector<OutlierDetector::Evidence> OutlierDetector::othersEvidence(
@@ -154,7 +165,8 @@
 }
 
 bool OutlierDetector::failsMore(const Evidence& evidence, const std::vector<Evidence>& others) {
-    if (evidence.failures * kFailuresOneIn < evidence.requests()) {
+    if (evidence.failures < kLeastFailures ||
+        evidence.failures * kFailuresOneIn < evidence.requests()) {
         return false;
     }
     return std::none_of(others.begin(), others.end(), [](const Evidence& other) {
@@ -177,13 +189,13 @@
     return evidence.slowness >= times[times.size() / 2] * kSlowTimes;
 }
 
-void OutlierDetector::eject(Record& record, TimePoint now) {
+void OutlierDetector::eject(Record& record, ServerStanding standing, TimePoint now) {
     const bool forgiven =
         record.standing == ServerStanding::Admitted && now - record.admittedAt > kForgiven;
     record.ejectedFor = forgiven
                             ? kShortestEjection
                             : nextBackoff(record.ejectedFor, kShortestEjection, kLongestEjection);
-    record.standing = ServerStanding::Ejected;
+    record.standing = standing;
     record.probationAt = now + record.ejectedFor;
 }
 
--- a/src/pooling/OutlierDetector.h
+++ b/src/pooling/OutlierDetector.h
@@ -75,9 +75,9 @@
         TimePoint probationAt{};
         TimePoint admittedAt{};
         Duration ejectedFor{0};
-        /** On probation: successes in a row, and whether one has failed. */
+        /** Successes in a row, and failures on probation. */
         std::uint32_t proven = 0;
-        bool failedAgain = false;
+        std::uint32_t failedAgain = 0;
     };
     struct Evidence {
         std::uint32_t successes = 0;
@@ -89,15 +89,15 @@
 
     static Tally& tallyAt(Record& record, TimePoint now);
     static Evidence evidenceOf(const Record& record, TimePoint now);
-    bool isOutlier(const ServerName& server, const std::vector<ServerName>& serving,
-                   TimePoint now) const;
+    ServerStanding judge(const ServerName& server, const std::vector<ServerName>& serving,
+                         TimePoint now) const;
     std::vector<Evidence> othersEvidence(const ServerName& server,
                                          const std::vector<ServerName>& serving,
                                          TimePoint now) const;
     static bool failsMore(const Evidence& evidence, const std::vector<Evidence>& others);
     static bool isSlower(const Evidence& evidence, const std::vector<Evidence>& others);
     static void step(Record& record, TimePoint now);
-    static void eject(Record& record, TimePoint now);
+    static void eject(Record& record, ServerStanding standing, TimePoint now);
     static StandingChange changeOf(const ServerName& server, const Record& record, TimePoint now);
 
     std::map<ServerName, Record> _records;
--- a/src/pooling/PoolerResults.cpp
+++ b/src/pooling/PoolerResults.cpp
@@ -185,6 +185,7 @@
             .field("group", name)
             .field("server", change.server)
             .field("primary", isPrimary(group, server))
+            .field("standing", describe(change.standing))
             .field("requests", change.requests)
             .field("failures", change.failures)
             .field("slowness", change.slowness)
--- a/src/pooling/ServerChoice.cpp
+++ b/src/pooling/ServerChoice.cpp
@@ -5,12 +5,26 @@
 namespace coralhoist::pooling {
 namespace {
 
-/** Added for a server that seems to have failed: longer than what callers wait for, so it is taken
- * only when there is no other. */
-constexpr Duration kSuspectCost = std::chrono::seconds(1);
+/** Added for a server that seems to have failed or is slow: longer than what callers wait for, so
+ * it is taken only when no other has room. */
+constexpr Duration kLastResortCost = std::chrono::seconds(1);
 
 }  // namespace
 
+const char* describe(ServerStanding standing) {
+    switch (standing) {
+        case ServerStanding::Admitted:
+            return "admitted";
+        case ServerStanding::Slow:
+            return "slow";
+        case ServerStanding::OnProbation:
+            return "on_probation";
+        case ServerStanding::Ejected:
+            return "ejected";
+    }
+    return "unknown";
+}
+
 ServerChosen ServerChoice::choose(const std::vector<ServerCandidate>& candidates,
                                   Duration patience) {
     ServerChosen chosen;
@@ -48,7 +62,8 @@
     const double crowd = candidate.inflight / std::max(1.0, candidate.concurrency);
     const auto unitTime = static_cast<double>(candidate.unitTime.count());
     const Duration running(static_cast<Duration::rep>(unitTime * (candidate.slowness + crowd)));
-    const Duration suspicion = candidate.suspect ? kSuspectCost : Duration(0);
+    const bool isLastResort = candidate.suspect || candidate.standing == ServerStanding::Slow;
+    const Duration suspicion = isLastResort ? kLastResortCost : Duration(0);
     return candidate.readyIn + candidate.connecting + running + candidate.penalty + suspicion;
 }
 
--- a/src/pooling/ServerChoice.h
+++ b/src/pooling/ServerChoice.h
@@ -11,10 +11,14 @@
 /** How far a server is trusted by what became of the requests sent there. */
 enum class ServerStanding {
     Admitted,
+    Slow,        /**< It takes what the others have no room for. */
     OnProbation, /**< It was ejected; a few reads show whether it serves again. */
     Ejected,
 };
 
+/** @return a word for logs. */
+const char* describe(ServerStanding standing);
+
 /** One server that may run a unit, and what is known of it. */
 struct ServerCandidate {
     /** Time that the unit takes at the servers of the group in the mean. */
@@ -57,7 +61,9 @@
  *
  * A unit waits for a server without its position only where that completes it sooner than the
  * others do and within the time given; what callers lose by an expectation that fails is bounded
- * by that time. A server that was ejected takes what no other can run.
+ * by that time. A server that was ejected takes what no other can run; one
+ * that is only slow takes what finds no room elsewhere, since a slow answer is worth more than
+ * none.
  */
 class ServerChoice {
 public:
--- a/tests/pooling/ServerChoiceTest.cpp
+++ b/tests/pooling/ServerChoiceTest.cpp
@@ -78,6 +78,13 @@
     CHECK(chosen() == 0);
 }
 
+TEST(ServerChoice, ASlowServerTakesWhatFindsNoRoomElsewhere) {
+    candidates[0].standing = ServerStanding::Slow;
+    CHECK(chosen() == 1);
+    candidates[1].hasRoom = false;
+    CHECK(chosen() == 0);
+}
+
 TEST(ServerChoice, AUnitWaitsForAReplicaThatCompletesItSooner) {
     candidates[0].slowness = 3;
     candidates[1].readyIn = milliseconds(30);
