Shares begin with a queue too, and bind at the primary

Change: an executor with a queue and more than an equal part of what the servers take begins a crowd. Parts bind at the primary, and at a server that refused this executor in the crowd.

--- a/gen/unit.thrift
+++ b/gen/unit.thrift
@@ -153,7 +153,7 @@
   1: required string sender
   2: required string groupName
   3: required list<i64> demandByRankUs // time of slots that waiting and running statements need
-  4: required bool crowded             // the sender itself was refused for want of room, or has a queue since
+  4: required bool crowded             // the sender itself has a queue, or was refused, for want of room
 }
 
 // A batch of units that a standby counts.
--- a/src/pooling/CapacityShares.cpp
+++ b/src/pooling/CapacityShares.cpp
@@ -42,7 +42,8 @@
     _queuedUntil = now + kSameQueue;
 }
 
-void CapacityShares::noteRefused(TimePoint now) {
+void CapacityShares::noteRefused(const ServerName& server, TimePoint now) {
+    _refusedBy.insert(server);
     _lacksRoomUntil = now + kCrowdEndsAfter;
 }
 
@@ -65,13 +66,14 @@
     });
     const double equalPart = _load.taken / static_cast<double>(_others + 1);
     const bool queued = now < _queuedUntil;
-    if (_inForce && queued && static_cast<double>(_load.statements) > equalPart) {
+    if (queued && static_cast<double>(_load.statements) > equalPart) {
         _lacksRoomUntil = now + kCrowdEndsAfter;
     }
     if (!isCrowded(now)) {
         _crowdedSince.reset();
         _inForce = false;
         _turns.clear();
+        _refusedBy.clear();
         return;
     }
     _crowdedSince = _crowdedSince.value_or(now);
@@ -166,8 +168,12 @@
     return part * knownPart(now);
 }
 
+bool CapacityShares::binds(const SharedServer& server) const {
+    return _inForce && (server.primary || _refusedBy.contains(server.name));
+}
+
 double CapacityShares::boundAt(const SharedServer& server, TimePoint now) const {
-    if (!_inForce) {
+    if (!binds(server)) {
         return std::numeric_limits<double>::infinity();
     }
     return partOf(server.slots, now) * std::max(1.0, server.taken);
@@ -183,7 +189,7 @@
 
 bool CapacityShares::admits(const SharedServer& server, std::uint32_t inflight,
                             TimePoint now) const {
-    if (!_inForce) {
+    if (!binds(server)) {
         return true;
     }
     const double bound = boundAt(server, now);
@@ -199,7 +205,7 @@
 }
 
 void CapacityShares::noteSent(const SharedServer& server, std::uint32_t inflight, TimePoint now) {
-    if (!_inForce) {
+    if (!binds(server)) {
         return;
     }
     const double bound = boundAt(server, now);
@@ -216,7 +222,7 @@
 
 std::optional<TimePoint> CapacityShares::takeTurnWake(const SharedServer& server, TimePoint now) {
     const auto found = _turns.find(server.name);
-    if (!_inForce || found == _turns.end()) {
+    if (!binds(server) || found == _turns.end()) {
         return std::nullopt;
     }
     const double bound = boundAt(server, now);
--- a/src/pooling/CapacityShares.h
+++ b/src/pooling/CapacityShares.h
@@ -6,6 +6,7 @@
 #include <limits>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "base/Identifier.h"
@@ -32,18 +33,23 @@
     double taken = 1;
     /** Time from sending a statement to its result. */
     Duration latency{0};
+    /** What needs it can go to no other server. */
+    bool primary = false;
 };
 
 /**
- * Answers a crowd at servers that refuse for want of room: several executors have more for a group
- * than its servers take, and a limit that each finds for itself lets all of them meet there.
+ * Answers a crowd: several executors have more for a group than its servers take, and a limit that
+ * each finds for itself lets all of them meet at a server at once. There they wait in a queue that
+ * knows no ranks, or are refused for want of room, which costs a statement an attempt and its
+ * executor a pause. What is kept short of the server waits where ranks decide.
  *
- * A refusal for want of room begins a crowd: it costs its statement an attempt and the executor a
- * pause, so the first ones are reason enough. A mere queue is none, for a server that queues loses
- * nobody, and parts that are too narrow leave slots idle. In a crowd all executors tell each other
- * the slot time that their statements need, by rank. While that is more than all servers take at
- * once, each keeps to its part of what a server takes: as much as its demand is of the demand of
- * all, rank by rank. The crowd ends when it is not, and no server refuses.
+ * An executor with a queue and more than an equal part of what the servers take, or one that was
+ * refused, begins a crowd: if all together have more than the servers take, one of them has more
+ * than an equal part. In a crowd all executors tell each other the slot time that their statements
+ * need, by rank. While that is more than all servers take at once, each keeps to its part of what a
+ * server takes: as much as its demand is of the demand of all, rank by rank. Parts bind at the
+ * primary, whose work can go nowhere else, and where a server refused; a part of a replica is
+ * seldom where its work is, and would leave slots idle. The crowd ends when the demand fits.
  *
  * Executors that tell nothing are taken for ones with an equal part. Outside a crowd there are no
  * shares and no messages.
@@ -76,7 +82,7 @@
     void noteNoRoom(TimePoint now);
 
     /** A server refused a statement for want of room. */
-    void noteRefused(TimePoint now);
+    void noteRefused(const ServerName& server, TimePoint now);
 
     /**
      * Takes what another node tells.
@@ -94,8 +100,8 @@
     /** @return whether this executor or another one lacks room. */
     bool isCrowded(TimePoint now) const;
 
-    /** @return whether this executor itself was refused for want of room, or has had more than an
-     * equal part to do since shares are in force. */
+    /** @return whether this executor itself was refused for want of room, or has a queue and more
+     * than an equal part to do. */
     bool lacksRoom(TimePoint now) const { return now < _lacksRoomUntil; }
 
     /** @return whether the own demand is to be told now; it is taken for told. */
@@ -106,8 +112,11 @@
     /** @return whether shares bind this executor, as of the last update. */
     bool inForce() const { return _inForce; }
 
-    /** @return the statements that this executor may have in flight on average; infinite while
-     * shares are not in force. */
+    /** @return whether shares bind this executor at the server. */
+    bool binds(const SharedServer& server) const;
+
+    /** @return the statements that this executor may have in flight on average; infinite where
+     * shares do not bind. */
     double boundAt(const SharedServer& server, TimePoint now) const;
 
     /** @return whether one more statement may be sent to the server. */
@@ -159,6 +168,8 @@
     std::optional<TimePoint> _crowdedSince;
     bool _inForce = false;
     std::map<ServerName, Turns> _turns;
+    /** Servers that refused this executor for want of room in this crowd. */
+    std::set<ServerName> _refusedBy;
 };
 
 }  // namespace coralhoist::pooling
--- a/src/pooling/LoadReport.h
+++ b/src/pooling/LoadReport.h
@@ -15,7 +15,7 @@
     GroupName group;
     /** Time of servers' slots that its waiting and running statements need, by rank from 0 on. */
     std::vector<Duration> demandByRank;
-    /** Servers refused the sender for want of room, or it has a queue since; otherwise it only
+    /** The sender has a queue, or was refused, for want of room; otherwise it only
      * tells because another one does. */
     bool crowded = false;
 
--- a/src/pooling/PoolerResults.cpp
+++ b/src/pooling/PoolerResults.cpp
@@ -278,7 +278,7 @@
     switch (fault) {
         case StatementFault::Busy:
             ++server->second.refusedBusy;
-            group.shares.noteRefused(now);
+            group.shares.noteRefused(operation.server, now);
             noteBusy(server->second);
             lowerLimit(server->second, _knobs.inflightDecrease);
             break;
--- a/src/pooling/PoolerShares.cpp
+++ b/src/pooling/PoolerShares.cpp
@@ -15,8 +15,9 @@
 }  // namespace
 
 SharedServer StatementPooler::sharedServer(const ServerState& server) const {
+    const std::optional<Primary>& primary = _groups.at(server.address.group).leadership.primary();
     return {server.address.server, server.slots, server.slots * _knobs.inflightPerSlot,
-            server.latency};
+            server.latency, primary && primary->server == server.address.server};
 }
 
 /** @return whether this executor's part of the server has room for one more statement. */
--- a/tests/pooling/CapacitySharesTest.cpp
+++ b/tests/pooling/CapacitySharesTest.cpp
@@ -22,7 +22,7 @@
 TEST_GROUP(CapacityShares) {
     testing::ManualClock clock;
     GroupName group{"g"};
-    SharedServer server{ServerName("s1"), 6, 9, milliseconds(30)};
+    SharedServer server{ServerName("s1"), 6, 9, milliseconds(30), true};
 
     static std::vector<NodeName> othersOf(std::size_t self, std::size_t count) {
         std::vector<NodeName> others;
@@ -52,7 +52,7 @@
         CapacityShares shares;
         const std::vector<NodeName> others = othersOf(self, executors);
         const TimePoint before = clock.now() - CapacityShares::kSettling;
-        shares.noteRefused(before);
+        shares.noteRefused(server.name, before);
         shares.update(others, loadOf(demands[self]), before);
         for (std::size_t index = 0; index < demands.size(); ++index) {
             if (index != self) {
@@ -70,7 +70,6 @@
 
 TEST(CapacityShares, WithoutACrowdThereIsNoBoundAndNothingIsTold) {
     CapacityShares shares;
-    shares.noteNoRoom(clock.now());
     shares.update(othersOf(0, 8), loadOf({milliseconds(3000)}), clock.now());
     CHECK_FALSE(shares.inForce());
     CHECK_FALSE(shares.takeTelling(clock.now()));
@@ -78,9 +77,31 @@
     CHECK_TRUE(shares.admits(server, 100, clock.now()));
 }
 
+TEST(CapacityShares, AQueueOfLessThanAnEqualPartIsNoCrowd) {
+    CapacityShares shares;
+    shares.noteNoRoom(clock.now());
+    shares.update(othersOf(0, 8), loadOf({kStatementTime}), clock.now());
+    CHECK_FALSE(shares.isCrowded(clock.now()));
+    shares.update(othersOf(0, 8), loadOf({kStatementTime * 2}), clock.now());
+    CHECK_TRUE(shares.isCrowded(clock.now()));
+}
+
+TEST(CapacityShares, AReplicaIsBoundOnceItHasRefused) {
+    SharedServer replica = server;
+    replica.name = ServerName("s2");
+    replica.primary = false;
+    CapacityShares shares = inCrowd(0, {{milliseconds(900)}, {milliseconds(900)}}, 2);
+    CHECK_TRUE(shares.binds(server));
+    CHECK_FALSE(shares.binds(replica));
+    CHECK_TRUE(shares.admits(replica, 100, clock.now()));
+    shares.noteRefused(replica.name, clock.now());
+    CHECK_TRUE(shares.binds(replica));
+    CHECK_FALSE(shares.admits(replica, 100, clock.now()));
+}
+
 TEST(CapacityShares, AGroupWithOneExecutorHasNoShares) {
     CapacityShares shares;
-    shares.noteRefused(clock.now());
+    shares.noteRefused(server.name, clock.now());
     shares.update({}, loadOf({milliseconds(3000)}), clock.now());
     clock.advance(CapacityShares::kSettling);
     shares.update({}, loadOf({milliseconds(3000)}), clock.now());
@@ -124,7 +145,7 @@
     UNSIGNED_LONGS_EQUAL(1, shares.heardCount(clock.now()));
     clock.advance(milliseconds(1));
     UNSIGNED_LONGS_EQUAL(0, shares.heardCount(clock.now()));
-    shares.noteRefused(clock.now());
+    shares.noteRefused(server.name, clock.now());
     shares.update(othersOf(0, 2), loadOf({milliseconds(3000)}), clock.now());
     CHECK_TRUE(shares.inForce());
     DOUBLES_EQUAL(4.5, shares.boundAt(server, clock.now()), 1e-9);
@@ -138,7 +159,7 @@
     CHECK_FALSE(shares.inForce());
 }
 
-TEST(CapacityShares, AQueueKeepsACrowdThatARefusalBegan) {
+TEST(CapacityShares, AQueueKeepsACrowdAlive) {
     const std::vector<NodeName> others = othersOf(0, 2);
     CapacityShares shares = inCrowd(0, {{milliseconds(900)}, {milliseconds(900)}}, 2);
     for (int round = 0; round < 60; ++round) {
