--- a/src/tenancy/QuotaExchange.cpp
+++ b/src/tenancy/QuotaExchange.cpp
@@ -111,10 +111,11 @@
     question.tenant = tenant;
     question.wanted = wish.units.units();
     if (_ranks.several) {
-        question.wantedByRank.resize(3 * settings::kAdmissionRanks);
+        constexpr std::size_t kRanks = settings::kAdmissionRanks;
+        question.wantedByRank.resize(3 * kRanks);
         question.wantedByRank[rank] = wish.units.fresh;
-        question.wantedByRank[settings::kAdmissionRanks + rank] = wish.units.inTurn;
-        question.wantedByRank[2 * settings::kAdmissionRanks + rank] = wish.units.nowOnly;
+        question.wantedByRank[kRanks + rank] = wish.units.inTurn;
+        question.wantedByRank[2 * kRanks + rank] = wish.units.nowOnly;
     }
     question.usableFor = usableFor(account);
     question.leaderSilent = !_leaders.contains(quotaShardOf(tenant));
