--- a/src/admission/AdmissionPolicy.cpp
+++ b/src/admission/AdmissionPolicy.cpp
@@ -14,7 +14,6 @@
 constexpr int kDoubt = 2;
 /** Callers come back after 50 to 180 ms, twice at most, whatever they are told: who returns so long
  * after the first asking has likely come for the last time. */
-constexpr Duration kLastReturnAfter = std::chrono::milliseconds(150);
 /** Least time after which a caller is asked back: what a statement takes at a fast server. */
 constexpr Duration kLeastTurn = std::chrono::milliseconds(20);
 /** Turns are spread over no more than this: beyond it callers have left. */
@@ -53,7 +52,7 @@
         const std::optional<Duration> wait =
             queued ? _forecast.waitOf(applicant.flow, counted, applicant.onTimeUntil - now)
                    : waitBehindObstacle(applicant, now);
-        if (applicant.returnedAfter < kLastReturnAfter && wait && *wait > Duration(0) &&
+        if (wait && *wait > Duration(0) &&
             now + *wait / kDoubt > applicant.latestStart) {
             refusals.push_back({applicant.session, *wait, turnAfter(now, applicant.flow, *wait)});
             continue;
