--- a/src/pooling/PoolerAdmission.cpp
+++ b/src/pooling/PoolerAdmission.cpp
@@ -1,7 +1,6 @@
 /** Admission: until when a statement is held, whose wait is too long, and when callers return. */
 #include <algorithm>
 #include <array>
-#include <functional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -32,13 +31,6 @@
     return found == kQueueless.end() ? std::string_view() : *found;
 }
 
-/** @return a number that the same statement under another id has too. */
-std::size_t fingerprint(const Statement& statement) {
-    const std::string shown = std::to_string(static_cast<int>(statement.verb)) + ' ' +
-                              statement.text + ' ' + statement.name + ' ' + statement.argument;
-    return std::hash<std::string>()(shown);
-}
-
 }  // namespace
 
 /** Sets the times of a statement that has come: a return counts from its first arrival. */
@@ -48,7 +40,7 @@
     const Duration timeout = session.settings.statementTimeout;
     const Duration waited = std::exchange(session.waited, Duration(0));
     const std::optional<TimePoint> first =
-        session.firstAsking.of(fingerprint(operation.statement), now);
+        session.firstAsking.of(contentHash(operation.statement), now);
     operation.firstAskedAt = first.value_or(now - waited);
     operation.deadline = now + timeout;
     operation.usefulUntil = operation.firstAskedAt + timeout;
@@ -75,7 +67,7 @@
     if (!result.error) {
         session.firstAsking.noteSucceeded();
     } else if (result.error->fault == StatementFault::Busy) {
-        session.firstAsking.noteRefused(fingerprint(operation.statement), operation.firstAskedAt,
+        session.firstAsking.noteRefused(contentHash(operation.statement), operation.firstAskedAt,
                                         session.settings.statementTimeout * kTurnKeptFor);
     }
 }
--- a/src/pooling/Statement.cpp
+++ b/src/pooling/Statement.cpp
@@ -1,5 +1,7 @@
 #include "pooling/Statement.h"
 
+#include <functional>
+
 namespace coralhoist::pooling {
 
 const char* describe(StatementFault fault) {
@@ -41,6 +43,12 @@
            fault != StatementFault::InDoubt;
 }
 
+std::size_t contentHash(const Statement& statement) {
+    const std::string content = std::to_string(static_cast<int>(statement.verb)) + ' ' +
+                                statement.text + ' ' + statement.name + ' ' + statement.argument;
+    return std::hash<std::string>()(content);
+}
+
 StatementError notRun(const std::string& reason, Duration retryAfter) {
     const auto pause = std::chrono::ceil<std::chrono::milliseconds>(retryAfter).count();
     return {StatementFault::Busy,
--- a/src/pooling/Statement.h
+++ b/src/pooling/Statement.h
@@ -47,6 +47,9 @@
     ShapeKind shapeKind = ShapeKind::Read;
 };
 
+/** @return a number that the same statement has under another id too. */
+std::size_t contentHash(const Statement& statement);
+
 /** Why a statement did not succeed. The comment says what the caller may conclude. */
 enum class StatementFault {
     Busy,            /**< Not run: no capacity now. */
--- a/src/tenancy/TenantGate.cpp
+++ b/src/tenancy/TenantGate.cpp
@@ -32,13 +32,6 @@
  * back, would be late after the longest wait for a turn. */
 constexpr double kMostLost = 0.25;
 
-/** @return what tells two statements of a session apart; they differ in their ids in any case. */
-std::size_t contentOf(const Statement& statement) {
-    const std::string verb = std::to_string(static_cast<int>(statement.verb));
-    return std::hash<std::string>{}(verb + '/' + statement.name + '/' + statement.argument + '/' +
-                                    statement.text);
-}
-
 StatementError oldSettings() {
     return pooling::notRun("settings not confirmed", kRetryWithOldSettings);
 }
@@ -186,9 +179,7 @@
 void TenantGate::hold(SessionId id, GatedSession& session, Statement statement) {
     takeRanks();
     const TimePoint now = _clock.now();
-    const bool comesBack =
-        session.refused == contentOf(statement) && now - session.refusedAt <= kReturnsWithin;
-    session.firstArrival = comesBack ? session.firstArrival : now;
+    session.firstArrival = session.firstAsking.of(contentHash(statement), now).value_or(now);
     session.waitingSince = now;
     session.hasTurn = false;
     const pooling::CatalogEntry* entry = _catalog->find(session.service);
@@ -213,7 +204,8 @@
 void TenantGate::refuse(SessionId id, const GatedSession& session, const Statement& statement,
                         StatementError error) {
     const bool inTransaction = _pooler.stateOfSession(id) != pooling::SessionState::Idle;
-    logRefusal(session, statement, error, _clock.now() - _settingsKnownAt());
+    LogEvent line("tenancy", LogLevel::Warning, "request.refused");
+    describeRefusal(line, session, statement, error);
     if (inTransaction) {
         error.fault = StatementFault::Aborted;
     }
@@ -235,35 +227,28 @@
     return error;
 }
 
-void TenantGate::logRefusal(const GatedSession& session, const Statement& statement,
-                            const StatementError& error, Duration settingsAge) const {
-    LogEvent("tenancy", LogLevel::Warning, "request.refused")
-        .field("request", statement.id)
+/** Tells in the log what every refusal tells. */
+void TenantGate::describeRefusal(LogEvent& line, const GatedSession& session,
+                                 const Statement& statement, const StatementError& error) const {
+    line.field("request", statement.id)
         .field("service", session.service)
         .field("tenant", session.tenant)
         .field("fault", describe(error.fault))
         .field("why", error.message)
         .field("settings_version", _tenants->version())
-        .field("settings_age_ms", inMilliseconds(settingsAge));
+        .field("settings_age_ms", inMilliseconds(_clock.now() - _settingsKnownAt()));
 }
 
 /** Tells of a turn whether there was none in time, or one that was not kept. */
 void TenantGate::logTurnedAway(const GatedSession& session, const Statement& statement,
-                               Duration retryAfter) const {
+                               const StatementError& error) const {
     const TimePoint now = _clock.now();
-    const StatementError error = pooling::notRun("quota of the tenant is used up", retryAfter);
-    LogEvent("tenancy", LogLevel::Warning, "request.refused")
-        .field("request", statement.id)
-        .field("service", session.service)
-        .field("tenant", session.tenant)
-        .field("fault", describe(error.fault))
-        .field("why", error.message)
-        .field("rank", session.rank)
+    LogEvent line("tenancy", LogLevel::Warning, "request.refused");
+    describeRefusal(line, session, statement, error);
+    line.field("rank", session.rank)
         .field("turn", session.hasTurn ? "missed" : "none")
         .field("waited_ms", inMilliseconds(now - session.waitingSince))
-        .field("first_asked_ms", inMilliseconds(now - session.firstArrival))
-        .field("settings_version", _tenants->version())
-        .field("settings_age_ms", inMilliseconds(now - _settingsKnownAt()));
+        .field("first_asked_ms", inMilliseconds(now - session.firstArrival));
 }
 
 /** Passes statements of the tenant on while there are units, the most urgent rank first. */
@@ -374,12 +359,14 @@
 /** The statement of the session that waited for a unit ends. */
 void TenantGate::turnAway(SessionId id, GatedSession& session, Duration retryAfter) {
     const Statement statement = *std::exchange(session.waiting, std::nullopt);
-    session.refused = contentOf(statement);
-    session.refusedAt = _clock.now();
+    const Duration asked = _clock.now() - session.firstArrival;
+    session.firstAsking.noteRefused(contentHash(statement), session.firstArrival,
+                                    asked + kReturnsWithin);
     ++_statistics.refusedQuota;
     ++_statistics.refusedQuotaByRank[session.rank];
-    logTurnedAway(session, statement, retryAfter);
-    _pooler.refuse(id, statement, pooling::notRun("quota of the tenant is used up", retryAfter));
+    const StatementError error = pooling::notRun("quota of the tenant is used up", retryAfter);
+    logTurnedAway(session, statement, error);
+    _pooler.refuse(id, statement, error);
 }
 
 void TenantGate::onQuotaChange(const TenantName& tenant) {
--- a/src/tenancy/TenantGate.h
+++ b/src/tenancy/TenantGate.h
@@ -11,6 +11,8 @@
 #include <unordered_map>
 #include <utility>
 
+#include "admission/FirstAsking.h"
+#include "base/Log.h"
 #include "base/Time.h"
 #include "pooling/StatementPooler.h"
 #include "tenancy/CredentialDigest.h"
@@ -106,11 +108,9 @@
         TimePoint waitingSince{};
         /** It has been told a turn. */
         bool hasTurn = false;
-        /** When the caller first asked for what it asks now, and what was refused last, and when.
-         */
+        /** When the caller first asked for what it asks now, and what was refused last. */
         TimePoint firstArrival{};
-        std::size_t refused = 0;
-        TimePoint refusedAt{};
+        admission::FirstAsking firstAsking;
     };
     /** Statements of a tenant that have the same rank. */
     using RankedTenant = std::pair<TenantName, std::uint32_t>;
@@ -133,10 +133,11 @@
     void passOn(SessionId id, GatedSession& session);
     void turnAway(SessionId id, GatedSession& session, Duration retryAfter);
     pooling::StatementError refuseUnknownService(const ServiceName& service);
-    void logRefusal(const GatedSession& session, const pooling::Statement& statement,
-                    const pooling::StatementError& error, Duration settingsAge) const;
+    void describeRefusal(LogEvent& line, const GatedSession& session,
+                         const pooling::Statement& statement,
+                         const pooling::StatementError& error) const;
     void logTurnedAway(const GatedSession& session, const pooling::Statement& statement,
-                       Duration retryAfter) const;
+                       const pooling::StatementError& error) const;
     void refuse(SessionId id, const GatedSession& session, const pooling::Statement& statement,
                 pooling::StatementError error);
 
--- a/src/tenancy/UnitPacer.cpp
+++ b/src/tenancy/UnitPacer.cpp
@@ -19,9 +19,9 @@
 constexpr double kSlackAtOnce = 0.5;
 constexpr double kRateAtOnce = 0.2;
 /** A unit counts from its grant until a window after its use. Nodes that ask for each statement run
- * it within a few milliseconds of its grant; what counts for longer is found by the ledger. With
- * the whole time for which units are usable in its place, a tenant beyond its limit ran 0.94 of
- * what its rate and burst allow (78 simulated nodes). */
+ * it within a few milliseconds of its grant; what counts for longer is found by the ledger.
+ * With the whole time for which units are usable in its place, a tenant beyond its limit could not
+ * run all that its rate and burst allow. */
 constexpr Duration kUsedAfter = std::chrono::milliseconds(100);
 /** Tokens a second at least, for quotas of 0. */
 constexpr double kLeastRate = 1e-3;
