In a flood nobody waits for a unit longer than for one late answer

Change: a statement waits for its rank's patience, or 0.7 s as for one late answer, at most. Test first: fails before.

--- a/src/tenancy/TenantGate.cpp
+++ b/src/tenancy/TenantGate.cpp
@@ -27,6 +27,9 @@
 constexpr Duration kReturnsWithin = std::chrono::seconds(2);
 /** The leader's answer takes this part of the wait that it found to be of use. */
 constexpr Duration kAnswerMargin = std::chrono::milliseconds(30);
+/** A statement waits no longer than this, or than its rank's patience: the time for which a late
+ * answer is waited for. */
+constexpr Duration kLongestWait = std::chrono::milliseconds(700);
 
 /** A statement whose caller has lost more than this part of its rank's patience, before it came
  * back, would be late after the longest wait for a turn. */
@@ -270,8 +273,10 @@
         const SessionId id = queue->second.front();
         const QuotaVerdict verdict = _quotas.take(key.first, waitingIn(key, queue->second));
         if (verdict.kind == QuotaVerdict::Kind::Waiting) {
+            if (endOverdue(key, verdict)) {
+                continue;
+            }
             ++_statistics.waitedForQuota;
-            _due[key] = _clock.now() + verdict.retryAfter;
             return;
         }
         if (verdict.kind == QuotaVerdict::Kind::Turn) {
@@ -290,6 +295,34 @@
     }
 }
 
+/** @return the last moment at which the statement still waits, whatever is told meanwhile. */
+TimePoint TenantGate::longestWaitEnd(const GatedSession& session) const {
+    return session.waitingSince +
+           std::max(_ranks.patience[session.rank] + kAnswerMargin, kLongestWait);
+}
+
+/**
+ * Each answer may name a later turn, because more urgent ranks go first: nobody waits through more
+ * of them than a single late answer would take.
+ * @return whether a statement was refused: the queue has changed.
+ */
+bool TenantGate::endOverdue(const RankedTenant& key, const QuotaVerdict& verdict) {
+    const TimePoint now = _clock.now();
+    Queue& queue = _waiting.at(key);
+    TimePoint due = now + verdict.retryAfter;
+    for (const SessionId id : queue) {
+        GatedSession& session = _sessions.at(id);
+        if (longestWaitEnd(session) <= now) {
+            std::erase(queue, id);
+            turnAway(id, session, verdict.retryAfter);
+            return true;
+        }
+        due = std::min(due, longestWaitEnd(session));
+    }
+    _due[key] = due;
+    return false;
+}
+
 WaitingStatements TenantGate::waitingIn(const RankedTenant& key, const Queue& queue) const {
     WaitingStatements waiting;
     waiting.count = static_cast<std::uint32_t>(queue.size());
--- a/src/tenancy/TenantGate.h
+++ b/src/tenancy/TenantGate.h
@@ -128,6 +128,8 @@
     bool awaitTurn(const RankedTenant& key, const QuotaVerdict& verdict);
     bool mayWait(const GatedSession& session) const;
     bool isInUse(const GatedSession& session, TimePoint turn) const;
+    TimePoint longestWaitEnd(const GatedSession& session) const;
+    bool endOverdue(const RankedTenant& key, const QuotaVerdict& verdict);
     WaitingStatements waitingIn(const RankedTenant& key, const Queue& queue) const;
     std::optional<SessionId> withoutProspect(const Queue& queue, const QuotaVerdict& verdict) const;
     void passOn(SessionId id, GatedSession& session);
--- a/tests/tenancy/TenantGateTest.cpp
+++ b/tests/tenancy/TenantGateTest.cpp
@@ -356,6 +356,26 @@
     CHECK_TRUE(lastFault() == StatementFault::Busy);
 }
 
+/** Each answer is followed by a question for those that came meanwhile, so an answer is always under
+ * way: the first of them must not wait for as long as others come. */
+TEST(TenantGate, InAFloodNobodyWaitsLongerThanForALateAnswer) {
+    defineRanks();
+    const SessionId first = open("key-a", "patient");
+    submit(first, StatementVerb::Begin);
+    for (int arrival = 0; arrival < 20; ++arrival) {
+        submit(open("key-a", "patient"), StatementVerb::Begin);
+        advance(milliseconds(50));
+        answer(0, milliseconds(100));
+    }
+    CHECK_TRUE(replies.size() >= 5);
+    UNSIGNED_LONGS_EQUAL(0, ran());
+    CHECK_TRUE(pooler.stateOfSession(first) == SessionState::Idle);
+    // It may ask again, so it waits for nothing.
+    const std::size_t before = replies.size();
+    submit(first, StatementVerb::Rollback);
+    UNSIGNED_LONGS_EQUAL(before + 1, replies.size());
+}
+
 TEST(TenantGate, TheMostUrgentStatementTakesTheUnitThatIsThere) {
     defineRanks();
     const SessionId patient = open("key-a", "patient");
