What the review of admission, servers and shares found

Cause, each shown by a test or a probe of the reviewer: obstacles with a calm time between them counted as one that lasted; time lost at one executor was subtracted twice at the next; a write that waits for a promotion asked for the next look at once, and for one more with each event; failed writes ejected the primary; a return near its end was held for no time at all; turns of late statements fell on one moment; a forecast of long ago was told; a connection opening elsewhere was counted as room; sums of absurd loads could overflow; a session was closed while a statement was expected. Conclusion: tests/pooling, tests/admission, tests/forwarding pass.

--- a/gen/unit.thrift
+++ b/gen/unit.thrift
@@ -35,6 +35,7 @@
   11: optional string tenantName     // absent: on behalf of no tenant
   12: required i32 rank              // lower ones go first
   13: required i64 waitedUs          // since the caller first asked, refusals included
+  14: optional i64 usefulForUs       // time for which an answer is still of use to the caller
 }
 
 // A statement of a unit. The first one of a unit carries the context.
--- a/gen/unit_types.cpp
+++ b/gen/unit_types.cpp
@@ -522,6 +522,11 @@
 void UnitContext::__set_waitedUs(const int64_t val) {
   this->waitedUs = val;
 }
+
+void UnitContext::__set_usefulForUs(const int64_t val) {
+  this->usefulForUs = val;
+__isset.usefulForUs = true;
+}
 std::ostream& operator<<(std::ostream& out, const UnitContext& obj)
 {
   obj.printTo(out);
@@ -664,6 +669,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->usefulForUs);
+          this->__isset.usefulForUs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -756,6 +769,11 @@
   xfer += oprot->writeI64(this->waitedUs);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.usefulForUs) {
+    xfer += oprot->writeFieldBegin("usefulForUs", ::apache::thrift::protocol::T_I64, 14);
+    xfer += oprot->writeI64(this->usefulForUs);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -776,6 +794,7 @@
   swap(a.tenantName, b.tenantName);
   swap(a.rank, b.rank);
   swap(a.waitedUs, b.waitedUs);
+  swap(a.usefulForUs, b.usefulForUs);
   swap(a.__isset, b.__isset);
 }
 
@@ -793,6 +812,7 @@
   tenantName = other12.tenantName;
   rank = other12.rank;
   waitedUs = other12.waitedUs;
+  usefulForUs = other12.usefulForUs;
   __isset = other12.__isset;
 }
 UnitContext::UnitContext(UnitContext&& other13) noexcept {
@@ -809,6 +829,7 @@
   tenantName = std::move(other13.tenantName);
   rank = other13.rank;
   waitedUs = other13.waitedUs;
+  usefulForUs = other13.usefulForUs;
   __isset = other13.__isset;
 }
 UnitContext& UnitContext::operator=(const UnitContext& other14) {
@@ -825,6 +846,7 @@
   tenantName = other14.tenantName;
   rank = other14.rank;
   waitedUs = other14.waitedUs;
+  usefulForUs = other14.usefulForUs;
   __isset = other14.__isset;
   return *this;
 }
@@ -842,6 +864,7 @@
   tenantName = std::move(other15.tenantName);
   rank = other15.rank;
   waitedUs = other15.waitedUs;
+  usefulForUs = other15.usefulForUs;
   __isset = other15.__isset;
   return *this;
 }
@@ -861,6 +884,7 @@
   out << ", " << "tenantName="; (__isset.tenantName ? (out << to_string(tenantName)) : (out << "<null>"));
   out << ", " << "rank=" << to_string(rank);
   out << ", " << "waitedUs=" << to_string(waitedUs);
+  out << ", " << "usefulForUs="; (__isset.usefulForUs ? (out << to_string(usefulForUs)) : (out << "<null>"));
   out << ")";
 }
 
--- a/gen/unit_types.h
+++ b/gen/unit_types.h
@@ -232,10 +232,11 @@
 std::ostream& operator<<(std::ostream& out, const UnitShape& obj);
 
 typedef struct _UnitContext__isset {
-  _UnitContext__isset() : maximumStalenessUs(false), opener(false), tenantName(false) {}
+  _UnitContext__isset() : maximumStalenessUs(false), opener(false), tenantName(false), usefulForUs(false) {}
   bool maximumStalenessUs :1;
   bool opener :1;
   bool tenantName :1;
+  bool usefulForUs :1;
 } _UnitContext__isset;
 
 class UnitContext : public virtual ::apache::thrift::TBase {
@@ -256,7 +257,8 @@
                 idleInTransactionUs(0),
                 tenantName(),
                 rank(0),
-                waitedUs(0) {
+                waitedUs(0),
+                usefulForUs(0) {
   }
 
   virtual ~UnitContext() noexcept;
@@ -273,6 +275,7 @@
   std::string tenantName;
   int32_t rank;
   int64_t waitedUs;
+  int64_t usefulForUs;
 
   _UnitContext__isset __isset;
 
@@ -302,6 +305,8 @@
 
   void __set_waitedUs(const int64_t val);
 
+  void __set_usefulForUs(const int64_t val);
+
   bool operator == (const UnitContext & rhs) const
   {
     if (!(serviceName == rhs.serviceName))
@@ -336,6 +341,10 @@
       return false;
     if (!(waitedUs == rhs.waitedUs))
       return false;
+    if (__isset.usefulForUs != rhs.__isset.usefulForUs)
+      return false;
+    else if (__isset.usefulForUs && !(usefulForUs == rhs.usefulForUs))
+      return false;
     return true;
   }
   bool operator != (const UnitContext &rhs) const {
--- a/src/admission/AdmissionPolicy.cpp
+++ b/src/admission/AdmissionPolicy.cpp
@@ -8,6 +8,8 @@
 /** Time between two looks: a refusal this much later is still one at once for a caller, and a look
  * costs as much as a choice of server for all that wait. */
 constexpr Duration kLookEvery = std::chrono::milliseconds(10);
+/** What waited longer ago than this tells nothing of a wait from now on. */
+constexpr Duration kLookTellsFor = std::chrono::milliseconds(150);
 /** A wait is taken for too long when it is so many times the time left. Forecasts are wrong by as
  * much, and a caller refused wrongly leaves after its second return, long before its time is over;
  * one held wrongly loses nothing but the time itself. */
@@ -66,14 +68,18 @@
     return _obstacles.untilEnd(applicant.obstacle, now);
 }
 
-Duration AdmissionPolicy::waitOfNext(const Flow& flow) const {
+Duration AdmissionPolicy::waitOfNext(const Flow& flow, TimePoint now) const {
+    if (now >= _nextLook + kLookTellsFor) {
+        return Duration(0);
+    }
     const auto found = _waiting.find(flow);
     return _forecast.waitOf(flow, found == _waiting.end() ? LaneCounts{} : found->second,
                             Duration(0));
 }
 
 Duration AdmissionPolicy::turnAfter(TimePoint now, const Flow& flow, Duration forecast) {
-    const Duration pace = std::max(_forecast.pace(flow, Lane::OnTime), Duration(1));
+    const Duration pace = std::max(
+        {_forecast.pace(flow, Lane::OnTime), _forecast.pace(flow, Lane::Late), Duration(1)});
     const TimePoint first = now + std::max(forecast, kLeastTurn);
     const bool follows = _lastTurn >= first && _lastTurn + pace <= first + kLongestSpread;
     _lastTurn = follows ? _lastTurn + pace : first;
--- a/src/admission/AdmissionPolicy.h
+++ b/src/admission/AdmissionPolicy.h
@@ -64,8 +64,9 @@
      */
     Duration turnAfter(TimePoint now, const Flow& flow, Duration forecast);
 
-    /** @return the wait of a statement of the flow behind all that waited at the last look. */
-    Duration waitOfNext(const Flow& flow) const;
+    /** @return the wait of a statement of the flow behind all that waited at the last look; zero
+     * when that is long ago. */
+    Duration waitOfNext(const Flow& flow, TimePoint now) const;
 
 private:
     std::optional<Duration> waitBehindObstacle(const Applicant& applicant, TimePoint now) const;
--- a/src/admission/ObstacleTimes.cpp
+++ b/src/admission/ObstacleTimes.cpp
@@ -3,7 +3,7 @@
 namespace coralhoist::admission {
 namespace {
 
-/** An obstacle that nobody has met for so long is over; statements are looked at every 50 ms. */
+/** An obstacle that nobody has met for so long is over. */
 constexpr Duration kOver = std::chrono::milliseconds(150);
 /** Weight of a new time: one in so many. */
 constexpr int kSmoothing = 4;
@@ -14,6 +14,8 @@
 
 void ObstacleTimes::noteSeen(std::string_view name, TimePoint now) {
     Obstacle& obstacle = _obstacles[name];
+    // Nobody may have looked since the former one ended.
+    endIfOver(obstacle, now);
     if (!obstacle.since) {
         obstacle.since = now;
     }
@@ -22,17 +24,21 @@
 
 void ObstacleTimes::noteLook(TimePoint now) {
     for (auto& [name, obstacle] : _obstacles) {
-        if (!obstacle.since || now - obstacle.seenAt < kOver) {
-            continue;
-        }
-        const Duration lasted = obstacle.seenAt - *obstacle.since;
-        obstacle.usual =
-            obstacle.ends == 0 ? lasted : obstacle.usual + (lasted - obstacle.usual) / kSmoothing;
-        ++obstacle.ends;
-        obstacle.since.reset();
+        endIfOver(obstacle, now);
     }
 }
 
+void ObstacleTimes::endIfOver(Obstacle& obstacle, TimePoint now) {
+    if (!obstacle.since || now - obstacle.seenAt < kOver) {
+        return;
+    }
+    const Duration lasted = obstacle.seenAt - *obstacle.since;
+    obstacle.usual =
+        obstacle.ends == 0 ? lasted : obstacle.usual + (lasted - obstacle.usual) / kSmoothing;
+    ++obstacle.ends;
+    obstacle.since.reset();
+}
+
 std::optional<Duration> ObstacleTimes::untilEnd(std::string_view name, TimePoint now) const {
     const auto found = _obstacles.find(name);
     if (found == _obstacles.end() || !found->second.since || found->second.ends < kLeastEnds) {
--- a/src/admission/ObstacleTimes.h
+++ b/src/admission/ObstacleTimes.h
@@ -37,6 +37,8 @@
         std::uint32_t ends = 0;
     };
 
+    static void endIfOver(Obstacle& obstacle, TimePoint now);
+
     std::map<std::string_view, Obstacle> _obstacles;
 };
 
--- a/src/link/forwarding/LoadReportCodec.cpp
+++ b/src/link/forwarding/LoadReportCodec.cpp
@@ -8,6 +8,13 @@
 
 using std::chrono::microseconds;
 
+namespace {
+
+/** More than any queue needs; sums of what executors tell stay far from an overflow. */
+constexpr microseconds kMostDemand = std::chrono::hours(1);
+
+}  // namespace
+
 gen::GroupLoadReport writeLoadReport(const pooling::LoadReport& report) {
     gen::GroupLoadReport record;
     record.sender = report.sender.value();
@@ -27,7 +34,7 @@
     report.sender = NodeName(record.sender);
     report.group = GroupName(record.groupName);
     for (const std::int64_t demand : record.demandByRankUs) {
-        if (demand < 0) {
+        if (demand < 0 || demand > kMostDemand.count()) {
             return std::nullopt;
         }
         report.demandByRank.emplace_back(microseconds(demand));
--- a/src/link/forwarding/LoadReportCodec.h
+++ b/src/link/forwarding/LoadReportCodec.h
@@ -10,7 +10,7 @@
 
 gen::GroupLoadReport writeLoadReport(const pooling::LoadReport& report);
 
-/** @return nothing when a time is below 0 or there are more ranks than exist. */
+/** @return nothing when a time is below 0 or above an hour, or there are more ranks than exist. */
 std::optional<pooling::LoadReport> readLoadReport(const gen::GroupLoadReport& record);
 
 }  // namespace coralhoist::forwarding
--- a/src/link/forwarding/UnitCodec.cpp
+++ b/src/link/forwarding/UnitCodec.cpp
@@ -77,6 +77,9 @@
     record.urgent = settings.priority == settings::Priority::Urgent;
     record.rank = static_cast<std::int32_t>(settings.admissionRank());
     record.waitedUs = toMicroseconds(opening.waited);
+    if (opening.usefulFor) {
+        record.__set_usefulForUs(toMicroseconds(*opening.usefulFor));
+    }
     if (settings.maxStaleness) {
         record.__set_maximumStalenessUs(toMicroseconds(*settings.maxStaleness));
     }
@@ -101,6 +104,9 @@
     }
     UnitOpening opening;
     opening.waited = microseconds(record.waitedUs);
+    if (record.__isset.usefulForUs) {
+        opening.usefulFor = microseconds(record.usefulForUs);
+    }
     opening.service = ServiceName(record.serviceName);
     opening.group = GroupName(record.groupName);
     opening.tenant = TenantName(record.tenantName);
--- a/src/pooling/PooledSession.h
+++ b/src/pooling/PooledSession.h
@@ -78,6 +78,8 @@
     TimePoint holdUntil{};
     /** Not tried again before. */
     TimePoint notBefore{};
+    /** When a primary that settles may be written to: the statement is looked at then. */
+    TimePoint wakesAt{};
     /** When the replica for which it waits is expected to have its position. */
     TimePoint replicaAt{};
     TimePoint sentAt{};
@@ -122,6 +124,8 @@
     bool forwarded = false;
     /** Time since its caller first asked for the unit's first statement, until that has come. */
     Duration waited{0};
+    /** The same: time for which an answer to its first statement is of use to the caller. */
+    std::optional<Duration> usefulFor;
     /** What was refused, for the case that the caller asks again. */
     admission::FirstAsking firstAsking;
 };
--- a/src/pooling/PoolerAdmission.cpp
+++ b/src/pooling/PoolerAdmission.cpp
@@ -20,6 +20,8 @@
 /** A caller that comes back near the end of its timeout waits on for this part of it: it wouldn't
  * have come if it had given the statement up. */
 constexpr int kReturnsShare = 10;
+/** A return that comes late is held at least for what a proof or a new connection takes. */
+constexpr Duration kLeastHold = std::chrono::milliseconds(50);
 /** Timeouts for which a refused statement is taken for the same one when it is asked again. */
 constexpr int kTurnKeptFor = 2;
 /** Obstacles that are no queue: no slot that gets free helps. */
@@ -44,14 +46,17 @@
     operation.firstAskedAt = first.value_or(now - waited);
     operation.deadline = now + timeout;
     operation.usefulUntil = operation.firstAskedAt + timeout;
-    if (operation.firstAskedAt < now) {
+    if (const auto usefulFor = std::exchange(session.usefulFor, std::nullopt)) {
+        operation.usefulUntil = now + *usefulFor;
+    } else if (operation.firstAskedAt < now) {
         operation.usefulUntil = std::max(
             operation.usefulUntil, std::min(now, operation.usefulUntil) + timeout / kReturnsShare);
     }
     _statistics.returnsInTurn += first ? 1 : 0;
     const Duration shortened = timeout * (kPercent - std::min(_knobs.holdPercent, kPercent));
     operation.holdUntil =
-        std::min(latestStart(session), operation.usefulUntil - shortened / kPercent);
+        std::max(std::min(latestStart(session), operation.usefulUntil - shortened / kPercent),
+                 std::min(now + kLeastHold, operation.deadline));
 }
 
 /** @return the last moment at which the statement can be sent and still be answered in time. */
@@ -123,7 +128,7 @@
     const auto pause = leaderless ? kComeBackAfterPromotion : kComeBackAfterOverload;
     const TimePoint now = _clock.now();
     const bool queued = queuelessObstacle(*session.operation).empty() && !leaderless;
-    session.operation->forecast = group.admission.waitOfNext(admissionFlow(session));
+    session.operation->forecast = group.admission.waitOfNext(admissionFlow(session), now);
     group.waiting.remove(session.id);
     refuseQueued(session, queued ? group.admission.turnAfter(now, admissionFlow(session),
                                                              session.operation->forecast)
--- a/src/pooling/PoolerDispatch.cpp
+++ b/src/pooling/PoolerDispatch.cpp
@@ -21,6 +21,8 @@
                                            const Requirement& requirement) {
     std::vector<ServerState*> servers;
     std::vector<ServerCandidate> candidates;
+    servers.reserve(group.servers.size());
+    candidates.reserve(group.servers.size());
     for (auto& [name, server] : group.servers) {
         if (const auto candidate = candidateOf(group, server, session, requirement)) {
             servers.push_back(&server);
@@ -33,11 +35,10 @@
         return servers[*chosen.index];
     }
     operation.lastObstacle = chosen.anyCandidate ? "no_slot" : "no_server";
-    if (chosen.anyCandidate) {
-        noteNoRoom(group, session);
-    }
     if (chosen.replicaIn) {
         waitForReplica(session, *chosen.replicaIn);
+    } else if (chosen.anyCandidate) {
+        noteNoRoom(group, session);
     }
     if (!chosen.anyCandidate && !operation.avoided.empty()) {
         operation.avoided.clear();
@@ -162,7 +163,7 @@
     }
     // A connection that is being opened occupies a slot like a statement.
     const Operation& operation = *session.operation;
-    const std::uint32_t others = server.opening - (isOpening(operation) ? 1 : 0);
+    const std::uint32_t others = server.opening - (isOpeningAt(operation, server) ? 1 : 0);
     return server.inflight + others + 1 <= limit &&
            isWithinShare(server, server.inflight + others) && mayOpenFor(server, operation);
 }
@@ -180,10 +181,15 @@
     return found != _connections.end() && found->second.state == ServerConnection::State::Opening;
 }
 
-/** @return whether a connection for the statement is being opened, or may be. */
+bool StatementPooler::isOpeningAt(const Operation& operation, const ServerState& server) const {
+    return isOpening(operation) &&
+           _connections.at(*operation.opening).server == server.address.server;
+}
+
+/** @return whether a connection for the statement is being opened there, or may be. */
 bool StatementPooler::mayOpenFor(const ServerState& server, const Operation& operation) const {
-    return isOpening(operation) ||
-           (mayOpen(server) && (!isFull(server) || replaceable(server).has_value()));
+    return isOpeningAt(operation, server) || (!isOpening(operation) && mayOpen(server) &&
+                                              (!isFull(server) || replaceable(server).has_value()));
 }
 
 /**
--- a/src/pooling/PoolerForwarding.cpp
+++ b/src/pooling/PoolerForwarding.cpp
@@ -84,6 +84,8 @@
     const Operation& operation = *session.operation;
     const Duration remaining = operation.deadline - _clock.now() - _knobs.forwardingMargin;
     opening.waited = _clock.now() - operation.firstAskedAt;
+    opening.usefulFor = std::max(operation.usefulUntil - _clock.now() - _knobs.forwardingMargin,
+                                 _knobs.forwardingMargin);
     opening.settings.statementTimeout = std::max(remaining, _knobs.forwardingMargin);
     opening.ownFloor = session.ownFloor;
     if (session.transaction.phase == TransactionPhase::Unstarted) {
@@ -178,6 +180,7 @@
     session.settings = opening.settings;
     session.ownFloor = opening.ownFloor;
     session.waited = opening.waited;
+    session.usefulFor = opening.usefulFor;
     session.activeAt = _clock.now();
     session.forwarded = true;
     if (opening.begin) {
--- a/src/pooling/PoolerResults.cpp
+++ b/src/pooling/PoolerResults.cpp
@@ -346,7 +346,11 @@
             break;
         case StatementFault::Failed:
         case StatementFault::Timeout:
-            group.outliers.onFailure(operation.server, now);
+            // What only the primary runs tells nothing of it beside the others.
+            if (isSingleRead(session) &&
+                session.settings.readRouting == settings::ReadRouting::Replica) {
+                group.outliers.onFailure(operation.server, now);
+            }
             break;
         default:
             break;
--- a/src/pooling/PoolerShares.cpp
+++ b/src/pooling/PoolerShares.cpp
@@ -30,6 +30,9 @@
 void StatementPooler::noteNoRoom(GroupState& group, const PooledSession& session) {
     const TimePoint now = _clock.now();
     group.shares.noteNoRoom(now);
+    if (!group.shares.inForce()) {
+        return;
+    }
     for (const auto& [name, server] : group.servers) {
         if (const std::optional<TimePoint> at =
                 group.shares.takeTurnWake(sharedServer(server), now)) {
--- a/src/pooling/StatementPooler.cpp
+++ b/src/pooling/StatementPooler.cpp
@@ -261,7 +261,7 @@
     closing.swap(_closing);
     for (const SessionId id : closing) {
         const PooledSession* session = findSession(id);
-        if (session != nullptr && !session->operation) {
+        if (session != nullptr && !session->operation && !session->expectsStatement) {
             _output.closeSession(id);
         }
     }
--- a/src/pooling/StatementPooler.h
+++ b/src/pooling/StatementPooler.h
@@ -283,6 +283,7 @@
     Requirement requirementOf(GroupState& group, PooledSession& session);
     Requirement readRequirement(GroupState& group, const PooledSession& session) const;
     Requirement primaryRequirement(GroupState& group, PooledSession& session);
+    void wakeWhenWritable(PooledSession& session, TimePoint at);
     const char* obstacleHere(const GroupState& group, const Operation& operation) const;
     bool moveToOther(const GroupState& group, PooledSession& session);
 
@@ -317,6 +318,7 @@
     bool hasIdleFor(const ServerState& server, const TenantName& tenant) const;
     bool mayOpenFor(const ServerState& server, const Operation& operation) const;
     bool isOpening(const Operation& operation) const;
+    bool isOpeningAt(const Operation& operation, const ServerState& server) const;
     std::optional<ConnectionId> replaceable(const ServerState& server) const;
     bool isSuspect(const ServerState& server) const;
     std::uint32_t connectionLimit(const GroupName& group) const;
--- a/src/pooling/UnitForwarding.h
+++ b/src/pooling/UnitForwarding.h
@@ -25,6 +25,8 @@
     settings::ServiceSettings settings;
     /** Time since the caller first asked for it, refusals and pauses included. */
     Duration waited{0};
+    /** Time for which an answer is still of use to the caller. */
+    std::optional<Duration> usefulFor = std::nullopt;
     /** Position of the log that has all commits of the session. */
     OpTime ownFloor;
     /** BEGIN when the unit is a transaction. */
--- a/tests/forwarding/UnitCodecTest.cpp
+++ b/tests/forwarding/UnitCodecTest.cpp
@@ -35,6 +35,7 @@
     opening.settings.idleInTransactionTimeout = milliseconds(4000);
     opening.settings.rank = 3;
     opening.waited = milliseconds(250);
+    opening.usefulFor = milliseconds(530);
     opening.ownFloor = {3, 1207};
     opening.begin = pooling::Statement{
         "id0", StatementVerb::BeginReadOnly, "BEGIN READ", {}, {}, ShapeKind::Read};
@@ -107,6 +108,7 @@
     CHECK_TRUE(settings.idleInTransactionTimeout == milliseconds(4000));
     LONGS_EQUAL(3, settings.admissionRank());
     CHECK_TRUE(got.opening->waited == milliseconds(250));
+    CHECK_TRUE(got.opening->usefulFor == milliseconds(530));
     CHECK_TRUE(got.opening->ownFloor == sent.opening->ownFloor);
     CHECK_TRUE(got.opening->begin->verb == StatementVerb::BeginReadOnly);
 }
--- a/tests/pooling/AdmissionTest.cpp
+++ b/tests/pooling/AdmissionTest.cpp
@@ -90,6 +90,34 @@
     UNSIGNED_LONGS_EQUAL(1, fixture.replies.size());
 }
 
+/** What was lost at another executor is told once: as less time, not as less time and as waited. */
+TEST(Admission, AUnitThatComesFromAnotherExecutorHasTheTimeThatIsLeft) {
+    fixture.advance(milliseconds(600));
+    UnitOpening opening;
+    opening.service = ServiceName("current");
+    opening.group = fixture.group;
+    opening.settings.statementTimeout = milliseconds(380);
+    opening.settings.latencyObjective = milliseconds(200);
+    opening.waited = milliseconds(400);
+    opening.usefulFor = milliseconds(380);
+    const SessionId unit = fixture.pooler.openUnit(opening);
+    UnitStatement statement;
+    statement.statement.verb = StatementVerb::Read;
+    statement.statement.text = "READ 1";
+    fixture.pooler.submitUnit(unit, statement);
+    fixture.advance(milliseconds(300));
+    UNSIGNED_LONGS_EQUAL(0, fixture.replies.size());
+}
+
+TEST(Admission, AReturnNearItsEndIsHeldForWhatAProofTakes) {
+    const SessionId session = readInVain();
+    fixture.advance(milliseconds(980));
+    const std::size_t before = fixture.replies.size();
+    fixture.submit(session, StatementVerb::Read, "READ 1");
+    fixture.advance(milliseconds(30));
+    UNSIGNED_LONGS_EQUAL(before, fixture.replies.size());
+}
+
 TEST(Admission, ACallerThatLeftLeavesTheQueueAtOnce) {
     std::vector<SessionId> sessions;
     sessions.reserve(8);
--- a/tests/pooling/PoolerTest.cpp
+++ b/tests/pooling/PoolerTest.cpp
@@ -512,5 +512,27 @@
     UNSIGNED_LONGS_EQUAL(2, fixture.pendingCount());
 }
 
+/** The loop would do nothing else until the promotion is over. */
+TEST(StatementPooler, AWriteThatWaitsForAPromotionAsksForNoLookAtOnce) {
+    PromotionNotice notice;
+    notice.phase = PromotionPhase::Preparing;
+    notice.version = 5;
+    fixture.advance(milliseconds(2000));
+    fixture.pooler.applyNotice(fixture.group, notice);
+    fixture.submit(fixture.session("current"), StatementVerb::Write, "WRITE k v");
+    for (int look = 0; look < 20; ++look) {
+        fixture.pooler.onTick();
+        CHECK_TRUE(*fixture.pooler.nextTick() > fixture.clock.now());
+    }
+}
+
+TEST(StatementPooler, WritesThatFailEjectNoPrimary) {
+    for (int write = 0; write < 12; ++write) {
+        fixture.submit(fixture.session("current"), StatementVerb::Write, "WRITE k v");
+        fixture.refuse(StatementFault::Failed);
+    }
+    UNSIGNED_LONGS_EQUAL(0, fixture.pooler.statistics().serversEjected);
+}
+
 }  // namespace
 }  // namespace coralhoist::pooling
