The record of a quota shard has parts of deputies

Cause: the record names one allowance for each tenant, the leader's, so nobody else can be given a part of the bound.

Change: parts of deputies (holder, whether it grants, writing, tenants) beside the leader's, and their codec. A record of before has none. A part that can't be read makes the record unreadable, as tenants that can't be read do: taken for no part it could be granted twice.

Ruled out: a part that can't be read as no deputy (its holder may still grant). A counter of its own for writings of a part: two lives of the writer in one process would repeat it, and an old writing would be taken for the new one; the replaced version differs each time.

--- a/src/tenancy/QuotaShardRecord.h
+++ b/src/tenancy/QuotaShardRecord.h
@@ -39,6 +39,23 @@
     bool operator==(const RecordedQuota&) const = default;
 };
 
+/** What the record tells of each tenant in one part. */
+using RecordedQuotas = std::map<TenantName, RecordedQuota>;
+
+/** The part of one deputy: grants units where neither the leader nor its standby is in reach. */
+struct DeputyPart {
+    NodeLife holder;
+    /** It may write allowances into its part; otherwise its units only count until they age out. */
+    bool grants = true;
+    /** Version of the record that its holder replaced when it wrote the part: no two writings of
+     * one life are the same, so that none is taken for an older one whose lease is over. */
+    std::uint64_t renewals = 0;
+    /** Tenants that were asked for there; no other was granted anything. */
+    RecordedQuotas tenants;
+
+    bool operator==(const DeputyPart&) const = default;
+};
+
 /** Step of `RecordedQuota::counting`: with 0.5 s a window and the longest lease are 14 numbers a
  * tenant. */
 constexpr Duration kCountingStep = std::chrono::milliseconds(500);
@@ -53,8 +70,11 @@
     /** Has a copy of every grant that was ever answered, and may lead at once; or nobody. */
     NodeLife standby;
     /** A tenant that is not listed was granted nothing. */
-    std::map<TenantName, RecordedQuota> tenants;
-    /** Makes each writing differ: the store takes one of the same content for no change. */
+    RecordedQuotas tenants;
+    /** Parts of the tenants' bounds that the leader doesn't have. */
+    std::vector<DeputyPart> deputies;
+    /** Makes each writing of the leader differ: the store takes one of the same content for no
+     * change. */
     std::uint64_t renewals = 0;
     /** Version in the store; 0 when there is no record. */
     std::uint64_t version = 0;
--- a/tests/platform_adapter/CodecTest.cpp
+++ b/tests/platform_adapter/CodecTest.cpp
@@ -124,6 +124,36 @@
     CHECK_TRUE(codec.readQuotaShard(written) == record);
 }
 
+TEST(PlatformCodec, PartsOfDeputiesSurviveTheStore) {
+    tenancy::QuotaShardRecord record;
+    record.deputies.push_back(
+        {{NodeName("n3"), "n3/1"}, true, 4, {{TenantName("t1"), {{0, 2}, 11}}}});
+    record.deputies.push_back({{NodeName("n4"), "n4/1"}, false, 2, {{TenantName("t1"), {{5}, 0}}}});
+    CHECK_TRUE(codec.readQuotaShard(codec.writeQuotaShard("shard-3", record)) == record);
+}
+
+TEST(PlatformCodec, ARecordOfBeforeTheDeputiesHasNone) {
+    const auto record = codec.readQuotaShard(object("shard-3", R"({"leader":"n1","tenants":{}})"));
+    CHECK_TRUE(record.has_value() && record->deputies.empty());
+}
+
+TEST(PlatformCodec, ARecordWithAPartThatCannotBeReadIsNotTakenForOneWithoutIt) {
+    for (const char* deputies : {R"({})", R"(["n3"])", R"([{"node":"n3","tenants":{}}])",
+                                 R"([{"node":"n3","life":"n3/1"}])"}) {
+        const std::string text = std::string(R"({"tenants":{},"deputies":)") + deputies + "}";
+        CHECK_FALSE(codec.readQuotaShard(object("shard-3", text.c_str())).has_value());
+    }
+}
+
+TEST(PlatformCodec, APartAllowsNoMoreThanItSays) {
+    const auto record = codec.readQuotaShard(object(
+        "shard-3",
+        R"({"tenants":{},"deputies":[{"node":"n3","life":"a","tenants":{"t":{"allowance":"9"}}}]})"));
+    CHECK_TRUE(record.has_value());
+    UNSIGNED_LONGS_EQUAL(0, record->deputies[0].tenants.at(TenantName("t")).allowance);
+    CHECK_FALSE(record->deputies[0].grants);
+}
+
 TEST(PlatformCodec, ARecordWithoutTenantsIsNotTakenForOneThatGrantedNothing) {
     CHECK_FALSE(codec.readQuotaShard(object("shard-3", R"({"leader":"n1"})")).has_value());
 }
