--- a/src/duty/pooling/PoolingDuty.cpp
+++ b/src/duty/pooling/PoolingDuty.cpp
@@ -246,6 +246,7 @@
     figures.gate = _gate.statistics();
     figures.quotas = _quotas.statistics();
     figures.quotaShardsLed = _quotas.shardsLed();
+    figures.quotaShardsAsDeputy = _quotas.shardsAsDeputy();
     return {kOk, renderMetrics(figures)};
 }
 
--- a/src/duty/pooling/PoolingMetrics.cpp
+++ b/src/duty/pooling/PoolingMetrics.cpp
@@ -57,6 +57,9 @@
     const tenancy::QuotaStatistics& quotas = figures.quotas;
     page.metric("gauge", "quota_shards_led", "Shards of tenants whose quotas this node grants.",
                 figures.quotaShardsLed);
+    page.metric("gauge", "quota_shards_as_deputy",
+                "Shards of which this node grants a part beside a leader out of its reach.",
+                figures.quotaShardsAsDeputy);
     page.metric("counter", "quota_units_total", "Units of tenants' quotas that ran here.",
                 quotas.ran);
     page.metric("counter", "quota_units_unused_total", "Granted units that were not used in time.",
@@ -74,6 +77,10 @@
     page.metric("counter", "quota_led_without_copy_total",
                 "Shards that this node began to lead without a copy of their ledgers.",
                 quotas.ledWithoutCopy);
+    page.metric("counter", "quota_deputy_begun_total",
+                "Times that this node became the deputy of a shard.", quotas.deputized);
+    page.metric("counter", "quota_units_granted_as_deputy_total",
+                "Units that this node granted as deputy.", quotas.grantedAsDeputy);
     page.metric("counter", "quota_standbys_lost_total", "Standbys that this node gave up.",
                 quotas.standbysLost);
 }
--- a/src/duty/pooling/PoolingMetrics.h
+++ b/src/duty/pooling/PoolingMetrics.h
@@ -14,8 +14,9 @@
     pooling::PoolerStatistics pooler;
     tenancy::GateStatistics gate;
     tenancy::QuotaStatistics quotas;
-    /** Shards of tenants whose quotas this node grants. */
+    /** Shards of tenants whose quotas this node grants, and of which it grants a part as deputy. */
     std::size_t quotaShardsLed = 0;
+    std::size_t quotaShardsAsDeputy = 0;
     std::size_t sessions = 0;
     std::size_t nodes = 0;
     std::uint64_t settingsVersion = 0;
--- a/src/tenancy/QuotaExchange.cpp
+++ b/src/tenancy/QuotaExchange.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -26,6 +27,14 @@
 /** A node that declined is not asked again before: it has just started, is leaving, or can't reach
  * the store. Another one may. */
 constexpr Duration kUnhelpfulFor = milliseconds(500);
+/** A leader that has not answered for so long may be out of reach. Answers take less, but of nodes
+ * under load: a probe too many costs a message. */
+constexpr Duration kSuspectAfter = milliseconds(50);
+/** Nothing is probed more often for a shard: in a flood many answers are late. */
+constexpr Duration kProbeEvery = std::chrono::seconds(2);
+/** So many of the first nodes in the shard's order are probed besides the standby: with two sides
+ * one of them is on this side in fifteen of sixteen cuts. */
+constexpr std::size_t kProbedNodes = 4;
 /** When a caller should come back while no leader answers. */
 constexpr Duration kRetryWithoutAnswer = milliseconds(300);
 
@@ -172,12 +181,18 @@
         shardOf(shard).ask(question, std::move(reply));
         return;
     }
+    const auto probed = _probedAt.find(shard);
+    const bool isProbed = probed != _probedAt.end() && now - probed->second < kProbeEvery;
+    if (!isProbed) {
+        _suspectAt.try_emplace(shard, now + kSuspectAfter);
+    }
     _calls.ask(*target, question,
                [this, alive = std::weak_ptr<bool>(_alive), shard, node = *target,
                 reply = std::move(reply)](const std::optional<QuotaAnswer>& answer) {
                    if (alive.expired()) {
                        return;
                    }
+                   _suspectAt.erase(shard);
                    const QuotaAnswer taken = answer.value_or(declinedAnswer(Duration(0)));
                    if (taken.declined) {
                        _unhelpful[node] = _dependencies.clock.now();
@@ -187,6 +202,51 @@
                });
 }
 
+/**
+ * Nobody answers for the shard. Nodes that may answer in the leader's place look now whether they
+ * reach it, so that links which are cut are found out at the same time, not one after the other.
+ */
+void QuotaExchange::probe(std::uint32_t shard) {
+    const auto tenant =
+        std::find_if(_accounts.begin(), _accounts.end(),
+                     [shard](const auto& entry) { return quotaShardOf(entry.first) == shard; });
+    if (tenant == _accounts.end()) {
+        return;
+    }
+    QuotaQuestion question;
+    question.tenant = tenant->first;
+    std::set<NodeName> probed;
+    if (const auto standby = _standbys.find(shard); standby != _standbys.end()) {
+        probed.insert(standby->second);
+    }
+    const std::vector<pooling::ProxyNode>& order = orderOf(shard);
+    for (std::size_t index = 0; index < std::min(kProbedNodes, order.size()); ++index) {
+        probed.insert(order[index].name);
+    }
+    for (const NodeName& node : probed) {
+        if (node == _dependencies.self.node) {
+            shardOf(shard).ask(question, [](const QuotaAnswer& /*answer*/) {});
+        } else if (_calls.canReach(node)) {
+            _calls.ask(node, question,
+                       [this, alive = std::weak_ptr<bool>(_alive),
+                        shard](const std::optional<QuotaAnswer>& answer) {
+                           if (!alive.expired() && answer) {
+                               onProbed(shard, *answer);
+                           }
+                       });
+        }
+    }
+}
+
+/** Whoever grants where the leader does not answer is asked next, if the leader is lost. */
+void QuotaExchange::onProbed(std::uint32_t shard, const QuotaAnswer& answer) {
+    const auto leader = _leaders.find(shard);
+    const bool isOther = leader == _leaders.end() || leader->second != answer.leader;
+    if (!answer.declined && !answer.leader.value().empty() && isOther) {
+        _standbys[shard] = answer.leader;
+    }
+}
+
 void QuotaExchange::onAnswer(const TenantName& tenant, const Asked& asked,
                              const QuotaQuestion& question, const QuotaAnswer& answer) {
     const auto found = _accounts.find(tenant);
@@ -322,6 +382,14 @@
 }
 
 void QuotaExchange::onTick(TimePoint now) {
+    const std::map<std::uint32_t, TimePoint> suspects = _suspectAt;
+    for (const auto& [shard, due] : suspects) {
+        if (due <= now) {
+            _suspectAt.erase(shard);
+            _probedAt[shard] = now;
+            probe(shard);
+        }
+    }
     for (const auto& [number, shard] : _shards) {
         if (shard->nextTick() <= now) {
             shard->onTick(now);
@@ -331,6 +399,9 @@
 
 TimePoint QuotaExchange::nextTick() const {
     TimePoint next = TimePoint::max();
+    for (const auto& [shard, due] : _suspectAt) {
+        next = std::min(next, due);
+    }
     for (const auto& [number, shard] : _shards) {
         next = std::min(next, shard->nextTick());
     }
@@ -342,6 +413,12 @@
         _shards.begin(), _shards.end(), [](const auto& entry) { return entry.second->leads(); }));
 }
 
+std::size_t QuotaExchange::shardsAsDeputy() const {
+    return static_cast<std::size_t>(
+        std::count_if(_shards.begin(), _shards.end(),
+                      [](const auto& entry) { return entry.second->isDeputy(); }));
+}
+
 void QuotaExchange::onQuotaAsked(std::uint64_t asker, const QuotaQuestion& question) {
     shardOf(quotaShardOf(question.tenant))
         .ask(question,
--- a/src/tenancy/QuotaExchange.h
+++ b/src/tenancy/QuotaExchange.h
@@ -95,6 +95,8 @@
 
     /** @return shards that this node leads. */
     std::size_t shardsLed() const;
+    /** @return shards of which this node is a deputy. */
+    std::size_t shardsAsDeputy() const;
 
 private:
     /** A question that was sent and is waited for. */
@@ -142,6 +144,8 @@
     std::optional<NodeName> remoteTarget(std::uint32_t shard, TimePoint now);
     bool isUsable(const NodeName& node) const;
     void noteSilence(std::uint32_t shard, TimePoint now);
+    void probe(std::uint32_t shard);
+    void onProbed(std::uint32_t shard, const QuotaAnswer& answer);
     void send(std::uint32_t shard, const QuotaQuestion& question, QuotaReply reply);
     void onAnswer(const TenantName& tenant, const Asked& asked, const QuotaQuestion& question,
                   const QuotaAnswer& answer);
@@ -163,6 +167,10 @@
     std::map<std::uint32_t, NodeName> _standbys;
     /** Nodes that could not help lately, and when they said so. */
     std::map<NodeName, TimePoint> _unhelpful;
+    /** Shards of which an answer is waited for, and when that is long. */
+    std::map<std::uint32_t, TimePoint> _suspectAt;
+    /** When other nodes were asked last who grants. */
+    std::map<std::uint32_t, TimePoint> _probedAt;
     std::map<TenantName, Account> _accounts;
     RankTerms _ranks;
     std::uint64_t _lastQuestion = 0;
--- a/src/tenancy/QuotaShard.cpp
+++ b/src/tenancy/QuotaShard.cpp
@@ -20,6 +20,8 @@
 /** A leader that declined a question may have lost its lease: it can't reach the store. */
 constexpr Duration kDeclinedCounts = std::chrono::seconds(1);
 constexpr Duration kLongestRetry = std::chrono::seconds(1);
+/** Questions that only find out who grants are handed on so often: many nodes ask them at once. */
+constexpr Duration kProbeEvery = milliseconds(200);
 
 }  // namespace
 
@@ -29,6 +31,18 @@
         return;
     }
     const TimePoint now = _context.clock.now();
+    const bool isProbe = question.wanted == 0 && question.settled.empty();
+    if (isProbe && !isDeputy() && now - _probedAt < kProbeEvery) {
+        reply(declinedAnswer(kRetryPause));
+        return;
+    }
+    _probedAt = isProbe ? now : _probedAt;
+    _tenant = question.tenant;
+    noteReach(now);
+    if (isDeputy()) {
+        _deputy->ask(question, std::move(reply));
+        return;
+    }
     relayOrSeek({question, std::move(reply), now}, now);
 }
 
@@ -41,25 +55,26 @@
     if (!_known) {
         return std::nullopt;
     }
-    if (canReach(_known->record.leader)) {
-        return _known->record.leader.node;
+    if (canReach(_known->record().leader)) {
+        return _known->record().leader.node;
     }
-    if (canReach(_known->record.standby)) {
-        return _known->record.standby.node;
+    if (canReach(_known->record().standby)) {
+        return _known->record().standby.node;
     }
-    return std::nullopt;
+    return reachableDeputy();
 }
 
 /** @return whether neither the asking node nor this one, the standby, hears from the leader. */
 bool QuotaShard::isSilentToStandby(const HeldQuestion& held, TimePoint now) const {
-    return held.question.leaderSilent && _known && _copy.isOf(_known->record.leader.life) &&
+    return held.question.leaderSilent && _known && _copy.isOf(_known->record().leader.life) &&
            now - _copy.heardAt() >= kLeaderSilence;
 }
 
 void QuotaShard::relayOrSeek(HeldQuestion held, TimePoint now) {
     const std::optional<NodeName> target = relayTarget();
     const bool mayHandOn = target && held.question.hops < kMostQuotaHops;
-    if (mayHandOn && !_copy.isOffered(now) && !isSilentToStandby(held, now)) {
+    const bool isWaitedForLong = now >= deputyDue();
+    if (mayHandOn && !isWaitedForLong && !_copy.isOffered(now) && !isSilentToStandby(held, now)) {
         relay(*target, std::move(held));
         return;
     }
@@ -72,7 +87,13 @@
     ++_context.statistics.relayed;
     QuotaQuestion question = held.question;
     ++question.hops;
-    question.leaderSilent = question.leaderSilent || node != _known->record.leader.node;
+    question.leaderSilent = question.leaderSilent || node != _known->record().leader.node;
+    const NodeLife& standby = _known->record().standby;
+    const bool isProbe = question.wanted == 0;
+    if ((isProbe || question.leaderSilent) && node != standby.node && canReach(standby)) {
+        // If it is out of reach too, that shows at the same time.
+        probe(standby.node, question, [](const QuotaAnswer& /*answer*/) {});
+    }
     _context.calls.ask(node, question,
                        [this, alive = std::weak_ptr<bool>(_alive), node,
                         held = std::move(held)](const std::optional<QuotaAnswer>& answer) mutable {
@@ -80,15 +101,17 @@
                                return;
                            }
                            if (answer && !answer->declined) {
+                               _cutOffSince.reset();
                                held.reply(*answer);
                                return;
                            }
                            const TimePoint now = _context.clock.now();
                            mustReadAgain(now);
-                           if (answer && _known && node == _known->record.leader.node) {
+                           noteReach(now);
+                           if (answer && _known && node == _known->record().leader.node) {
                                _leaderDeclinedAt = now;
                            }
-                           if (answer || held.isOverdue(now)) {
+                           if (answer || (held.isOverdue(now) && !waitsToBeDeputy())) {
                                decline(held, answer ? answer->retryAfter : kRetryPause);
                            } else {
                                _held.hold(std::move(held));
@@ -115,16 +138,21 @@
 }
 
 /** Questions that waited for the record go to whom it names. */
-void QuotaShard::handOnHeld(TimePoint now) {
+void QuotaShard::handOnHeld() {
     const std::optional<NodeName> target = relayTarget();
+    if (!target && waitsToBeDeputy()) {
+        _notBefore = std::max(_notBefore, deputyDue());
+        return;
+    }
     for (HeldQuestion& held : _held.takeAll()) {
         if (leads()) {
             _leader->ask(held.question, std::move(held.reply));
+        } else if (isDeputy()) {
+            _deputy->ask(held.question, std::move(held.reply));
         } else if (target && held.question.hops < kMostQuotaHops) {
             relay(*target, std::move(held));
         } else {
-            const Duration rest = _known ? _known->seenAt + kShardLeaseOfOthers - now : kRetryPause;
-            decline(held, rest);
+            decline(held, kRetryPause);
         }
     }
 }
@@ -159,10 +187,12 @@
         declineHeld(kRetryPause);
         return;
     }
-    if (!_known || _known->record.version != loaded.record.version) {
-        _known = KnownRecord{loaded.record, now, now};
+    if (!_known) {
+        _known = KnownRecord{};
     }
+    _known->parts.onKnown(loaded.record, now);
     _known->loadedAt = now;
+    noteReach(now);
     const bool isCopied =
         _copy.isOf(loaded.record.leader.life) && loaded.record.standby == _context.self;
     if ((_copy.isSealed() || _copy.isReleased()) && !isCopied) {
@@ -172,7 +202,7 @@
 }
 
 bool QuotaShard::mayLeadWithCopy(TimePoint now) const {
-    const QuotaShardRecord& record = _known->record;
+    const QuotaShardRecord& record = _known->record();
     const bool isSilent =
         std::any_of(_held.all().begin(), _held.all().end(),
                     [this, now](const HeldQuestion& held) { return isSilentToStandby(held, now); });
@@ -181,7 +211,7 @@
 }
 
 bool QuotaShard::mayLeadWithoutCopy(TimePoint now) const {
-    const QuotaShardRecord& record = _known->record;
+    const QuotaShardRecord& record = _known->record();
     const bool isFree = !record.leader.exists();
     // A standby to which this node has handed over leads with a copy.
     const bool hasHandedOver = record.leader == _context.self && canReach(record.standby);
@@ -189,15 +219,15 @@
     // The lease of whoever wrote this version has ended, if nobody writes another one meanwhile;
     // the claim fails then.
     const bool isSilent = !canReach(record.leader) || now - _leaderDeclinedAt < kDeclinedCounts;
-    const bool hasLapsed = isSilent && now - _known->seenAt >= kShardLeaseOfOthers;
+    const bool hasLapsed = isSilent && now - _known->parts.leaderSeenAt() >= kShardLeaseOfOthers;
     return isFree || wasSelf || hasLapsed;
 }
 
 /** The record was read a moment ago. */
 void QuotaShard::decide(TimePoint now) {
-    if (_known->record.leader == _context.self && _claimPending) {
+    if (_known->record().leader == _context.self && _claimPending) {
         // The claim was done. It grants once it has renewed the record.
-        lead(_known->record, now);
+        lead(_known->record(), now);
     } else if (!_released && mayLeadWithCopy(now)) {
         _copy.seal();
         claim(_copy.ledgers(), true, now);
@@ -205,21 +235,24 @@
     } else if (!_released && mayLeadWithoutCopy(now)) {
         claim(inheritedLedgers(now), false, now);
         return;
+    } else if (mayBeDeputy(now)) {
+        becomeDeputy();
     }
-    handOnHeld(now);
+    handOnHeld();
 }
 
 /** @return ledgers that count all that the former leader may have granted. */
 ShardLedgers QuotaShard::inheritedLedgers(TimePoint now) const {
     // A former life of this node stopped before this one began. Others wrote the record before it
     // was read first, and have stopped by now, also where this life handed over and nobody leads.
-    const NodeLife& leader = _known->record.leader;
+    const NodeLife& leader = _known->record().leader;
     const bool wasFormerLife = leader.node == _context.self.node && leader != _context.self;
-    const TimePoint writtenBy =
-        wasFormerLife ? std::min(_context.startedAt, _known->seenAt) : _known->seenAt;
+    const TimePoint writtenBy = wasFormerLife
+                                    ? std::min(_context.startedAt, _known->parts.leaderSeenAt())
+                                    : _known->parts.leaderSeenAt();
     const TimePoint stoppedBy = wasFormerLife ? _context.startedAt : now;
     ShardLedgers ledgers;
-    for (const auto& [tenant, quota] : _known->record.tenants) {
+    for (const auto& [tenant, quota] : _known->record().tenants) {
         ledgers.try_emplace(tenant, _context.terms.window)
             .first->second.inherit(quota, writtenBy, stoppedBy);
     }
@@ -227,10 +260,14 @@
 }
 
 void QuotaShard::claim(ShardLedgers ledgers, bool withCopy, TimePoint now) {
-    QuotaShardRecord claimed = _known->record;
+    if (_deputy) {
+        _deputy->withdraw();
+    }
+    QuotaShardRecord claimed = _known->record();
     claimed.leader = _context.self;
     claimed.standby = {};
-    claimed.tenants = recordedQuotas(_context, ledgers, now);
+    claimed.tenants = leaderQuotas(_context, _known->parts, ledgers, now);
+    claimed.deputies = _known->parts.cleared(_context.terms.window, now);
     ++claimed.renewals;
     _claimedLedgers = std::move(ledgers);
     _claimedWithCopy = withCopy;
@@ -255,7 +292,7 @@
         QuotaShardRecord record = claimed;
         record.version = saved.version;
         lead(record, sentAt + kShardLease);
-        handOnHeld(now);
+        handOnHeld();
     } else if (saved.outcome == StoreOutcome::Unavailable) {
         declineHeld(kRetryPause);
     } else {
@@ -267,12 +304,14 @@
     ++(_claimedWithCopy ? _context.statistics.ledWithCopy : _context.statistics.ledWithoutCopy);
     LogEvent("tenancy", LogLevel::Info, "quota.leader")
         .field("shard", _context.shard)
-        .field("former", _known->record.leader.node)
+        .field("former", _known->record().leader.node)
         .field("with_copy", _claimedWithCopy)
         .field("version", record.version);
     _claimPending = false;
     _copy.drop();
-    _leader = std::make_unique<ShardLeader>(_context, record, leaseUntil,
+    RecordParts parts = _known->parts;
+    parts.onKnown(record, _context.clock.now());
+    _leader = std::make_unique<ShardLeader>(_context, std::move(parts), leaseUntil,
                                             std::exchange(_claimedLedgers, {}));
     _known.reset();
     _leader->onTick(_context.clock.now());
@@ -292,17 +331,21 @@
 
 void QuotaShard::release() {
     _released = true;
+    if (_deputy) {
+        _deputy->release();
+    }
     if (leads()) {
         _leader->release();
     }
 }
 
 void QuotaShard::onTick(TimePoint now) {
+    tickDeputy(now);
     if (_leader && _leader->hasEnded()) {
         for (HeldQuestion& held : _leader->takeHeld()) {
             _held.hold(std::move(held));
         }
-        _leader.reset();
+        followSuccessor(now);
     }
     if (_leader) {
         _leader->onTick(now);
@@ -315,10 +358,12 @@
 }
 
 TimePoint QuotaShard::nextTick() const {
+    const TimePoint deputy =
+        _deputy ? std::min(_deputyDueAt, _deputy->nextTick()) : TimePoint::max();
     if (_leader) {
-        return _leader->hasEnded() ? TimePoint::min() : _leader->nextTick();
+        return _leader->hasEnded() ? TimePoint::min() : std::min(deputy, _leader->nextTick());
     }
-    TimePoint next = _held.dueAt();
+    TimePoint next = std::min(deputy, _held.dueAt());
     if (!_calling && (!_held.empty() || _copy.isReleased())) {
         next = std::min(next, _notBefore);
     }
--- a/src/tenancy/QuotaShard.h
+++ b/src/tenancy/QuotaShard.h
@@ -1,4 +1,5 @@
-/** One node's part in one shard of tenants: leader, standby, or whoever finds the leader. */
+/** One node's part in one shard of tenants: leader, standby, deputy, or whoever finds the leader.
+ */
 #pragma once
 
 #include <cstdint>
@@ -7,6 +8,7 @@
 
 #include "tenancy/HeldQuestions.h"
 #include "tenancy/LedgerCopy.h"
+#include "tenancy/RecordParts.h"
 #include "tenancy/ShardContext.h"
 #include "tenancy/ShardLeader.h"
 
@@ -15,10 +17,12 @@
 /**
  * Answers questions for units of the shard's tenants: by itself while it leads, else by handing
  * them to the leader or its standby. Begins to lead where the record names nobody, a former life of
- * this node, or a leader that can't be reached: as its standby at once, else after its lease.
+ * this node, or a leader that can't be reached: as its standby at once, else after its lease. Until
+ * then it is a deputy where neither leader nor standby can be reached, but the store is.
  *
- * Invariant: at most one node grants at a time, and the ledger with which one begins counts
- * whatever its predecessors may have granted. Neither rests on a node's list, on links or on
+ * Invariant: at most one node leads at a time, and the ledger with which one begins counts
+ * whatever its predecessors may have granted; deputies grant within parts of the record that the
+ * leader leaves them (`RecordParts`). Nothing of it rests on a node's list, on links or on
  * silence, but on writing the record under the version that was read.
  */
 class QuotaShard {
@@ -39,17 +43,27 @@
 
     bool leads() const { return _leader && !_leader->hasEnded(); }
 
+    /** @return whether this node grants a part of the shard's units as deputy. */
+    bool isDeputy() const { return _deputy && !_deputy->hasWithdrawn(); }
+
 private:
     /** What was read of the record. */
     struct KnownRecord {
-        QuotaShardRecord record;
-        /** When this version was read first and last. */
-        TimePoint seenAt{};
+        RecordParts parts;
+        /** When it was read last. */
         TimePoint loadedAt{};
+
+        const QuotaShardRecord& record() const { return parts.record(); }
     };
 
     void relayOrSeek(HeldQuestion held, TimePoint now);
+    bool reachesLeader() const;
     std::optional<NodeName> relayTarget() const;
+    std::optional<NodeName> reachableDeputy() const;
+    bool mayBeDeputy(TimePoint now) const;
+    void becomeDeputy();
+    void noteReach(TimePoint now);
+    void tickDeputy(TimePoint now);
     bool isSilentToStandby(const HeldQuestion& held, TimePoint now) const;
     bool canReach(const NodeLife& life) const;
     void relay(const NodeName& node, HeldQuestion held);
@@ -66,10 +80,27 @@
     void mustReadAgain(TimePoint now);
     void decline(const HeldQuestion& held, Duration retryAfter);
     void declineHeld(Duration retryAfter);
-    void handOnHeld(TimePoint now);
+    void handOnHeld();
+    bool waitsToBeDeputy() const;
+    TimePoint deputyDue() const;
+    void lookForLeader(TimePoint now);
+    void followSuccessor(TimePoint now);
+    void probe(const NodeName& node, QuotaQuestion question, QuotaReply onAnswered);
 
     ShardContext _context;
     std::unique_ptr<ShardLeader> _leader;
+    /** Kept after it has withdrawn until nothing that it granted counts. */
+    std::unique_ptr<ShardLeader> _deputy;
+    /** Since when neither the leader nor its standby has been in reach. */
+    std::optional<TimePoint> _cutOffSince;
+    /** When the deputy looks again whether it is needed. */
+    TimePoint _deputyDueAt{};
+    /** When the deputy asked the leader last whether it is there. */
+    TimePoint _lookedAt{};
+    /** When a question that asks for nothing was handed on last. */
+    TimePoint _probedAt{};
+    /** Asked for last. */
+    TenantName _tenant;
     LedgerCopy _copy;
     std::optional<KnownRecord> _known;
     /** What would count if the newest claim, of which no answer came, was done all the same. */
--- a/src/tenancy/RecordAllowances.cpp
+++ b/src/tenancy/RecordAllowances.cpp
@@ -12,6 +12,11 @@
 /** A tenant's allowance is so many times what it used in the last window: at the end of 2 s without
  * a renewal it lasts for 4.5 s more, in which the store may be away. */
 constexpr double kWindowsAllowed = 1.3;
+/** So much of what counts is left to deputies, where that leaves the least allowance: half of a
+ * tenant's callers find what they use in 2.5 s, until the leader knows of the deputy. */
+constexpr double kRoomForDeputy = 0.25;
+/** Part of the bound that each of two sides may have at least while both are asked. */
+constexpr double kLeastShare = 0.25;
 
 std::uint32_t unitsIn(const std::map<TenantName, std::uint32_t>& allowances,
                       const TenantName& tenant) {
@@ -25,19 +30,40 @@
     left -= std::min(left, units);
 }
 
-/** @return units to allow beyond those that count; no more than the bound leaves. */
-std::uint32_t allowanceFor(std::uint32_t counted, std::uint32_t bound) {
+/** @return units that a holder wants beyond those that count. */
+std::uint32_t wantedBeyond(std::uint32_t counted, std::uint32_t bound) {
     const auto least = static_cast<std::uint32_t>(bound * kLeastAllowance) + 1;
-    const std::uint32_t left = bound - std::min(bound, counted);
-    const auto wanted = static_cast<std::uint32_t>(counted * kWindowsAllowed);
-    return std::clamp(wanted, least, std::max(least, left));
+    return std::max(least, static_cast<std::uint32_t>(counted * kWindowsAllowed));
+}
+
+/** @return units to allow a leader where no other part allows anything; its ledger keeps to the
+ * bound. */
+std::uint32_t allowanceAlone(std::uint32_t counted, std::uint32_t bound) {
+    const auto least = static_cast<std::uint32_t>(bound * kLeastAllowance) + 1;
+    const auto kept = static_cast<std::uint32_t>(counted * kRoomForDeputy);
+    const std::uint32_t left = bound - std::min(bound, counted + kept);
+    return std::min(wantedBeyond(counted, bound), std::max(least, left));
+}
+
+/** @return units to allow beside others, so that all parts together are within the bound. */
+std::uint32_t allowanceBeside(std::uint32_t counted, const ForeignUnits& others,
+                              std::uint32_t bound) {
+    const std::uint32_t left = bound - std::min(bound, counted + others.all());
+    std::uint32_t share = bound;
+    if (others.shares) {
+        const double used = counted + others.counting;
+        const double part = used > 0 ? counted / used : kLeastShare;
+        share = static_cast<std::uint32_t>(bound * std::clamp(part, kLeastShare, 1 - kLeastShare));
+    }
+    const std::uint32_t leftOfShare = share - std::min(share, counted);
+    return std::min({wantedBeyond(counted, bound), left, leftOfShare});
 }
 
 }  // namespace
 
-RecordAllowances::Allowances RecordAllowances::allowancesOf(const QuotaShardRecord& record) {
+RecordAllowances::Allowances RecordAllowances::allowancesOf(const RecordedQuotas& quotas) {
     Allowances allowances;
-    for (const auto& [tenant, quota] : record.tenants) {
+    for (const auto& [tenant, quota] : quotas) {
         allowances[tenant] = quota.allowance;
     }
     return allowances;
@@ -80,8 +106,8 @@
     }
 }
 
-std::map<TenantName, RecordedQuota> countedQuotas(ShardLedgers& ledgers, TimePoint now) {
-    std::map<TenantName, RecordedQuota> quotas;
+RecordedQuotas countedQuotas(ShardLedgers& ledgers, TimePoint now) {
+    RecordedQuotas quotas;
     for (auto& [name, ledger] : ledgers) {
         if (ledger.counted(now) > 0) {
             quotas[name] = ledger.recorded(now);
@@ -90,14 +116,34 @@
     return quotas;
 }
 
-std::map<TenantName, RecordedQuota> recordedQuotas(const ShardContext& context,
-                                                   ShardLedgers& ledgers, TimePoint now) {
-    std::map<TenantName, RecordedQuota> quotas = countedQuotas(ledgers, now);
+RecordedQuotas leaderQuotas(const ShardContext& context, const RecordParts& parts,
+                            ShardLedgers& ledgers, TimePoint now) {
+    RecordedQuotas quotas = countedQuotas(ledgers, now);
     for (const auto& [name, tenant] : context.tenants().all()) {
-        if (quotaShardOf(name) == context.shard) {
-            const auto ledger = ledgers.find(name);
-            const std::uint32_t counted = ledger == ledgers.end() ? 0 : ledger->second.counted(now);
-            quotas[name].allowance = allowanceFor(counted, context.terms.bound(tenant.quota));
+        if (quotaShardOf(name) != context.shard) {
+            continue;
+        }
+        const auto ledger = ledgers.find(name);
+        const std::uint32_t counted = ledger == ledgers.end() ? 0 : ledger->second.counted(now);
+        const std::uint32_t bound = context.terms.bound(tenant.quota);
+        const ForeignUnits others = parts.besidesLeader(name, now);
+        const bool isAlone = others.allowed == 0 && !others.shares;
+        quotas[name].allowance = isAlone ? allowanceAlone(counted + others.counting, bound)
+                                         : allowanceBeside(counted, others, bound);
+    }
+    return quotas;
+}
+
+RecordedQuotas deputyQuotas(const ShardContext& context, const RecordParts& parts,
+                            ShardLedgers& ledgers, TimePoint now) {
+    RecordedQuotas quotas;
+    for (auto& [name, ledger] : ledgers) {
+        quotas[name] = ledger.recorded(now);
+        const Tenant* tenant = context.tenants().find(name);
+        if (tenant != nullptr) {
+            const ForeignUnits others = parts.besidesDeputy(context.self, name, now);
+            quotas[name].allowance =
+                allowanceBeside(ledger.counted(now), others, context.terms.bound(tenant->quota));
         }
     }
     return quotas;
--- a/src/tenancy/RecordAllowances.h
+++ b/src/tenancy/RecordAllowances.h
@@ -1,4 +1,5 @@
-/** What a leader may still grant under each version of its shard's record that may be the newest.
+/** What a leader or deputy may still grant under each version of its shard's record that may be the
+ * newest.
  */
 #pragma once
 
@@ -8,6 +9,7 @@
 
 #include "tenancy/QuotaLedger.h"
 #include "tenancy/QuotaShardRecord.h"
+#include "tenancy/RecordParts.h"
 #include "tenancy/ShardContext.h"
 
 namespace coralhoist::tenancy {
@@ -18,8 +20,8 @@
  */
 class RecordAllowances {
 public:
-    /** @param record is in force. */
-    explicit RecordAllowances(const QuotaShardRecord& record) : _inForce(allowancesOf(record)) {}
+    /** @param quotas the part of this node in the record that is in force. */
+    explicit RecordAllowances(const RecordedQuotas& quotas) : _inForce(allowancesOf(quotas)) {}
 
     /** @return units of the tenant that may still be granted. */
     std::uint32_t left(const TenantName& tenant) const;
@@ -28,7 +30,7 @@
     void take(const TenantName& tenant, std::uint32_t units);
 
     /** The record is being written. */
-    void onSaving(const QuotaShardRecord& record) { _beingWritten = allowancesOf(record); }
+    void onSaving(const RecordedQuotas& quotas) { _beingWritten = allowancesOf(quotas); }
 
     /** The writing ended as given. */
     void onSaved(StoreOutcome outcome);
@@ -36,7 +38,7 @@
 private:
     using Allowances = std::map<TenantName, std::uint32_t>;
 
-    static Allowances allowancesOf(const QuotaShardRecord& record);
+    static Allowances allowancesOf(const RecordedQuotas& quotas);
 
     Allowances _inForce;
     std::optional<Allowances> _beingWritten;
@@ -45,10 +47,14 @@
 };
 
 /** @return what counts of each tenant now, without allowances. */
-std::map<TenantName, RecordedQuota> countedQuotas(ShardLedgers& ledgers, TimePoint now);
+RecordedQuotas countedQuotas(ShardLedgers& ledgers, TimePoint now);
 
-/** @return what the record is to say of all tenants of the shard. */
-std::map<TenantName, RecordedQuota> recordedQuotas(const ShardContext& context,
-                                                   ShardLedgers& ledgers, TimePoint now);
+/** @return the leader's part: what the record is to say of all tenants of the shard. */
+RecordedQuotas leaderQuotas(const ShardContext& context, const RecordParts& parts,
+                            ShardLedgers& ledgers, TimePoint now);
+
+/** @return a deputy's part: the tenants that it was asked for, which have a ledger. */
+RecordedQuotas deputyQuotas(const ShardContext& context, const RecordParts& parts,
+                            ShardLedgers& ledgers, TimePoint now);
 
 }  // namespace coralhoist::tenancy
--- a/src/tenancy/ShardContext.h
+++ b/src/tenancy/ShardContext.h
@@ -37,6 +37,9 @@
     /** Shards that this node began to lead with a copy of their ledgers, and without one. */
     std::uint64_t ledWithCopy = 0;
     std::uint64_t ledWithoutCopy = 0;
+    /** Shards of which this node began to be a deputy, and units that it granted as such. */
+    std::uint64_t deputized = 0;
+    std::uint64_t grantedAsDeputy = 0;
     /** Standbys that this node gave up. */
     std::uint64_t standbysLost = 0;
 };
--- a/src/tenancy/ShardLeader.cpp
+++ b/src/tenancy/ShardLeader.cpp
@@ -26,6 +26,9 @@
 constexpr Duration kLongestRetry = std::chrono::seconds(1);
 /** The same where ranks matter: after a window all that counts now has ended. */
 constexpr Duration kLongestPutOff = std::chrono::seconds(5);
+/** Beside deputies, and for these, the record is not written anew for allowances more often: units
+ * of all parts age out at the pace of the quota, so in a flood each finds a little only. */
+constexpr Duration kSharedPause = milliseconds(250);
 /** A tenant of which more than this part of its bound counts uses most of its quota. */
 constexpr double kScarceAbove = 0.75;
 /** The record is written anew when a tenant has so small a part of its allowance left. */
@@ -54,20 +57,21 @@
 
 }  // namespace
 
-ShardLeader::ShardLeader(const ShardContext& context, QuotaShardRecord record, TimePoint leaseUntil,
+ShardLeader::ShardLeader(const ShardContext& context, RecordParts parts, TimePoint leaseUntil,
                          ShardLedgers ledgers)
     : _context(context),
-      _record(std::move(record)),
-      _term(_record.version),
+      _role(ShardRole::Leader),
+      _parts(std::move(parts)),
+      _term(_parts.record().version),
       _leaseUntil(leaseUntil),
       _ledgers(std::move(ledgers)),
-      _allowances(_record),
+      _allowances(_parts.record().tenants),
       _savedAt(leaseUntil - kShardLease),
       _askedAt(context.clock.now()),
       _held(context.statistics.declined) {}
 
 bool ShardLeader::mayGrant(TimePoint now) const {
-    return !_ended && now < _leaseUntil && _standbyState != StandbyState::Leaving;
+    return !_ended && !_withdrawn && now < _leaseUntil && _standbyState != StandbyState::Leaving;
 }
 
 QuotaLedger& ShardLeader::ledgerOf(const TenantName& tenant) {
@@ -81,6 +85,10 @@
         const std::uint32_t unused = ledgerOf(question.tenant).settle(settlement, now);
         _pacers[question.tenant].giveBack(unused);
     }
+    if (question.wanted > 0 && _context.tenants().find(question.tenant) != nullptr) {
+        // A deputy writes allowances of those that it was asked for.
+        ledgerOf(question.tenant);
+    }
     HeldQuestion held{question, std::move(reply), now};
     if (mayGrant(now)) {
         answer(std::move(held), now);
@@ -110,17 +118,19 @@
                        });
 }
 
-/** @return units that the tenant's bound leaves. */
+/** @return units that the tenant's bound leaves beside the parts of others. */
 std::uint32_t ShardLeader::freeUnits(const Tenant& tenant, TimePoint now) {
     const std::uint32_t bound = _context.terms.bound(tenant.quota);
-    return bound - std::min(bound, ledgerOf(tenant.name).counted(now));
+    const std::uint32_t others = foreignUnits(tenant.name, now).all();
+    return bound - std::min(bound, ledgerOf(tenant.name).counted(now) + others);
 }
 
 /** @return units that bound and allowance leave. */
 std::uint32_t ShardLeader::grantable(const Tenant& tenant, std::uint32_t wanted, TimePoint now) {
     const std::uint32_t free = freeUnits(tenant, now);
     const std::uint32_t left = _allowances.left(tenant.name);
-    const std::uint32_t allowed = _record.tenants[tenant.name].allowance;
+    const auto own = ownQuotas().find(tenant.name);
+    const std::uint32_t allowed = own == ownQuotas().end() ? 0 : own->second.allowance;
     _needsAllowance = _needsAllowance || (free > 0 && left <= allowed * kAllowanceLow);
     return std::min({wanted, free, left});
 }
@@ -214,7 +224,8 @@
         return;
     }
     const std::uint32_t allowed = grantable(*tenant, question.wanted, now);
-    if (allowed == 0 && question.wanted > 0 && isLimitedByAllowance(*tenant, now)) {
+    const bool isLimited = isLimitedByAllowance(*tenant, now);
+    if (allowed == 0 && question.wanted > 0 && isLimited && !hasOwnAllowance(tenant->name, now)) {
         _held.hold(std::move(held));
         return;
     }
@@ -254,6 +265,7 @@
         answer.batch = {_term, ++_lastBatch};
         ledger.add(answer.batch, units, now + usableFor(question));
         _allowances.take(tenant.name, units);
+        _context.statistics.grantedAsDeputy += _role == ShardRole::Deputy ? units : 0;
         _pacers[tenant.name].take(units);
     }
     answer.scarce = ledger.counted(now) > kScarceAbove * _context.terms.bound(tenant.quota);
@@ -268,6 +280,8 @@
         const Duration paced = _pacers[tenant.name].untilAvailable(missing);
         const Duration freed = untilFree(tenant, missing, now);
         answer.retryAfter = std::min(std::max(paced, freed), kLongestRetry);
+    } else if (missing > 0 && hasOwnAllowance(tenant.name, now)) {
+        answer.retryAfter = std::max(Duration(0), _nextAllowanceAt - now);
     }
     return answer;
 }
@@ -290,8 +304,9 @@
     if (_calling || _ended || now < _notBefore) {
         return false;
     }
-    const bool renews = now - _savedAt >= kRenewEvery && !isIdle(now);
-    return _mustReload || isCaughtUp() || renews || _needsAllowance ||
+    const bool renews = now - _savedAt >= kRenewEvery && !isIdle(now) && !_withdrawn;
+    const bool mustStop = _withdrawn && hasPart();
+    return _mustReload || _mustRenew || isCaughtUp() || renews || wantsAllowance(now) || mustStop ||
            _standbyState == StandbyState::Leaving || _standbyState == StandbyState::Joining;
 }
 
@@ -300,18 +315,12 @@
         reload(now);
         return;
     }
-    if (isCaughtUp()) {
-        _standbyState = StandbyState::Joining;
-    }
-    QuotaShardRecord attempted = _record;
-    attempted.standby =
-        _standbyState == StandbyState::Joining || _standbyState == StandbyState::InSync
-            ? _standby
-            : NodeLife{};
-    attempted.tenants = recordedQuotas(_context, _ledgers, now);
-    ++attempted.renewals;
-    _allowances.onSaving(attempted);
+    QuotaShardRecord attempted = _parts.record();
+    attempted.deputies = _parts.cleared(_context.terms.window, now);
+    writeOwnPart(attempted, now);
+    _allowances.onSaving(ownQuotasOf(attempted));
     _needsAllowance = false;
+    _mustRenew = false;
     _calling = true;
     _context.store.save(
         _context.shard, attempted,
@@ -343,7 +352,9 @@
 
 /** The record is in force as this node wrote it. */
 void ShardLeader::takeRecord(const QuotaShardRecord& record, TimePoint sentAt) {
-    _record = record;
+    _parts.onKnown(record, _context.clock.now());
+    _term = _term == 0 ? record.version : _term;
+    _nextAllowanceAt = record.deputies.empty() ? TimePoint{} : sentAt + kSharedPause;
     _savedAt = sentAt;
     _pause = Duration(0);
     _leaseUntil = sentAt + kShardLease;
@@ -384,15 +395,19 @@
     if (_ended || loaded.outcome != StoreOutcome::Done) {
         return;
     }
-    if (loaded.record.leader != _context.self) {
+    _parts.onKnown(loaded.record, _context.clock.now());
+    if (_role == ShardRole::Leader && loaded.record.leader != _context.self) {
         end();
         return;
     }
     // The content of a late writing of its own is replaced by the next one, whatever it says.
-    _record = loaded.record;
     _mustReload = false;
+    if (_role == ShardRole::Deputy && !_parts.mayJoin(_context.self)) {
+        withdraw();
+        return;
+    }
     _notBefore = _context.clock.now();
-    _savedAt = TimePoint{};
+    _mustRenew = true;
     onTick(_notBefore);
 }
 
@@ -410,6 +425,10 @@
     if (_ended) {
         return;
     }
+    if (_role == ShardRole::Deputy) {
+        withdraw();
+        return;
+    }
     const TimePoint now = _context.clock.now();
     if (_standbyState == StandbyState::InSync) {
         LedgerUpdate update;
@@ -417,7 +436,7 @@
         sendUpdate(std::move(update), std::nullopt);
     } else if (!_calling) {
         // Nobody else knows what counts, so the record says it.
-        QuotaShardRecord released = _record;
+        QuotaShardRecord released = _parts.record();
         released.leader = {};
         released.standby = {};
         released.tenants = countedQuotas(_ledgers, now);
@@ -443,7 +462,8 @@
     if (wantsToOffer(now)) {
         offerLead(now);
     }
-    if (_standbyState == StandbyState::None && now < _leaseUntil && now >= _nextStandby) {
+    const bool mayHaveStandby = _role == ShardRole::Leader && now < _leaseUntil;
+    if (_standbyState == StandbyState::None && mayHaveStandby && now >= _nextStandby) {
         chooseStandby(now);
     }
     answerHeld(now);
@@ -458,18 +478,22 @@
         return TimePoint::max();
     }
     TimePoint next = _held.dueAt();
-    if (_standbyState == StandbyState::None && _askedAt + kIdleAfter > _nextStandby) {
+    if (_standbyState == StandbyState::None && _role == ShardRole::Leader &&
+        _askedAt + kIdleAfter > _nextStandby) {
         next = std::min(next, _nextStandby);
     }
     if (_calling) {
         return next;
     }
     const bool renews = _askedAt + kIdleAfter > _savedAt + kRenewEvery || !_held.empty();
-    if (renews) {
+    if (renews && !_withdrawn) {
         next = std::min(next, std::max(_savedAt + kRenewEvery, _notBefore));
     }
-    if (_mustReload || _needsAllowance || _standbyState == StandbyState::Leaving ||
-        _standbyState == StandbyState::Joining) {
+    if (_needsAllowance && !_withdrawn) {
+        next = std::min(next, std::max(_nextAllowanceAt, _notBefore));
+    }
+    if (_mustReload || _mustRenew || (_withdrawn && hasPart()) ||
+        _standbyState == StandbyState::Leaving || _standbyState == StandbyState::Joining) {
         next = std::min(next, _notBefore);
     }
     return next;
--- a/src/tenancy/ShardLeader.h
+++ b/src/tenancy/ShardLeader.h
@@ -1,4 +1,4 @@
-/** The leader of one shard of tenants: grants their units. */
+/** The leader of one shard of tenants, or a deputy of it: grants their units. */
 #pragma once
 
 #include <cstdint>
@@ -17,6 +17,9 @@
 
 namespace coralhoist::tenancy {
 
+/** Whose part of the record a node writes. */
+enum class ShardRole { Leader, Deputy };
+
 /**
  * Grants within a tenant's bound and within the allowance that the shard's record names for it,
  * while its lease of the record lasts. A grant is answered once the standby has it, so that the
@@ -26,17 +29,28 @@
  * Invariants: nothing is granted after the lease; each grant is part of what every version of the
  * record lists or allows that may be the newest; no grant is answered that a standby which some
  * version may name lacks.
+ *
+ * A deputy grants in the same way within its own part of the record (see `RecordParts`), without a
+ * standby: if it dies, its part ends with its lease.
  */
 class ShardLeader {
 public:
     /**
-     * @param record as this node wrote it, or a former writing of its own that is in force.
+     * A leader.
+     * @param parts of the record as this node wrote it, or of a former writing of its own that is
+     * in force.
      * @param leaseUntil until when it may grant.
      * @param ledgers what counts already.
      */
-    ShardLeader(const ShardContext& context, QuotaShardRecord record, TimePoint leaseUntil,
+    ShardLeader(const ShardContext& context, RecordParts parts, TimePoint leaseUntil,
                 ShardLedgers ledgers);
 
+    /**
+     * A deputy, which grants once it has written its part.
+     * @param parts of the record as it was read. A part of this life of the node has to be empty.
+     */
+    ShardLeader(const ShardContext& context, RecordParts parts);
+
     /** The reply comes within the time for which questions are held. */
     void ask(const QuotaQuestion& question, QuotaReply reply);
 
@@ -49,6 +63,17 @@
     /** Questions that nobody answered here. */
     std::deque<HeldQuestion> takeHeld() { return _held.takeAll(); }
 
+    /** A deputy grants no more, and writes so into its part. */
+    void withdraw();
+    /** A deputy that has withdrawn writes itself an allowance again. */
+    void resume();
+    bool hasWithdrawn() const { return _withdrawn; }
+    /** @return whether nothing is left to write or to count. */
+    bool countsNothing(TimePoint now);
+
+    /** @return the newest version of the record that is known. */
+    const RecordParts& parts() const { return _parts; }
+
     /** Grants no more; the standby, or whoever reads the record, may lead at once. */
     void release();
 
@@ -73,6 +98,14 @@
         QuotaAnswer answer;
     };
 
+    const RecordedQuotas& ownQuotas() const;
+    ForeignUnits foreignUnits(const TenantName& tenant, TimePoint now) const;
+    bool hasOwnAllowance(const TenantName& tenant, TimePoint now) const;
+    bool wantsAllowance(TimePoint now) const;
+    void writeOwnPart(QuotaShardRecord& attempted, TimePoint now);
+    const RecordedQuotas& ownQuotasOf(const QuotaShardRecord& record) const;
+    bool hasPart() const;
+
     bool mayGrant(TimePoint now) const;
     void answer(HeldQuestion held, TimePoint now);
     std::uint32_t freeUnits(const Tenant& tenant, TimePoint now);
@@ -114,7 +147,9 @@
     void end();
 
     const ShardContext& _context;
-    QuotaShardRecord _record;
+    ShardRole _role;
+    RecordParts _parts;
+    /** 0 for a deputy that has not written its part yet. */
     std::uint64_t _term;
     TimePoint _leaseUntil;
     ShardLedgers _ledgers;
@@ -126,6 +161,9 @@
     RecordAllowances _allowances;
     /** A tenant has used up most of its allowance. */
     bool _needsAllowance = false;
+    /** Beside others it is not written anew for an allowance before. */
+    TimePoint _nextAllowanceAt{};
+    bool _withdrawn = false;
 
     StandbyState _standbyState = StandbyState::None;
     NodeLife _standby;
@@ -144,6 +182,8 @@
 
     bool _calling = false;
     bool _mustReload = false;
+    /** The record was read, and is to be written as this node has it. */
+    bool _mustRenew = false;
     /** After calls of the store that failed. */
     Duration _pause{0};
     TimePoint _notBefore{};
--- /dev/null
+++ b/src/tenancy/ShardLeaderParts.cpp
@@ -0,0 +1,99 @@
+/** How the leader of a shard, or a deputy, writes its own part of the record beside others. */
+#include <algorithm>
+#include <utility>
+
+#include "base/Log.h"
+#include "tenancy/ShardLeader.h"
+
+namespace coralhoist::tenancy {
+
+ShardLeader::ShardLeader(const ShardContext& context, RecordParts parts)
+    : _context(context),
+      _role(ShardRole::Deputy),
+      _parts(std::move(parts)),
+      _term(0),
+      _allowances(RecordedQuotas{}),
+      _mustRenew(true),
+      _askedAt(context.clock.now()),
+      _held(context.statistics.declined) {}
+
+const RecordedQuotas& ShardLeader::ownQuotasOf(const QuotaShardRecord& record) const {
+    static const RecordedQuotas kNone;
+    if (_role == ShardRole::Leader) {
+        return record.tenants;
+    }
+    const DeputyPart* part = findPart(record.deputies, _context.self);
+    return part == nullptr ? kNone : part->tenants;
+}
+
+/** @return this node's part of the newest known version. */
+const RecordedQuotas& ShardLeader::ownQuotas() const {
+    return ownQuotasOf(_parts.record());
+}
+
+/** @return what others have of the tenant's bound by the newest known version. */
+ForeignUnits ShardLeader::foreignUnits(const TenantName& tenant, TimePoint now) const {
+    return _role == ShardRole::Leader ? _parts.besidesLeader(tenant, now)
+                                      : _parts.besidesDeputy(_context.self, tenant, now);
+}
+
+/** @return whether the part allows the tenant what it can for now. */
+bool ShardLeader::hasOwnAllowance(const TenantName& tenant, TimePoint now) const {
+    return !_calling && now < _nextAllowanceAt && ownQuotas().contains(tenant);
+}
+
+bool ShardLeader::wantsAllowance(TimePoint now) const {
+    return _needsAllowance && !_withdrawn && now >= _nextAllowanceAt;
+}
+
+/** @return whether a version of the record that is in force lets this deputy grant. */
+bool ShardLeader::hasPart() const {
+    const DeputyPart* part = findPart(_parts.record().deputies, _context.self);
+    return _role == ShardRole::Deputy && part != nullptr && part->grants;
+}
+
+void ShardLeader::writeOwnPart(QuotaShardRecord& attempted, TimePoint now) {
+    if (_role == ShardRole::Leader) {
+        if (isCaughtUp()) {
+            _standbyState = StandbyState::Joining;
+        }
+        const bool isNamed =
+            _standbyState == StandbyState::Joining || _standbyState == StandbyState::InSync;
+        attempted.standby = isNamed ? _standby : NodeLife{};
+        attempted.tenants = leaderQuotas(_context, _parts, _ledgers, now);
+        ++attempted.renewals;
+        return;
+    }
+    DeputyPart own{_context.self, !_withdrawn, attempted.version, {}};
+    own.tenants =
+        _withdrawn ? countedQuotas(_ledgers, now) : deputyQuotas(_context, _parts, _ledgers, now);
+    std::erase_if(attempted.deputies,
+                  [&own](const DeputyPart& part) { return part.holder == own.holder; });
+    attempted.deputies.push_back(std::move(own));
+}
+
+void ShardLeader::withdraw() {
+    if (_withdrawn) {
+        return;
+    }
+    _withdrawn = true;
+    _mustRenew = false;
+    LogEvent("tenancy", LogLevel::Info, "quota.deputy_ended").field("shard", _context.shard);
+    for (const HeldQuestion& held : _held.takeAll()) {
+        _held.decline(held, Duration(0));
+    }
+    onTick(_context.clock.now());
+}
+
+void ShardLeader::resume() {
+    _withdrawn = false;
+    _mustRenew = true;
+    _askedAt = _context.clock.now();
+}
+
+bool ShardLeader::countsNothing(TimePoint now) {
+    const bool isOver = !_calling && (!hasPart() || now >= _leaseUntil);
+    return isOver && countedQuotas(_ledgers, now).empty();
+}
+
+}  // namespace coralhoist::tenancy
--- a/tests/tenancy/QuotaFaults.cpp
+++ b/tests/tenancy/QuotaFaults.cpp
@@ -51,10 +51,27 @@
         &QuotaFaults::hideNodes,   &QuotaFaults::storeDown,
         &QuotaFaults::storeSlow,   &QuotaFaults::storeLosesAnswers,
         &QuotaFaults::storeCut};
-    const Duration length =
-        std::uniform_int_distribution<int>(static_cast<int>(kShortest.count()),
-                                           static_cast<int>(kLongest.count()))(_random) *
-        milliseconds(1);
+    const Duration length = anyLength();
+    (this->*kKinds[_random() % kKinds.size()])(now, length);
+}
+
+Duration QuotaFaults::anyLength() {
+    return std::uniform_int_distribution<int>(static_cast<int>(kShortest.count()),
+                                              static_cast<int>(kLongest.count()))(_random) *
+           milliseconds(1);
+}
+
+void QuotaFaults::beginBesideCut(Duration now) {
+    static constexpr std::array<Kind, 16> kKinds{
+        &QuotaFaults::slowAnswers,   &QuotaFaults::slowNodes,
+        &QuotaFaults::kill,          &QuotaFaults::freeze,
+        &QuotaFaults::leave,         &QuotaFaults::cutLinks,
+        &QuotaFaults::hideNodes,     &QuotaFaults::storeDown,
+        &QuotaFaults::storeSlow,     &QuotaFaults::storeLosesAnswers,
+        &QuotaFaults::storeCut,      &QuotaFaults::killDeputy,
+        &QuotaFaults::freezeDeputy,  &QuotaFaults::freezeDeputy,
+        &QuotaFaults::restartDeputy, &QuotaFaults::cutIntoSides};
+    const Duration length = anyLength();
     (this->*kKinds[_random() % kKinds.size()])(now, length);
 }
 
@@ -194,4 +211,53 @@
     }
 }
 
+std::size_t QuotaFaults::deputyOrAny() {
+    const std::vector<std::size_t> deputies = _network.deputies();
+    return deputies.empty() ? anyNode() : deputies[_random() % deputies.size()];
+}
+
+/** Two sides or three: each link between nodes of different sides is cut. */
+void QuotaFaults::cutIntoSides(Duration now, Duration length) {
+    note("cut into sides", now, length);
+    const std::size_t sides = 2 + _random() % 2;
+    std::vector<std::size_t> sideOf;
+    for (std::size_t node = 0; node < _nodes; ++node) {
+        sideOf.push_back(_random() % sides);
+    }
+    for (std::size_t left = 0; left < _nodes; ++left) {
+        for (std::size_t right = left + 1; right < _nodes; ++right) {
+            if (sideOf[left] == sideOf[right]) {
+                continue;
+            }
+            _network.setLinkCut(left, right, true);
+            heal(now + length, [this, left, right] { _network.setLinkCut(left, right, false); });
+        }
+    }
+}
+
+void QuotaFaults::killDeputy(Duration now, Duration length) {
+    const std::size_t node = deputyOrAny();
+    if (!_network.isRunning(node)) {
+        return;
+    }
+    note("kill deputy", now, length);
+    _network.stop(node);
+    heal(now + length, [this, node] { _network.restart(node); });
+}
+
+void QuotaFaults::freezeDeputy(Duration now, Duration length) {
+    const std::size_t node = deputyOrAny();
+    if (!_network.isRunning(node)) {
+        return;
+    }
+    note("freeze deputy", now, length);
+    _network.setFrozen(node, true);
+    heal(now + length, [this, node] { _network.setFrozen(node, false); });
+}
+
+void QuotaFaults::restartDeputy(Duration now, Duration /*length*/) {
+    note("restart deputy", now, Duration(0));
+    _network.restart(deputyOrAny());
+}
+
 }  // namespace coralhoist::tenancy
--- a/tests/tenancy/QuotaFaults.h
+++ b/tests/tenancy/QuotaFaults.h
@@ -19,6 +19,11 @@
 
     /** Begins one more fault of a random kind. */
     void begin(Duration now);
+    /** Cuts the network into sides that all reach the store. */
+    void cutIntoSides(Duration now, Duration length);
+    /** Begins a fault of those that matter while the network is cut: of the leader, of deputies, of
+     * the store, of links. */
+    void beginBesideCut(Duration now);
     /** Heals what is due. */
     void step(Duration now);
     void healAll();
@@ -31,6 +36,8 @@
 
     std::size_t anyNode();
     std::size_t leaderOrAny();
+    std::size_t deputyOrAny();
+    Duration anyLength();
     std::set<std::size_t> anyNodes();
     void note(const char* what, Duration now, Duration length);
     void heal(Duration at, std::function<void()> action) { _heals.emplace(at, std::move(action)); }
@@ -50,6 +57,9 @@
     void storeSlow(Duration now, Duration length);
     void storeLosesAnswers(Duration now, Duration length);
     void storeCut(Duration now, Duration length);
+    void killDeputy(Duration now, Duration length);
+    void freezeDeputy(Duration now, Duration length);
+    void restartDeputy(Duration now, Duration length);
 
     QuotaNetwork& _network;
     std::size_t _nodes;
--- a/tests/tenancy/QuotaNetwork.cpp
+++ b/tests/tenancy/QuotaNetwork.cpp
@@ -40,6 +40,8 @@
     total.ledWithCopy += more.ledWithCopy;
     total.ledWithoutCopy += more.ledWithoutCopy;
     total.standbysLost += more.standbysLost;
+    total.deputized += more.deputized;
+    total.grantedAsDeputy += more.grantedAsDeputy;
 }
 
 }  // namespace
@@ -415,6 +417,16 @@
     return result;
 }
 
+std::vector<std::size_t> QuotaNetwork::deputies() const {
+    std::vector<std::size_t> result;
+    for (std::size_t node = 0; node < _nodeCount; ++node) {
+        if (_nodes[node]->running && _nodes[node]->exchange->shardsAsDeputy() > 0) {
+            result.push_back(node);
+        }
+    }
+    return result;
+}
+
 QuotaStatistics QuotaNetwork::statistics() const {
     QuotaStatistics total = _ended;
     for (const std::unique_ptr<Node>& node : _nodes) {
@@ -514,6 +526,7 @@
     switch (node.exchange->take(kTenant, {}).kind) {
         case QuotaVerdict::Kind::Granted:
             _runs.push_back(_clock.now());
+            ++_judged[index].ran;
             return;
         case QuotaVerdict::Kind::Waiting:
         case QuotaVerdict::Kind::Turn:
@@ -521,14 +534,27 @@
             return;
         case QuotaVerdict::Kind::Refused:
             ++_refused;
+            ++_judged[index].refused;
             return;
     }
 }
 
+QuotaNetwork::Judged QuotaNetwork::judgedAt(std::size_t node) const {
+    const auto found = _judged.find(node);
+    return found == _judged.end() ? Judged{} : found->second;
+}
+
 std::size_t QuotaNetwork::busiestWindow() const {
+    return busiestWindowSince(TimePoint::min());
+}
+
+std::size_t QuotaNetwork::busiestWindowSince(TimePoint begin) const {
     std::size_t busiest = 0;
     std::size_t first = 0;
-    for (std::size_t last = 0; last < _runs.size(); ++last) {
+    while (first < _runs.size() && _runs[first] < begin) {
+        ++first;
+    }
+    for (std::size_t last = first; last < _runs.size(); ++last) {
         while (_runs[last] - _runs[first] >= _terms.window) {
             ++first;
         }
--- a/tests/tenancy/QuotaNetwork.h
+++ b/tests/tenancy/QuotaNetwork.h
@@ -72,11 +72,22 @@
 
     /** @return the most units that ran within a window of the terms. */
     std::size_t busiestWindow() const;
+    /** @return the same of the windows that begin from now on, as of a later moment. */
+    std::size_t busiestWindowSince(TimePoint begin) const;
+    TimePoint now() const { return _clock.now(); }
 
     std::size_t runCount() const { return _runs.size(); }
     std::size_t refusedCount() const { return _refused; }
+    /** Statements that ran or were refused at a node. */
+    struct Judged {
+        std::size_t ran = 0;
+        std::size_t refused = 0;
+    };
+    Judged judgedAt(std::size_t node) const;
     /** @return nodes that lead the tenant's shard by their own view. */
     std::vector<std::size_t> leaders() const;
+    /** @return nodes that are deputies of the leader by their own view. */
+    std::vector<std::size_t> deputies() const;
     /** @return counters of all lives of all nodes together. */
     QuotaStatistics statistics() const;
 
@@ -121,6 +132,7 @@
     CallersServed _served;
     std::vector<TimePoint> _runs;
     std::size_t _refused = 0;
+    std::map<std::size_t, Judged> _judged;
     /** Nodes at which statements wait, one entry for each statement. */
     std::vector<std::size_t> _waiting;
 };
--- /dev/null
+++ b/tests/tenancy/RecordPartsTest.cpp
@@ -0,0 +1,102 @@
+#include <CppUTest/TestHarness.h>
+
+#include <numeric>
+
+#include "tenancy/RecordAllowances.h"
+#include "tenancy/RecordParts.h"
+
+namespace coralhoist::tenancy {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const TenantName kTenant{"t"};
+constexpr Duration kWindow = seconds(5);
+
+std::uint32_t sumOf(const std::vector<std::uint32_t>& units) {
+    return std::accumulate(units.begin(), units.end(), 0U);
+}
+
+TEST_GROUP(RecordParts) {
+    const TimePoint start{std::chrono::hours(1)};
+    const NodeLife deputy{NodeName("n3"), "n3/1"};
+    RecordParts parts;
+
+    QuotaShardRecord recordWithDeputy() const {
+        QuotaShardRecord record;
+        record.version = 7;
+        record.leader = {NodeName("n1"), "n1/1"};
+        record.tenants[kTenant] = {{0, 40}, 30};
+        record.deputies.push_back({deputy, true, 1, {{kTenant, {{0, 4}, 20}}}});
+        return record;
+    }
+};
+
+TEST(RecordParts, OthersHaveWhatCountsByAgeAndWhatTheyAreAllowed) {
+    parts.onKnown(recordWithDeputy(), start);
+    UNSIGNED_LONGS_EQUAL(24, parts.besidesLeader(kTenant, start).all());
+    UNSIGNED_LONGS_EQUAL(70, parts.besidesDeputy(deputy, kTenant, start).all());
+    UNSIGNED_LONGS_EQUAL(24, parts.besidesLeader(kTenant, start + seconds(1)).all());
+    const TimePoint later = start + milliseconds(1001);
+    UNSIGNED_LONGS_EQUAL(20, parts.besidesLeader(kTenant, later).all());
+    UNSIGNED_LONGS_EQUAL(30, parts.besidesDeputy(deputy, kTenant, later).all());
+}
+
+TEST(RecordParts, APartIsLeftAsItIsWhileItsLeaseMayLast) {
+    parts.onKnown(recordWithDeputy(), start);
+    const std::vector<DeputyPart> cleared = parts.cleared(kWindow, start + milliseconds(6599));
+    CHECK_TRUE(cleared == recordWithDeputy().deputies);
+}
+
+TEST(RecordParts, APartWhoseLeaseIsOverCountsWhatItAllowedForAsLongAsItMayRun) {
+    parts.onKnown(recordWithDeputy(), start);
+    const TimePoint lapsed = start + milliseconds(6600);
+    QuotaShardRecord record = recordWithDeputy();
+    record.deputies = parts.cleared(kWindow, lapsed);
+    record.version = 8;
+    CHECK_FALSE(record.deputies.at(0).grants);
+    UNSIGNED_LONGS_EQUAL(0, record.deputies[0].tenants.at(kTenant).allowance);
+    UNSIGNED_LONGS_EQUAL(20, sumOf(record.deputies[0].tenants.at(kTenant).counting));
+    // The newest unit may run for 2 s and counts for a window after.
+    parts.onKnown(record, lapsed);
+    const TimePoint end = lapsed + kLongestQuotaLease + kWindow;
+    UNSIGNED_LONGS_EQUAL(20, parts.besidesLeader(kTenant, end).all());
+    LONGS_EQUAL(1, parts.cleared(kWindow, end).size());
+    LONGS_EQUAL(0, parts.cleared(kWindow, end + milliseconds(501)).size());
+}
+
+TEST(RecordParts, ARenewalOfAPartBeginsItsLeaseAnew) {
+    parts.onKnown(recordWithDeputy(), start);
+    QuotaShardRecord renewed = recordWithDeputy();
+    renewed.version = 8;
+    renewed.deputies[0].renewals = 2;
+    parts.onKnown(renewed, start + seconds(6));
+    CHECK_TRUE(parts.cleared(kWindow, start + seconds(12)) == renewed.deputies);
+}
+
+TEST(RecordParts, ADeputysWritingIsNoSignOfTheLeader) {
+    parts.onKnown(recordWithDeputy(), start);
+    QuotaShardRecord next = recordWithDeputy();
+    next.version = 8;
+    next.deputies[0].renewals = 2;
+    parts.onKnown(next, start + seconds(1));
+    CHECK_TRUE(parts.leaderSeenAt() == start);
+    ++next.version;
+    parts.onKnown(next, start + seconds(2));
+    CHECK_TRUE(parts.leaderSeenAt() == start + seconds(2));
+}
+
+TEST(RecordParts, ThreeDeputiesAtMost) {
+    QuotaShardRecord record = recordWithDeputy();
+    record.deputies.push_back({{NodeName("n4"), "n4/1"}, true, 1, {}});
+    parts.onKnown(record, start);
+    CHECK_TRUE(parts.mayJoin({NodeName("n6"), "n6/1"}));
+    record.deputies.push_back({{NodeName("n5"), "n5/1"}, false, 1, {}});
+    parts.onKnown(record, start);
+    CHECK_FALSE(parts.mayJoin({NodeName("n6"), "n6/1"}));
+    CHECK_TRUE(parts.mayJoin(deputy));
+}
+
+}  // namespace
+}  // namespace coralhoist::tenancy
--- a/tests/tenancy/ShardLeaderTest.cpp
+++ b/tests/tenancy/ShardLeaderTest.cpp
@@ -15,10 +15,10 @@
 /** Bound 185. */
 const TenantQuota kQuota{25, 25};
 
-QuotaShardRecord recordAllowing(std::uint32_t units) {
-    QuotaShardRecord record;
-    record.tenants[kTenant].allowance = units;
-    return record;
+RecordedQuotas recordAllowing(std::uint32_t units) {
+    RecordedQuotas quotas;
+    quotas[kTenant].allowance = units;
+    return quotas;
 }
 
 TEST_GROUP(RecordAllowances){};
@@ -150,6 +150,15 @@
         return loaded;
     }
 
+    /** A record in which no more deputies find room, so that each writing is a claim. */
+    static LoadedShard crowdedRecord(const char* leader, std::uint64_t version) {
+        LoadedShard loaded = loadedRecord(leader, "", version);
+        for (const char* name : {"n7", "n8", "n9"}) {
+            loaded.record.deputies.push_back({{NodeName(name), name}, false, 1, {}});
+        }
+        return loaded;
+    }
+
     void lead() {
         ask(1);
         LoadedShard none;
@@ -194,28 +203,28 @@
 TEST(QuotaShard, AnotherNodesShardIsNotTakenBeforeItsLeaseHasEnded) {
     sent.reachable = false;
     ask(1);
-    store.finishLoad(loadedRecord("n2/1", "", 7));
+    store.finishLoad(crowdedRecord("n2/1", 7));
     CHECK_TRUE(answers.back().declined);
     clock.advance(milliseconds(6599));
     ask(1);
-    store.finishLoad(loadedRecord("n2/1", "", 7));
+    store.finishLoad(crowdedRecord("n2/1", 7));
     LONGS_EQUAL(0, store.saves.size());
     clock.advance(milliseconds(301));
     ask(1);
-    store.finishLoad(loadedRecord("n2/1", "", 7));
+    store.finishLoad(crowdedRecord("n2/1", 7));
     LONGS_EQUAL(1, store.saves.size());
 }
 
 TEST(QuotaShard, ARenewalInBetweenBeginsTheWaitAnew) {
     sent.reachable = false;
     ask(1);
-    store.finishLoad(loadedRecord("n2/1", "", 7));
+    store.finishLoad(crowdedRecord("n2/1", 7));
     clock.advance(milliseconds(6000));
     ask(1);
-    store.finishLoad(loadedRecord("n2/1", "", 8));
+    store.finishLoad(crowdedRecord("n2/1", 8));
     clock.advance(milliseconds(700));
     ask(1);
-    store.finishLoad(loadedRecord("n2/1", "", 8));
+    store.finishLoad(crowdedRecord("n2/1", 8));
     LONGS_EQUAL(0, store.saves.size());
 }
 
@@ -321,5 +330,120 @@
     CHECK_TRUE(answers.size() == 1 || answers.back().declined);
 }
 
+/** @return units that the deputy's part allows, the only one of the record. */
+std::uint32_t allowedToDeputy(const QuotaShardRecord& record) {
+    return record.deputies.at(0).tenants.at(kTenant).allowance;
+}
+
+TEST_GROUP_BASE(QuotaShardDeputy, TEST_GROUP_CppUTestGroupQuotaShard){
+    /** This node is cut off and has written its part, which is not answered yet. */
+    void askToBeDeputy(){sent.reachable = false;
+ask(1);
+store.finishLoad(loadedRecord("n2/1", "n3/1", 7));
+clock.advance(milliseconds(200));
+shard->onTick(clock.now());
+}  // namespace
+
+/** @return units granted of many questions. */
+std::uint32_t granted() const {
+    std::uint32_t units = 0;
+    for (const QuotaAnswer& answer : answers) {
+        units += answer.granted;
+    }
+    return units;
+}
+};  // namespace coralhoist::tenancy
+
+TEST(QuotaShardDeputy, GrantsOnceItsPartIsWrittenUnderTheVersionThatWasRead) {
+    askToBeDeputy();
+    LONGS_EQUAL(1, store.saved.size());
+    const QuotaShardRecord& written = store.saved[0];
+    UNSIGNED_LONGS_EQUAL(7, written.version);
+    CHECK_TRUE(written.leader == (NodeLife{NodeName("n2"), "n2/1"}));
+    CHECK_TRUE(written.tenants == loadedRecord("n2/1", "n3/1", 7).record.tenants);
+    // No later writing of this life is taken for this one.
+    UNSIGNED_LONGS_EQUAL(7, written.deputies.at(0).renewals);
+    // A quarter of the bound beside a leader that has 40 + 30 units of 185.
+    UNSIGNED_LONGS_EQUAL(46, allowedToDeputy(written));
+    UNSIGNED_LONGS_EQUAL(0, granted());
+    store.finishSave({StoreOutcome::Done, 8});
+    UNSIGNED_LONGS_EQUAL(1, granted());
+    UNSIGNED_LONGS_EQUAL(1, statistics.grantedAsDeputy);
+}
+
+TEST(QuotaShardDeputy, MayNotHaveWhatTheLeaderHas) {
+    sent.reachable = false;
+    ask(1);
+    LoadedShard full = loadedRecord("n2/1", "n3/1", 7);
+    full.record.tenants[kTenant] = {{0, 0, 0, 0, 0, 0, 0, 0, 150}, 30};
+    store.finishLoad(full);
+    clock.advance(milliseconds(200));
+    shard->onTick(clock.now());
+    UNSIGNED_LONGS_EQUAL(5, allowedToDeputy(store.saved.at(0)));
+}
+
+TEST(QuotaShardDeputy, GrantsNothingAfterItsLease) {
+    askToBeDeputy();
+    store.finishSave({StoreOutcome::Done, 8});
+    UNSIGNED_LONGS_EQUAL(1, granted());
+    clock.advance(milliseconds(5999));
+    ask(1);
+    UNSIGNED_LONGS_EQUAL(2, granted());
+    clock.advance(milliseconds(1));
+    ask(1);
+    UNSIGNED_LONGS_EQUAL(2, granted());
+}
+
+TEST(QuotaShardDeputy, GrantsNoMoreThanItsPartAllows) {
+    askToBeDeputy();
+    store.finishSave({StoreOutcome::Done, 8});
+    for (int times = 0; times < 30; ++times) {
+        clock.advance(milliseconds(100));
+        ask(20);
+    }
+    UNSIGNED_LONGS_EQUAL(46, granted());
+}
+
+TEST(QuotaShardDeputy, WritesThatItGrantsNoMoreOnceTheLeaderAnswers) {
+    askToBeDeputy();
+    store.finishSave({StoreOutcome::Done, 8});
+    sent.reachable = true;
+    clock.advance(milliseconds(250));
+    ask(1);
+    UNSIGNED_LONGS_EQUAL(2, granted());
+    QuotaAnswer there;
+    there.leader = NodeName("n2");
+    calls.onAnswer(sent.lastNumber, there);
+    const DeputyPart& part = store.saved.back().deputies.at(0);
+    CHECK_FALSE(part.grants);
+    UNSIGNED_LONGS_EQUAL(0, part.tenants.at(kTenant).allowance);
+    std::uint32_t counting = 0;
+    for (const std::uint32_t units : part.tenants.at(kTenant).counting) {
+        counting += units;
+    }
+    UNSIGNED_LONGS_EQUAL(2, counting);
+    const std::size_t before = sent.questions.size();
+    ask(1);
+    LONGS_EQUAL(before + 1, sent.questions.size());
+}
+
+TEST(QuotaShardDeputy, ItsPartStaysWhereAClaimIsFoundDoneByReading) {
+    ask(1);
+    LoadedShard former = loadedRecord("n1/0", "", 7);
+    former.record.deputies.push_back({{NodeName("n5"), "n5/1"}, true, 1, {{kTenant, {{}, 100}}}});
+    store.finishLoad(former);
+    QuotaShardRecord claimed = store.saved.back();
+    store.finishSave({StoreOutcome::Unknown, 0});
+    claimed.version = 8;
+    LoadedShard done;
+    done.outcome = StoreOutcome::Done;
+    done.record = claimed;
+    store.finishLoad(done);
+    store.finishSave({StoreOutcome::Done, 9});
+    CHECK_TRUE(store.saved.back().deputies == former.record.deputies);
+    // 40 + 30 of the former life and 100 of the deputy leave 15 of 185.
+    CHECK_TRUE(store.saved.back().tenants.at(kTenant).allowance <= 15);
+}
+
 }  // namespace
 }  // namespace coralhoist::tenancy
