What the review of deputies found

A late answer to an older question cleared since when a newer one is unanswered, which was read all the same. An unknown claim that another writing displaced kept its node from being a deputy.

--- a/src/tenancy/QuotaExchange.cpp
+++ b/src/tenancy/QuotaExchange.cpp
@@ -251,6 +251,12 @@
     }
 }
 
+/** The answer to a newer question is still waited for, from when that was asked. */
+void QuotaExchange::noteAnswered(RankAccount& account, const Asked& asked) {
+    const bool isNewest = !account.asked || account.asked->number == asked.number;
+    account.unansweredSince = isNewest ? std::nullopt : std::optional(account.asked->at);
+}
+
 void QuotaExchange::onAnswer(const TenantName& tenant, const Asked& asked,
                              const QuotaQuestion& question, const QuotaAnswer& answer) {
     const auto found = _accounts.find(tenant);
@@ -265,7 +271,7 @@
         _leaders.erase(shard);
         if (answer.retryAfter > Duration(0)) {
             _standbys.erase(shard);
-            ranked.unansweredSince.reset();
+            noteAnswered(ranked, asked);
         }
     } else {
         _leaders[shard] = answer.leader;
@@ -274,7 +280,7 @@
         } else {
             _standbys[shard] = answer.standby;
         }
-        ranked.unansweredSince.reset();
+        noteAnswered(ranked, asked);
         account.answerTime = now - asked.at;
         account.lease.forget(question.settled);
         account.lease.add(answer, asked.at + question.usableFor, now);
--- a/src/tenancy/QuotaExchange.h
+++ b/src/tenancy/QuotaExchange.h
@@ -151,6 +151,7 @@
     void probe(std::uint32_t shard);
     void onProbed(std::uint32_t shard, const QuotaAnswer& answer);
     void send(std::uint32_t shard, const QuotaQuestion& question, QuotaReply reply);
+    static void noteAnswered(RankAccount& account, const Asked& asked);
     void onAnswer(const TenantName& tenant, const Asked& asked, const QuotaQuestion& question,
                   const QuotaAnswer& answer);
     QuotaShard& shardOf(std::uint32_t shard);
--- a/src/tenancy/QuotaShard.cpp
+++ b/src/tenancy/QuotaShard.cpp
@@ -192,6 +192,10 @@
     }
     _known->parts.onKnown(loaded.record, now);
     _known->loadedAt = now;
+    if (loaded.record.version != _claimedUnder && loaded.record.leader != _context.self) {
+        // Another writing was done in the claim's place.
+        _claimPending = false;
+    }
     noteReach(now);
     const bool isCopied =
         _copy.isOf(loaded.record.leader.life) && loaded.record.standby == _context.self;
@@ -272,6 +276,7 @@
     _claimedLedgers = std::move(ledgers);
     _claimedWithCopy = withCopy;
     _claimPending = true;
+    _claimedUnder = claimed.version;
     _calling = true;
     _notBefore = now + kRetryPause;
     _context.store.save(
--- a/src/tenancy/QuotaShard.h
+++ b/src/tenancy/QuotaShard.h
@@ -107,6 +107,8 @@
     ShardLedgers _claimedLedgers;
     bool _claimedWithCopy = false;
     bool _claimPending = false;
+    /** Version that the newest claim replaces. */
+    std::uint64_t _claimedUnder = 0;
     /** When the leader declined a question last. */
     TimePoint _leaderDeclinedAt{};
     bool _calling = false;
--- a/src/tenancy/ShardLeader.cpp
+++ b/src/tenancy/ShardLeader.cpp
@@ -62,7 +62,8 @@
     : _context(context),
       _role(ShardRole::Leader),
       _parts(std::move(parts)),
-      _term(_parts.record().version),
+      // A version that was only read may be a deputy's writing, which names that one's batches.
+      _term(context.clock.now() < leaseUntil ? _parts.record().version : 0),
       _leaseUntil(leaseUntil),
       _ledgers(std::move(ledgers)),
       _allowances(_parts.record().tenants),
--- a/src/tenancy/ShardLeader.h
+++ b/src/tenancy/ShardLeader.h
@@ -149,7 +149,8 @@
     const ShardContext& _context;
     ShardRole _role;
     RecordParts _parts;
-    /** 0 for a deputy that has not written its part yet. */
+    /** Names this holder's batches; 0 until it has written the record itself: then nothing is
+     * granted. */
     std::uint64_t _term;
     TimePoint _leaseUntil;
     ShardLedgers _ledgers;
--- a/tests/tenancy/ShardLeaderTest.cpp
+++ b/tests/tenancy/ShardLeaderTest.cpp
@@ -371,6 +371,65 @@
     UNSIGNED_LONGS_EQUAL(1, statistics.grantedAsDeputy);
 }
 
+/** A claim whose answer was lost is found done by reading. When a deputy has written its part on
+ * top by then, the version that is read names the deputy's batches: settled ones must not shrink
+ * those of the leader. */
+TEST(QuotaShard, AClaimThatIsFoundDoneUnderADeputysWritingHasATermOfItsOwn) {
+    ask(1);
+    LoadedShard none;
+    none.outcome = StoreOutcome::Done;
+    store.finishLoad(none);
+    // Done as version 11, but not answered; then a deputy writes its part, as version 12.
+    store.finishSave({StoreOutcome::Unknown, 0});
+    LoadedShard loaded;
+    loaded.outcome = StoreOutcome::Done;
+    loaded.record = store.saved.at(0);
+    loaded.record.version = 12;
+    loaded.record.deputies.push_back({{NodeName("n2"), "n2/1"}, true, 11, recordAllowing(46)});
+    store.finishLoad(loaded);
+    store.finishSave({StoreOutcome::Done, 13});
+    clock.advance(milliseconds(1500));
+    for (std::uint64_t number = 1; number <= 40; ++number) {
+        QuotaQuestion question;
+        question.tenant = kTenant;
+        question.wanted = 20;
+        question.usableFor = milliseconds(500);
+        question.settled.push_back({{12, number}, 0, milliseconds(0)});
+        shard->ask(question, [this](const QuotaAnswer& answer) { answers.push_back(answer); });
+        clock.advance(milliseconds(100));
+        if (!store.saves.empty()) {
+            store.finishSave({StoreOutcome::Done, 13 + number});
+        }
+    }
+    std::uint32_t granted = 0;
+    for (const QuotaAnswer& answer : answers) {
+        granted += answer.granted;
+        CHECK_TRUE(answer.batch.term != 12);
+    }
+    CHECK_TRUE(granted > 0);
+    CHECK_TRUE(granted + 46 <= 185);
+}
+
+TEST(QuotaShard, AClaimThatWasNotDoneDoesNotKeepTheNodeFromBeingADeputy) {
+    ask(1);
+    LoadedShard none;
+    none.outcome = StoreOutcome::Done;
+    store.finishLoad(none);
+    store.finishSave({StoreOutcome::Unknown, 0});
+    // Another node's claim was done: this one's can be no more.
+    sent.reachable = false;
+    store.finishLoad(loadedRecord("n2/1", "n3/1", 7));
+    for (int times = 0; times < 20; ++times) {
+        clock.advance(milliseconds(100));
+        shard->onTick(clock.now());
+        ask(1);
+        if (!store.loads.empty()) {
+            store.finishLoad(loadedRecord("n2/1", "n3/1", 7));
+        }
+    }
+    LONGS_EQUAL(2, store.saved.size());
+}
+
 TEST(QuotaShardDeputy, MayNotHaveWhatTheLeaderHas) {
     sent.reachable = false;
     ask(1);
--- a/tests/tenancy/TenantGateTest.cpp
+++ b/tests/tenancy/TenantGateTest.cpp
@@ -356,8 +356,8 @@
     CHECK_TRUE(lastFault() == StatementFault::Busy);
 }
 
-/** Each answer is followed by a question for those that came meanwhile, so an answer is always under
- * way: the first of them must not wait for as long as others come. */
+/** Each answer is followed by a question for those that came meanwhile, so an answer is always
+ * under way: the first of them must not wait for as long as others come. */
 TEST(TenantGate, InAFloodNobodyWaitsLongerThanForALateAnswer) {
     defineRanks();
     const SessionId first = open("key-a", "patient");
