--- a/lab/soak/SoakStops.cpp
+++ b/lab/soak/SoakStops.cpp
@@ -8,10 +8,12 @@
 
 using std::chrono::milliseconds;
 
-/** Time that a stop may take, and the time between two. */
+/** Time that a stop may take. */
 constexpr milliseconds kGrace{6000};
+/** Time between two stops: the shortest, and what is added to it at random at most. */
 constexpr Duration kShortestGap = milliseconds(1200);
 constexpr std::uint64_t kGapSpreadMs = 1500;
+/** Time between two looks whether a stopped proxy has ended. */
 constexpr Duration kRestartCheck = milliseconds(50);
 /** Servers change what they can do so often. */
 constexpr Duration kLoadChange = milliseconds(700);
--- a/src/admission/AdmissionPolicy.cpp
+++ b/src/admission/AdmissionPolicy.cpp
@@ -10,10 +10,10 @@
 constexpr Duration kLookEvery = std::chrono::milliseconds(10);
 /** What waited longer ago than this tells nothing of a wait from now on. */
 constexpr Duration kLookTellsFor = std::chrono::milliseconds(150);
-/** A wait is taken for too long when it is so many times the time left. Forecasts are wrong by as
- * much, and a caller refused wrongly leaves after its second return, long before its time is over;
- * one held wrongly loses nothing but the time itself. */
-constexpr int kDoubt = 2;
+/** A statement is refused only when this part of its forecast, one in so many, exceeds the time
+ * left: forecasts may be wrong by that factor, and a wrong refusal costs a caller more than a wrong
+ * wait. */
+constexpr int kForecastTolerance = 2;
 /** Least time after which a caller is asked back: what a statement takes at a fast server. */
 constexpr Duration kLeastTurn = std::chrono::milliseconds(20);
 /** Turns are spread over no more than this: beyond it callers have left. */
@@ -23,6 +23,10 @@
     return now < applicant.onTimeUntil ? Lane::OnTime : Lane::Late;
 }
 
+std::size_t& countOf(LaneCounts& counts, Lane lane) {
+    return lane == Lane::OnTime ? counts.onTime : counts.late;
+}
+
 }  // namespace
 
 std::vector<ForecastRefusal> AdmissionPolicy::look(TimePoint now,
@@ -34,30 +38,33 @@
             _obstacles.noteSeen(applicant.obstacle, now);
             continue;
         }
-        LaneCounts& counts = _waiting[applicant.flow];
-        ++(laneOf(applicant, now) == Lane::OnTime ? counts.onTime : counts.late);
+        LaneCounts& counts = _waiting[applicant.statementClass];
+        ++countOf(counts, laneOf(applicant, now));
     }
     _obstacles.noteLook(now);
     _forecast.observe(now, _waiting);
-    std::map<Flow, LaneCounts> ahead;
+    std::map<StatementClass, LaneCounts> ahead;
     std::vector<ForecastRefusal> refusals;
     for (const Applicant& applicant : applicants) {
         const bool queued = applicant.obstacle.empty();
-        LaneCounts& before = ahead[applicant.flow];
+        LaneCounts& before = ahead[applicant.statementClass];
         LaneCounts counted = before;
         if (queued && laneOf(applicant, now) == Lane::OnTime) {
             // What is late already goes before it once it is late itself.
-            counted.late = _waiting[applicant.flow].late;
+            counted.late = _waiting[applicant.statementClass].late;
         }
         const std::optional<Duration> wait =
-            queued ? _forecast.waitOf(applicant.flow, counted, applicant.onTimeUntil - now)
-                   : waitBehindObstacle(applicant, now);
-        if (wait && *wait > Duration(0) && now + *wait / kDoubt > applicant.latestStart) {
-            refusals.push_back({applicant.session, *wait, turnAfter(now, applicant.flow, *wait)});
+            queued
+                ? _forecast.waitOf(applicant.statementClass, counted, applicant.onTimeUntil - now)
+                : waitBehindObstacle(applicant, now);
+        if (wait && *wait > Duration(0) &&
+            now + *wait / kForecastTolerance > applicant.latestStart) {
+            refusals.push_back(
+                {applicant.session, *wait, turnAfter(now, applicant.statementClass, *wait)});
             continue;
         }
         if (queued) {
-            ++(laneOf(applicant, now) == Lane::OnTime ? before.onTime : before.late);
+            ++countOf(before, laneOf(applicant, now));
         }
     }
     return refusals;
@@ -68,18 +75,19 @@
     return _obstacles.untilEnd(applicant.obstacle, now);
 }
 
-Duration AdmissionPolicy::waitOfNext(const Flow& flow, TimePoint now) const {
+Duration AdmissionPolicy::waitOfNext(const StatementClass& statementClass, TimePoint now) const {
     if (now >= _nextLook + kLookTellsFor) {
         return Duration(0);
     }
-    const auto found = _waiting.find(flow);
-    return _forecast.waitOf(flow, found == _waiting.end() ? LaneCounts{} : found->second,
+    const auto found = _waiting.find(statementClass);
+    return _forecast.waitOf(statementClass, found == _waiting.end() ? LaneCounts{} : found->second,
                             Duration(0));
 }
 
-Duration AdmissionPolicy::turnAfter(TimePoint now, const Flow& flow, Duration forecast) {
-    const Duration pace = std::max(
-        {_forecast.pace(flow, Lane::OnTime), _forecast.pace(flow, Lane::Late), Duration(1)});
+Duration AdmissionPolicy::turnAfter(TimePoint now, const StatementClass& statementClass,
+                                    Duration forecast) {
+    const Duration pace = std::max({_forecast.pace(statementClass, Lane::OnTime),
+                                    _forecast.pace(statementClass, Lane::Late), Duration(1)});
     const TimePoint first = now + std::max(forecast, kLeastTurn);
     const bool follows = _lastTurn >= first && _lastTurn + pace <= first + kLongestSpread;
     _lastTurn = follows ? _lastTurn + pace : first;
--- a/src/admission/AdmissionPolicy.h
+++ b/src/admission/AdmissionPolicy.h
@@ -16,7 +16,7 @@
 /** A statement that waits, as far as its admission depends on it. */
 struct Applicant {
     SessionId session;
-    Flow flow;
+    StatementClass statementClass;
     /** Until then it goes before those that are late. */
     TimePoint onTimeUntil{};
     /** Last moment at which it can be sent and still be answered within its time. */
@@ -41,12 +41,14 @@
  * A statement is refused when its forecast lies behind the last moment at which a sent statement is
  * still answered in time; a part of the timeout that has passed is no reason. A forecast that is
  * wrong by a factor leaves a queue that is shorter or longer by it, and no slot idle: a refusal
- * needs others of the same flow that wait.
+ * needs others of the same statementClass that wait.
  */
 class AdmissionPolicy {
 public:
     /** A statement that waited until now has been sent. */
-    void noteStart(const Flow& flow, Lane lane) { _forecast.noteStart(flow, lane); }
+    void noteStart(const StatementClass& statementClass, Lane lane) {
+        _forecast.noteStart(statementClass, lane);
+    }
 
     /** @return whether the waiting statements are to be looked at. Cheap. */
     bool isDue(TimePoint now) const { return now >= _nextLook; }
@@ -62,11 +64,11 @@
      * @return when a caller should come back that is refused now: the forecast, and one start later
      * than the caller refused before, so that returns come at the pace at which statements start.
      */
-    Duration turnAfter(TimePoint now, const Flow& flow, Duration forecast);
+    Duration turnAfter(TimePoint now, const StatementClass& statementClass, Duration forecast);
 
-    /** @return the wait of a statement of the flow behind all that waited at the last look; zero
-     * when that is long ago. */
-    Duration waitOfNext(const Flow& flow, TimePoint now) const;
+    /** @return the wait of a statement of the statementClass behind all that waited at the last
+     * look; zero when that is long ago. */
+    Duration waitOfNext(const StatementClass& statementClass, TimePoint now) const;
 
 private:
     std::optional<Duration> waitBehindObstacle(const Applicant& applicant, TimePoint now) const;
@@ -74,7 +76,7 @@
     WaitForecast _forecast;
     ObstacleTimes _obstacles;
     /** What waited at the last look. */
-    std::map<Flow, LaneCounts> _waiting;
+    std::map<StatementClass, LaneCounts> _waiting;
     TimePoint _nextLook{};
     /** The last turn that a caller was told. */
     TimePoint _lastTurn{};
--- a/src/admission/WaitForecast.cpp
+++ b/src/admission/WaitForecast.cpp
@@ -19,22 +19,22 @@
 
 }  // namespace
 
-void WaitForecast::noteStart(const Flow& flow, Lane lane) {
-    const auto found = _observations.find({flow, lane});
+void WaitForecast::noteStart(const StatementClass& statementClass, Lane lane) {
+    const auto found = _observations.find({statementClass, lane});
     if (found != _observations.end()) {
         ++found->second.newStarts;
     }
 }
 
-void WaitForecast::observe(TimePoint now, const std::map<Flow, LaneCounts>& waiting) {
+void WaitForecast::observe(TimePoint now, const std::map<StatementClass, LaneCounts>& waiting) {
     const Duration span = _observedAt ? now - *_observedAt : Duration(0);
     _observedAt = now;
-    for (const auto& [flow, counts] : waiting) {
+    for (const auto& [statementClass, counts] : waiting) {
         if (counts.onTime > 0) {
-            _observations.try_emplace({flow, Lane::OnTime});
+            _observations.try_emplace({statementClass, Lane::OnTime});
         }
         if (counts.late > 0) {
-            _observations.try_emplace({flow, Lane::Late});
+            _observations.try_emplace({statementClass, Lane::Late});
         }
     }
     for (auto& [key, observation] : _observations) {
@@ -61,8 +61,8 @@
     observation.waiting = waiting;
 }
 
-Duration WaitForecast::pace(const Flow& flow, Lane lane) const {
-    const auto found = _observations.find({flow, lane});
+Duration WaitForecast::pace(const StatementClass& statementClass, Lane lane) const {
+    const auto found = _observations.find({statementClass, lane});
     if (found == _observations.end()) {
         return Duration(0);
     }
@@ -71,15 +71,15 @@
                                                 (observation.starts + kAssumedStarts));
 }
 
-Duration WaitForecast::waitOf(const Flow& flow, const LaneCounts& ahead,
+Duration WaitForecast::waitOf(const StatementClass& statementClass, const LaneCounts& ahead,
                               Duration onTimeLeft) const {
     if (onTimeLeft > Duration(0)) {
-        const Duration wait = pace(flow, Lane::OnTime) * (ahead.onTime + 1);
+        const Duration wait = pace(statementClass, Lane::OnTime) * (ahead.onTime + 1);
         if (wait < onTimeLeft) {
             return wait;
         }
     }
-    return std::max(onTimeLeft, Duration(0)) + pace(flow, Lane::Late) * (ahead.late + 1);
+    return std::max(onTimeLeft, Duration(0)) + pace(statementClass, Lane::Late) * (ahead.late + 1);
 }
 
 }  // namespace coralhoist::admission
--- a/src/pooling/CapacityShares.cpp
+++ b/src/pooling/CapacityShares.cpp
@@ -23,7 +23,7 @@
     return std::accumulate(demand.begin(), demand.end(), Duration(0));
 }
 
-Duration rankOf(const std::vector<Duration>& demand, std::size_t rank) {
+Duration demandAt(const std::vector<Duration>& demand, std::size_t rank) {
     return rank < demand.size() ? demand[rank] : Duration(0);
 }
 
@@ -113,7 +113,7 @@
     const std::vector<Duration>& own = _load.demandByRank;
     const std::size_t ranks = std::max(own.size(), _told.size());
     for (std::size_t rank = 0; rank < ranks; ++rank) {
-        if (differs(rankOf(own, rank), rankOf(_told, rank))) {
+        if (differs(demandAt(own, rank), demandAt(_told, rank))) {
             return true;
         }
     }
@@ -161,7 +161,7 @@
             continue;
         }
         const double ranksPart = std::min(left, ratio(all[rank], kRankHorizon * slots));
-        part += ranksPart * ratio(rankOf(own, rank), all[rank]);
+        part += ranksPart * ratio(demandAt(own, rank), all[rank]);
         left -= ranksPart;
     }
     part += left * ratio(sumOf(own), whole);
--- a/src/pooling/OutlierDetector.cpp
+++ b/src/pooling/OutlierDetector.cpp
@@ -9,27 +9,27 @@
 
 /** Part of the window; all of them are one second: a few reads of a server that is little used, and
  * no more than callers' patience with one that fails. */
-constexpr Duration kPart = std::chrono::milliseconds(250);
-/** Fewer requests, or failures, show nothing: where one read in ten is given up in an overload,
- * three of eight are by chance once in a while, and five of twelve next to never. */
+constexpr Duration kPartLength = std::chrono::milliseconds(250);
+/** Fewer requests, or fewer failures, may be chance: in an overload some reads are given up at
+ * every server. */
 constexpr std::uint32_t kLeastRequests = 8;
 constexpr std::uint32_t kLeastFailures = 5;
 /** One failure in so many makes an outlier. */
 constexpr std::uint32_t kFailuresOneIn = 3;
 /** Times of its requests over the others' that make an outlier. */
-constexpr double kSlowTimes = 3;
+constexpr double kOutlierSlowness = 3;
 /** An ejection holds for so long, and twice as long each time in a row up to the bound: a probation
  * in vain costs two reads their patience, a third of the servers unused costs a burst. */
 constexpr Duration kShortestEjection = std::chrono::milliseconds(500);
 constexpr Duration kLongestEjection = std::chrono::seconds(2);
 /** Successes in a row, and failures, that end a probation: one failure alone is chance. */
-constexpr std::uint32_t kProof = 5;
-constexpr std::uint32_t kDisproof = 2;
+constexpr std::uint32_t kSuccessesToAdmit = 5;
+constexpr std::uint32_t kFailuresToEject = 2;
 /** After so long without an ejection the next one is the first again. */
-constexpr Duration kForgiven = std::chrono::seconds(10);
+constexpr Duration kEjectionsForgottenAfter = std::chrono::seconds(10);
 
 std::int64_t partAt(TimePoint now) {
-    return now.time_since_epoch() / kPart;
+    return now.time_since_epoch() / kPartLength;
 }
 
 }  // namespace
@@ -43,14 +43,14 @@
         ++tally.timed;
         tally.slowness += *slowness;
     }
-    record.proven = slowness.value_or(0) < kSlowTimes ? record.proven + 1 : 0;
+    record.successesInRow = slowness.value_or(0) < kOutlierSlowness ? record.successesInRow + 1 : 0;
 }
 
 void OutlierDetector::onFailure(const ServerName& server, TimePoint now) {
     Record& record = _records[server];
     ++tallyAt(record, now).failures;
-    record.proven = 0;
-    ++record.failedAgain;
+    record.successesInRow = 0;
+    ++record.probationFailures;
 }
 
 std::vector<StandingChange> OutlierDetector::review(const std::vector<ServerName>& serving,
@@ -89,14 +89,14 @@
     if (record.standing != ServerStanding::OnProbation) {
         if (now >= record.probationAt) {
             record.standing = ServerStanding::OnProbation;
-            record.proven = 0;
-            record.failedAgain = 0;
+            record.successesInRow = 0;
+            record.probationFailures = 0;
         }
         return;
     }
-    if (record.failedAgain >= kDisproof) {
+    if (record.probationFailures >= kFailuresToEject) {
         eject(record, ServerStanding::Ejected, now);
-    } else if (record.proven >= kProof) {
+    } else if (record.successesInRow >= kSuccessesToAdmit) {
         record.standing = ServerStanding::Admitted;
         record.admittedAt = now;
     }
@@ -186,12 +186,12 @@
         return false;
     }
     std::sort(times.begin(), times.end());
-    return evidence.slowness >= times[times.size() / 2] * kSlowTimes;
+    return evidence.slowness >= times[times.size() / 2] * kOutlierSlowness;
 }
 
 void OutlierDetector::eject(Record& record, ServerStanding standing, TimePoint now) {
-    const bool forgiven =
-        record.standing == ServerStanding::Admitted && now - record.admittedAt > kForgiven;
+    const bool forgiven = record.standing == ServerStanding::Admitted &&
+                          now - record.admittedAt > kEjectionsForgottenAfter;
     record.ejectedFor = forgiven
                             ? kShortestEjection
                             : nextBackoff(record.ejectedFor, kShortestEjection, kLongestEjection);
--- a/src/pooling/OutlierDetector.h
+++ b/src/pooling/OutlierDetector.h
@@ -76,8 +76,8 @@
         TimePoint admittedAt{};
         Duration ejectedFor{0};
         /** Successes in a row, and failures on probation. */
-        std::uint32_t proven = 0;
-        std::uint32_t failedAgain = 0;
+        std::uint32_t successesInRow = 0;
+        std::uint32_t probationFailures = 0;
     };
     struct Evidence {
         std::uint32_t successes = 0;
--- a/src/pooling/PoolerAdmission.cpp
+++ b/src/pooling/PoolerAdmission.cpp
@@ -15,22 +15,23 @@
  * queue has moved on. */
 constexpr std::chrono::milliseconds kComeBackAfterPromotion{500};
 constexpr std::chrono::milliseconds kComeBackAfterOverload{100};
-/** Time that a statement takes at a server of which nothing is known. */
+/** Least slot time that is assumed of a statement, also while none of its kind has been seen. */
 constexpr Duration kLeastSlotTime = std::chrono::milliseconds(15);
-/** A caller that comes back near the end of its timeout waits on for this part of it: it wouldn't
- * have come if it had given the statement up. */
-constexpr int kReturnsShare = 10;
+/** A caller that comes back near the end of its timeout is held for one part in so many of the
+ * timeout more: it wouldn't have come back if it had given the statement up. */
+constexpr int kReturnHoldDivisor = 10;
 /** A return that comes late is held at least for what a proof or a new connection takes. */
 constexpr Duration kLeastHold = std::chrono::milliseconds(50);
 /** Timeouts for which a refused statement is taken for the same one when it is asked again. */
 constexpr int kTurnKeptFor = 2;
-/** Obstacles that are no queue: no slot that gets free helps. */
-constexpr std::array<std::string_view, 3> kQueueless{"no_primary", "promotion_settling",
-                                                     "leadership_unproven"};
+/** Obstacles that a free slot does not remove: statements behind them are not in a queue. */
+constexpr std::array<std::string_view, 3> kObstaclesWithoutQueue{"no_primary", "promotion_settling",
+                                                                 "leadership_unproven"};
 
-std::string_view queuelessObstacle(const Operation& operation) {
-    const auto found = std::find(kQueueless.begin(), kQueueless.end(), operation.lastObstacle);
-    return found == kQueueless.end() ? std::string_view() : *found;
+std::string_view obstacleWithoutQueue(const Operation& operation) {
+    const auto found = std::find(kObstaclesWithoutQueue.begin(), kObstaclesWithoutQueue.end(),
+                                 operation.lastObstacle);
+    return found == kObstaclesWithoutQueue.end() ? std::string_view() : *found;
 }
 
 }  // namespace
@@ -49,10 +50,13 @@
     if (const auto usefulFor = std::exchange(session.usefulFor, std::nullopt)) {
         operation.usefulUntil = now + *usefulFor;
     } else if (operation.firstAskedAt < now) {
-        operation.usefulUntil = std::max(
-            operation.usefulUntil, std::min(now, operation.usefulUntil) + timeout / kReturnsShare);
+        operation.usefulUntil =
+            std::max(operation.usefulUntil,
+                     std::min(now, operation.usefulUntil) + timeout / kReturnHoldDivisor);
+    }
+    if (first) {
+        ++_statistics.returnsInTurn;
     }
-    _statistics.returnsInTurn += first ? 1 : 0;
     const Duration shortened = timeout * (kPercent - std::min(_knobs.holdPercent, kPercent));
     operation.holdUntil =
         std::max(std::min(latestStart(session), operation.usefulUntil - shortened / kPercent),
@@ -77,7 +81,7 @@
     }
 }
 
-admission::Flow StatementPooler::admissionFlow(const PooledSession& session) {
+admission::StatementClass StatementPooler::statementClassOf(const PooledSession& session) {
     return {session.service, static_cast<std::uint32_t>(unitKindOf(session))};
 }
 
@@ -92,7 +96,7 @@
         return;
     }
     const bool late = _clock.now() >= onTimeUntil(session);
-    group.admission.noteStart(admissionFlow(session),
+    group.admission.noteStart(statementClassOf(session),
                               late ? admission::Lane::Late : admission::Lane::OnTime);
 }
 
@@ -107,8 +111,8 @@
         const PooledSession* session = findSession(id);
         if (session != nullptr && isQueued(*session)) {
             const Operation& operation = *session->operation;
-            applicants.push_back({id, admissionFlow(*session), onTimeUntil(*session),
-                                  latestStart(*session), queuelessObstacle(operation)});
+            applicants.push_back({id, statementClassOf(*session), onTimeUntil(*session),
+                                  latestStart(*session), obstacleWithoutQueue(operation)});
         }
     }
     for (const admission::ForecastRefusal& refusal : group.admission.look(now, applicants)) {
@@ -127,10 +131,10 @@
         !group.leadership.primary() || group.leadership.notice().phase != PromotionPhase::None;
     const auto pause = leaderless ? kComeBackAfterPromotion : kComeBackAfterOverload;
     const TimePoint now = _clock.now();
-    const bool queued = queuelessObstacle(*session.operation).empty() && !leaderless;
-    session.operation->forecast = group.admission.waitOfNext(admissionFlow(session), now);
+    const bool queued = obstacleWithoutQueue(*session.operation).empty() && !leaderless;
+    session.operation->forecast = group.admission.waitOfNext(statementClassOf(session), now);
     group.waiting.remove(session.id);
-    refuseQueued(session, queued ? group.admission.turnAfter(now, admissionFlow(session),
+    refuseQueued(session, queued ? group.admission.turnAfter(now, statementClassOf(session),
                                                              session.operation->forecast)
                                  : pause);
 }
--- a/src/pooling/PoolerDispatch.cpp
+++ b/src/pooling/PoolerDispatch.cpp
@@ -7,8 +7,8 @@
 namespace coralhoist::pooling {
 namespace {
 
-/** Time over which what is known of a server that is not used fades to half. */
-constexpr Duration kSlownessFade = std::chrono::milliseconds(500);
+/** A slowness that was last observed longer ago than this counts only half. */
+constexpr Duration kSlownessStaleAfter = std::chrono::milliseconds(500);
 /** A unit of which nothing has been observed is expected to take so long. */
 constexpr Duration kUnknownUnitTime = std::chrono::milliseconds(15);
 /** A connection that has not run anything is not closed for another tenant for so long: its
@@ -81,7 +81,7 @@
     candidate.standing = group.outliers.standingOf(server.address.server);
     if (isPrimary(group, server)) {
         candidate.penalty += _knobs.primaryPenalty;
-        if (session.settings.maxStaleness && isCrowded(server)) {
+        if (session.settings.maxStaleness && isHalfUsed(server)) {
             candidate.penalty += candidate.unitTime;
         }
         return candidate;
@@ -107,7 +107,7 @@
                                           const PooledSession& session) const {
     const std::optional<Primary>& primary = group.leadership.primary();
     const auto found = primary ? group.servers.find(primary->server) : group.servers.end();
-    if (found != group.servers.end() && found->second.ready && !isCrowded(found->second)) {
+    if (found != group.servers.end() && found->second.ready && !isHalfUsed(found->second)) {
         return Duration(0);
     }
     const Duration age = _clock.now() - session.operation->arrivedAt;
@@ -134,7 +134,7 @@
 }
 
 /** @return whether half of what the server takes from this process is in use, or it refuses. */
-bool StatementPooler::isCrowded(const ServerState& server) const {
+bool StatementPooler::isHalfUsed(const ServerState& server) const {
     return _clock.now() < server.busyUntil || server.inflight * 2 >= server.inflightLimit;
 }
 
@@ -144,7 +144,7 @@
 }
 
 double StatementPooler::slownessOf(const ServerState& server) const {
-    const bool isOld = _clock.now() - server.slownessAt > kSlownessFade;
+    const bool isOld = _clock.now() - server.slownessAt > kSlownessStaleAfter;
     return isOld ? (1 + server.slowness) / 2 : server.slowness;
 }
 
--- a/src/pooling/PoolerQueue.cpp
+++ b/src/pooling/PoolerQueue.cpp
@@ -54,7 +54,11 @@
             group.waiting.remove(id);
         } else if (place(group, *session)) {
             noteStarted(group, *session);
-            hasSlot(*session) ? group.waiting.placed(id) : group.waiting.remove(id);
+            if (hasSlot(*session)) {
+                group.waiting.placed(id);
+            } else {
+                group.waiting.remove(id);
+            }
         }
     }
     reviewWaits(group);
--- a/src/pooling/PoolerStop.cpp
+++ b/src/pooling/PoolerStop.cpp
@@ -7,12 +7,13 @@
 namespace coralhoist::pooling {
 namespace {
 
-/** Another node can serve the caller at once. */
+/** Why a planned stop refuses a statement or ends a transaction. */
 constexpr const char* kStopping = "the node is stopping";
 
 }  // namespace
 
 void StatementPooler::refuseAsStopping(PooledSession& session) {
+    // Another node can serve the caller at once.
     replyError(session, notRun(kStopping, Duration(0)));
     _closing.push_back(session.id);
 }
@@ -27,7 +28,7 @@
         }
     }
     for (const SessionId id : resting) {
-        endTransaction(_sessions.at(id), "the node is stopping");
+        endTransaction(_sessions.at(id), kStopping);
     }
     settle();
 }
--- a/src/pooling/StatementPooler.h
+++ b/src/pooling/StatementPooler.h
@@ -219,8 +219,9 @@
         /** Services take turns within a rank where callers have no tenants. */
         bool fairServices = false;
         CapacityShares shares;
-        /** The begin of shares is not logged before; whether that of the present ones was. */
+        /** Earliest time at which the next beginning of shares is logged. */
         TimePoint nextShareLog{};
+        /** Whether the beginning of the present shares was logged; if so, their end is too. */
         bool sharesLogged = false;
         admission::AdmissionPolicy admission;
         bool dirty = false;
@@ -291,7 +292,7 @@
     void setTimes(PooledSession& session);
     TimePoint latestStart(const PooledSession& session);
     static void noteAsked(PooledSession& session, const StatementResult& result);
-    static admission::Flow admissionFlow(const PooledSession& session);
+    static admission::StatementClass statementClassOf(const PooledSession& session);
     TimePoint onTimeUntil(const PooledSession& session) const;
     void noteStarted(GroupState& group, const PooledSession& session);
     void reviewWaits(GroupState& group);
@@ -309,7 +310,7 @@
     Duration replicaPatience(const GroupState& group, const PooledSession& session) const;
     void waitForReplica(PooledSession& session, Duration wait);
     bool isPrimary(const GroupState& group, const ServerState& server) const;
-    bool isCrowded(const ServerState& server) const;
+    bool isHalfUsed(const ServerState& server) const;
     Duration unitTimeOf(const GroupState& group, const PooledSession& session) const;
     double slownessOf(const ServerState& server) const;
     ProbePauses probePauses() const;
--- a/src/tenancy/QuotaExchange.cpp
+++ b/src/tenancy/QuotaExchange.cpp
@@ -17,10 +17,9 @@
 constexpr double kAskedAhead = 0.6;
 /** Units stay usable so many times longer than the newest answer took, besides the usual time. */
 constexpr int kAnswerTimes = 2;
-/** A statement waits this long at most for an answer to the question that was sent for it or before
- * it. An answer takes 3 ms between zones; of machines with a tenth of a core under load it takes
- * some hundred, twice, since the standby answers the leader first. With 0.3 s a tenant at 0.6 of
- * its quota was refused 0.315 of its statements while answers took 160 ms (40 simulated runs). */
+/** A statement waits this long at most for an answer to the question that was sent for it or
+ * before it. An answer from a loaded machine is slow, and comes twice as late since the standby
+ * answers the leader first. */
 constexpr Duration kAnswerPatience = milliseconds(700);
 /** Statements that come so long after the newest question wait anew for an answer. */
 constexpr Duration kSilenceForgotten = std::chrono::seconds(1);
@@ -35,8 +34,8 @@
 constexpr Duration kSuspectAfter = milliseconds(50);
 /** Nothing is probed more often for a shard: in a flood many answers are late. */
 constexpr Duration kProbeEvery = std::chrono::seconds(2);
-/** So many of the first nodes in the shard's order are probed besides the standby: with two sides
- * one of them is on this side in fifteen of sixteen cuts. */
+/** So many of the first nodes in the shard's order are probed besides the standby: enough that one
+ * of them is probably on this side of a cut. */
 constexpr std::size_t kProbedNodes = 4;
 /** When a caller should come back while no leader answers. */
 constexpr Duration kRetryWithoutAnswer = milliseconds(300);
@@ -119,7 +118,7 @@
     QuotaQuestion question;
     question.tenant = tenant;
     question.wanted = wish.units.units();
-    if (_ranks.several) {
+    if (_ranks.ranksDiffer) {
         constexpr std::size_t kRanks = settings::kAdmissionRanks;
         question.wantedByRank.resize(3 * kRanks);
         question.wantedByRank[rank] = wish.units.fresh;
@@ -375,7 +374,7 @@
     const TimePoint now = _dependencies.clock.now();
     Account& account = _accounts[tenant];
     WaitingStatements counted = waiting;
-    counted.rank = _ranks.several ? waiting.rank : 0;
+    counted.rank = _ranks.ranksDiffer ? waiting.rank : 0;
     RankAccount& ranked = account.ranks[counted.rank];
     giveUpLate(tenant, ranked, now);
     if (!ranked.asked) {
--- a/src/tenancy/QuotaExchange.h
+++ b/src/tenancy/QuotaExchange.h
@@ -172,9 +172,9 @@
     std::map<std::uint32_t, NodeName> _standbys;
     /** Nodes that could not help lately, and when they said so. */
     std::map<NodeName, TimePoint> _unhelpful;
-    /** Shards of which an answer is waited for, and when that is long. */
+    /** By shard with an unanswered question: when its leader is suspected to be out of reach. */
     std::map<std::uint32_t, TimePoint> _suspectAt;
-    /** When other nodes were asked last who grants. */
+    /** By shard: when other nodes were last asked who grants its units. */
     std::map<std::uint32_t, TimePoint> _probedAt;
     std::map<TenantName, Account> _accounts;
     RankTerms _ranks;
--- a/src/tenancy/QuotaShardDeputy.cpp
+++ b/src/tenancy/QuotaShardDeputy.cpp
@@ -9,8 +9,8 @@
 
 using std::chrono::milliseconds;
 
-/** Leader and standby have been out of reach for so long: a link that is opened anew takes less. It
- * was silent for half a second before, and statements wait for 0.7 s in all. */
+/** Leader and standby have to be out of reach for so long before this node may be a deputy: opening
+ * a link anew takes less, and statements that wait still get an answer in time. */
 constexpr Duration kCutOffFor = milliseconds(100);
 /** The same while the standby seems to be in reach, but has not answered either: it leads within
  * this time if the leader has died. */
--- a/src/tenancy/QuotaShardRecord.h
+++ b/src/tenancy/QuotaShardRecord.h
@@ -47,9 +47,9 @@
     NodeLife holder;
     /** It may write allowances into its part; otherwise its units only count until they age out. */
     bool grants = true;
-    /** Version of the record that its holder replaced when it wrote the part: no two writings of
-     * one life are the same, so that none is taken for an older one whose lease is over. */
-    std::uint64_t renewals = 0;
+    /** Version of the record that the holder replaced when it wrote this part. It makes each
+     * writing of one life distinct, so that a new one is not taken for one whose lease is over. */
+    std::uint64_t replacedVersion = 0;
     /** Tenants that were asked for there; no other was granted anything. */
     RecordedQuotas tenants;
 
--- a/src/tenancy/RankTerms.cpp
+++ b/src/tenancy/RankTerms.cpp
@@ -35,8 +35,8 @@
         const bool added = ranks.insert(rank).second;
         terms.patience[rank] = added ? patience : std::min(terms.patience[rank], patience);
     }
-    terms.several = ranks.size() > 1;
-    if (!terms.several) {
+    terms.ranksDiffer = ranks.size() > 1;
+    if (!terms.ranksDiffer) {
         terms.patience = {};
     }
     return terms;
--- a/src/tenancy/RankTerms.h
+++ b/src/tenancy/RankTerms.h
@@ -22,7 +22,7 @@
 struct RankTerms {
     /** Services have different ranks: where all have the same, units go in order of arrival, and
      * what lies beyond a quota does not wait. */
-    bool several = false;
+    bool ranksDiffer = false;
     /** Longest wait that still leaves a statement of the rank in time; 0 where ranks don't matter.
      */
     std::array<Duration, settings::kAdmissionRanks> patience{};
--- a/src/tenancy/RecordAllowances.cpp
+++ b/src/tenancy/RecordAllowances.cpp
@@ -12,8 +12,8 @@
 /** A tenant's allowance is so many times what it used in the last window: at the end of 2 s without
  * a renewal it lasts for 4.5 s more, in which the store may be away. */
 constexpr double kWindowsAllowed = 1.3;
-/** So much of what counts is left to deputies, where that leaves the least allowance: half of a
- * tenant's callers find what they use in 2.5 s, until the leader knows of the deputy. */
+/** The leader leaves units for a deputy to allow itself: this part of those that count, as far as
+ * its own least allowance permits. They last until the leader knows of the deputy. */
 constexpr double kRoomForDeputy = 0.25;
 /** Part of the bound that each of two sides may have at least while both are asked. */
 constexpr double kLeastShare = 0.25;
--- a/src/tenancy/RecordParts.h
+++ b/src/tenancy/RecordParts.h
@@ -50,7 +50,7 @@
  *  - a writer leaves the parts of others as they are, but for two cases in which the sum stays:
  *    a part whose holder's lease is over for sure has its allowance counted, for the longest time
  *    for which a unit of it can count; one that allows and counts nothing any more is left out.
- *    Whoever leads after a leader writes that one's part,.
+ *    A new leader takes over the part of the leader before it.
  *
  * A deputy's counting units and lease are taken from when this writing of its part was first seen.
  */
--- a/src/tenancy/ShardLeader.h
+++ b/src/tenancy/ShardLeader.h
@@ -162,7 +162,7 @@
     RecordAllowances _allowances;
     /** A tenant has used up most of its allowance. */
     bool _needsAllowance = false;
-    /** Beside others it is not written anew for an allowance before. */
+    /** While deputies have parts, the record is not rewritten for more allowance before this. */
     TimePoint _nextAllowanceAt{};
     bool _withdrawn = false;
 
--- a/src/tenancy/TenantGate.cpp
+++ b/src/tenancy/TenantGate.cpp
@@ -22,8 +22,8 @@
 /** When a caller of a node with old settings should come back; another node may do better. */
 constexpr Duration kRetryWithOldSettings = std::chrono::milliseconds(500);
 
-/** A caller that comes back with the same statement within this time is the one that was refused:
- * they come back after 50 to 180 ms, and later ones are told the time. */
+/** A caller that comes back with the same statement within this time is taken for the one that was
+ * refused. */
 constexpr Duration kReturnsWithin = std::chrono::seconds(2);
 /** The leader's answer takes this part of the wait that it found to be of use. */
 constexpr Duration kAnswerMargin = std::chrono::milliseconds(30);
@@ -186,7 +186,7 @@
     session.waitingSince = now;
     session.hasTurn = false;
     const pooling::CatalogEntry* entry = _catalog->find(session.service);
-    session.rank = _ranks.several && entry != nullptr ? rankOf(entry->settings) : 0;
+    session.rank = _ranks.ranksDiffer && entry != nullptr ? rankOf(entry->settings) : 0;
     _pooler.expectStatement(id);
     session.waiting = std::move(statement);
     Queue& queue = _waiting[{session.tenant, session.rank}];
@@ -329,7 +329,7 @@
     waiting.rank = key.second;
     for (const SessionId id : queue) {
         const GatedSession& session = _sessions.at(id);
-        waiting.nowOnly += _ranks.several && !session.hasTurn && !mayWait(session) ? 1 : 0;
+        waiting.nowOnly += _ranks.ranksDiffer && !session.hasTurn && !mayWait(session) ? 1 : 0;
     }
     return waiting;
 }
--- a/tests/admission/AdmissionPolicyTest.cpp
+++ b/tests/admission/AdmissionPolicyTest.cpp
@@ -11,7 +11,7 @@
 constexpr Duration kLook = milliseconds(10);
 constexpr Duration kObjective = milliseconds(100);
 
-const Flow kReads{ServiceName("reads"), 0};
+const StatementClass kReads{ServiceName("reads"), 0};
 
 }  // namespace
 
--- a/tests/admission/OverloadTest.cpp
+++ b/tests/admission/OverloadTest.cpp
@@ -30,7 +30,7 @@
 constexpr Duration kPatience = milliseconds(1200);
 constexpr Duration kReturn = milliseconds(120);
 constexpr int kReturns = 2;
-const Flow kFlow{ServiceName("orders"), 0};
+const StatementClass kFlow{ServiceName("orders"), 0};
 
 enum class Order { AsItStands, EarliestDeadline, LastInPastOverload, FirstInFirstOut };
 /** Refused after 70% of the timeout and queued anew; held to the last useful moment; by forecast.
--- a/tests/tenancy/RecordPartsTest.cpp
+++ b/tests/tenancy/RecordPartsTest.cpp
@@ -70,7 +70,7 @@
     parts.onKnown(recordWithDeputy(), start);
     QuotaShardRecord renewed = recordWithDeputy();
     renewed.version = 8;
-    renewed.deputies[0].renewals = 2;
+    renewed.deputies[0].replacedVersion = 2;
     parts.onKnown(renewed, start + seconds(6));
     CHECK_TRUE(parts.cleared(kWindow, start + seconds(12)) == renewed.deputies);
 }
@@ -79,7 +79,7 @@
     parts.onKnown(recordWithDeputy(), start);
     QuotaShardRecord next = recordWithDeputy();
     next.version = 8;
-    next.deputies[0].renewals = 2;
+    next.deputies[0].replacedVersion = 2;
     parts.onKnown(next, start + seconds(1));
     CHECK_TRUE(parts.leaderSeenAt() == start);
     ++next.version;
--- a/tests/tenancy/ShardLeaderTest.cpp
+++ b/tests/tenancy/ShardLeaderTest.cpp
@@ -362,7 +362,7 @@
     CHECK_TRUE(written.leader == (NodeLife{NodeName("n2"), "n2/1"}));
     CHECK_TRUE(written.tenants == loadedRecord("n2/1", "n3/1", 7).record.tenants);
     // No later writing of this life is taken for this one.
-    UNSIGNED_LONGS_EQUAL(7, written.deputies.at(0).renewals);
+    UNSIGNED_LONGS_EQUAL(7, written.deputies.at(0).replacedVersion);
     // A quarter of the bound beside a leader that has 40 + 30 units of 185.
     UNSIGNED_LONGS_EQUAL(46, allowedToDeputy(written));
     UNSIGNED_LONGS_EQUAL(0, granted());
