--- a/src/tenancy/ShardLeader.cpp
+++ b/src/tenancy/ShardLeader.cpp
@@ -143,7 +143,8 @@
 
 /** @return whether ranks matter to the question and to this node. */
 bool ShardLeader::knowsTurns(const QuotaQuestion& question) const {
-    return !question.wantedByRank.empty() && _context.ranks != nullptr && _context.ranks->ranksDiffer;
+    return !question.wantedByRank.empty() && _context.ranks != nullptr &&
+           _context.ranks->ranksDiffer;
 }
 
 ShardLeader::RankedGrant ShardLeader::grantOf(const Tenant& tenant, const QuotaQuestion& question,
