--- a/src/pooling/PooledSession.h
+++ b/src/pooling/PooledSession.h
@@ -78,8 +78,6 @@
     TimePoint holdUntil{};
     /** Not tried again before. */
     TimePoint notBefore{};
-    /** When a primary that settles may be written to: the statement is looked at then. */
-    TimePoint wakesAt{};
     /** When the replica for which it waits is expected to have its position. */
     TimePoint replicaAt{};
     TimePoint sentAt{};
--- a/src/pooling/PoolerQueue.cpp
+++ b/src/pooling/PoolerQueue.cpp
@@ -167,14 +167,6 @@
     return requirement;
 }
 
-/** Once for each moment: the statement is looked at with every event of its group. */
-void StatementPooler::wakeWhenWritable(PooledSession& session, TimePoint at) {
-    if (at > _clock.now() && session.operation->wakesAt != at) {
-        session.operation->wakesAt = at;
-        wakeAt(session, at);
-    }
-}
-
 StatementPooler::Requirement StatementPooler::primaryRequirement(GroupState& group,
                                                                  PooledSession& session) {
     Requirement requirement;
@@ -193,7 +185,7 @@
     const TimePoint now = _clock.now();
     if (mayCommit && !leadership.mayWrite(now)) {
         operation.lastObstacle = "promotion_settling";
-        wakeWhenWritable(session, leadership.writableFrom());
+        wakeAt(session, leadership.writableFrom());
         requirement.impossible = true;
         return requirement;
     }
--- a/src/pooling/StatementPooler.h
+++ b/src/pooling/StatementPooler.h
@@ -284,7 +284,6 @@
     Requirement requirementOf(GroupState& group, PooledSession& session);
     Requirement readRequirement(GroupState& group, const PooledSession& session) const;
     Requirement primaryRequirement(GroupState& group, PooledSession& session);
-    void wakeWhenWritable(PooledSession& session, TimePoint at);
     const char* obstacleHere(const GroupState& group, const Operation& operation) const;
     bool moveToOther(const GroupState& group, PooledSession& session);
 
--- a/tests/pooled_simulation/PooledRegressionTest.cpp
+++ b/tests/pooled_simulation/PooledRegressionTest.cpp
@@ -94,5 +94,12 @@
     check(9, {PooledFault::PromotionCallTroubled, PooledFault::ReplicaDeaf}, options);
 }
 
+/** Commits flow again after the faults, on crowded servers whose primary was replaced twice. */
+TEST(PooledRegression, CrowdedServersRecoverAfterTwoPromotions) {
+    check(63, {PooledFault::ServersCrowded, PooledFault::ReplicaDeaf,
+               PooledFault::PromotionCallTroubled});
+    check(227, {PooledFault::ReplicaCrashes, PooledFault::PromotionCallTroubled});
+}
+
 }  // namespace
 }  // namespace coralhoist::pooled
