--- a/tests/pooled_simulation/PooledServerFaultTest.cpp
+++ b/tests/pooled_simulation/PooledServerFaultTest.cpp
@@ -18,7 +18,7 @@
 constexpr std::uint64_t kSeeds = 10;
 /** A kind that strikes one call in several is looked for in more runs, and more often than once: in
  * ten of them it may strike none by chance. */
-constexpr std::uint64_t kManySeeds = 30;
+constexpr std::uint64_t kManySeeds = 40;
 constexpr std::uint64_t kLeastStrikes = 3;
 
 /** @return what a few runs under the faults count. */
@@ -88,7 +88,9 @@
     const std::uint64_t unanswered = countIn(
         faults, [](const PooledReport& report) { return report.unansweredCalls; }, kManySeeds);
     CHECK(unanswered >= kLeastStrikes);
-    CHECK(countIn(faults, [](const PooledReport& report) { return report.callsToRestarting; }) > 0);
+    const std::uint64_t restarting = countIn(
+        faults, [](const PooledReport& report) { return report.callsToRestarting; }, kManySeeds);
+    CHECK(restarting >= kLeastStrikes);
 }
 
 TEST(PooledServerFault, PausesAreForgotten) {
