Last read of the change: bounds put back to their aims, and what was written or done twice

Cause and change: - Three checks had been set by what was measured. A method that only forwarded is gone; a unit's read stood twice in a test; comments that a rename had garbled. Behaviour of the product is unchanged.

--- a/src/admission/AdmissionPolicy.cpp
+++ b/src/admission/AdmissionPolicy.cpp
@@ -56,7 +56,7 @@
         const std::optional<Duration> wait =
             queued
                 ? _forecast.waitOf(applicant.statementClass, counted, applicant.onTimeUntil - now)
-                : waitBehindObstacle(applicant, now);
+                : _obstacles.untilEnd(applicant.obstacle, now);
         if (wait && *wait > Duration(0) &&
             now + *wait / kForecastTolerance > applicant.latestStart) {
             refusals.push_back(
@@ -70,11 +70,6 @@
     return refusals;
 }
 
-std::optional<Duration> AdmissionPolicy::waitBehindObstacle(const Applicant& applicant,
-                                                            TimePoint now) const {
-    return _obstacles.untilEnd(applicant.obstacle, now);
-}
-
 Duration AdmissionPolicy::waitOfNext(const StatementClass& statementClass, TimePoint now) const {
     if (now >= _nextLook + kLookTellsFor) {
         return Duration(0);
--- a/src/admission/AdmissionPolicy.h
+++ b/src/admission/AdmissionPolicy.h
@@ -41,7 +41,7 @@
  * A statement is refused when its forecast lies behind the last moment at which a sent statement is
  * still answered in time; a part of the timeout that has passed is no reason. A forecast that is
  * wrong by a factor leaves a queue that is shorter or longer by it, and no slot idle: a refusal
- * needs others of the same statementClass that wait.
+ * needs others of the same class that wait.
  */
 class AdmissionPolicy {
 public:
@@ -66,13 +66,11 @@
      */
     Duration turnAfter(TimePoint now, const StatementClass& statementClass, Duration forecast);
 
-    /** @return the wait of a statement of the statementClass behind all that waited at the last
+    /** @return the wait of a statement of the class behind all that waited at the last
      * look; zero when that is long ago. */
     Duration waitOfNext(const StatementClass& statementClass, TimePoint now) const;
 
 private:
-    std::optional<Duration> waitBehindObstacle(const Applicant& applicant, TimePoint now) const;
-
     WaitForecast _forecast;
     ObstacleTimes _obstacles;
     /** What waited at the last look. */
--- a/src/admission/FirstAsking.h
+++ b/src/admission/FirstAsking.h
@@ -15,6 +15,10 @@
  */
 class FirstAsking {
 public:
+    /** @return whether anything that was refused may still be asked again. Cheap: most sessions
+     * have nothing, and then what they ask need not be hashed. */
+    bool remembers(TimePoint now) const { return now < _until; }
+
     /**
      * @param statement hash of what is asked.
      * @return when it was first asked; nothing when it is asked for the first time.
--- a/src/admission/WaitForecast.h
+++ b/src/admission/WaitForecast.h
@@ -23,13 +23,13 @@
     auto operator<=>(const StatementClass&) const = default;
 };
 
-/** Where a statementClass's statement stands in the queue. */
+/** Where a statement of a class stands in the queue. */
 enum class Lane {
     OnTime, /**< It may still meet its objective. */
     Late,   /**< It goes after those that may. */
 };
 
-/** How many of each lane of a statementClass wait. */
+/** How many of each lane of a class wait. */
 struct LaneCounts {
     std::size_t onTime = 0;
     std::size_t late = 0;
@@ -38,8 +38,8 @@
 /**
  * Answers a load of more statements than the usable slots serve, where the queue itself tells too
  * little: those that are more urgent, shorter or on time overtake, servers shed, and replicas that
- * lag serve nobody. All of that shows in the pace at which statements of one statementClass and
- * lane are started while others of them wait, so the forecast is that pace times the number ahead.
+ * lag serve nobody. All of that shows in the pace at which statements of one class and lane are
+ * started while others of them wait, so the forecast is that pace times the number ahead.
  *
  * A few starts more than were seen are assumed: without an observation the forecast is zero, and a
  * lane that gets no slot has to be watched for a while before anything is inferred from it.
@@ -56,7 +56,7 @@
     Duration pace(const StatementClass& statementClass, Lane lane) const;
 
     /**
-     * @param ahead statements of its statementClass that go before it.
+     * @param ahead statements of its class that go before it.
      * @param onTimeLeft time after which the statement is late; zero or less when it is.
      * @return the time until it starts.
      */
--- a/src/pooling/PoolerAdmission.cpp
+++ b/src/pooling/PoolerAdmission.cpp
@@ -43,7 +43,9 @@
     const Duration timeout = session.settings.statementTimeout;
     const Duration waited = std::exchange(session.waited, Duration(0));
     const std::optional<TimePoint> first =
-        session.firstAsking.of(contentHash(operation.statement), now);
+        session.firstAsking.remembers(now)
+            ? session.firstAsking.of(contentHash(operation.statement), now)
+            : std::nullopt;
     operation.firstAskedAt = first.value_or(now - waited);
     operation.deadline = now + timeout;
     operation.usefulUntil = operation.firstAskedAt + timeout;
--- a/src/tenancy/TenantGate.cpp
+++ b/src/tenancy/TenantGate.cpp
@@ -182,7 +182,10 @@
 void TenantGate::hold(SessionId id, GatedSession& session, Statement statement) {
     takeRanks();
     const TimePoint now = _clock.now();
-    session.firstArrival = session.firstAsking.of(contentHash(statement), now).value_or(now);
+    session.firstArrival = now;
+    if (session.firstAsking.remembers(now)) {
+        session.firstArrival = session.firstAsking.of(contentHash(statement), now).value_or(now);
+    }
     session.waitingSince = now;
     session.hasTurn = false;
     const pooling::CatalogEntry* entry = _catalog->find(session.service);
--- a/tests/admission/OverloadTest.cpp
+++ b/tests/admission/OverloadTest.cpp
@@ -273,6 +273,17 @@
     CHECK_TRUE(forecast.longestRefused <= kPatience);
 }
 
+/** Those who would be served late are served late all the same. */
+TEST(Overload, RefusalsCostNobodyALateAnswer) {
+    const Outcome held =
+        play("held to the end, as it stands", Order::AsItStands, Admission::HeldToTheEnd);
+    const Outcome fixed =
+        play("70% of the timeout, as it stands", Order::AsItStands, Admission::FixedShare);
+    const Outcome forecast = play("forecast, as it stands", Order::AsItStands, Admission::Forecast);
+    CHECK_TRUE(forecast.share(forecast.served) > held.share(held.served) - 0.01);
+    CHECK_TRUE(forecast.share(forecast.served) > fixed.share(fixed.served) - 0.03);
+}
+
 /** A return that counts as new takes the place of younger ones and makes them late. */
 TEST(Overload, ReturnsInTurnLeaveMoreInTheirObjective) {
     const Outcome fixed =
--- a/tests/pooled_simulation/PooledServerFaultTest.cpp
+++ b/tests/pooled_simulation/PooledServerFaultTest.cpp
@@ -19,7 +19,7 @@
 /** A kind that strikes one call in several is looked for in more runs, and more often than once: in
  * ten of them it may strike none by chance. */
 constexpr std::uint64_t kManySeeds = 40;
-constexpr std::uint64_t kLeastStrikes = 3;
+constexpr std::uint64_t kLeastStrikes = 4;
 
 /** @return what a few runs under the faults count. */
 std::uint64_t countIn(const std::vector<PooledFault>& faults,
--- a/tests/pooling/AdmissionTest.cpp
+++ b/tests/pooling/AdmissionTest.cpp
@@ -21,6 +21,21 @@
         fixture.submit(session, StatementVerb::Read, text);
         return session;
     }
+    /** Submits a read of a unit whose caller first asked 400 ms ago at the node that forwards. */
+    void readForwarded(Duration timeout, std::optional<Duration> usefulFor) {
+        UnitOpening opening;
+        opening.service = ServiceName("current");
+        opening.group = fixture.group;
+        opening.settings.statementTimeout = timeout;
+        opening.settings.latencyObjective = milliseconds(200);
+        opening.waited = milliseconds(400);
+        opening.usefulFor = usefulFor;
+        const SessionId unit = fixture.pooler.openUnit(opening);
+        UnitStatement statement;
+        statement.statement.verb = StatementVerb::Read;
+        statement.statement.text = "READ 1";
+        fixture.pooler.submitUnit(unit, statement);
+    }
     /** No read can be served for want of a proof of leadership. */
     SessionId readInVain() {
         fixture.advance(milliseconds(600));
@@ -73,17 +88,7 @@
 
 TEST(Admission, AUnitCountsFromTheFirstAskingAtTheNodeThatForwards) {
     fixture.advance(milliseconds(600));
-    UnitOpening opening;
-    opening.service = ServiceName("current");
-    opening.group = fixture.group;
-    opening.settings.statementTimeout = milliseconds(800);
-    opening.settings.latencyObjective = milliseconds(200);
-    opening.waited = milliseconds(400);
-    const SessionId unit = fixture.pooler.openUnit(opening);
-    UnitStatement statement;
-    statement.statement.verb = StatementVerb::Read;
-    statement.statement.text = "READ 1";
-    fixture.pooler.submitUnit(unit, statement);
+    readForwarded(milliseconds(800), std::nullopt);
     fixture.advance(milliseconds(380));
     UNSIGNED_LONGS_EQUAL(0, fixture.replies.size());
     fixture.advance(milliseconds(5));
@@ -93,18 +98,7 @@
 /** What was lost at another executor is told once: as less time, not as less time and as waited. */
 TEST(Admission, AUnitThatComesFromAnotherExecutorHasTheTimeThatIsLeft) {
     fixture.advance(milliseconds(600));
-    UnitOpening opening;
-    opening.service = ServiceName("current");
-    opening.group = fixture.group;
-    opening.settings.statementTimeout = milliseconds(380);
-    opening.settings.latencyObjective = milliseconds(200);
-    opening.waited = milliseconds(400);
-    opening.usefulFor = milliseconds(380);
-    const SessionId unit = fixture.pooler.openUnit(opening);
-    UnitStatement statement;
-    statement.statement.verb = StatementVerb::Read;
-    statement.statement.text = "READ 1";
-    fixture.pooler.submitUnit(unit, statement);
+    readForwarded(milliseconds(380), milliseconds(380));
     fixture.advance(milliseconds(300));
     UNSIGNED_LONGS_EQUAL(0, fixture.replies.size());
 }
--- a/tests/tenancy/QuotaDeputyTest.cpp
+++ b/tests/tenancy/QuotaDeputyTest.cpp
@@ -28,8 +28,6 @@
 /** Part of its statements that a tenant within its limit may lose on a side that reaches the store,
  * once contact has lasted a second. */
 constexpr double kMostRefused = 0.02;
-/** The same near its limit: more wait while the cut is found out, up to 1.4 s after it. */
-constexpr double kMostRefusedNearLimit = 0.03;
 
 unsigned fromEnvironment(const char* name, unsigned otherwise) {
     const char* text = std::getenv(name);
@@ -235,7 +233,7 @@
 }
 
 TEST(QuotaDeputies, ServeATenantNearItsLimitOnBothSides) {
-    STRCMP_EQUAL("", refusedBeyond(kMostRefusedNearLimit, 0.8).c_str());
+    STRCMP_EQUAL("", refusedBeyond(kMostRefused, 0.8).c_str());
 }
 
 }  // namespace
