Placement policies: the pooler and the failover ask where units and primaries may stand

Cause: nothing in the pooler could keep a statement from a server or a node for a reason other than load and freshness; zones to be evacuated, cold servers and home regions each need it, and a branch for each in the pooler's files would grow it further. Ruled out: a list of excluded servers handed to the pooler (it can say neither later nor how many, and transactions would not be told); subclasses of ServerChoice (a pure decision about time). Change: pooling::PlacementPolicy and failover::PrimaryPlacement, asked through placement::PolicyChain; without a policy nothing changes. What only ruled-out servers can run is refused at once unless one is expected to be allowed in time; a transaction that must not go on where it is open is ended as not kept. locality::RegionMap and the key node.zones. Conclusion: the parts plug in without a further branch in the pooler.

--- a/src/cluster/ClusterControl.cpp
+++ b/src/cluster/ClusterControl.cpp
@@ -266,7 +266,7 @@
                        _promotions, _promotions, _dependencies.reportParser, _dependencies.holder,
                        _dependencies.self.name.value(),
                        [this](const GroupName& name) { return _readers.turnOf(name); },
-                       _dependencies.storeEra});
+                       _dependencies.storeEra, _dependencies.primaryPlacement});
         entry->onRecord(missingRecord(_promotionsListed.era));
     }
     return *entry;
--- a/src/cluster/ClusterControl.h
+++ b/src/cluster/ClusterControl.h
@@ -63,6 +63,8 @@
     /** Names this life of this node. */
     std::string holder;
     FreshnessBounds bounds{};
+    /** Where primaries may stand; null: anywhere. */
+    const failover::PrimaryPlacement* primaryPlacement = nullptr;
 };
 
 /** Control of one node. Single-threaded; lives beside the pooler. */
--- a/src/duty/pooling/PoolingDuty.cpp
+++ b/src/duty/pooling/PoolingDuty.cpp
@@ -49,6 +49,7 @@
       _stop(_clock, _pooler, *this) {
     _pooler.setForwarder(_unitLinks);
     _pooler.setLoadReporter(_unitLinks);
+    _pooler.setPlacementPolicy(_placement);
 }
 
 tenancy::QuotaDependencies PoolingDuty::quotaDependencies() {
@@ -100,7 +101,8 @@
                 applyTenants(tenants);
             },
             life(),
-            freshnessBounds()};
+            freshnessBounds(),
+            &_placement};
 }
 
 /** Settings that are too old to judge a credential by would refuse statements: they are renewed
--- a/src/duty/pooling/PoolingDuty.h
+++ b/src/duty/pooling/PoolingDuty.h
@@ -25,6 +25,8 @@
 #include "link/socket/HttpResponder.h"
 #include "link/socket/SocketPoller.h"
 #include "link/store/EraNotingCaller.h"
+#include "locality/RegionMap.h"
+#include "placement/PolicyChain.h"
 #include "pooling/PlannedStop.h"
 #include "pooling/StatementPooler.h"
 #include "tenancy/QuotaExchange.h"
@@ -53,6 +55,8 @@
 struct PoolingOptions {
     NodeName name;
     ZoneName zone;
+    /** The estate's zones and their regions. */
+    locality::RegionMap regions;
     Endpoint callers;
     /** Where other nodes forward units of work to; port 0 lets the kernel choose. */
     Endpoint forwarding;
@@ -134,6 +138,7 @@
     TickScheduler _ticks;
     socket::SocketPoller _poller;
     session::StreamServerConnector _connector;
+    placement::PolicyChain _placement;
     pooling::StatementPooler _pooler;
     forwarding::UnitLinks _unitLinks;
     forwarding::UnitService _unitService;
--- a/src/duty/pooling/PoolingMetrics.cpp
+++ b/src/duty/pooling/PoolingMetrics.cpp
@@ -190,6 +190,12 @@
     page.metric("counter", "refused_by_forecast_total",
                 "Statements refused because they would not have started in time.",
                 pooler.refusedByForecast);
+    page.metric("counter", "refused_by_placement_total",
+                "Statements refused because no server that may be used for them will be in time.",
+                pooler.refusedByPlacement);
+    page.metric("counter", "transactions_ended_by_placement_total",
+                "Transactions ended because they must not go on where they are open.",
+                pooler.transactionsEndedByPlacement);
     page.metric("counter", "returns_in_turn_total",
                 "Statements asked again after a refusal, queued by their first arrival.",
                 pooler.returnsInTurn);
--- a/src/failover/GroupFailover.h
+++ b/src/failover/GroupFailover.h
@@ -11,6 +11,7 @@
 #include "base/Time.h"
 #include "failover/CommitQuorum.h"
 #include "failover/MemberLink.h"
+#include "failover/PrimaryPlacement.h"
 #include "failover/PromotionRecord.h"
 #include "pooling/ServerDirectory.h"
 #include "pooling/StatementPooler.h"
@@ -48,6 +49,8 @@
     std::function<std::size_t(const GroupName&)> turn;
     /** Era of the store as this node knows it. */
     const StoreEra& era;
+    /** Where primaries may stand; null: anywhere. */
+    const PrimaryPlacement* placement = nullptr;
 };
 
 /**
--- /dev/null
+++ b/src/locality/RegionMap.h
@@ -0,0 +1,39 @@
+/** The regions of an estate and the zones that each of them has. */
+#pragma once
+
+#include <map>
+#include <set>
+
+#include "base/Identifier.h"
+
+namespace coralhoist::locality {
+
+/** Which region each zone belongs to. Immutable. */
+class RegionMap {
+public:
+    /** No zone is known: all zones seem to be in one region without a name. */
+    RegionMap() = default;
+    explicit RegionMap(std::map<ZoneName, RegionName> regions);
+
+    /** @return the region of the zone; an empty name for a zone that is not known. */
+    const RegionName& regionOf(const ZoneName& zone) const;
+
+    /** @return whether both zones are in one region. Zones that are not known are in no region of
+     * another one. */
+    bool areInOneRegion(const ZoneName& zone, const ZoneName& other) const;
+
+    /** @return all regions. */
+    const std::set<RegionName>& regions() const { return _names; }
+
+    /** @return whether there is more than one region. */
+    bool hasSeveralRegions() const { return _names.size() > 1; }
+
+    const std::map<ZoneName, RegionName>& zones() const { return _regions; }
+
+private:
+    std::map<ZoneName, RegionName> _regions;
+    std::set<RegionName> _names;
+    RegionName _unknown;
+};
+
+}  // namespace coralhoist::locality
--- /dev/null
+++ b/src/placement/PolicyChain.cpp
@@ -0,0 +1,67 @@
+#include "placement/PolicyChain.h"
+
+#include <algorithm>
+
+namespace coralhoist::placement {
+namespace {
+
+using failover::LeadSuitability;
+using pooling::PlacedServer;
+using pooling::PlacedUnit;
+using pooling::PlacementVerdict;
+
+PlacementVerdict stricter(const PlacementVerdict& one, const PlacementVerdict& other) {
+    if (one.kind != other.kind) {
+        return one.kind > other.kind ? one : other;
+    }
+    return one.expectedIn >= other.expectedIn ? one : other;
+}
+
+}  // namespace
+
+PlacementVerdict PolicyChain::mayBegin(const PlacedUnit& unit, const PlacedServer& server) {
+    PlacementVerdict verdict;
+    for (pooling::PlacementPolicy* policy : _policies) {
+        verdict = stricter(verdict, policy->mayBegin(unit, server));
+    }
+    return verdict;
+}
+
+PlacementVerdict PolicyChain::mayContinue(const PlacedUnit& unit, const PlacedServer& server) {
+    PlacementVerdict verdict;
+    for (pooling::PlacementPolicy* policy : _policies) {
+        verdict = stricter(verdict, policy->mayContinue(unit, server));
+    }
+    return verdict;
+}
+
+bool PolicyChain::mayForwardTo(const PlacedUnit& unit, const ZoneName& zone) {
+    return std::all_of(_policies.begin(), _policies.end(), [&](pooling::PlacementPolicy* policy) {
+        return policy->mayForwardTo(unit, zone);
+    });
+}
+
+void PolicyChain::noteSent(const PlacedUnit& unit, const PlacedServer& server) {
+    for (pooling::PlacementPolicy* policy : _policies) {
+        policy->noteSent(unit, server);
+    }
+}
+
+LeadSuitability PolicyChain::suitabilityOf(const GroupName& group,
+                                           const pooling::ServerAnnouncement& server) const {
+    LeadSuitability worst = LeadSuitability::Preferred;
+    for (const failover::PrimaryPlacement* placement : _placements) {
+        worst = std::max(worst, placement->suitabilityOf(group, server));
+    }
+    return worst;
+}
+
+bool PolicyChain::mustHandOver(const GroupName& group,
+                               const pooling::ServerAnnouncement& server) const {
+    return std::any_of(_placements.begin(), _placements.end(),
+                       [&](const failover::PrimaryPlacement* placement) {
+                           return placement->mustHandOver(group, server);
+                       });
+}
+
+}  // namespace coralhoist::placement
--- /dev/null
+++ b/src/placement/PolicyChain.h
@@ -0,0 +1,38 @@
+/** All policies of a node as one. */
+#pragma once
+
+#include <vector>
+
+#include "failover/PrimaryPlacement.h"
+#include "pooling/PlacementPolicy.h"
+
+namespace coralhoist::placement {
+
+/**
+ * The strictest verdict of all policies counts; of several that defer, the longest wait. Without a
+ * policy everything is allowed, and every server suits.
+ */
+class PolicyChain final : public pooling::PlacementPolicy, public failover::PrimaryPlacement {
+public:
+    /** @param policy outlives the chain. */
+    void add(pooling::PlacementPolicy& policy) { _policies.push_back(&policy); }
+    void add(failover::PrimaryPlacement& placement) { _placements.push_back(&placement); }
+
+    pooling::PlacementVerdict mayBegin(const pooling::PlacedUnit& unit,
+                                       const pooling::PlacedServer& server) override;
+    pooling::PlacementVerdict mayContinue(const pooling::PlacedUnit& unit,
+                                          const pooling::PlacedServer& server) override;
+    bool mayForwardTo(const pooling::PlacedUnit& unit, const ZoneName& zone) override;
+    void noteSent(const pooling::PlacedUnit& unit, const pooling::PlacedServer& server) override;
+
+    failover::LeadSuitability suitabilityOf(
+        const GroupName& group, const pooling::ServerAnnouncement& server) const override;
+    bool mustHandOver(const GroupName& group,
+                      const pooling::ServerAnnouncement& server) const override;
+
+private:
+    std::vector<pooling::PlacementPolicy*> _policies;
+    std::vector<failover::PrimaryPlacement*> _placements;
+};
+
+}  // namespace coralhoist::placement
--- a/src/pooling/ExecutorPlacement.cpp
+++ b/src/pooling/ExecutorPlacement.cpp
@@ -26,15 +26,23 @@
 
 void ExecutorPlacement::applyNodes(const std::vector<ProxyNode>& nodes) {
     _nodes.clear();
+    _zones.clear();
     _cache.clear();
     _nodes[_zone].push_back(_self);
+    _zones[_self] = _zone;
     for (const ProxyNode& node : nodes) {
         if (node.name != _self && node.port != 0) {
             _nodes[node.zone].push_back(node.name);
+            _zones[node.name] = node.zone;
         }
     }
 }
 
+const ZoneName& ExecutorPlacement::zoneOf(const NodeName& node) const {
+    const auto found = _zones.find(node);
+    return found == _zones.end() ? _unknownZone : found->second;
+}
+
 bool ExecutorPlacement::executesHere(const GroupName& group) const {
     return executorsOf(group).here;
 }
--- a/src/pooling/ExecutorPlacement.h
+++ b/src/pooling/ExecutorPlacement.h
@@ -49,6 +49,9 @@
      */
     const std::vector<NodeName>& preferenceOf(const GroupName& group) const;
 
+    /** @return the zone of a node; an empty name for one that is not known. */
+    const ZoneName& zoneOf(const NodeName& node) const;
+
 private:
     struct Executors {
         bool here = false;
@@ -63,6 +66,8 @@
     ZoneName _zone;
     std::uint32_t _executorsPerZone;
     std::map<ZoneName, std::vector<NodeName>> _nodes;
+    std::map<NodeName, ZoneName> _zones;
+    ZoneName _unknownZone;
     mutable std::map<GroupName, Executors> _cache;
 };
 
--- a/src/pooling/PooledSession.h
+++ b/src/pooling/PooledSession.h
@@ -50,6 +50,8 @@
     /** Where it is open: on a connection of this node, or in a unit that another node executes. */
     std::optional<ConnectionId> connection;
     std::optional<UnitId> unit;
+    /** The node that executes that unit. */
+    NodeName executor;
 };
 
 /** Where a statement is. */
--- a/src/pooling/PoolerDispatch.cpp
+++ b/src/pooling/PoolerDispatch.cpp
@@ -11,6 +11,9 @@
 constexpr Duration kSlownessStaleAfter = std::chrono::milliseconds(500);
 /** A unit of which nothing has been observed is expected to take so long. */
 constexpr Duration kUnknownUnitTime = std::chrono::milliseconds(15);
+/** When a caller should come back whose servers must not be used: where they may stand changes by
+ * hand, or by a promotion. */
+constexpr Duration kComeBackAfterPlacement = std::chrono::milliseconds(1000);
 /** A connection that has not run anything is not closed for another tenant for so long: its
  * statement takes it within one round of the event loop, 1 ms at most. */
 constexpr Duration kUnusedConnectionKept = std::chrono::milliseconds(100);
@@ -18,13 +21,14 @@
 }  // namespace
 
 ServerState* StatementPooler::chooseServer(GroupState& group, PooledSession& session,
-                                           const Requirement& requirement) {
+                                           const Requirement& requirement,
+                                           PlacementOutlook& outlook) {
     std::vector<ServerState*> servers;
     std::vector<ServerCandidate> candidates;
     servers.reserve(group.servers.size());
     candidates.reserve(group.servers.size());
     for (auto& [name, server] : group.servers) {
-        if (const auto candidate = candidateOf(group, server, session, requirement)) {
+        if (const auto candidate = candidateOf(group, server, session, requirement, outlook)) {
             servers.push_back(&server);
             candidates.push_back(*candidate);
         }
@@ -34,6 +38,10 @@
     if (chosen.index) {
         return servers[*chosen.index];
     }
+    if (outlook.rulesOutAll()) {
+        operation.lastObstacle = outlook.reason;
+        return nullptr;
+    }
     operation.lastObstacle = chosen.anyCandidate ? "no_slot" : "no_server";
     if (chosen.replicaIn) {
         waitForReplica(session, *chosen.replicaIn);
@@ -58,12 +66,61 @@
     return !server.unreachable || !server.idle.empty() || _clock.now() >= server.nextConnect;
 }
 
+void StatementPooler::PlacementOutlook::note(const PlacementVerdict& verdict) {
+    if (verdict.isAllowed()) {
+        anyAllowed = true;
+        return;
+    }
+    if (!verdict.isForbidden() && (!soonest || verdict.expectedIn < *soonest)) {
+        soonest = verdict.expectedIn;
+        reason = verdict.reason;
+    } else if (!soonest) {
+        reason = verdict.reason;
+    }
+}
+
+PlacedUnit StatementPooler::placedUnit(const PooledSession& session, bool needsPrimary) {
+    return {session.group, session.service, session.tenant, session.settings.admissionRank(),
+            needsPrimary};
+}
+
+PlacedServer StatementPooler::placedServer(const GroupState& group,
+                                           const ServerState& server) const {
+    return {server.address.server, server.zone, isPrimary(group, server)};
+}
+
+/**
+ * What only servers can run that the policy rules out is refused at once, unless one of them is
+ * expected to be allowed while an answer is still of use.
+ * @return whether the statement was refused.
+ */
+bool StatementPooler::refuseUnplaceable(PooledSession& session, const PlacementOutlook& outlook) {
+    if (!outlook.rulesOutAll()) {
+        return false;
+    }
+    if (outlook.soonest && _clock.now() + *outlook.soonest <= latestStart(session)) {
+        return false;
+    }
+    ++_statistics.refusedByPlacement;
+    refuseQueued(session, outlook.soonest.value_or(kComeBackAfterPlacement));
+    return true;
+}
+
 /** @return what is known of the server for the session's unit; none when it can't run that. */
 std::optional<ServerCandidate> StatementPooler::candidateOf(const GroupState& group,
                                                             const ServerState& server,
                                                             const PooledSession& session,
-                                                            const Requirement& requirement) const {
-    if (!isCandidate(group, server, session, requirement)) {
+                                                            const Requirement& requirement,
+                                                            PlacementOutlook& outlook) const {
+    if (!server.ready || (requirement.primary && !isPrimary(group, server))) {
+        return std::nullopt;
+    }
+    const PlacementVerdict verdict =
+        _policy == nullptr ? PlacementVerdict::allowed()
+                           : _policy->mayBegin(placedUnit(session, requirement.primary),
+                                               placedServer(group, server));
+    outlook.note(verdict);
+    if (verdict.isForbidden() || !isCandidate(group, server, session, requirement)) {
         return std::nullopt;
     }
     ServerCandidate candidate;
@@ -74,7 +131,7 @@
     candidate.connecting = hasIdleFor(server, session.tenant) ? Duration(0) : _knobs.connectPenalty;
     candidate.penalty = server.zone == _knobs.zone ? Duration(0) : _knobs.otherZonePenalty;
     candidate.suspect = isSuspect(server);
-    candidate.hasRoom = hasRoom(server, session);
+    candidate.hasRoom = verdict.isAllowed() && hasRoom(server, session);
     if (requirement.primary) {
         return candidate;
     }
--- a/src/pooling/PoolerForwarding.cpp
+++ b/src/pooling/PoolerForwarding.cpp
@@ -33,6 +33,7 @@
     if (transaction.phase == TransactionPhase::Unstarted) {
         transaction.phase = TransactionPhase::Open;
         transaction.unit = unit;
+        transaction.executor = *executor;
     }
     noteForwarded(session);
     _forwarder->open(unit, *executor, opening, unitStatement(session));
@@ -45,18 +46,34 @@
     const auto chosen =
         std::find_if(preference.begin(), preference.end(), [&](const NodeName& node) {
             return !session.operation->avoidedExecutors.contains(node) &&
-                   _forwarder->canReach(node);
+                   _forwarder->canReach(node) && mayForwardTo(session, node);
         });
     return chosen == preference.end() ? std::nullopt : std::optional<NodeName>(*chosen);
 }
 
 /** A further statement of a transaction that another node has opened. */
 void StatementPooler::forwardInTransaction(PooledSession& session) {
+    if (!mayForwardTo(session, session.transaction.executor)) {
+        ++_statistics.transactionsEndedByPlacement;
+        endUnit(session.transaction.unit);
+        if (session.operation->statement.verb == StatementVerb::Commit) {
+            forgetTransaction(session);
+        } else {
+            failTransaction(session);
+        }
+        replyError(session, StatementFault::Aborted, "its node must not be shown the statement");
+        return;
+    }
     session.operation->unit = session.transaction.unit;
     noteForwarded(session);
     _forwarder->submit(*session.transaction.unit, unitStatement(session));
 }
 
+bool StatementPooler::mayForwardTo(const PooledSession& session, const NodeName& node) const {
+    return _policy == nullptr ||
+           _policy->mayForwardTo(placedUnit(session, false), _placement.zoneOf(node));
+}
+
 void StatementPooler::noteForwarded(PooledSession& session) {
     Operation& operation = *session.operation;
     operation.phase = OperationPhase::Sent;
--- a/src/pooling/PoolerQueue.cpp
+++ b/src/pooling/PoolerQueue.cpp
@@ -53,6 +53,10 @@
         if (session == nullptr || !isQueued(*session)) {
             group.waiting.remove(id);
         } else if (place(group, *session)) {
+            if (!session->operation) {
+                group.waiting.remove(id);
+                continue;
+            }
             noteStarted(group, *session);
             if (hasSlot(*session)) {
                 group.waiting.placed(id);
@@ -96,7 +100,7 @@
            session.transaction.phase != TransactionPhase::Open;
 }
 
-/** @return whether the statement no longer waits. */
+/** @return whether the statement no longer waits: it was sent, or refused. */
 bool StatementPooler::place(GroupState& group, PooledSession& session) {
     Operation& operation = *session.operation;
     if (_clock.now() < operation.notBefore) {
@@ -109,9 +113,10 @@
     if (requirement.impossible) {
         return false;
     }
-    ServerState* server = chooseServer(group, session, requirement);
+    PlacementOutlook outlook;
+    ServerState* server = chooseServer(group, session, requirement, outlook);
     if (server == nullptr) {
-        return false;
+        return refuseUnplaceable(session, outlook);
     }
     ServerConnection* connection = takeIdle(*server, session);
     if (connection == nullptr) {
--- a/src/pooling/PoolerResults.cpp
+++ b/src/pooling/PoolerResults.cpp
@@ -98,7 +98,9 @@
     session.transaction.phase = TransactionPhase::Open;
     session.transaction.connection = connection.id;
     connection.pinned = true;
-    sendStatement(connection, session, {});
+    if (mayContinue(connection, session)) {
+        sendStatement(connection, session, {});
+    }
 }
 
 void StatementPooler::onStatementResult(ServerConnection& connection, PooledSession& session,
--- a/src/pooling/PoolerSending.cpp
+++ b/src/pooling/PoolerSending.cpp
@@ -42,6 +42,7 @@
     if (!server.silentSince) {
         server.silentSince = operation.sentAt;
     }
+    noteSent(connection, session);
     _connector.send(connection.id, commands);
     wakeAt(session, operation.deadline);
 }
@@ -132,6 +133,7 @@
         groupOf(session).pendingWrites[connection.id] = now;
     }
     session.transaction.wrote = session.transaction.wrote || operation.writes;
+    noteSent(connection, session);
     _connector.send(connection.id, commands);
     wakeAt(session, std::min(operation.deadline, now + _knobs.hedgeAfter));
 }
@@ -143,6 +145,9 @@
         replyError(session, StatementFault::Aborted, "the connection of the transaction was lost");
         return;
     }
+    if (!mayContinue(*connection, session)) {
+        return;
+    }
     if (ServerState* server = serverOf(*connection)) {
         ++server->inflight;
         connection->inflight = true;
@@ -150,4 +155,52 @@
     sendStatement(*connection, session, alignValues(*connection, session));
 }
 
+void StatementPooler::noteSent(const ServerConnection& connection, const PooledSession& session) {
+    const ServerState* server = _policy == nullptr ? nullptr : serverOf(connection);
+    if (server != nullptr) {
+        const GroupState& group = groupOf(session);
+        _policy->noteSent(placedUnit(session, isPrimary(group, *server)),
+                          placedServer(group, *server));
+    }
+}
+
+/**
+ * Asked before each further statement of a transaction that is open at a server. A transaction that
+ * must not go on there is rolled back by closing its connection: nothing of it is kept, as its
+ * COMMIT was not sent.
+ * @return whether the statement may be sent now; if not, it waits or has been answered.
+ */
+bool StatementPooler::mayContinue(ServerConnection& connection, PooledSession& session) {
+    ServerState* server = _policy == nullptr ? nullptr : serverOf(connection);
+    if (server == nullptr) {
+        return true;
+    }
+    const GroupState& group = groupOf(session);
+    const PlacementVerdict verdict = _policy->mayContinue(
+        placedUnit(session, isPrimary(group, *server)), placedServer(group, *server));
+    if (verdict.isAllowed()) {
+        return true;
+    }
+    Operation& operation = *session.operation;
+    operation.lastObstacle = verdict.reason;
+    const TimePoint next = _clock.now() + verdict.expectedIn;
+    if (!verdict.isForbidden() && next < operation.deadline) {
+        operation.phase = OperationPhase::Queued;
+        operation.notBefore = next;
+        server->inflight -= connection.inflight ? 1 : 0;
+        connection.inflight = false;
+        wakeAt(session, next);
+        return false;
+    }
+    ++_statistics.transactionsEndedByPlacement;
+    discard(connection.id);
+    if (operation.statement.verb == StatementVerb::Commit) {
+        forgetTransaction(session);
+    } else {
+        failTransaction(session);
+    }
+    replyError(session, StatementFault::Aborted, verdict.reason);
+    return false;
+}
+
 }  // namespace coralhoist::pooling
--- a/src/pooling/PoolerStatistics.h
+++ b/src/pooling/PoolerStatistics.h
@@ -47,6 +47,10 @@
     std::uint64_t hedges = 0;
     /** Statements refused because they were not expected to start in time. */
     std::uint64_t refusedByForecast = 0;
+    /** Statements refused because no server that may be used for them will be in time. */
+    std::uint64_t refusedByPlacement = 0;
+    /** Transactions ended because they must not go on where they are open. */
+    std::uint64_t transactionsEndedByPlacement = 0;
     /** Statements asked again after a refusal, which count from their first arrival. */
     std::uint64_t returnsInTurn = 0;
     std::uint64_t lagging = 0;
--- a/src/pooling/PoolerTimers.cpp
+++ b/src/pooling/PoolerTimers.cpp
@@ -1,5 +1,7 @@
 /** Deadlines of statements, resting transactions, and signs of failed servers. */
 #include <algorithm>
+#include <utility>
+#include <vector>
 
 #include "base/Log.h"
 #include "pooling/StatementPooler.h"
@@ -196,6 +198,35 @@
     }
 }
 
+void StatementPooler::reviewPlacement() {
+    std::vector<std::pair<SessionId, const char*>> ending;
+    for (const SessionId id : _openTransactions) {
+        const PooledSession& session = _sessions.at(id);
+        const bool rests = session.transaction.phase == TransactionPhase::Open &&
+                           session.transaction.connection && !session.operation;
+        const ServerConnection* connection =
+            rests ? findConnection(*session.transaction.connection) : nullptr;
+        const ServerState* server = connection == nullptr ? nullptr : serverOf(*connection);
+        if (_policy == nullptr || server == nullptr) {
+            continue;
+        }
+        const GroupState& group = groupOf(session);
+        const PlacementVerdict verdict = _policy->mayContinue(
+            placedUnit(session, isPrimary(group, *server)), placedServer(group, *server));
+        if (verdict.isForbidden()) {
+            ending.emplace_back(id, verdict.reason);
+        }
+    }
+    for (const auto& [id, reason] : ending) {
+        ++_statistics.transactionsEndedByPlacement;
+        endTransaction(_sessions.at(id), reason);
+    }
+    for (auto& [name, group] : _groups) {
+        group.dirty = true;
+    }
+    settle();
+}
+
 /** Between two of its statements: the next one is told that it was rolled back. */
 void StatementPooler::endTransaction(PooledSession& session, const char* reason) {
     ServerConnection* connection =
--- a/src/pooling/StatementPooler.h
+++ b/src/pooling/StatementPooler.h
@@ -24,6 +24,7 @@
 #include "pooling/LeadershipTracker.h"
 #include "pooling/LoadReport.h"
 #include "pooling/OutlierDetector.h"
+#include "pooling/PlacementPolicy.h"
 #include "pooling/PooledSession.h"
 #include "pooling/PoolerKnobs.h"
 #include "pooling/PoolerStatistics.h"
@@ -95,6 +96,15 @@
     /** Tells other executors of crowded groups from now on. @param reporter outlives the pooler. */
     void setLoadReporter(LoadReporter& reporter) { _loadReporter = &reporter; }
 
+    /** Asks the policy from now on where units may go. @param policy outlives the pooler. */
+    void setPlacementPolicy(PlacementPolicy& policy) { _policy = &policy; }
+
+    /**
+     * Verdicts of the policy have changed: transactions that rest where they must not go on are
+     * ended, and what waits is looked at again.
+     */
+    void reviewPlacement();
+
     /** @return whether this node executes the group's statements. */
     bool executesHere(const GroupName& group) const;
 
@@ -247,6 +257,19 @@
         /** Nothing can serve it now. */
         bool impossible = false;
     };
+    /** What the policy leaves of the servers that a unit could use. */
+    struct PlacementOutlook {
+        /** Some server may be used as soon as it has room. */
+        bool anyAllowed = false;
+        /** Expected time until one may be used, while none may be. */
+        std::optional<Duration> soonest;
+        /** Why not now; null where the policy rules no server out. */
+        const char* reason = nullptr;
+
+        void note(const PlacementVerdict& verdict);
+        /** @return whether the policy alone keeps the unit from being sent now. */
+        bool rulesOutAll() const { return !anyAllowed && reason != nullptr; }
+    };
     struct PendingReply {
         SessionId session;
         StatementResult result;
@@ -301,12 +324,16 @@
 
     // PoolerDispatch.cpp: choice of server and connection.
     ServerState* chooseServer(GroupState& group, PooledSession& session,
-                              const Requirement& requirement);
+                              const Requirement& requirement, PlacementOutlook& outlook);
     bool isCandidate(const GroupState& group, const ServerState& server,
                      const PooledSession& session, const Requirement& requirement) const;
     std::optional<ServerCandidate> candidateOf(const GroupState& group, const ServerState& server,
                                                const PooledSession& session,
-                                               const Requirement& requirement) const;
+                                               const Requirement& requirement,
+                                               PlacementOutlook& outlook) const;
+    static PlacedUnit placedUnit(const PooledSession& session, bool needsPrimary);
+    PlacedServer placedServer(const GroupState& group, const ServerState& server) const;
+    bool refuseUnplaceable(PooledSession& session, const PlacementOutlook& outlook);
     Duration replicaPatience(const GroupState& group, const PooledSession& session) const;
     void waitForReplica(PooledSession& session, Duration wait);
     bool isPrimary(const GroupState& group, const ServerState& server) const;
@@ -342,6 +369,8 @@
     void sendStatement(ServerConnection& connection, PooledSession& session,
                        std::vector<ServerCommand> commands);
     void sendInTransaction(PooledSession& session);
+    bool mayContinue(ServerConnection& connection, PooledSession& session);
+    void noteSent(const ServerConnection& connection, const PooledSession& session);
     std::vector<ServerCommand> alignValues(ServerConnection& connection,
                                            const PooledSession& session);
     void alignPrepared(ServerConnection& connection, const PooledSession& session,
@@ -400,6 +429,7 @@
     std::optional<NodeName> chooseExecutor(const PooledSession& session) const;
     void forwardInTransaction(PooledSession& session);
     void noteForwarded(PooledSession& session);
+    bool mayForwardTo(const PooledSession& session, const NodeName& node) const;
     UnitStatement unitStatement(const PooledSession& session) const;
     UnitOpening unitOpening(const PooledSession& session) const;
     void reviewForwarded(PooledSession& session, TimePoint now);
@@ -451,6 +481,8 @@
     ExecutorPlacement _placement;
     UnitForwarder* _forwarder = nullptr;
     LoadReporter* _loadReporter = nullptr;
+    /** None: units may go everywhere. */
+    PlacementPolicy* _policy = nullptr;
     /** The other nodes are known; before, this one alone seems to execute everything. */
     bool _nodesKnown = false;
     bool _callersHaveTenants = false;
--- a/src/program/DaemonConfiguration.cpp
+++ b/src/program/DaemonConfiguration.cpp
@@ -131,6 +131,25 @@
     return Status::ok();
 }
 
+/** Each entry is ZONE=REGION. */
+Status setZones(DaemonConfiguration& configuration, const ParsedValue& value) {
+    std::map<ZoneName, RegionName> zones;
+    for (const std::string& text : value.list) {
+        const std::size_t separator = text.find('=');
+        const std::string zone = text.substr(0, separator);
+        const std::string region =
+            separator == std::string::npos ? std::string() : text.substr(separator + 1);
+        if (!isName(zone) || !isName(region)) {
+            return invalid("'" + text + "' is not ZONE=REGION");
+        }
+        if (!zones.emplace(zone, region).second) {
+            return invalid("'" + zone + "' is given twice");
+        }
+    }
+    configuration.zones = std::move(zones);
+    return Status::ok();
+}
+
 Status setSeeds(DaemonConfiguration& configuration, const ParsedValue& value) {
     std::vector<SeedAddress> seeds;
     for (const std::string& text : value.list) {
@@ -164,6 +183,8 @@
                 &DaemonConfiguration::name),
         nameKey("node.region", "region of this machine", &DaemonConfiguration::region),
         nameKey("node.zone", "zone of this machine", &DaemonConfiguration::zone),
+        {"node.zones", ValueType::TextList, 0, 0, "all zones of the estate, each ZONE=REGION",
+         setZones},
         textKey("node.address", "IP number on which all ports listen", setAddress),
         integerKey("caller.port", 0, kMaximumPort, "port for callers (0: chosen by the kernel)",
                    &DaemonConfiguration::callerPort),
--- a/src/program/DaemonConfiguration.h
+++ b/src/program/DaemonConfiguration.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -30,6 +31,8 @@
     NodeName name;
     RegionName region{"default"};
     ZoneName zone{"default"};
+    /** The region of each zone of the estate; empty where there is one region. */
+    std::map<ZoneName, RegionName> zones;
     /** IP number on which all ports listen and which peers are told. */
     std::string address = "127.0.0.1";
 
--- a/tests/program/DaemonConfigurationTest.cpp
+++ b/tests/program/DaemonConfigurationTest.cpp
@@ -65,6 +65,19 @@
                  refusal(std::string(kMinimal) + "[pool]\nexecutors_per_zone = 0\n").c_str());
 }
 
+TEST(DaemonConfiguration, ZonesNameTheirRegions) {
+    const std::string head = "[node]\nname = \"a\"\nzones = ";
+    const std::string tail = "\n[platform]\nurl = \"http://127.0.0.1:9400\"\n";
+    const TemporaryFile file(head + "[\"n-1=north\", \"s-1=south\"]" + tail);
+    const auto configuration = loadDaemonConfiguration(file.path(), {});
+    CHECK_TRUE(configuration.isOk());
+    CHECK_TRUE(RegionName("south") == configuration.value().zones.at(ZoneName("s-1")));
+    STRCMP_EQUAL(":3: node.zones: 'n-1' is not ZONE=REGION",
+                 refusal(head + "[\"n-1\"]" + tail).c_str());
+    STRCMP_EQUAL(":3: node.zones: 'n-1' is given twice",
+                 refusal(head + "[\"n-1=a\", \"n-1=b\"]" + tail).c_str());
+}
+
 TEST(DaemonConfiguration, EachFaultNamesFileLineAndKey) {
     const std::string head = kMinimal;
     STRCMP_EQUAL(":6: caller.prot: unknown key (see coralhoistd --help)",
