Settings, tenants and servers' entries carry home regions and cold starts

Cause: the platform's configuration names home regions of routes and tenants and how many requests a cold server takes, and servers say how long they are cold; none of it reached the product. Change: keys placement.home_regions, warmup.requests_per_second and warmup.duration; Tenant::homeRegions; ServerAnnouncement::coldFor; decoded once in platform/, imported into the settings tree. Nothing acts on them yet.

--- a/src/cluster/EstateImport.cpp
+++ b/src/cluster/EstateImport.cpp
@@ -1,5 +1,6 @@
 #include "cluster/EstateImport.h"
 
+#include <QJsonArray>
 #include <QJsonDocument>
 #include <QJsonObject>
 #include <algorithm>
@@ -36,6 +37,12 @@
     if (group.synchronousReplicas) {
         document["replication.synchronous"] = static_cast<int>(*group.synchronousReplicas);
     }
+    if (group.coldRequestsPerSecond) {
+        document["warmup.requests_per_second"] = static_cast<int>(*group.coldRequestsPerSecond);
+    }
+    if (group.coldStart) {
+        document["warmup.duration"] = durationText(*group.coldStart);
+    }
     return compact(document);
 }
 
@@ -56,6 +63,13 @@
     if (service.latencyObjective) {
         document["service.latency_objective"] = durationText(*service.latencyObjective);
     }
+    if (!service.homeRegions.empty()) {
+        QJsonArray homes;
+        for (const RegionName& region : service.homeRegions) {
+            homes.append(QString::fromStdString(region.value()));
+        }
+        document["placement.home_regions"] = homes;
+    }
     return compact(document);
 }
 
--- a/src/cluster/EstateImport.h
+++ b/src/cluster/EstateImport.h
@@ -22,6 +22,9 @@
     GroupName name;
     std::optional<std::uint32_t> connectionsPerServer;
     std::optional<std::uint32_t> synchronousReplicas;
+    /** Requests a second that a cold server takes, rounded down, and for how long it is cold. */
+    std::optional<std::uint32_t> coldRequestsPerSecond = std::nullopt;
+    std::optional<Duration> coldStart = std::nullopt;
 };
 
 /** A service of the imported configuration. */
@@ -36,6 +39,8 @@
     int rank = 0;
     /** Its callers need no credential. */
     bool isPublic = false;
+    /** Regions that its statements must not leave; empty: any. */
+    std::vector<RegionName> homeRegions = {};
 
     bool operator==(const ImportedService&) const = default;
 };
--- a/src/pooling/ServerDirectory.h
+++ b/src/pooling/ServerDirectory.h
@@ -24,6 +24,8 @@
     std::uint32_t slots = 1;
     bool draining = false;
     ServerRole role = ServerRole::Replica;
+    /** How much longer it was cold from its start when it wrote this. */
+    Duration coldFor{0};
     /** Counts what the server has written in this life; 0 where it does not tell. */
     std::uint64_t sequence = 0;
     /** Version of the announcement in the store; a later one is higher. */
--- a/src/settings/EffectiveSettings.h
+++ b/src/settings/EffectiveSettings.h
@@ -56,6 +56,11 @@
     std::uint32_t connectionsPerServer = 30;
     /** Replicas that have a commit before its primary answers; 0 when it answers alone. */
     std::uint32_t synchronousReplicas = 1;
+    /** Requests that a server takes in a second from all proxies while it is cold after its start;
+     * 0: as many as at other times. */
+    double coldRequestsPerSecond = 0;
+    /** Time for which a server is cold after its start; 0: it starts warm. */
+    Duration coldStart{0};
     /** Connections opened at the same time to one server by one proxy. */
     std::uint32_t concurrentConnects = 2;
     /** Idle connections kept open to each server, so that a new primary can serve at once. */
@@ -102,6 +107,8 @@
     /** Longest duration of a transaction. */
     Duration transactionTimeout = std::chrono::seconds(60);
     RequestKeyPolicy requestKeyPolicy = RequestKeyPolicy::Optional;
+    /** Regions that the service's statements must not leave; empty: any region. */
+    std::vector<RegionName> homeRegions;
     /** Most caller connections of the service on one proxy. */
     std::uint32_t connectionLimit = 10000;
 
--- a/src/settings/KeyTable.cpp
+++ b/src/settings/KeyTable.cpp
@@ -18,6 +18,7 @@
 constexpr ValueRange kPasswordText{0, 1024};
 constexpr ValueRange kQueryText{1, 8192};
 constexpr ValueRange kServerCount{0, 64};
+constexpr ValueRange kRegionCount{0, 64};
 
 /**
  * For PostgreSQL 15. The timeline of a primary is taken from the name of its current log file,
@@ -91,6 +92,17 @@
     }
 }
 
+void setColdRequests(const SettingValue& value, GroupSettings& settings) {
+    settings.coldRequestsPerSecond = static_cast<double>(std::get<std::int64_t>(value));
+}
+
+void setHomeRegions(const SettingValue& value, ServiceSettings& settings) {
+    settings.homeRegions.clear();
+    for (const std::string& name : std::get<std::vector<std::string>>(value)) {
+        settings.homeRegions.emplace_back(name);
+    }
+}
+
 void setRequestKeyPolicy(const SettingValue& value, ServiceSettings& settings) {
     const bool required = std::get<std::string>(value) == "required";
     settings.requestKeyPolicy = required ? RequestKeyPolicy::Required : RequestKeyPolicy::Optional;
@@ -224,6 +236,30 @@
     keys.push_back(std::move(staleness));
 }
 
+void addHomeKeys(std::vector<KeyDefinition>& keys) {
+    KeyDefinition homes =
+        makeKey("placement.home_regions", KeyType::NameList, std::vector<std::string>(),
+                kRegionCount, kAllLevels,
+                "Regions that the statements of pooled sessions must not leave, nor what they"
+                " carry. Empty: they may run in any region.");
+    homes.applyToService = setHomeRegions;
+    keys.push_back(std::move(homes));
+}
+
+void addWarmupKeys(std::vector<KeyDefinition>& keys) {
+    KeyDefinition requests =
+        makeKey("warmup.requests_per_second", KeyType::Integer, std::int64_t{0}, {0, 1000000},
+                kEstateAndGroup,
+                "Requests that a server of pooled sessions takes in a second from all proxies"
+                " together while it is cold after its start. 0: as many as at other times.");
+    requests.unit = "requests";
+    requests.applyToGroup = setColdRequests;
+    keys.push_back(std::move(requests));
+    keys.push_back(makeGroupDuration<&GroupSettings::coldStart>(
+        "warmup.duration", Duration(0), Duration(0), hours(1),
+        "Time for which a server is cold after its start."));
+}
+
 void addAdmissionKeys(std::vector<KeyDefinition>& keys) {
     KeyDefinition priority =
         makeChoice("admission.priority", "ordinary", {"urgent", "ordinary"},
@@ -338,9 +374,11 @@
     std::vector<KeyDefinition> keys;
     addGroupKeys(keys);
     addRoutingKeys(keys);
+    addHomeKeys(keys);
     addAdmissionKeys(keys);
     addPoolKeys(keys);
     addReplicationKeys(keys);
+    addWarmupKeys(keys);
     addTimeoutKeys(keys);
     addRequestKeys(keys);
     addStatusKeys(keys);
--- a/src/tenancy/TenantDirectory.h
+++ b/src/tenancy/TenantDirectory.h
@@ -26,6 +26,8 @@
     TenantName name;
     TenantQuota quota;
     std::vector<CredentialDigest> credentials;
+    /** Regions that its statements must not leave; empty: any. */
+    std::vector<RegionName> homeRegions = {};
 };
 
 /** Immutable; shared. */
--- a/tests/cluster/EstateImportTest.cpp
+++ b/tests/cluster/EstateImportTest.cpp
@@ -55,6 +55,24 @@
     UNSIGNED_LONGS_EQUAL(0, services->groups.at(GroupName("g1")).synchronousReplicas);
 }
 
+TEST(EstateImport, HomesAndColdStartsReachTheCatalog) {
+    ImportedService bound = service("a", 1);
+    bound.homeRegions = {RegionName("north"), RegionName("south")};
+    EstateImage estate = image(5, {bound, service("b", 1)});
+    estate.groups[0].coldRequestsPerSecond = 10;
+    estate.groups[0].coldStart = milliseconds(6500);
+    CHECK_TRUE(import.apply(estate).refused.empty());
+    const auto services = catalog();
+    const settings::GroupSettings& group = services->groups.at(GroupName("g1"));
+    DOUBLES_EQUAL(10, group.coldRequestsPerSecond, 1e-9);
+    CHECK_TRUE(group.coldStart == milliseconds(6500));
+    CHECK_TRUE(services->find(ServiceName("a"))->settings.homeRegions == bound.homeRegions);
+    CHECK_TRUE(services->find(ServiceName("b"))->settings.homeRegions.empty());
+    import.apply(image(6, {service("a", 1), service("b", 1)}));
+    CHECK_TRUE(catalog()->find(ServiceName("a"))->settings.homeRegions.empty());
+    DOUBLES_EQUAL(0, catalog()->groups.at(GroupName("g1")).coldRequestsPerSecond, 1e-9);
+}
+
 TEST(EstateImport, EachRankHasItsPlace) {
     import.apply(image(5, {service("a", 7), service("b", 0), service("c", 3), service("d", 7)}));
     const auto services = catalog();
--- a/tests/platform_adapter/CodecTest.cpp
+++ b/tests/platform_adapter/CodecTest.cpp
@@ -71,6 +71,32 @@
     CHECK_FALSE(codec.readEstate(object("main", kConfiguration))->tenants.has_value());
 }
 
+TEST(PlatformCodec, ReadsHomesAndColdStarts) {
+    const auto image = codec.readEstate(object("main", R"({"version":2,
+        "routes":[{"host":"a","home_regions":["north","south"]},{"host":"b"}],
+        "services":[{"name":"g1","cold_start_s":6.5,"cold_per_s":10.0},
+                    {"name":"g2","cold_start_s":6.5,"cold_per_s":0.0}],
+        "tenants":[{"name":"t1","api_keys":[],"home_regions":["south"]}]})"));
+    UNSIGNED_LONGS_EQUAL(2, image->services[0].homeRegions.size());
+    CHECK_TRUE(image->services[1].homeRegions.empty());
+    CHECK_TRUE(image->tenants->front().homeRegions == std::vector{RegionName("south")});
+    UNSIGNED_LONGS_EQUAL(10, *image->groups[0].coldRequestsPerSecond);
+    CHECK_TRUE(image->groups[0].coldStart == milliseconds(6500));
+    CHECK_FALSE(image->groups[1].coldRequestsPerSecond.has_value());
+}
+
+TEST(PlatformCodec, ReadsHowLongAServerIsCold) {
+    constexpr const char* kEntry = R"({"service":"g1","addr":"10.128.0.9:8080","zone":"z",
+        "slots":3,"state":"ready","db_role":"replica","cold_left_ms":%1})";
+    const auto read = [this](const char* cold) {
+        const QByteArray json = QString(kEntry).arg(cold).toUtf8();
+        return codec.readServer(object("i-7f", json.constData()));
+    };
+    CHECK_TRUE(read("4200").value().coldFor == milliseconds(4200));
+    CHECK_FALSE(read("-1").isOk());
+    CHECK_FALSE(read("9007199254740992").isOk());
+}
+
 TEST(PlatformCodec, RefusesWhatIsNoConfiguration) {
     CHECK_FALSE(codec.readEstate(object("other", kConfiguration)).has_value());
     CHECK_FALSE(codec.readEstate(object("main", R"({"version":7})")).has_value());
