Home regions of services and tenants: a policy for statements and primaries

Ruled out: trusting the caller's zone as its region (connections are passed to the nearest zone when none is in). Change: locality::HomeRegions (pure), placement::HomePolicy, told of settings before anything else acts on them; asked only once settings have named homes. Words of servers about bound statements are not logged.

--- a/src/cluster/ClusterControl.cpp
+++ b/src/cluster/ClusterControl.cpp
@@ -154,8 +154,13 @@
         .field("changed", outcome.changed)
         .field("refused", outcome.refused.size());
     _settingsKnown = true;
-    _dependencies.onTenants(tenantsOf(*image));
-    _pooler.applyCatalog(pooling::makeCatalog(*_tree.snapshot()));
+    const std::shared_ptr<const tenancy::TenantDirectory> tenants = tenantsOf(*image);
+    const auto catalog = pooling::makeCatalog(*_tree.snapshot());
+    if (_dependencies.onSettings) {
+        _dependencies.onSettings(*catalog, *tenants);
+    }
+    _dependencies.onTenants(tenants);
+    _pooler.applyCatalog(catalog);
     noteGroups(*image);
 }
 
--- a/src/cluster/ClusterControl.h
+++ b/src/cluster/ClusterControl.h
@@ -65,6 +65,9 @@
     FreshnessBounds bounds{};
     /** Where primaries may stand; null: anywhere. */
     const failover::PrimaryPlacement* primaryPlacement = nullptr;
+    /** Told of changed settings before anything else acts on them; may be empty. */
+    std::function<void(const pooling::ServiceCatalog&, const tenancy::TenantDirectory&)>
+        onSettings{};
 };
 
 /** Control of one node. Single-threaded; lives beside the pooler. */
@@ -95,6 +98,11 @@
     /** @return versions of entries that named no server, each counted once. */
     std::uint64_t unreadableEntries() const { return _unreadableEntries; }
 
+    /** @return the servers of a group as they are announced; of an unknown group none. */
+    const pooling::ServerDirectory::Servers& serversOf(const GroupName& group) const {
+        return _directory.serversOf(group);
+    }
+
     std::size_t nodeCount() const { return _publishedNodes.size(); }
 
     /** @return whether another node tells of changes, or the newest call of each watch was
--- a/src/duty/pooling/PoolingDuty.cpp
+++ b/src/duty/pooling/PoolingDuty.cpp
@@ -32,6 +32,10 @@
       _random(_options.seed),
       _ticks(_clock),
       _connector(_poller, _adapter.serverCodec),
+      _homes(_clock, _options.regions,
+             [this](const GroupName& group) -> const pooling::ServerDirectory::Servers& {
+                 return _control->serversOf(group);
+             }),
       _pooler(_clock, _connector, *this, makeKnobs(_options)),
       _unitLinks(_poller, _clock, _pooler),
       _unitService(_poller, _pooler),
@@ -79,6 +83,20 @@
     _gate.applyTenants(tenants);
 }
 
+/** Transactions that homes have moved away from are ended before a further statement of theirs. */
+void PoolingDuty::applyHomes(const pooling::ServiceCatalog& catalog,
+                             const tenancy::TenantDirectory& tenants) {
+    if (!_homes.apply(catalog, tenants)) {
+        return;
+    }
+    if (!_homesAsked) {
+        _homesAsked = true;
+        _placement.add(static_cast<pooling::PlacementPolicy&>(_homes));
+        _placement.add(static_cast<failover::PrimaryPlacement&>(_homes));
+    }
+    _pooler.reviewPlacement();
+}
+
 cluster::ClusterDependencies PoolingDuty::controlDependencies() {
     const pooling::ProxyNode self{_options.name, _options.zone, _options.forwarding.host,
                                   _unitService.port()};
@@ -102,7 +120,9 @@
             },
             life(),
             freshnessBounds(),
-            &_placement};
+            &_placement,
+            [this](const pooling::ServiceCatalog& catalog,
+                   const tenancy::TenantDirectory& tenants) { applyHomes(catalog, tenants); }};
 }
 
 /** Settings that are too old to judge a credential by would refuse statements: they are renewed
@@ -249,6 +269,9 @@
     figures.storeReachable = _control->isStoreReachable();
     figures.storeEra = _storeEra.current();
     figures.storeReturns = _storeEra.returns();
+    if (_homesAsked) {
+        figures.homes = _homes.statistics();
+    }
     figures.gate = _gate.statistics();
     figures.quotas = _quotas.statistics();
     figures.quotaShardsLed = _quotas.shardsLed();
--- a/src/duty/pooling/PoolingDuty.h
+++ b/src/duty/pooling/PoolingDuty.h
@@ -26,6 +26,7 @@
 #include "link/socket/SocketPoller.h"
 #include "link/store/EraNotingCaller.h"
 #include "locality/RegionMap.h"
+#include "placement/HomePolicy.h"
 #include "placement/PolicyChain.h"
 #include "pooling/PlannedStop.h"
 #include "pooling/StatementPooler.h"
@@ -130,6 +131,9 @@
     void applyNodes(const std::vector<pooling::ProxyNode>& nodes);
     void applyTenants(const std::shared_ptr<const tenancy::TenantDirectory>& tenants);
 
+    void applyHomes(const pooling::ServiceCatalog& catalog,
+                    const tenancy::TenantDirectory& tenants);
+
     PoolingOptions _options;
     PoolingAdapter _adapter;
     std::function<void()> _stopped;
@@ -139,6 +143,9 @@
     socket::SocketPoller _poller;
     session::StreamServerConnector _connector;
     placement::PolicyChain _placement;
+    placement::HomePolicy _homes;
+    /** The policy is asked: from the first settings on that name homes. */
+    bool _homesAsked = false;
     pooling::StatementPooler _pooler;
     forwarding::UnitLinks _unitLinks;
     forwarding::UnitService _unitService;
--- a/src/duty/pooling/PoolingMetrics.cpp
+++ b/src/duty/pooling/PoolingMetrics.cpp
@@ -50,6 +50,25 @@
     }
 }
 
+void appendHomes(Page& page, const placement::HomeStatistics& homes) {
+    page.metric("gauge", "home_bound_services", "Services whose statements have home regions.",
+                homes.services);
+    page.metric("gauge", "home_bound_tenants", "Tenants whose statements have home regions.",
+                homes.tenants);
+    page.metric("gauge", "home_disputed_groups",
+                "Groups whose services have home regions, but none in common.",
+                homes.groupsInDispute);
+    page.metric("gauge", "home_groups_led_outside",
+                "Groups whose primary stands outside the home regions of their services.",
+                homes.groupsLedOutside);
+    page.metric("counter", "home_servers_ruled_out_total",
+                "Times that a statement was kept from a server outside its home regions.",
+                homes.serversRuledOut);
+    page.metric("counter", "home_nodes_ruled_out_total",
+                "Times that a statement was kept from a node outside its home regions.",
+                homes.nodesRuledOut);
+}
+
 void appendShares(Page& page, const PoolerStatistics& statistics) {
     page.metric("gauge", "groups_sharing",
                 "Crowded groups whose executors keep to their shares of the servers.",
@@ -220,6 +239,9 @@
                 pooler.connectionsLost);
     page.metric("counter", "server_connections_replaced_total",
                 "Idle connections closed for one of another tenant.", pooler.connectionsReplaced);
+    if (figures.homes) {
+        appendHomes(page, *figures.homes);
+    }
     appendWaiting(page, figures);
     appendShares(page, pooler);
     appendGate(page, figures.gate);
--- a/src/duty/pooling/PoolingMetrics.h
+++ b/src/duty/pooling/PoolingMetrics.h
@@ -3,8 +3,10 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <string>
 
+#include "placement/HomePolicy.h"
 #include "pooling/PoolerStatistics.h"
 #include "settings/EffectiveSettings.h"
 #include "tenancy/TenantGate.h"
@@ -19,6 +21,8 @@
     /** Shards of tenants whose quotas this node grants, and of which it grants a part as deputy. */
     std::size_t quotaShardsLed = 0;
     std::size_t quotaShardsAsDeputy = 0;
+    /** None before settings have named homes. */
+    std::optional<placement::HomeStatistics> homes;
     std::size_t sessions = 0;
     /** Statements that wait here for a server, by rank. */
     std::array<std::size_t, settings::kAdmissionRanks> waitingByRank{};
--- a/src/placement/PolicyChain.cpp
+++ b/src/placement/PolicyChain.cpp
@@ -41,6 +41,12 @@
     });
 }
 
+bool PolicyChain::mayLogAnswers(const PlacedUnit& unit) {
+    return std::all_of(_policies.begin(), _policies.end(), [&](pooling::PlacementPolicy* policy) {
+        return policy->mayLogAnswers(unit);
+    });
+}
+
 void PolicyChain::noteSent(const PlacedUnit& unit, const PlacedServer& server) {
     for (pooling::PlacementPolicy* policy : _policies) {
         policy->noteSent(unit, server);
--- a/src/placement/PolicyChain.h
+++ b/src/placement/PolicyChain.h
@@ -23,6 +23,7 @@
     pooling::PlacementVerdict mayContinue(const pooling::PlacedUnit& unit,
                                           const pooling::PlacedServer& server) override;
     bool mayForwardTo(const pooling::PlacedUnit& unit, const ZoneName& zone) override;
+    bool mayLogAnswers(const pooling::PlacedUnit& unit) override;
     void noteSent(const pooling::PlacedUnit& unit, const pooling::PlacedServer& server) override;
 
     failover::LeadSuitability suitabilityOf(
--- a/src/pooling/PlacementPolicy.h
+++ b/src/pooling/PlacementPolicy.h
@@ -70,6 +70,10 @@
     /** @return whether a node of the zone may be shown the unit's statements, to execute them. */
     virtual bool mayForwardTo(const PlacedUnit& unit, const ZoneName& zone) = 0;
 
+    /** @return whether logs may show what a server says of the unit's statements: its words may
+     * repeat them. */
+    virtual bool mayLogAnswers(const PlacedUnit& /*unit*/) { return true; }
+
     /** A caller's statement is sent to the server now. */
     virtual void noteSent(const PlacedUnit& unit, const PlacedServer& server) = 0;
 };
--- a/src/pooling/StatementPooler.cpp
+++ b/src/pooling/StatementPooler.cpp
@@ -313,6 +313,10 @@
         .field("server_ms", milliseconds(now - operation.sentAt));
 }
 
+bool StatementPooler::mayLogAnswers(const PooledSession& session) const {
+    return _policy == nullptr || _policy->mayLogAnswers(placedUnit(session, false));
+}
+
 void StatementPooler::logFailure(const PooledSession& session, StatementFault fault,
                                  const std::string& message) {
     if (!session.operation) {
@@ -330,7 +334,7 @@
         .field("group", session.group)
         .field("tenant", session.tenant)
         .field("fault", describe(fault))
-        .field("why", message)
+        .field("why", mayLogAnswers(session) ? message : std::string("withheld"))
         .field("obstacle", operation.lastObstacle)
         .field("server", operation.server)
         .field("attempts", operation.attempts)
--- a/src/pooling/StatementPooler.h
+++ b/src/pooling/StatementPooler.h
@@ -457,6 +457,7 @@
     void settle();
     void flushReplies();
     void markDirty(const GroupName& group);
+    bool mayLogAnswers(const PooledSession& session) const;
     void logFailure(const PooledSession& session, StatementFault fault, const std::string& message);
     void logSlow(const PooledSession& session);
     GroupState& groupOf(const PooledSession& session) { return _groups[session.group]; }
