--- a/tests/pooling/ForwardingTest.cpp
+++ b/tests/pooling/ForwardingTest.cpp
@@ -1,8 +1,7 @@
 #include <CppUTest/TestHarness.h>
 
-#include <set>
-
 #include "PoolerFixture.h"
+#include "ScriptedForwarder.h"
 
 namespace coralhoist::pooling {
 namespace {
@@ -11,31 +10,6 @@
 
 constexpr int kNodes = 20;
 
-/** Records what is forwarded; the test delivers events itself. */
-class ScriptedForwarder final : public UnitForwarder {
-public:
-    struct Sent {
-        UnitId unit;
-        NodeName node;
-        std::optional<UnitOpening> opening;
-        UnitStatement statement;
-    };
-
-    bool canReach(const NodeName& node) const override { return !unreachable.contains(node); }
-    void open(UnitId unit, const NodeName& node, const UnitOpening& opening,
-              const UnitStatement& statement) override {
-        sent.push_back({unit, node, opening, statement});
-    }
-    void submit(UnitId unit, const UnitStatement& statement) override {
-        sent.push_back({unit, sent.back().node, std::nullopt, statement});
-    }
-    void end(UnitId unit) override { ended.push_back(unit); }
-
-    std::vector<Sent> sent;
-    std::vector<UnitId> ended;
-    std::set<NodeName> unreachable;
-};
-
 UnitResult success(SessionState state = SessionState::Idle, OpTime ownFloor = {}) {
     UnitResult result;
     result.result.signature = "sig";
--- a/tests/pooling/PoolerFixture.cpp
+++ b/tests/pooling/PoolerFixture.cpp
@@ -47,6 +47,7 @@
 void ScriptedConnector::send(ConnectionId connection, const std::vector<ServerCommand>& commands) {
     for (const ServerCommand& command : commands) {
         sent.push_back({connection, serverOf.at(connection), command});
+        ++reached[serverOf.at(connection)];
     }
 }
 
--- a/tests/pooling/PoolerFixture.h
+++ b/tests/pooling/PoolerFixture.h
@@ -30,6 +30,8 @@
 
     std::vector<ConnectionId> opening;
     std::vector<SentCommand> sent;
+    /** Commands that were ever sent to each server. */
+    std::map<ServerName, std::size_t> reached;
     std::vector<ConnectionId> closed;
     std::map<ConnectionId, ServerName> serverOf;
     std::map<ConnectionId, TenantName> tenantOf;
