--- a/tests/cluster/ClusterControlTest.cpp
+++ b/tests/cluster/ClusterControlTest.cpp
@@ -56,6 +56,8 @@
     std::unique_ptr<socket::HttpClient> client;
     std::unique_ptr<ClusterControl> control;
     std::size_t recordLists = 0;
+    /** Who was told of settings, in order. */
+    std::vector<std::string> told;
 
     void setup() override {
         CHECK_TRUE(responder.listen(kHost, 0).isOk());
@@ -66,11 +68,33 @@
         client = std::make_unique<socket::HttpClient>(poller, clock, kHost, responder.port());
         control = std::make_unique<ClusterControl>(
             ClusterDependencies{
-                clock, random, *client, era, *client, protocol, codec, connector, parser, *this,
-                *this, *this, *this, pooling::ProxyNode{NodeName("self"), ZoneName("z"), kHost, 1},
+                clock,
+                random,
+                *client,
+                era,
+                *client,
+                protocol,
+                codec,
+                connector,
+                parser,
+                *this,
+                *this,
+                *this,
+                *this,
+                pooling::ProxyNode{NodeName("self"), ZoneName("z"), kHost, 1},
                 [](const std::vector<pooling::ProxyNode>&) {},
-                [](const std::shared_ptr<const tenancy::TenantDirectory>& /*tenants*/) {},
-                "self/1"},
+                [this](const std::shared_ptr<const tenancy::TenantDirectory>& /*tenants*/) {
+                    told.emplace_back("tenants");
+                },
+                "self/1",
+                {},
+                nullptr,
+                [this](const pooling::ServiceCatalog& catalog,
+                       const tenancy::TenantDirectory& /*tenants*/) {
+                    CHECK_TRUE(catalog.find(ServiceName("a")) != nullptr);
+                    CHECK_FALSE(pooler->hasService(ServiceName("a")));
+                    told.emplace_back("settings");
+                }},
             *pooler);
     }
 
@@ -145,6 +169,16 @@
         override {}
 };
 
+/** Home regions must bind before a statement that waited is placed by the new settings. */
+TEST(ClusterControl, ChangedSettingsAreToldBeforeAnythingActsOnThem) {
+    CHECK_TRUE(testing::waitUntil([this] {
+        run(milliseconds(10));
+        return control->isReady();
+    }));
+    CHECK_TRUE(told == (std::vector<std::string>{"settings", "tenants"}));
+    CHECK_TRUE(pooler->hasService(ServiceName("a")));
+}
+
 /**
  * Found on spba-jobgrid-large, trouble-2: after a loss of power with a slow store each of 110 nodes
  * opened a connection to each of 60 servers, and the servers' slots were taken for two seconds.
--- a/tests/duty/PoolingMetricsTest.cpp
+++ b/tests/duty/PoolingMetricsTest.cpp
@@ -45,6 +45,17 @@
     CHECK_TRUE(contains(page, "coralhoist_load_reports_taken_total 63\n"));
 }
 
+TEST(PoolingMetrics, ShowsHomesOnlyWhereSettingsNameSome) {
+    PoolingFigures figures;
+    CHECK_FALSE(contains(renderMetrics(figures), "coralhoist_home_"));
+    figures.homes = placement::HomeStatistics{};
+    figures.homes->groupsLedOutside = 4;
+    figures.homes->nodesRuledOut = 17;
+    const std::string page = renderMetrics(figures);
+    CHECK_TRUE(contains(page, "coralhoist_home_groups_led_outside 4\n"));
+    CHECK_TRUE(contains(page, "coralhoist_home_nodes_ruled_out_total 17\n"));
+}
+
 TEST(PoolingMetrics, ShowsQuotasByRankWhereARankHasACount) {
     PoolingFigures figures;
     figures.gate.refusedQuotaByRank[2] = 5;
--- a/tests/locality/HomeRegionsTest.cpp
+++ b/tests/locality/HomeRegionsTest.cpp
@@ -8,9 +8,11 @@
 const RegionName kNorth("north");
 const RegionName kSouth("south");
 
+}  // namespace
+
 TEST_GROUP(HomeRegions) {
     const RegionMap map{{{ZoneName("north-1"), kNorth}, {ZoneName("south-1"), kSouth}}};
-    const HomeRegions unbound;
+    const HomeRegions unbound{};
     const HomeRegions north{std::vector{kNorth}};
     const HomeRegions south{std::vector{kSouth}};
     const HomeRegions both{std::vector{kNorth, kSouth}};
@@ -49,5 +51,4 @@
     CHECK_TRUE(none.joinedWith(unbound).excludesAll());
 }
 
-}  // namespace
 }  // namespace coralhoist::locality
