Quotas may bound units in any second, with a window and lease of their own

Cause: servers that are cold after their start take few requests a second from all nodes together; that is the bound which quotas keep. Ruled out: a second exchange with terms of its own (its messages and records would need names of their own on every link). Change: TenantQuota::mostInSecond; ledgers, copies and leases take the window of their quota; QuotaExchange::look and takeHeld ask for units ahead of the decision that uses them. Conclusion: one exchange keeps both bounds.

--- a/src/tenancy/LedgerCopy.cpp
+++ b/src/tenancy/LedgerCopy.cpp
@@ -8,7 +8,7 @@
 
 }  // namespace
 
-bool LedgerCopy::take(const LedgerUpdate& update, Duration window, TimePoint now) {
+bool LedgerCopy::take(const LedgerUpdate& update, const WindowOf& windowOf, TimePoint now) {
     if (_sealed) {
         return false;
     }
@@ -32,7 +32,8 @@
     }
     _released = _released || update.released;
     for (const CopiedBatch& batch : update.batches) {
-        QuotaLedger& ledger = _ledgers.try_emplace(batch.tenant, window).first->second;
+        QuotaLedger& ledger =
+            _ledgers.try_emplace(batch.tenant, windowOf(batch.tenant)).first->second;
         ledger.add(batch.batch, batch.units, now + batch.usableFor);
         ledger.counted(now);
     }
--- a/src/tenancy/LedgerCopy.h
+++ b/src/tenancy/LedgerCopy.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -16,8 +17,11 @@
  */
 class LedgerCopy {
 public:
+    /** @return the window of a tenant's ledger. */
+    using WindowOf = std::function<Duration(const TenantName&)>;
+
     /** @return whether the copy holds the update's batches now, and those of all before it. */
-    bool take(const LedgerUpdate& update, Duration window, TimePoint now);
+    bool take(const LedgerUpdate& update, const WindowOf& windowOf, TimePoint now);
 
     /** From now on no batch of this copy is acknowledged, so that it lacks none that was answered.
      */
--- a/src/tenancy/QuotaExchange.cpp
+++ b/src/tenancy/QuotaExchange.cpp
@@ -37,6 +37,8 @@
 /** So many of the first nodes in the shard's order are probed besides the standby: enough that one
  * of them is probably on this side of a cut. */
 constexpr std::size_t kProbedNodes = 4;
+/** A unit that `look` has found is taken within this time; else the process stood still. */
+constexpr Duration kTakenWithin = milliseconds(20);
 /** When a caller should come back while no leader answers. */
 constexpr Duration kRetryWithoutAnswer = milliseconds(300);
 
@@ -99,8 +101,10 @@
     return *entry;
 }
 
-Duration QuotaExchange::usableFor(const Account& account) const {
-    return std::min(_terms.lease() + account.answerTime * kAnswerTimes, kLongestQuotaLease);
+Duration QuotaExchange::usableFor(const TenantName& tenant, const Account& account) const {
+    const Tenant* known = _tenants->find(tenant);
+    const Duration lease = known == nullptr ? _terms.lease() : _terms.leaseOf(known->quota);
+    return std::min(lease + account.answerTime * kAnswerTimes, kLongestQuotaLease);
 }
 
 void QuotaExchange::ask(const TenantName& tenant, Account& account, const Wish& wish,
@@ -125,7 +129,7 @@
         question.wantedByRank[kRanks + rank] = wish.units.inTurn;
         question.wantedByRank[2 * kRanks + rank] = wish.units.nowOnly;
     }
-    question.usableFor = usableFor(account);
+    question.usableFor = usableFor(tenant, account);
     question.leaderSilent = !_leaders.contains(quotaShardOf(tenant));
     question.settled = account.lease.settlements(now);
     _statistics.unused += account.lease.takeUnused();
@@ -331,10 +335,10 @@
     }
 }
 
-QuotaExchange::Wish QuotaExchange::wishOf(Account& account, const WaitingStatements& waiting,
-                                          TimePoint now) const {
+QuotaExchange::Wish QuotaExchange::wishOf(const TenantName& tenant, Account& account,
+                                          const WaitingStatements& waiting, TimePoint now) const {
     const RankAccount& ranked = account.ranks[waiting.rank];
-    const Duration span = std::chrono::duration_cast<Duration>(usableFor(account) * kAskedAhead);
+    const Duration span = std::chrono::duration_cast<Duration>(usableFor(tenant, account) * kAskedAhead);
     const std::uint32_t ahead = account.scarce ? 0 : account.lease.unitsAhead(span, now);
     const std::uint32_t units = account.lease.units(now);
     const std::uint32_t nowOnly = now >= ranked.nowNotBefore ? waiting.nowOnly : 0;
@@ -372,21 +376,47 @@
 
 QuotaVerdict QuotaExchange::take(const TenantName& tenant, const WaitingStatements& waiting) {
     const TimePoint now = _dependencies.clock.now();
+    const QuotaVerdict prospect = lookFor(tenant, waiting, now);
+    if (_accounts[tenant].lease.takeUnit(now)) {
+        ++_statistics.ran;
+        return {QuotaVerdict::Kind::Granted, {}};
+    }
+    return prospect;
+}
+
+QuotaVerdict QuotaExchange::look(const TenantName& tenant, const WaitingStatements& waiting) {
+    if (_tenants->find(tenant) == nullptr) {
+        return {QuotaVerdict::Kind::Refused, kRetryWithoutAnswer};
+    }
+    const TimePoint now = _dependencies.clock.now();
+    const QuotaVerdict prospect = lookFor(tenant, waiting, now);
+    // Counted as of a moment later, so that the unit has not ended when it is taken.
+    const bool isAtHand = _accounts[tenant].lease.unitsAt(now + kTakenWithin) >= waiting.count;
+    return isAtHand ? QuotaVerdict{QuotaVerdict::Kind::Granted, {}} : prospect;
+}
+
+bool QuotaExchange::takeHeld(const TenantName& tenant) {
+    const auto account = _accounts.find(tenant);
+    const bool isTaken = account != _accounts.end() &&
+                         account->second.lease.takeUnit(_dependencies.clock.now());
+    _statistics.ran += isTaken ? 1 : 0;
+    return isTaken;
+}
+
+/** Asks for what is lacking. @return what a statement may wait for if it finds no unit. */
+QuotaVerdict QuotaExchange::lookFor(const TenantName& tenant, const WaitingStatements& waiting,
+                                    TimePoint now) {
     Account& account = _accounts[tenant];
     WaitingStatements counted = waiting;
     counted.rank = _ranks.ranksDiffer ? waiting.rank : 0;
     RankAccount& ranked = account.ranks[counted.rank];
     giveUpLate(tenant, ranked, now);
     if (!ranked.asked) {
-        const Wish wish = wishOf(account, counted, now);
+        const Wish wish = wishOf(tenant, account, counted, now);
         if (wish.units.units() > 0) {
             ask(tenant, account, wish, now);
         }
     }
-    if (account.lease.takeUnit(now)) {
-        ++_statistics.ran;
-        return {QuotaVerdict::Kind::Granted, {}};
-    }
     return prospectOf(ranked, now);
 }
 
--- a/src/tenancy/QuotaExchange.h
+++ b/src/tenancy/QuotaExchange.h
@@ -81,6 +81,16 @@
      */
     QuotaVerdict take(const TenantName& tenant, const WaitingStatements& waiting);
 
+    /**
+     * Asks for units as `take` does, but takes none.
+     * @return Granted where one is at hand that is usable for a moment longer.
+     */
+    QuotaVerdict look(const TenantName& tenant, const WaitingStatements& waiting);
+
+    /** Takes a unit that is at hand; `look` has said so in this round of the event loop.
+     * @return whether there was one. */
+    bool takeHeld(const TenantName& tenant);
+
     /** A planned stop: others lead this node's shards at once. */
     void beginLeaving();
 
@@ -139,12 +149,14 @@
         Duration answerTime{0};
     };
 
-    Duration usableFor(const Account& account) const;
-    Wish wishOf(Account& account, const WaitingStatements& waiting, TimePoint now) const;
+    Duration usableFor(const TenantName& tenant, const Account& account) const;
+    Wish wishOf(const TenantName& tenant, Account& account, const WaitingStatements& waiting,
+                TimePoint now) const;
     void ask(const TenantName& tenant, Account& account, const Wish& wish, TimePoint now);
     void giveUpLate(const TenantName& tenant, RankAccount& account, TimePoint now);
     void noteMissing(RankAccount& account, const Asked& asked, const QuotaAnswer& answer,
                      TimePoint now);
+    QuotaVerdict lookFor(const TenantName& tenant, const WaitingStatements& waiting, TimePoint now);
     static QuotaVerdict prospectOf(const RankAccount& account, TimePoint now);
     std::optional<NodeName> remoteTarget(std::uint32_t shard, TimePoint now);
     bool isUsable(const NodeName& node) const;
--- a/src/tenancy/QuotaLease.cpp
+++ b/src/tenancy/QuotaLease.cpp
@@ -71,6 +71,14 @@
     return units;
 }
 
+std::uint32_t QuotaLease::unitsAt(TimePoint moment) const {
+    std::uint32_t units = 0;
+    for (const Batch& batch : _batches) {
+        units += moment < batch.usableUntil ? batch.left : 0;
+    }
+    return units;
+}
+
 std::uint32_t QuotaLease::unitsAhead(Duration span, TimePoint now) const {
     const double fading = std::exp(-(Seconds(now - _ratedAt) / Seconds(kRateSpan)));
     return static_cast<std::uint32_t>(std::floor(_rate * fading * Seconds(span).count()));
--- a/src/tenancy/QuotaLease.h
+++ b/src/tenancy/QuotaLease.h
@@ -27,6 +27,9 @@
     /** @return units that can be used now. */
     std::uint32_t units(TimePoint now);
 
+    /** @return units at hand that can still be used at a later moment. */
+    std::uint32_t unitsAt(TimePoint moment) const;
+
     /** @return whole units that will probably be used within the time given. Rounded up, each
      * statement of a caller that comes seldom would take two, of which one ends unused and counts
      * for a window. */
--- a/src/tenancy/QuotaShard.cpp
+++ b/src/tenancy/QuotaShard.cpp
@@ -280,7 +280,7 @@
     const TimePoint stoppedBy = wasFormerLife ? _context.startedAt : now;
     ShardLedgers ledgers;
     for (const auto& [tenant, quota] : _known->record().tenants) {
-        ledgers.try_emplace(tenant, _context.terms.window)
+        ledgers.try_emplace(tenant, _context.windowOf(tenant))
             .first->second.inherit(quota, writtenBy, stoppedBy);
     }
     return ledgers;
@@ -299,7 +299,7 @@
     claimed.leader = _context.self;
     claimed.standby = {};
     claimed.tenants = leaderQuotas(_context, _known->parts, ledgers, now);
-    claimed.deputies = _known->parts.cleared(_context.terms.window, now);
+    claimed.deputies = _known->parts.cleared(_context.terms.longestWindow(), now);
     ++claimed.renewals;
     _claimedLedgers = std::move(ledgers);
     _claimedWithCopy = withCopy;
@@ -354,7 +354,8 @@
     const TimePoint now = _context.clock.now();
     LedgerAck ack;
     ack.life = _context.self.life;
-    ack.accepted = !leads() && !_released && _copy.take(update, _context.terms.window, now);
+    const auto windowOf = [this](const TenantName& tenant) { return _context.windowOf(tenant); };
+    ack.accepted = !leads() && !_released && _copy.take(update, windowOf, now);
     if (ack.accepted && _copy.isOffered(now)) {
         mustReadAgain(now);
         seek(now);
--- a/src/tenancy/QuotaTerms.cpp
+++ b/src/tenancy/QuotaTerms.cpp
@@ -7,7 +7,18 @@
 
 using Seconds = std::chrono::duration<double>;
 
+namespace {
+
+/** How long units of a short window may usually be used. They count for that time besides, so a
+ * longer one costs units, a shorter one more questions. */
+constexpr Duration kShortLease = std::chrono::milliseconds(200);
+
+}  // namespace
+
 std::uint32_t QuotaTerms::bound(const TenantQuota& quota) const {
+    if (quota.mostInSecond) {
+        return *quota.mostInSecond;
+    }
     const double granted = quota.ratePerSecond * Seconds(window).count() + quota.burst;
     return static_cast<std::uint32_t>(std::max(0.0, std::floor(granted * (1 + overrun) + slack)));
 }
@@ -16,4 +27,12 @@
     return std::min(kLongestQuotaLease, std::chrono::duration_cast<Duration>(window * overrun));
 }
 
+Duration QuotaTerms::leaseOf(const TenantQuota& quota) const {
+    return quota.mostInSecond ? kShortLease : lease();
+}
+
+Duration QuotaTerms::windowOf(const TenantQuota& quota) const {
+    return quota.mostInSecond ? kShortWindow : window;
+}
+
 }  // namespace coralhoist::tenancy
--- a/src/tenancy/QuotaTerms.h
+++ b/src/tenancy/QuotaTerms.h
@@ -1,6 +1,7 @@
 /** The bound that the sum of all nodes keeps for a tenant. */
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 
 #include "base/Time.h"
@@ -8,6 +9,9 @@
 
 namespace coralhoist::tenancy {
 
+/** Window of quotas that say how many units may run in a second. */
+constexpr Duration kShortWindow = std::chrono::seconds(1);
+
 /** In any window, all nodes together run at most (rate x window + burst) x (1 + overrun) + slack
  * units of a tenant. */
 struct QuotaTerms {
@@ -25,6 +29,15 @@
      */
     Duration lease() const;
 
+    /** @return the same for a quota, which may have a window of its own. */
+    Duration leaseOf(const TenantQuota& quota) const;
+
+    /** @return the window in which the quota's units are summed. */
+    Duration windowOf(const TenantQuota& quota) const;
+
+    /** @return the longest window of any quota: what counts no longer for it counts for none. */
+    constexpr Duration longestWindow() const { return std::max(window, kShortWindow); }
+
     bool operator==(const QuotaTerms&) const = default;
 };
 
--- a/src/tenancy/RecordAllowances.cpp
+++ b/src/tenancy/RecordAllowances.cpp
@@ -12,6 +12,9 @@
 /** A tenant's allowance is so many times what it used in the last window: at the end of 2 s without
  * a renewal it lasts for 4.5 s more, in which the store may be away. */
 constexpr double kWindowsAllowed = 1.3;
+/** The same for quotas with a short window, of which each renewal of the record would otherwise last
+ * for a part of a second only. */
+constexpr std::uint32_t kShortWindowsAllowed = 5;
 /** The leader leaves units for a deputy to allow itself: this part of those that count, as far as
  * its own least allowance permits. They last until the leader knows of the deputy. */
 constexpr double kRoomForDeputy = 0.25;
@@ -124,12 +127,16 @@
             continue;
         }
         const auto ledger = ledgers.find(name);
+        if (tenant.quota.mostInSecond && ledger == ledgers.end()) {
+            continue;
+        }
         const std::uint32_t counted = ledger == ledgers.end() ? 0 : ledger->second.counted(now);
         const std::uint32_t bound = context.terms.bound(tenant.quota);
         const ForeignUnits others = parts.besidesLeader(name, now);
         const bool isAlone = others.allowed == 0 && !others.shares;
-        quotas[name].allowance = isAlone ? allowanceAlone(counted + others.counting, bound)
-                                         : allowanceBeside(counted, others, bound);
+        quotas[name].allowance = !isAlone                   ? allowanceBeside(counted, others, bound)
+                                 : tenant.quota.mostInSecond ? bound * kShortWindowsAllowed
+                                                             : allowanceAlone(counted + others.counting, bound);
     }
     return quotas;
 }
--- a/src/tenancy/ShardContext.h
+++ b/src/tenancy/ShardContext.h
@@ -66,6 +66,12 @@
     ZoneName zone;
     /** What ranks mean in the settings in force; null where they don't matter. */
     const RankTerms* ranks = nullptr;
+
+    /** @return the window of a tenant's ledger. What is not known here counts the longest. */
+    Duration windowOf(const TenantName& tenant) const {
+        const Tenant* known = tenants().find(tenant);
+        return known == nullptr ? terms.longestWindow() : terms.windowOf(known->quota);
+    }
 };
 
 /** Units that a leader may grant beyond what counts end with this time after its last renewal was
@@ -77,7 +83,7 @@
 /** @return the time after a return of the store when nothing counts any more that was granted under
  * claims and parts that it has lost, by nodes that are cut off from it, too. */
 constexpr Duration lostGrantsCountFor(const QuotaTerms& terms) {
-    return kShardLeaseOfOthers + kLongestQuotaLease + terms.window;
+    return kShardLeaseOfOthers + kLongestQuotaLease + terms.longestWindow();
 }
 
 /** @return whether grants may count that were made under claims which the store has lost. */
--- a/src/tenancy/ShardLeader.cpp
+++ b/src/tenancy/ShardLeader.cpp
@@ -63,7 +63,7 @@
 }
 
 QuotaLedger& ShardLeader::ledgerOf(const TenantName& tenant) {
-    return _ledgers.try_emplace(tenant, _context.terms.window).first->second;
+    return _ledgers.try_emplace(tenant, _context.windowOf(tenant)).first->second;
 }
 
 void ShardLeader::ask(const QuotaQuestion& question, QuotaReply reply) {
--- a/src/tenancy/ShardLeaderRecord.cpp
+++ b/src/tenancy/ShardLeaderRecord.cpp
@@ -49,7 +49,7 @@
     }
     QuotaShardRecord attempted = _parts.record();
     attempted.writtenIn = attempted.version.era;
-    attempted.deputies = _parts.cleared(_context.terms.window, now);
+    attempted.deputies = _parts.cleared(_context.terms.longestWindow(), now);
     writeOwnPart(attempted, now);
     _allowances.onSaving(ownQuotasOf(attempted));
     _needsAllowance = false;
--- a/src/tenancy/TenantDirectory.h
+++ b/src/tenancy/TenantDirectory.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -17,6 +18,9 @@
     double ratePerSecond = 0;
     /** Units beyond that which may come at once. */
     double burst = 0;
+    /** Where set, in place of both: the most units in any second (`kShortWindow`), whatever the
+     * terms say. */
+    std::optional<std::uint32_t> mostInSecond = std::nullopt;
 
     bool operator==(const TenantQuota&) const = default;
 };
