Cold servers: statements there take units of a rate that all nodes keep

Ruled out: a division of the rate by the nodes listed (two lists differ); one sender per group (every statement would be forwarded). Change: warmup::ColdServers tells who is cold until when; placement::WarmupPolicy lets a statement go there with a unit of a quota of the exchange (QuotaRequestUnits), reads go elsewhere; a cold server leads only where no warm one can; after it the limit of statements in flight starts at one. Keys warmup.overrun and warmup.slack.

--- a/src/cluster/ClusterControl.cpp
+++ b/src/cluster/ClusterControl.cpp
@@ -155,7 +155,12 @@
         .field("refused", outcome.refused.size());
     _settingsKnown = true;
     _dependencies.onTenants(tenantsOf(*image));
-    _pooler.applyCatalog(pooling::makeCatalog(*_tree.snapshot()));
+    const std::shared_ptr<const pooling::ServiceCatalog> catalog =
+        pooling::makeCatalog(*_tree.snapshot());
+    if (_dependencies.onCatalog) {
+        _dependencies.onCatalog(*catalog);
+    }
+    _pooler.applyCatalog(catalog);
     noteGroups(*image);
 }
 
@@ -253,6 +258,9 @@
         return;
     }
     const pooling::ServerDirectory::Servers& servers = _directory.serversOf(group);
+    if (_dependencies.onServers) {
+        _dependencies.onServers(group, servers);
+    }
     failoverOf(group).onDirectory(servers);
     _pooler.applyServers(group, servers);
 }
--- a/src/cluster/ClusterControl.h
+++ b/src/cluster/ClusterControl.h
@@ -65,6 +65,10 @@
     FreshnessBounds bounds{};
     /** Where primaries may stand; null: anywhere. */
     const failover::PrimaryPlacement* primaryPlacement = nullptr;
+    /** Told of a group's servers and of the catalog whenever they change, before the pooler is. */
+    std::function<void(const GroupName&, const pooling::ServerDirectory::Servers&)> onServers =
+        nullptr;
+    std::function<void(const pooling::ServiceCatalog&)> onCatalog = nullptr;
 };
 
 /** Control of one node. Single-threaded; lives beside the pooler. */
--- a/src/duty/pooling/PoolingDuty.cpp
+++ b/src/duty/pooling/PoolingDuty.cpp
@@ -40,6 +40,8 @@
       _storeClient(_storeConnections, _adapter.objectProtocol, _storeEra),
       _quotaShards(_storeClient, _adapter.objectProtocol, _adapter.clusterCodec),
       _quotas(quotaDependencies(), _options.quota),
+      _coldUnits(_quotas),
+      _warmup(_clock, _coldServers, _coldUnits),
       _gate(_clock, _pooler, _quotas, [this] { return settingsProvenAt(); },
             {_options.settingsBound, _options.revocationBound}),
       _callers(_poller, _adapter.callerCodec, _pooler, _gate, _clock, _options.maximumConnections),
@@ -56,7 +58,7 @@
     return {_clock,        _unitLinks,
             _unitService,  _quotaShards,
             _storeEra,     {_options.name, life()},
-            _options.zone, [this](const TenantName& tenant) { _gate.onQuotaChange(tenant); }};
+            _options.zone, [this](const TenantName& tenant) { onQuotaChange(tenant); }};
 }
 
 /** @return a name of this life of the node. */
@@ -75,10 +77,60 @@
 
 void PoolingDuty::applyTenants(const std::shared_ptr<const tenancy::TenantDirectory>& tenants) {
     _pooler.setCallersHaveTenants(tenants->definesTenants());
-    _quotas.applyTenants(tenants);
+    _tenants = tenants;
+    applyQuotas();
     _gate.applyTenants(tenants);
 }
 
+void PoolingDuty::applyQuotas() {
+    _quotas.applyTenants(
+        placement::QuotaRequestUnits::quotasOf(_tenants, _coldServers, _options.warmup));
+}
+
+/** Without a group whose servers start cold nothing of it is in force. */
+void PoolingDuty::applyCatalog(const pooling::ServiceCatalog& catalog) {
+    warmup::ColdServers::Groups groups;
+    for (const auto& [name, group] : catalog.groups) {
+        if (group.coldRequestsPerSecond > 0) {
+            groups[name] = {group.coldRequestsPerSecond, group.coldStart};
+        }
+    }
+    if (groups == _coldServers.groups()) {
+        return;
+    }
+    _coldServers.applyGroups(std::move(groups));
+    applyQuotas();
+    if (!std::exchange(_warmsUp, true)) {
+        _placement.add(static_cast<pooling::PlacementPolicy&>(_warmup));
+        _placement.add(static_cast<failover::PrimaryPlacement&>(_warmup));
+    }
+}
+
+void PoolingDuty::applyServers(const GroupName& group,
+                               const pooling::ServerDirectory::Servers& servers) {
+    const std::vector<ServerName> before = _coldServers.listed(group);
+    _coldServers.applyServers(group, servers, _clock.now());
+    if (_coldServers.groups().contains(group) && _coldServers.listed(group) != before) {
+        applyQuotas();
+    }
+}
+
+void PoolingDuty::onQuotaChange(const TenantName& tenant) {
+    if (placement::QuotaRequestUnits::isServerQuota(tenant)) {
+        reviewColdServers();
+    } else {
+        _gate.onQuotaChange(tenant);
+    }
+}
+
+void PoolingDuty::reviewColdServers() {
+    _warmup.onReview();
+    for (const warmup::ColdServers::Server& warmed : _coldServers.takeWarmed(_clock.now())) {
+        _pooler.admitAnew(warmed.group, warmed.server);
+    }
+    _pooler.reviewPlacement();
+}
+
 cluster::ClusterDependencies PoolingDuty::controlDependencies() {
     const pooling::ProxyNode self{_options.name, _options.zone, _options.forwarding.host,
                                   _unitService.port()};
@@ -102,7 +154,11 @@
             },
             life(),
             freshnessBounds(),
-            &_placement};
+            &_placement,
+            [this](const GroupName& group, const pooling::ServerDirectory::Servers& servers) {
+                applyServers(group, servers);
+            },
+            [this](const pooling::ServiceCatalog& catalog) { applyCatalog(catalog); }};
 }
 
 /** Settings that are too old to judge a credential by would refuse statements: they are renewed
@@ -152,6 +208,9 @@
                [this](TimePoint now) { _unitLinks.onTick(now); });
     _ticks.add([this] { return std::optional<TimePoint>(_quotas.nextTick()); },
                [this](TimePoint now) { _quotas.onTick(now); });
+    _ticks.add(
+        [this] { return _warmsUp ? std::optional<TimePoint>(_warmup.nextReview()) : std::nullopt; },
+        [this](TimePoint /*now*/) { reviewColdServers(); });
     _ticks.add([this] { return _gate.nextTick(); }, [this](TimePoint now) { _gate.onTick(now); });
     _ticks.add([this] { return _callers.nextTick(); },
                [this](TimePoint now) { _callers.onTick(now); });
@@ -251,6 +310,8 @@
     figures.storeReturns = _storeEra.returns();
     figures.gate = _gate.statistics();
     figures.quotas = _quotas.statistics();
+    figures.warmup = _warmup.statistics();
+    figures.coldServers = _coldServers.coldCount(_clock.now());
     figures.quotaShardsLed = _quotas.shardsLed();
     figures.quotaShardsAsDeputy = _quotas.shardsAsDeputy();
     return {kOk, renderMetrics(figures)};
--- a/src/duty/pooling/PoolingDuty.h
+++ b/src/duty/pooling/PoolingDuty.h
@@ -27,6 +27,8 @@
 #include "link/store/EraNotingCaller.h"
 #include "locality/RegionMap.h"
 #include "placement/PolicyChain.h"
+#include "placement/QuotaRequestUnits.h"
+#include "placement/WarmupPolicy.h"
 #include "pooling/PlannedStop.h"
 #include "pooling/StatementPooler.h"
 #include "tenancy/QuotaExchange.h"
@@ -76,6 +78,8 @@
     /** A server that drains gets nothing more after this time. */
     Duration drainBound = std::chrono::milliseconds(7000);
     tenancy::QuotaTerms quota;
+    /** How far the rate of a server that is cold may be exceeded. */
+    placement::WarmupBound warmup;
     std::uint64_t seed = 0;
 };
 
@@ -128,6 +132,11 @@
     cluster::FreshnessBounds freshnessBounds() const;
     TimePoint settingsProvenAt() const;
     void applyNodes(const std::vector<pooling::ProxyNode>& nodes);
+    void applyCatalog(const pooling::ServiceCatalog& catalog);
+    void applyServers(const GroupName& group, const pooling::ServerDirectory::Servers& servers);
+    void applyQuotas();
+    void reviewColdServers();
+    void onQuotaChange(const TenantName& tenant);
     void applyTenants(const std::shared_ptr<const tenancy::TenantDirectory>& tenants);
 
     PoolingOptions _options;
@@ -147,6 +156,13 @@
     store::EraNotingCaller _storeClient;
     cluster::StoredQuotaShards _quotaShards;
     tenancy::QuotaExchange _quotas;
+    std::shared_ptr<const tenancy::TenantDirectory> _tenants =
+        std::make_shared<tenancy::TenantDirectory>();
+    warmup::ColdServers _coldServers;
+    placement::QuotaRequestUnits _coldUnits;
+    placement::WarmupPolicy _warmup;
+    /** The policy is in force: some group's servers start cold. */
+    bool _warmsUp = false;
     tenancy::TenantGate _gate;
     session::CallerListener _callers;
     socket::HttpResponder _readiness;
--- a/src/duty/pooling/PoolingMetrics.cpp
+++ b/src/duty/pooling/PoolingMetrics.cpp
@@ -72,6 +72,22 @@
     }
 }
 
+void appendWarmup(Page& page, const PoolingFigures& figures) {
+    page.metric("gauge", "cold_servers", "Servers that are cold after their start.",
+                figures.coldServers);
+    page.metric("counter", "cold_server_statements_total",
+                "Statements and beginnings of transactions sent to cold servers.",
+                figures.warmup.sent);
+    page.metric("counter", "cold_server_deferred_total",
+                "Times that no unit of a cold server's rate was at hand.", figures.warmup.deferred);
+    page.metric("counter", "cold_server_turned_away_total",
+                "Times that a cold server was left out because others can do the work.",
+                figures.warmup.turnedAway);
+    page.metric("counter", "cold_server_without_unit_total",
+                "Statements sent to a cold server without a unit of its rate.",
+                figures.warmup.withoutUnit);
+}
+
 void appendGate(Page& page, const tenancy::GateStatistics& gate) {
     page.metric("counter", "refused_credential_total",
                 "Requests refused for want of a valid credential.", gate.refusedCredential);
@@ -223,6 +239,7 @@
     appendWaiting(page, figures);
     appendShares(page, pooler);
     appendGate(page, figures.gate);
+    appendWarmup(page, figures);
     appendQuotas(page, figures);
     appendFaults(page, pooler);
     appendLatency(page, pooler.latency);
--- a/src/duty/pooling/PoolingMetrics.h
+++ b/src/duty/pooling/PoolingMetrics.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <string>
 
+#include "placement/WarmupPolicy.h"
 #include "pooling/PoolerStatistics.h"
 #include "settings/EffectiveSettings.h"
 #include "tenancy/TenantGate.h"
@@ -16,6 +17,9 @@
     pooling::PoolerStatistics pooler;
     tenancy::GateStatistics gate;
     tenancy::QuotaStatistics quotas;
+    placement::WarmupStatistics warmup;
+    /** Servers that are cold now, as far as this node knows. */
+    std::size_t coldServers = 0;
     /** Shards of tenants whose quotas this node grants, and of which it grants a part as deputy. */
     std::size_t quotaShardsLed = 0;
     std::size_t quotaShardsAsDeputy = 0;
--- a/src/placement/PolicyChain.cpp
+++ b/src/placement/PolicyChain.cpp
@@ -47,6 +47,18 @@
     }
 }
 
+void PolicyChain::noteServerLost(const GroupName& group, const ServerName& server) {
+    for (pooling::PlacementPolicy* policy : _policies) {
+        policy->noteServerLost(group, server);
+    }
+}
+
+void PolicyChain::noteServerOpened(const GroupName& group, const ServerName& server) {
+    for (pooling::PlacementPolicy* policy : _policies) {
+        policy->noteServerOpened(group, server);
+    }
+}
+
 LeadSuitability PolicyChain::suitabilityOf(const GroupName& group,
                                            const pooling::ServerAnnouncement& server) const {
     LeadSuitability worst = LeadSuitability::Preferred;
--- a/src/placement/PolicyChain.h
+++ b/src/placement/PolicyChain.h
@@ -25,6 +25,9 @@
     bool mayForwardTo(const pooling::PlacedUnit& unit, const ZoneName& zone) override;
     void noteSent(const pooling::PlacedUnit& unit, const pooling::PlacedServer& server) override;
 
+    void noteServerLost(const GroupName& group, const ServerName& server) override;
+    void noteServerOpened(const GroupName& group, const ServerName& server) override;
+
     failover::LeadSuitability suitabilityOf(
         const GroupName& group, const pooling::ServerAnnouncement& server) const override;
     bool mustHandOver(const GroupName& group,
--- /dev/null
+++ b/src/placement/WarmupPolicy.cpp
@@ -0,0 +1,91 @@
+#include "placement/WarmupPolicy.h"
+
+#include <algorithm>
+
+#include "base/Log.h"
+
+namespace coralhoist::placement {
+namespace {
+
+using pooling::PlacementVerdict;
+
+constexpr const char* kReason = "cold_server";
+/** BEGIN and the next statement. */
+constexpr std::uint32_t kUnitsToBeginTransaction = 2;
+/** Statements of open transactions go first: what they hold waits for them. */
+constexpr std::uint32_t kFirstRank = 0;
+/** Verdicts are reviewed no more often. */
+constexpr Duration kShortestReview = std::chrono::milliseconds(5);
+
+}  // namespace
+
+PlacementVerdict WarmupPolicy::verdictOf(const pooling::PlacedUnit& unit,
+                                         const pooling::PlacedServer& server,
+                                         const warmup::RequestWish& wish, TimePoint now) {
+    const warmup::RequestProspect prospect = _units.look(unit.group, server.server, wish);
+    if (prospect.isAtHand) {
+        return PlacementVerdict::allowed();
+    }
+    ++_statistics.deferred;
+    _reviewAt = std::min(_reviewAt, now + std::max(prospect.expectedIn, kShortestReview));
+    return PlacementVerdict::deferred(prospect.expectedIn, kReason);
+}
+
+PlacementVerdict WarmupPolicy::mayBegin(const pooling::PlacedUnit& unit,
+                                        const pooling::PlacedServer& server) {
+    const TimePoint now = _clock.now();
+    if (!_servers.isCold(unit.group, server.server, now)) {
+        return PlacementVerdict::allowed();
+    }
+    const bool othersRead = _servers.hasWarm(unit.group, now) ||
+                            (server.isPrimary && _servers.servingCount(unit.group) > 1);
+    if (!unit.needsPrimary && othersRead) {
+        ++_statistics.turnedAway;
+        return PlacementVerdict::forbidden(kReason);
+    }
+    const std::uint32_t count = unit.isTransaction ? kUnitsToBeginTransaction : 1;
+    return verdictOf(unit, server, {count, unit.rank}, now);
+}
+
+PlacementVerdict WarmupPolicy::mayContinue(const pooling::PlacedUnit& unit,
+                                           const pooling::PlacedServer& server) {
+    const TimePoint now = _clock.now();
+    if (!_servers.isCold(unit.group, server.server, now)) {
+        return PlacementVerdict::allowed();
+    }
+    return verdictOf(unit, server, {1, kFirstRank}, now);
+}
+
+void WarmupPolicy::noteSent(const pooling::PlacedUnit& unit, const pooling::PlacedServer& server) {
+    if (!_servers.isCold(unit.group, server.server, _clock.now())) {
+        return;
+    }
+    ++_statistics.sent;
+    if (!_units.take(unit.group, server.server)) {
+        ++_statistics.withoutUnit;
+        LogEvent("placement", LogLevel::Warning, "cold_server.no_unit")
+            .field("group", unit.group)
+            .field("server", server.server);
+    }
+}
+
+void WarmupPolicy::noteServerLost(const GroupName& group, const ServerName& server) {
+    _servers.noteLost(group, server, _clock.now());
+}
+
+void WarmupPolicy::noteServerOpened(const GroupName& group, const ServerName& server) {
+    _servers.noteOpened(group, server, _clock.now());
+}
+
+failover::LeadSuitability WarmupPolicy::suitabilityOf(
+    const GroupName& group, const pooling::ServerAnnouncement& server) const {
+    return _servers.isCold(group, server.address.server, _clock.now())
+               ? failover::LeadSuitability::Acceptable
+               : failover::LeadSuitability::Preferred;
+}
+
+TimePoint WarmupPolicy::nextReview() const {
+    return std::min(_reviewAt, _servers.nextWarm());
+}
+
+}  // namespace coralhoist::placement
--- a/src/pooling/PlacementPolicy.h
+++ b/src/pooling/PlacementPolicy.h
@@ -18,6 +18,8 @@
     std::uint32_t rank = 0;
     /** Only the group's primary can run it. */
     bool needsPrimary = false;
+    /** It begins or continues a transaction: further statements follow. */
+    bool isTransaction = false;
 };
 
 /** A server as a policy sees it. */
@@ -72,6 +74,12 @@
 
     /** A caller's statement is sent to the server now. */
     virtual void noteSent(const PlacedUnit& unit, const PlacedServer& server) = 0;
+
+    /** The last connection of this node to the server broke, or none could be opened. */
+    virtual void noteServerLost(const GroupName& /*group*/, const ServerName& /*server*/) {}
+
+    /** A connection to the server was opened. */
+    virtual void noteServerOpened(const GroupName& /*group*/, const ServerName& /*server*/) {}
 };
 
 }  // namespace coralhoist::pooling
--- a/src/pooling/PoolerConnections.cpp
+++ b/src/pooling/PoolerConnections.cpp
@@ -31,6 +31,9 @@
         server->unreachable = false;
         server->heardAt = _clock.now();
         server->idle.push_back(id);
+        if (_policy != nullptr) {
+            _policy->noteServerOpened(connection->group, connection->server);
+        }
     }
     notePosition(*connection, position);
     markDirty(connection->group);
@@ -58,11 +61,25 @@
         server->nextConnect = now + _knobs.reconnectPause;
     }
     const GroupName group = connection->group;
+    const ServerName server = connection->server;
     forget(id);
+    if (!refusal || refusal->fault != StatementFault::ConnectionLimit) {
+        noteIfLost(group, server);
+    }
     markDirty(group);
     settle();
 }
 
+/** Tells the policy where no connection to the server stands any more. */
+void StatementPooler::noteIfLost(const GroupName& group, const ServerName& name) {
+    const auto& servers = _groups[group].servers;
+    const auto server = servers.find(name);
+    if (_policy != nullptr && server != servers.end() &&
+        server->second.connections == server->second.opening) {
+        _policy->noteServerLost(group, name);
+    }
+}
+
 /** The user is done with the connection. */
 void StatementPooler::release(ServerConnection& connection, SessionState state) {
     ServerState* server = serverOf(connection);
@@ -155,7 +172,10 @@
         .field("group", connection->group)
         .field("server", connection->server)
         .field("busy", user.has_value());
+    const GroupName group = connection->group;
+    const ServerName server = connection->server;
     forget(id);
+    noteIfLost(group, server);
     PooledSession* session = user ? findSession(*user) : nullptr;
     if (session != nullptr) {
         onUserLost(*session, "the connection to the server broke");
--- a/src/pooling/PoolerDispatch.cpp
+++ b/src/pooling/PoolerDispatch.cpp
@@ -80,8 +80,9 @@
 }
 
 PlacedUnit StatementPooler::placedUnit(const PooledSession& session, bool needsPrimary) {
-    return {session.group, session.service, session.tenant, session.settings.admissionRank(),
-            needsPrimary};
+    return {session.group,  session.service,
+            session.tenant, session.settings.admissionRank(),
+            needsPrimary,   session.transaction.phase != TransactionPhase::None};
 }
 
 PlacedServer StatementPooler::placedServer(const GroupState& group,
--- a/src/pooling/PoolerTimers.cpp
+++ b/src/pooling/PoolerTimers.cpp
@@ -227,6 +227,19 @@
     settle();
 }
 
+void StatementPooler::admitAnew(const GroupName& group, const ServerName& server) {
+    const auto found = _groups.find(group);
+    if (found == _groups.end()) {
+        return;
+    }
+    if (const auto state = found->second.servers.find(server);
+        state != found->second.servers.end()) {
+        state->second.inflightLimit = 1;
+        state->second.slowness = 1;
+        found->second.dirty = true;
+    }
+}
+
 /** Between two of its statements: the next one is told that it was rolled back. */
 void StatementPooler::endTransaction(PooledSession& session, const char* reason) {
     ServerConnection* connection =
--- a/src/pooling/StatementPooler.h
+++ b/src/pooling/StatementPooler.h
@@ -105,6 +105,10 @@
      */
     void reviewPlacement();
 
+    /** The server takes work again as if it had just started: what this node has in flight there
+     * begins at one statement, and grows with its answers. */
+    void admitAnew(const GroupName& group, const ServerName& server);
+
     /** @return whether this node executes the group's statements. */
     bool executesHere(const GroupName& group) const;
 
@@ -371,6 +375,7 @@
     void sendInTransaction(PooledSession& session);
     bool mayContinue(ServerConnection& connection, PooledSession& session);
     void noteSent(const ServerConnection& connection, const PooledSession& session);
+    void noteIfLost(const GroupName& group, const ServerName& name);
     std::vector<ServerCommand> alignValues(ServerConnection& connection,
                                            const PooledSession& session);
     void alignPrepared(ServerConnection& connection, const PooledSession& session,
--- a/src/program/DaemonConfiguration.cpp
+++ b/src/program/DaemonConfiguration.cpp
@@ -16,6 +16,8 @@
 
 constexpr std::int64_t kMaximumPort = 65535;
 constexpr std::int64_t kMaximumQuotaSlack = 1000000;
+constexpr double kMaximumWarmupOverrun = 100;
+constexpr std::int64_t kMaximumWarmupSlack = 10'000;
 constexpr double kMaximumQuotaOverrun = 1;
 constexpr std::int64_t kMaximumCallerConnections = 1000000;
 constexpr std::int64_t kMinimumMessageBytes = 1024;
@@ -131,6 +133,17 @@
     return Status::ok();
 }
 
+Status setWarmupOverrun(DaemonConfiguration& configuration, const std::string& text) {
+    double factor = 0;
+    const char* last = text.data() + text.size();
+    const auto [end, error] = std::from_chars(text.data(), last, factor);
+    if (error != std::errc() || end != last || factor < 0 || factor > kMaximumWarmupOverrun) {
+        return invalid("'" + text + "' is not a factor from 0 to 100, such as 1.5");
+    }
+    configuration.warmupOverrun = factor;
+    return Status::ok();
+}
+
 /** Each entry is ZONE=REGION. */
 Status setZones(DaemonConfiguration& configuration, const ParsedValue& value) {
     std::map<ZoneName, RegionName> zones;
@@ -229,6 +242,16 @@
     };
 }
 
+std::vector<KeyDescription> warmupKeys() {
+    return {
+        textKey("warmup.overrun",
+                "what a server that is cold gets in any second at most, of its rate, e.g. \"1.5\"",
+                setWarmupOverrun),
+        integerKey("warmup.slack", 0, kMaximumWarmupSlack, "requests that it may get besides",
+                   &DaemonConfiguration::warmupSlack),
+    };
+}
+
 std::vector<KeyDescription> makeKeys() {
     std::vector<KeyDescription> keys = makeNodeKeys();
     for (KeyDescription& key : freshnessKeys()) {
@@ -237,6 +260,9 @@
     for (KeyDescription& key : tenantKeys()) {
         keys.push_back(std::move(key));
     }
+    for (KeyDescription& key : warmupKeys()) {
+        keys.push_back(std::move(key));
+    }
     keys.push_back(integerKey("peer.port", 0, kMaximumPort, "TCP and UDP port for other proxies",
                               &DaemonConfiguration::peerPort));
     keys.push_back(
--- a/src/program/DaemonConfiguration.h
+++ b/src/program/DaemonConfiguration.h
@@ -70,6 +70,9 @@
     std::chrono::milliseconds quotaWindow{5000};
     double quotaOverrun = 0.1;
     std::uint32_t quotaSlack = 20;
+    /** How far the rate of a server that is cold after its start may be exceeded in any second. */
+    double warmupOverrun = 1;
+    std::uint32_t warmupSlack = 0;
     LogLevel logLevel = LogLevel::Info;
 };
 
--- a/src/tenancy/QuotaExchange.cpp
+++ b/src/tenancy/QuotaExchange.cpp
@@ -338,7 +338,8 @@
 QuotaExchange::Wish QuotaExchange::wishOf(const TenantName& tenant, Account& account,
                                           const WaitingStatements& waiting, TimePoint now) const {
     const RankAccount& ranked = account.ranks[waiting.rank];
-    const Duration span = std::chrono::duration_cast<Duration>(usableFor(tenant, account) * kAskedAhead);
+    const Duration span =
+        std::chrono::duration_cast<Duration>(usableFor(tenant, account) * kAskedAhead);
     const std::uint32_t ahead = account.scarce ? 0 : account.lease.unitsAhead(span, now);
     const std::uint32_t units = account.lease.units(now);
     const std::uint32_t nowOnly = now >= ranked.nowNotBefore ? waiting.nowOnly : 0;
@@ -397,8 +398,8 @@
 
 bool QuotaExchange::takeHeld(const TenantName& tenant) {
     const auto account = _accounts.find(tenant);
-    const bool isTaken = account != _accounts.end() &&
-                         account->second.lease.takeUnit(_dependencies.clock.now());
+    const bool isTaken =
+        account != _accounts.end() && account->second.lease.takeUnit(_dependencies.clock.now());
     _statistics.ran += isTaken ? 1 : 0;
     return isTaken;
 }
--- a/src/tenancy/RecordAllowances.cpp
+++ b/src/tenancy/RecordAllowances.cpp
@@ -12,8 +12,8 @@
 /** A tenant's allowance is so many times what it used in the last window: at the end of 2 s without
  * a renewal it lasts for 4.5 s more, in which the store may be away. */
 constexpr double kWindowsAllowed = 1.3;
-/** The same for quotas with a short window, of which each renewal of the record would otherwise last
- * for a part of a second only. */
+/** The same for quotas with a short window, of which each renewal of the record would otherwise
+ * last for a part of a second only. */
 constexpr std::uint32_t kShortWindowsAllowed = 5;
 /** The leader leaves units for a deputy to allow itself: this part of those that count, as far as
  * its own least allowance permits. They last until the leader knows of the deputy. */
@@ -134,9 +134,10 @@
         const std::uint32_t bound = context.terms.bound(tenant.quota);
         const ForeignUnits others = parts.besidesLeader(name, now);
         const bool isAlone = others.allowed == 0 && !others.shares;
-        quotas[name].allowance = !isAlone                   ? allowanceBeside(counted, others, bound)
-                                 : tenant.quota.mostInSecond ? bound * kShortWindowsAllowed
-                                                             : allowanceAlone(counted + others.counting, bound);
+        quotas[name].allowance = !isAlone ? allowanceBeside(counted, others, bound)
+                                 : tenant.quota.mostInSecond
+                                     ? bound * kShortWindowsAllowed
+                                     : allowanceAlone(counted + others.counting, bound);
     }
     return quotas;
 }
--- a/src/tenancy/UnitPacer.cpp
+++ b/src/tenancy/UnitPacer.cpp
@@ -30,10 +30,10 @@
 
 std::uint32_t UnitPacer::available(const QuotaTerms& terms, const TenantQuota& quota,
                                    TimePoint now) {
-    const double atOnce =
-        quota.mostInSecond ? *quota.mostInSecond * kBurstAtOnce
-                           : quota.burst * kBurstAtOnce + quota.ratePerSecond * kRateAtOnce +
-                                 terms.slack * kSlackAtOnce;
+    const double atOnce = quota.mostInSecond
+                              ? *quota.mostInSecond * kBurstAtOnce
+                              : quota.burst * kBurstAtOnce + quota.ratePerSecond * kRateAtOnce +
+                                    terms.slack * kSlackAtOnce;
     _capacity = std::max(1.0, atOnce);
     const double rest = terms.bound(quota) - _capacity;
     _rate = std::max(rest / Seconds(terms.windowOf(quota) + kUsedAfter).count(), kLeastRate);
--- a/tests/tenancy/QuotaBoundTest.cpp
+++ b/tests/tenancy/QuotaBoundTest.cpp
@@ -193,12 +193,14 @@
 
 TEST(QuotaBound, HoldsInEachSecondForQuotasWithAShortWindow) {
     const unsigned seeds = fromEnvironment("CORALHOIST_QUOTA_SEEDS", kSeeds);
-    STRCMP_EQUAL("", brokenBySeeds(seeds, nullptr, StoreReturns::None, QuotaKind::MostInSecond).c_str());
+    STRCMP_EQUAL(
+        "", brokenBySeeds(seeds, nullptr, StoreReturns::None, QuotaKind::MostInSecond).c_str());
 }
 
 TEST(QuotaBound, HoldsInEachSecondWhenTheStoreReturnsOlder) {
     const unsigned seeds = fromEnvironment("CORALHOIST_QUOTA_SEEDS", kSeeds);
-    STRCMP_EQUAL("", brokenBySeeds(seeds, nullptr, StoreReturns::Some, QuotaKind::MostInSecond).c_str());
+    STRCMP_EQUAL(
+        "", brokenBySeeds(seeds, nullptr, StoreReturns::Some, QuotaKind::MostInSecond).c_str());
 }
 
 TEST(QuotaBound, HoldsWithCallersOfOneRank) {
