Cold primaries hand over where a warm server can lead; short windows are paced for a steady rate

Cause: writes of a group whose primary is cold get at most its rate for as long as it is cold; a planned move takes less. Change: WarmupPolicy::mustHandOver by the server's own entry, not by one node's lost connection; UnitPacer keeps a fifth of a short window's units for the moment, in place of a quarter.

--- a/src/placement/WarmupPolicy.cpp
+++ b/src/placement/WarmupPolicy.cpp
@@ -17,6 +17,9 @@
 /** Verdicts are reviewed no more often. */
 constexpr Duration kShortestReview = std::chrono::milliseconds(5);
 
+/** A primary that is cold for less is left where it is: writes wait while it moves. */
+constexpr Duration kWorthMoving = std::chrono::seconds(2);
+
 }  // namespace
 
 PlacementVerdict WarmupPolicy::verdictOf(const pooling::PlacedUnit& unit,
@@ -84,6 +87,13 @@
                : failover::LeadSuitability::Preferred;
 }
 
+bool WarmupPolicy::mustHandOver(const GroupName& group,
+                                const pooling::ServerAnnouncement& server) const {
+    const TimePoint now = _clock.now();
+    return _servers.groups().contains(group) && _servers.hasWarm(group, now) &&
+           _servers.toldUntil(group, server.address.server) > now + kWorthMoving;
+}
+
 TimePoint WarmupPolicy::nextReview() const {
     return std::min(_reviewAt, _servers.nextWarm());
 }
--- a/src/placement/WarmupPolicy.h
+++ b/src/placement/WarmupPolicy.h
@@ -27,7 +27,8 @@
  * A cold server gets nothing while another one can do the work: reads go to warm servers of the
  * group, and to cold replicas before a cold primary. What only a cold server can run needs a unit
  * of its rate for each statement; a transaction begins only where its next statement has one, too,
- * and goes before what begins. A cold server leads a group where no warm one can.
+ * and goes before what begins. A cold server leads a group where no warm one can, and hands over
+ * where its entry says that it stays cold for longer than that takes.
  *
  * Invariant: while a server is cold, `noteSent` follows an allowed verdict only where a unit was at
  * hand, and takes it.
@@ -52,10 +53,8 @@
 
     failover::LeadSuitability suitabilityOf(
         const GroupName& group, const pooling::ServerAnnouncement& server) const override;
-    bool mustHandOver(const GroupName& /*group*/,
-                      const pooling::ServerAnnouncement& /*server*/) const override {
-        return false;
-    }
+    bool mustHandOver(const GroupName& group,
+                      const pooling::ServerAnnouncement& server) const override;
 
     /** @return when verdicts may have changed; `StatementPooler::reviewPlacement` is called then.
      */
--- a/src/tenancy/UnitPacer.cpp
+++ b/src/tenancy/UnitPacer.cpp
@@ -18,6 +18,10 @@
  */
 constexpr double kSlackAtOnce = 0.5;
 constexpr double kRateAtOnce = 0.2;
+/** The same part of what a quota with a short window may run in it, and the least: the first two
+ * statements of a transaction. What is granted at once is missing from the steady rate. */
+constexpr double kShortAtOnce = 0.2;
+constexpr double kShortLeastAtOnce = 2;
 /** A unit counts from its grant until a window after its use. Nodes that ask for each statement run
  * it within a few milliseconds of its grant; what counts for longer is found by the ledger.
  * With the whole time for which units are usable in its place, a tenant beyond its limit could not
@@ -31,7 +35,7 @@
 std::uint32_t UnitPacer::available(const QuotaTerms& terms, const TenantQuota& quota,
                                    TimePoint now) {
     const double atOnce = quota.mostInSecond
-                              ? *quota.mostInSecond * kBurstAtOnce
+                              ? std::max(kShortLeastAtOnce, *quota.mostInSecond * kShortAtOnce)
                               : quota.burst * kBurstAtOnce + quota.ratePerSecond * kRateAtOnce +
                                     terms.slack * kSlackAtOnce;
     _capacity = std::max(1.0, atOnce);
--- a/src/warmup/ColdServers.cpp
+++ b/src/warmup/ColdServers.cpp
@@ -36,7 +36,8 @@
         Known& server = entry->second;
         if (added || announcement.version > server.version) {
             server.version = announcement.version;
-            server.coldUntil = now + announcement.coldFor;
+            server.toldUntil = now + announcement.coldFor;
+            server.suspectedUntil = TimePoint{};
             server.mayHaveRestarted = false;
             noteCold(group, name, server, now);
         }
@@ -55,7 +56,7 @@
         .field("server", server)
         .field("lost", known.mayHaveRestarted)
         .field("for_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
-                             std::max(Duration(0), known.coldUntil - now))
+                             std::max(Duration(0), std::max(known.toldUntil, known.suspectedUntil) - now))
                              .count());
 }
 
@@ -73,7 +74,7 @@
 void ColdServers::noteOpened(const GroupName& group, const ServerName& server, TimePoint now) {
     Known* known = find(group, server);
     if (known != nullptr && std::exchange(known->mayHaveRestarted, false)) {
-        known->coldUntil = std::max(known->coldUntil, now + _groups.at(group).coldStart);
+        known->suspectedUntil = now + _groups.at(group).coldStart;
         noteCold(group, server, *known, now);
     }
 }
@@ -84,7 +85,7 @@
 }
 
 bool ColdServers::isCold(const Known& known, TimePoint now) const {
-    return known.mayHaveRestarted || now < known.coldUntil;
+    return known.mayHaveRestarted || now < std::max(known.toldUntil, known.suspectedUntil);
 }
 
 bool ColdServers::isCold(const GroupName& group, const ServerName& server, TimePoint now) const {
@@ -92,14 +93,9 @@
     return known != nullptr && isCold(*known, now);
 }
 
-std::optional<TimePoint> ColdServers::coldUntil(const GroupName& group, const ServerName& server,
-                                                TimePoint now) const {
+TimePoint ColdServers::toldUntil(const GroupName& group, const ServerName& server) const {
     const Known* known = find(group, server);
-    if (known == nullptr || !isCold(*known, now)) {
-        return std::nullopt;
-    }
-    return known->mayHaveRestarted ? std::max(known->coldUntil, now + _groups.at(group).coldStart)
-                                   : known->coldUntil;
+    return known == nullptr ? TimePoint{} : known->toldUntil;
 }
 
 bool ColdServers::hasWarm(const GroupName& group, TimePoint now) const {
@@ -152,7 +148,7 @@
         if (const auto servers = _servers.find(group); servers != _servers.end()) {
             for (const auto& [name, known] : servers->second) {
                 const bool ends = known.isWarming && !known.mayHaveRestarted;
-                next = ends ? std::min(next, known.coldUntil) : next;
+                next = ends ? std::min(next, std::max(known.toldUntil, known.suspectedUntil)) : next;
             }
         }
     }
--- a/src/warmup/ColdServers.h
+++ b/src/warmup/ColdServers.h
@@ -3,7 +3,6 @@
 
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <vector>
 
 #include "base/Identifier.h"
@@ -51,9 +50,9 @@
 
     bool isCold(const GroupName& group, const ServerName& server, TimePoint now) const;
 
-    /** @return until when the server is cold as far as known; nothing when it is warm. */
-    std::optional<TimePoint> coldUntil(const GroupName& group, const ServerName& server,
-                                       TimePoint now) const;
+    /** @return until when the server's own entry says that it is cold; a time in the past where it
+     * does not. */
+    TimePoint toldUntil(const GroupName& group, const ServerName& server) const;
 
     /** @return whether a server of the group takes work and is warm. */
     bool hasWarm(const GroupName& group, TimePoint now) const;
@@ -86,7 +85,9 @@
 private:
     struct Known {
         StoreVersion version;
-        TimePoint coldUntil{};
+        /** By its entry, and by a connection after all were lost. */
+        TimePoint toldUntil{};
+        TimePoint suspectedUntil{};
         bool serves = false;
         /** No connection of this node stands: it may have started again. */
         bool mayHaveRestarted = false;
--- a/tests/placement/WarmupPolicyTest.cpp
+++ b/tests/placement/WarmupPolicyTest.cpp
@@ -148,6 +148,31 @@
     CHECK_TRUE(policy.suitabilityOf(group, announcement) == LeadSuitability::Preferred);
 }
 
+TEST(WarmupPolicy, AColdPrimaryHandsOverWhereAWarmServerCanLead) {
+    pooling::ServerAnnouncement announcement;
+    announcement.address.server = first;
+    hear(seconds(6), Duration(0));
+    CHECK_TRUE(policy.mustHandOver(group, announcement));
+    clock.advance(seconds(4));
+    CHECK_FALSE(policy.mustHandOver(group, announcement));
+}
+
+TEST(WarmupPolicy, AColdPrimaryStaysWhereAllAreCold) {
+    pooling::ServerAnnouncement announcement;
+    announcement.address.server = first;
+    hear(seconds(6), seconds(6));
+    CHECK_FALSE(policy.mustHandOver(group, announcement));
+}
+
+TEST(WarmupPolicy, APrimaryThatOneNodeHasLostStays) {
+    pooling::ServerAnnouncement announcement;
+    announcement.address.server = first;
+    hear(Duration(0), Duration(0));
+    policy.noteServerLost(group, first);
+    CHECK_FALSE(policy.mayBegin(write, primary).isAllowed());
+    CHECK_FALSE(policy.mustHandOver(group, announcement));
+}
+
 TEST(WarmupPolicy, WithoutColdServersTheQuotasAreThoseOfTheTenants) {
     hear(seconds(6), seconds(6));
     const auto tenants = std::make_shared<const tenancy::TenantDirectory>(1);
--- a/tests/tenancy/QuotaExchangeTest.cpp
+++ b/tests/tenancy/QuotaExchangeTest.cpp
@@ -53,6 +53,36 @@
     CHECK_TRUE(network.busiestWindow() > 950);
 }
 
+/** A quota of 20 units in any second. */
+TEST_GROUP(ShortWindow) {
+    QuotaNetwork network{kNodes, {10, 0, 20}, kTerms};
+    std::mt19937 random{4711};
+
+    /** @return units that ran in the seconds given, of so many statements a second. */
+    std::size_t play(int length, int perSecond) {
+        std::bernoulli_distribution arrives(perSecond / 1000.0);
+        const std::size_t before = network.runCount();
+        for (int step = 0; step < length * 1000; ++step) {
+            network.step();
+            if (arrives(random)) {
+                network.submit(random() % kNodes);
+            }
+        }
+        return network.runCount() - before;
+    }
+};
+
+TEST(ShortWindow, AFloodStaysWithinTheBoundAndGetsMostOfIt) {
+    play(2, 100);
+    CHECK_TRUE(play(20, 100) > 270);
+    CHECK_TRUE(network.busiestWindow() <= 20);
+}
+
+TEST(ShortWindow, StatementsBelowTheRateRun) {
+    play(2, 10);
+    CHECK_TRUE(play(20, 10) > 185);
+}
+
 TEST(QuotaExchange, TwoSidesOfACutStayWithinTheBoundTogether) {
     for (int round = 0; round < 20; ++round) {
         play(2000 + static_cast<int>(below(3000)), 900);
