--- a/tests/program/DaemonConfigurationTest.cpp
+++ b/tests/program/DaemonConfigurationTest.cpp
@@ -49,6 +49,17 @@
     LONGS_EQUAL(2, configuration.value().seeds.size());
 }
 
+TEST(DaemonConfiguration, TheBoundOfColdServersIsAFactorAndASlack) {
+    const std::string head = "[node]\nname = \"a\"\n[platform]\nurl = \"http://127.0.0.1:9400\"\n";
+    const TemporaryFile file(head + "[warmup]\noverrun = \"1.5\"\nslack = 5\n");
+    const auto configuration = loadDaemonConfiguration(file.path(), {});
+    CHECK_TRUE(configuration.isOk());
+    DOUBLES_EQUAL(1.5, configuration.value().warmupOverrun, 1e-9);
+    UNSIGNED_LONGS_EQUAL(5, configuration.value().warmupSlack);
+    STRCMP_EQUAL(":6: warmup.overrun: 'much' is not a factor from 0 to 100, such as 1.5",
+                 refusal(head + "[warmup]\noverrun = \"much\"\n").c_str());
+}
+
 TEST(DaemonConfiguration, ThePoolersConstantsAreKeys) {
     const TemporaryFile file(std::string(kMinimal) +
                              "[pool]\nexecutors_per_zone = 3\nhedge_after_ms = 250\n"
--- a/tests/tenancy/QuotaNetwork.cpp
+++ b/tests/tenancy/QuotaNetwork.cpp
@@ -583,13 +583,15 @@
 }
 
 std::size_t QuotaNetwork::busiestWindowSince(TimePoint begin) const {
+    // Of its own: what judges must not follow what is judged.
+    const Duration window = _quota.mostInSecond ? std::chrono::seconds(1) : _terms.window;
     std::size_t busiest = 0;
     std::size_t first = 0;
     while (first < _runs.size() && _runs[first] < begin) {
         ++first;
     }
     for (std::size_t last = first; last < _runs.size(); ++last) {
-        while (_runs[last] - _runs[first] >= _terms.windowOf(_quota)) {
+        while (_runs[last] - _runs[first] >= window) {
             ++first;
         }
         busiest = std::max(busiest, last - first + 1);
