--- a/src/cluster/ClusterControl.cpp
+++ b/src/cluster/ClusterControl.cpp
@@ -258,6 +258,9 @@
         return;
     }
     const pooling::ServerDirectory::Servers& servers = _directory.serversOf(group);
+    if (_dependencies.onServers) {
+        _dependencies.onServers(group, servers);
+    }
     failoverOf(group).onDirectory(servers);
     _pooler.applyServers(group, servers);
 }
--- a/src/cluster/ClusterControl.h
+++ b/src/cluster/ClusterControl.h
@@ -65,6 +65,9 @@
     FreshnessBounds bounds{};
     /** Where primaries may stand; null: anywhere. */
     const failover::PrimaryPlacement* primaryPlacement = nullptr;
+    /** Told of a group's servers whenever they change, before the pooler is; may be empty. */
+    std::function<void(const GroupName&, const pooling::ServerDirectory::Servers&)> onServers =
+        nullptr;
     /** Told of changed settings before anything else acts on them; may be empty. */
     std::function<void(const pooling::ServiceCatalog&, const tenancy::TenantDirectory&)>
         onSettings{};
--- a/src/placement/PolicyChain.h
+++ b/src/placement/PolicyChain.h
@@ -26,6 +26,9 @@
     bool mayLogAnswers(const pooling::PlacedUnit& unit) override;
     void noteSent(const pooling::PlacedUnit& unit, const pooling::PlacedServer& server) override;
 
+    void noteServerLost(const GroupName& group, const ServerName& server) override;
+    void noteServerOpened(const GroupName& group, const ServerName& server) override;
+
     failover::LeadSuitability suitabilityOf(
         const GroupName& group, const pooling::ServerAnnouncement& server) const override;
     bool mustHandOver(const GroupName& group,
--- a/src/pooling/PoolerConnections.cpp
+++ b/src/pooling/PoolerConnections.cpp
@@ -12,6 +12,9 @@
         return;
     }
     _connections.noteOpened(*connection);
+    if (_policy != nullptr) {
+        _policy->noteServerOpened(connection->group, connection->server);
+    }
     notePosition(*connection, position);
     markDirty(connection->group);
     settle();
@@ -23,11 +26,25 @@
         return;
     }
     const GroupName group = connection->group;
+    const ServerName server = connection->server;
     _connections.noteOpenFailed(*connection, refusal);
+    if (!refusal || refusal->fault != StatementFault::ConnectionLimit) {
+        noteIfLost(group, server);
+    }
     markDirty(group);
     settle();
 }
 
+/** Tells the policy where no connection to the server stands any more. */
+void StatementPooler::noteIfLost(const GroupName& group, const ServerName& name) {
+    const auto& servers = _groups[group].servers;
+    const auto server = servers.find(name);
+    if (_policy != nullptr && server != servers.end() &&
+        server->second.connections == server->second.opening) {
+        _policy->noteServerLost(group, name);
+    }
+}
+
 void StatementPooler::failTransaction(PooledSession& session) {
     SessionTransaction& transaction = session.transaction;
     transaction.phase = TransactionPhase::Failed;
@@ -48,7 +65,10 @@
         .field("group", connection->group)
         .field("server", connection->server)
         .field("busy", user.has_value());
+    const GroupName group = connection->group;
+    const ServerName server = connection->server;
     _connections.forget(id);
+    noteIfLost(group, server);
     PooledSession* session = user ? findSession(*user) : nullptr;
     if (session != nullptr) {
         onUserLost(*session, "the connection to the server broke");
