Regions: bytes to other regions by purpose, and where reads go

Cause: nobody counted what crosses between regions, so nothing there could be judged. Change: RegionTraffic counts frames by purpose and direction on connections that a node opened (units, servers, feeds, proofs, quotas, load reports, upkeep), RegionUse counts statements at replicas and primaries of the own and of other regions; PlaceDistances keeps the round trip to each region, fed by the opening of connections and by signs of life, with age. Metrics and one log line in 15 s at most. With one region none of it exists: no counter, policy, tick or line. Ruled out: counting on both ends of a link (a node that is asked does not know who asks); means in place of the least of a window (a crowd would move a region away).

--- a/src/duty/pooling/PoolingDuty.cpp
+++ b/src/duty/pooling/PoolingDuty.cpp
@@ -15,6 +15,8 @@
 constexpr const char* kReadyPath = "/ready";
 constexpr const char* kMetricsPath = "/metrics";
 constexpr std::chrono::milliseconds kDrainStep{50};
+/** What passes between regions is logged so often at most. */
+constexpr Duration kRegionLogEvery = std::chrono::seconds(15);
 pooling::PoolerKnobs makeKnobs(const PoolingOptions& options) {
     pooling::PoolerKnobs knobs = options.pooler;
     knobs.node = options.name;
@@ -50,6 +52,43 @@
     _pooler.setForwarder(_unitLinks);
     _pooler.setLoadReporter(_unitLinks);
     _pooler.setPlacementPolicy(_placement);
+    if (_options.regions.hasSeveralRegions()) {
+        watchRegions();
+    }
+}
+
+void PoolingDuty::watchRegions() {
+    _regionWatch.emplace(_options.regions, _options.zone);
+    _regionUse.emplace(_options.regions, _options.zone);
+    _unitLinks.setRegionWatch(*_regionWatch);
+    _connector.setRegionWatch(*_regionWatch, _clock);
+    _placement.add(*_regionUse);
+    _nextRegionLog = _clock.now() + kRegionLogEvery;
+    _ticks.add([this] { return std::optional<TimePoint>(_nextRegionLog); },
+               [this](TimePoint now) { logRegionTraffic(now); });
+}
+
+/** All figures are totals since the start. */
+void PoolingDuty::logRegionTraffic(TimePoint now) {
+    _nextRegionLog = now + kRegionLogEvery;
+    const locality::RegionTraffic& traffic = _regionWatch->traffic;
+    if (traffic.total() == _loggedRegionBytes) {
+        return;
+    }
+    _loggedRegionBytes = traffic.total();
+    LogEvent event("locality", LogLevel::Info, "regions.traffic");
+    for (std::size_t index = 0; index < locality::kTrafficPurposes; ++index) {
+        const auto purpose = static_cast<locality::TrafficPurpose>(index);
+        event.field(describe(purpose),
+                    traffic.bytes(purpose, locality::TrafficDirection::Sent) +
+                        traffic.bytes(purpose, locality::TrafficDirection::Received));
+    }
+    const placement::RegionUse& use = *_regionUse;
+    event.field("store", _storeConnections.bytesSent() + _storeConnections.bytesReceived())
+        .field("reads_here", use.readsHere())
+        .field("reads_elsewhere", use.readsElsewhere())
+        .field("primary_here", use.primaryHere())
+        .field("primary_elsewhere", use.primaryElsewhere());
 }
 
 tenancy::QuotaDependencies PoolingDuty::quotaDependencies() {
@@ -249,6 +288,9 @@
     figures.storeReachable = _control->isStoreReachable();
     figures.storeEra = _storeEra.current();
     figures.storeReturns = _storeEra.returns();
+    if (_regionWatch) {
+        figures.regions = RegionFigures{_regionWatch->traffic, *_regionUse};
+    }
     figures.gate = _gate.statistics();
     figures.quotas = _quotas.statistics();
     figures.quotaShardsLed = _quotas.shardsLed();
--- a/src/duty/pooling/PoolingDuty.h
+++ b/src/duty/pooling/PoolingDuty.h
@@ -26,7 +26,9 @@
 #include "link/socket/SocketPoller.h"
 #include "link/store/EraNotingCaller.h"
 #include "locality/RegionMap.h"
+#include "locality/RegionWatch.h"
 #include "placement/PolicyChain.h"
+#include "placement/RegionUse.h"
 #include "pooling/PlannedStop.h"
 #include "pooling/StatementPooler.h"
 #include "tenancy/QuotaExchange.h"
@@ -128,6 +130,8 @@
     cluster::FreshnessBounds freshnessBounds() const;
     TimePoint settingsProvenAt() const;
     void applyNodes(const std::vector<pooling::ProxyNode>& nodes);
+    void watchRegions();
+    void logRegionTraffic(TimePoint now);
     void applyTenants(const std::shared_ptr<const tenancy::TenantDirectory>& tenants);
 
     PoolingOptions _options;
@@ -137,8 +141,14 @@
     SeededRandom _random;
     TickScheduler _ticks;
     socket::SocketPoller _poller;
+    /** Of an estate with several regions only. */
+    std::optional<locality::RegionWatch> _regionWatch;
     session::StreamServerConnector _connector;
     placement::PolicyChain _placement;
+    /** Of an estate with several regions only. */
+    std::optional<placement::RegionUse> _regionUse;
+    TimePoint _nextRegionLog{};
+    std::uint64_t _loggedRegionBytes = 0;
     pooling::StatementPooler _pooler;
     forwarding::UnitLinks _unitLinks;
     forwarding::UnitService _unitService;
--- a/src/duty/pooling/PoolingMetrics.cpp
+++ b/src/duty/pooling/PoolingMetrics.cpp
@@ -138,6 +138,28 @@
                 quotas.standbysLost);
 }
 
+void appendRegions(Page& page, const RegionFigures& regions) {
+    page.head("counter", "region_bytes_total",
+              "Bytes to and from other regions on connections that this node opened, by purpose.");
+    for (std::size_t index = 0; index < locality::kTrafficPurposes; ++index) {
+        const auto purpose = static_cast<locality::TrafficPurpose>(index);
+        page.text() << "coralhoist_region_bytes_total{purpose=\"" << locality::describe(purpose)
+                    << "\",direction=\"sent\"} "
+                    << regions.traffic.bytes(purpose, locality::TrafficDirection::Sent)
+                    << "\ncoralhoist_region_bytes_total{purpose=\"" << locality::describe(purpose)
+                    << "\",direction=\"received\"} "
+                    << regions.traffic.bytes(purpose, locality::TrafficDirection::Received) << '\n';
+    }
+    page.metric("counter", "reads_in_region_total", "Statements sent to replicas in this region.",
+                regions.use.readsHere());
+    page.metric("counter", "reads_in_other_regions_total",
+                "Statements sent to replicas in other regions.", regions.use.readsElsewhere());
+    page.metric("counter", "primary_in_region_total",
+                "Statements sent to primaries in this region.", regions.use.primaryHere());
+    page.metric("counter", "primary_in_other_regions_total",
+                "Statements sent to primaries in other regions.", regions.use.primaryElsewhere());
+}
+
 void appendLatency(Page& page, const LatencyHistogram& latency) {
     page.head("histogram", "request_duration_seconds",
               "Time from a request's arrival to its answer.");
@@ -224,6 +246,9 @@
     appendShares(page, pooler);
     appendGate(page, figures.gate);
     appendQuotas(page, figures);
+    if (figures.regions) {
+        appendRegions(page, *figures.regions);
+    }
     appendFaults(page, pooler);
     appendLatency(page, pooler.latency);
     return std::move(page.text()).str();
--- a/src/duty/pooling/PoolingMetrics.h
+++ b/src/duty/pooling/PoolingMetrics.h
@@ -3,14 +3,23 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <string>
 
+#include "locality/RegionTraffic.h"
+#include "placement/RegionUse.h"
 #include "pooling/PoolerStatistics.h"
 #include "settings/EffectiveSettings.h"
 #include "tenancy/TenantGate.h"
 
 namespace coralhoist::duty {
 
+/** What an estate with several regions shows. */
+struct RegionFigures {
+    locality::RegionTraffic traffic;
+    placement::RegionUse use;
+};
+
 /** What the page shows. */
 struct PoolingFigures {
     pooling::PoolerStatistics pooler;
@@ -29,6 +38,8 @@
     std::uint64_t promotions = 0;
     /** Entries of the store that named no server. */
     std::uint64_t unreadableEntries = 0;
+    /** None where there is one region. */
+    std::optional<RegionFigures> regions;
     bool ready = false;
     bool storeReachable = false;
     /** Era that the store has shown; 0 where it shows none. */
--- a/src/link/forwarding/UnitLinks.cpp
+++ b/src/link/forwarding/UnitLinks.cpp
@@ -8,6 +8,8 @@
 
 namespace coralhoist::forwarding {
 
+using locality::TrafficDirection;
+using locality::TrafficPurpose;
 using pooling::ProxyNode;
 using pooling::UnitLoss;
 using pooling::UnitOpening;
@@ -39,6 +41,34 @@
     return message;
 }
 
+TrafficPurpose purposeOf(UnitMessage::Kind kind) {
+    switch (kind) {
+        case UnitMessage::Kind::Request:
+        case UnitMessage::Kind::Answer:
+        case UnitMessage::Kind::Declined:
+        case UnitMessage::Kind::Ended:
+            return TrafficPurpose::Units;
+        case UnitMessage::Kind::ProofAsked:
+        case UnitMessage::Kind::Proof:
+            return TrafficPurpose::Proofs;
+        case UnitMessage::Kind::ChangesAsked:
+        case UnitMessage::Kind::Changes:
+            return TrafficPurpose::Feeds;
+        case UnitMessage::Kind::QuotaAsked:
+        case UnitMessage::Kind::Quota:
+        case UnitMessage::Kind::LedgerUpdate:
+        case UnitMessage::Kind::LedgerAck:
+            return TrafficPurpose::Quotas;
+        case UnitMessage::Kind::LoadTold:
+            return TrafficPurpose::LoadReports;
+        case UnitMessage::Kind::HeartbeatAsked:
+        case UnitMessage::Kind::Heartbeat:
+        case UnitMessage::Kind::Leaving:
+            return TrafficPurpose::Upkeep;
+    }
+    return TrafficPurpose::Upkeep;
+}
+
 }  // namespace
 
 UnitLinks::UnitLinks(socket::SocketPoller& poller, const Clock& clock, pooling::UnitEvents& events)
@@ -64,7 +94,9 @@
         _failed.erase(name);
     }
     for (const auto& [name, node] : current) {
-        _links[name].node = node;
+        Link& link = _links[name];
+        link.node = node;
+        link.leavesRegion = _regions != nullptr && _regions->traffic.leavesRegion(node.zone);
     }
 }
 
@@ -129,9 +161,20 @@
 void UnitLinks::send(Link& link, const UnitMessage& message) {
     std::string bytes;
     encode(bytes, message);
+    if (link.leavesRegion) {
+        _regions->traffic.add(purposeOf(message.kind), TrafficDirection::Sent, bytes.size());
+    }
     link.stream->write(bytes);
 }
 
+/** An exchange that the other node answers at once has ended. */
+void UnitLinks::noteRoundTrip(const Link& link, TimePoint begunAt) {
+    if (link.leavesRegion) {
+        const TimePoint now = _clock.now();
+        _regions->distances.note(link.node.zone, now - begunAt, now);
+    }
+}
+
 /** Something is about to be sent that the other node must answer. */
 void UnitLinks::noteWaiting(Link& link) {
     if (!isWaitedFor(link) && link.connected) {
@@ -165,6 +208,7 @@
         return;
     }
     link->connected = true;
+    noteRoundTrip(*link, link->waitingSince);
     _failed.erase(link->node.name);
     link->pause = Duration(0);
     link->heardAt = _clock.now();
@@ -177,6 +221,7 @@
         link->heardAt = _clock.now();
     }
     while (Link* link = linkOf(connection)) {
+        const std::size_t buffered = buffer.size();
         std::optional<StatusWith<UnitMessage>> taken = takeMessage(buffer);
         if (!taken) {
             return;
@@ -185,6 +230,10 @@
             drop(*link, "protocol_violation");
             return;
         }
+        if (link->leavesRegion) {
+            _regions->traffic.add(purposeOf(taken->value().kind), TrafficDirection::Received,
+                                  buffered - buffer.size());
+        }
         onMessage(*link, std::move(*taken).value());
     }
 }
@@ -217,9 +266,11 @@
         case UnitMessage::Kind::LedgerAck:
             onLedgerAck(link, message);
             return;
+        case UnitMessage::Kind::Heartbeat:
+            noteRoundTrip(link, link.askedAt);
+            return;
         case UnitMessage::Kind::Request:
         case UnitMessage::Kind::Ended:
-        case UnitMessage::Kind::Heartbeat:
         case UnitMessage::Kind::ProofAsked:
         case UnitMessage::Kind::ChangesAsked:
         case UnitMessage::Kind::QuotaAsked:
--- a/src/link/forwarding/UnitLinks.h
+++ b/src/link/forwarding/UnitLinks.h
@@ -12,6 +12,7 @@
 #include "link/forwarding/QuestionEvents.h"
 #include "link/forwarding/UnitCodec.h"
 #include "link/socket/StreamConnection.h"
+#include "locality/RegionWatch.h"
 #include "pooling/ExecutorPlacement.h"
 #include "pooling/LeadershipProof.h"
 #include "pooling/LoadReport.h"
@@ -38,6 +39,10 @@
     UnitLinks(socket::SocketPoller& poller, const Clock& clock, pooling::UnitEvents& events);
     ~UnitLinks() override;
 
+    /** Tells what passes to other regions from now on; called before nodes are known. @param watch
+     * outlives the links. */
+    void setRegionWatch(locality::RegionWatch& watch) { _regions = &watch; }
+
     /** Takes the nodes and their addresses. Links to nodes that moved or left are dropped. */
     void applyNodes(const std::vector<pooling::ProxyNode>& nodes);
 
@@ -77,6 +82,8 @@
         pooling::ProxyNode node;
         std::unique_ptr<socket::StreamConnection> stream;
         bool connected = false;
+        /** The node stands in another region. */
+        bool leavesRegion = false;
         /** The other node takes no new units on this connection. */
         bool leaving = false;
         /** Units that are open; true while a statement of the unit is unanswered. */
@@ -106,6 +113,7 @@
     void connect(Link& link);
     void retryFailed(TimePoint now);
     void send(Link& link, const UnitMessage& message);
+    void noteRoundTrip(const Link& link, TimePoint begunAt);
     void noteWaiting(Link& link);
     void noteSent(Link& link, UnitId unit);
     void noteAnswered(Link& link, UnitId unit);
@@ -129,6 +137,8 @@
     const Clock& _clock;
     pooling::UnitEvents& _events;
     QuestionEvents _questionEvents;
+    /** Null where there is one region. */
+    locality::RegionWatch* _regions = nullptr;
     std::map<NodeName, Link> _links;
     std::map<const socket::StreamConnection*, NodeName> _nodeOf;
     std::map<UnitId, NodeName> _units;
--- a/src/link/session/StreamServerConnector.cpp
+++ b/src/link/session/StreamServerConnector.cpp
@@ -4,6 +4,7 @@
 
 namespace coralhoist::session {
 
+using locality::TrafficDirection;
 using pooling::ServerAddress;
 using pooling::ServerCommand;
 using pooling::ServerEvents;
@@ -21,6 +22,10 @@
     link->address = address;
     link->tenant = tenant;
     link->events = &events;
+    link->leavesRegion = _regions != nullptr && _regions->traffic.leavesRegion(address.zone);
+    if (link->leavesRegion) {
+        link->begunAt = _clock->now();
+    }
     link->stream = std::make_unique<socket::StreamConnection>(_poller, *this);
     // A failure at once leaves a connection that never opens; its user's time limit ends it.
     link->stream->connectTo(address.host, address.port);
@@ -40,9 +45,17 @@
     for (const ServerCommand& command : commands) {
         _codec.encode(bytes, command);
     }
+    noteBytes(*link, TrafficDirection::Sent, bytes.size());
     link->stream->write(bytes);
 }
 
+void StreamServerConnector::noteBytes(const Link& link, TrafficDirection direction,
+                                      std::size_t bytes) {
+    if (link.leavesRegion) {
+        _regions->traffic.add(locality::TrafficPurpose::Servers, direction, bytes);
+    }
+}
+
 void StreamServerConnector::close(ConnectionId connection) {
     const auto found = _links.find(connection);
     if (found == _links.end()) {
@@ -67,6 +80,11 @@
     std::string bytes;
     const Link& link = *find(id->second);
     _codec.encodeConnect(bytes, link.address, link.tenant);
+    noteBytes(link, TrafficDirection::Sent, bytes.size());
+    if (link.leavesRegion) {
+        const TimePoint now = _clock->now();
+        _regions->distances.note(link.address.zone, now - link.begunAt, now);
+    }
     connection.write(bytes);
 }
 
@@ -83,6 +101,7 @@
             break;
         }
         consumed += decoded->bytes;
+        noteBytes(*link, TrafficDirection::Received, decoded->bytes);
         if (decoded->message.kind == ServerMessage::Kind::Malformed) {
             fail(id);
             return;
--- a/src/link/session/StreamServerConnector.h
+++ b/src/link/session/StreamServerConnector.h
@@ -5,8 +5,10 @@
 #include <unordered_map>
 #include <vector>
 
+#include "base/Time.h"
 #include "link/session/SessionCodec.h"
 #include "link/socket/StreamConnection.h"
+#include "locality/RegionWatch.h"
 #include "pooling/ServerLink.h"
 
 namespace coralhoist::session {
@@ -18,6 +20,12 @@
     StreamServerConnector(socket::SocketPoller& poller, const ServerCodec& codec);
     ~StreamServerConnector() override;
 
+    /** Tells what passes to servers in other regions from now on. Both outlive the connector. */
+    void setRegionWatch(locality::RegionWatch& watch, const Clock& clock) {
+        _regions = &watch;
+        _clock = &clock;
+    }
+
     ConnectionId open(const pooling::ServerAddress& address, const TenantName& tenant,
                       pooling::ServerEvents& events) override;
     void send(ConnectionId connection,
@@ -36,6 +44,10 @@
         pooling::ServerEvents* events = nullptr;
         std::unique_ptr<socket::StreamConnection> stream;
         bool opened = false;
+        /** The server stands in another region. */
+        bool leavesRegion = false;
+        /** Known where it does. */
+        TimePoint begunAt{};
         std::optional<pooling::StatementError> refusal;
         pooling::StatementResult result;
     };
@@ -47,6 +59,7 @@
     void onMessage(Link& link, ServerMessage message);
     void onReady(Link& link, const ServerMessage& message);
     void fail(ConnectionId id);
+    void noteBytes(const Link& link, locality::TrafficDirection direction, std::size_t bytes);
     Link* find(ConnectionId id);
 
     socket::SocketPoller& _poller;
@@ -55,6 +68,9 @@
     std::unordered_map<const socket::StreamConnection*, ConnectionId> _idOf;
     std::vector<std::unique_ptr<Link>> _closed;
     std::uint64_t _last = 0;
+    /** Null where there is one region, like the clock. */
+    locality::RegionWatch* _regions = nullptr;
+    const Clock* _clock = nullptr;
 };
 
 }  // namespace coralhoist::session
--- a/src/link/socket/HttpClient.cpp
+++ b/src/link/socket/HttpClient.cpp
@@ -130,6 +130,7 @@
                    std::to_string(call.body.size()) + "\r\n";
     }
     request += "\r\n" + call.body;
+    _bytesSent += request.size();
     if (!_kept.empty() && call.connection == HttpCall::Connection::KeptOrNew) {
         exchange->connection = std::move(_kept.back());
         _kept.pop_back();
@@ -204,6 +205,7 @@
         }
         answer.body = std::string(rest.substr(0, head->bodyBytes));
     }
+    _bytesReceived += buffer.size();
     buffer.clear();
     finish(*exchange, answer, !head->closes);
 }
--- a/src/link/socket/HttpClient.h
+++ b/src/link/socket/HttpClient.h
@@ -31,6 +31,10 @@
 
     std::optional<TimePoint> nextTick() const;
 
+    /** @return bytes of requests, and of complete answers. */
+    std::uint64_t bytesSent() const { return _bytesSent; }
+    std::uint64_t bytesReceived() const { return _bytesReceived; }
+
     /** Moves to another address; running calls end as lost. */
     void redirect(std::string host, std::uint16_t port);
 
@@ -58,6 +62,8 @@
     const Clock& _clock;
     std::string _host;
     std::uint16_t _port;
+    std::uint64_t _bytesSent = 0;
+    std::uint64_t _bytesReceived = 0;
     std::vector<std::unique_ptr<Exchange>> _running;
     std::vector<std::unique_ptr<StreamConnection>> _kept;
     /** Ended inside a callback of their own; freed at the next tick. */
--- /dev/null
+++ b/src/locality/RegionWatch.h
@@ -0,0 +1,18 @@
+/** What connections tell of exchanges with other regions. */
+#pragma once
+
+#include "locality/PlaceDistances.h"
+#include "locality/RegionTraffic.h"
+
+namespace coralhoist::locality {
+
+/** Fed by the connections of a node of an estate with several regions; others have none. */
+struct RegionWatch {
+    RegionWatch(const RegionMap& regions, const ZoneName& zone)
+        : traffic(regions, zone), distances(regions, zone) {}
+
+    RegionTraffic traffic;
+    PlaceDistances distances;
+};
+
+}  // namespace coralhoist::locality
--- a/src/pooling/ServerLink.h
+++ b/src/pooling/ServerLink.h
@@ -22,6 +22,8 @@
     ServerName server;
     std::string host;
     std::uint16_t port = 0;
+    /** Where it stands; empty where that is not known. */
+    ZoneName zone = {};
 
     bool operator==(const ServerAddress&) const = default;
 };
--- a/tests/forwarding/UnitLinkTest.cpp
+++ b/tests/forwarding/UnitLinkTest.cpp
@@ -182,6 +182,44 @@
     UNSIGNED_LONGS_EQUAL(0, service.unitCount());
 }
 
+TEST(UnitLink, BytesAndRoundTripsToAnotherRegionAreNoted) {
+    using locality::TrafficDirection;
+    using locality::TrafficPurpose;
+    const locality::RegionMap regions{
+        {{ZoneName("z"), RegionName("north")}, {ZoneName("y"), RegionName("south")}}};
+    locality::RegionWatch watch(regions, ZoneName("y"));
+    links.setRegionWatch(watch);
+    links.applyNodes({});
+    links.applyNodes({{executor, ZoneName("z"), kHost, service.port()}});
+    service.startServing();
+    open(1, StatementVerb::Write, "WRITE 1 a");
+    clock.advance(milliseconds(7));
+    waitFor([this] { return !servers.commands.empty(); });
+    succeed(pooling::SessionState::Idle);
+    waitFor([this] { return recorder.results.contains(UnitId(1)); });
+    const locality::RegionTraffic& traffic = watch.traffic;
+    CHECK_TRUE(traffic.bytes(TrafficPurpose::Units, TrafficDirection::Sent) > 0);
+    CHECK_TRUE(traffic.bytes(TrafficPurpose::Units, TrafficDirection::Received) > 0);
+    UNSIGNED_LONGS_EQUAL(0, traffic.bytes(TrafficPurpose::Feeds, TrafficDirection::Sent));
+    CHECK_TRUE(watch.distances.to(ZoneName("z"), clock.now()).time == milliseconds(7));
+}
+
+TEST(UnitLink, NothingIsNotedOfANodeInTheOwnRegion) {
+    const locality::RegionMap regions{{{ZoneName("z"), RegionName("north")},
+                                       {ZoneName("y"), RegionName("north")},
+                                       {ZoneName("x"), RegionName("south")}}};
+    locality::RegionWatch watch(regions, ZoneName("y"));
+    links.setRegionWatch(watch);
+    links.applyNodes({});
+    links.applyNodes({{executor, ZoneName("z"), kHost, service.port()}});
+    service.startServing();
+    open(1, StatementVerb::Write, "WRITE 1 a");
+    waitFor([this] { return !servers.commands.empty(); });
+    succeed(pooling::SessionState::Idle);
+    waitFor([this] { return recorder.results.contains(UnitId(1)); });
+    UNSIGNED_LONGS_EQUAL(0, watch.traffic.total());
+}
+
 TEST(UnitLink, AUnitThatIsGivenUpIsRolledBack) {
     service.startServing();
     open(1, StatementVerb::Write, "WRITE 1 a", true);
