A way takes no slot: distance in the choice of servers, executors and readers

Cause: another region cost as much as the next street (30 ms), and a statement on its way to a server counted as one that the server runs. A far server looked slow by its distance, and of the 9 statements that all may have in flight at a primary most were on the link: callers were refused while slots stood idle, and executors told each other of a crowd that was none. Change: where the settings name several regions, another region costs its measured round trip; times at servers are counted without the way, limits and shares in flight with it (WayToServer); executors of the own region are asked before those of others; one reader of a region asks across in place of one of each zone. Ruled out: a higher limit for all executors, which crowds near servers.

--- a/src/cluster/ClusterControl.cpp
+++ b/src/cluster/ClusterControl.cpp
@@ -74,7 +74,7 @@
       _recordReader(_dependencies.storeClient, _dependencies.clock, _dependencies.protocol,
                     _dependencies.codec,
                     [this](const StoredObject& object) { onPromotion(object); }),
-      _readers(_dependencies.self.name, _dependencies.self.zone),
+      _readers(_dependencies.self.name, _dependencies.self.zone, _dependencies.regions),
       _proofs({_dependencies.clock, _dependencies.random, _recordReader,
                _dependencies.proofQuestions, _dependencies.proofAnswers,
                [this](const pooling::LeadershipProof& proof) { onProof(proof); }},
--- a/src/cluster/ClusterControl.h
+++ b/src/cluster/ClusterControl.h
@@ -65,6 +65,8 @@
     FreshnessBounds bounds{};
     /** Where primaries may stand; null: anywhere. */
     const failover::PrimaryPlacement* primaryPlacement = nullptr;
+    /** The estate's zones and their regions. */
+    locality::RegionMap regions = {};
 };
 
 /** Control of one node. Single-threaded; lives beside the pooler. */
--- a/src/duty/pooling/PoolingDuty.cpp
+++ b/src/duty/pooling/PoolingDuty.cpp
@@ -63,6 +63,7 @@
     _unitLinks.setRegionWatch(*_regionWatch);
     _connector.setRegionWatch(*_regionWatch, _clock);
     _placement.add(*_regionUse);
+    _pooler.setRegions(_options.regions, _regionWatch->distances);
     _nextRegionLog = _clock.now() + kRegionLogEvery;
     _ticks.add([this] { return std::optional<TimePoint>(_nextRegionLog); },
                [this](TimePoint now) { logRegionTraffic(now); });
@@ -141,7 +142,8 @@
             },
             life(),
             freshnessBounds(),
-            &_placement};
+            &_placement,
+            _options.regions};
 }
 
 /** Settings that are too old to judge a credential by would refuse statements: they are renewed
--- a/src/pooling/ExecutorPlacement.cpp
+++ b/src/pooling/ExecutorPlacement.cpp
@@ -19,6 +19,11 @@
     applyNodes({});
 }
 
+void ExecutorPlacement::setRegions(const locality::RegionMap& regions) {
+    _regions = regions;
+    _cache.clear();
+}
+
 void ExecutorPlacement::setExecutorsPerZone(std::uint32_t executorsPerZone) {
     _executorsPerZone = executorsPerZone;
     _cache.clear();
@@ -64,17 +69,22 @@
 ExecutorPlacement::Executors ExecutorPlacement::compute(const GroupName& group) const {
     Executors result;
     std::vector<NodeName> near;
+    std::vector<NodeName> inRegion;
     std::vector<NodeName> far;
     for (const auto& [zone, nodes] : _nodes) {
         std::vector<NodeName> chosen = rankedNodes(group.value(), nodes);
         chosen.resize(std::min<std::size_t>(chosen.size(), _executorsPerZone));
         result.count += chosen.size();
-        appendNames(chosen, zone == _zone ? near : far);
+        const bool isRegional =
+            _regions.hasSeveralRegions() && _regions.areInOneRegion(_zone, zone);
+        std::vector<NodeName>& others = isRegional ? inRegion : far;
+        appendNames(chosen, zone == _zone ? near : others);
     }
     result.here = std::erase(near, _self) > 0;
     // Ranked again by a key of this node, so that the load of a zone spreads over its executors.
     const std::string ownKey = group.value() + '\0' + _self.value();
     appendNames(rankedNodes(ownKey, near), result.others);
+    appendNames(rankedNodes(ownKey, inRegion), result.others);
     appendNames(rankedNodes(ownKey, far), result.others);
     return result;
 }
--- a/src/pooling/ExecutorPlacement.h
+++ b/src/pooling/ExecutorPlacement.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "base/Identifier.h"
+#include "locality/RegionMap.h"
 
 namespace coralhoist::pooling {
 
@@ -31,6 +32,9 @@
     /** @param executorsPerZone nodes of a zone that execute a group's statements. */
     ExecutorPlacement(NodeName self, ZoneName zone, std::uint32_t executorsPerZone);
 
+    /** Takes the regions: executors of the own region are asked before those of others. */
+    void setRegions(const locality::RegionMap& regions);
+
     /** Changes the number of executors of a zone. */
     void setExecutorsPerZone(std::uint32_t executorsPerZone);
 
@@ -45,7 +49,7 @@
 
     /**
      * @return the other executors in the order in which this node asks them: those of its own zone
-     * first, different nodes beginning with different ones.
+     * first, then those of its region, different nodes beginning with different ones.
      */
     const std::vector<NodeName>& preferenceOf(const GroupName& group) const;
 
@@ -65,6 +69,7 @@
     NodeName _self;
     ZoneName _zone;
     std::uint32_t _executorsPerZone;
+    locality::RegionMap _regions;
     std::map<ZoneName, std::vector<NodeName>> _nodes;
     std::map<NodeName, ZoneName> _zones;
     ZoneName _unknownZone;
--- a/src/pooling/PoolerDispatch.cpp
+++ b/src/pooling/PoolerDispatch.cpp
@@ -129,7 +129,7 @@
     candidate.inflight = server.inflight;
     candidate.concurrency = firstLimit(server.address.group, server);
     candidate.connecting = hasIdleFor(server, session.tenant) ? Duration(0) : _knobs.connectPenalty;
-    candidate.penalty = server.zone == _knobs.zone ? Duration(0) : _knobs.otherZonePenalty;
+    candidate.penalty = distancePenalty(server);
     candidate.suspect = isSuspect(server);
     candidate.hasRoom = verdict.isAllowed() && hasRoom(server, session);
     if (requirement.primary) {
@@ -185,6 +185,22 @@
     wakeAt(session, operation.replicaAt);
 }
 
+/** @return the way to a server of another region; none to one of the own. */
+WayToServer StatementPooler::wayTo(const ServerState& server) const {
+    return {_distances == nullptr ? Duration(0) : _distances->to(server.zone, _clock.now()).time};
+}
+
+/** @return statements that may be in flight so that the server has what it takes. */
+double StatementPooler::takenBy(const ServerState& server) const {
+    return server.slots * _knobs.inflightPerSlot * wayTo(server).inflightPerRunning(server.latency);
+}
+
+/** @return what is added for the way to the server: to another region, its round trip. */
+Duration StatementPooler::distancePenalty(const ServerState& server) const {
+    return server.zone == _knobs.zone ? Duration(0)
+                                      : std::max(_knobs.otherZonePenalty, wayTo(server).roundTrip);
+}
+
 bool StatementPooler::isPrimary(const GroupState& group, const ServerState& server) const {
     const std::optional<Primary>& primary = group.leadership.primary();
     return primary && primary->server == server.address.server;
--- a/src/pooling/PoolerResults.cpp
+++ b/src/pooling/PoolerResults.cpp
@@ -126,7 +126,7 @@
         return;
     }
     const TimePoint now = _clock.now();
-    const Duration took = now - session.operation->sentAt;
+    const Duration took = wayTo(*server).atServer(now - session.operation->sentAt);
     server->latency += (took - server->latency) / kLatencySmoothing;
     noteSlowness(*server, session, took);
     noteSlotTime(session, took);
@@ -138,8 +138,8 @@
         lowerLimit(*server, _knobs.latencyDecrease);
         return;
     }
-    server->inflightLimit = std::min(server->inflightLimit + _knobs.inflightIncrease,
-                                     std::max(1.0, server->slots * _knobs.inflightPerSlot));
+    server->inflightLimit =
+        std::min(server->inflightLimit + _knobs.inflightIncrease, std::max(1.0, takenBy(*server)));
 }
 
 /** Only reads that any server may run compare servers: writes run at the primary alone. */
--- a/src/pooling/PoolerShares.cpp
+++ b/src/pooling/PoolerShares.cpp
@@ -16,8 +16,9 @@
 
 SharedServer StatementPooler::sharedServer(const ServerState& server) const {
     const std::optional<Primary>& primary = _groups.at(server.address.group).leadership.primary();
-    return {server.address.server, server.slots, server.slots * _knobs.inflightPerSlot,
-            server.latency, primary && primary->server == server.address.server};
+    return {server.address.server, server.slots, takenBy(server),
+            server.latency + wayTo(server).roundTrip,
+            primary && primary->server == server.address.server};
 }
 
 /** @return whether this executor's part of the server has room for one more statement. */
@@ -81,7 +82,7 @@
     }
     load.taken = 0;
     for (const auto& [serverName, server] : group.servers) {
-        load.taken += server.ready ? server.slots * _knobs.inflightPerSlot : 0;
+        load.taken += server.ready ? takenBy(server) : 0;
     }
     return load;
 }
--- a/src/pooling/PoolerTimers.cpp
+++ b/src/pooling/PoolerTimers.cpp
@@ -94,7 +94,8 @@
     const TimePoint now = _clock.now();
     const bool silent = server->silentSince && now - *server->silentSince >= _knobs.hedgeAfter;
     const Duration patience =
-        std::max(_knobs.hedgeAfter, server->latency * _knobs.hedgeAfterLatencies);
+        std::max(_knobs.hedgeAfter, server->latency * _knobs.hedgeAfterLatencies) +
+        wayTo(*server).roundTrip;
     return silent || now - operation.sentAt >= patience;
 }
 
--- a/src/pooling/ReaderTree.cpp
+++ b/src/pooling/ReaderTree.cpp
@@ -28,14 +28,8 @@
     return ranked;
 }
 
-/** @return the readers of all zones that rank above this one. */
-std::vector<NodeName> readersAbove(const NodeName& self,
-                                   const std::map<ZoneName, std::vector<NodeName>>& zones) {
-    std::vector<NodeName> readers;
-    for (const auto& [zone, nodes] : zones) {
-        const std::vector<NodeName> chosen = zoneReaders(nodes, 0);
-        readers.insert(readers.end(), chosen.begin(), chosen.end());
-    }
+/** @return those that rank above this one, cut to what a reader may ask. */
+std::vector<NodeName> rankedAbove(const NodeName& self, const std::vector<NodeName>& readers) {
     std::vector<NodeName> ranked = rankedNodes(kEstateKey, readers);
     const auto own = std::find(ranked.begin(), ranked.end(), self);
     const auto above = static_cast<std::size_t>(own - ranked.begin());
@@ -43,6 +37,33 @@
     return ranked;
 }
 
+/**
+ * @return the readers that this one asks: those of its region that rank above it; if it is the
+ * region's first, the firsts of other regions that rank above it.
+ */
+std::vector<NodeName> readersAbove(const NodeName& self, const ZoneName& zone,
+                                   const std::map<ZoneName, std::vector<NodeName>>& zones,
+                                   const locality::RegionMap& regions) {
+    const bool hasRegions = regions.hasSeveralRegions();
+    std::vector<NodeName> own;
+    std::map<RegionName, std::vector<NodeName>> others;
+    for (const auto& [name, nodes] : zones) {
+        const std::vector<NodeName> chosen = zoneReaders(nodes, 0);
+        const bool isOwn = !hasRegions || regions.areInOneRegion(zone, name);
+        std::vector<NodeName>& readers = isOwn ? own : others[regions.regionOf(name)];
+        readers.insert(readers.end(), chosen.begin(), chosen.end());
+    }
+    const std::vector<NodeName> above = rankedAbove(self, own);
+    if (!above.empty()) {
+        return above;
+    }
+    std::vector<NodeName> firsts{self};
+    for (const auto& [region, readers] : others) {
+        firsts.push_back(rankedNodes(kEstateKey, readers).front());
+    }
+    return rankedAbove(self, firsts);
+}
+
 /** @return the zone's readers, different nodes beginning with different ones, then the stand-in. */
 std::vector<NodeName> readersFor(const NodeName& self, const std::vector<NodeName>& readers,
                                  const std::vector<NodeName>& withSpare) {
@@ -55,8 +76,8 @@
 
 }  // namespace
 
-ReaderTree::ReaderTree(NodeName self, ZoneName zone)
-    : _self(std::move(self)), _zone(std::move(zone)), _nodes{_self} {}
+ReaderTree::ReaderTree(NodeName self, ZoneName zone, locality::RegionMap regions)
+    : _self(std::move(self)), _zone(std::move(zone)), _regions(std::move(regions)), _nodes{_self} {}
 
 void ReaderTree::applyNodes(const std::vector<ProxyNode>& nodes) {
     std::map<ZoneName, std::vector<NodeName>> zones;
@@ -71,7 +92,7 @@
     }
     const std::vector<NodeName> readers = zoneReaders(zones[_zone], 0);
     const bool ranksFirst = std::find(readers.begin(), readers.end(), _self) != readers.end();
-    _candidates = ranksFirst ? readersAbove(_self, zones)
+    _candidates = ranksFirst ? readersAbove(_self, _zone, zones, _regions)
                              : readersFor(_self, readers, zoneReaders(zones[_zone], 1));
 }
 
--- a/src/pooling/ReaderTree.h
+++ b/src/pooling/ReaderTree.h
@@ -6,18 +6,21 @@
 #include <vector>
 
 #include "base/Identifier.h"
+#include "locality/RegionMap.h"
 #include "pooling/ExecutorPlacement.h"
 
 namespace coralhoist::pooling {
 
 /**
  * A tree of readers: the nodes of a zone ask one of the zone's readers, the zones' readers ask the
- * one that ranks first among them, and that one reads the store. Nodes with the same view form the
+ * one that ranks first among them, and that one reads the store. Where there are several regions,
+ * the zones' readers ask the first of their own region, and only that one asks the first of
+ * another region: what the store holds crosses to a region once. Nodes with the same view form the
  * same tree; nodes with different views may ask each other in a circle, which their patience ends.
  */
 class ReaderTree {
 public:
-    ReaderTree(NodeName self, ZoneName zone);
+    ReaderTree(NodeName self, ZoneName zone, locality::RegionMap regions = {});
 
     /** Replaces the nodes that are known. This node counts whether it is among them or not. */
     void applyNodes(const std::vector<ProxyNode>& nodes);
@@ -31,6 +34,7 @@
 private:
     NodeName _self;
     ZoneName _zone;
+    locality::RegionMap _regions;
     std::vector<NodeName> _nodes;
     mutable std::map<GroupName, std::size_t> _turns;
     std::vector<NodeName> _candidates;
--- a/src/pooling/StatementPooler.cpp
+++ b/src/pooling/StatementPooler.cpp
@@ -164,6 +164,12 @@
     return id;
 }
 
+void StatementPooler::setRegions(const locality::RegionMap& regions,
+                                 const locality::PlaceDistances& distances) {
+    _placement.setRegions(regions);
+    _distances = &distances;
+}
+
 void StatementPooler::setCallersHaveTenants(bool haveTenants) {
     _callersHaveTenants = haveTenants;
     _placement.setExecutorsPerZone(haveTenants ? _knobs.tenantExecutorsPerZone
--- a/src/pooling/StatementPooler.h
+++ b/src/pooling/StatementPooler.h
@@ -18,6 +18,7 @@
 #include "admission/AdmissionPolicy.h"
 #include "admission/WaitingQueue.h"
 #include "base/Time.h"
+#include "locality/PlaceDistances.h"
 #include "pooling/CapacityShares.h"
 #include "pooling/ExecutorPlacement.h"
 #include "pooling/FreshnessFloors.h"
@@ -37,6 +38,7 @@
 #include "pooling/Statement.h"
 #include "pooling/TenantActivity.h"
 #include "pooling/UnitForwarding.h"
+#include "pooling/WayToServer.h"
 
 namespace coralhoist::pooling {
 
@@ -99,6 +101,9 @@
     /** Asks the policy from now on where units may go. @param policy outlives the pooler. */
     void setPlacementPolicy(PlacementPolicy& policy) { _policy = &policy; }
 
+    /** Prefers what is near from now on. @param distances outlive the pooler. */
+    void setRegions(const locality::RegionMap& regions, const locality::PlaceDistances& distances);
+
     /**
      * Verdicts of the policy have changed: transactions that rest where they must not go on are
      * ended, and what waits is looked at again.
@@ -336,6 +341,9 @@
     bool refuseUnplaceable(PooledSession& session, const PlacementOutlook& outlook);
     Duration replicaPatience(const GroupState& group, const PooledSession& session) const;
     void waitForReplica(PooledSession& session, Duration wait);
+    WayToServer wayTo(const ServerState& server) const;
+    double takenBy(const ServerState& server) const;
+    Duration distancePenalty(const ServerState& server) const;
     bool isPrimary(const GroupState& group, const ServerState& server) const;
     bool isHalfUsed(const ServerState& server) const;
     Duration unitTimeOf(const GroupState& group, const PooledSession& session) const;
@@ -479,6 +487,8 @@
     std::unordered_set<SessionId> _openTransactions;
     PoolerStatistics _statistics;
     ExecutorPlacement _placement;
+    /** Null where there is one region. */
+    const locality::PlaceDistances* _distances = nullptr;
     UnitForwarder* _forwarder = nullptr;
     LoadReporter* _loadReporter = nullptr;
     /** None: units may go everywhere. */
--- a/tests/pooling/ExecutorPlacementTest.cpp
+++ b/tests/pooling/ExecutorPlacementTest.cpp
@@ -96,6 +96,38 @@
     }
 }
 
+TEST(ExecutorPlacement, ExecutorsOfTheOwnRegionComeBeforeThoseOfOthers) {
+    const locality::RegionMap regions{{{ZoneName("z0"), RegionName("north")},
+                                       {ZoneName("z1"), RegionName("south")},
+                                       {ZoneName("z2"), RegionName("north")}}};
+    for (int index = 0; index < 60; ++index) {
+        ExecutorPlacement placement = placementOf(index, nodes(60));
+        const std::size_t executors = placement.executorCount(group);
+        placement.setRegions(regions);
+        UNSIGNED_LONGS_EQUAL(executors, placement.executorCount(group));
+        int distance = 0;
+        for (const NodeName& name : placement.preferenceOf(group)) {
+            const ZoneName& zone = placement.zoneOf(name);
+            const bool isRegional = regions.areInOneRegion(node(index).zone, zone);
+            const int next = zone == node(index).zone ? 0 : (isRegional ? 1 : 2);
+            CHECK(next >= distance);
+            distance = next;
+        }
+    }
+}
+
+TEST(ExecutorPlacement, OneRegionOrNoneChangesNothing) {
+    const locality::RegionMap one{{{ZoneName("z0"), RegionName("north")},
+                                   {ZoneName("z1"), RegionName("north")},
+                                   {ZoneName("z2"), RegionName("north")}}};
+    for (int index = 0; index < 60; ++index) {
+        ExecutorPlacement placement = placementOf(index, nodes(60));
+        const std::vector<NodeName> before = placement.preferenceOf(group);
+        placement.setRegions(one);
+        CHECK_TRUE(placement.preferenceOf(group) == before);
+    }
+}
+
 TEST(ExecutorPlacement, TheLossOfANodeMovesOnlyItsOwnGroups) {
     const std::vector<ProxyNode> all = nodes(60);
     std::vector<ProxyNode> fewer = all;
