Primaries have a replica in their own region where servers are equal

Cause: a commit is answered when one replica has it; a primary whose replicas all stand in another region adds a round trip to each commit. Change: RegionalPrimary prefers, of equals, a successor with a listed replica in its own region that stays. No planned return: it refuses the group's writes for the time of a promotion, and a commit that takes a round trip longer is in time. Open: the failover asks it once the planned moves are in.

--- a/src/duty/pooling/PoolingDuty.cpp
+++ b/src/duty/pooling/PoolingDuty.cpp
@@ -63,6 +63,12 @@
     _unitLinks.setRegionWatch(*_regionWatch);
     _connector.setRegionWatch(*_regionWatch, _clock);
     _placement.add(*_regionUse);
+    // Asked by the control's failovers alone, so that the control exists by then.
+    _regionalPrimary.emplace(
+        _options.regions, [this](const GroupName& group) -> const auto& {
+            return _control->serversOf(group);
+        });
+    _placement.add(*_regionalPrimary);
     _pooler.setRegions(_options.regions, _regionWatch->distances);
     _nextRegionLog = _clock.now() + kRegionLogEvery;
     _ticks.add([this] { return std::optional<TimePoint>(_nextRegionLog); },
--- a/src/duty/pooling/PoolingDuty.h
+++ b/src/duty/pooling/PoolingDuty.h
@@ -29,6 +29,7 @@
 #include "locality/RegionWatch.h"
 #include "placement/PolicyChain.h"
 #include "placement/RegionUse.h"
+#include "placement/RegionalPrimary.h"
 #include "pooling/PlannedStop.h"
 #include "pooling/StatementPooler.h"
 #include "tenancy/QuotaExchange.h"
@@ -147,6 +148,7 @@
     placement::PolicyChain _placement;
     /** Of an estate with several regions only. */
     std::optional<placement::RegionUse> _regionUse;
+    std::optional<placement::RegionalPrimary> _regionalPrimary;
     TimePoint _nextRegionLog{};
     std::uint64_t _loggedRegionBytes = 0;
     pooling::StatementPooler _pooler;
