Another region costs its round trip beside what another zone costs

Cause: the fixed penalty of another zone stands for its bytes; between regions they are dearer, and the time comes on top. Change: the penalty of another region is the sum in place of the larger one.

--- a/src/pooling/PoolerDispatch.cpp
+++ b/src/pooling/PoolerDispatch.cpp
@@ -198,7 +198,7 @@
 /** @return what is added for the way to the server: to another region, its round trip. */
 Duration StatementPooler::distancePenalty(const ServerState& server) const {
     return server.zone == _knobs.zone ? Duration(0)
-                                      : std::max(_knobs.otherZonePenalty, wayTo(server).roundTrip);
+                                      : _knobs.otherZonePenalty + wayTo(server).roundTrip;
 }
 
 bool StatementPooler::isPrimary(const GroupState& group, const ServerState& server) const {
