Reports of load keep to a share of the link between regions

Cause: reports between executors grow with the square of their number and shared the link with statements without a bound. Change: BackgroundShare: what can be dropped may take half of the bytes that statements took in the second before, 4 KiB a second and node in any case; what does not fit is dropped and counted. Statements, feeds, proofs and quotas are not bounded by it. Tests: BackgroundShare, UnitLink.ReportsToAnotherRegionKeepToTheirShareAndStatementsDoNot (caught without the guard).

--- a/src/duty/pooling/PoolingDuty.cpp
+++ b/src/duty/pooling/PoolingDuty.cpp
@@ -92,6 +92,7 @@
     }
     const placement::RegionUse& use = *_regionUse;
     event.field("store", _storeConnections.bytesSent() + _storeConnections.bytesReceived())
+        .field("kept_back", _regionWatch->background.keptBack())
         .field("reads_here", use.readsHere())
         .field("reads_elsewhere", use.readsElsewhere())
         .field("primary_here", use.primaryHere())
@@ -297,7 +298,8 @@
     figures.storeEra = _storeEra.current();
     figures.storeReturns = _storeEra.returns();
     if (_regionWatch) {
-        figures.regions = RegionFigures{_regionWatch->traffic, *_regionUse};
+        figures.regions =
+            RegionFigures{_regionWatch->traffic, *_regionUse, _regionWatch->background.keptBack()};
     }
     figures.gate = _gate.statistics();
     figures.quotas = _quotas.statistics();
--- a/src/duty/pooling/PoolingMetrics.cpp
+++ b/src/duty/pooling/PoolingMetrics.cpp
@@ -150,6 +150,8 @@
                     << "\",direction=\"received\"} "
                     << regions.traffic.bytes(purpose, locality::TrafficDirection::Received) << '\n';
     }
+    page.metric("counter", "region_reports_kept_back_total",
+                "Reports of load that were not sent to other regions.", regions.keptBack);
     page.metric("counter", "reads_in_region_total", "Statements sent to replicas in this region.",
                 regions.use.readsHere());
     page.metric("counter", "reads_in_other_regions_total",
--- a/src/duty/pooling/PoolingMetrics.h
+++ b/src/duty/pooling/PoolingMetrics.h
@@ -18,6 +18,8 @@
 struct RegionFigures {
     locality::RegionTraffic traffic;
     placement::RegionUse use;
+    /** Reports that were not sent to other regions, for want of a share of the link. */
+    std::uint64_t keptBack = 0;
 };
 
 /** What the page shows. */
--- a/src/link/forwarding/UnitLinkQuestions.cpp
+++ b/src/link/forwarding/UnitLinkQuestions.cpp
@@ -8,6 +8,12 @@
 /** Reports of load are dropped while so many bytes wait to be sent: they would arrive too old. */
 constexpr std::size_t kMostUnsent = 64U << 10U;
 
+std::size_t encodedSize(const UnitMessage& message) {
+    std::string bytes;
+    encode(bytes, message);
+    return bytes.size();
+}
+
 }  // namespace
 
 void UnitLinks::askForProof(const NodeName& node, std::uint64_t question,
@@ -71,6 +77,9 @@
     UnitMessage message;
     message.kind = UnitMessage::Kind::LoadTold;
     message.loadReport = report;
+    if (link.leavesRegion && !_regions->background.take(encodedSize(message), _clock.now())) {
+        return;
+    }
     send(link, message);
 }
 
--- a/src/locality/RegionWatch.h
+++ b/src/locality/RegionWatch.h
@@ -1,6 +1,7 @@
 /** What connections tell of exchanges with other regions. */
 #pragma once
 
+#include "locality/BackgroundShare.h"
 #include "locality/PlaceDistances.h"
 #include "locality/RegionTraffic.h"
 
@@ -9,10 +10,13 @@
 /** Fed by the connections of a node of an estate with several regions; others have none. */
 struct RegionWatch {
     RegionWatch(const RegionMap& regions, const ZoneName& zone)
-        : traffic(regions, zone), distances(regions, zone) {}
+        : traffic(regions, zone), distances(regions, zone), background(traffic) {}
+    RegionWatch(const RegionWatch&) = delete;
+    RegionWatch& operator=(const RegionWatch&) = delete;
 
     RegionTraffic traffic;
     PlaceDistances distances;
+    BackgroundShare background;
 };
 
 }  // namespace coralhoist::locality
--- a/tests/duty/PoolingMetricsTest.cpp
+++ b/tests/duty/PoolingMetricsTest.cpp
@@ -50,12 +50,13 @@
     CHECK_FALSE(contains(renderMetrics(figures), "region"));
     const locality::RegionMap regions{
         {{ZoneName("z"), RegionName("north")}, {ZoneName("y"), RegionName("south")}}};
-    figures.regions.emplace(RegionFigures{{regions, ZoneName("z")}, {regions, ZoneName("z")}});
+    figures.regions.emplace(RegionFigures{{regions, ZoneName("z")}, {regions, ZoneName("z")}, 4});
     figures.regions->traffic.add(locality::TrafficPurpose::Feeds, locality::TrafficDirection::Sent,
                                  12);
     const std::string page = renderMetrics(figures);
     CHECK_TRUE(
         contains(page, "coralhoist_region_bytes_total{purpose=\"feeds\",direction=\"sent\"} 12\n"));
+    CHECK_TRUE(contains(page, "coralhoist_region_reports_kept_back_total 4\n"));
     CHECK_TRUE(contains(page, "coralhoist_reads_in_other_regions_total 0\n"));
 }
 
--- a/tests/forwarding/UnitLinkTest.cpp
+++ b/tests/forwarding/UnitLinkTest.cpp
@@ -204,6 +204,26 @@
     CHECK_TRUE(watch.distances.to(ZoneName("z"), clock.now()).time == milliseconds(7));
 }
 
+TEST(UnitLink, ReportsToAnotherRegionKeepToTheirShareAndStatementsDoNot) {
+    const locality::RegionMap regions{
+        {{ZoneName("z"), RegionName("north")}, {ZoneName("y"), RegionName("south")}}};
+    locality::RegionWatch watch(regions, ZoneName("y"));
+    links.setRegionWatch(watch);
+    links.applyNodes({});
+    links.applyNodes({{executor, ZoneName("z"), kHost, service.port()}});
+    service.startServing();
+    for (int index = 0; index < 1000; ++index) {
+        links.tellLoad(executor, {NodeName("me"), group, {milliseconds(5)}, true});
+    }
+    const std::uint64_t told = watch.traffic.bytes(locality::TrafficPurpose::LoadReports,
+                                                   locality::TrafficDirection::Sent);
+    CHECK_TRUE(told > 0);
+    CHECK_TRUE(told <= 4096);
+    CHECK_TRUE(watch.background.keptBack() > 0);
+    open(1, StatementVerb::Write, "WRITE 1 a");
+    waitFor([this] { return !servers.commands.empty(); });
+}
+
 TEST(UnitLink, NothingIsNotedOfANodeInTheOwnRegion) {
     const locality::RegionMap regions{{{ZoneName("z"), RegionName("north")},
                                        {ZoneName("y"), RegionName("north")},
