Cuts between regions: tests of what is told over one link

The stand-in of followers gets regions, crossing time, and a cut of all links and of the way to the store.

--- a/tests/cluster/FollowerNetwork.cpp
+++ b/tests/cluster/FollowerNetwork.cpp
@@ -85,7 +85,8 @@
         _client->setTrouble(storeTrouble);
         _era = std::make_unique<StoreEra>(_network._queue);
         _caller = std::make_unique<store::EraNotingCaller>(*this, _protocol, *_era);
-        _readers = std::make_unique<pooling::ReaderTree>(nameOf(_index), zoneOf(_index));
+        _readers = std::make_unique<pooling::ReaderTree>(nameOf(_index), zoneOf(_index),
+                                                         _network._regions);
         std::vector<pooling::ProxyNode> nodes;
         for (std::size_t other = 0; other < _network.nodeCount(); ++other) {
             nodes.push_back({nameOf(other), zoneOf(other), "h", 1});
@@ -125,6 +126,7 @@
     }
 
     void call(const socket::HttpCall& call, socket::HttpCallback callback) override {
+        _network._crossingCalls += _network.areFar(_index, 0) ? 1 : 0;
         _client->call(call, [this, asked = life,
                              callback = std::move(callback)](const socket::HttpAnswer& answer) {
             run([this, asked, callback, answer] {
@@ -147,17 +149,18 @@
         if (!_network.isLinked(_index, target)) {
             return;
         }
-        _network._queue.after(kLinkDelay, [this, target, number, asked, from = life,
-                                           targetLife = _network._nodes[target]->life] {
-            Node& other = *_network._nodes[target];
-            if (other.life == targetLife && _network.isLinked(_index, target)) {
-                other.run([this, &other, number, asked, from, targetLife] {
-                    if (other.life == targetLife) {
-                        other.onAsked(_index, from, number, asked);
-                    }
-                });
-            }
-        });
+        _network._queue.after(
+            _network.delayBetween(_index, target),
+            [this, target, number, asked, from = life, targetLife = _network._nodes[target]->life] {
+                Node& other = *_network._nodes[target];
+                if (other.life == targetLife && _network.isLinked(_index, target)) {
+                    other.run([this, &other, number, asked, from, targetLife] {
+                        if (other.life == targetLife) {
+                            other.onAsked(_index, from, number, asked);
+                        }
+                    });
+                }
+            });
     }
 
     void onAsked(std::size_t from, std::uint64_t fromLife, std::uint64_t number,
@@ -170,7 +173,8 @@
     void answerFeed(std::uint64_t asker, const std::optional<FeedAnswer>& answer) override {
         const Asker asked = _askers.at(asker);
         _askers.erase(asker);
-        _network._queue.after(kLinkDelay, [this, asked, answer] {
+        _network._crossingAnswers += _network.areFar(_index, asked.node) ? 1 : 0;
+        _network._queue.after(_network.delayBetween(_index, asked.node), [this, asked, answer] {
             Node& other = *_network._nodes[asked.node];
             if (other.life == asked.life && _network.isLinked(_index, asked.node)) {
                 other.run([&other, asked, answer] {
@@ -253,8 +257,8 @@
     std::uint64_t _lastAsker = 0;
 };
 
-FollowerNetwork::FollowerNetwork(std::size_t nodes, unsigned seed)
-    : _random(seed), _start(_queue.now()), _troubledAt(_queue.now()) {
+FollowerNetwork::FollowerNetwork(std::size_t nodes, unsigned seed, locality::RegionMap regions)
+    : _random(seed), _regions(std::move(regions)), _start(_queue.now()), _troubledAt(_queue.now()) {
     for (const BoundedKind& kind : kKinds) {
         change(kind.name);
     }
@@ -348,7 +352,24 @@
 }
 
 bool FollowerNetwork::isLinked(std::size_t left, std::size_t right) const {
-    return !_cutLinks.contains(std::minmax(left, right));
+    return !_cutLinks.contains(std::minmax(left, right)) && !(_regionCut && areFar(left, right));
+}
+
+bool FollowerNetwork::areFar(std::size_t left, std::size_t right) const {
+    return _regions.hasSeveralRegions() && !_regions.areInOneRegion(zoneOf(left), zoneOf(right));
+}
+
+Duration FollowerNetwork::delayBetween(std::size_t left, std::size_t right) const {
+    return areFar(left, right) ? _crossing : kLinkDelay;
+}
+
+void FollowerNetwork::setRegionCut(bool cut) {
+    _regionCut = cut;
+    for (const auto& node : _nodes) {
+        if (areFar(node->index(), 0)) {
+            node->setStoreTrouble(cut ? StoreTrouble::Silent : StoreTrouble::None);
+        }
+    }
 }
 
 void FollowerNetwork::judge() {
--- a/tests/cluster/FollowerNetwork.h
+++ b/tests/cluster/FollowerNetwork.h
@@ -12,6 +12,7 @@
 
 #include "base/SystemTime.h"
 #include "lab/simulation/EventQueue.h"
+#include "locality/RegionMap.h"
 #include "tests/cluster/SimulatedObjectStore.h"
 
 namespace coralhoist::cluster {
@@ -33,7 +34,8 @@
  */
 class FollowerNetwork {
 public:
-    FollowerNetwork(std::size_t nodes, unsigned seed);
+    /** @param regions of the zones z0, z1 and z2; those of z0 stand with the store. */
+    FollowerNetwork(std::size_t nodes, unsigned seed, locality::RegionMap regions = {});
     ~FollowerNetwork();
 
     /** Runs for a span, judging every 5 ms. */
@@ -59,8 +61,16 @@
     void setFrozen(std::size_t node, bool frozen);
     void restart(std::size_t node);
     void setLinkCut(std::size_t left, std::size_t right, bool cut);
+    /** Between the region of z0 and others: nothing passes, or answers take so long more. */
+    void setRegionCut(bool cut);
+    void setCrossing(Duration delay) { _crossing = delay; }
 
     std::size_t nodeCount() const { return _nodes.size(); }
+    /** @return calls of the store by nodes of other regions than that of z0. */
+    std::size_t crossingCalls() const { return _crossingCalls; }
+    /** @return answers that passed between regions. */
+    std::size_t crossingAnswers() const { return _crossingAnswers; }
+
     std::size_t storeCalls() const { return _store.calls(); }
 
     /** @return each bound that was exceeded, a line each; empty when all were kept. */
@@ -81,10 +91,17 @@
 
     void judge();
     void judge(const Node& node, const BoundedKind& kind);
+    bool areFar(std::size_t left, std::size_t right) const;
+    Duration delayBetween(std::size_t left, std::size_t right) const;
     bool isLinked(std::size_t left, std::size_t right) const;
 
     simulation::EventQueue _queue;
     SeededRandom _random;
+    locality::RegionMap _regions;
+    Duration _crossing = std::chrono::milliseconds(30);
+    bool _regionCut = false;
+    std::size_t _crossingCalls = 0;
+    std::size_t _crossingAnswers = 0;
     SimulatedObjectStore _store{_queue};
     TimePoint _start;
     std::vector<std::unique_ptr<Node>> _nodes;
