--- a/src/cluster/ClusterControl.h
+++ b/src/cluster/ClusterControl.h
@@ -71,6 +71,8 @@
     /** Told of changed settings before anything else acts on them; may be empty. */
     std::function<void(const pooling::ServiceCatalog&, const tenancy::TenantDirectory&)>
         onSettings{};
+    /** The estate's zones and their regions. */
+    locality::RegionMap regions = {};
 };
 
 /** Control of one node. Single-threaded; lives beside the pooler. */
@@ -116,6 +118,11 @@
      * a linearizable list of the store. */
     TimePoint settingsProvenAt() const { return _follower->provenAt(kSettingsKind); }
 
+    /** @return the group's servers as they are listed now. */
+    const pooling::ServerDirectory::Servers& serversOf(const GroupName& group) const {
+        return _directory.serversOf(group);
+    }
+
     std::uint64_t settingsVersion() const { return _import.version(); }
 
 private:
--- a/src/duty/pooling/PoolingDuty.cpp
+++ b/src/duty/pooling/PoolingDuty.cpp
@@ -15,6 +15,8 @@
 constexpr const char* kReadyPath = "/ready";
 constexpr const char* kMetricsPath = "/metrics";
 constexpr std::chrono::milliseconds kDrainStep{50};
+/** What passes between regions is logged so often at most. */
+constexpr Duration kRegionLogEvery = std::chrono::seconds(15);
 pooling::PoolerKnobs makeKnobs(const PoolingOptions& options) {
     pooling::PoolerKnobs knobs = options.pooler;
     knobs.node = options.name;
@@ -56,6 +58,51 @@
     _pooler.setForwarder(_unitLinks);
     _pooler.setLoadReporter(_unitLinks);
     _pooler.setPlacementPolicy(_placement);
+    if (_options.regions.hasSeveralRegions()) {
+        watchRegions();
+    }
+}
+
+void PoolingDuty::watchRegions() {
+    _regionWatch.emplace(_options.regions, _options.zone);
+    _regionUse.emplace(_options.regions, _options.zone);
+    _unitLinks.setRegionWatch(*_regionWatch);
+    _connector.setRegionWatch(*_regionWatch, _clock);
+    _placement.add(*_regionUse);
+    // Asked by the control's failovers alone, so that the control exists by then.
+    _regionalPrimary.emplace(
+        _options.regions, [this](const GroupName& group) -> const auto& {
+            return _control->serversOf(group);
+        });
+    _placement.add(*_regionalPrimary);
+    _pooler.setRegions(_options.regions, _regionWatch->distances);
+    _nextRegionLog = _clock.now() + kRegionLogEvery;
+    _ticks.add([this] { return std::optional<TimePoint>(_nextRegionLog); },
+               [this](TimePoint now) { logRegionTraffic(now); });
+}
+
+/** All figures are totals since the start. */
+void PoolingDuty::logRegionTraffic(TimePoint now) {
+    _nextRegionLog = now + kRegionLogEvery;
+    const locality::RegionTraffic& traffic = _regionWatch->traffic;
+    if (traffic.total() == _loggedRegionBytes) {
+        return;
+    }
+    _loggedRegionBytes = traffic.total();
+    LogEvent event("locality", LogLevel::Info, "regions.traffic");
+    for (std::size_t index = 0; index < locality::kTrafficPurposes; ++index) {
+        const auto purpose = static_cast<locality::TrafficPurpose>(index);
+        event.field(describe(purpose),
+                    traffic.bytes(purpose, locality::TrafficDirection::Sent) +
+                        traffic.bytes(purpose, locality::TrafficDirection::Received));
+    }
+    const placement::RegionUse& use = *_regionUse;
+    event.field("store", _storeConnections.bytesSent() + _storeConnections.bytesReceived())
+        .field("kept_back", _regionWatch->background.keptBack())
+        .field("reads_here", use.readsHere())
+        .field("reads_elsewhere", use.readsElsewhere())
+        .field("primary_here", use.primaryHere())
+        .field("primary_elsewhere", use.primaryElsewhere());
 }
 
 tenancy::QuotaDependencies PoolingDuty::quotaDependencies() {
@@ -152,35 +199,36 @@
 cluster::ClusterDependencies PoolingDuty::controlDependencies() {
     const pooling::ProxyNode self{_options.name, _options.zone, _options.forwarding.host,
                                   _unitService.port()};
-    return {_clock,
-            _random,
-            _storeClient,
-            _storeEra,
-            _promotionClient,
-            _adapter.objectProtocol,
-            _adapter.clusterCodec,
-            _connector,
-            _adapter.reportParser,
-            _unitLinks,
-            _unitService,
-            _unitLinks,
-            _unitService,
-            self,
-            [this](const std::vector<pooling::ProxyNode>& nodes) { applyNodes(nodes); },
-            [this](const std::shared_ptr<const tenancy::TenantDirectory>& tenants) {
-                applyTenants(tenants);
-            },
-            life(),
-            freshnessBounds(),
-            &_placement,
-            [this](const GroupName& group, const pooling::ServerDirectory::Servers& servers) {
-                applyServers(group, servers);
-            },
-            [this](const pooling::ServiceCatalog& catalog,
-                   const tenancy::TenantDirectory& tenants) {
-                applyCatalog(catalog);
-                applyHomes(catalog, tenants);
-            }};
+    return {
+        _clock,
+        _random,
+        _storeClient,
+        _storeEra,
+        _promotionClient,
+        _adapter.objectProtocol,
+        _adapter.clusterCodec,
+        _connector,
+        _adapter.reportParser,
+        _unitLinks,
+        _unitService,
+        _unitLinks,
+        _unitService,
+        self,
+        [this](const std::vector<pooling::ProxyNode>& nodes) { applyNodes(nodes); },
+        [this](const std::shared_ptr<const tenancy::TenantDirectory>& tenants) {
+            applyTenants(tenants);
+        },
+        life(),
+        freshnessBounds(),
+        &_placement,
+        [this](const GroupName& group, const pooling::ServerDirectory::Servers& servers) {
+            applyServers(group, servers);
+        },
+        [this](const pooling::ServiceCatalog& catalog, const tenancy::TenantDirectory& tenants) {
+            applyCatalog(catalog);
+            applyHomes(catalog, tenants);
+        },
+        _options.regions};
 }
 
 /** Settings that are too old to judge a credential by would refuse statements: they are renewed
@@ -333,6 +381,10 @@
     if (_homesAsked) {
         figures.homes = _homes.statistics();
     }
+    if (_regionWatch) {
+        figures.regions =
+            RegionFigures{_regionWatch->traffic, *_regionUse, _regionWatch->background.keptBack()};
+    }
     figures.gate = _gate.statistics();
     figures.quotas = _quotas.statistics();
     figures.warmup = _warmup.statistics();
--- a/src/duty/pooling/PoolingDuty.h
+++ b/src/duty/pooling/PoolingDuty.h
@@ -26,9 +26,12 @@
 #include "link/socket/SocketPoller.h"
 #include "link/store/EraNotingCaller.h"
 #include "locality/RegionMap.h"
+#include "locality/RegionWatch.h"
 #include "placement/HomePolicy.h"
 #include "placement/PolicyChain.h"
 #include "placement/QuotaRequestUnits.h"
+#include "placement/RegionUse.h"
+#include "placement/RegionalPrimary.h"
 #include "placement/WarmupPolicy.h"
 #include "pooling/PlannedStop.h"
 #include "pooling/StatementPooler.h"
@@ -138,6 +141,8 @@
     void applyQuotas();
     void reviewColdServers();
     void onQuotaChange(const TenantName& tenant);
+    void watchRegions();
+    void logRegionTraffic(TimePoint now);
     void applyTenants(const std::shared_ptr<const tenancy::TenantDirectory>& tenants);
 
     void applyHomes(const pooling::ServiceCatalog& catalog,
@@ -150,11 +155,18 @@
     SeededRandom _random;
     TickScheduler _ticks;
     socket::SocketPoller _poller;
+    /** Of an estate with several regions only. */
+    std::optional<locality::RegionWatch> _regionWatch;
     session::StreamServerConnector _connector;
     placement::PolicyChain _placement;
     placement::HomePolicy _homes;
     /** The policy is asked: from the first settings on that name homes. */
     bool _homesAsked = false;
+    /** Of an estate with several regions only. */
+    std::optional<placement::RegionUse> _regionUse;
+    std::optional<placement::RegionalPrimary> _regionalPrimary;
+    TimePoint _nextRegionLog{};
+    std::uint64_t _loggedRegionBytes = 0;
     pooling::StatementPooler _pooler;
     forwarding::UnitLinks _unitLinks;
     forwarding::UnitService _unitService;
--- a/src/duty/pooling/PoolingMetrics.h
+++ b/src/duty/pooling/PoolingMetrics.h
@@ -6,7 +6,9 @@
 #include <optional>
 #include <string>
 
+#include "locality/RegionTraffic.h"
 #include "placement/HomePolicy.h"
+#include "placement/RegionUse.h"
 #include "placement/WarmupPolicy.h"
 #include "pooling/PoolerStatistics.h"
 #include "settings/EffectiveSettings.h"
@@ -14,6 +16,14 @@
 
 namespace coralhoist::duty {
 
+/** What an estate with several regions shows. */
+struct RegionFigures {
+    locality::RegionTraffic traffic;
+    placement::RegionUse use;
+    /** Reports that were not sent to other regions, for want of a share of the link. */
+    std::uint64_t keptBack = 0;
+};
+
 /** What the page shows. */
 struct PoolingFigures {
     pooling::PoolerStatistics pooler;
@@ -37,6 +47,8 @@
     std::uint64_t promotions = 0;
     /** Entries of the store that named no server. */
     std::uint64_t unreadableEntries = 0;
+    /** None where there is one region. */
+    std::optional<RegionFigures> regions;
     bool ready = false;
     bool storeReachable = false;
     /** Era that the store has shown; 0 where it shows none. */
