One deputy on a side of a cut, and no pause before a tenant's first allowance

Another part: a node that becomes deputy by a probe writes a part that names no tenant, and the first question of a tenant waits for the pause between writings (250 ms), which is as long as a question is held. Ruled out: allowances used up in the steady state (no question found one after the first second but at second deputies). Change: a deputy without a part leaves it to another that may grant and is in reach; the pause does not hold for a tenant that the part does not name.

--- a/src/tenancy/ShardLeader.cpp
+++ b/src/tenancy/ShardLeader.cpp
@@ -118,7 +118,12 @@
     const std::uint32_t free = freeUnits(tenant, now);
     const std::uint32_t left = _allowances.left(tenant.name);
     const auto own = ownQuotas().find(tenant.name);
-    const std::uint32_t allowed = own == ownQuotas().end() ? 0 : own->second.allowance;
+    const bool isNamed = own != ownQuotas().end();
+    const std::uint32_t allowed = isNamed ? own->second.allowance : 0;
+    if (!isNamed) {
+        // The pause is for allowances that are used up: a tenant's first one waits for none.
+        _nextAllowanceAt = TimePoint{};
+    }
     _needsAllowance = _needsAllowance || (free > 0 && left <= allowed * kAllowanceLow);
     return std::min({wanted, free, left});
 }
--- a/src/tenancy/ShardLeader.h
+++ b/src/tenancy/ShardLeader.h
@@ -113,6 +113,7 @@
     void writeOwnPart(QuotaShardRecord& attempted, TimePoint now);
     const RecordedQuotas& ownQuotasOf(const QuotaShardRecord& record) const;
     bool hasPart() const;
+    bool isSecondDeputy() const;
 
     bool mayGrant(TimePoint now) const;
     void answer(HeldQuestion held, TimePoint now);
--- a/src/tenancy/ShardLeaderParts.cpp
+++ b/src/tenancy/ShardLeaderParts.cpp
@@ -52,6 +52,18 @@
     return _role == ShardRole::Deputy && part != nullptr && part->grants;
 }
 
+/** @return whether another deputy has come first that serves whoever reaches this one: two parts on
+ * one side of a cut leave both of them too little. */
+bool ShardLeader::isSecondDeputy() const {
+    const TimePoint now = _context.clock.now();
+    const std::vector<DeputyPart>& deputies = _parts.record().deputies;
+    return !hasPart() &&
+           std::any_of(deputies.begin(), deputies.end(), [this, now](const DeputyPart& part) {
+               return part.holder != _context.self && _parts.mayGrant(part, now) &&
+                      _context.calls.canReach(part.holder.node);
+           });
+}
+
 void ShardLeader::writeOwnPart(QuotaShardRecord& attempted, TimePoint now) {
     if (_role == ShardRole::Leader) {
         if (isCaughtUp()) {
--- a/src/tenancy/ShardLeaderRecord.cpp
+++ b/src/tenancy/ShardLeaderRecord.cpp
@@ -142,7 +142,7 @@
     }
     // The content of a late writing of its own is replaced by the next one, whatever it says.
     _mustReload = false;
-    if (_role == ShardRole::Deputy && !_parts.mayJoin(_context.self)) {
+    if (_role == ShardRole::Deputy && (!_parts.mayJoin(_context.self) || isSecondDeputy())) {
         withdraw();
         return;
     }
--- a/tests/tenancy/ShardLeaderTest.cpp
+++ b/tests/tenancy/ShardLeaderTest.cpp
@@ -313,6 +313,40 @@
     LONGS_EQUAL(2, store.saved.size());
 }
 
+/** @return a record that another deputy has joined meanwhile. */
+LoadedShard recordWithDeputy() {
+    LoadedShard loaded = ShardFixture::loadedRecord("n2/1", "n3/1", 8);
+    loaded.record.deputies.push_back({{NodeName("n4"), "n4/1"}, true, 7, recordAllowing(46)});
+    return loaded;
+}
+
+TEST(QuotaShardDeputy, LeavesItToAnotherInReachThatHasComeFirst) {
+    askToBeDeputy();
+    sent.reachable = true;
+    store.finishSave({StoreOutcome::Conflict, {}});
+    store.finishLoad(recordWithDeputy());
+    LONGS_EQUAL(1, store.saved.size());
+}
+
+TEST(QuotaShardDeputy, JoinsAnotherThatIsOutOfReach) {
+    askToBeDeputy();
+    store.finishSave({StoreOutcome::Conflict, {}});
+    store.finishLoad(recordWithDeputy());
+    LONGS_EQUAL(2, store.saved.size());
+}
+
+/** A part that was written before the tenant asked is written anew at once. */
+TEST(QuotaShardDeputy, ATenantsFirstAllowanceWaitsForNoPause) {
+    sent.reachable = false;
+    ask(0);
+    store.finishLoad(loadedRecord("n2/1", "n3/1", 7));
+    clock.advance(milliseconds(200));
+    shard->onTick(clock.now());
+    store.finishSave({StoreOutcome::Done, {0, 8}});
+    ask(1);
+    LONGS_EQUAL(2, store.saved.size());
+}
+
 TEST(QuotaShardDeputy, MayNotHaveWhatTheLeaderHas) {
     sent.reachable = false;
     ask(1);
