One look for each moment at a write that waits for a promotion; unanswered writes are told before silence

Cause of the spin: a write that waits while a promotion is prepared asked to be looked at when the primary may be written to, a time that lies in the past then. Who is told of silence asks for the status, gets it, and leaves the primary alone for as long as that lasts. Change: one look for each moment, none for a moment that has passed; writes that are unanswered for too long are told before silence. Ruled out: looks at queued statements (every 50 ms anyway), proofs of leadership, refusals by forecast.

--- a/src/pooling/PooledSession.h
+++ b/src/pooling/PooledSession.h
@@ -80,6 +80,8 @@
     TimePoint holdUntil{};
     /** Not tried again before. */
     TimePoint notBefore{};
+    /** When the primary may be written to, as far as known: the statement is looked at then. */
+    TimePoint writableAt{};
     /** When the replica for which it waits is expected to have its position. */
     TimePoint replicaAt{};
     TimePoint sentAt{};
--- a/src/pooling/PoolerQueue.cpp
+++ b/src/pooling/PoolerQueue.cpp
@@ -172,6 +172,15 @@
     return requirement;
 }
 
+/** Once for each moment: the statement is looked at with every event of its group. A promotion that
+ * is being prepared has no such moment; its end is an event. */
+void StatementPooler::wakeWhenWritable(PooledSession& session, TimePoint at) {
+    if (at > _clock.now() && session.operation->writableAt != at) {
+        session.operation->writableAt = at;
+        wakeAt(session, at);
+    }
+}
+
 StatementPooler::Requirement StatementPooler::primaryRequirement(GroupState& group,
                                                                  PooledSession& session) {
     Requirement requirement;
@@ -190,7 +199,7 @@
     const TimePoint now = _clock.now();
     if (mayCommit && !leadership.mayWrite(now)) {
         operation.lastObstacle = "promotion_settling";
-        wakeAt(session, leadership.writableFrom());
+        wakeWhenWritable(session, leadership.writableFrom());
         requirement.impossible = true;
         return requirement;
     }
--- a/src/pooling/PoolerTimers.cpp
+++ b/src/pooling/PoolerTimers.cpp
@@ -241,6 +241,21 @@
     }
 }
 
+/**
+ * Told before silence: where writes hold all connections the server seems silent, yet it answers
+ * who asks for its status, and would be left alone.
+ */
+bool StatementPooler::leavesWritesUnanswered(const GroupState& group, const ServerState& server,
+                                             TimePoint now) const {
+    return std::any_of(group.pendingWrites.begin(), group.pendingWrites.end(),
+                       [&](const auto& write) {
+                           const auto connection = _connections.find(write.first);
+                           return connection != _connections.end() &&
+                                  connection->second.server == server.address.server &&
+                                  now - write.second > kWritePatience;
+                       });
+}
+
 void StatementPooler::watchPrimary(const GroupName& name, GroupState& group, TimePoint now) {
     const std::optional<Primary> primary = group.leadership.primary();
     if (!primary) {
@@ -251,6 +266,10 @@
         _output.suspectPrimary(name, primary->server, SuspicionReason::Unreachable);
         return;
     }
+    if (leavesWritesUnanswered(group, server, now)) {
+        _output.suspectPrimary(name, primary->server, SuspicionReason::WritesUnanswered);
+        return;
+    }
     if (server.silentSince && now - *server.silentSince > _knobs.suspectAfter) {
         _output.suspectPrimary(name, primary->server, SuspicionReason::Silent);
         return;
@@ -259,14 +278,6 @@
         _output.suspectPrimary(name, primary->server, SuspicionReason::StatementsLost);
         return;
     }
-    for (const auto& [id, sentAt] : group.pendingWrites) {
-        const ServerConnection* connection = findConnection(id);
-        const bool current = connection != nullptr && connection->server == primary->server;
-        if (current && now - sentAt > kWritePatience) {
-            _output.suspectPrimary(name, primary->server, SuspicionReason::WritesUnanswered);
-            return;
-        }
-    }
 }
 
 void StatementPooler::closeLateConnections(TimePoint now) {
--- a/src/pooling/StatementPooler.h
+++ b/src/pooling/StatementPooler.h
@@ -308,6 +308,7 @@
     Requirement requirementOf(GroupState& group, PooledSession& session);
     Requirement readRequirement(GroupState& group, const PooledSession& session) const;
     Requirement primaryRequirement(GroupState& group, PooledSession& session);
+    void wakeWhenWritable(PooledSession& session, TimePoint at);
     const char* obstacleHere(const GroupState& group, const Operation& operation) const;
     bool moveToOther(const GroupState& group, PooledSession& session);
 
@@ -451,6 +452,8 @@
     void reportServers(const GroupName& name, GroupState& group);
     void endRestingTransactions(TimePoint now);
     void endTransaction(PooledSession& session, const char* reason);
+    bool leavesWritesUnanswered(const GroupState& group, const ServerState& server,
+                                TimePoint now) const;
     void watchPrimary(const GroupName& name, GroupState& group, TimePoint now);
     void closeLateConnections(TimePoint now);
 
--- a/tests/pooling/PoolerTest.cpp
+++ b/tests/pooling/PoolerTest.cpp
@@ -526,6 +526,16 @@
     }
 }
 
+/** It answers who asks for its status, and is left alone for that when it only seems silent. */
+TEST(StatementPooler, APrimaryThatLeavesWritesUnansweredIsNotTakenForSilent) {
+    fixture.submit(fixture.session("current"), StatementVerb::Write, "WRITE k v");
+    fixture.advance(milliseconds(600));
+    CHECK_FALSE(fixture.suspicions.empty());
+    CHECK_TRUE(fixture.suspicions.back() == SuspicionReason::Silent);
+    fixture.advance(milliseconds(150));
+    CHECK_TRUE(fixture.suspicions.back() == SuspicionReason::WritesUnanswered);
+}
+
 TEST(StatementPooler, WritesThatFailEjectNoPrimary) {
     for (int write = 0; write < 12; ++write) {
         fixture.submit(fixture.session("current"), StatementVerb::Write, "WRITE k v");
