--- a/src/pooling/PrimaryWatch.cpp
+++ b/src/pooling/PrimaryWatch.cpp
@@ -33,17 +33,27 @@
     if (primary.unreachable && primary.idle.empty()) {
         return SuspicionReason::Unreachable;
     }
+    if (leavesWritesUnanswered(primary, now)) {
+        return SuspicionReason::WritesUnanswered;
+    }
     if (primary.silentSince && now - *primary.silentSince > suspectAfter) {
         return SuspicionReason::Silent;
     }
     if (primary.lostInRow >= kLostInRow && now - primary.losingSince > kLossPatience) {
         return SuspicionReason::StatementsLost;
     }
-    const bool isUnanswered = std::any_of(_writes.begin(), _writes.end(), [&](const auto& entry) {
+    return std::nullopt;
+}
+
+/**
+ * Told before silence: where writes hold all connections the server seems silent, yet it answers
+ * who asks for its status, and would be left alone.
+ */
+bool PrimaryWatch::leavesWritesUnanswered(const ServerState& primary, TimePoint now) const {
+    return std::any_of(_writes.begin(), _writes.end(), [&](const auto& entry) {
         const Write& write = entry.second;
         return write.server == primary.address.server && now - write.at > kWritePatience;
     });
-    return isUnanswered ? std::optional(SuspicionReason::WritesUnanswered) : std::nullopt;
 }
 
 }  // namespace coralhoist::pooling
--- a/src/pooling/PrimaryWatch.h
+++ b/src/pooling/PrimaryWatch.h
@@ -40,6 +40,8 @@
                                           TimePoint now) const;
 
 private:
+    bool leavesWritesUnanswered(const ServerState& primary, TimePoint now) const;
+
     struct Write {
         ServerName server;
         TimePoint at{};
--- a/tests/pooling/PrimaryWatchTest.cpp
+++ b/tests/pooling/PrimaryWatchTest.cpp
@@ -41,6 +41,13 @@
     CHECK_TRUE(SuspicionReason::Silent == after(milliseconds(401)));
 }
 
+/** Who is told of silence asks for the status, gets it, and leaves the primary alone. */
+TEST(PrimaryWatch, UnansweredWritesAreToldBeforeSilence) {
+    primary.silentSince = start;
+    watch.noteWrite(ConnectionId(1), primary.address.server, start);
+    CHECK_TRUE(SuspicionReason::WritesUnanswered == after(milliseconds(701)));
+}
+
 TEST(PrimaryWatch, BrokenConnectionsInARowAreASign) {
     primary.lostInRow = 5;
     primary.losingSince = start;
