--- a/src/cluster/ClusterControl.h
+++ b/src/cluster/ClusterControl.h
@@ -118,11 +118,6 @@
      * a linearizable list of the store. */
     TimePoint settingsProvenAt() const { return _follower->provenAt(kSettingsKind); }
 
-    /** @return the group's servers as they are listed now. */
-    const pooling::ServerDirectory::Servers& serversOf(const GroupName& group) const {
-        return _directory.serversOf(group);
-    }
-
     std::uint64_t settingsVersion() const { return _import.version(); }
 
 private:
