Cold servers: units that end soon are replaced at once, resting transactions ask for none; silent servers are lost

A unit with less than 20 ms left counted as there when units were asked for, and as missing when they were used: nothing was asked, and callers were told 300 ms. A review of placement asked for a unit for each group's resting transactions, which ended unused and counted for a second more. What homes forbid was still asked of the warm-up, with the same effect. A server whose connections were closed for silence was not told as lost: had it started again before a connection failed, it would have counted as warm. Servers that were heard before the settings told of a rate were never told to have become warm. Without cold servers the metrics page had their lines.

Change: the wish counts units as of their use; PlacementPolicy::mayRest asks for nothing; the chain stops at a prohibition; closing an abandoned connection tells a loss where it was the last; metrics only where configured; cold_server.no_unit is logged once a second at most.

Tests fail without each of: use time in the wish, the told loss (run with the guard taken out). Units that are looked for and then taken now run in the simulated exchange, with cuts and restarts.

--- a/src/duty/pooling/PoolingDuty.cpp
+++ b/src/duty/pooling/PoolingDuty.cpp
@@ -149,7 +149,7 @@
     if (groups == _coldServers.groups()) {
         return;
     }
-    _coldServers.applyGroups(std::move(groups));
+    _coldServers.applyGroups(std::move(groups), _clock.now());
     applyQuotas();
     if (!std::exchange(_warmsUp, true)) {
         _placement.add(static_cast<pooling::PlacementPolicy&>(_warmup));
@@ -387,8 +387,10 @@
     }
     figures.gate = _gate.statistics();
     figures.quotas = _quotas.statistics();
-    figures.warmup = _warmup.statistics();
-    figures.coldServers = _coldServers.coldCount(_clock.now());
+    if (_warmsUp) {
+        figures.warmup = _warmup.statistics();
+        figures.coldServers = _coldServers.coldCount(_clock.now());
+    }
     figures.quotaShardsLed = _quotas.shardsLed();
     figures.quotaShardsAsDeputy = _quotas.shardsAsDeputy();
     return {kOk, renderMetrics(figures)};
--- a/src/duty/pooling/PoolingMetrics.cpp
+++ b/src/duty/pooling/PoolingMetrics.cpp
@@ -91,20 +91,17 @@
     }
 }
 
-void appendWarmup(Page& page, const PoolingFigures& figures) {
-    page.metric("gauge", "cold_servers", "Servers that are cold after their start.",
-                figures.coldServers);
+void appendWarmup(Page& page, const placement::WarmupStatistics& warmup, std::size_t coldServers) {
+    page.metric("gauge", "cold_servers", "Servers that are cold after their start.", coldServers);
     page.metric("counter", "cold_server_statements_total",
-                "Statements and beginnings of transactions sent to cold servers.",
-                figures.warmup.sent);
+                "Statements and beginnings of transactions sent to cold servers.", warmup.sent);
     page.metric("counter", "cold_server_deferred_total",
-                "Times that no unit of a cold server's rate was at hand.", figures.warmup.deferred);
+                "Times that no unit of a cold server's rate was at hand.", warmup.deferred);
     page.metric("counter", "cold_server_turned_away_total",
                 "Times that a cold server was left out because others can do the work.",
-                figures.warmup.turnedAway);
+                warmup.turnedAway);
     page.metric("counter", "cold_server_without_unit_total",
-                "Statements sent to a cold server without a unit of its rate.",
-                figures.warmup.withoutUnit);
+                "Statements sent to a cold server without a unit of its rate.", warmup.withoutUnit);
 }
 
 void appendGate(Page& page, const tenancy::GateStatistics& gate) {
@@ -285,7 +282,9 @@
     appendWaiting(page, figures);
     appendShares(page, pooler);
     appendGate(page, figures.gate);
-    appendWarmup(page, figures);
+    if (figures.warmup) {
+        appendWarmup(page, *figures.warmup, figures.coldServers);
+    }
     appendQuotas(page, figures);
     if (figures.regions) {
         appendRegions(page, *figures.regions);
--- a/src/duty/pooling/PoolingMetrics.h
+++ b/src/duty/pooling/PoolingMetrics.h
@@ -29,7 +29,8 @@
     pooling::PoolerStatistics pooler;
     tenancy::GateStatistics gate;
     tenancy::QuotaStatistics quotas;
-    placement::WarmupStatistics warmup;
+    /** None before settings have told of servers that start cold. */
+    std::optional<placement::WarmupStatistics> warmup;
     /** Servers that are cold now, as far as this node knows. */
     std::size_t coldServers = 0;
     /** Shards of tenants whose quotas this node grants, and of which it grants a part as deputy. */
--- a/src/placement/PolicyChain.cpp
+++ b/src/placement/PolicyChain.cpp
@@ -19,20 +19,32 @@
 
 }  // namespace
 
-PlacementVerdict PolicyChain::mayBegin(const PlacedUnit& unit, const PlacedServer& server) {
+/** What one policy forbids is asked of none after it: some ask others for what they would allow. */
+template <typename Ask>
+PlacementVerdict PolicyChain::strictest(const Ask& ask) const {
     PlacementVerdict verdict;
     for (pooling::PlacementPolicy* policy : _policies) {
-        verdict = stricter(verdict, policy->mayBegin(unit, server));
+        verdict = stricter(verdict, ask(*policy));
+        if (verdict.isForbidden()) {
+            break;
+        }
     }
     return verdict;
 }
 
+PlacementVerdict PolicyChain::mayBegin(const PlacedUnit& unit, const PlacedServer& server) {
+    return strictest(
+        [&](pooling::PlacementPolicy& policy) { return policy.mayBegin(unit, server); });
+}
+
 PlacementVerdict PolicyChain::mayContinue(const PlacedUnit& unit, const PlacedServer& server) {
-    PlacementVerdict verdict;
-    for (pooling::PlacementPolicy* policy : _policies) {
-        verdict = stricter(verdict, policy->mayContinue(unit, server));
-    }
-    return verdict;
+    return strictest(
+        [&](pooling::PlacementPolicy& policy) { return policy.mayContinue(unit, server); });
+}
+
+PlacementVerdict PolicyChain::mayRest(const PlacedUnit& unit, const PlacedServer& server) {
+    return strictest(
+        [&](pooling::PlacementPolicy& policy) { return policy.mayRest(unit, server); });
 }
 
 bool PolicyChain::mayForwardTo(const PlacedUnit& unit, const ZoneName& zone) {
--- a/src/placement/PolicyChain.h
+++ b/src/placement/PolicyChain.h
@@ -22,6 +22,8 @@
                                        const pooling::PlacedServer& server) override;
     pooling::PlacementVerdict mayContinue(const pooling::PlacedUnit& unit,
                                           const pooling::PlacedServer& server) override;
+    pooling::PlacementVerdict mayRest(const pooling::PlacedUnit& unit,
+                                      const pooling::PlacedServer& server) override;
     bool mayForwardTo(const pooling::PlacedUnit& unit, const ZoneName& zone) override;
     bool mayLogAnswers(const pooling::PlacedUnit& unit) override;
     void noteSent(const pooling::PlacedUnit& unit, const pooling::PlacedServer& server) override;
@@ -35,6 +37,9 @@
                       const pooling::ServerAnnouncement& server) const override;
 
 private:
+    template <typename Ask>
+    pooling::PlacementVerdict strictest(const Ask& ask) const;
+
     std::vector<pooling::PlacementPolicy*> _policies;
     std::vector<failover::PrimaryPlacement*> _placements;
 };
--- a/src/placement/WarmupPolicy.cpp
+++ b/src/placement/WarmupPolicy.cpp
@@ -17,6 +17,8 @@
 /** Verdicts are reviewed no more often. */
 constexpr Duration kShortestReview = std::chrono::milliseconds(5);
 
+constexpr Duration kWithoutUnitLogEvery = std::chrono::seconds(1);
+
 /** A primary that is cold for less is left where it is: writes wait while it moves. */
 constexpr Duration kWorthMoving = std::chrono::seconds(2);
 
@@ -66,9 +68,20 @@
     ++_statistics.sent;
     if (!_units.take(unit.group, server.server)) {
         ++_statistics.withoutUnit;
+        logWithoutUnit(unit, server);
+    }
+}
+
+/** Each is counted; not each is logged. */
+void WarmupPolicy::logWithoutUnit(const pooling::PlacedUnit& unit,
+                                  const pooling::PlacedServer& server) {
+    const TimePoint now = _clock.now();
+    if (now >= _nextWithoutUnitLog) {
+        _nextWithoutUnitLog = now + kWithoutUnitLogEvery;
         LogEvent("placement", LogLevel::Warning, "cold_server.no_unit")
             .field("group", unit.group)
-            .field("server", server.server);
+            .field("server", server.server)
+            .field("total", _statistics.withoutUnit);
     }
 }
 
--- a/src/placement/WarmupPolicy.h
+++ b/src/placement/WarmupPolicy.h
@@ -43,6 +43,11 @@
                                        const pooling::PlacedServer& server) override;
     pooling::PlacementVerdict mayContinue(const pooling::PlacedUnit& unit,
                                           const pooling::PlacedServer& server) override;
+    /** A transaction that rests sends nothing and needs no unit. */
+    pooling::PlacementVerdict mayRest(const pooling::PlacedUnit& /*unit*/,
+                                      const pooling::PlacedServer& /*server*/) override {
+        return pooling::PlacementVerdict::allowed();
+    }
     bool mayForwardTo(const pooling::PlacedUnit& /*unit*/, const ZoneName& /*zone*/) override {
         return true;
     }
@@ -70,11 +75,14 @@
                                         const pooling::PlacedServer& server,
                                         const warmup::RequestWish& wish, TimePoint now);
 
+    void logWithoutUnit(const pooling::PlacedUnit& unit, const pooling::PlacedServer& server);
+
     const Clock& _clock;
     warmup::ColdServers& _servers;
     warmup::RequestUnits& _units;
     WarmupStatistics _statistics;
     TimePoint _reviewAt = TimePoint::max();
+    TimePoint _nextWithoutUnitLog{};
 };
 
 }  // namespace coralhoist::placement
--- a/src/pooling/PlacementPolicy.h
+++ b/src/pooling/PlacementPolicy.h
@@ -69,6 +69,12 @@
     /** @return whether a further statement of a transaction that is open there may be sent now. */
     virtual PlacementVerdict mayContinue(const PlacedUnit& unit, const PlacedServer& server) = 0;
 
+    /** @return whether a transaction that is open there may stay open while none of its statements
+     * is to be sent: nothing is asked for on its behalf. Only a prohibition counts. */
+    virtual PlacementVerdict mayRest(const PlacedUnit& unit, const PlacedServer& server) {
+        return mayContinue(unit, server);
+    }
+
     /** @return whether a node of the zone may be shown the unit's statements, to execute them. */
     virtual bool mayForwardTo(const PlacedUnit& unit, const ZoneName& zone) = 0;
 
--- a/src/pooling/PoolerTimers.cpp
+++ b/src/pooling/PoolerTimers.cpp
@@ -206,7 +206,7 @@
             continue;
         }
         const GroupState& group = groupOf(session);
-        const PlacementVerdict verdict = _policy->mayContinue(
+        const PlacementVerdict verdict = _policy->mayRest(
             placedUnit(session, isPrimary(group, *server)), placedServer(group, *server));
         if (verdict.isForbidden()) {
             ending.emplace_back(id, verdict.reason);
@@ -263,12 +263,16 @@
 
 void StatementPooler::closeLateConnections() {
     for (const ConnectionId id : _connections.late()) {
-        if (_connections.find(id)->state == ServerConnection::State::Opening) {
+        const ServerConnection& connection = *_connections.find(id);
+        if (connection.state == ServerConnection::State::Opening) {
             _connector.close(id);
             onOpenFailed(id, std::nullopt);
             continue;
         }
+        const GroupName group = connection.group;
+        const ServerName server = connection.server;
         _connections.discard(id);
+        noteIfLost(group, server);
     }
 }
 
--- a/src/tenancy/QuotaExchange.cpp
+++ b/src/tenancy/QuotaExchange.cpp
@@ -335,13 +335,15 @@
     }
 }
 
+/** Units that end before the time of use are none. */
 QuotaExchange::Wish QuotaExchange::wishOf(const TenantName& tenant, Account& account,
-                                          const WaitingStatements& waiting, TimePoint now) const {
+                                          const WaitingStatements& waiting, TimePoint usedAt,
+                                          TimePoint now) const {
     const RankAccount& ranked = account.ranks[waiting.rank];
     const Duration span =
         std::chrono::duration_cast<Duration>(usableFor(tenant, account) * kAskedAhead);
     const std::uint32_t ahead = account.scarce ? 0 : account.lease.unitsAhead(span, now);
-    const std::uint32_t units = account.lease.units(now);
+    const std::uint32_t units = std::min(account.lease.units(now), account.lease.unitsAt(usedAt));
     const std::uint32_t nowOnly = now >= ranked.nowNotBefore ? waiting.nowOnly : 0;
     const std::uint32_t count = waiting.count - (waiting.nowOnly - nowOnly);
     const std::uint32_t lacking = count - std::min(count, units);
@@ -377,7 +379,7 @@
 
 QuotaVerdict QuotaExchange::take(const TenantName& tenant, const WaitingStatements& waiting) {
     const TimePoint now = _dependencies.clock.now();
-    const QuotaVerdict prospect = lookFor(tenant, waiting, now);
+    const QuotaVerdict prospect = lookFor(tenant, waiting, now, now);
     if (_accounts[tenant].lease.takeUnit(now)) {
         ++_statistics.ran;
         return {QuotaVerdict::Kind::Granted, {}};
@@ -390,9 +392,10 @@
         return {QuotaVerdict::Kind::Refused, kRetryWithoutAnswer};
     }
     const TimePoint now = _dependencies.clock.now();
-    const QuotaVerdict prospect = lookFor(tenant, waiting, now);
     // Counted as of a moment later, so that the unit has not ended when it is taken.
-    const bool isAtHand = _accounts[tenant].lease.unitsAt(now + kTakenWithin) >= waiting.count;
+    const TimePoint usedAt = now + kTakenWithin;
+    const QuotaVerdict prospect = lookFor(tenant, waiting, usedAt, now);
+    const bool isAtHand = _accounts[tenant].lease.unitsAt(usedAt) >= waiting.count;
     return isAtHand ? QuotaVerdict{QuotaVerdict::Kind::Granted, {}} : prospect;
 }
 
@@ -406,14 +409,14 @@
 
 /** Asks for what is lacking. @return what a statement may wait for if it finds no unit. */
 QuotaVerdict QuotaExchange::lookFor(const TenantName& tenant, const WaitingStatements& waiting,
-                                    TimePoint now) {
+                                    TimePoint usedAt, TimePoint now) {
     Account& account = _accounts[tenant];
     WaitingStatements counted = waiting;
     counted.rank = _ranks.ranksDiffer ? waiting.rank : 0;
     RankAccount& ranked = account.ranks[counted.rank];
     giveUpLate(tenant, ranked, now);
     if (!ranked.asked) {
-        const Wish wish = wishOf(tenant, account, counted, now);
+        const Wish wish = wishOf(tenant, account, counted, usedAt, now);
         if (wish.units.units() > 0) {
             ask(tenant, account, wish, now);
         }
--- a/src/tenancy/QuotaExchange.h
+++ b/src/tenancy/QuotaExchange.h
@@ -83,7 +83,7 @@
 
     /**
      * Asks for units as `take` does, but takes none.
-     * @return Granted where one is at hand that is usable for a moment longer.
+     * @return Granted where as many are at hand as are waited for, usable for a moment longer.
      */
     QuotaVerdict look(const TenantName& tenant, const WaitingStatements& waiting);
 
@@ -151,12 +151,13 @@
 
     Duration usableFor(const TenantName& tenant, const Account& account) const;
     Wish wishOf(const TenantName& tenant, Account& account, const WaitingStatements& waiting,
-                TimePoint now) const;
+                TimePoint usedAt, TimePoint now) const;
     void ask(const TenantName& tenant, Account& account, const Wish& wish, TimePoint now);
     void giveUpLate(const TenantName& tenant, RankAccount& account, TimePoint now);
     void noteMissing(RankAccount& account, const Asked& asked, const QuotaAnswer& answer,
                      TimePoint now);
-    QuotaVerdict lookFor(const TenantName& tenant, const WaitingStatements& waiting, TimePoint now);
+    QuotaVerdict lookFor(const TenantName& tenant, const WaitingStatements& waiting,
+                         TimePoint usedAt, TimePoint now);
     static QuotaVerdict prospectOf(const RankAccount& account, TimePoint now);
     std::optional<NodeName> remoteTarget(std::uint32_t shard, TimePoint now);
     bool isUsable(const NodeName& node) const;
--- a/src/warmup/ColdServers.cpp
+++ b/src/warmup/ColdServers.cpp
@@ -22,8 +22,13 @@
 
 }  // namespace
 
-void ColdServers::applyGroups(Groups groups) {
+void ColdServers::applyGroups(Groups groups, TimePoint now) {
     _groups = std::move(groups);
+    for (auto& [group, servers] : _servers) {
+        for (auto& [name, known] : servers) {
+            noteCold(group, name, known, now);
+        }
+    }
 }
 
 void ColdServers::applyServers(const GroupName& group,
@@ -55,9 +60,10 @@
         .field("group", group)
         .field("server", server)
         .field("lost", known.mayHaveRestarted)
-        .field("for_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
-                             std::max(Duration(0), std::max(known.toldUntil, known.suspectedUntil) - now))
-                             .count());
+        .field("for_ms",
+               std::chrono::duration_cast<std::chrono::milliseconds>(
+                   std::max(Duration(0), std::max(known.toldUntil, known.suspectedUntil) - now))
+                   .count());
 }
 
 ColdServers::Known* ColdServers::find(const GroupName& group, const ServerName& server) {
@@ -148,7 +154,8 @@
         if (const auto servers = _servers.find(group); servers != _servers.end()) {
             for (const auto& [name, known] : servers->second) {
                 const bool ends = known.isWarming && !known.mayHaveRestarted;
-                next = ends ? std::min(next, std::max(known.toldUntil, known.suspectedUntil)) : next;
+                next =
+                    ends ? std::min(next, std::max(known.toldUntil, known.suspectedUntil)) : next;
             }
         }
     }
--- a/src/warmup/ColdServers.h
+++ b/src/warmup/ColdServers.h
@@ -36,7 +36,7 @@
     using Groups = std::map<GroupName, WarmupTerms>;
 
     /** Takes the groups whose servers start cold; of others no server is cold. */
-    void applyGroups(Groups groups);
+    void applyGroups(Groups groups, TimePoint now);
 
     /** The servers of a group have been heard. */
     void applyServers(const GroupName& group, const pooling::ServerDirectory::Servers& servers,
--- a/tests/placement/PolicyChainTest.cpp
+++ b/tests/placement/PolicyChainTest.cpp
@@ -13,7 +13,10 @@
 
 class FixedPolicy final : public pooling::PlacementPolicy, public failover::PrimaryPlacement {
 public:
-    PlacementVerdict mayBegin(const PlacedUnit&, const PlacedServer&) override { return verdict; }
+    PlacementVerdict mayBegin(const PlacedUnit&, const PlacedServer&) override {
+        ++asked;
+        return verdict;
+    }
     PlacementVerdict mayContinue(const PlacedUnit&, const PlacedServer&) override {
         return verdict;
     }
@@ -30,6 +33,7 @@
     PlacementVerdict verdict;
     bool forwards = true;
     int sent = 0;
+    int asked = 0;
     LeadSuitability suitability = LeadSuitability::Preferred;
     bool handsOver = false;
 };
@@ -67,6 +71,12 @@
     CHECK_TRUE(chain.mayContinue(unit, placed).isForbidden());
 }
 
+TEST(PolicyChain, WhatOnePolicyForbidsIsAskedOfNoneAfterIt) {
+    first.verdict = PlacementVerdict::forbidden("never");
+    chain.mayBegin(unit, placed);
+    LONGS_EQUAL(0, second.asked);
+}
+
 TEST(PolicyChain, AllAgreeToANodeAndAllAreToldWhatIsSent) {
     CHECK_TRUE(chain.mayForwardTo(unit, zone));
     second.forwards = false;
--- a/tests/placement/WarmupPolicyTest.cpp
+++ b/tests/placement/WarmupPolicyTest.cpp
@@ -57,7 +57,7 @@
     PlacedServer replica{second, zone, false};
 
     void setup() override {
-        servers.applyGroups({{group, {10, seconds(6)}}});
+        servers.applyGroups({{group, {10, seconds(6)}}}, clock.now());
     }
 
     /** Both have just been heard. */
@@ -176,7 +176,7 @@
 TEST(WarmupPolicy, WithoutColdServersTheQuotasAreThoseOfTheTenants) {
     hear(seconds(6), seconds(6));
     const auto tenants = std::make_shared<const tenancy::TenantDirectory>(1);
-    servers.applyGroups({});
+    servers.applyGroups({}, clock.now());
     POINTERS_EQUAL(tenants.get(), QuotaRequestUnits::quotasOf(tenants, servers, {1.5, 5}).get());
 }
 
@@ -191,4 +191,11 @@
     }
 }
 
+TEST(WarmupPolicy, ATransactionThatRestsAsksForNoUnit) {
+    hear(seconds(6), Duration(0));
+    CHECK_TRUE(policy.mayRest(transaction, primary).isAllowed());
+    UNSIGNED_LONGS_EQUAL(0, policy.statistics().deferred);
+    CHECK_TRUE(policy.nextReview() == clock.now() + seconds(6));
+}
+
 }  // namespace coralhoist::placement
--- a/tests/pooling/PlacementPolicyTest.cpp
+++ b/tests/pooling/PlacementPolicyTest.cpp
@@ -25,9 +25,13 @@
     void noteSent(const PlacedUnit& /*unit*/, const PlacedServer& server) override {
         ++sent[server.server];
     }
+    void noteServerLost(const GroupName& /*group*/, const ServerName& server) override {
+        ++lost[server];
+    }
 
     std::map<ServerName, PlacementVerdict> verdicts;
     std::map<ServerName, int> sent;
+    std::map<ServerName, int> lost;
 
 private:
     PlacementVerdict verdictOf(const ServerName& server) const {
@@ -150,4 +154,13 @@
     LONGS_EQUAL(2, policy.sent[primary]);
 }
 
+/** Its connections are closed for silence; it may start again meanwhile. */
+TEST(PoolerPlacement, AServerThatGoesSilentIsToldAsLost) {
+    const SessionId session = fixture.session("current");
+    fixture.submit(session, StatementVerb::Write, "WRITE 1 a");
+    fixture.pooler.endSession(session);
+    fixture.advance(PoolerKnobs().abandonedFor + milliseconds(100));
+    CHECK_TRUE(policy.lost[primary] > 0);
+}
+
 }  // namespace coralhoist::pooling
--- a/tests/tenancy/QuotaExchangeTest.cpp
+++ b/tests/tenancy/QuotaExchangeTest.cpp
@@ -83,6 +83,37 @@
     CHECK_TRUE(play(20, 10) > 185);
 }
 
+TEST(ShortWindow, AUnitThatEndsTooSoonIsReplacedAtOnce) {
+    play(2, 0);
+    int steps = 0;
+    while (network.look(0, 1).kind != QuotaVerdict::Kind::Granted && ++steps < 2000) {
+        network.step();
+    }
+    CHECK_TRUE(steps < 2000);
+    while (network.look(0, 1).kind == QuotaVerdict::Kind::Granted) {
+        network.step();
+    }
+    CHECK_TRUE(network.look(0, 1).kind == QuotaVerdict::Kind::Waiting);
+}
+
+TEST(ShortWindow, UnitsThatAreLookedForAndThenTakenStayWithinTheBoundThroughCutsAndRestarts) {
+    for (int round = 0; round < 40; ++round) {
+        network.cut(round % 3 == 0 ? std::set<std::size_t>{random() % kNodes, random() % kNodes}
+                                   : std::set<std::size_t>{});
+        network.restart(random() % kNodes);
+        for (int step = 0; step < 1000; ++step) {
+            network.step();
+            const std::size_t node = random() % kNodes;
+            const std::uint32_t count = 1 + random() % 2;
+            if (network.look(node, count).kind == QuotaVerdict::Kind::Granted) {
+                network.takeHeld(node);
+            }
+        }
+    }
+    CHECK_TRUE(network.runCount() > 100);
+    CHECK_TRUE(network.busiestWindow() <= 20);
+}
+
 TEST(QuotaExchange, TwoSidesOfACutStayWithinTheBoundTogether) {
     for (int round = 0; round < 20; ++round) {
         play(2000 + static_cast<int>(below(3000)), 900);
--- a/tests/tenancy/QuotaNetwork.cpp
+++ b/tests/tenancy/QuotaNetwork.cpp
@@ -521,6 +521,18 @@
     }
 }
 
+QuotaVerdict QuotaNetwork::look(std::size_t node, std::uint32_t count) {
+    WaitingStatements waiting;
+    waiting.count = count;
+    return _nodes[node]->exchange->look(kTenant, waiting);
+}
+
+void QuotaNetwork::takeHeld(std::size_t node) {
+    if (_nodes[node]->exchange->takeHeld(kTenant)) {
+        _runs.push_back(_clock.now());
+    }
+}
+
 void QuotaNetwork::ask(std::size_t node, std::uint32_t rank) {
     if (_nodes[node]->isActive()) {
         _nodes[node]->gate->ask(rank);
--- a/tests/tenancy/QuotaNetwork.h
+++ b/tests/tenancy/QuotaNetwork.h
@@ -30,6 +30,11 @@
     /** A statement arrives. It runs now, or after an answer that it waits for, or never. */
     void submit(std::size_t node);
 
+    /** Looks for so many units at a node, which are not taken. */
+    QuotaVerdict look(std::size_t node, std::uint32_t count);
+    /** Takes a unit that has been found. */
+    void takeHeld(std::size_t node);
+
     /** A caller of a service of the rank comes to the node's gate, and comes back when refused. */
     void ask(std::size_t node, std::uint32_t rank);
     /** The newest caller of a node leaves. */
--- a/tests/warmup/ColdServersTest.cpp
+++ b/tests/warmup/ColdServersTest.cpp
@@ -18,7 +18,7 @@
     TimePoint start{std::chrono::hours(1)};
 
     void setup() override {
-        servers.applyGroups({{kGroup, {10, seconds(6)}}});
+        servers.applyGroups({{kGroup, {10, seconds(6)}}}, start);
     }
 
     void hear(Duration coldFor, std::uint64_t version, TimePoint now, bool draining = false) {
@@ -88,13 +88,21 @@
 }
 
 TEST(ColdServers, NoServerIsColdWhereTheSettingsTellNoRate) {
-    servers.applyGroups({});
+    servers.applyGroups({}, start);
     hear(seconds(4), 1, start);
     servers.noteLost(kGroup, kServer, start);
     CHECK_FALSE(isColdAt(Duration(0)));
     UNSIGNED_LONGS_EQUAL(0, servers.coldCount(start));
 }
 
+TEST(ColdServers, AServerThatWasHeardBeforeTheSettingsToldARateIsToldWhenItBecomesWarm) {
+    servers.applyGroups({}, start);
+    hear(seconds(4), 1, start);
+    servers.applyGroups({{kGroup, {10, seconds(6)}}}, start + seconds(1));
+    CHECK_TRUE(servers.nextWarm() == start + seconds(4));
+    UNSIGNED_LONGS_EQUAL(1, servers.takeWarmed(start + seconds(4)).size());
+}
+
 TEST(ColdServers, AWarmServerThatDrainsTakesNoWork) {
     hear(Duration(0), 1, start);
     CHECK_TRUE(servers.hasWarm(kGroup, start));
