Pooler: nothing of its own goes to a forbidden server; refusals and ends by reason; what it has in each zone

Cause: a ROLLBACK of the proxy's own went to a server that the policy forbids; refusals and ends could not be told apart by policy. Ruled out: asking the policy for a verdict of its own for ROLLBACK (closing the connection ends the transaction, too). Change: sendRollback closes the connection where the policy forbids the server; PoolerStatistics::refusedByReason, endedByReason; StatementPooler::loadByZone for gauges. Conclusion: what is forbidden gets nothing from the pooler.

--- a/src/pooling/PoolerConnections.cpp
+++ b/src/pooling/PoolerConnections.cpp
@@ -95,6 +95,18 @@
     }
 }
 
+/** @return whether nothing of this node's own may be sent to the server either. */
+bool StatementPooler::isForbidden(const GroupName& group, const ServerState& server) {
+    static const ServiceName noService;
+    static const TenantName noTenant;
+    return _policy != nullptr && _policy
+                                     ->mayContinue({group, noService, noTenant, 0, false},
+                                                   placedServer(_groups[group], server))
+                                     .isForbidden();
+}
+
+/** The server ends the transaction, too, when its connection closes. The connection may be gone
+ * afterwards. */
 void StatementPooler::sendRollback(ServerConnection& connection) {
     ServerState* server = serverOf(connection);
     if (server != nullptr && connection.inflight) {
@@ -104,6 +116,10 @@
     connection.pinned = false;
     connection.user.reset();
     connection.since = _clock.now();
+    if (server != nullptr && isForbidden(connection.group, *server)) {
+        discard(connection.id);
+        return;
+    }
     ServerCommand command;
     command.kind = ServerCommand::Kind::Rollback;
     connection.awaited.push_back(AwaitedResult::Rollback);
--- a/src/pooling/PoolerDispatch.cpp
+++ b/src/pooling/PoolerDispatch.cpp
@@ -102,6 +102,7 @@
         return false;
     }
     ++_statistics.refusedByPlacement;
+    ++_statistics.refusedByReason[outlook.reason];
     refuseQueued(session, outlook.soonest.value_or(kComeBackAfterPlacement));
     return true;
 }
--- a/src/pooling/PoolerSending.cpp
+++ b/src/pooling/PoolerSending.cpp
@@ -193,6 +193,7 @@
         return false;
     }
     ++_statistics.transactionsEndedByPlacement;
+    ++_statistics.endedByReason[verdict.reason];
     discard(connection.id);
     if (operation.statement.verb == StatementVerb::Commit) {
         forgetTransaction(session);
--- a/src/pooling/PoolerStatistics.h
+++ b/src/pooling/PoolerStatistics.h
@@ -4,6 +4,8 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <map>
+#include <string>
 
 #include "base/Time.h"
 #include "pooling/Statement.h"
@@ -51,6 +53,9 @@
     std::uint64_t refusedByPlacement = 0;
     /** Transactions ended because they must not go on where they are open. */
     std::uint64_t transactionsEndedByPlacement = 0;
+    /** Both by the policy's reason. */
+    std::map<std::string, std::uint64_t> refusedByReason;
+    std::map<std::string, std::uint64_t> endedByReason;
     /** Statements asked again after a refusal, which count from their first arrival. */
     std::uint64_t returnsInTurn = 0;
     std::uint64_t lagging = 0;
--- a/src/pooling/PoolerTimers.cpp
+++ b/src/pooling/PoolerTimers.cpp
@@ -219,6 +219,7 @@
     }
     for (const auto& [id, reason] : ending) {
         ++_statistics.transactionsEndedByPlacement;
+        ++_statistics.endedByReason[reason];
         endTransaction(_sessions.at(id), reason);
     }
     for (auto& [name, group] : _groups) {
--- a/src/pooling/StatementPooler.cpp
+++ b/src/pooling/StatementPooler.cpp
@@ -224,6 +224,28 @@
     return found == _groups.end() ? std::nullopt : found->second.leadership.primary();
 }
 
+std::map<ZoneName, ZoneLoad> StatementPooler::loadByZone() const {
+    std::map<ZoneName, ZoneLoad> loads;
+    for (const auto& [name, group] : _groups) {
+        for (const auto& [id, server] : group.servers) {
+            ZoneLoad& load = loads[server.zone];
+            load.inFlight += server.inflight;
+            load.primaries += server.ready && isPrimary(group, server) ? 1 : 0;
+        }
+    }
+    for (const auto& [id, connection] : _connections) {
+        const auto group = _groups.find(connection.group);
+        if (!connection.pinned || group == _groups.end()) {
+            continue;
+        }
+        const auto server = group->second.servers.find(connection.server);
+        if (server != group->second.servers.end()) {
+            ++loads[server->second.zone].transactions;
+        }
+    }
+    return loads;
+}
+
 void StatementPooler::settle() {
     if (_settling) {
         return;
--- a/src/pooling/StatementPooler.h
+++ b/src/pooling/StatementPooler.h
@@ -37,6 +37,7 @@
 #include "pooling/Statement.h"
 #include "pooling/TenantActivity.h"
 #include "pooling/UnitForwarding.h"
+#include "pooling/ZoneLoad.h"
 
 namespace coralhoist::pooling {
 
@@ -215,6 +216,9 @@
     /** @return the primary of a group as taken now. */
     std::optional<Primary> primaryOf(const GroupName& group) const;
 
+    /** @return what this node has at the servers of each zone. */
+    std::map<ZoneName, ZoneLoad> loadByZone() const;
+
     const PoolerStatistics& statistics() const { return _statistics; }
 
 private:
@@ -412,6 +416,7 @@
     void forgetTransaction(PooledSession& session);
     void onSentLost(PooledSession& session, const char* reason);
     void sendRollback(ServerConnection& connection);
+    bool isForbidden(const GroupName& group, const ServerState& server);
     void verifyIdle(ServerState& server, TimePoint since);
     void keepWarm(GroupState& group);
     bool keepsWarm(const GroupName& group) const;
--- a/tests/pooling/PlacementPolicyTest.cpp
+++ b/tests/pooling/PlacementPolicyTest.cpp
@@ -133,6 +133,35 @@
     UNSIGNED_LONGS_EQUAL(1, fixture.pooler.statistics().transactionsEndedByPlacement);
 }
 
+TEST(PoolerPlacement, ARollbackIsNotSentToAForbiddenServer) {
+    const SessionId session = openTransaction();
+    forbid(primary);
+    fixture.submit(session, StatementVerb::Rollback, "ROLLBACK");
+    CHECK_TRUE(fixture.replies.back().result.succeeded());
+    UNSIGNED_LONGS_EQUAL(0, fixture.pendingCount());
+    UNSIGNED_LONGS_EQUAL(1, fixture.connector.closed.size());
+}
+
+TEST(PoolerPlacement, WhatRunsWhenItsServerIsForbiddenIsAnsweredAndEndsThere) {
+    const SessionId session = openTransaction();
+    fixture.submit(session, StatementVerb::Commit, "COMMIT");
+    forbid(primary);
+    fixture.pooler.reviewPlacement();
+    fixture.succeed({1, 101}, SessionState::Idle);
+    CHECK_TRUE(fixture.replies.back().result.succeeded());
+    UNSIGNED_LONGS_EQUAL(0, fixture.pooler.statistics().transactionsEndedByPlacement);
+}
+
+TEST(PoolerPlacement, RefusalsAndEndsAreCountedByReason) {
+    openTransaction();
+    forbid(primary);
+    fixture.pooler.reviewPlacement();
+    write();
+    UNSIGNED_LONGS_EQUAL(1, fixture.pooler.statistics().endedByReason.at(kReason));
+    UNSIGNED_LONGS_EQUAL(1, fixture.pooler.statistics().refusedByReason.at(kReason));
+    UNSIGNED_LONGS_EQUAL(0, fixture.pendingCount());
+}
+
 TEST(PoolerPlacement, AFurtherStatementWaitsUntilItIsAllowed) {
     const SessionId session = openTransaction();
     policy.verdicts[primary] = PlacementVerdict::deferred(milliseconds(20), kReason);
