Zones are evacuated: followed like the settings, closed by what is proven

Ruled out: a countdown from the moment of learning (late where the node hears late); a node that announces when a zone is empty; refusing all of a zone at once; taking back at once what a list of a later era lacks. Conclusion: nothing of callers reaches a closed zone; primaries have to move for their callers to be served.

--- a/src/cluster/ClusterCodec.h
+++ b/src/cluster/ClusterCodec.h
@@ -22,6 +22,7 @@
     std::string promotions;
     std::string nodes;
     std::string quotaShards;
+    std::string evacuations;
 };
 
 /** Turns objects into the product's types and back. Decides nothing. */
@@ -35,6 +36,9 @@
     virtual StatusWith<pooling::ServerAnnouncement> readServer(
         const store::StoredObject& object) const = 0;
 
+    /** @return the zone that the object asks to be evacuated, or why it names none. */
+    virtual StatusWith<ZoneName> readEvacuation(const store::StoredObject& object) const = 0;
+
     /** Each returns nothing for an object that can't be understood. */
     virtual std::optional<EstateImage> readEstate(const store::StoredObject& object) const = 0;
     virtual std::optional<failover::PromotionRecord> readPromotion(
--- a/src/cluster/ClusterControl.cpp
+++ b/src/cluster/ClusterControl.cpp
@@ -103,16 +103,30 @@
         },
         [promotion](const ObjectEvent& event) { promotion(event.object); }));
     const ClusterKinds kinds = _dependencies.codec.kinds();
+    std::vector<FollowedKind> followed{
+        {kinds.settings, watchTiming(kWatchWait), _dependencies.bounds.settings, *_sinks[0]},
+        {kinds.servers, serversTiming(), _dependencies.bounds.servers, *_sinks[1]},
+        {kinds.promotions, watchTiming(kWatchWait), _dependencies.bounds.servers, *_sinks[2]},
+    };
+    followEvacuations(followed);
     _follower = std::make_unique<StoreFollower>(
         FollowerDependencies{_dependencies.clock, _dependencies.random, _dependencies.storeClient,
                              _dependencies.protocol, _dependencies.feedQuestions,
                              _dependencies.feedAnswers, _dependencies.storeEra, _readers,
                              _dependencies.self.name},
-        std::vector<FollowedKind>{
-            {kinds.settings, watchTiming(kWatchWait), _dependencies.bounds.settings, *_sinks[0]},
-            {kinds.servers, serversTiming(), _dependencies.bounds.servers, *_sinks[1]},
-            {kinds.promotions, watchTiming(kWatchWait), _dependencies.bounds.servers, *_sinks[2]},
-        });
+        followed);
+}
+
+void ClusterControl::followEvacuations(std::vector<FollowedKind>& kinds) {
+    const EvacuationFollowing& following = _dependencies.evacuations;
+    if (following.zones == nullptr) {
+        return;
+    }
+    _evacuations = std::make_unique<EvacuationFeed>(
+        EvacuationFeedParts{_dependencies.clock, _dependencies.codec, *following.regions,
+                            *following.zones, [this] { return evacuationsProvenAt(); }});
+    kinds.push_back({_dependencies.codec.kinds().evacuations, watchTiming(kWatchWait),
+                     _dependencies.bounds.evacuations, *_evacuations});
 }
 
 ClusterControl::~ClusterControl() = default;
@@ -253,6 +267,9 @@
         return;
     }
     const pooling::ServerDirectory::Servers& servers = _directory.serversOf(group);
+    if (_dependencies.evacuations.onServers) {
+        _dependencies.evacuations.onServers(group, servers);
+    }
     failoverOf(group).onDirectory(servers);
     _pooler.applyServers(group, servers);
 }
@@ -314,6 +331,9 @@
 
 void ClusterControl::onTick(TimePoint now) {
     _follower->onTick(now);
+    if (_evacuations) {
+        _dependencies.evacuations.zones->noteProven(evacuationsProvenAt());
+    }
     _registry.onTick(now);
     publishNodes();
     proveAtStart();
--- a/src/cluster/ClusterControl.h
+++ b/src/cluster/ClusterControl.h
@@ -15,6 +15,7 @@
 #include "base/Time.h"
 #include "cluster/ClusterCodec.h"
 #include "cluster/EstateImport.h"
+#include "cluster/EvacuationFeed.h"
 #include "cluster/NodeRegistry.h"
 #include "cluster/PromotionRecordReader.h"
 #include "cluster/StoreFollower.h"
@@ -36,6 +37,16 @@
     /** A server that drains, or is gone, gets nothing more after this time. A promotion must be
      * known before the former primary's servers are given up, so it takes the same bound. */
     Duration servers = std::chrono::milliseconds(7000);
+    /** A zone that is evacuated gets nothing more after this time. */
+    Duration evacuations{0};
+};
+
+/** Where evacuations are followed: what is told of them, and of the servers that they concern. */
+struct EvacuationFollowing {
+    /** Null where the platform keeps none. */
+    locality::EvacuatedZones* zones = nullptr;
+    const locality::RegionMap* regions = nullptr;
+    std::function<void(const GroupName&, const pooling::ServerDirectory::Servers&)> onServers;
 };
 
 /** What the control is made of. All outlive it. */
@@ -65,6 +76,8 @@
     FreshnessBounds bounds{};
     /** Where primaries may stand; null: anywhere. */
     const failover::PrimaryPlacement* primaryPlacement = nullptr;
+    /** All parts outlive the control. */
+    EvacuationFollowing evacuations{};
 };
 
 /** Control of one node. Single-threaded; lives beside the pooler. */
@@ -93,7 +106,9 @@
     std::uint64_t promotions() const;
 
     /** @return versions of entries that named no server, each counted once. */
-    std::uint64_t unreadableEntries() const { return _unreadableEntries; }
+    std::uint64_t unreadableEntries() const {
+        return _unreadableEntries + (_evacuations ? _evacuations->unreadableEntries() : 0);
+    }
 
     std::size_t nodeCount() const { return _publishedNodes.size(); }
 
@@ -105,15 +120,23 @@
      * a linearizable list of the store. */
     TimePoint settingsProvenAt() const { return _follower->provenAt(kSettingsKind); }
 
+    /** @return the same of the evacuations; the epoch where none are followed. */
+    TimePoint evacuationsProvenAt() const {
+        return _evacuations && _follower ? _follower->provenAt(kEvacuationsKind) : TimePoint{};
+    }
+
     std::uint64_t settingsVersion() const { return _import.version(); }
 
 private:
     /** Places of the kinds in the order in which nodes tell each other of them. */
     static constexpr std::size_t kSettingsKind = 0;
+    /** Followed on some platforms only. */
+    static constexpr std::size_t kEvacuationsKind = 3;
 
     /** Passes what is known of one kind of objects to methods. */
     class KindSink;
     void followKinds();
+    void followEvacuations(std::vector<FollowedKind>& kinds);
 
     void onSettings(const store::StoredObject& object);
     void onServersListed(const std::vector<store::StoredObject>& objects,
@@ -160,6 +183,7 @@
     pooling::ProofExchange _proofs;
     std::map<GroupName, TimePoint> _toldProofs;
     std::vector<std::unique_ptr<KindSink>> _sinks;
+    std::unique_ptr<EvacuationFeed> _evacuations;
     std::unique_ptr<StoreFollower> _follower;
     std::vector<pooling::ProxyNode> _publishedNodes;
     /** Number of the list from which the nodes were published last. */
--- a/src/duty/pooling/PoolingDuty.cpp
+++ b/src/duty/pooling/PoolingDuty.cpp
@@ -50,6 +50,37 @@
     _pooler.setForwarder(_unitLinks);
     _pooler.setLoadReporter(_unitLinks);
     _pooler.setPlacementPolicy(_placement);
+    keepEvacuations();
+}
+
+void PoolingDuty::keepEvacuations() {
+    if (_options.evacuationBound == Duration(0)) {
+        return;
+    }
+    _evacuation.emplace(_clock, _options.evacuationBound, [this] { return _pooler.loadByZone(); });
+    _placement.add(static_cast<pooling::PlacementPolicy&>(_evacuation->policy));
+    _placement.add(static_cast<failover::PrimaryPlacement&>(_evacuation->policy));
+}
+
+cluster::EvacuationFollowing PoolingDuty::evacuationFollowing() {
+    if (!_evacuation) {
+        return {};
+    }
+    return {&_evacuation->zones, &_options.regions,
+            [this](const GroupName& group, const pooling::ServerDirectory::Servers& servers) {
+                _evacuation->policy.applyServers(group, servers);
+            }};
+}
+
+std::optional<TimePoint> PoolingDuty::evacuationTick() const {
+    return _evacuation ? _evacuation->progress.nextTick() : std::nullopt;
+}
+
+/** Zones were evacuated, closed or given back: what rests and waits is looked at again. */
+void PoolingDuty::continueEvacuations(TimePoint now) {
+    if (_evacuation->progress.advance(now)) {
+        _pooler.reviewPlacement();
+    }
 }
 
 tenancy::QuotaDependencies PoolingDuty::quotaDependencies() {
@@ -102,7 +133,8 @@
             },
             life(),
             freshnessBounds(),
-            &_placement};
+            &_placement,
+            evacuationFollowing()};
 }
 
 /** Settings that are too old to judge a credential by would refuse statements: they are renewed
@@ -111,7 +143,7 @@
     const Duration trusted = _gate.oldestSettings();
     return {
         trusted == Duration(0) ? _options.settingsBound : std::min(_options.settingsBound, trusted),
-        _options.drainBound};
+        _options.drainBound, _options.evacuationBound};
 }
 
 PoolingDuty::~PoolingDuty() = default;
@@ -147,6 +179,8 @@
                [this](TimePoint /*now*/) { _pooler.onTick(); });
     _ticks.add([this] { return _control->nextTick(); },
                [this](TimePoint now) { _control->onTick(now); });
+    _ticks.add([this] { return evacuationTick(); },
+               [this](TimePoint now) { continueEvacuations(now); });
     _ticks.add([this] { return readyTick(); }, [this](TimePoint /*now*/) { becomeReady(); });
     _ticks.add([this] { return _unitLinks.nextTick(); },
                [this](TimePoint now) { _unitLinks.onTick(now); });
@@ -243,6 +277,11 @@
     figures.nodes = _control->nodeCount();
     figures.settingsVersion = _control->settingsVersion();
     figures.settingsAge = _clock.now() - _control->settingsProvenAt();
+    if (_evacuation) {
+        figures.evacuations = EvacuationFigures{_clock.now() - _control->evacuationsProvenAt(),
+                                                _evacuation->policy.sentElsewhere(),
+                                                _evacuation->progress.gauges(_clock.now())};
+    }
     figures.promotions = _control->promotions();
     figures.unreadableEntries = _control->unreadableEntries();
     figures.ready = isReady();
--- a/src/duty/pooling/PoolingDuty.h
+++ b/src/duty/pooling/PoolingDuty.h
@@ -27,6 +27,7 @@
 #include "link/store/EraNotingCaller.h"
 #include "locality/RegionMap.h"
 #include "placement/PolicyChain.h"
+#include "placement/ZoneEvacuation.h"
 #include "pooling/PlannedStop.h"
 #include "pooling/StatementPooler.h"
 #include "tenancy/QuotaExchange.h"
@@ -75,6 +76,8 @@
     Duration settingsBound = std::chrono::milliseconds(3000);
     /** A server that drains gets nothing more after this time. */
     Duration drainBound = std::chrono::milliseconds(7000);
+    /** An evacuated zone gets nothing more after this time; 0: no evacuations are kept. */
+    Duration evacuationBound{0};
     tenancy::QuotaTerms quota;
     std::uint64_t seed = 0;
 };
@@ -126,6 +129,10 @@
     tenancy::QuotaDependencies quotaDependencies();
     std::string life() const;
     cluster::FreshnessBounds freshnessBounds() const;
+    void keepEvacuations();
+    cluster::EvacuationFollowing evacuationFollowing();
+    std::optional<TimePoint> evacuationTick() const;
+    void continueEvacuations(TimePoint now);
     TimePoint settingsProvenAt() const;
     void applyNodes(const std::vector<pooling::ProxyNode>& nodes);
     void applyTenants(const std::shared_ptr<const tenancy::TenantDirectory>& tenants);
@@ -140,6 +147,8 @@
     session::StreamServerConnector _connector;
     placement::PolicyChain _placement;
     pooling::StatementPooler _pooler;
+    /** Where the platform keeps evacuations. */
+    std::optional<placement::ZoneEvacuation> _evacuation;
     forwarding::UnitLinks _unitLinks;
     forwarding::UnitService _unitService;
     socket::HttpClient _storeConnections;
--- a/src/duty/pooling/PoolingMetrics.cpp
+++ b/src/duty/pooling/PoolingMetrics.cpp
@@ -50,6 +50,49 @@
     }
 }
 
+/** A counter with a value for each reason that has one. */
+void appendByReason(Page& page, const char* name, const char* help,
+                    const std::map<std::string, std::uint64_t>& counters) {
+    page.head("counter", name, help);
+    for (const auto& [reason, count] : counters) {
+        page.text() << "coralhoist_" << name << "{reason=\"" << reason << "\"} " << count << '\n';
+    }
+}
+
+/** One gauge with a value for each evacuated zone. */
+template <typename Value>
+void appendByZone(Page& page, const char* name, const char* help, const EvacuationFigures& figures,
+                  Value value) {
+    page.head("gauge", name, help);
+    for (const auto& [zone, gauge] : figures.zones) {
+        page.text() << "coralhoist_" << name << "{zone=\"" << zone << "\"} " << value(gauge)
+                    << '\n';
+    }
+}
+
+void appendEvacuations(Page& page, const EvacuationFigures& figures) {
+    using placement::EvacuationGauge;
+    page.metric("gauge", "evacuations_age_seconds",
+                "Time for which the evacuations are not proven to be complete.",
+                std::chrono::duration<double>(figures.age).count());
+    page.metric("counter", "evacuation_statements_elsewhere_total",
+                "Statements sent to other zones, of groups with servers in evacuated ones.",
+                figures.sentElsewhere);
+    appendByZone(page, "evacuation_closed", "1 when nothing is sent to the zone any more.", figures,
+                 [](const EvacuationGauge& gauge) { return gauge.closed ? 1 : 0; });
+    appendByZone(page, "evacuation_in_flight",
+                 "Statements of this proxy in the evacuated zone without an answer.", figures,
+                 [](const EvacuationGauge& gauge) { return gauge.load.inFlight; });
+    appendByZone(page, "evacuation_transactions",
+                 "Transactions of this proxy that are open in the evacuated zone.", figures,
+                 [](const EvacuationGauge& gauge) { return gauge.load.transactions; });
+    appendByZone(page, "evacuation_primaries", "Groups whose primary stands in the evacuated zone.",
+                 figures, [](const EvacuationGauge& gauge) { return gauge.load.primaries; });
+    appendByZone(page, "evacuation_statements",
+                 "Statements sent to the zone since its evacuation began.", figures,
+                 [](const EvacuationGauge& gauge) { return gauge.sent; });
+}
+
 void appendShares(Page& page, const PoolerStatistics& statistics) {
     page.metric("gauge", "groups_sharing",
                 "Crowded groups whose executors keep to their shares of the servers.",
@@ -175,8 +218,11 @@
     page.metric("gauge", "settings_age_seconds",
                 "Time since the call whose answer last proved the settings complete.",
                 std::chrono::duration<double>(figures.settingsAge).count());
+    if (figures.evacuations) {
+        appendEvacuations(page, *figures.evacuations);
+    }
     page.metric("counter", "unreadable_entries_total",
-                "Versions of entries of the store that named no server.",
+                "Versions of entries of the store that named no server or no zone.",
                 figures.unreadableEntries);
     page.metric("counter", "promotions_total", "Promotions carried out by this node.",
                 figures.promotions);
@@ -196,6 +242,10 @@
     page.metric("counter", "transactions_ended_by_placement_total",
                 "Transactions ended because they must not go on where they are open.",
                 pooler.transactionsEndedByPlacement);
+    appendByReason(page, "refused_by_placement_reason_total", "The refused ones by reason.",
+                   pooler.refusedByReason);
+    appendByReason(page, "transactions_ended_by_placement_reason_total",
+                   "The ended ones by reason.", pooler.endedByReason);
     page.metric("counter", "returns_in_turn_total",
                 "Statements asked again after a refusal, queued by their first arrival.",
                 pooler.returnsInTurn);
--- a/src/duty/pooling/PoolingMetrics.h
+++ b/src/duty/pooling/PoolingMetrics.h
@@ -3,14 +3,26 @@
 
 #include <array>
 #include <cstdint>
+#include <map>
+#include <optional>
 #include <string>
 
+#include "placement/EvacuationProgress.h"
 #include "pooling/PoolerStatistics.h"
 #include "settings/EffectiveSettings.h"
 #include "tenancy/TenantGate.h"
 
 namespace coralhoist::duty {
 
+/** Where the platform keeps evacuations. */
+struct EvacuationFigures {
+    /** Time since the newest moment up to which the evacuations are known to be complete. */
+    Duration age{0};
+    /** Statements sent outside, of groups with servers in evacuated zones. */
+    std::uint64_t sentElsewhere = 0;
+    std::map<ZoneName, placement::EvacuationGauge> zones;
+};
+
 /** What the page shows. */
 struct PoolingFigures {
     pooling::PoolerStatistics pooler;
@@ -26,8 +38,9 @@
     std::uint64_t settingsVersion = 0;
     /** Time since the newest moment up to which the settings are known to be complete. */
     Duration settingsAge{0};
+    std::optional<EvacuationFigures> evacuations;
     std::uint64_t promotions = 0;
-    /** Entries of the store that named no server. */
+    /** Entries of the store that named no server or no zone. */
     std::uint64_t unreadableEntries = 0;
     bool ready = false;
     bool storeReachable = false;
--- /dev/null
+++ b/src/placement/EvacuationProgress.cpp
@@ -0,0 +1,141 @@
+#include "placement/EvacuationProgress.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include "base/Log.h"
+
+namespace coralhoist::placement {
+namespace {
+
+/** While a zone is not empty, it is looked at this often. */
+constexpr Duration kLook = std::chrono::milliseconds(100);
+
+auto milliseconds(Duration span) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+}
+
+pooling::ZoneLoad loadIn(const EvacuationProgress::Loads& loads, const ZoneName& zone) {
+    const auto found = loads.find(zone);
+    return found == loads.end() ? pooling::ZoneLoad{} : found->second;
+}
+
+}  // namespace
+
+bool EvacuationProgress::advance(TimePoint now) {
+    if (_zones.zones().empty() && _told.empty()) {
+        _seenChanges = _zones.changes();
+        return false;
+    }
+    // A zone that was given back and evacuated again has ended and begun.
+    const bool ended = tellEnded(now);
+    const bool begun = tellBegun(now);
+    _seenChanges = _zones.changes();
+    const Loads loads = _loads();
+    const bool closed = tellClosed(now, loads);
+    tellEmpty(now, loads);
+    _nextLook = now + kLook;
+    return ended || begun || closed;
+}
+
+bool EvacuationProgress::tellEnded(TimePoint now) {
+    return std::erase_if(_told, [this, now](const auto& entry) {
+               const auto& [zone, told] = entry;
+               const auto found = _zones.zones().find(zone);
+               const bool goesOn = found != _zones.zones().end() &&
+                                   found->second.learnedAt == told.evacuation.learnedAt;
+               if (!goesOn) {
+                   LogEvent("evacuation", LogLevel::Info, "evacuation.ended")
+                       .field("zone", zone)
+                       .field("lasted_ms", milliseconds(now - told.evacuation.learnedAt))
+                       .field("was_empty", told.empty)
+                       .field("statements", _policy.trafficOf(zone).sent);
+               }
+               return !goesOn;
+           }) > 0;
+}
+
+bool EvacuationProgress::tellBegun(TimePoint now) {
+    bool begun = false;
+    for (const auto& [zone, evacuation] : _zones.zones()) {
+        if (_told.emplace(zone, Told{evacuation}).second) {
+            begun = true;
+            _policy.resetTraffic(zone);
+            LogEvent("evacuation", LogLevel::Info, "evacuation.begun")
+                .field("zone", zone)
+                .field("closes_in_ms", milliseconds(std::max(evacuation.closesAt - now, {})));
+        }
+    }
+    return begun;
+}
+
+bool EvacuationProgress::tellClosed(TimePoint now, const Loads& loads) {
+    bool closed = false;
+    for (auto& [zone, told] : _told) {
+        if (told.closed || now < told.evacuation.closesAt) {
+            continue;
+        }
+        told.closed = true;
+        closed = true;
+        const pooling::ZoneLoad load = loadIn(loads, zone);
+        LogEvent("evacuation", LogLevel::Info, "evacuation.closed")
+            .field("zone", zone)
+            .field("after_ms", milliseconds(now - told.evacuation.learnedAt))
+            .field("in_flight", load.inFlight)
+            .field("transactions", load.transactions)
+            .field("primaries", load.primaries);
+    }
+    return closed;
+}
+
+void EvacuationProgress::tellEmpty(TimePoint now, const Loads& loads) {
+    for (auto& [zone, told] : _told) {
+        if (told.empty || !loadIn(loads, zone).isEmpty()) {
+            continue;
+        }
+        told.empty = true;
+        const EvacuatedTraffic traffic = _policy.trafficOf(zone);
+        const TimePoint last = std::max(traffic.lastSentAt, told.evacuation.learnedAt);
+        LogEvent("evacuation", LogLevel::Info, "evacuation.empty")
+            .field("zone", zone)
+            .field("after_ms", milliseconds(now - told.evacuation.learnedAt))
+            .field("last_statement_after_ms", milliseconds(last - told.evacuation.learnedAt))
+            .field("statements", traffic.sent);
+    }
+}
+
+bool EvacuationProgress::isEveryZoneEmpty() const {
+    return std::all_of(_told.begin(), _told.end(),
+                       [](const auto& entry) { return entry.second.empty && entry.second.closed; });
+}
+
+std::optional<TimePoint> EvacuationProgress::nextTick() const {
+    if (_seenChanges != _zones.changes()) {
+        return TimePoint::min();
+    }
+    std::optional<TimePoint> next;
+    for (const auto& [zone, told] : _told) {
+        if (!told.closed) {
+            next = std::min(next.value_or(told.evacuation.closesAt), told.evacuation.closesAt);
+        }
+    }
+    if (!_told.empty() && !isEveryZoneEmpty()) {
+        next = std::min(next.value_or(_nextLook), _nextLook);
+    }
+    return next;
+}
+
+std::map<ZoneName, EvacuationGauge> EvacuationProgress::gauges(TimePoint now) const {
+    std::map<ZoneName, EvacuationGauge> gauges;
+    if (_zones.zones().empty()) {
+        return gauges;
+    }
+    const Loads loads = _loads();
+    for (const auto& [zone, evacuation] : _zones.zones()) {
+        gauges[zone] = {loadIn(loads, zone), _policy.trafficOf(zone).sent,
+                        now >= evacuation.closesAt};
+    }
+    return gauges;
+}
+
+}  // namespace coralhoist::placement
--- /dev/null
+++ b/src/placement/EvacuationProgress.h
@@ -0,0 +1,69 @@
+/** What an operator sees of evacuations, and when verdicts change by time alone. */
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+
+#include "base/Time.h"
+#include "locality/EvacuatedZones.h"
+#include "placement/EvacuationPolicy.h"
+#include "pooling/ZoneLoad.h"
+
+namespace coralhoist::placement {
+
+/** Gauges of an evacuated zone. */
+struct EvacuationGauge {
+    /** Statements of this node that are not answered yet, transactions open there, and groups whose
+     * primary stands there. */
+    pooling::ZoneLoad load;
+    /** Statements sent there since its evacuation began. */
+    std::uint64_t sent = 0;
+    bool closed = false;
+};
+
+/**
+ * Logs for each evacuation one line when it begins, closes, is empty for the first time, and ends.
+ * A zone is empty when this node has nothing there any more and knows no primary there.
+ */
+class EvacuationProgress {
+public:
+    using Loads = std::map<ZoneName, pooling::ZoneLoad>;
+
+    /** @param loads what this node has in each zone now. References outlive the progress. */
+    EvacuationProgress(const locality::EvacuatedZones& zones, EvacuationPolicy& policy,
+                       std::function<Loads()> loads)
+        : _zones(zones), _policy(policy), _loads(std::move(loads)) {}
+
+    /** @return whether a zone was evacuated, closed or given back since the last call. */
+    bool advance(TimePoint now);
+
+    /** @return when advance must be called next. */
+    std::optional<TimePoint> nextTick() const;
+
+    /** @return all evacuated zones as they stand. */
+    std::map<ZoneName, EvacuationGauge> gauges(TimePoint now) const;
+
+private:
+    /** What has been told of an evacuation. */
+    struct Told {
+        locality::Evacuation evacuation;
+        bool closed = false;
+        bool empty = false;
+    };
+
+    bool tellEnded(TimePoint now);
+    bool tellBegun(TimePoint now);
+    bool tellClosed(TimePoint now, const Loads& loads);
+    void tellEmpty(TimePoint now, const Loads& loads);
+    bool isEveryZoneEmpty() const;
+
+    const locality::EvacuatedZones& _zones;
+    EvacuationPolicy& _policy;
+    std::function<Loads()> _loads;
+    std::map<ZoneName, Told> _told;
+    std::uint64_t _seenChanges = 0;
+    TimePoint _nextLook{};
+};
+
+}  // namespace coralhoist::placement
--- a/src/program/DaemonConfiguration.cpp
+++ b/src/program/DaemonConfiguration.cpp
@@ -209,6 +209,10 @@
         millisecondsKey("freshness.drain_bound_ms", kMinimumFreshnessBound,
                         "a server that drains gets nothing more after this time",
                         &DaemonConfiguration::drainBound),
+        millisecondsKey("freshness.evacuation_bound_ms", 0,
+                        "an evacuated zone gets nothing more after this time (0: the platform "
+                        "keeps no evacuations)",
+                        &DaemonConfiguration::evacuationBound),
     };
 }
 
--- a/src/program/DaemonConfiguration.h
+++ b/src/program/DaemonConfiguration.h
@@ -64,6 +64,9 @@
      * that drains gets nothing more. */
     std::chrono::milliseconds settingsBound{3000};
     std::chrono::milliseconds drainBound{7000};
+    /** Nothing is sent to a zone longer than this after its evacuation was acknowledged; 0: the
+     * platform keeps no evacuations. */
+    std::chrono::milliseconds evacuationBound{0};
     /** After this time a revoked credential of a tenant must not run anything; 0: no bound. */
     std::chrono::milliseconds revocationBound{0};
     /** The bound of a tenant's quota over all nodes: the window, and what may go beyond. */
--- a/tests/cluster/ClusterControlTest.cpp
+++ b/tests/cluster/ClusterControlTest.cpp
@@ -21,6 +21,7 @@
 
 constexpr const char* kHost = "127.0.0.1";
 constexpr int kUnavailable = 503;
+constexpr Duration kEvacuationBound = milliseconds(3000);
 
 /** Counts the connections that are opened; none ever opens. */
 class CountingConnector final : public pooling::ServerConnector {
@@ -56,6 +57,11 @@
     std::unique_ptr<socket::HttpClient> client;
     std::unique_ptr<ClusterControl> control;
     std::size_t recordLists = 0;
+    std::vector<std::string> paths;
+    std::vector<store::FeedQuestion> feedQuestions;
+    std::string evacuations;
+    /** Nodes that could be asked for changes. */
+    std::string otherNodes;
 
     void setup() override {
         CHECK_TRUE(responder.listen(kHost, 0).isOk());
@@ -64,13 +70,34 @@
         knobs.zone = ZoneName("z");
         pooler = std::make_unique<pooling::StatementPooler>(clock, connector, *this, knobs);
         client = std::make_unique<socket::HttpClient>(poller, clock, kHost, responder.port());
+        makeControl({});
+    }
+
+    void makeControl(EvacuationFollowing following) {
+        FreshnessBounds bounds;
+        bounds.evacuations = following.zones == nullptr ? Duration(0) : kEvacuationBound;
         control = std::make_unique<ClusterControl>(
             ClusterDependencies{
-                clock, random, *client, era, *client, protocol, codec, connector, parser, *this,
-                *this, *this, *this, pooling::ProxyNode{NodeName("self"), ZoneName("z"), kHost, 1},
+                clock,
+                random,
+                *client,
+                era,
+                *client,
+                protocol,
+                codec,
+                connector,
+                parser,
+                *this,
+                *this,
+                *this,
+                *this,
+                pooling::ProxyNode{NodeName("self"), ZoneName("z"), kHost, 1},
                 [](const std::vector<pooling::ProxyNode>&) {},
                 [](const std::shared_ptr<const tenancy::TenantDirectory>& /*tenants*/) {},
-                "self/1"},
+                "self/1",
+                bounds,
+                nullptr,
+                std::move(following)},
             *pooler);
     }
 
@@ -80,6 +107,7 @@
     }
 
     socket::HttpPage next(const std::string& path) {
+        paths.push_back(path);
         if (path.find("watch=") != std::string::npos) {
             return {kUnavailable, ""};
         }
@@ -101,10 +129,14 @@
         if (path.rfind("/objects/promotions", 0) == 0 && ++recordLists > 1) {
             return {kUnavailable, ""};
         }
+        if (path.rfind("/objects/evacuations", 0) == 0) {
+            return {200, R"({"items":[)" + evacuations + R"(],"has_more":false,"at":10})"};
+        }
         if (path.rfind("/objects/proxies", 0) == 0) {
             return {200,
                     R"({"items":[{"meta":{"name":"self","revision":6},"spec":{"zone":"z",
-                    "addr":"127.0.0.1:1"}}],"has_more":false,"at":10})"};
+                    "addr":"127.0.0.1:1"}})" +
+                        otherNodes + R"(],"has_more":false,"at":10})"};
         }
         return {200, R"({"items":[],"has_more":false,"at":10})"};
     }
@@ -133,14 +165,16 @@
     void suspectPrimary(const GroupName& /*group*/, const ServerName& /*server*/,
                         pooling::SuspicionReason /*reason*/) override {}
     bool canReach(const NodeName& /*node*/) const override {
-        return false;
+        return !otherNodes.empty();
     }
     void askForProof(const NodeName& /*node*/, std::uint64_t /*question*/,
                      const pooling::ProofNeed& /*need*/) override {}
     void answerProof(std::uint64_t /*asker*/, const std::optional<pooling::HandedProof>& /*proof*/)
         override {}
     void askForChanges(const NodeName& /*node*/, std::uint64_t /*question*/,
-                       const store::FeedQuestion& /*asked*/) override {}
+                       const store::FeedQuestion& asked) override {
+        feedQuestions.push_back(asked);
+    }
     void answerFeed(std::uint64_t /*asker*/, const std::optional<store::FeedAnswer>& /*answer*/)
         override {}
 };
@@ -164,5 +198,50 @@
     CHECK_TRUE(connector.opened <= 8);
 }
 
+TEST(ClusterControl, WithoutEvacuationsNothingOfThemIsAskedForOrTold) {
+    for (const char* node : {"a", "b", "c", "d", "e", "f"}) {
+        otherNodes += R"(,{"meta":{"name":")" + std::string(node) +
+                      R"(","revision":7},"spec":{"zone":"z","addr":"127.0.0.1:2"}})";
+    }
+    CHECK_TRUE(testing::waitUntil([this] {
+        run(milliseconds(10));
+        return control->isReady() && !feedQuestions.empty();
+    }));
+    run(milliseconds(4000));
+    for (const std::string& path : paths) {
+        CHECK_TRUE(path.find("evacuations") == std::string::npos);
+    }
+    for (const store::FeedQuestion& question : feedQuestions) {
+        UNSIGNED_LONGS_EQUAL(3, question.positions.size());
+    }
+    CHECK_TRUE(control->evacuationsProvenAt() == TimePoint{});
+}
+
+TEST(ClusterControl, EvacuationsAreFollowedAndWhatNamesNoZoneHidesNoOther) {
+    evacuations =
+        R"({"meta":{"name":"z","revision":8},"spec":{}},{"meta":{"name":"moon","revision":9},"spec":{}},
+        {"meta":{"name":"no name","revision":9},"spec":{}})";
+    locality::EvacuatedZones zones{kEvacuationBound};
+    const locality::RegionMap regions({{ZoneName("z"), RegionName("r")}});
+    std::set<GroupName> told;
+    makeControl({&zones, &regions,
+                 [&told](const GroupName& group, const pooling::ServerDirectory::Servers&) {
+                     told.insert(group);
+                 }});
+    CHECK_TRUE(testing::waitUntil([this] {
+        run(milliseconds(10));
+        return control->isReady();
+    }));
+    run(milliseconds(4000));
+    UNSIGNED_LONGS_EQUAL(1, zones.zones().size());
+    CHECK_TRUE(zones.useOf(ZoneName("z"), clock.now()) == locality::ZoneUse::Closed);
+    UNSIGNED_LONGS_EQUAL(2, control->unreadableEntries());
+    UNSIGNED_LONGS_EQUAL(2, told.size());
+    CHECK_TRUE(clock.now() - control->evacuationsProvenAt() <= kEvacuationBound);
+    evacuations.clear();
+    run(milliseconds(4000));
+    CHECK_FALSE(zones.isEvacuated(ZoneName("z")));
+}
+
 }  // namespace
 }  // namespace coralhoist::cluster
--- a/tests/cluster/NodeRegistryTest.cpp
+++ b/tests/cluster/NodeRegistryTest.cpp
@@ -32,6 +32,9 @@
         const store::StoredObject& object) const override {
         return _codec.readServer(object);
     }
+    StatusWith<ZoneName> readEvacuation(const store::StoredObject& object) const override {
+        return _codec.readEvacuation(object);
+    }
     std::optional<failover::PromotionRecord> readPromotion(
         const store::StoredObject& object) const override {
         return _codec.readPromotion(object);
--- a/tests/duty/PoolingMetricsTest.cpp
+++ b/tests/duty/PoolingMetricsTest.cpp
@@ -45,6 +45,24 @@
     CHECK_TRUE(contains(page, "coralhoist_load_reports_taken_total 63\n"));
 }
 
+TEST(PoolingMetrics, ShowsEvacuationsOnlyWhereTheyAreKept) {
+    PoolingFigures figures;
+    figures.pooler.refusedByReason["zone_evacuated"] = 4;
+    CHECK_FALSE(contains(renderMetrics(figures), "coralhoist_evacuation"));
+    figures.evacuations = EvacuationFigures{std::chrono::milliseconds(500), 9, {}};
+    figures.evacuations->zones[ZoneName("a")] = {{2, 1, 3}, 7, true};
+    const std::string page = renderMetrics(figures);
+    CHECK_TRUE(contains(page, "coralhoist_evacuations_age_seconds 0.5\n"));
+    CHECK_TRUE(contains(page, "coralhoist_evacuation_statements_elsewhere_total 9\n"));
+    CHECK_TRUE(contains(page, "coralhoist_evacuation_closed{zone=\"a\"} 1\n"));
+    CHECK_TRUE(contains(page, "coralhoist_evacuation_in_flight{zone=\"a\"} 2\n"));
+    CHECK_TRUE(contains(page, "coralhoist_evacuation_transactions{zone=\"a\"} 1\n"));
+    CHECK_TRUE(contains(page, "coralhoist_evacuation_primaries{zone=\"a\"} 3\n"));
+    CHECK_TRUE(contains(page, "coralhoist_evacuation_statements{zone=\"a\"} 7\n"));
+    CHECK_TRUE(contains(
+        page, "coralhoist_refused_by_placement_reason_total{reason=\"zone_evacuated\"} 4\n"));
+}
+
 TEST(PoolingMetrics, ShowsQuotasByRankWhereARankHasACount) {
     PoolingFigures figures;
     figures.gate.refusedQuotaByRank[2] = 5;
--- a/tests/platform_adapter/CodecTest.cpp
+++ b/tests/platform_adapter/CodecTest.cpp
@@ -3,6 +3,7 @@
 #include <QJsonDocument>
 #include <random>
 
+#include "base/Error.h"
 #include "platform/PlatformCodec.h"
 #include "platform/StoreProtocol.h"
 #include "pooling/ServerLife.h"
@@ -55,6 +56,16 @@
     LONGS_EQUAL(1, current.rank);
 }
 
+TEST(PlatformCodec, AnEvacuationIsItsNameWhateverItSaysBesides) {
+    CHECK_TRUE(ZoneName("north-1") == codec.readEvacuation(object("north-1", "{}")).value());
+    CHECK_TRUE(ZoneName("n") == codec.readEvacuation(object("n", R"({"zone":"other"})")).value());
+    for (const char* name : {"", "north 1", "north\n", "n\xff"}) {
+        const StatusWith<ZoneName> zone = codec.readEvacuation(object(name, "{}"));
+        CHECK_FALSE(zone.isOk());
+        CHECK_TRUE(zone.status().code() == ErrorCode::InvalidArgument);
+    }
+}
+
 TEST(PlatformCodec, ReadsTenants) {
     const auto image =
         codec.readEstate(object("main",
--- a/tests/program/DaemonConfigurationTest.cpp
+++ b/tests/program/DaemonConfigurationTest.cpp
@@ -49,6 +49,13 @@
     LONGS_EQUAL(2, configuration.value().seeds.size());
 }
 
+TEST(DaemonConfiguration, EvacuationsAreKeptOnlyWhereABoundIsGiven) {
+    const TemporaryFile without(kMinimal);
+    CHECK_TRUE(loadDaemonConfiguration(without.path(), {}).value().evacuationBound.count() == 0);
+    const TemporaryFile with(std::string(kMinimal) + "[freshness]\nevacuation_bound_ms = 5000\n");
+    CHECK_TRUE(loadDaemonConfiguration(with.path(), {}).value().evacuationBound.count() == 5000);
+}
+
 TEST(DaemonConfiguration, ThePoolersConstantsAreKeys) {
     const TemporaryFile file(std::string(kMinimal) +
                              "[pool]\nexecutors_per_zone = 3\nhedge_after_ms = 250\n"
