--- a/lab/soak/ProxyProcess.cpp
+++ b/lab/soak/ProxyProcess.cpp
@@ -57,6 +57,7 @@
         << "\n[readiness]\nlisten = " << address(_surroundings.readinessPort)
         << "\n[platform]\nurl = \"http://127.0.0.1:" << _surroundings.storePort
         << "\"\n[promotion]\naddress = " << address(_surroundings.storePort)
+        << "\n[freshness]\nevacuation_bound_ms = " << _surroundings.evacuationBound.count()
         << "\n[tenants]\nquota_window_ms = "
         << std::chrono::duration_cast<std::chrono::milliseconds>(terms.window).count()
         << "\nquota_overrun = \"" << terms.overrun << "\"\nquota_slack = " << terms.slack << "\n";
--- a/lab/soak/ProxyProcess.h
+++ b/lab/soak/ProxyProcess.h
@@ -20,6 +20,8 @@
     std::uint16_t callerPort = 0;
     std::uint16_t readinessPort = 0;
     std::uint16_t storePort = 0;
+    /** 0: it is not told of evacuations. */
+    std::chrono::milliseconds evacuationBound{0};
 };
 
 /** Restarts are asked for by the owner; an end that nobody asked for is reported. */
--- a/lab/soak/ServerEntries.cpp
+++ b/lab/soak/ServerEntries.cpp
@@ -58,7 +58,7 @@
             _store.put(kServers, server.value(),
                        {{"service", QString::fromStdString(_group.name().value())},
                         {"addr", loopbackAddress(entry.port)},
-                        {"zone", "z"},
+                        {"zone", QString::fromStdString(entry.zone.value())},
                         {"version", "v1"},
                         {"slots", kAnnouncedSlots},
                         {"state", announcement.draining ? "draining" : "ready"},
--- a/lab/soak/ServerEntries.h
+++ b/lab/soak/ServerEntries.h
@@ -20,6 +20,9 @@
     /** Tells on which port a server listens. */
     void setPort(const ServerName& server, std::uint16_t port) { _entries[server].port = port; }
 
+    /** Tells in which zone a server stands, where it isn't the proxies' one. */
+    void setZone(const ServerName& server, const ZoneName& zone) { _entries[server].zone = zone; }
+
     /** Sends the heartbeats from now on. */
     void start();
 
@@ -30,6 +33,7 @@
 private:
     struct Entry {
         std::uint16_t port = 0;
+        ZoneName zone{"z"};
         TimePoint heardAt{};
         bool heartbeatsLost = false;
     };
--- a/lab/soak/SoakCommand.cpp
+++ b/lab/soak/SoakCommand.cpp
@@ -34,6 +34,7 @@
     int settings = 0;
     int stops = 0;
     int returns = 0;
+    int evacuations = 0;
     std::string program;
     std::string logFolder = ".";
     std::string casesFile;
@@ -61,6 +62,8 @@
          nullptr},
         {"returns", 0, POPT_ARG_NONE, &flags.returns, 0,
          "the store returns from older copies, in series, beside the other faults", nullptr},
+        {"evacuations", 0, POPT_ARG_NONE, &flags.evacuations, 0,
+         "zones are evacuated and given back in series, in place of the other faults", nullptr},
         {"stops", 0, POPT_ARG_NONE, &flags.stops, 0,
          "proxies stop as planned while servers refuse or are slow: all is answered", nullptr},
         {"program", 'P', POPT_ARG_STRING, &programFile.text, 0, "the proxy's program", "FILE"},
@@ -118,6 +121,7 @@
     options.settings = flags.settings != 0;
     options.stops = flags.stops != 0;
     options.returns = flags.returns != 0;
+    options.evacuations = flags.evacuations != 0;
     options.program = flags.program;
     options.logFolder = flags.logFolder;
     options.group.answersEarly = flags.answersEarly != 0;
@@ -142,6 +146,9 @@
     if (report.settingsJudged > 0) {
         std::printf("  %zu answers held to the bound of the settings\n", report.settingsJudged);
     }
+    if (report.evacuationsJudged > 0) {
+        std::printf("  %zu evacuations held to their bound\n", report.evacuationsJudged);
+    }
     if (!kept) {
         for (const std::string& violation : report.violations) {
             std::printf("  %s\n", violation.c_str());
--- a/lab/soak/SoakRun.cpp
+++ b/lab/soak/SoakRun.cpp
@@ -13,6 +13,7 @@
 #include "base/SystemTime.h"
 #include "lab/soak/ReservedPort.h"
 #include "lab/soak/ServerEntries.h"
+#include "lab/soak/SoakEvacuations.h"
 #include "lab/soak/SoakFaults.h"
 #include "lab/soak/SoakPlan.h"
 #include "lab/soak/SoakReturns.h"
@@ -113,6 +114,8 @@
         }
         if (_settings) {
             _settings->play(length);
+        } else if (_options.evacuations) {
+            _evacuations.play(_zones, length);
         } else if (_options.stops) {
             _stops.play(length);
         } else {
@@ -123,6 +126,7 @@
     void healFaults() {
         _returns.healAll();
         _faults.healAll();
+        _evacuations.healAll();
         if (_options.stops) {
             _stops.healAll();
         }
@@ -139,11 +143,23 @@
                 _servers.back()->setQuotaJudge(_quotas);
             }
             _entries.setPort(server->name, _servers.back()->port());
+            if (_options.evacuations) {
+                startZone(*_servers.back());
+            }
         }
         stepGroup();
         _entries.start();
     }
 
+    /** Each server stands in a zone of its own. */
+    void startZone(WireServer& server) {
+        const ZoneName zone("z" + std::to_string(_zones.size() + 1));
+        _zones.push_back(zone);
+        _entries.setZone(server.name(), zone);
+        server.setOnStatement(
+            [this, zone] { _evacuations.judge().onStatement(zone, _queue.now()); });
+    }
+
     void stepGroup() {
         _group.step();
         _connector.step();
@@ -185,10 +201,14 @@
         writeAgain();
     }
 
-    /** The operator's newest configuration, which the store may have lost. */
-    void writeAgain() { _store.put("config", "main", _written); }
+    /** What operators had written last, which the store may have lost. */
+    void writeAgain() {
+        _store.put("config", "main", _written);
+        _evacuations.writeAgain();
+    }
 
     void onStoreAway(bool away) {
+        _evacuations.onStoreAway(away);
         if (_settings) {
             _settings->setStoreTroubled(away);
         }
@@ -204,6 +224,10 @@
             surroundings.callerPort = reservePort();
             surroundings.readinessPort = reservePort();
             surroundings.storePort = _storeRelays.back()->port();
+            if (_options.evacuations) {
+                surroundings.evacuationBound =
+                    std::chrono::duration_cast<milliseconds>(kSoakEvacuationBound);
+            }
             const std::string log = _options.logFolder + "/soak-" + std::to_string(_options.seed) +
                                     "-" + surroundings.name.value() + ".log";
             _proxies.push_back(std::make_unique<ProxyProcess>(
@@ -343,6 +367,9 @@
         if (_options.stops) {
             return _stops.begun();
         }
+        if (_options.evacuations) {
+            return _returns.begun() + _evacuations.begun();
+        }
         return _returns.begun() + (_settings ? _settings->begun() : _faults.begun());
     }
 
@@ -356,6 +383,10 @@
             }
             report.settingsJudged = _settings->judge().judged();
         }
+        for (const std::string& violation : _evacuations.judge().violations()) {
+            _judge.fail(violation);
+        }
+        report.evacuationsJudged = _evacuations.judge().judged();
         report.violations = _judge.violations();
         report.timeline = _timeline.notes();
         report.faults = begunFaults();
@@ -395,6 +426,8 @@
     std::vector<std::unique_ptr<WireCaller>> _callers;
     SoakFaults _faults;
     std::unique_ptr<SoakSettings> _settings;
+    std::vector<ZoneName> _zones;
+    SoakEvacuations _evacuations{_queue, _options.seed, _store, _timeline};
     SoakStops _stops{_queue, _options.seed, _proxies, _servers, _timeline};
     SoakReturns _returns{
         _queue,
--- a/lab/soak/SoakRun.h
+++ b/lab/soak/SoakRun.h
@@ -30,6 +30,8 @@
     /** Proxies stop as planned, one after another, while servers refuse or are slow, in place of
      * the other faults; judged is that nothing that a proxy has read is left without an answer. */
     bool stops = false;
+    /** Zones are evacuated and given back in series, in place of the other faults. */
+    bool evacuations = false;
     /** Path of the proxy's program. */
     std::string program;
     /** Folder for the logs of the proxies. */
@@ -58,6 +60,8 @@
     std::uint64_t promotions = 0;
     /** Answers that were held to the bound of the settings. */
     std::size_t settingsJudged = 0;
+    /** Evacuations whose zone had to be empty for some time. */
+    std::size_t evacuationsJudged = 0;
     /** Busiest windows of the tenants and their bounds, in words; empty without tenants. */
     std::string quotas;
 };
--- a/lab/soak/WireServer.cpp
+++ b/lab/soak/WireServer.cpp
@@ -126,6 +126,9 @@
     if (_quotas != nullptr) {
         _quotas->onArrived(command->id);
     }
+    if (_onStatement && command->id != "-") {
+        _onStatement();
+    }
     session.commands.push_back(*command);
     runNext(*session.id);
 }
--- a/lab/soak/WireServer.h
+++ b/lab/soak/WireServer.h
@@ -5,6 +5,7 @@
 #include <QTcpServer>
 #include <QTcpSocket>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -35,6 +36,11 @@
     /** Judges tenants' quotas from now on. */
     void setQuotaJudge(QuotaJudge& quotas) { _quotas = &quotas; }
 
+    /** Calls it for each statement of a caller that arrives. */
+    void setOnStatement(std::function<void()> onStatement) {
+        _onStatement = std::move(onStatement);
+    }
+
     /** Closes what is open when the simulated server has ended. Called often. */
     void step();
 
@@ -88,6 +94,7 @@
     QTcpServer _server;
     ServerSlots _slots;
     QuotaJudge* _quotas = nullptr;
+    std::function<void()> _onStatement;
     std::uint64_t _lastSlotUse = 0;
     std::map<QTcpSocket*, Session> _sessions;
     std::map<ConnectionId, QTcpSocket*> _socketOf;
