--- a/lab/soak/SoakEvacuations.cpp
+++ b/lab/soak/SoakEvacuations.cpp
@@ -24,7 +24,7 @@
 
 void SoakEvacuations::play(const std::vector<ZoneName>& zones, Duration length) {
     for (Duration start = between(0, kLongestPause); start < length;) {
-        const ZoneName zone = zones[_random.below(zones.size())];
+        const ZoneName& zone = zones[_random.below(zones.size())];
         const Duration lasts = between(kShortest, kLongest);
         _queue.after(start, [this, zone] { ask(zone); });
         _queue.after(start + lasts, [this, zone] { takeBack(zone); });
--- a/tests/placement/EvacuationPolicyTest.cpp
+++ b/tests/placement/EvacuationPolicyTest.cpp
@@ -24,7 +24,7 @@
     EvacuationProgress progress{zones, policy, [this] { return loads; }};
     const GroupName group{"g"};
     const ServiceName service{"s"};
-    const TenantName tenant;
+    TenantName tenant;
     const ServerName primary{"s1"};
     const ServerName replica{"s2"};
     const ZoneName left{"a"};
