--- a/src/placement/PolicyChain.cpp
+++ b/src/placement/PolicyChain.cpp
@@ -35,6 +35,11 @@
     return verdict;
 }
 
+bool PolicyChain::isClosed(const PlacedServer& server) {
+    return std::any_of(_policies.begin(), _policies.end(),
+                       [&](pooling::PlacementPolicy* policy) { return policy->isClosed(server); });
+}
+
 bool PolicyChain::mayForwardTo(const PlacedUnit& unit, const ZoneName& zone) {
     return std::all_of(_policies.begin(), _policies.end(), [&](pooling::PlacementPolicy* policy) {
         return policy->mayForwardTo(unit, zone);
--- a/src/pooling/PlacementPolicy.h
+++ b/src/pooling/PlacementPolicy.h
@@ -69,6 +69,9 @@
     /** @return whether a further statement of a transaction that is open there may be sent now. */
     virtual PlacementVerdict mayContinue(const PlacedUnit& unit, const PlacedServer& server) = 0;
 
+    /** @return whether nothing at all may be sent to the server, not even to end what is open. */
+    virtual bool isClosed(const PlacedServer& /*server*/) { return false; }
+
     /** @return whether a node of the zone may be shown the unit's statements, to execute them. */
     virtual bool mayForwardTo(const PlacedUnit& unit, const ZoneName& zone) = 0;
 
--- a/src/pooling/ServerConnections.cpp
+++ b/src/pooling/ServerConnections.cpp
@@ -209,6 +209,10 @@
     connection.pinned = false;
     connection.user.reset();
     connection.since = _clock.now();
+    if (server != nullptr && _owner.isClosed(*server)) {
+        discard(connection.id);
+        return;
+    }
     ServerCommand command;
     command.kind = ServerCommand::Kind::Rollback;
     connection.awaited.push_back(AwaitedResult::Rollback);
--- a/tests/cluster/ClusterControlTest.cpp
+++ b/tests/cluster/ClusterControlTest.cpp
@@ -21,6 +21,7 @@
 
 constexpr const char* kHost = "127.0.0.1";
 constexpr int kUnavailable = 503;
+constexpr Duration kEvacuationBound = milliseconds(3000);
 
 /** Counts the connections that are opened; none ever opens. */
 class CountingConnector final : public pooling::ServerConnector {
@@ -58,6 +59,11 @@
     std::size_t recordLists = 0;
     /** Who was told of settings, in order. */
     std::vector<std::string> told;
+    std::vector<std::string> paths;
+    std::vector<store::FeedQuestion> feedQuestions;
+    std::string evacuations;
+    /** Nodes that could be asked for changes. */
+    std::string otherNodes;
 
     void setup() override {
         CHECK_TRUE(responder.listen(kHost, 0).isOk());
@@ -66,6 +72,12 @@
         knobs.zone = ZoneName("z");
         pooler = std::make_unique<pooling::StatementPooler>(clock, connector, *this, knobs);
         client = std::make_unique<socket::HttpClient>(poller, clock, kHost, responder.port());
+        makeControl({});
+    }
+
+    void makeControl(EvacuationFollowing following) {
+        FreshnessBounds bounds;
+        bounds.evacuations = following.zones == nullptr ? Duration(0) : kEvacuationBound;
         control = std::make_unique<ClusterControl>(
             ClusterDependencies{
                 clock,
@@ -87,14 +99,17 @@
                     told.emplace_back("tenants");
                 },
                 "self/1",
-                {},
+                bounds,
+                nullptr,
                 nullptr,
                 [this](const pooling::ServiceCatalog& catalog,
                        const tenancy::TenantDirectory& /*tenants*/) {
                     CHECK_TRUE(catalog.find(ServiceName("a")) != nullptr);
                     CHECK_FALSE(pooler->hasService(ServiceName("a")));
                     told.emplace_back("settings");
-                }},
+                },
+                {},
+                std::move(following)},
             *pooler);
     }
 
@@ -104,6 +119,7 @@
     }
 
     socket::HttpPage next(const std::string& path) {
+        paths.push_back(path);
         if (path.find("watch=") != std::string::npos) {
             return {kUnavailable, ""};
         }
@@ -125,10 +141,14 @@
         if (path.rfind("/objects/promotions", 0) == 0 && ++recordLists > 1) {
             return {kUnavailable, ""};
         }
+        if (path.rfind("/objects/evacuations", 0) == 0) {
+            return {200, R"({"items":[)" + evacuations + R"(],"has_more":false,"at":10})"};
+        }
         if (path.rfind("/objects/proxies", 0) == 0) {
             return {200,
                     R"({"items":[{"meta":{"name":"self","revision":6},"spec":{"zone":"z",
-                    "addr":"127.0.0.1:1"}}],"has_more":false,"at":10})"};
+                    "addr":"127.0.0.1:1"}})" +
+                        otherNodes + R"(],"has_more":false,"at":10})"};
         }
         return {200, R"({"items":[],"has_more":false,"at":10})"};
     }
@@ -157,14 +177,16 @@
     void suspectPrimary(const GroupName& /*group*/, const ServerName& /*server*/,
                         pooling::SuspicionReason /*reason*/) override {}
     bool canReach(const NodeName& /*node*/) const override {
-        return false;
+        return !otherNodes.empty();
     }
     void askForProof(const NodeName& /*node*/, std::uint64_t /*question*/,
                      const pooling::ProofNeed& /*need*/) override {}
     void answerProof(std::uint64_t /*asker*/, const std::optional<pooling::HandedProof>& /*proof*/)
         override {}
     void askForChanges(const NodeName& /*node*/, std::uint64_t /*question*/,
-                       const store::FeedQuestion& /*asked*/) override {}
+                       const store::FeedQuestion& asked) override {
+        feedQuestions.push_back(asked);
+    }
     void answerFeed(std::uint64_t /*asker*/, const std::optional<store::FeedAnswer>& /*answer*/)
         override {}
 };
@@ -198,5 +220,50 @@
     CHECK_TRUE(connector.opened <= 8);
 }
 
+TEST(ClusterControl, WithoutEvacuationsNothingOfThemIsAskedForOrTold) {
+    for (const char* node : {"a", "b", "c", "d", "e", "f"}) {
+        otherNodes += R"(,{"meta":{"name":")" + std::string(node) +
+                      R"(","revision":7},"spec":{"zone":"z","addr":"127.0.0.1:2"}})";
+    }
+    CHECK_TRUE(testing::waitUntil([this] {
+        run(milliseconds(10));
+        return control->isReady() && !feedQuestions.empty();
+    }));
+    run(milliseconds(4000));
+    for (const std::string& path : paths) {
+        CHECK_TRUE(path.find("evacuations") == std::string::npos);
+    }
+    for (const store::FeedQuestion& question : feedQuestions) {
+        UNSIGNED_LONGS_EQUAL(3, question.positions.size());
+    }
+    CHECK_TRUE(control->evacuationsProvenAt() == TimePoint{});
+}
+
+TEST(ClusterControl, EvacuationsAreFollowedAndWhatNamesNoZoneHidesNoOther) {
+    evacuations =
+        R"({"meta":{"name":"z","revision":8},"spec":{}},{"meta":{"name":"moon","revision":9},"spec":{}},
+        {"meta":{"name":"no name","revision":9},"spec":{}})";
+    locality::EvacuatedZones zones{kEvacuationBound};
+    const locality::RegionMap regions({{ZoneName("z"), RegionName("r")}});
+    std::set<GroupName> groupsTold;
+    makeControl({&zones, &regions,
+                 [&groupsTold](const GroupName& group, const pooling::ServerDirectory::Servers&) {
+                     groupsTold.insert(group);
+                 }});
+    CHECK_TRUE(testing::waitUntil([this] {
+        run(milliseconds(10));
+        return control->isReady();
+    }));
+    run(milliseconds(4000));
+    UNSIGNED_LONGS_EQUAL(1, zones.zones().size());
+    CHECK_TRUE(zones.useOf(ZoneName("z"), clock.now()) == locality::ZoneUse::Closed);
+    UNSIGNED_LONGS_EQUAL(2, control->unreadableEntries());
+    UNSIGNED_LONGS_EQUAL(2, groupsTold.size());
+    CHECK_TRUE(clock.now() - control->evacuationsProvenAt() <= kEvacuationBound);
+    evacuations.clear();
+    run(milliseconds(4000));
+    CHECK_FALSE(zones.isEvacuated(ZoneName("z")));
+}
+
 }  // namespace
 }  // namespace coralhoist::cluster
--- a/tests/pooling/ServerConnectionsTest.cpp
+++ b/tests/pooling/ServerConnectionsTest.cpp
@@ -25,12 +25,14 @@
 class OneServer final : public ConnectionOwner {
 public:
     ServerState* serverOf(const ServerConnection& /*connection*/) override { return &server; }
+    bool isClosed(const ServerState& /*server*/) override { return closed; }
     void onRoom(const GroupName& /*group*/) override { ++rooms; }
     void onForgotten(const ServerConnection& connection) override {
         forgotten.push_back(connection.id);
     }
 
     ServerState server;
+    bool closed = false;
     int rooms = 0;
     std::vector<ConnectionId> forgotten;
 };
@@ -93,6 +95,16 @@
     CHECK_TRUE(ServerCommand::Kind::Rollback == connector.sent.front().command.kind);
 }
 
+TEST(ServerConnections, NothingIsSentToAClosedServerToEndWhatIsOpen) {
+    openIdle(first);
+    ServerConnection& connection = lend(first);
+    owner.closed = true;
+    connections.release(connection, SessionState::InTransaction);
+    UNSIGNED_LONGS_EQUAL(0, connector.sent.size());
+    UNSIGNED_LONGS_EQUAL(1, connector.closed.size());
+    CHECK_TRUE(connections.all().empty());
+}
+
 TEST(ServerConnections, AtTheLimitAnIdleOneGivesWay) {
     openIdle(first).used = true;
     CHECK_FALSE(connections.mayOpen(server, terms(0)) && server.idle.empty());
