One executor of a zone where there are several regions

Cause: twelve executors of a group in six zones shared six slots of each server, told each other of their load over the narrow link (132 pairs, 72 of them across) and kept five connections each; statements of another region need more of them, for some are on the way. Change: pool.regional_executors_per_zone (1) and pool.regional_connections_per_server (12) in place of 2 and 5 where the settings name several regions. Ruled out by its costs: one ring a region, which sends two thirds of all statements through another zone.

--- a/src/pooling/PoolerDispatch.cpp
+++ b/src/pooling/PoolerDispatch.cpp
@@ -311,9 +311,15 @@
     }
     const auto share = static_cast<std::uint32_t>(found->second.connectionsPerServer /
                                                   _placement.executorCount(group));
-    const std::uint32_t bound =
-        _callersHaveTenants ? _knobs.tenantConnectionsPerServer : _knobs.connectionsPerServer;
-    return std::min(bound, std::max<std::uint32_t>(share, 2) - 1);
+    return std::min(connectionBound(), std::max<std::uint32_t>(share, 2) - 1);
+}
+
+std::uint32_t StatementPooler::connectionBound() const {
+    if (_callersHaveTenants) {
+        return _knobs.tenantConnectionsPerServer;
+    }
+    return _distances == nullptr ? _knobs.connectionsPerServer
+                                 : _knobs.regionalConnectionsPerServer;
 }
 
 bool StatementPooler::isFull(const ServerState& server) const {
--- a/src/pooling/PoolerKnobs.h
+++ b/src/pooling/PoolerKnobs.h
@@ -19,6 +19,9 @@
      * tenants opened 15,800 connections in place of 21,000, each of which takes a slot for 12 ms.
      */
     std::uint32_t tenantExecutorsPerZone = 1;
+    /** The same where there are several regions: what executors tell each other crosses between
+     * regions and grows with the square of their number, and a lost one has others in its region. */
+    std::uint32_t regionalExecutorsPerZone = 1;
     /** The executing node gives up so long before the node that forwarded. */
     Duration forwardingMargin = std::chrono::milliseconds(20);
     /** Idle connections of a node that is no longer an executor are closed after this time. */
@@ -28,6 +31,9 @@
     /** The same where each connection belongs to one tenant: as many as there are tenants are of
      * use, so that the share of what a server takes binds. */
     std::uint32_t tenantConnectionsPerServer = 64;
+    /** The same where there are several regions: fewer executors hold a server's connections, and
+     * some of what is in flight is on the way. */
+    std::uint32_t regionalConnectionsPerServer = 12;
     /** After its start a process opens one connection to each server, and more only after this
      * time: when all processes have lost power, servers keep their former connections for seconds,
      * and what is left must do for a first one of each. */
--- a/src/pooling/StatementPooler.cpp
+++ b/src/pooling/StatementPooler.cpp
@@ -168,12 +168,19 @@
                                  const locality::PlaceDistances& distances) {
     _placement.setRegions(regions);
     _distances = &distances;
+    _placement.setExecutorsPerZone(executorsPerZone());
 }
 
 void StatementPooler::setCallersHaveTenants(bool haveTenants) {
     _callersHaveTenants = haveTenants;
-    _placement.setExecutorsPerZone(haveTenants ? _knobs.tenantExecutorsPerZone
-                                               : _knobs.executorsPerZone);
+    _placement.setExecutorsPerZone(executorsPerZone());
+}
+
+std::uint32_t StatementPooler::executorsPerZone() const {
+    const bool hasRegions = _distances != nullptr;
+    const std::uint32_t most =
+        hasRegions ? _knobs.regionalExecutorsPerZone : _knobs.executorsPerZone;
+    return _callersHaveTenants ? _knobs.tenantExecutorsPerZone : most;
 }
 
 void StatementPooler::setTenant(SessionId id, const TenantName& tenant) {
--- a/src/pooling/StatementPooler.h
+++ b/src/pooling/StatementPooler.h
@@ -341,6 +341,8 @@
     bool refuseUnplaceable(PooledSession& session, const PlacementOutlook& outlook);
     Duration replicaPatience(const GroupState& group, const PooledSession& session) const;
     void waitForReplica(PooledSession& session, Duration wait);
+    std::uint32_t executorsPerZone() const;
+    std::uint32_t connectionBound() const;
     WayToServer wayTo(const ServerState& server) const;
     double takenBy(const ServerState& server) const;
     Duration distancePenalty(const ServerState& server) const;
