--- a/src/pooling/PoolerKnobs.h
+++ b/src/pooling/PoolerKnobs.h
@@ -20,7 +20,8 @@
      */
     std::uint32_t tenantExecutorsPerZone = 1;
     /** The same where there are several regions: what executors tell each other crosses between
-     * regions and grows with the square of their number, and a lost one has others in its region. */
+     * regions and grows with the square of their number, and a lost one has others in its region.
+     */
     std::uint32_t regionalExecutorsPerZone = 1;
     /** The executing node gives up so long before the node that forwarded. */
     Duration forwardingMargin = std::chrono::milliseconds(20);
--- a/src/pooling/ReaderTree.cpp
+++ b/src/pooling/ReaderTree.cpp
@@ -53,7 +53,7 @@
         std::vector<NodeName>& readers = isOwn ? own : others[regions.regionOf(name)];
         readers.insert(readers.end(), chosen.begin(), chosen.end());
     }
-    const std::vector<NodeName> above = rankedAbove(self, own);
+    std::vector<NodeName> above = rankedAbove(self, own);
     if (!above.empty()) {
         return above;
     }
