A promotion that the store and all nodes have lost is ended by another one

Cause: a promotion had paused the receivers when the store returned older and all nodes died.

Ruled out: resuming the replicas by hand. A promoter of the lost claim may have made somebody step down or still call; only a promotion under a claim of the present era settles who leads.

Change: while the record is not confirmed, the probe of the servers also tells of a replica that is told not to receive from the primary that leads. The lost one may have had a later base than any record, so nobody is chosen for this reason who lacks some of the log of the primary that stepped down; it leads again itself when no other has it.

--- a/lab/pooled/PooledNode.cpp
+++ b/lab/pooled/PooledNode.cpp
@@ -296,6 +296,9 @@
         }
         const std::optional<pooling::Primary> primary = _pooler.primaryOf(group->name());
         const std::optional<TimePoint> proven = primary ? probe->provenAt(*primary) : std::nullopt;
+        if (const auto paused = primary ? probe->pausedAt(*primary) : std::nullopt) {
+            _failovers[group->name()]->onReceiversPaused(*paused);
+        }
         TimePoint& told = _toldProofs[group->name()];
         if (proven && *proven > told) {
             told = *proven;
--- a/src/cluster/LeadershipProofs.cpp
+++ b/src/cluster/LeadershipProofs.cpp
@@ -62,6 +62,9 @@
     for (const auto& [group, probe] : _probes) {
         const std::optional<pooling::Primary> primary = _pooler.primaryOf(group);
         const std::optional<TimePoint> proven = primary ? probe->provenAt(*primary) : std::nullopt;
+        if (const auto paused = primary ? probe->pausedAt(*primary) : std::nullopt) {
+            failoverOf(group).onReceiversPaused(*paused);
+        }
         TimePoint& told = _toldProofs[group];
         if (proven && *proven > told) {
             told = *proven;
--- a/src/failover/FailoverReasons.cpp
+++ b/src/failover/FailoverReasons.cpp
@@ -26,6 +26,7 @@
         case FailoverReason::Unreachable:
         case FailoverReason::WritesUnanswered:
         case FailoverReason::StatementsLost:
+        case FailoverReason::Lost:
             return true;
         case FailoverReason::Leaving:
         case FailoverReason::NoPrimary:
@@ -61,6 +62,9 @@
         hasStayingServer()) {
         return FailoverReason::Leaving;
     }
+    if (hasLostPromotion(now)) {
+        return FailoverReason::Lost;
+    }
     const bool suspected = _suspected == _primary->server && now - _suspectedAt < kSuspicionHolds;
     return suspected ? _suspicion : FailoverReason::None;
 }
--- a/src/failover/GroupFailover.cpp
+++ b/src/failover/GroupFailover.cpp
@@ -37,6 +37,8 @@
             return "no_primary";
         case FailoverReason::Abandoned:
             return "abandoned";
+        case FailoverReason::Lost:
+            return "lost";
     }
     return "unknown";
 }
--- a/src/failover/GroupFailover.h
+++ b/src/failover/GroupFailover.h
@@ -28,6 +28,8 @@
     Leaving,   /**< Its announcement says that it will end. */
     NoPrimary, /**< No server is known to lead. */
     Abandoned, /**< Whoever began a promotion has stopped driving it. */
+    /** Replicas are paused by a promotion that the store has lost and that nobody drives. */
+    Lost,
 };
 
 /** @return a word for logs. */
@@ -117,6 +119,9 @@
     /** The servers have proven that the primary led at that moment. */
     void onLeadershipProven(const pooling::Primary& primary, TimePoint provenAt);
 
+    /** The primary led, and a replica was told not to receive from it, at that moment. */
+    void onReceiversPaused(TimePoint at);
+
 private:
     enum class Phase {
         Idle,
@@ -133,6 +138,7 @@
     bool mustRestore() const;
     bool isUnconfirmed() const;
     bool lacksRecord() const;
+    bool hasLostPromotion(TimePoint now) const;
     bool isClaimable(TimePoint now) const;
     void restore(TimePoint now);
     void writeAgain(PromotionRecord record, const char* event);
@@ -159,6 +165,7 @@
     std::optional<ServerName> mostAdvanced(const CommitQuorum& quorum, TimePoint now) const;
     bool isFresh(const MemberLink& member, TimePoint now) const;
     bool holdsEarlierTerms(const OpTime& position) const;
+    bool lacksLostTerms(const CommitQuorum& quorum, const ServerName& server) const;
     bool isSuccessorReady(TimePoint now) const;
     bool isOwn(const PromotionRecord& record) const;
     bool isDriving() const;
@@ -212,6 +219,8 @@
     FailoverReason _suspicion = FailoverReason::None;
     ServerName _suspected;
     TimePoint _suspectedAt{};
+    /** When receivers were last found paused by a lost promotion. */
+    std::optional<TimePoint> _pausedFoundAt;
 
     Phase _phase = Phase::Idle;
     FailoverReason _reason = FailoverReason::None;
--- a/src/failover/LeadershipProbe.cpp
+++ b/src/failover/LeadershipProbe.cpp
@@ -61,13 +61,20 @@
     return _links.empty() ? std::nullopt : std::optional<TimePoint>(_nextTick);
 }
 
-std::optional<TimePoint> LeadershipProbe::provenAt(const pooling::Primary& primary) const {
+/** @return the answer in which the primary says that it leads; nullptr when there is none. */
+const MemberAnswer* LeadershipProbe::leadershipClaim(const pooling::Primary& primary) const {
     const auto leader = _links.find(primary.server);
     if (leader == _links.end() || !leader->second->report()) {
-        return std::nullopt;
+        return nullptr;
     }
     const MemberAnswer& claim = *leader->second->report();
-    if (!claim.report.primary || claim.report.term < primary.term) {
+    const bool leads = claim.report.primary && claim.report.term >= primary.term;
+    return leads ? &claim : nullptr;
+}
+
+std::optional<TimePoint> LeadershipProbe::provenAt(const pooling::Primary& primary) const {
+    const MemberAnswer* claim = leadershipClaim(primary);
+    if (claim == nullptr) {
         return std::nullopt;
     }
     std::optional<TimePoint> proven;
@@ -77,14 +84,32 @@
         }
         const MemberAnswer& follower = *link->report();
         const bool follows = !follower.report.primary &&
-                             follower.report.term == claim.report.term &&
-                             follower.report.heldTerm <= claim.report.term;
+                             follower.report.term == claim->report.term &&
+                             follower.report.heldTerm <= claim->report.term;
         if (follows) {
-            const TimePoint at = std::min(claim.askedAt, follower.askedAt);
+            const TimePoint at = std::min(claim->askedAt, follower.askedAt);
             proven = std::max(proven.value_or(at), at);
         }
     }
     return proven;
 }
 
+std::optional<TimePoint> LeadershipProbe::pausedAt(const pooling::Primary& primary) const {
+    const MemberAnswer* claim = leadershipClaim(primary);
+    if (claim == nullptr) {
+        return std::nullopt;
+    }
+    std::optional<TimePoint> paused;
+    for (const auto& [name, link] : _links) {
+        const std::optional<MemberAnswer>& answer = link->report();
+        const bool isPaused =
+            answer && !answer->report.primary && answer->report.heldTerm > claim->report.term;
+        if (name != primary.server && isPaused) {
+            const TimePoint at = std::min(claim->askedAt, answer->askedAt);
+            paused = std::max(paused.value_or(at), at);
+        }
+    }
+    return paused;
+}
+
 }  // namespace coralhoist::failover
--- a/src/failover/LeadershipProbe.h
+++ b/src/failover/LeadershipProbe.h
@@ -39,7 +39,15 @@
     /** @return the moment at which the primary's leadership is proven to have held, if any. */
     std::optional<TimePoint> provenAt(const pooling::Primary& primary) const;
 
+    /**
+     * @return the moment at which some replica was still told not to receive from the primary,
+     * which led: a promotion that has begun and not ended. Nothing when no such answer is known.
+     */
+    std::optional<TimePoint> pausedAt(const pooling::Primary& primary) const;
+
 private:
+    const MemberAnswer* leadershipClaim(const pooling::Primary& primary) const;
+
     const Clock& _clock;
     pooling::ServerConnector& _connector;
     const ReportParser& _parser;
--- a/src/failover/StoreReturn.cpp
+++ b/src/failover/StoreReturn.cpp
@@ -106,11 +106,29 @@
 void GroupFailover::onLeadershipProven(const pooling::Primary& primary, TimePoint provenAt) {
     const bool isNamed = _record.term == 0 || primary.server == _record.successor;
     const bool isAfterLostCalls = provenAt >= _dependencies.era.shownAt() + kTakeOverAfter;
-    if (isNamed && isAfterLostCalls && wantsConfirmation(_dependencies.clock.now())) {
+    if (isNamed && isAfterLostCalls && !hasLostPromotion(_dependencies.clock.now()) &&
+        wantsConfirmation(_dependencies.clock.now())) {
         PromotionRecord record = _record;
         record.confirmedIn = record.version.era;
         writeAgain(record, "promotion.confirmed");
     }
 }
 
+/**
+ * Its claim and its promoter are gone, and nothing else would end it: writes find no receiver, and
+ * the primary answers every question. Until lost calls are over it may still be driven. It is ended
+ * by a promotion, not by a mere resumption: whoever it made step down may lead no more.
+ */
+void GroupFailover::onReceiversPaused(TimePoint at) {
+    const TimePoint now = _dependencies.clock.now();
+    const bool isAfterLostCalls = at >= _dependencies.era.shownAt() + kTakeOverAfter;
+    if (isAfterLostCalls && now - at < kSuspicionHolds && wantsConfirmation(now)) {
+        _pausedFoundAt = now;
+    }
+}
+
+bool GroupFailover::hasLostPromotion(TimePoint now) const {
+    return _pausedFoundAt && now - *_pausedFoundAt < kSuspicionHolds;
+}
+
 }  // namespace coralhoist::failover
--- a/src/failover/SuccessorChoice.cpp
+++ b/src/failover/SuccessorChoice.cpp
@@ -77,7 +77,8 @@
         return std::nullopt;
     }
     const auto isSafe = [this, &quorum](const ServerName& server) {
-        return quorum.holdsAllCommits(server) && holdsEarlierTerms(quorum.find(server)->received);
+        return quorum.holdsAllCommits(server) && holdsEarlierTerms(quorum.find(server)->received) &&
+               !lacksLostTerms(quorum, server);
     };
     if (best && isSafe(*best)) {
         return best;
@@ -101,6 +102,16 @@
     return position >= _record.base || !_servers.contains(_record.successor);
 }
 
+/**
+ * A promotion that the store has lost may have had a later base than the record. Its commits are in
+ * the log of the primary, which has answered: a server that lacks some of it must not lead.
+ */
+bool GroupFailover::lacksLostTerms(const CommitQuorum& quorum, const ServerName& server) const {
+    const MemberView* former = _former ? quorum.find(*_former) : nullptr;
+    return _reason == FailoverReason::Lost && former != nullptr && isReplica(*former) &&
+           quorum.find(server)->received < former->received;
+}
+
 /** @return whether a server that stays has nearly all that the leaving primary has. */
 bool GroupFailover::isSuccessorReady(TimePoint now) const {
     const auto former = _former ? _links.find(*_former) : _links.end();
--- a/tests/failover/LeadershipProbeTest.cpp
+++ b/tests/failover/LeadershipProbeTest.cpp
@@ -47,6 +47,18 @@
     CHECK_FALSE(ask().has_value());
 }
 
+TEST(LeadershipProbe, APausedReplicaShowsAPromotionThatHasNotEnded) {
+    fixture.server(1).heldTerm = 2;
+    CHECK_TRUE(ask().has_value());
+    CHECK_TRUE(probe.pausedAt({fixture.server(0).name, 1}).has_value());
+}
+
+TEST(LeadershipProbe, AReplicaThatReceivesShowsNoPromotion) {
+    fixture.server(1).heldTerm = 1;
+    ask();
+    CHECK_FALSE(probe.pausedAt({fixture.server(0).name, 1}).has_value());
+}
+
 TEST(LeadershipProbe, NothingIsProvenOnceThePrimaryHasSteppedDown) {
     fixture.server(0).primary = false;
     CHECK_FALSE(ask().has_value());
--- a/tests/failover/StoreReturnTest.cpp
+++ b/tests/failover/StoreReturnTest.cpp
@@ -34,6 +34,25 @@
         }
     }
 
+    void pauseReplicas() {
+        fixture.server(1).heldTerm = 2;
+        fixture.server(2).heldTerm = 2;
+        fixture.store.returnOlder(seconds(5));
+        for (std::size_t node = 0; node < fixture.nodes.size(); ++node) {
+            fixture.restart(node);
+        }
+        fixture.run(milliseconds(100));
+    }
+
+    void findReplicasPaused(Duration span) {
+        for (const TimePoint end = fixture.queue.now() + span; fixture.queue.now() < end;) {
+            for (std::size_t node = 0; node < fixture.nodes.size(); ++node) {
+                fixture.failover(node).onReceiversPaused(fixture.queue.now());
+            }
+            fixture.run(milliseconds(20));
+        }
+    }
+
     void promote() {
         crashPrimary();
         fixture.run(seconds(2));
@@ -143,6 +162,39 @@
     UNSIGNED_LONGS_EQUAL(0, fixture.judge.violations().size());
 }
 
+/** Its claim is lost, and all nodes that knew of it have died. */
+TEST(PromotionStoreReturn, AReplicaThatALostPromotionHasPausedReceivesAgain) {
+    pauseReplicas();
+    // Whoever held the lost claim may still call.
+    findReplicasPaused(kTakeOverAfter - milliseconds(100));
+    UNSIGNED_LONGS_EQUAL(0, fixture.group.promotions());
+    CHECK_FALSE(fixture.record().version.exists());
+    findReplicasPaused(seconds(1));
+    fixture.run(seconds(2));
+    UNSIGNED_LONGS_EQUAL(1, fixture.group.promotions());
+    CHECK_TRUE(fixture.record().phase == PromotionPhase::None);
+    const std::size_t before = fixture.judge.acknowledged();
+    fixture.commit(10);
+    UNSIGNED_LONGS_EQUAL(before + 10, fixture.judge.acknowledged());
+    UNSIGNED_LONGS_EQUAL(0, fixture.judge.violations().size());
+}
+
+/** The lost promotion had a later base than any record: the leader's log is the measure. */
+TEST(PromotionStoreReturn, AfterALostPromotionNobodyLeadsWhoLacksTheLeadersLog) {
+    fixture.server(2).deaf = true;
+    fixture.commit(10);
+    fixture.group.crash(fixture.server(1));
+    fixture.group.leave(fixture.server(1));
+    // It counts as gone, with its log.
+    fixture.run(seconds(11));
+    fixture.server(2).heldTerm = 2;
+    fixture.store.returnOlder(seconds(5));
+    findReplicasPaused(seconds(6));
+    UNSIGNED_LONGS_EQUAL(1, fixture.group.promotions());
+    CHECK_FALSE(fixture.server(2).primary);
+    UNSIGNED_LONGS_EQUAL(0, fixture.judge.violations().size());
+}
+
 TEST(PromotionStoreReturn, FencesRiseThoughRevisionsAreGivenOutAgain) {
     promote();
     const std::uint64_t before = fixture.record().version.token();
