--- a/src/failover/PromotionSteps.cpp
+++ b/src/failover/PromotionSteps.cpp
@@ -12,6 +12,9 @@
 using pooling::PromotionPhase;
 using pooling::ServerCommand;
 
+/** A replica that was paused and can't be told to receive again holds the end up for so long. */
+constexpr Duration kResumePatience = std::chrono::milliseconds(500);
+
 }  // namespace
 
 /** @return the record under the known version, with the chosen successor. */
@@ -40,7 +43,11 @@
         .field("group", _group)
         .field("successor", _successor)
         .field("term", _successorTerm)
+        .field("suitability", describe(suitabilityOf(_successor)))
         .field("former", _former ? _former->value() : std::string("none"))
+        .field("former_suitability",
+               describe(_former ? suitabilityOf(*_former) : LeadSuitability{}))
+        .field("reason", describe(_reason))
         .field("secured_by", quorum.formerLeader() != nullptr ? "step_down" : "paused_receivers")
         .field("members", describeMembers(quorum, now))
         .field("record_version", _record.version)
@@ -138,6 +145,7 @@
             _successorTerm = report->report.term;
         }
         ++_promotions;
+        noteMoved(now);
         LogEvent("failover", LogLevel::Info, "failover.successor_leads")
             .field("group", _group)
             .field("successor", _successor)
@@ -159,15 +167,26 @@
 /**
  * A pause names a term above every announced one; where an announcement took no effect, the
  * successor leads a lower term, and the pause would outlast the promotion.
+ * @return whether a replica that this promotion has paused is not known to receive again.
  */
-void GroupFailover::resumeReceivers(TimePoint now) {
+bool GroupFailover::resumeReceivers(TimePoint now) {
+    const auto successor = _links.find(_successor);
+    const bool isTermKnown = successor != _links.end() && isCurrent(*successor->second, now) &&
+                             successor->second->report()->report.primary;
+    if (isTermKnown) {
+        _successorTerm = successor->second->report()->report.term;
+    }
+    bool anyPaused = false;
     for (const auto& [name, member] : _links) {
-        const bool current = member->report() && member->report()->askedAt >= _phaseSince;
-        if (current && isFresh(*member, now) &&
-            member->report()->report.heldTerm > _successorTerm) {
+        const bool current = isCurrent(*member, now);
+        const bool outlasts = current && member->report()->report.heldTerm > _successorTerm;
+        const bool mayBePaused = member->paused() && (!current || !isTermKnown);
+        if (outlasts) {
             member->request(ServerCommand::Kind::Resume);
         }
+        anyPaused |= name != _successor && (outlasts || mayBePaused);
     }
+    return anyPaused;
 }
 
 /**
@@ -176,8 +195,8 @@
  */
 void GroupFailover::closeRecord(TimePoint now) {
     askAll(now);
-    resumeReceivers(now);
-    if (_busy || now < _announcementSeenAt + pooling::kLeadershipLease) {
+    const bool awaitsReceivers = resumeReceivers(now) && now - _phaseSince < kResumePatience;
+    if (_busy || awaitsReceivers || now < _announcementSeenAt + pooling::kLeadershipLease) {
         return;
     }
     const PromotionRecord record = recordOfSuccessor(PromotionPhase::None);
