--- a/tests/failover/PlannedMoveTest.cpp
+++ b/tests/failover/PlannedMoveTest.cpp
@@ -113,7 +113,10 @@
     for (std::size_t server = 0; server < 3; ++server) {
         fixture.setLastResort(server, true);
     }
-    fixture.run(seconds(3));
+    for (int step = 0; step < 300; ++step) {
+        fixture.run(milliseconds(10));
+        CHECK_TRUE(fixture.failover(0).isIdle());
+    }
     CHECK_FALSE(fixture.record().version.exists());
     checkCommits();
     fixture.group.join();
@@ -270,17 +273,58 @@
     CHECK_TRUE(fixture.server(2).primary);
 }
 
-/** The primary and its log are gone; the server that suits lacks what the other one acknowledged.
- */
+/** The primary, which suits better, is back with its log within the patience. */
+TEST(PlannedMove, AFormerPrimaryThatComesBackLeadsBeforeAServerOfLastResort) {
+    fixture.setLastResort(1, true);
+    fixture.server(2).deaf = true;
+    fixture.commit(10);
+    fixture.group.crash(fixture.server(0));
+    fixture.suspect(0, SuspicionReason::Unreachable);
+    fixture.run(milliseconds(1000));
+    fixture.group.restart(fixture.server(0));
+    fixture.run(seconds(3));
+    CHECK_TRUE(fixture.server(0).primary);
+    checkCommits();
+}
+
+/** The primary is gone with its log before anybody can promote: the longest log is the only one
+ * with what both acknowledged. */
 TEST(PlannedMove, NoServerLeadsAtThePriceOfACommit) {
     fixture.setLastResort(1, true);
     fixture.server(2).deaf = true;
     fixture.commit(10);
     fixture.group.leave(fixture.server(0));
-    fixture.run(seconds(20));
+    for (FailoverNode& node : fixture.nodes) {
+        node.client->setCut(true);
+    }
+    fixture.run(seconds(11));
+    for (FailoverNode& node : fixture.nodes) {
+        node.client->setCut(false);
+    }
+    fixture.run(seconds(5));
     CHECK_TRUE(fixture.server(1).primary);
 }
 
+/** The one that suits less has answered first. */
+TEST(PlannedMove, AServerThatSuitsBetterIsWaitedForThoughItAnswersLate) {
+    fixture.setLastResort(0, true);
+    fixture.setAcceptable(1);
+    fixture.server(2).orderDelay = milliseconds(100);
+    fixture.run(seconds(3));
+    CHECK_TRUE(fixture.server(2).primary);
+}
+
+/** The first announcement takes no effect, so that the second names too high a term. */
+TEST(PlannedMove, APausedReplicaReceivesAgainThoughItAnswersLate) {
+    fixture.setLastResort(0, true);
+    runUntil(PromotionPhase::Promoting);
+    fixture.group.crash(fixture.group.server(fixture.record().successor));
+    fixture.server(0).orderDelay = milliseconds(400);
+    fixture.run(seconds(8));
+    CHECK_TRUE(fixture.record().phase == PromotionPhase::None);
+    checkCommits();
+}
+
 TEST(PlannedMove, ManyGroupsMoveAtOnceWithinTheRateOfCalls) {
     constexpr std::size_t kGroups = 50;
     constexpr std::size_t kMostInASecond = 20;
