--- a/src/duty/pooling/PoolingDuty.cpp
+++ b/src/duty/pooling/PoolingDuty.cpp
@@ -412,6 +412,7 @@
                                                 _evacuation->progress.gauges(_clock.now())};
     }
     figures.promotions = _control->promotions();
+    figures.plannedMoves = _control->plannedMoves();
     figures.unreadableEntries = _control->unreadableEntries();
     figures.ready = isReady();
     figures.storeReachable = _control->isStoreReachable();
--- a/src/duty/pooling/PoolingMetrics.h
+++ b/src/duty/pooling/PoolingMetrics.h
@@ -57,6 +57,8 @@
     Duration settingsAge{0};
     std::optional<EvacuationFigures> evacuations;
     std::uint64_t promotions = 0;
+    /** Those of them that moved a misplaced primary to a server that suits better. */
+    std::uint64_t plannedMoves = 0;
     /** Entries of the store that named no server or no zone. */
     std::uint64_t unreadableEntries = 0;
     /** None where there is one region. */
