--- a/src/cluster/ClusterControl.h
+++ b/src/cluster/ClusterControl.h
@@ -15,6 +15,7 @@
 #include "base/Time.h"
 #include "cluster/ClusterCodec.h"
 #include "cluster/EstateImport.h"
+#include "cluster/EvacuationFeed.h"
 #include "cluster/NodeRegistry.h"
 #include "cluster/PromotionRecordReader.h"
 #include "cluster/StoreFollower.h"
@@ -36,6 +37,16 @@
     /** A server that drains, or is gone, gets nothing more after this time. A promotion must be
      * known before the former primary's servers are given up, so it takes the same bound. */
     Duration servers = std::chrono::milliseconds(7000);
+    /** A zone that is evacuated gets nothing more after this time. */
+    Duration evacuations{0};
+};
+
+/** Where evacuations are followed: what is told of them, and of the servers that they concern. */
+struct EvacuationFollowing {
+    /** Null where the platform keeps none. */
+    locality::EvacuatedZones* zones = nullptr;
+    const locality::RegionMap* regions = nullptr;
+    std::function<void(const GroupName&, const pooling::ServerDirectory::Servers&)> onServers;
 };
 
 /** What the control is made of. All outlive it. */
@@ -73,6 +84,8 @@
         onSettings{};
     /** The estate's zones and their regions. */
     locality::RegionMap regions = {};
+    /** All parts outlive the control. */
+    EvacuationFollowing evacuations{};
 };
 
 /** Control of one node. Single-threaded; lives beside the pooler. */
@@ -100,8 +113,13 @@
     /** @return promotions carried out by this node. */
     std::uint64_t promotions() const;
 
+    /** @return those of them that moved a misplaced primary to a server that suits better. */
+    std::uint64_t plannedMoves() const;
+
     /** @return versions of entries that named no server, each counted once. */
-    std::uint64_t unreadableEntries() const { return _unreadableEntries; }
+    std::uint64_t unreadableEntries() const {
+        return _unreadableEntries + (_evacuations ? _evacuations->unreadableEntries() : 0);
+    }
 
     /** @return the servers of a group as they are announced; of an unknown group none. */
     const pooling::ServerDirectory::Servers& serversOf(const GroupName& group) const {
@@ -118,15 +136,23 @@
      * a linearizable list of the store. */
     TimePoint settingsProvenAt() const { return _follower->provenAt(kSettingsKind); }
 
+    /** @return the same of the evacuations; the epoch where none are followed. */
+    TimePoint evacuationsProvenAt() const {
+        return _evacuations && _follower ? _follower->provenAt(kEvacuationsKind) : TimePoint{};
+    }
+
     std::uint64_t settingsVersion() const { return _import.version(); }
 
 private:
     /** Places of the kinds in the order in which nodes tell each other of them. */
     static constexpr std::size_t kSettingsKind = 0;
+    /** Followed on some platforms only. */
+    static constexpr std::size_t kEvacuationsKind = 3;
 
     /** Passes what is known of one kind of objects to methods. */
     class KindSink;
     void followKinds();
+    void followEvacuations(std::vector<FollowedKind>& kinds);
 
     void onSettings(const store::StoredObject& object);
     void onServersListed(const std::vector<store::StoredObject>& objects,
@@ -164,6 +190,7 @@
     std::uint64_t _unreadableEntries = 0;
     StoredPromotions _promotions;
     NodeRegistry _registry;
+    failover::PromotionPace _movePace;
     std::map<GroupName, std::unique_ptr<failover::GroupFailover>> _failovers;
     /** Version of the newest list of promotion records. */
     StoreVersion _promotionsListed;
@@ -173,6 +200,7 @@
     pooling::ProofExchange _proofs;
     std::map<GroupName, TimePoint> _toldProofs;
     std::vector<std::unique_ptr<KindSink>> _sinks;
+    std::unique_ptr<EvacuationFeed> _evacuations;
     std::unique_ptr<StoreFollower> _follower;
     std::vector<pooling::ProxyNode> _publishedNodes;
     /** Number of the list from which the nodes were published last. */
--- a/src/duty/pooling/PoolingDuty.h
+++ b/src/duty/pooling/PoolingDuty.h
@@ -33,6 +33,7 @@
 #include "placement/RegionUse.h"
 #include "placement/RegionalPrimary.h"
 #include "placement/WarmupPolicy.h"
+#include "placement/ZoneEvacuation.h"
 #include "pooling/PlannedStop.h"
 #include "pooling/StatementPooler.h"
 #include "tenancy/QuotaExchange.h"
@@ -81,6 +82,8 @@
     Duration settingsBound = std::chrono::milliseconds(3000);
     /** A server that drains gets nothing more after this time. */
     Duration drainBound = std::chrono::milliseconds(7000);
+    /** An evacuated zone gets nothing more after this time; 0: no evacuations are kept. */
+    Duration evacuationBound{0};
     tenancy::QuotaTerms quota;
     /** How far the rate of a server that is cold may be exceeded. */
     placement::WarmupBound warmup;
@@ -134,6 +137,10 @@
     tenancy::QuotaDependencies quotaDependencies();
     std::string life() const;
     cluster::FreshnessBounds freshnessBounds() const;
+    void keepEvacuations();
+    cluster::EvacuationFollowing evacuationFollowing();
+    std::optional<TimePoint> evacuationTick() const;
+    void continueEvacuations(TimePoint now);
     TimePoint settingsProvenAt() const;
     void applyNodes(const std::vector<pooling::ProxyNode>& nodes);
     void applyCatalog(const pooling::ServiceCatalog& catalog);
@@ -168,6 +175,8 @@
     TimePoint _nextRegionLog{};
     std::uint64_t _loggedRegionBytes = 0;
     pooling::StatementPooler _pooler;
+    /** Where the platform keeps evacuations. */
+    std::optional<placement::ZoneEvacuation> _evacuation;
     forwarding::UnitLinks _unitLinks;
     forwarding::UnitService _unitService;
     socket::HttpClient _storeConnections;
--- a/src/duty/pooling/PoolingMetrics.h
+++ b/src/duty/pooling/PoolingMetrics.h
@@ -3,10 +3,12 @@
 
 #include <array>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 
 #include "locality/RegionTraffic.h"
+#include "placement/EvacuationProgress.h"
 #include "placement/HomePolicy.h"
 #include "placement/RegionUse.h"
 #include "placement/WarmupPolicy.h"
@@ -24,6 +26,15 @@
     std::uint64_t keptBack = 0;
 };
 
+/** Where the platform keeps evacuations. */
+struct EvacuationFigures {
+    /** Time since the newest moment up to which the evacuations are known to be complete. */
+    Duration age{0};
+    /** Statements sent outside, of groups with servers in evacuated zones. */
+    std::uint64_t sentElsewhere = 0;
+    std::map<ZoneName, placement::EvacuationGauge> zones;
+};
+
 /** What the page shows. */
 struct PoolingFigures {
     pooling::PoolerStatistics pooler;
@@ -45,8 +56,11 @@
     std::uint64_t settingsVersion = 0;
     /** Time since the newest moment up to which the settings are known to be complete. */
     Duration settingsAge{0};
+    std::optional<EvacuationFigures> evacuations;
     std::uint64_t promotions = 0;
-    /** Entries of the store that named no server. */
+    /** Those of them that moved a misplaced primary to a server that suits better. */
+    std::uint64_t plannedMoves = 0;
+    /** Entries of the store that named no server or no zone. */
     std::uint64_t unreadableEntries = 0;
     /** None where there is one region. */
     std::optional<RegionFigures> regions;
--- a/src/placement/PolicyChain.cpp
+++ b/src/placement/PolicyChain.cpp
@@ -19,7 +19,8 @@
 
 }  // namespace
 
-/** What one policy forbids is asked of none after it: some ask others for what they would allow. */
+/** What one policy forbids is asked of none after it: one that grants from a rate would use it up.
+ */
 template <typename Ask>
 PlacementVerdict PolicyChain::strictest(const Ask& ask) const {
     PlacementVerdict verdict;
@@ -47,6 +48,11 @@
         [&](pooling::PlacementPolicy& policy) { return policy.mayRest(unit, server); });
 }
 
+bool PolicyChain::isClosed(const PlacedServer& server) {
+    return std::any_of(_policies.begin(), _policies.end(),
+                       [&](pooling::PlacementPolicy* policy) { return policy->isClosed(server); });
+}
+
 bool PolicyChain::mayForwardTo(const PlacedUnit& unit, const ZoneName& zone) {
     return std::all_of(_policies.begin(), _policies.end(), [&](pooling::PlacementPolicy* policy) {
         return policy->mayForwardTo(unit, zone);
--- a/src/placement/PolicyChain.h
+++ b/src/placement/PolicyChain.h
@@ -1,6 +1,7 @@
 /** All policies of a node as one. */
 #pragma once
 
+#include <cstddef>
 #include <vector>
 
 #include "failover/PrimaryPlacement.h"
@@ -15,7 +16,14 @@
 class PolicyChain final : public pooling::PlacementPolicy, public failover::PrimaryPlacement {
 public:
     /** @param policy outlives the chain. */
-    void add(pooling::PlacementPolicy& policy) { _policies.push_back(&policy); }
+    void add(pooling::PlacementPolicy& policy) {
+        _policies.insert(_policies.end() - _askedLast, &policy);
+    }
+    /** The policy is asked after all others, and for nothing that one of them forbids. */
+    void addLast(pooling::PlacementPolicy& policy) {
+        _policies.push_back(&policy);
+        ++_askedLast;
+    }
     void add(failover::PrimaryPlacement& placement) { _placements.push_back(&placement); }
 
     pooling::PlacementVerdict mayBegin(const pooling::PlacedUnit& unit,
@@ -24,6 +32,7 @@
                                           const pooling::PlacedServer& server) override;
     pooling::PlacementVerdict mayRest(const pooling::PlacedUnit& unit,
                                       const pooling::PlacedServer& server) override;
+    bool isClosed(const pooling::PlacedServer& server) override;
     bool mayForwardTo(const pooling::PlacedUnit& unit, const ZoneName& zone) override;
     bool mayLogAnswers(const pooling::PlacedUnit& unit) override;
     void noteSent(const pooling::PlacedUnit& unit, const pooling::PlacedServer& server) override;
@@ -41,6 +50,8 @@
     pooling::PlacementVerdict strictest(const Ask& ask) const;
 
     std::vector<pooling::PlacementPolicy*> _policies;
+    /** So many at the end were added as last. */
+    std::ptrdiff_t _askedLast = 0;
     std::vector<failover::PrimaryPlacement*> _placements;
 };
 
--- a/src/pooling/PoolerSending.cpp
+++ b/src/pooling/PoolerSending.cpp
@@ -146,6 +146,7 @@
         return false;
     }
     ++_statistics.transactionsEndedByPlacement;
+    ++_statistics.endedByReason[verdict.reason];
     _connections.discard(connection.id);
     if (operation.statement.verb == StatementVerb::Commit) {
         forgetTransaction(session);
--- a/src/pooling/ServerConnections.h
+++ b/src/pooling/ServerConnections.h
@@ -25,6 +25,9 @@
     /** @return the server that the connection leads to; null when it is not known any more. */
     virtual ServerState* serverOf(const ServerConnection& connection) = 0;
 
+    /** @return whether nothing may be sent to the server, not even to end what is open there. */
+    virtual bool isClosed(const ServerState& server) = 0;
+
     /** A server of the group has room for something else. */
     virtual void onRoom(const GroupName& group) = 0;
 
@@ -89,7 +92,8 @@
     /** Its user went away; what is unanswered is waited for and dropped. */
     void abandon(ServerConnection& connection);
 
-    /** Ends whatever is open on it. Its user is done with it. */
+    /** Ends whatever is open on it. Its user is done with it. It is closed for that, and gone
+     * afterwards, where its server must not be sent anything. */
     void rollBack(ServerConnection& connection);
 
     /** A statement of its transaction was answered; the transaction goes on without a slot. */
--- a/src/pooling/StatementPooler.h
+++ b/src/pooling/StatementPooler.h
@@ -41,6 +41,7 @@
 #include "pooling/TenantActivity.h"
 #include "pooling/UnitForwarding.h"
 #include "pooling/WayToServer.h"
+#include "pooling/ZoneLoad.h"
 
 namespace coralhoist::pooling {
 
@@ -218,6 +219,9 @@
     /** @return the primary of a group as taken now. */
     std::optional<Primary> primaryOf(const GroupName& group) const;
 
+    /** @return what this node has at the servers of each zone. */
+    std::map<ZoneName, ZoneLoad> loadByZone() const;
+
     const PoolerStatistics& statistics() const { return _statistics; }
 
 private:
@@ -339,6 +343,8 @@
     bool refuseUnplaceable(PooledSession& session, const PlacementOutlook& outlook);
     Duration replicaPatience(const GroupState& group, const PooledSession& session) const;
     void waitForReplica(PooledSession& session, Duration wait);
+    std::uint32_t executorsPerZone() const;
+    std::uint32_t connectionBound() const;
     WayToServer wayTo(const ServerState& server) const;
     double takenBy(const ServerState& server) const;
     Duration distancePenalty(const ServerState& server) const;
@@ -454,6 +460,7 @@
     void logSlow(const PooledSession& session);
     GroupState& groupOf(const PooledSession& session) { return _groups[session.group]; }
     ServerState* serverOf(const ServerConnection& connection) override;
+    bool isClosed(const ServerState& server) override;
     void onRoom(const GroupName& group) override { markDirty(group); }
     void onForgotten(const ServerConnection& connection) override;
     PooledSession* findSession(SessionId id);
--- a/tests/placement/PolicyChainTest.cpp
+++ b/tests/placement/PolicyChainTest.cpp
@@ -77,6 +77,15 @@
     LONGS_EQUAL(0, second.asked);
 }
 
+TEST(PolicyChain, ALastPolicyIsAskedAfterThoseThatAreAddedLater) {
+    PolicyChain other;
+    other.addLast(first);
+    other.add(static_cast<pooling::PlacementPolicy&>(second));
+    second.verdict = PlacementVerdict::forbidden("never");
+    CHECK_TRUE(other.mayBegin(unit, placed).isForbidden());
+    LONGS_EQUAL(0, first.asked);
+}
+
 TEST(PolicyChain, AllAgreeToANodeAndAllAreToldWhatIsSent) {
     CHECK_TRUE(chain.mayForwardTo(unit, zone));
     second.forwards = false;
