--- a/src/failover/PromotionSteps.cpp
+++ b/src/failover/PromotionSteps.cpp
@@ -1,4 +1,5 @@
 /** Steps of a promotion once the former primary is kept from committing: announce, call, close. */
+#include <algorithm>
 #include <utility>
 
 #include "base/Log.h"
@@ -142,7 +143,9 @@
                            server->announcement.role == pooling::ServerRole::Primary;
     if (announced || (report && report->report.primary && report->askedAt >= _phaseSince)) {
         if (report && report->report.primary) {
-            _successorTerm = report->report.term;
+            // Where an announcement took no effect it leads a lower term. The record keeps the
+            // announced one: a term that falls would pass for an older record.
+            _successorTerm = std::max(_successorTerm, report->report.term);
         }
         ++_promotions;
         noteMoved(now);
@@ -173,13 +176,11 @@
     const auto successor = _links.find(_successor);
     const bool isTermKnown = successor != _links.end() && isCurrent(*successor->second, now) &&
                              successor->second->report()->report.primary;
-    if (isTermKnown) {
-        _successorTerm = successor->second->report()->report.term;
-    }
+    const Term ledTerm = isTermKnown ? successor->second->report()->report.term : _successorTerm;
     bool anyPaused = false;
     for (const auto& [name, member] : _links) {
         const bool current = isCurrent(*member, now);
-        const bool outlasts = current && member->report()->report.heldTerm > _successorTerm;
+        const bool outlasts = current && member->report()->report.heldTerm > ledTerm;
         const bool mayBePaused = member->paused() && (!current || !isTermKnown);
         if (outlasts) {
             member->request(ServerCommand::Kind::Resume);
--- a/tests/failover/PlannedMoveTest.cpp
+++ b/tests/failover/PlannedMoveTest.cpp
@@ -283,6 +283,7 @@
     fixture.run(milliseconds(1000));
     fixture.group.restart(fixture.server(0));
     fixture.run(seconds(3));
+    UNSIGNED_LONGS_EQUAL(1, fixture.group.promotions());
     CHECK_TRUE(fixture.server(0).primary);
     checkCommits();
 }
@@ -322,6 +323,9 @@
     fixture.server(0).orderDelay = milliseconds(400);
     fixture.run(seconds(8));
     CHECK_TRUE(fixture.record().phase == PromotionPhase::None);
+    // A record whose term fell at its end would be taken for an older one, and begun anew.
+    fixture.run(seconds(8));
+    UNSIGNED_LONGS_EQUAL(1, fixture.group.promotions());
     checkCommits();
 }
 
