--- a/lab/pooled/PooledFault.cpp
+++ b/lab/pooled/PooledFault.cpp
@@ -41,6 +41,17 @@
     return plans;
 }
 
+std::vector<std::vector<PooledFault>> misplacedPlans() {
+    constexpr PooledFault kMisplaced = PooledFault::PrimaryMisplaced;
+    std::vector<std::vector<PooledFault>> plans{{kMisplaced}, {kMisplaced, kMisplaced}};
+    for (std::size_t index = 0; index < static_cast<std::size_t>(kMisplaced); ++index) {
+        const auto other = static_cast<PooledFault>(index);
+        plans.push_back({kMisplaced, other});
+        plans.push_back({kMisplaced, other, kMisplaced});
+    }
+    return plans;
+}
+
 std::vector<std::vector<PooledFault>> crowdedPromotionPlans() {
     std::vector<std::vector<PooledFault>> plans;
     for (const PooledFault fault :
--- a/lab/pooled/PooledFault.h
+++ b/lab/pooled/PooledFault.h
@@ -35,6 +35,7 @@
     ReplicasRestart,       /**< Quick restarts in a series: pauses are forgotten. */
     StoreReturnsOlder,     /**< The store is away and back from a copy of seconds before. */
     AllNodesDieAtReturn,   /**< The same, and all nodes lose power as it is back. */
+    PrimaryMisplaced,      /**< Nodes learn one by one that it must not lead, then that it may. */
 };
 
 /** Number of the first fault that only servers with slots and heartbeats are played with. */
@@ -44,6 +45,9 @@
 /** @return returns of the store: one, two, three, and one or two with each other fault. */
 std::vector<std::vector<PooledFault>> storeReturnPlans();
 
+/** @return misplaced primaries: one, two in series, and one with each other fault. */
+std::vector<std::vector<PooledFault>> misplacedPlans();
+
 /** @return the single faults before kFirstServerFault, and all pairs of them. */
 std::vector<std::vector<PooledFault>> allPooledFaultPlans();
 
--- a/lab/pooled/PooledFaults.cpp
+++ b/lab/pooled/PooledFaults.cpp
@@ -190,6 +190,25 @@
     heal([this, node] { _targets.network.setSilenced(node, false); });
 }
 
+/** Nodes follow the request, and its end, up to a second apart. */
+void PooledFaults::misplacePrimary() {
+    const std::uint16_t port = primary().port;
+    const Duration time = between(milliseconds(2500), milliseconds(4500));
+    for (std::size_t index = 0; index < _targets.nodes.size(); ++index) {
+        const Duration known = between(milliseconds(0), milliseconds(1000));
+        after(known, [this, index, port] {
+            if (_targets.nodes[index]) {
+                _targets.nodes[index]->placement().lastResort.insert(port);
+            }
+        });
+        after(known + time, [this, index, port] {
+            if (_targets.nodes[index]) {
+                _targets.nodes[index]->placement().lastResort.erase(port);
+            }
+        });
+    }
+}
+
 void PooledFaults::begin(PooledFault fault) {
     switch (fault) {
         case PooledFault::PrimaryCrashes:
@@ -228,6 +247,8 @@
             return breakLinks(kLinkBreaks);
         case PooledFault::NodeSilenced:
             return silenceNode();
+        case PooledFault::PrimaryMisplaced:
+            return misplacePrimary();
         default:
             return beginServerFault(fault);
     }
--- a/lab/pooled/PooledFaults.h
+++ b/lab/pooled/PooledFaults.h
@@ -82,6 +82,7 @@
     void loseServerAnswers();
     void breakLinks(int times);
     void silenceNode();
+    void misplacePrimary();
 
     void crowdServers(TimePoint end);
     void crowd(LogServer& server);
--- a/lab/pooled/PooledJudge.cpp
+++ b/lab/pooled/PooledJudge.cpp
@@ -1,6 +1,7 @@
 #include "lab/pooled/PooledJudge.h"
 
 #include <algorithm>
+#include <optional>
 
 namespace coralhoist::pooled {
 namespace {
@@ -20,6 +21,23 @@
     }
 }
 
+Duration PooledJudge::longestWriteGap(TimePoint since) const {
+    Duration longest{0};
+    std::optional<TimePoint> last;
+    for (const CommitId commit : _order) {
+        const auto found = _acknowledged.find(commit);
+        if (found == _acknowledged.end()) {
+            continue;
+        }
+        const TimePoint at = found->second.at;
+        longest = last ? std::max(longest, at - *last) : longest;
+        if (at >= since) {
+            last = at;
+        }
+    }
+    return longest;
+}
+
 void PooledJudge::onCommitted(const LogPlace& place) {
     if (!_commits.emplace(place.commit, place).second) {
         fail("TWICE: commit " + std::to_string(place.commit) + " took effect twice");
--- a/lab/pooled/PooledJudge.h
+++ b/lab/pooled/PooledJudge.h
@@ -64,6 +64,8 @@
     const std::vector<std::string>& violations() const { return _violations; }
     std::size_t acknowledged() const { return _acknowledged.size(); }
     std::size_t reads() const { return _reads; }
+    /** @return the longest time between two acknowledgements of which the first is not before. */
+    Duration longestWriteGap(TimePoint since) const;
 
 private:
     struct Acknowledgement {
--- a/lab/pooled/PooledNode.cpp
+++ b/lab/pooled/PooledNode.cpp
@@ -97,11 +97,11 @@
     for (LogGroup* group : world.groups) {
         wantLeadershipProof(group->name());
         _failovers[group->name()] = std::make_unique<failover::GroupFailover>(
-            group->name(),
-            failover::FailoverDependencies{
-                world.queue, world.random, _connector, _storeClient, _storeClient, _parser,
-                _name + "/" + std::to_string(world.random.next()), _name,
-                [this](const GroupName& named) { return _readers.turnOf(named); }, _era});
+            group->name(), failover::FailoverDependencies{
+                               world.queue, world.random, _connector, _storeClient, _storeClient,
+                               _parser, _name + "/" + std::to_string(world.random.next()), _name,
+                               [this](const GroupName& named) { return _readers.turnOf(named); },
+                               _era, &_placement});
     }
     openCallers(sessionsPerService);
 }
@@ -110,6 +110,14 @@
     _activity->end();
 }
 
+std::uint64_t PooledNode::plannedMoves() const {
+    std::uint64_t total = 0;
+    for (const auto& [group, failover] : _failovers) {
+        total += failover->plannedMoves();
+    }
+    return total;
+}
+
 void PooledNode::setStoreCut(bool cut) {
     _storeCut = cut;
     _storeClient.setCut(cut);
--- a/lab/pooled/PooledNode.h
+++ b/lab/pooled/PooledNode.h
@@ -13,6 +13,7 @@
 #include "lab/pooled/LogGroup.h"
 #include "lab/pooled/PooledJudge.h"
 #include "lab/pooled/RecordStore.h"
+#include "lab/pooled/ScriptedPlacement.h"
 #include "lab/pooled/UnitNetwork.h"
 #include "pooling/ProofExchange.h"
 #include "pooling/StatementPooler.h"
@@ -57,6 +58,7 @@
     void thaw() { _activity->thaw(); }
     /** Cuts the node off from the store. */
     void setStoreCut(bool cut);
+    ScriptedPlacement& placement() { return _placement; }
     LogConnector& connector() { return _connector; }
     const LogConnector& connector() const { return _connector; }
     std::uint64_t acknowledged() const { return _acknowledged; }
@@ -64,6 +66,8 @@
     std::uint64_t provenByServers() const { return _provenByServers; }
     /** @return readings of the store for proofs of leadership. */
     std::uint64_t recordReadings() const { return _recordReadings; }
+    /** @return planned moves of primaries that it carried out. */
+    std::uint64_t plannedMoves() const;
     /** @return statements that other nodes executed for this one. */
     std::uint64_t forwarded() const { return _pooler.statistics().forwarded; }
 
@@ -122,6 +126,7 @@
     StoreEra _era;
     StoreClient _storeClient;
     bool _storeCut = false;
+    ScriptedPlacement _placement;
     failover::ReportParser _parser;
     pooling::ServerDirectory _directory;
     pooling::StatementPooler _pooler;
--- a/lab/pooled/PooledRun.cpp
+++ b/lab/pooled/PooledRun.cpp
@@ -59,6 +59,7 @@
         report.acknowledged = _judge.acknowledged();
         report.acknowledgedAfterFaults = report.acknowledged - before;
         report.reads = _judge.reads();
+        report.longestWriteGap = _judge.longestWriteGap(TimePoint{} + kWarmUp);
         report.promotions = _group.promotions();
         for (const auto& node : _nodes) {
             if (node) {
@@ -98,6 +99,7 @@
 
     /** Adds up what a node has seen to the report. */
     static void addNode(const PooledNode& node, PooledReport& report) {
+        report.plannedMoves += node.plannedMoves();
         report.provenByServers += node.provenByServers();
         report.forwarded += node.forwarded();
         report.slowOrders += node.connector().slowOrders();
--- a/lab/pooled/PooledRun.h
+++ b/lab/pooled/PooledRun.h
@@ -31,6 +31,9 @@
     std::size_t acknowledgedAfterFaults = 0;
     std::size_t reads = 0;
     std::uint64_t promotions = 0;
+    std::uint64_t plannedMoves = 0;
+    /** Longest time between two acknowledged commits from the first fault on. */
+    Duration longestWriteGap{0};
     /** Proofs of leadership that servers gave while the store was silent. */
     std::uint64_t provenByServers = 0;
     /** Statements that were executed by another node than the one asked. */
--- a/src/cluster/ClusterControl.cpp
+++ b/src/cluster/ClusterControl.cpp
@@ -129,6 +129,14 @@
     return total;
 }
 
+std::uint64_t ClusterControl::plannedMoves() const {
+    std::uint64_t total = 0;
+    for (const auto& [group, failover] : _failovers) {
+        total += failover->plannedMoves();
+    }
+    return total;
+}
+
 void ClusterControl::onSettings(const StoredObject& object) {
     const std::optional<EstateImage> image = _dependencies.codec.readEstate(object);
     if (!image) {
@@ -266,7 +274,7 @@
                        _promotions, _promotions, _dependencies.reportParser, _dependencies.holder,
                        _dependencies.self.name.value(),
                        [this](const GroupName& name) { return _readers.turnOf(name); },
-                       _dependencies.storeEra, _dependencies.primaryPlacement});
+                       _dependencies.storeEra, _dependencies.primaryPlacement, &_movePace});
         entry->onRecord(missingRecord(_promotionsListed.era));
     }
     return *entry;
--- a/src/cluster/ClusterControl.h
+++ b/src/cluster/ClusterControl.h
@@ -92,6 +92,9 @@
     /** @return promotions carried out by this node. */
     std::uint64_t promotions() const;
 
+    /** @return those of them that moved a misplaced primary to a server that suits better. */
+    std::uint64_t plannedMoves() const;
+
     /** @return versions of entries that named no server, each counted once. */
     std::uint64_t unreadableEntries() const { return _unreadableEntries; }
 
@@ -151,6 +154,7 @@
     std::uint64_t _unreadableEntries = 0;
     StoredPromotions _promotions;
     NodeRegistry _registry;
+    failover::PromotionPace _movePace;
     std::map<GroupName, std::unique_ptr<failover::GroupFailover>> _failovers;
     /** Version of the newest list of promotion records. */
     StoreVersion _promotionsListed;
--- a/src/duty/pooling/PoolingDuty.cpp
+++ b/src/duty/pooling/PoolingDuty.cpp
@@ -244,6 +244,7 @@
     figures.settingsVersion = _control->settingsVersion();
     figures.settingsAge = _clock.now() - _control->settingsProvenAt();
     figures.promotions = _control->promotions();
+    figures.plannedMoves = _control->plannedMoves();
     figures.unreadableEntries = _control->unreadableEntries();
     figures.ready = isReady();
     figures.storeReachable = _control->isStoreReachable();
--- a/src/duty/pooling/PoolingMetrics.cpp
+++ b/src/duty/pooling/PoolingMetrics.cpp
@@ -180,6 +180,10 @@
                 figures.unreadableEntries);
     page.metric("counter", "promotions_total", "Promotions carried out by this node.",
                 figures.promotions);
+    page.metric(
+        "counter", "planned_moves_total",
+        "Promotions by this node that moved a misplaced primary to a server that suits better.",
+        figures.plannedMoves);
     page.metric("counter", "statements_total", "Statements of callers.", pooler.statements);
     page.metric("counter", "replica_reads_total", "Statements sent to replicas.",
                 pooler.replicaReads);
--- a/src/duty/pooling/PoolingMetrics.h
+++ b/src/duty/pooling/PoolingMetrics.h
@@ -27,6 +27,8 @@
     /** Time since the newest moment up to which the settings are known to be complete. */
     Duration settingsAge{0};
     std::uint64_t promotions = 0;
+    /** Those of them that moved a misplaced primary to a server that suits better. */
+    std::uint64_t plannedMoves = 0;
     /** Entries of the store that named no server. */
     std::uint64_t unreadableEntries = 0;
     bool ready = false;
--- a/src/failover/FailoverReasons.cpp
+++ b/src/failover/FailoverReasons.cpp
@@ -28,6 +28,8 @@
         case FailoverReason::StatementsLost:
         case FailoverReason::Lost:
             return true;
+        case FailoverReason::Misplaced:
+            return now - _foundSince >= moveDelay();
         case FailoverReason::Leaving:
         case FailoverReason::NoPrimary:
         case FailoverReason::Abandoned:
@@ -66,7 +68,10 @@
         return FailoverReason::Lost;
     }
     const bool suspected = _suspected == _primary->server && now - _suspectedAt < kSuspicionHolds;
-    return suspected ? _suspicion : FailoverReason::None;
+    if (suspected && _suspicion != FailoverReason::None) {
+        return _suspicion;
+    }
+    return isMisplaced(now) ? FailoverReason::Misplaced : FailoverReason::None;
 }
 
 /** @return whether this node, in this life or an earlier one, wrote the record. */
@@ -82,8 +87,7 @@
 /** @return whether there is a server to replace the primary. */
 bool GroupFailover::hasStayingServer() const {
     return std::any_of(_servers.begin(), _servers.end(), [this](const auto& entry) {
-        const ListedServer& server = entry.second;
-        return !server.removed && !server.announcement.draining && entry.first != _primary->server;
+        return isStaying(entry.second) && entry.first != _primary->server;
     });
 }
 
--- a/src/failover/GroupFailover.cpp
+++ b/src/failover/GroupFailover.cpp
@@ -13,12 +13,17 @@
 using pooling::ServerCommand;
 using std::chrono::milliseconds;
 
-bool needsCheck(FailoverReason reason) {
-    return reason == FailoverReason::Silent || reason == FailoverReason::Unreachable;
+/** @return whether the primary serves until a successor has nearly caught up. */
+bool isPlanned(FailoverReason reason) {
+    return reason == FailoverReason::Leaving || reason == FailoverReason::Misplaced;
 }
 
 }  // namespace
 
+bool needsCheck(FailoverReason reason) {
+    return reason == FailoverReason::Silent || reason == FailoverReason::Unreachable;
+}
+
 const char* describe(FailoverReason reason) {
     switch (reason) {
         case FailoverReason::None:
@@ -39,6 +44,8 @@
             return "abandoned";
         case FailoverReason::Lost:
             return "lost";
+        case FailoverReason::Misplaced:
+            return "misplaced";
     }
     return "unknown";
 }
@@ -200,6 +207,9 @@
         case Phase::Checking:
             check(now);
             return;
+        case Phase::Awaiting:
+            awaitSuccessor(now);
+            return;
         case Phase::Loading:
             load();
             return;
@@ -217,6 +227,7 @@
             return;
         case Phase::Claiming:
         case Phase::Announcing:
+        case Phase::Withdrawing:
             return;
     }
 }
@@ -225,6 +236,8 @@
     _reason = reason;
     _attemptEra = _dependencies.era.current();
     _former.reset();
+    _stopping = false;
+    _claimedClosed = false;
     if (_primary && _servers.contains(_primary->server)) {
         _former = _primary->server;
     }
@@ -232,8 +245,13 @@
         .field("group", _group)
         .field("reason", describe(reason))
         .field("primary", _former ? _former->value() : std::string("none"))
+        .field("suitability", describe(_former ? suitabilityOf(*_former) : LeadSuitability{}))
         .field("term", _newestTerm)
         .field("record_version", _record.version);
+    if (reason == FailoverReason::Misplaced) {
+        enter(Phase::Awaiting);
+        return;
+    }
     if (needsCheck(reason) && _former) {
         link(*_former).request(ServerCommand::Kind::Status);
         enter(Phase::Checking);
@@ -244,13 +262,17 @@
     _nextTick = now + jitter;
 }
 
-/** A suspected primary that answers anything at all is left alone. */
+/** A suspected primary that answers anything at all is left alone, but for a planned move. */
 void GroupFailover::check(TimePoint now) {
     MemberLink& former = link(*_former);
     const std::optional<TimePoint> heard = former.heardAt();
     if (heard && *heard >= _phaseSince && (former.report() || !former.isRefused())) {
         const bool answered = former.report() && former.report()->askedAt >= _phaseSince;
-        if (answered || now - _phaseSince > kCheckPatience) {
+        if (answered && isMisplaced(now)) {
+            _reason = FailoverReason::Misplaced;
+            _suspicion = FailoverReason::None;
+            enter(Phase::Awaiting);
+        } else if (answered || now - _phaseSince > kCheckPatience) {
             giveUp("the primary answers", kHealthyPause);
         }
         return;
@@ -268,7 +290,6 @@
         .field("record_version", _record.version);
     _refreshedAt = now;
     _securedAt.reset();
-    _stopping = false;
     enter(Phase::Securing);
     secure(now);
 }
@@ -281,9 +302,16 @@
 void GroupFailover::secure(TimePoint now) {
     refreshRecord(now);
     askAll(now);
-    if (_reason == FailoverReason::Leaving && !_stopping && !isSuccessorReady(now) &&
-        now - _phaseSince < kLeavingPatience) {
-        return;
+    if (isPlanned(_reason) && !_stopping && !isSuccessorReady(now)) {
+        if (now - _phaseSince < claimPatience()) {
+            return;
+        }
+        // A primary that answers no longer is replaced as one that has failed.
+        if (_reason == FailoverReason::Misplaced && _claimedClosed && _former &&
+            listed(*_former) != nullptr && isCurrent(link(*_former), now) && !_busy) {
+            withdraw();
+            return;
+        }
     }
     if (successorLeads()) {
         enter(Phase::Confirming);
--- a/src/failover/GroupFailover.h
+++ b/src/failover/GroupFailover.h
@@ -12,6 +12,7 @@
 #include "failover/CommitQuorum.h"
 #include "failover/MemberLink.h"
 #include "failover/PrimaryPlacement.h"
+#include "failover/PromotionPace.h"
 #include "failover/PromotionRecord.h"
 #include "pooling/ServerDirectory.h"
 #include "pooling/StatementPooler.h"
@@ -30,11 +31,16 @@
     Abandoned, /**< Whoever began a promotion has stopped driving it. */
     /** Replicas are paused by a promotion that the store has lost and that nobody drives. */
     Lost,
+    /** It leads where it should not, and a server that suits better can lead. */
+    Misplaced,
 };
 
 /** @return a word for logs. */
 const char* describe(FailoverReason reason);
 
+/** @return whether the suspected primary is asked itself before it is replaced. */
+bool needsCheck(FailoverReason reason);
+
 /** What a group's failover needs. All outlive it. */
 struct FailoverDependencies {
     const Clock& clock;
@@ -53,6 +59,8 @@
     const StoreEra& era;
     /** Where primaries may stand; null: anywhere. */
     const PrimaryPlacement* placement = nullptr;
+    /** Shared by the groups of this node; null: planned moves begin at any rate. */
+    PromotionPace* pace = nullptr;
 };
 
 /**
@@ -106,6 +114,9 @@
     /** @return promotions carried out by this node. */
     std::uint64_t promotions() const { return _promotions; }
 
+    /** @return those of them that moved a misplaced primary to a server that suits better. */
+    std::uint64_t plannedMoves() const { return _plannedMoves; }
+
     /** @return the record as the store showed it last. */
     const PromotionRecord& record() const { return _record; }
 
@@ -125,14 +136,16 @@
 private:
     enum class Phase {
         Idle,
-        Checking,   /**< Asks the suspected primary itself. */
-        Loading,    /**< Reads the record. */
-        Claiming,   /**< Writes itself into the record. */
-        Securing,   /**< Keeps the former primary from committing, and chooses. */
-        Announcing, /**< Writes the successor into the record. */
-        Calling,    /**< Calls the promotion. */
-        Confirming, /**< Waits until the successor leads. */
-        Closing,    /**< Writes that the promotion is over. */
+        Checking,    /**< Asks the suspected primary itself. */
+        Awaiting,    /**< Waits for a better server to catch up with a misplaced primary. */
+        Loading,     /**< Reads the record. */
+        Claiming,    /**< Writes itself into the record. */
+        Securing,    /**< Keeps the former primary from committing, and chooses. */
+        Announcing,  /**< Writes the successor into the record. */
+        Calling,     /**< Calls the promotion. */
+        Confirming,  /**< Waits until the successor leads. */
+        Closing,     /**< Writes that the promotion is over. */
+        Withdrawing, /**< Writes that nothing was begun. */
     };
 
     bool mustRestore() const;
@@ -145,6 +158,17 @@
     FailoverReason findReason(TimePoint now) const;
     bool isOwnTurn(FailoverReason reason, TimePoint now);
     bool hasStayingServer() const;
+    LeadSuitability suitabilityOf(const ServerName& server) const;
+    bool hasBetterServer(LeadSuitability suitability) const;
+    static bool isStaying(const pooling::ListedServer& server);
+    bool isMisplaced(TimePoint now) const;
+    Duration moveDelay() const;
+    void awaitSuccessor(TimePoint now);
+    Duration claimPatience() const;
+    void withdraw();
+    void onWithdrawn(const SavedRecord& saved, TimePoint askedAt);
+    void noteMoved(TimePoint now);
+    void delayNextMove(TimePoint now);
     bool successorLeads();
     void begin(FailoverReason reason, TimePoint now);
     void check(TimePoint now);
@@ -161,12 +185,19 @@
     ServerName newestLeader() const;
     CommitQuorum viewMembers(TimePoint now) const;
     std::optional<ServerName> chooseSuccessor(const CommitQuorum& quorum, TimePoint now) const;
+    bool isSafe(const CommitQuorum& quorum, const ServerName& server) const;
+    bool mayLead(const CommitQuorum& quorum, const ServerName& server) const;
     bool mustAwaitCall(const ServerName& successor, TimePoint now) const;
-    std::optional<ServerName> mostAdvanced(const CommitQuorum& quorum, TimePoint now) const;
+    std::optional<ServerName> mostAdvanced(const CommitQuorum& quorum,
+                                           std::optional<LeadSuitability> suitability,
+                                           TimePoint now) const;
     bool isFresh(const MemberLink& member, TimePoint now) const;
+    bool isCurrent(const MemberLink& member, TimePoint now) const;
     bool holdsEarlierTerms(const OpTime& position) const;
     bool lacksLostTerms(const CommitQuorum& quorum, const ServerName& server) const;
     bool isSuccessorReady(TimePoint now) const;
+    bool isWorthTheMove(const ServerName& server) const;
+    bool awaitsBetterServer(const CommitQuorum& quorum, LeadSuitability suitability) const;
     bool isOwn(const PromotionRecord& record) const;
     bool isDriving() const;
     bool mustLeaveToHolder(TimePoint now) const;
@@ -176,7 +207,7 @@
     std::string describeMembers(const CommitQuorum& quorum, TimePoint now) const;
     void logWaiting(const CommitQuorum& quorum, TimePoint now);
     bool hasSettledList(TimePoint now) const;
-    void resumeReceivers(TimePoint now);
+    bool resumeReceivers(TimePoint now);
     void askAll(TimePoint now);
     PromotionRecord recordOfSuccessor(pooling::PromotionPhase phase) const;
     void announce(TimePoint now);
@@ -254,8 +285,14 @@
     TimePoint _waitingLoggedAt{};
     /** The former primary has been told to step down in this attempt. */
     bool _stopping = false;
+    /** The claim of this attempt replaced a closed record: nobody else had begun anything. */
+    bool _claimedClosed = false;
     std::map<ServerName, std::unique_ptr<MemberLink>> _links;
     std::uint64_t _promotions = 0;
+    std::uint64_t _plannedMoves = 0;
+    /** No planned move begins before, and how long the last pause was. */
+    TimePoint _nextMoveAt{};
+    Duration _movePause{0};
 };
 
 }  // namespace coralhoist::failover
--- a/src/failover/MemberSurvey.cpp
+++ b/src/failover/MemberSurvey.cpp
@@ -143,7 +143,7 @@
         }
         MemberView view;
         view.server = name;
-        if (isFresh(*member, now) && member->report()->askedAt >= _phaseSince) {
+        if (isCurrent(*member, now)) {
             const ServerReport& report = member->report()->report;
             const bool paused = member->paused() && report.heldTerm > 0 &&
                                 report.heldTerm >= member->paused()->report.heldTerm;
@@ -174,6 +174,11 @@
     return now - answer.askedAt < kReportHolds + 2 * (answer.answeredAt - answer.askedAt);
 }
 
+/** @return whether what it has told still counts and was asked in the present phase. */
+bool GroupFailover::isCurrent(const MemberLink& member, TimePoint now) const {
+    return isFresh(member, now) && member.report()->askedAt >= _phaseSince;
+}
+
 /**
  * @return what each member counts as and what it has told, for logs: name, role, term, position,
  * pause, the age of the answer and how long it took, so that a log shows whom a choice could not
@@ -188,6 +193,9 @@
         text << (text.tellp() > 0 ? ";" : "") << name << ':';
         const MemberView* view = quorum.find(name);
         text << (view == nullptr ? "gone" : describe(view->role)) << ',';
+        if (_dependencies.placement != nullptr) {
+            text << describe(suitabilityOf(name)) << ',';
+        }
         if (!link->report()) {
             text << "silent";
             continue;
--- /dev/null
+++ b/src/failover/PlannedMoves.cpp
@@ -0,0 +1,157 @@
+/** Planned moves: a primary that leads where it should not is replaced while it serves. */
+#include <algorithm>
+
+#include "base/Log.h"
+#include "failover/FailoverTiming.h"
+#include "failover/GroupFailover.h"
+
+namespace coralhoist::failover {
+namespace {
+
+using pooling::ListedServer;
+using pooling::PromotionPhase;
+
+/** After a change of primary, one that suits less than another leads for so long. */
+constexpr Duration kMovePause = std::chrono::minutes(3);
+/** A node looks so long at a time whether a better server has caught up. */
+constexpr Duration kSuccessorPatience = std::chrono::milliseconds(1500);
+constexpr Duration kMoveClaimPatience = std::chrono::milliseconds(300);
+constexpr Duration kNoSuccessorPause = std::chrono::milliseconds(1000);
+/** Pauses after moves that stopped the primary and promoted no better server. */
+constexpr Duration kFirstRetryPause = std::chrono::seconds(2);
+constexpr Duration kLongestRetryPause = std::chrono::seconds(60);
+/** Whoever waits for a successor asks all servers, so that few nodes take a move up at first. */
+constexpr std::size_t kFirstTakers = 3;
+constexpr Duration kFirstTakersTime = std::chrono::seconds(2);
+
+}  // namespace
+
+const char* describe(LeadSuitability suitability) {
+    switch (suitability) {
+        case LeadSuitability::Preferred:
+            return "preferred";
+        case LeadSuitability::Acceptable:
+            return "acceptable";
+        case LeadSuitability::LastResort:
+            return "last_resort";
+    }
+    return "unknown";
+}
+
+LeadSuitability GroupFailover::suitabilityOf(const ServerName& server) const {
+    const ListedServer* entry = listed(server);
+    if (_dependencies.placement == nullptr || entry == nullptr) {
+        return LeadSuitability::Preferred;
+    }
+    return _dependencies.placement->suitabilityOf(_group, entry->announcement);
+}
+
+/** @return whether some listed server that stays suits better than that. */
+bool GroupFailover::hasBetterServer(LeadSuitability suitability) const {
+    return std::any_of(_servers.begin(), _servers.end(), [this, suitability](const auto& entry) {
+        return isStaying(entry.second) && suitabilityOf(entry.first) < suitability;
+    });
+}
+
+/** @return whether the server is neither gone nor about to end. */
+bool GroupFailover::isStaying(const ListedServer& server) {
+    return !server.removed && !server.announcement.draining;
+}
+
+/**
+ * @return whether the primary is to be moved in a planned way now. Where it can't serve its callers
+ * that is at once; else not soon after a change of primary, whoever made it: a node that has just
+ * started takes the change for new.
+ */
+bool GroupFailover::isMisplaced(TimePoint now) const {
+    const ListedServer* primary = _primary ? listed(_primary->server) : nullptr;
+    if (_dependencies.placement == nullptr || primary == nullptr || now < _nextMoveAt ||
+        !hasSettledList(now) ||
+        !_dependencies.placement->mustHandOver(_group, primary->announcement)) {
+        return false;
+    }
+    const LeadSuitability suitability = suitabilityOf(_primary->server);
+    const bool isPausing = suitability != LeadSuitability::LastResort && _record.term > 0 &&
+                           now - _recordSeenAt < kMovePause;
+    return !isPausing && hasBetterServer(suitability);
+}
+
+/** @return how long this node leaves a planned move to those whose turn is earlier. */
+Duration GroupFailover::moveDelay() const {
+    const std::size_t turn = std::min(_dependencies.turn(_group), kLastTurn);
+    return kTurn * turn + (turn < kFirstTakers ? Duration(0) : kFirstTakersTime);
+}
+
+/**
+ * A claim stops all writes, so it is made only when a successor is ready: until then the primary
+ * serves, and nothing that this node does has to be undone.
+ */
+void GroupFailover::awaitSuccessor(TimePoint now) {
+    const FailoverReason reason = findReason(now);
+    const bool isStillDue =
+        reason == FailoverReason::Misplaced || (needsCheck(reason) && isMisplaced(now));
+    if (!isStillDue || _former != _primary->server || mustRestore()) {
+        giveUp("the reason has passed", Duration(0));
+        return;
+    }
+    askAll(now);
+    if (now - _phaseSince > kCheckPatience && !isFresh(link(*_former), now)) {
+        giveUp("the primary does not answer", Duration(0));
+        return;
+    }
+    if (isSuccessorReady(now)) {
+        if (_dependencies.pace == nullptr || _dependencies.pace->take(now)) {
+            enter(Phase::Loading);
+        }
+        return;
+    }
+    if (now - _phaseSince >= kSuccessorPatience) {
+        logWaiting(viewMembers(now), now);
+        giveUp("no better server has caught up", kNoSuccessorPause);
+    }
+}
+
+/** @return how long a planned promotion that is claimed, which stops writes, awaits its successor.
+ */
+Duration GroupFailover::claimPatience() const {
+    return _reason == FailoverReason::Misplaced ? kMoveClaimPatience : kLeavingPatience;
+}
+
+/**
+ * Ends a claim under which nobody was told anything. The record says again what it said before the
+ * claim, so that the primary, which has led all the time, goes on.
+ */
+void GroupFailover::withdraw() {
+    PromotionRecord record = _record;
+    record.phase = PromotionPhase::None;
+    enter(Phase::Withdrawing);
+    save(record, &GroupFailover::onWithdrawn);
+}
+
+void GroupFailover::onWithdrawn(const SavedRecord& saved, TimePoint /*askedAt*/) {
+    delayNextMove(_dependencies.clock.now());
+    // Where the store did not take it, the claim stands, and is carried on to a promotion.
+    giveUp(saved.outcome == StoreOutcome::Done ? "no better server keeps up"
+                                               : "the store did not take the withdrawal",
+           kConflictPause);
+}
+
+/** Moves that promote no better server cost writes each time, so they are tried ever less often. */
+void GroupFailover::noteMoved(TimePoint now) {
+    if (_reason != FailoverReason::Misplaced || !_former) {
+        return;
+    }
+    if (suitabilityOf(_successor) < suitabilityOf(*_former)) {
+        ++_plannedMoves;
+        _movePause = Duration(0);
+        return;
+    }
+    delayNextMove(now);
+}
+
+void GroupFailover::delayNextMove(TimePoint now) {
+    _movePause = std::clamp(_movePause * 2, kFirstRetryPause, kLongestRetryPause);
+    _nextMoveAt = now + _movePause;
+}
+
+}  // namespace coralhoist::failover
--- a/src/failover/PrimaryPlacement.h
+++ b/src/failover/PrimaryPlacement.h
@@ -13,6 +13,9 @@
     LastResort, /**< Only where no other server can lead: it could not serve its callers. */
 };
 
+/** @return a word for logs. */
+const char* describe(LeadSuitability suitability);
+
 /** One reason for which a primary should stand elsewhere. Asked often; no method blocks. */
 class PrimaryPlacement {
 public:
--- a/src/failover/PromotionSteps.cpp
+++ b/src/failover/PromotionSteps.cpp
@@ -1,4 +1,5 @@
 /** Steps of a promotion once the former primary is kept from committing: announce, call, close. */
+#include <algorithm>
 #include <utility>
 
 #include "base/Log.h"
@@ -12,6 +13,9 @@
 using pooling::PromotionPhase;
 using pooling::ServerCommand;
 
+/** A replica that was paused and can't be told to receive again holds the end up for so long. */
+constexpr Duration kResumePatience = std::chrono::milliseconds(500);
+
 }  // namespace
 
 /** @return the record under the known version, with the chosen successor. */
@@ -40,7 +44,11 @@
         .field("group", _group)
         .field("successor", _successor)
         .field("term", _successorTerm)
+        .field("suitability", describe(suitabilityOf(_successor)))
         .field("former", _former ? _former->value() : std::string("none"))
+        .field("former_suitability",
+               describe(_former ? suitabilityOf(*_former) : LeadSuitability{}))
+        .field("reason", describe(_reason))
         .field("secured_by", quorum.formerLeader() != nullptr ? "step_down" : "paused_receivers")
         .field("members", describeMembers(quorum, now))
         .field("record_version", _record.version)
@@ -135,9 +143,12 @@
                            server->announcement.role == pooling::ServerRole::Primary;
     if (announced || (report && report->report.primary && report->askedAt >= _phaseSince)) {
         if (report && report->report.primary) {
-            _successorTerm = report->report.term;
+            // Where an announcement took no effect it leads a lower term. The record keeps the
+            // announced one: a term that falls would pass for an older record.
+            _successorTerm = std::max(_successorTerm, report->report.term);
         }
         ++_promotions;
+        noteMoved(now);
         LogEvent("failover", LogLevel::Info, "failover.successor_leads")
             .field("group", _group)
             .field("successor", _successor)
@@ -159,15 +170,24 @@
 /**
  * A pause names a term above every announced one; where an announcement took no effect, the
  * successor leads a lower term, and the pause would outlast the promotion.
+ * @return whether a replica that this promotion has paused is not known to receive again.
  */
-void GroupFailover::resumeReceivers(TimePoint now) {
+bool GroupFailover::resumeReceivers(TimePoint now) {
+    const auto successor = _links.find(_successor);
+    const bool isTermKnown = successor != _links.end() && isCurrent(*successor->second, now) &&
+                             successor->second->report()->report.primary;
+    const Term ledTerm = isTermKnown ? successor->second->report()->report.term : _successorTerm;
+    bool anyPaused = false;
     for (const auto& [name, member] : _links) {
-        const bool current = member->report() && member->report()->askedAt >= _phaseSince;
-        if (current && isFresh(*member, now) &&
-            member->report()->report.heldTerm > _successorTerm) {
+        const bool current = isCurrent(*member, now);
+        const bool outlasts = current && member->report()->report.heldTerm > ledTerm;
+        const bool mayBePaused = member->paused() && (!current || !isTermKnown);
+        if (outlasts) {
             member->request(ServerCommand::Kind::Resume);
         }
+        anyPaused |= name != _successor && (outlasts || mayBePaused);
     }
+    return anyPaused;
 }
 
 /**
@@ -176,8 +196,8 @@
  */
 void GroupFailover::closeRecord(TimePoint now) {
     askAll(now);
-    resumeReceivers(now);
-    if (_busy || now < _announcementSeenAt + pooling::kLeadershipLease) {
+    const bool awaitsReceivers = resumeReceivers(now) && now - _phaseSince < kResumePatience;
+    if (_busy || awaitsReceivers || now < _announcementSeenAt + pooling::kLeadershipLease) {
         return;
     }
     const PromotionRecord record = recordOfSuccessor(PromotionPhase::None);
--- a/src/failover/RecordClaim.cpp
+++ b/src/failover/RecordClaim.cpp
@@ -93,6 +93,7 @@
 
 void GroupFailover::claim() {
     PromotionRecord record = _record;
+    _claimedClosed = record.phase == PromotionPhase::None;
     // An announced successor may lead already; its announcement stays until another follows.
     record.phase = record.phase == PromotionPhase::Promoting ? PromotionPhase::Promoting
                                                              : PromotionPhase::Preparing;
@@ -130,6 +131,7 @@
     switch (_phase) {
         case Phase::Idle:
         case Phase::Checking:
+        case Phase::Awaiting:
         case Phase::Loading:
             return false;
         case Phase::Claiming:
@@ -138,6 +140,7 @@
         case Phase::Calling:
         case Phase::Confirming:
         case Phase::Closing:
+        case Phase::Withdrawing:
             return true;
     }
     return false;
--- a/src/failover/SuccessorChoice.cpp
+++ b/src/failover/SuccessorChoice.cpp
@@ -16,6 +16,8 @@
 constexpr LogPosition kNearlyCaughtUp = 2;
 /** A former primary is promoted again when no other server has all commits for so long. */
 constexpr Duration kRepromoteAfter = milliseconds(600);
+/** One that can't serve its callers leads when no better server could for so long. */
+constexpr Duration kLastResortPatience = milliseconds(1500);
 /** A promotion call without an answer may be carried out so much later. */
 constexpr Duration kLateCall = milliseconds(2500);
 
@@ -67,26 +69,77 @@
     return true;
 }
 
+/**
+ * Of the servers that are sure to have all acknowledged commits, the one that suits best. One that
+ * can't serve its callers leads only when no better one can in time; the former primary, when it
+ * suits better, too.
+ */
 std::optional<ServerName> GroupFailover::chooseSuccessor(const CommitQuorum& quorum,
                                                          TimePoint now) const {
-    std::optional<ServerName> best = mostAdvanced(quorum, now);
-    if (best && quorum.reachesFormerLeader(*best)) {
-        return best;
-    }
-    if (best && quorum.isBehind(*best) && now - *_securedAt < kCatchUpGrace) {
-        return std::nullopt;
-    }
-    const auto isSafe = [this, &quorum](const ServerName& server) {
-        return quorum.holdsAllCommits(server) && holdsEarlierTerms(quorum.find(server)->received) &&
-               !lacksLostTerms(quorum, server);
-    };
-    if (best && isSafe(*best)) {
-        return best;
+    const Duration secured = now - *_securedAt;
+    std::optional<ServerName> lastResort;
+    for (const LeadSuitability suitability :
+         {LeadSuitability::Preferred, LeadSuitability::Acceptable, LeadSuitability::LastResort}) {
+        std::optional<ServerName> best = mostAdvanced(quorum, suitability, now);
+        if (!best) {
+            continue;
+        }
+        const bool mayCatchUp = !quorum.reachesFormerLeader(*best) && quorum.isBehind(*best);
+        if (mayCatchUp && secured < kCatchUpGrace) {
+            return std::nullopt;
+        }
+        if (!mayLead(quorum, *best)) {
+            continue;
+        }
+        const bool isHeldBack = suitability == LeadSuitability::LastResort &&
+                                secured < kLastResortPatience && hasBetterServer(suitability);
+        if (secured < kCatchUpGrace && awaitsBetterServer(quorum, suitability)) {
+            return std::nullopt;
+        }
+        if (!isHeldBack) {
+            return best;
+        }
+        lastResort = best;
     }
-    const bool formerOnly = _former && now - *_securedAt > kRepromoteAfter && isSafe(*_former);
+    const bool prefersFormer = _former && (!lastResort || _reason == FailoverReason::Misplaced ||
+                                           suitabilityOf(*_former) < LeadSuitability::LastResort);
+    const bool formerOnly = prefersFormer && secured > kRepromoteAfter && isSafe(quorum, *_former);
     return formerOnly ? _former : std::nullopt;
 }
 
+/** @return whether a server that suits better has not been heard, and takes connections. */
+bool GroupFailover::awaitsBetterServer(const CommitQuorum& quorum,
+                                       LeadSuitability suitability) const {
+    return std::any_of(_links.begin(), _links.end(), [&](const auto& entry) {
+        const ListedServer* server = listed(entry.first);
+        const MemberView* member = quorum.find(entry.first);
+        return server != nullptr && isStaying(*server) && member != nullptr &&
+               member->role == MemberRole::Unknown && !entry.second->isRefused() &&
+               suitabilityOf(entry.first) < suitability;
+    });
+}
+
+/** @return whether it is sure to have every acknowledged commit. */
+bool GroupFailover::isSafe(const CommitQuorum& quorum, const ServerName& server) const {
+    return quorum.holdsAllCommits(server) && holdsEarlierTerms(quorum.find(server)->received) &&
+           !lacksLostTerms(quorum, server);
+}
+
+/**
+ * Servers that are gone count as having nothing: what they acknowledged with the replica that has
+ * the longest log would be lost with any other one. So suitability decides among equal logs only,
+ * unless the newest leader's own log shows that nothing is missing.
+ */
+bool GroupFailover::mayLead(const CommitQuorum& quorum, const ServerName& server) const {
+    if (quorum.reachesFormerLeader(server)) {
+        return true;
+    }
+    const std::optional<ServerName> furthest =
+        mostAdvanced(quorum, std::nullopt, _dependencies.clock.now());
+    return isSafe(quorum, server) &&
+           quorum.find(server)->received >= quorum.find(*furthest)->received;
+}
+
 /**
  * A call for the announced successor that was not answered may still be carried out; it would
  * replace another successor that has acknowledged commits by then.
@@ -112,17 +165,29 @@
            quorum.find(server)->received < former->received;
 }
 
-/** @return whether a server that stays has nearly all that the leaving primary has. */
+/**
+ * @return whether the primary should step down for that server: for one that suits better than a
+ * misplaced primary; for one that can serve, if there is any, in place of a leaving one.
+ */
+bool GroupFailover::isWorthTheMove(const ServerName& server) const {
+    if (_reason == FailoverReason::Misplaced) {
+        return suitabilityOf(server) < suitabilityOf(*_former);
+    }
+    return suitabilityOf(server) != LeadSuitability::LastResort ||
+           !hasBetterServer(LeadSuitability::LastResort);
+}
+
+/** @return whether a server that stays has nearly all that the primary has, which still serves. */
 bool GroupFailover::isSuccessorReady(TimePoint now) const {
     const auto former = _former ? _links.find(*_former) : _links.end();
-    if (former == _links.end() || !isFresh(*former->second, now)) {
+    if (former == _links.end() || !isCurrent(*former->second, now)) {
         return false;
     }
     const OpTime target = former->second->report()->report.received;
     return std::any_of(_links.begin(), _links.end(), [&](const auto& entry) {
         const ListedServer* server = listed(entry.first);
-        const bool stays = server != nullptr && !server->removed && !server->announcement.draining;
-        if (!stays || entry.first == *_former || !isFresh(*entry.second, now)) {
+        if (server == nullptr || !isStaying(*server) || entry.first == *_former ||
+            !isWorthTheMove(entry.first) || !isCurrent(*entry.second, now)) {
             return false;
         }
         const OpTime received = entry.second->report()->report.received;
@@ -131,8 +196,12 @@
     });
 }
 
-/** @return the replica with the longest log but the former primary; of equals, one that stays. */
+/**
+ * @return the replica of that suitability, or of any, with the longest log but the former primary;
+ * of equals, one that stays.
+ */
 std::optional<ServerName> GroupFailover::mostAdvanced(const CommitQuorum& quorum,
+                                                      std::optional<LeadSuitability> suitability,
                                                       TimePoint now) const {
     std::optional<ServerName> best;
     OpTime bestPosition;
@@ -142,10 +211,11 @@
         const auto stopped = _notRunning.find(member.server);
         const bool excluded = stopped != _notRunning.end() && now < stopped->second;
         const bool former = _former && member.server == *_former;
-        if (!isReplica(member) || server == nullptr || excluded || former) {
+        if (!isReplica(member) || server == nullptr || excluded || former ||
+            (suitability && suitabilityOf(member.server) != *suitability)) {
             continue;
         }
-        const bool stays = !server->removed && !server->announcement.draining;
+        const bool stays = isStaying(*server);
         const bool announced =
             _record.phase == PromotionPhase::Promoting && member.server == _record.successor;
         const bool better =
--- a/tests/failover/FailoverFixture.cpp
+++ b/tests/failover/FailoverFixture.cpp
@@ -9,11 +9,12 @@
 
 }  // namespace
 
-FailoverFixture::FailoverFixture(std::size_t count)
+FailoverFixture::FailoverFixture(std::size_t count, failover::PromotionPace* pace)
     : group(GroupName("g"), GroupModel{}, queue, judge),
       store(queue, random, judge),
       nodes(count),
-      _parser(readReport) {
+      _parser(readReport),
+      _pace(pace) {
     store.addGroup(group);
     for (std::size_t index = 0; index < count; ++index) {
         FailoverNode& node = nodes[index];
@@ -36,10 +37,26 @@
     const std::string life = _lives < nodes.size() ? "1" : std::to_string(_lives);
     ++_lives;
     node.failover = std::make_unique<failover::GroupFailover>(
-        group.name(),
-        failover::FailoverDependencies{queue, random, *node.connector, *node.client, *node.client,
-                                       _parser, name + "/" + life, name,
-                                       [index](const GroupName&) { return index; }, *node.era});
+        group.name(), failover::FailoverDependencies{queue, random, *node.connector, *node.client,
+                                                     *node.client, _parser, name + "/" + life, name,
+                                                     [index](const GroupName&) { return index; },
+                                                     *node.era, &node.placement, _pace});
+}
+
+void FailoverFixture::setLastResort(std::size_t index, bool lastResort) {
+    for (FailoverNode& node : nodes) {
+        if (lastResort) {
+            node.placement.lastResort.insert(server(index).port);
+        } else {
+            node.placement.lastResort.erase(server(index).port);
+        }
+    }
+}
+
+void FailoverFixture::setAcceptable(std::size_t index) {
+    for (FailoverNode& node : nodes) {
+        node.placement.acceptable.insert(server(index).port);
+    }
 }
 
 void FailoverFixture::restart(std::size_t node) {
--- a/tests/failover/FailoverFixture.h
+++ b/tests/failover/FailoverFixture.h
@@ -12,6 +12,7 @@
 #include "lab/pooled/LogGroup.h"
 #include "lab/pooled/PooledJudge.h"
 #include "lab/pooled/RecordStore.h"
+#include "lab/pooled/ScriptedPlacement.h"
 
 namespace coralhoist::pooled {
 
@@ -20,6 +21,7 @@
     std::shared_ptr<NodeActivity> activity = std::make_shared<NodeActivity>();
     std::unique_ptr<LogConnector> connector;
     std::unique_ptr<StoreEra> era;
+    ScriptedPlacement placement;
     std::unique_ptr<StoreClient> client;
     std::unique_ptr<failover::GroupFailover> failover;
     std::optional<pooling::Primary> primary;
@@ -28,7 +30,7 @@
 /** Drives failovers against a simulated group. */
 class FailoverFixture {
 public:
-    explicit FailoverFixture(std::size_t nodes = 1);
+    explicit FailoverFixture(std::size_t nodes = 1, failover::PromotionPace* pace = nullptr);
 
     /** Appends commits that a caller has been told of. */
     void commit(std::size_t count);
@@ -36,6 +38,10 @@
     /** Runs for a span of time. */
     void run(Duration span);
 
+    /** All nodes learn that a server should lead only where no other can, or that it may again. */
+    void setLastResort(std::size_t index, bool lastResort);
+    void setAcceptable(std::size_t index);
+
     /** Starts a node anew: it has forgotten all that it knew. */
     void restart(std::size_t node);
 
@@ -64,6 +70,7 @@
     void startFailover(std::size_t index);
 
     failover::ReportParser _parser;
+    failover::PromotionPace* _pace;
     std::uint64_t _lives = 0;
     CommitId _lastCommit = 0;
 };
--- /dev/null
+++ b/tests/failover/PlannedMoveTest.cpp
@@ -0,0 +1,362 @@
+/** Planned moves of primaries that should not lead where they are, and what fails meanwhile. */
+#include <CppUTest/TestHarness.h>
+
+#include <memory>
+#include <vector>
+
+#include "FailoverFixture.h"
+#include "failover/FailoverTiming.h"
+
+namespace coralhoist::pooled {
+namespace {
+
+using failover::PromotionPace;
+using pooling::PromotionPhase;
+using pooling::SuspicionReason;
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+TEST_GROUP(PlannedMove) {
+    FailoverFixture fixture{3};
+
+    void setup() override {
+        fixture.commit(10);
+    }
+
+    void teardown() override {
+        UNSIGNED_LONGS_EQUAL(0, fixture.judge.violations().size());
+    }
+
+    void runUntil(PromotionPhase phase) {
+        for (int step = 0; step < 2000 && fixture.record().phase != phase; ++step) {
+            fixture.run(milliseconds(1));
+        }
+        CHECK_TRUE(fixture.record().phase == phase);
+    }
+
+    std::uint64_t plannedMoves() {
+        std::uint64_t moves = 0;
+        for (std::size_t node = 0; node < fixture.nodes.size(); ++node) {
+            moves += fixture.failover(node).plannedMoves();
+        }
+        return moves;
+    }
+
+    /** A commit is acknowledged by the present primary. */
+    void checkCommits() {
+        const std::size_t before = fixture.judge.acknowledged();
+        fixture.commit(5);
+        fixture.run(milliseconds(20));
+        UNSIGNED_LONGS_EQUAL(before + 5, fixture.judge.acknowledged());
+    }
+};
+
+TEST(PlannedMove, APrimaryThatShouldNotLeadIsReplacedByTheServerThatSuitsBest) {
+    fixture.setLastResort(0, true);
+    fixture.setAcceptable(1);
+    fixture.run(seconds(2));
+    CHECK_TRUE(fixture.server(2).primary);
+    UNSIGNED_LONGS_EQUAL(1, fixture.group.promotions());
+    UNSIGNED_LONGS_EQUAL(1, plannedMoves());
+    CHECK_TRUE(fixture.record().phase == PromotionPhase::None);
+    checkCommits();
+}
+
+TEST(PlannedMove, NothingIsAskedOrWrittenWhileThePrimaryMayStay) {
+    fixture.setLastResort(1, true);
+    for (int step = 0; step < 500; ++step) {
+        fixture.run(milliseconds(10));
+        for (std::size_t node = 0; node < fixture.nodes.size(); ++node) {
+            CHECK_TRUE(fixture.failover(node).isIdle());
+        }
+    }
+    CHECK_FALSE(fixture.record().version.exists());
+}
+
+/** A claim would stop its writes. */
+TEST(PlannedMove, ThePrimaryServesOnUntilABetterServerHasCaughtUp) {
+    fixture.server(1).deaf = true;
+    fixture.commit(20);
+    fixture.setLastResort(0, true);
+    fixture.setLastResort(2, true);
+    for (int step = 0; step < 50; ++step) {
+        fixture.run(milliseconds(100));
+        checkCommits();
+        CHECK_FALSE(fixture.record().version.exists());
+    }
+    fixture.server(1).deaf = false;
+    fixture.run(seconds(4));
+    CHECK_TRUE(fixture.server(1).primary);
+}
+
+/** It stops receiving as the claim is made: nobody has stepped down, and nobody does. */
+TEST(PlannedMove, AClaimIsWithdrawnWhenTheSuccessorFallsBehind) {
+    fixture.setLastResort(0, true);
+    fixture.setLastResort(2, true);
+    fixture.server(1).deaf = true;
+    for (int step = 0; step < 300; ++step) {
+        fixture.commit(1);
+        CHECK_TRUE(fixture.server(0).primary);
+    }
+    CHECK_TRUE(fixture.record().version.exists());
+    UNSIGNED_LONGS_EQUAL(0, fixture.group.promotions());
+    fixture.run(seconds(1));
+    CHECK_TRUE(fixture.record().phase == PromotionPhase::None);
+    checkCommits();
+    fixture.server(1).deaf = false;
+    fixture.run(seconds(8));
+    CHECK_TRUE(fixture.server(1).primary);
+}
+
+TEST(PlannedMove, APrimaryServesOnWhileNoServerSuitsBetterAndMovesOnceOneJoins) {
+    for (std::size_t server = 0; server < 3; ++server) {
+        fixture.setLastResort(server, true);
+    }
+    for (int step = 0; step < 300; ++step) {
+        fixture.run(milliseconds(10));
+        CHECK_TRUE(fixture.failover(0).isIdle());
+    }
+    CHECK_FALSE(fixture.record().version.exists());
+    checkCommits();
+    fixture.group.join();
+    fixture.run(seconds(3));
+    CHECK_TRUE(fixture.server(3).primary);
+}
+
+TEST(PlannedMove, APrimaryThatMerelySuitsLessMovesOnceInMinutes) {
+    fixture.setAcceptable(0);
+    fixture.run(seconds(3));
+    UNSIGNED_LONGS_EQUAL(1, fixture.group.promotions());
+    const std::size_t leader = fixture.server(1).primary ? 1 : 2;
+    fixture.setAcceptable(leader);
+    fixture.run(minutes(2));
+    CHECK_TRUE(fixture.server(leader).primary);
+    fixture.run(minutes(2));
+    CHECK_FALSE(fixture.server(leader).primary);
+    UNSIGNED_LONGS_EQUAL(2, fixture.group.promotions());
+}
+
+/** Asked for one zone, taken back at half way, asked for the next: no server outside at the end. */
+TEST(PlannedMove, RequestsInSeriesMoveThePrimaryAtOnce) {
+    fixture.setLastResort(0, true);
+    runUntil(PromotionPhase::Preparing);
+    fixture.setLastResort(0, false);
+    fixture.run(seconds(4));
+    std::uint64_t promotions = fixture.group.promotions();
+    CHECK_TRUE(promotions <= 1);
+    for (const std::size_t next : {0, 1, 2}) {
+        fixture.setLastResort(next, true);
+        fixture.run(seconds(5));
+        checkCommits();
+    }
+    CHECK_TRUE(fixture.group.promotions() >= promotions + 1);
+    CHECK_TRUE(fixture.group.promotions() <= promotions + 2);
+    promotions = fixture.group.promotions();
+    fixture.run(seconds(30));
+    UNSIGNED_LONGS_EQUAL(promotions, fixture.group.promotions());
+}
+
+TEST(PlannedMove, ACrowdedPrimaryThatAnswersIsMoved) {
+    fixture.setLastResort(0, true);
+    for (int step = 0; step < 40; ++step) {
+        for (std::size_t node = 0; node < fixture.nodes.size(); ++node) {
+            fixture.suspect(node, SuspicionReason::Silent);
+        }
+        fixture.run(milliseconds(100));
+    }
+    CHECK_FALSE(fixture.server(0).primary);
+    UNSIGNED_LONGS_EQUAL(1, plannedMoves());
+}
+
+TEST(PlannedMove, AnotherNodeEndsWhatADeadOneHasAnnounced) {
+    fixture.setLastResort(0, true);
+    runUntil(PromotionPhase::Promoting);
+    fixture.nodes[0].activity->end();
+    fixture.nodes[0].activity->freeze();
+    fixture.run(seconds(8));
+    CHECK_FALSE(fixture.server(0).primary);
+    CHECK_TRUE(fixture.record().phase == PromotionPhase::None);
+    checkCommits();
+}
+
+/** The other server outside leads. */
+TEST(PlannedMove, ASuccessorThatLosesPowerHalfwayIsReplaced) {
+    fixture.setLastResort(0, true);
+    runUntil(PromotionPhase::Promoting);
+    const ServerName successor = fixture.record().successor;
+    fixture.group.crash(fixture.group.server(successor));
+    fixture.run(seconds(8));
+    CHECK_FALSE(fixture.server(0).primary);
+    CHECK_FALSE(fixture.group.server(successor).primary);
+    checkCommits();
+}
+
+TEST(PlannedMove, APrimaryThatLosesPowerHalfwayIsReplaced) {
+    fixture.setLastResort(0, true);
+    runUntil(PromotionPhase::Preparing);
+    fixture.group.crash(fixture.server(0));
+    fixture.run(seconds(5));
+    CHECK_TRUE(fixture.server(1).primary || fixture.server(2).primary);
+    checkCommits();
+}
+
+TEST(PlannedMove, AStoreThatReturnsOlderHalfwayDelaysTheMove) {
+    fixture.store.showEras();
+    fixture.run(failover::kTakeOverAfter + milliseconds(100));
+    fixture.setLastResort(0, true);
+    runUntil(PromotionPhase::Promoting);
+    fixture.store.returnOlder(seconds(5));
+    fixture.run(seconds(12));
+    CHECK_FALSE(fixture.server(0).primary);
+    CHECK_TRUE(fixture.record().phase == PromotionPhase::None);
+    checkCommits();
+}
+
+/** It reaches the servers, and must stop nothing that it can't carry out. */
+TEST(PlannedMove, ANodeCutOffFromTheStoreLeavesTheMoveToOthers) {
+    fixture.nodes[0].client->setCut(true);
+    fixture.setLastResort(0, true);
+    fixture.run(seconds(3));
+    CHECK_FALSE(fixture.server(0).primary);
+    UNSIGNED_LONGS_EQUAL(0, fixture.failover(0).plannedMoves());
+    UNSIGNED_LONGS_EQUAL(1, plannedMoves());
+}
+
+TEST(PlannedMove, NothingStopsWhileAllNodesAreCutOffFromTheStore) {
+    for (FailoverNode& node : fixture.nodes) {
+        node.client->setCut(true);
+    }
+    fixture.setLastResort(0, true);
+    fixture.run(seconds(5));
+    CHECK_TRUE(fixture.server(0).primary);
+    checkCommits();
+}
+
+/** Replication is no request: the former primary receives, and a commit has its second server. */
+TEST(PlannedMove, TheLastReplicaMayStandWhereThePrimaryMustNot) {
+    fixture.group.leave(fixture.server(2));
+    fixture.run(seconds(1));
+    fixture.setLastResort(0, true);
+    fixture.run(seconds(4));
+    CHECK_TRUE(fixture.server(1).primary);
+    checkCommits();
+    CHECK_TRUE(fixture.server(0).received() == fixture.server(1).received());
+}
+
+TEST(PlannedMove, AFailoverPrefersAServerThatCanServe) {
+    fixture.setLastResort(1, true);
+    fixture.group.crash(fixture.server(0));
+    fixture.suspect(0, SuspicionReason::Unreachable);
+    fixture.run(seconds(2));
+    CHECK_TRUE(fixture.server(2).primary);
+}
+
+/** It leads after the patience for the better one, which replaces it as soon as it can lead. */
+TEST(PlannedMove, AServerOfLastResortLeadsUntilABetterOneCan) {
+    fixture.setLastResort(1, true);
+    fixture.group.crash(fixture.server(2));
+    fixture.group.crash(fixture.server(0));
+    fixture.suspect(0, SuspicionReason::Unreachable);
+    fixture.run(milliseconds(1500));
+    UNSIGNED_LONGS_EQUAL(0, fixture.group.promotions());
+    fixture.run(seconds(4));
+    // Two members are out of reach: either may have more.
+    fixture.group.restart(fixture.server(0));
+    fixture.server(0).deaf = true;
+    fixture.setLastResort(0, true);
+    fixture.run(seconds(4));
+    CHECK_TRUE(fixture.server(1).primary || fixture.server(0).primary);
+    fixture.server(0).deaf = false;
+    fixture.group.restart(fixture.server(2));
+    fixture.run(seconds(5));
+    CHECK_TRUE(fixture.server(2).primary);
+}
+
+/** The primary, which suits better, is back with its log within the patience. */
+TEST(PlannedMove, AFormerPrimaryThatComesBackLeadsBeforeAServerOfLastResort) {
+    fixture.setLastResort(1, true);
+    fixture.server(2).deaf = true;
+    fixture.commit(10);
+    fixture.group.crash(fixture.server(0));
+    fixture.suspect(0, SuspicionReason::Unreachable);
+    fixture.run(milliseconds(1000));
+    fixture.group.restart(fixture.server(0));
+    fixture.run(seconds(3));
+    UNSIGNED_LONGS_EQUAL(1, fixture.group.promotions());
+    CHECK_TRUE(fixture.server(0).primary);
+    checkCommits();
+}
+
+/** The primary is gone with its log before anybody can promote: the longest log is the only one
+ * with what both acknowledged. */
+TEST(PlannedMove, NoServerLeadsAtThePriceOfACommit) {
+    fixture.setLastResort(1, true);
+    fixture.server(2).deaf = true;
+    fixture.commit(10);
+    fixture.group.leave(fixture.server(0));
+    for (FailoverNode& node : fixture.nodes) {
+        node.client->setCut(true);
+    }
+    fixture.run(seconds(11));
+    for (FailoverNode& node : fixture.nodes) {
+        node.client->setCut(false);
+    }
+    fixture.run(seconds(5));
+    CHECK_TRUE(fixture.server(1).primary);
+}
+
+/** The one that suits less has answered first. */
+TEST(PlannedMove, AServerThatSuitsBetterIsWaitedForThoughItAnswersLate) {
+    fixture.setLastResort(0, true);
+    fixture.setAcceptable(1);
+    fixture.server(2).orderDelay = milliseconds(100);
+    fixture.run(seconds(3));
+    CHECK_TRUE(fixture.server(2).primary);
+}
+
+/** The first announcement takes no effect, so that the second names too high a term. */
+TEST(PlannedMove, APausedReplicaReceivesAgainThoughItAnswersLate) {
+    fixture.setLastResort(0, true);
+    runUntil(PromotionPhase::Promoting);
+    fixture.group.crash(fixture.group.server(fixture.record().successor));
+    fixture.server(0).orderDelay = milliseconds(400);
+    fixture.run(seconds(8));
+    CHECK_TRUE(fixture.record().phase == PromotionPhase::None);
+    // A record whose term fell at its end would be taken for an older one, and begun anew.
+    fixture.run(seconds(8));
+    UNSIGNED_LONGS_EQUAL(1, fixture.group.promotions());
+    checkCommits();
+}
+
+TEST(PlannedMove, ManyGroupsMoveAtOnceWithinTheRateOfCalls) {
+    constexpr std::size_t kGroups = 50;
+    constexpr std::size_t kMostInASecond = 20;
+    PromotionPace pace;
+    std::vector<std::unique_ptr<FailoverFixture>> groups;
+    for (std::size_t group = 0; group < kGroups; ++group) {
+        groups.push_back(std::make_unique<FailoverFixture>(1, &pace));
+        groups.back()->commit(3);
+        groups.back()->setLastResort(0, true);
+    }
+    const auto runAll = [&groups](Duration span) {
+        std::size_t moving = 0;
+        for (Duration passed{0}; passed < span; passed += milliseconds(20)) {
+            moving = 0;
+            for (const auto& group : groups) {
+                group->run(milliseconds(20));
+                moving += group->record().version.exists() ? 1 : 0;
+            }
+        }
+        return moving;
+    };
+    UNSIGNED_LONGS_EQUAL(kMostInASecond, runAll(milliseconds(900)));
+    UNSIGNED_LONGS_EQUAL(kGroups, runAll(seconds(4)));
+    for (const auto& group : groups) {
+        CHECK_FALSE(group->server(0).primary);
+        UNSIGNED_LONGS_EQUAL(0, group->judge.violations().size());
+    }
+}
+
+}  // namespace
+}  // namespace coralhoist::pooled
--- a/tests/pooled_simulation/PooledRegressionTest.cpp
+++ b/tests/pooled_simulation/PooledRegressionTest.cpp
@@ -94,6 +94,13 @@
     check(9, {PooledFault::PromotionCallTroubled, PooledFault::ReplicaDeaf}, options);
 }
 
+/** The successor leads a lower term than the second announcement names. A record whose term fell at
+ * its end was written again, as one that the store had lost, and promotions never ended. */
+TEST(PooledRegression, APromotionEndsThoughItsFirstAnnouncementTookNoEffect) {
+    check(464, {PooledFault::PrimaryCrashes, PooledFault::ReplicaCrashes}, {});
+    check(24, {PooledFault::PrimaryCutFromSomeNodes, PooledFault::ReplicasRestart});
+}
+
 /** Commits flow again after the faults, on crowded servers whose primary was replaced twice. */
 TEST(PooledRegression, CrowdedServersRecoverAfterTwoPromotions) {
     check(63, {PooledFault::ServersCrowded, PooledFault::ReplicaDeaf,
