Configuration: one parser for numbers that are given as text

Cause: the overrun of cold servers was parsed by a copy of the parser of the quotas' overrun. Change: parseFactor serves both; messages and ranges as before. 'nan', which both let pass, is refused now. Conclusion: no other behaviour changed.

--- a/src/program/DaemonConfiguration.cpp
+++ b/src/program/DaemonConfiguration.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <charconv>
 #include <limits>
+#include <optional>
 #include <sstream>
 
 #include "base/Error.h"
@@ -122,25 +123,30 @@
     return Status::ok();
 }
 
-Status setQuotaOverrun(DaemonConfiguration& configuration, const std::string& text) {
-    double share = 0;
+/** @return the number that the text is, up to a maximum; nothing for any other text. */
+std::optional<double> parseFactor(const std::string& text, double maximum) {
+    double factor = 0;
     const char* last = text.data() + text.size();
-    const auto [end, error] = std::from_chars(text.data(), last, share);
-    if (error != std::errc() || end != last || share < 0 || share > kMaximumQuotaOverrun) {
+    const auto [end, error] = std::from_chars(text.data(), last, factor);
+    const bool isFactor = error == std::errc() && end == last && factor >= 0 && factor <= maximum;
+    return isFactor ? std::optional(factor) : std::nullopt;
+}
+
+Status setQuotaOverrun(DaemonConfiguration& configuration, const std::string& text) {
+    const std::optional<double> share = parseFactor(text, kMaximumQuotaOverrun);
+    if (!share) {
         return invalid("'" + text + "' is not a part from 0 to 1, such as 0.1");
     }
-    configuration.quotaOverrun = share;
+    configuration.quotaOverrun = *share;
     return Status::ok();
 }
 
 Status setWarmupOverrun(DaemonConfiguration& configuration, const std::string& text) {
-    double factor = 0;
-    const char* last = text.data() + text.size();
-    const auto [end, error] = std::from_chars(text.data(), last, factor);
-    if (error != std::errc() || end != last || factor < 0 || factor > kMaximumWarmupOverrun) {
+    const std::optional<double> factor = parseFactor(text, kMaximumWarmupOverrun);
+    if (!factor) {
         return invalid("'" + text + "' is not a factor from 0 to 100, such as 1.5");
     }
-    configuration.warmupOverrun = factor;
+    configuration.warmupOverrun = *factor;
     return Status::ok();
 }
 
