Store: changes are told by version, removals are remembered in step with the objects

Cause: each news was told by a look at all objects for each asker: 3,000 servers x 32 askers at each change. Removals were forgotten beyond 1,000, so that the loss of a zone of a large estate sent everything to everyone. Ruled out: a log of changes (the table needs none; an index holds the same entries). Change: entries are indexed by version; as many removals are remembered as there are objects, 1,000 at least, and an eighth is forgotten at a time. Figures: objects looked at to tell ten receivers of one change: 10 at 100 and at 3,000 objects (all of them before). store_tests pass. Conclusion: the work of telling follows the changes.

--- a/src/link/store/ObjectTable.cpp
+++ b/src/link/store/ObjectTable.cpp
@@ -2,14 +2,18 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 #include "link/store/ObjectPacking.h"
 
 namespace coralhoist::store {
 namespace {
 
-/** Removed objects that are remembered at most; each takes about 100 bytes. */
+/** Removed objects that are remembered at most: as many as there are others, so that the loss of a
+ * part of an estate's servers is told as such, and at least so many; each takes about 100 bytes. */
 constexpr std::size_t kRememberedRemovals = 1000;
+/** With the first one too many, one part in so many is forgotten at once. */
+constexpr std::size_t kForgottenPart = 8;
 
 }  // namespace
 
@@ -34,14 +38,12 @@
         changed = changed || isNews;
         takeEvent({object, false, nullptr});
     }
-    for (auto& [name, known] : _objects) {
-        if (!known.removed && known.object.version <= position && !present.contains(name)) {
-            known.removed = true;
-            known.object.version = position;
-            _newestVersion = std::max(_newestVersion, position);
-            known.object.content = {};
-            known.packed.reset();
-            ++_removals;
+    for (auto& entry : _objects) {
+        const ObjectEvent& known = entry.second;
+        if (!known.removed && known.object.version <= position && !present.contains(entry.first)) {
+            ObjectEvent removal{known.object, true, nullptr};
+            removal.object.version = position;
+            replace(entry, removal);
             changed = true;
         }
     }
@@ -57,20 +59,25 @@
     if (_position && event.object.version.era != _position->era) {
         return;
     }
-    const auto [entry, added] = _objects.try_emplace(event.object.name, event);
-    ObjectEvent& known = entry->second;
-    if (!added && event.object.version <= known.object.version) {
-        return;
+    const auto [entry, added] = _objects.try_emplace(event.object.name);
+    if (added || event.object.version > entry->second.object.version) {
+        replace(*entry, event);
+        forgetOldRemovals();
     }
-    _removals -= !added && known.removed ? 1 : 0;
+}
+
+/** Of a removed object its name and version are kept. */
+void ObjectTable::replace(Objects::value_type& entry, const ObjectEvent& event) {
+    ObjectEvent& known = entry.second;
+    const bool wasRemoved = _byVersion.erase(&entry) > 0 && known.removed;
+    _removals -= wasRemoved ? 1 : 0;
     _removals += event.removed ? 1 : 0;
     known = event;
-    _newestVersion = std::max(_newestVersion, event.object.version);
     if (event.removed) {
         known.object.content = {};
         known.packed.reset();
-        forgetOldRemovals();
     }
+    _byVersion.insert(&entry);
 }
 
 void ObjectTable::advanceTo(const StoreVersion& position) {
@@ -110,42 +117,49 @@
     ObjectChanges changes;
     changes.complete = !position || *position < _completeSince;
     changes.position = this->position();
-    if (!changes.complete && *position >= _newestVersion) {
-        return std::nullopt;
-    }
-    for (auto& [name, known] : _objects) {
-        const bool lacking = changes.complete ? !known.removed : known.object.version > *position;
-        if (!lacking) {
-            continue;
-        }
-        if (!known.removed && !known.packed) {
-            known.packed = std::make_shared<const std::string>(packContent(known.object.content));
+    if (changes.complete) {
+        for (auto& entry : _objects) {
+            if (!entry.second.removed) {
+                tell(entry, changes);
+            }
         }
-        changes.events.push_back(known);
+        std::sort(changes.events.begin(), changes.events.end(),
+                  [](const ObjectEvent& left, const ObjectEvent& right) {
+                      return left.object.version < right.object.version;
+                  });
+        return changes;
+    }
+    for (auto entry = _byVersion.upper_bound(*position); entry != _byVersion.end(); ++entry) {
+        tell(**entry, changes);
     }
-    if (!changes.complete && changes.events.empty()) {
-        return std::nullopt;
+    return changes.events.empty() ? std::nullopt : std::optional<ObjectChanges>(std::move(changes));
+}
+
+void ObjectTable::tell(Objects::value_type& entry, ObjectChanges& changes) const {
+    ++_objectsExamined;
+    ObjectEvent& known = entry.second;
+    if (!known.removed && !known.packed) {
+        known.packed = std::make_shared<const std::string>(packContent(known.object.content));
     }
-    std::sort(changes.events.begin(), changes.events.end(),
-              [](const ObjectEvent& left, const ObjectEvent& right) {
-                  return left.object.version < right.object.version;
-              });
-    return changes;
+    changes.events.push_back(known);
 }
 
 /** Those who know less than what is forgotten get all objects. */
 void ObjectTable::forgetOldRemovals() {
-    while (_removals > kRememberedRemovals) {
-        auto oldest = _objects.end();
-        for (auto entry = _objects.begin(); entry != _objects.end(); ++entry) {
-            const bool older = oldest == _objects.end() ||
-                               entry->second.object.version < oldest->second.object.version;
-            if (entry->second.removed && older) {
-                oldest = entry;
-            }
+    const std::size_t limit = std::max(kRememberedRemovals, _objects.size() - _removals);
+    if (_removals <= limit) {
+        return;
+    }
+    const std::size_t kept = limit - limit / kForgottenPart;
+    for (auto next = _byVersion.begin(); _removals > kept;) {
+        Objects::value_type* entry = *next;
+        if (!entry->second.removed) {
+            ++next;
+            continue;
         }
-        _completeSince = std::max(_completeSince, oldest->second.object.version);
-        _objects.erase(oldest);
+        _completeSince = std::max(_completeSince, entry->second.object.version);
+        next = _byVersion.erase(next);
+        _objects.erase(_objects.find(entry->first));
         --_removals;
     }
 }
--- a/src/link/store/ObjectTable.h
+++ b/src/link/store/ObjectTable.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,13 @@
  */
 class ObjectTable {
 public:
+    ObjectTable() = default;
+    ObjectTable(const ObjectTable&) = delete;
+    ObjectTable& operator=(const ObjectTable&) = delete;
+    ObjectTable(ObjectTable&&) = default;
+    ObjectTable& operator=(ObjectTable&&) = default;
+    ~ObjectTable() = default;
+
     /**
      * Takes all objects as the store showed them at a position.
      * @return whether any of it was unknown.
@@ -56,15 +64,40 @@
      */
     std::optional<ObjectChanges> changesAfter(const std::optional<StoreVersion>& position) const;
 
+    /** @return objects that were looked at to tell changes, ever. */
+    std::uint64_t objectsExamined() const { return _objectsExamined; }
+
 private:
+    using Objects = std::map<std::string, ObjectEvent>;
+    /** By version, then by name. */
+    struct ByVersion {
+        using is_transparent = void;
+        using Entry = Objects::value_type*;
+
+        bool operator()(Entry left, Entry right) const {
+            const StoreVersion& one = left->second.object.version;
+            const StoreVersion& other = right->second.object.version;
+            return one != other ? one < other : left->first < right->first;
+        }
+        bool operator()(Entry left, const StoreVersion& right) const {
+            return left->second.object.version < right;
+        }
+        bool operator()(const StoreVersion& left, Entry right) const {
+            return left < right->second.object.version;
+        }
+    };
+
+    void replace(Objects::value_type& entry, const ObjectEvent& event);
     void forgetOldRemovals();
     void keepPacked(const ObjectEvent& event);
+    void tell(Objects::value_type& entry, ObjectChanges& changes) const;
 
     /** Contents are packed when they are first told, once for all receivers. */
-    mutable std::map<std::string, ObjectEvent> _objects;
+    mutable Objects _objects;
+    /** The same entries: what a receiver lacks is found without a look at the others. */
+    std::set<Objects::value_type*, ByVersion> _byVersion;
+    mutable std::uint64_t _objectsExamined = 0;
     std::optional<StoreVersion> _position;
-    /** Highest version of any object, so that most receivers are found to lack nothing at once. */
-    StoreVersion _newestVersion;
     /** Removals before this position are not remembered. */
     StoreVersion _completeSince;
     std::size_t _removals = 0;
--- a/tests/store/ObjectTableTest.cpp
+++ b/tests/store/ObjectTableTest.cpp
@@ -1,6 +1,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <string>
+#include <vector>
 
 #include "link/store/ObjectTable.h"
 #include "tests/support/StoreVersions.h"
@@ -136,5 +137,48 @@
     CHECK_TRUE(changes->complete);
 }
 
+/** @return objects that were looked at to tell ten receivers of one change among so many objects.
+ */
+std::uint64_t workOfOneChange(std::uint64_t objects) {
+    constexpr int kReceivers = 10;
+    ObjectTable table;
+    std::vector<StoredObject> all;
+    for (std::uint64_t version = 1; version <= objects; ++version) {
+        all.push_back(object("n" + std::to_string(version), version));
+    }
+    table.takeList(all, at(objects));
+    table.takeEvent({object("n7", objects + 1), false, nullptr});
+    table.advanceTo(at(objects + 1));
+    for (int receiver = 0; receiver < kReceivers; ++receiver) {
+        UNSIGNED_LONGS_EQUAL(1, table.changesAfter(at(objects))->events.size());
+        CHECK_FALSE(table.changesAfter(at(objects + 1)).has_value());
+    }
+    return table.objectsExamined();
+}
+
+TEST(ObjectTable, TheWorkOfTellingAChangeDoesNotGrowWithTheObjects) {
+    UNSIGNED_LONGS_EQUAL(workOfOneChange(100), workOfOneChange(3000));
+}
+
+/** A power cut of a zone takes a third of an estate's servers with it. */
+TEST(ObjectTable, TheLossOfAThirdOfTheObjectsIsToldAsChanges) {
+    for (const std::uint64_t objects : {600U, 6000U}) {
+        ObjectTable estate;
+        std::vector<StoredObject> all;
+        for (std::uint64_t version = 1; version <= objects; ++version) {
+            all.push_back(object("n" + std::to_string(version), version));
+        }
+        estate.takeList(all, at(objects));
+        const std::uint64_t lost = objects / 3;
+        for (std::uint64_t index = 1; index <= lost; ++index) {
+            estate.takeEvent({object("n" + std::to_string(index), objects + index), true, nullptr});
+        }
+        estate.advanceTo(at(objects + lost));
+        const ObjectChanges changes = *estate.changesAfter(at(objects));
+        CHECK_FALSE(changes.complete);
+        UNSIGNED_LONGS_EQUAL(lost, changes.events.size());
+    }
+}
+
 }  // namespace
 }  // namespace coralhoist::store
