Nodes: ranking follows the change, and readers are chosen by what they can pass on

Cause: (1) each change of the nodes dropped all rankings, and every node ranked all nodes for all groups anew by a sort of copied names. (2) Readers were chosen by hash alone; a reader sends all of the store's state and its changes to some 32 nodes, the first reader to all readers besides. Ruled out: weighted hashing (of 10 large nodes among 197 in a zone two readers in three would still be plain); more readers (the first one's fan-out grows). Change: chosen nodes are kept with their ranks, changes move only the groups where they count; turns are counted and moved. A registration tells the rate of the link times the share of a processor (node.link_mbps, node.processor_share); readers are ranked by classes of that, then by hash. Where nobody tells it all are read as before. Ranks computed for one node that joins and leaves: less than twice as many at 960 nodes as at 60 (test).

--- a/src/duty/pooling/PoolingDuty.cpp
+++ b/src/duty/pooling/PoolingDuty.cpp
@@ -93,7 +93,7 @@
 
 cluster::ClusterDependencies PoolingDuty::controlDependencies() {
     const pooling::ProxyNode self{_options.name, _options.zone, _options.forwarding.host,
-                                  _unitService.port()};
+                                  _unitService.port(), _options.capacity};
     return {
         _clock,
         _random,
--- a/src/duty/pooling/PoolingDuty.h
+++ b/src/duty/pooling/PoolingDuty.h
@@ -64,6 +64,8 @@
     ZoneName zone;
     /** The estate's zones and their regions. */
     locality::RegionMap regions;
+    /** Rate of this machine's link in kbit/s times its share of a processor; 0: not told. */
+    std::uint32_t capacity = 0;
     Endpoint callers;
     /** Where other nodes forward units of work to; port 0 lets the kernel choose. */
     Endpoint forwarding;
--- a/src/pooling/ExecutorPlacement.cpp
+++ b/src/pooling/ExecutorPlacement.cpp
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "pooling/NodeRanking.h"
-
 namespace coralhoist::pooling {
 namespace {
 
@@ -29,18 +27,89 @@
     _cache.clear();
 }
 
-void ExecutorPlacement::applyNodes(const std::vector<ProxyNode>& nodes) {
-    _nodes.clear();
-    _zones.clear();
-    _cache.clear();
-    _nodes[_zone].push_back(_self);
+std::vector<GroupName> ExecutorPlacement::applyNodes(const std::vector<ProxyNode>& nodes) {
+    const NodeChanges changes = replaceNodes(nodes);
+    std::vector<GroupName> changed;
+    if (changes.joined.empty() && changes.left.empty()) {
+        return changed;
+    }
+    for (auto& [group, executors] : _cache) {
+        const bool lost = takeLeft(group, executors, changes);
+        const bool gained = takeJoined(group, executors, changes);
+        if (lost || gained) {
+            arrange(group, executors);
+            changed.push_back(group);
+        }
+    }
+    return changed;
+}
+
+/** @return who joined and who left; a node that moved to another zone did both. */
+NodeChanges ExecutorPlacement::replaceNodes(const std::vector<ProxyNode>& nodes) {
+    const std::map<NodeName, ZoneName> before = std::exchange(_zones, {});
     _zones[_self] = _zone;
     for (const ProxyNode& node : nodes) {
         if (node.name != _self && node.port != 0) {
-            _nodes[node.zone].push_back(node.name);
             _zones[node.name] = node.zone;
         }
     }
+    NodeChanges changes;
+    _nodes.clear();
+    for (const auto& [name, zone] : _zones) {
+        _nodes[zone].push_back(name);
+        const auto known = before.find(name);
+        if (known == before.end() || known->second != zone) {
+            changes.joined[zone].push_back(name);
+        }
+    }
+    for (const auto& [name, zone] : before) {
+        const auto known = _zones.find(name);
+        if (known == _zones.end() || known->second != zone) {
+            changes.left[zone].insert(name);
+        }
+    }
+    return changes;
+}
+
+/** Chooses anew in each zone where an executor of the group has left. */
+bool ExecutorPlacement::takeLeft(const GroupName& group, Executors& executors,
+                                 const NodeChanges& changes) const {
+    bool changed = false;
+    for (const auto& [zone, left] : changes.left) {
+        std::vector<RankedNode>& chosen = executors.chosen[zone];
+        const bool isHit = std::any_of(chosen.begin(), chosen.end(), [&](const RankedNode& node) {
+            return left.contains(node.name);
+        });
+        if (isHit) {
+            chosen = chooseIn(zone, group);
+            changed = true;
+        }
+    }
+    return changed;
+}
+
+bool ExecutorPlacement::takeJoined(const GroupName& group, Executors& executors,
+                                   const NodeChanges& changes) const {
+    bool changed = false;
+    NodeRanking ranking(group.value());
+    for (const auto& [zone, joined] : changes.joined) {
+        std::vector<RankedNode>& chosen = executors.chosen[zone];
+        for (const NodeName& name : joined) {
+            const RankedNode node{ranking.rankOf(name), name};
+            ++_ranksComputed;
+            const auto place =
+                std::find_if(chosen.begin(), chosen.end(),
+                             [&](const RankedNode& other) { return !other.isBefore(node); });
+            const bool isChosen = place != chosen.end() && place->name == name;
+            if (isChosen || (place == chosen.end() && chosen.size() >= _executorsPerZone)) {
+                continue;
+            }
+            chosen.insert(place, node);
+            chosen.resize(std::min<std::size_t>(chosen.size(), _executorsPerZone));
+            changed = true;
+        }
+    }
+    return changed;
 }
 
 const ZoneName& ExecutorPlacement::zoneOf(const NodeName& node) const {
@@ -68,25 +137,50 @@
 
 ExecutorPlacement::Executors ExecutorPlacement::compute(const GroupName& group) const {
     Executors result;
+    for (const auto& [zone, nodes] : _nodes) {
+        result.chosen[zone] = chooseIn(zone, group);
+    }
+    arrange(group, result);
+    return result;
+}
+
+std::vector<RankedNode> ExecutorPlacement::chooseIn(const ZoneName& zone,
+                                                    const GroupName& group) const {
+    const auto nodes = _nodes.find(zone);
+    if (nodes == _nodes.end()) {
+        return {};
+    }
+    _ranksComputed += nodes->second.size();
+    return NodeRanking(group.value()).first(nodes->second, _executorsPerZone);
+}
+
+/** Derives from the executors of each zone whom this node asks, and in which order. */
+void ExecutorPlacement::arrange(const GroupName& group, Executors& executors) const {
     std::vector<NodeName> near;
     std::vector<NodeName> inRegion;
     std::vector<NodeName> far;
-    for (const auto& [zone, nodes] : _nodes) {
-        std::vector<NodeName> chosen = rankedNodes(group.value(), nodes);
-        chosen.resize(std::min<std::size_t>(chosen.size(), _executorsPerZone));
-        result.count += chosen.size();
+    executors.count = 0;
+    executors.here = false;
+    for (const auto& [zone, chosen] : executors.chosen) {
+        executors.count += chosen.size();
         const bool isRegional =
             _regions.hasSeveralRegions() && _regions.areInOneRegion(_zone, zone);
         std::vector<NodeName>& others = isRegional ? inRegion : far;
-        appendNames(chosen, zone == _zone ? near : others);
+        std::vector<NodeName>& place = zone == _zone ? near : others;
+        for (const RankedNode& node : chosen) {
+            if (node.name == _self) {
+                executors.here = true;
+            } else {
+                place.push_back(node.name);
+            }
+        }
     }
-    result.here = std::erase(near, _self) > 0;
     // Ranked again by a key of this node, so that the load of a zone spreads over its executors.
     const std::string ownKey = group.value() + '\0' + _self.value();
-    appendNames(rankedNodes(ownKey, near), result.others);
-    appendNames(rankedNodes(ownKey, inRegion), result.others);
-    appendNames(rankedNodes(ownKey, far), result.others);
-    return result;
+    executors.others.clear();
+    appendNames(rankedNodes(ownKey, near), executors.others);
+    appendNames(rankedNodes(ownKey, inRegion), executors.others);
+    appendNames(rankedNodes(ownKey, far), executors.others);
 }
 
 }  // namespace coralhoist::pooling
--- a/src/pooling/ExecutorPlacement.h
+++ b/src/pooling/ExecutorPlacement.h
@@ -3,11 +3,13 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "base/Identifier.h"
 #include "locality/RegionMap.h"
+#include "pooling/NodeRanking.h"
 
 namespace coralhoist::pooling {
 
@@ -18,10 +20,19 @@
     /** Where it takes forwarded units of work; port 0 when that is not known. */
     std::string host;
     std::uint16_t port = 0;
+    /** What it can pass on to other nodes: the rate of its link in kbit/s times its share of a
+     * processor; 0 when it is not told. */
+    std::uint32_t capacity = 0;
 
     bool operator==(const ProxyNode&) const = default;
 };
 
+/** What a list of nodes changes. */
+struct NodeChanges {
+    std::map<ZoneName, std::vector<NodeName>> joined;
+    std::map<ZoneName, std::set<NodeName>> left;
+};
+
 /**
  * Rendezvous hashing over the nodes of each zone. A few executors share a server's connections, so
  * that their number does not grow with the number of nodes; other nodes forward to them. Nodes with
@@ -38,8 +49,13 @@
     /** Changes the number of executors of a zone. */
     void setExecutorsPerZone(std::uint32_t executorsPerZone);
 
-    /** Replaces the nodes that are known. This node counts whether it is among them or not. */
-    void applyNodes(const std::vector<ProxyNode>& nodes);
+    /**
+     * Replaces the nodes that are known. This node counts whether it is among them or not. A node
+     * that joins or leaves costs a look at each group, and no ranking of all nodes but for groups
+     * that have lost an executor.
+     * @return groups whose executors have changed.
+     */
+    std::vector<GroupName> applyNodes(const std::vector<ProxyNode>& nodes);
 
     /** @return whether this node is an executor of the group. */
     bool executesHere(const GroupName& group) const;
@@ -56,15 +72,25 @@
     /** @return the zone of a node; an empty name for one that is not known. */
     const ZoneName& zoneOf(const NodeName& node) const;
 
+    /** @return ranks of nodes for groups that were computed, ever. */
+    std::uint64_t ranksComputed() const { return _ranksComputed; }
+
 private:
     struct Executors {
+        /** Of each zone that has nodes, those chosen, the first one first. */
+        std::map<ZoneName, std::vector<RankedNode>> chosen;
         bool here = false;
         std::size_t count = 0;
         std::vector<NodeName> others;
     };
 
+    NodeChanges replaceNodes(const std::vector<ProxyNode>& nodes);
     const Executors& executorsOf(const GroupName& group) const;
     Executors compute(const GroupName& group) const;
+    std::vector<RankedNode> chooseIn(const ZoneName& zone, const GroupName& group) const;
+    bool takeLeft(const GroupName& group, Executors& executors, const NodeChanges& changes) const;
+    bool takeJoined(const GroupName& group, Executors& executors, const NodeChanges& changes) const;
+    void arrange(const GroupName& group, Executors& executors) const;
 
     NodeName _self;
     ZoneName _zone;
@@ -74,6 +100,7 @@
     std::map<NodeName, ZoneName> _zones;
     ZoneName _unknownZone;
     mutable std::map<GroupName, Executors> _cache;
+    mutable std::uint64_t _ranksComputed = 0;
 };
 
 }  // namespace coralhoist::pooling
--- a/src/pooling/NodeRanking.cpp
+++ b/src/pooling/NodeRanking.cpp
@@ -3,37 +3,56 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <cstdint>
+#include <utility>
 
 namespace coralhoist::pooling {
 namespace {
 
-/** A node and its rank for a key; the highest ranks are chosen. */
-struct RankedNode {
+/** A node of a list that outlives it. */
+struct Entry {
     std::uint64_t rank = 0;
-    NodeName name;
+    const NodeName* name = nullptr;
 };
 
-std::uint64_t rankOf(const std::string& key, const NodeName& node) {
-    const std::string text = key + '\0' + node.value();
-    return XXH3_64bits(text.data(), text.size());
+bool isBefore(const Entry& left, const Entry& right) {
+    return left.rank != right.rank ? left.rank > right.rank : *left.name < *right.name;
 }
 
 }  // namespace
 
-std::vector<NodeName> rankedNodes(const std::string& key, const std::vector<NodeName>& nodes) {
-    std::vector<RankedNode> ranking;
-    ranking.reserve(nodes.size());
+NodeRanking::NodeRanking(std::string key) : _text(std::move(key)) {
+    _text += '\0';
+    _keyLength = _text.size();
+}
+
+std::uint64_t NodeRanking::rankOf(const NodeName& node) {
+    _text.resize(_keyLength);
+    _text += node.value();
+    return XXH3_64bits(_text.data(), _text.size());
+}
+
+std::vector<RankedNode> NodeRanking::first(const std::vector<NodeName>& nodes, std::size_t count) {
+    std::vector<Entry> entries;
+    entries.reserve(nodes.size());
     for (const NodeName& node : nodes) {
-        ranking.push_back({rankOf(key, node), node});
+        entries.push_back({rankOf(node), &node});
     }
-    std::sort(ranking.begin(), ranking.end(), [](const RankedNode& left, const RankedNode& right) {
-        return left.rank != right.rank ? left.rank > right.rank : left.name < right.name;
+    const std::size_t kept = std::min(count, entries.size());
+    const auto end = entries.begin() + static_cast<std::ptrdiff_t>(kept);
+    std::partial_sort(entries.begin(), end, entries.end(), isBefore);
+    std::vector<RankedNode> result;
+    result.reserve(kept);
+    std::transform(entries.begin(), end, std::back_inserter(result), [](const Entry& entry) {
+        return RankedNode{entry.rank, *entry.name};
     });
+    return result;
+}
+
+std::vector<NodeName> rankedNodes(const std::string& key, const std::vector<NodeName>& nodes) {
     std::vector<NodeName> result;
-    result.reserve(ranking.size());
-    for (const RankedNode& node : ranking) {
-        result.push_back(node.name);
+    result.reserve(nodes.size());
+    for (RankedNode& node : NodeRanking(key).first(nodes, nodes.size())) {
+        result.push_back(std::move(node.name));
     }
     return result;
 }
--- a/src/pooling/ReaderTree.cpp
+++ b/src/pooling/ReaderTree.cpp
@@ -1,6 +1,8 @@
 #include "pooling/ReaderTree.h"
 
 #include <algorithm>
+#include <bit>
+#include <iterator>
 #include <map>
 #include <utility>
 
@@ -21,16 +23,57 @@
     return (nodes + kNodesPerReader - 1) / kNodesPerReader;
 }
 
+/** A node that may read for others. */
+struct Reader {
+    NodeName name;
+    /** Nodes of a higher class can pass on at least about four times as much. */
+    unsigned capacityClass = 0;
+};
+using Readers = std::vector<Reader>;
+
+unsigned capacityClassOf(const ProxyNode& node) {
+    return static_cast<unsigned>(std::bit_width(node.capacity)) / 2;
+}
+
+/** @return those that rank first for the key, by class and then by hash. */
+Readers firstReaders(const std::string& key, const Readers& nodes, std::size_t count) {
+    struct Entry {
+        RankedNode node;
+        unsigned capacityClass = 0;
+    };
+    NodeRanking ranking(key);
+    std::vector<Entry> entries;
+    for (const Reader& reader : nodes) {
+        entries.push_back({{ranking.rankOf(reader.name), reader.name}, reader.capacityClass});
+    }
+    std::sort(entries.begin(), entries.end(), [](const Entry& left, const Entry& right) {
+        return left.capacityClass != right.capacityClass ? left.capacityClass > right.capacityClass
+                                                         : left.node.isBefore(right.node);
+    });
+    entries.resize(std::min(count, entries.size()));
+    Readers first;
+    for (const Entry& entry : entries) {
+        first.push_back({entry.node.name, entry.capacityClass});
+    }
+    return first;
+}
+
 /** @return the zone's nodes by rank, cut to its readers and one more that stands in for them. */
-std::vector<NodeName> zoneReaders(const std::vector<NodeName>& nodes, std::size_t spare) {
-    std::vector<NodeName> ranked = rankedNodes(kZoneKey, nodes);
-    ranked.resize(std::min(ranked.size(), readersOf(nodes.size()) + spare));
-    return ranked;
+Readers zoneReaders(const Readers& nodes, std::size_t spare) {
+    return firstReaders(kZoneKey, nodes, readersOf(nodes.size()) + spare);
+}
+
+std::vector<NodeName> namesOf(const Readers& readers) {
+    std::vector<NodeName> names;
+    for (const Reader& reader : readers) {
+        names.push_back(reader.name);
+    }
+    return names;
 }
 
 /** @return those that rank above this one, cut to what a reader may ask. */
-std::vector<NodeName> rankedAbove(const NodeName& self, const std::vector<NodeName>& readers) {
-    std::vector<NodeName> ranked = rankedNodes(kEstateKey, readers);
+std::vector<NodeName> rankedAbove(const NodeName& self, const Readers& readers) {
+    std::vector<NodeName> ranked = namesOf(firstReaders(kEstateKey, readers, readers.size()));
     const auto own = std::find(ranked.begin(), ranked.end(), self);
     const auto above = static_cast<std::size_t>(own - ranked.begin());
     ranked.resize(std::min(above, kCandidatesOfReader));
@@ -41,67 +84,97 @@
  * @return the readers that this one asks: those of its region that rank above it; if it is the
  * region's first, the firsts of other regions that rank above it.
  */
-std::vector<NodeName> readersAbove(const NodeName& self, const ZoneName& zone,
-                                   const std::map<ZoneName, std::vector<NodeName>>& zones,
+std::vector<NodeName> readersAbove(const Reader& self, const ZoneName& zone,
+                                   const std::map<ZoneName, Readers>& zones,
                                    const locality::RegionMap& regions) {
     const bool hasRegions = regions.hasSeveralRegions();
-    std::vector<NodeName> own;
-    std::map<RegionName, std::vector<NodeName>> others;
+    Readers own;
+    std::map<RegionName, Readers> others;
     for (const auto& [name, nodes] : zones) {
-        const std::vector<NodeName> chosen = zoneReaders(nodes, 0);
+        const Readers chosen = zoneReaders(nodes, 0);
         const bool isOwn = !hasRegions || regions.areInOneRegion(zone, name);
-        std::vector<NodeName>& readers = isOwn ? own : others[regions.regionOf(name)];
+        Readers& readers = isOwn ? own : others[regions.regionOf(name)];
         readers.insert(readers.end(), chosen.begin(), chosen.end());
     }
-    std::vector<NodeName> above = rankedAbove(self, own);
+    std::vector<NodeName> above = rankedAbove(self.name, own);
     if (!above.empty()) {
         return above;
     }
-    std::vector<NodeName> firsts{self};
+    Readers firsts{self};
     for (const auto& [region, readers] : others) {
-        firsts.push_back(rankedNodes(kEstateKey, readers).front());
+        firsts.push_back(firstReaders(kEstateKey, readers, 1).front());
     }
-    return rankedAbove(self, firsts);
+    return rankedAbove(self.name, firsts);
 }
 
 /** @return the zone's readers, different nodes beginning with different ones, then the stand-in. */
-std::vector<NodeName> readersFor(const NodeName& self, const std::vector<NodeName>& readers,
-                                 const std::vector<NodeName>& withSpare) {
-    std::vector<NodeName> candidates = rankedNodes(self.value(), readers);
-    if (withSpare.size() > readers.size() && withSpare.back() != self) {
-        candidates.push_back(withSpare.back());
+std::vector<NodeName> readersFor(const NodeName& self, const Readers& readers,
+                                 const Readers& withSpare) {
+    std::vector<NodeName> candidates = rankedNodes(self.value(), namesOf(readers));
+    if (withSpare.size() > readers.size() && withSpare.back().name != self) {
+        candidates.push_back(withSpare.back().name);
     }
     return candidates;
 }
 
+/** @return how many of the nodes come before the one in the group's order. */
+template <typename Nodes>
+std::size_t rankedBefore(const GroupName& group, const NodeName& self, const Nodes& nodes) {
+    NodeRanking ranking(group.value());
+    const RankedNode own{ranking.rankOf(self), self};
+    const auto before = std::count_if(nodes.begin(), nodes.end(), [&](const NodeName& name) {
+        const std::uint64_t rank = ranking.rankOf(name);
+        return rank != own.rank ? rank > own.rank : name < self;
+    });
+    return static_cast<std::size_t>(before);
+}
+
 }  // namespace
 
 ReaderTree::ReaderTree(NodeName self, ZoneName zone, locality::RegionMap regions)
     : _self(std::move(self)), _zone(std::move(zone)), _regions(std::move(regions)), _nodes{_self} {}
 
 void ReaderTree::applyNodes(const std::vector<ProxyNode>& nodes) {
-    std::map<ZoneName, std::vector<NodeName>> zones;
-    zones[_zone].push_back(_self);
-    _nodes = {_self};
-    _turns.clear();
+    std::map<ZoneName, Readers> zones;
+    Reader self{_self, 0};
+    const std::set<NodeName> before = std::exchange(_nodes, {_self});
     for (const ProxyNode& node : nodes) {
-        if (node.name != _self && node.port != 0) {
-            zones[node.zone].push_back(node.name);
-            _nodes.push_back(node.name);
+        if (node.name == _self) {
+            self.capacityClass = capacityClassOf(node);
+        } else if (node.port != 0) {
+            zones[node.zone].push_back({node.name, capacityClassOf(node)});
+            _nodes.insert(node.name);
         }
     }
-    const std::vector<NodeName> readers = zoneReaders(zones[_zone], 0);
-    const bool ranksFirst = std::find(readers.begin(), readers.end(), _self) != readers.end();
-    _candidates = ranksFirst ? readersAbove(_self, _zone, zones, _regions)
-                             : readersFor(_self, readers, zoneReaders(zones[_zone], 1));
+    zones[_zone].push_back(self);
+    std::vector<NodeName> joined;
+    std::vector<NodeName> left;
+    std::set_difference(_nodes.begin(), _nodes.end(), before.begin(), before.end(),
+                        std::back_inserter(joined));
+    std::set_difference(before.begin(), before.end(), _nodes.begin(), _nodes.end(),
+                        std::back_inserter(left));
+    updateTurns(joined, left);
+    const Readers readers = zoneReaders(zones[_zone], 0);
+    const Readers withSpare = zoneReaders(zones[_zone], 1);
+    const auto isSelf = [this](const Reader& node) { return node.name == _self; };
+    _isAskedByOthers = std::any_of(withSpare.begin(), withSpare.end(), isSelf);
+    _candidates = std::any_of(readers.begin(), readers.end(), isSelf)
+                      ? readersAbove(self, _zone, zones, _regions)
+                      : readersFor(_self, readers, withSpare);
+}
+
+void ReaderTree::updateTurns(const std::vector<NodeName>& joined,
+                             const std::vector<NodeName>& left) {
+    for (auto& [group, turn] : _turns) {
+        turn += rankedBefore(group, _self, joined);
+        turn -= rankedBefore(group, _self, left);
+    }
 }
 
 std::size_t ReaderTree::turnOf(const GroupName& group) const {
     const auto [turn, added] = _turns.try_emplace(group, 0);
     if (added) {
-        const std::vector<NodeName> ranked = rankedNodes(group.value(), _nodes);
-        const auto own = std::find(ranked.begin(), ranked.end(), _self);
-        turn->second = static_cast<std::size_t>(own - ranked.begin());
+        turn->second = rankedBefore(group, _self, _nodes);
     }
     return turn->second;
 }
--- a/src/pooling/ReaderTree.h
+++ b/src/pooling/ReaderTree.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <map>
+#include <set>
 #include <vector>
 
 #include "base/Identifier.h"
@@ -13,10 +14,13 @@
 
 /**
  * A tree of readers: the nodes of a zone ask one of the zone's readers, the zones' readers ask the
- * one that ranks first among them, and that one reads the store. Where there are several regions,
- * the zones' readers ask the first of their own region, and only that one asks the first of
- * another region: what the store holds crosses to a region once. Nodes with the same view form the
- * same tree; nodes with different views may ask each other in a circle, which their patience ends.
+ * one that ranks first among them, and that one reads the store. Nodes that can pass on several
+ * times as much rank before others: a reader sends all that the store holds to each of its askers,
+ * which at a thousand groups takes a link of 20 Mbit/s half a minute. Where there are several
+ * regions, the zones' readers ask the first of their own region, and only that one asks the first
+ * of another region: what the store holds crosses to a region once. Nodes with the same view form
+ * the same tree; nodes with different views may ask each other in a circle, which their patience
+ * ends.
  */
 class ReaderTree {
 public:
@@ -28,16 +32,23 @@
     /** @return the nodes to ask, the preferred one first; none when this node reads the store. */
     const std::vector<NodeName>& candidates() const { return _candidates; }
 
+    /** @return whether nodes of its zone turn to this one: a reader, or the one that stands in. */
+    bool isAskedByOthers() const { return _isAskedByOthers; }
+
     /** @return this node's place in the order of all nodes for a group; 0 is the first. */
     std::size_t turnOf(const GroupName& group) const;
 
 private:
+    void updateTurns(const std::vector<NodeName>& joined, const std::vector<NodeName>& left);
+
     NodeName _self;
     ZoneName _zone;
     locality::RegionMap _regions;
-    std::vector<NodeName> _nodes;
+    std::set<NodeName> _nodes;
+    /** Turns that were asked for; a change of the nodes moves them by those ranked before. */
     mutable std::map<GroupName, std::size_t> _turns;
     std::vector<NodeName> _candidates;
+    bool _isAskedByOthers = true;
 };
 
 }  // namespace coralhoist::pooling
--- a/src/program/DaemonConfiguration.cpp
+++ b/src/program/DaemonConfiguration.cpp
@@ -20,6 +20,8 @@
 constexpr double kMaximumWarmupOverrun = 100;
 constexpr std::int64_t kMaximumWarmupSlack = 10'000;
 constexpr double kMaximumQuotaOverrun = 1;
+constexpr double kMaximumLinkMbps = 1e6;
+constexpr double kMaximumProcessorShare = 1024;
 constexpr std::int64_t kMaximumCallerConnections = 1000000;
 constexpr std::int64_t kMinimumMessageBytes = 1024;
 /** Shorter bounds would leave less than 125 ms for an answer of the store. */
@@ -141,6 +143,24 @@
     return Status::ok();
 }
 
+Status setLinkMbps(DaemonConfiguration& configuration, const std::string& text) {
+    const std::optional<double> rate = parseFactor(text, kMaximumLinkMbps);
+    if (!rate) {
+        return invalid("'" + text + "' is not a rate from 0 to 1000000, such as 1000");
+    }
+    configuration.linkMbps = *rate;
+    return Status::ok();
+}
+
+Status setProcessorShare(DaemonConfiguration& configuration, const std::string& text) {
+    const std::optional<double> share = parseFactor(text, kMaximumProcessorShare);
+    if (!share) {
+        return invalid("'" + text + "' is not a share from 0 to 1024, such as 0.5");
+    }
+    configuration.processorShare = *share;
+    return Status::ok();
+}
+
 Status setWarmupOverrun(DaemonConfiguration& configuration, const std::string& text) {
     const std::optional<double> factor = parseFactor(text, kMaximumWarmupOverrun);
     if (!factor) {
@@ -205,6 +225,13 @@
         {"node.zones", ValueType::TextList, 0, 0, "all zones of the estate, each ZONE=REGION",
          setZones},
         textKey("node.address", "IP number on which all ports listen", setAddress),
+        textKey(
+            "node.link_mbps",
+            "rate of this machine's link in Mbit/s, e.g. \"1000\"; proxies with more of link and "
+            "processor read the store for others",
+            setLinkMbps),
+        textKey("node.processor_share", "its share of a processor, e.g. \"0.5\"",
+                setProcessorShare),
         integerKey("caller.port", 0, kMaximumPort, "port for callers (0: chosen by the kernel)",
                    &DaemonConfiguration::callerPort),
         integerKey("caller.maximum_connections", 1, kMaximumCallerConnections,
--- a/src/program/DaemonConfiguration.h
+++ b/src/program/DaemonConfiguration.h
@@ -33,6 +33,9 @@
     ZoneName zone{"default"};
     /** The region of each zone of the estate; empty where there is one region. */
     std::map<ZoneName, RegionName> zones;
+    /** Rate of this machine's link in Mbit/s, and its share of a processor; 0: not told. */
+    double linkMbps = 0;
+    double processorShare = 0;
     /** IP number on which all ports listen and which peers are told. */
     std::string address = "127.0.0.1";
 
--- a/tests/pooling/ExecutorPlacementTest.cpp
+++ b/tests/pooling/ExecutorPlacementTest.cpp
@@ -1,7 +1,10 @@
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
+#include <map>
 #include <set>
+#include <string>
+#include <vector>
 
 #include "pooling/ExecutorPlacement.h"
 
@@ -154,5 +157,64 @@
     UNSIGNED_LONGS_EQUAL(1, placementOf(0, view).executorCount(group));
 }
 
+constexpr int kManyGroups = 300;
+
+GroupName numbered(int index) {
+    return GroupName("g" + std::to_string(index));
+}
+
+/** Nodes join and leave; some keep their names and change their zones. */
+TEST(ExecutorPlacement, FollowingChangesChoosesAsAFreshStartDoes) {
+    const std::vector<ProxyNode> all = nodes(90);
+    ExecutorPlacement following(node(0).name, node(0).zone, 2);
+    for (int step = 0; step < 40; ++step) {
+        std::vector<ProxyNode> view;
+        for (int index = 0; index < 90; ++index) {
+            if ((index * 7 + step * 13) % 10 < 6) {
+                view.push_back(all[static_cast<std::size_t>(index)]);
+                view.back().zone = (index + step) % 17 == 0 ? ZoneName("z9") : view.back().zone;
+            }
+        }
+        std::map<GroupName, std::vector<NodeName>> before;
+        for (int index = 0; index < 50; ++index) {
+            before[numbered(index)] = following.preferenceOf(numbered(index));
+        }
+        const std::vector<GroupName> changed = following.applyNodes(view);
+        const ExecutorPlacement fresh = placementOf(0, view);
+        for (int index = 0; index < 50; ++index) {
+            const GroupName name = numbered(index);
+            CHECK_TRUE(following.preferenceOf(name) == fresh.preferenceOf(name));
+            CHECK_TRUE(following.executesHere(name) == fresh.executesHere(name));
+            UNSIGNED_LONGS_EQUAL(fresh.executorCount(name), following.executorCount(name));
+            const bool isTold = std::find(changed.begin(), changed.end(), name) != changed.end();
+            CHECK_TRUE(isTold || before[name] == following.preferenceOf(name));
+        }
+    }
+}
+
+/** @return ranks computed for one node that joins and leaves again. */
+std::uint64_t workOfOneChange(int count) {
+    ExecutorPlacement placement = placementOf(0, nodes(count));
+    for (int index = 0; index < kManyGroups; ++index) {
+        placement.executesHere(numbered(index));
+    }
+    const std::uint64_t before = placement.ranksComputed();
+    placement.applyNodes(nodes(count + 1));
+    const std::uint64_t joined = placement.ranksComputed();
+    UNSIGNED_LONGS_EQUAL(kManyGroups, joined - before);
+    const std::size_t lost = placement.applyNodes(nodes(count)).size();
+    // Only the groups that it executed are ranked again, in its zone.
+    CHECK(placement.ranksComputed() - joined <=
+          lost * (static_cast<std::size_t>(count) / kZones + 1));
+    return placement.ranksComputed() - before;
+}
+
+TEST(ExecutorPlacement, OneNodeThatJoinsAndLeavesCostsNoMoreAmongMany) {
+    const std::uint64_t few = workOfOneChange(60);
+    const std::uint64_t many = workOfOneChange(960);
+    // A node has fewer groups among many nodes, which are ranked among more.
+    CHECK(many < few * 2);
+}
+
 }  // namespace
 }  // namespace coralhoist::pooling
--- a/tests/program/DaemonConfigurationTest.cpp
+++ b/tests/program/DaemonConfigurationTest.cpp
@@ -96,6 +96,20 @@
                  refusal(head + "[\"n-1=a\", \"n-1=b\"]" + tail).c_str());
 }
 
+TEST(DaemonConfiguration, WhatTheMachineCanPassOnIsText) {
+    const std::string head = "[node]\nname = \"a\"\n";
+    const std::string tail = "\n[platform]\nurl = \"http://127.0.0.1:9400\"\n";
+    const TemporaryFile file(head + "link_mbps = \"1000.0\"\nprocessor_share = \"0.12\"" + tail);
+    const auto configuration = loadDaemonConfiguration(file.path(), {});
+    CHECK_TRUE(configuration.isOk());
+    DOUBLES_EQUAL(1000, configuration.value().linkMbps, 1e-9);
+    DOUBLES_EQUAL(0.12, configuration.value().processorShare, 1e-9);
+    STRCMP_EQUAL(":3: node.link_mbps: 'fast' is not a rate from 0 to 1000000, such as 1000",
+                 refusal(head + "link_mbps = \"fast\"" + tail).c_str());
+    STRCMP_EQUAL(":3: node.processor_share: '-1' is not a share from 0 to 1024, such as 0.5",
+                 refusal(head + "processor_share = \"-1\"" + tail).c_str());
+}
+
 TEST(DaemonConfiguration, EachFaultNamesFileLineAndKey) {
     const std::string head = kMinimal;
     STRCMP_EQUAL(":6: caller.prot: unknown key (see coralhoistd --help)",
