Followers: a late reader does not send all nodes to the store

Cause: readers and those whom they tell found what they knew late at the same age, so that one late reader made each of its askers list everything, at one moment. Who gave its reader up listed all kinds and opened watches before another reader could answer. Ruled out: a longer spread (the bound leaves no room: 985 x 1.4 MB within 3 s is 3.7 Gbit/s). Change: readers, and the node that stands in for them, list half way to the bound, others at 0.6 to 0.7 as before; who loses a reader asks the next one for 0.25 s before it turns to the store. A first reader that is cut off from the store does not yet ask the second one.

--- a/src/cluster/KindFollower.cpp
+++ b/src/cluster/KindFollower.cpp
@@ -113,10 +113,10 @@
     }
 }
 
-void KindFollower::onTick(TimePoint now, bool isFed) {
+void KindFollower::onTick(TimePoint now, ListRole role) {
     noteReturns();
-    _refresh.onTick(now, refreshedAt(), isFed);
-    if (isFed || !_watch.isReachable()) {
+    _refresh.onTick(now, refreshedAt(), role);
+    if (role != ListRole::Source || !_watch.isReachable()) {
         return;
     }
     _watch.onTick(now);
@@ -125,9 +125,9 @@
     }
 }
 
-TimePoint KindFollower::nextTick(bool isFed) const {
-    TimePoint next = _refresh.nextTick(refreshedAt(), isFed);
-    if (!isFed && _watch.isReachable()) {
+TimePoint KindFollower::nextTick(ListRole role) const {
+    TimePoint next = _refresh.nextTick(refreshedAt(), role);
+    if (role == ListRole::Source && _watch.isReachable()) {
         next = std::min(next, _watch.nextTick().value_or(next));
     }
     return next;
--- a/src/cluster/KindFollower.h
+++ b/src/cluster/KindFollower.h
@@ -70,9 +70,8 @@
     /** The watch goes on from what other nodes have told. */
     void resumeWatch();
 
-    /** @param isFed another node tells of changes. */
-    void onTick(TimePoint now, bool isFed);
-    TimePoint nextTick(bool isFed) const;
+    void onTick(TimePoint now, ListRole role);
+    TimePoint nextTick(ListRole role) const;
 
 private:
     void onList(const std::vector<store::StoredObject>& objects,
--- a/src/cluster/ListRefresh.cpp
+++ b/src/cluster/ListRefresh.cpp
@@ -21,23 +21,34 @@
       _alive(std::make_shared<bool>(true)),
       _spread(_dependencies.random.below(static_cast<std::uint64_t>(_timing.spread.count()) + 1)) {}
 
-TimePoint ListRefresh::dueAt(TimePoint provenAt, bool isFed) const {
-    if (_isWanted && !isFed) {
+Duration ListRefresh::dueAge(ListRole role) const {
+    switch (role) {
+        case ListRole::Source:
+            return _timing.refreshAfter;
+        case ListRole::Reader:
+            return _timing.readerAfter + _spread / 2;
+        case ListRole::Follower:
+            break;
+    }
+    return _timing.lateAfter + _spread;
+}
+
+TimePoint ListRefresh::dueAt(TimePoint provenAt, ListRole role) const {
+    if (_isWanted && role == ListRole::Source) {
         return _nextCall;
     }
-    return std::max(_nextCall,
-                    provenAt + (isFed ? _timing.lateAfter + _spread : _timing.refreshAfter));
+    return std::max(_nextCall, provenAt + dueAge(role));
 }
 
-void ListRefresh::onTick(TimePoint now, TimePoint provenAt, bool isFed) {
-    if (!_running && now >= dueAt(provenAt, isFed)) {
+void ListRefresh::onTick(TimePoint now, TimePoint provenAt, ListRole role) {
+    if (!_running && now >= dueAt(provenAt, role)) {
         _askedAt = now;
         call();
     }
 }
 
-TimePoint ListRefresh::nextTick(TimePoint provenAt, bool isFed) const {
-    return _running ? TimePoint::max() : dueAt(provenAt, isFed);
+TimePoint ListRefresh::nextTick(TimePoint provenAt, ListRole role) const {
+    return _running ? TimePoint::max() : dueAt(provenAt, role);
 }
 
 void ListRefresh::call() {
--- a/src/cluster/ListRefresh.h
+++ b/src/cluster/ListRefresh.h
@@ -38,10 +38,11 @@
     /**
      * Asks when it is due.
      * @param provenAt up to when the kind is known.
-     * @param isFed other nodes refresh it, too: this one asks only when they are late.
+     * @param role unless it is the source, other nodes refresh the kind, too, and this one asks
+     * only when they are late.
      */
-    void onTick(TimePoint now, TimePoint provenAt, bool isFed);
-    TimePoint nextTick(TimePoint provenAt, bool isFed) const;
+    void onTick(TimePoint now, TimePoint provenAt, ListRole role);
+    TimePoint nextTick(TimePoint provenAt, ListRole role) const;
 
     /** While no other node refreshes the kind, the next call is made whatever the age: a watch has
      * failed. Pauses are kept. */
@@ -54,7 +55,8 @@
     void onAnswer(const socket::HttpAnswer& answer);
     bool takePage(const socket::HttpAnswer& answer);
     void fail(int status);
-    TimePoint dueAt(TimePoint provenAt, bool isFed) const;
+    TimePoint dueAt(TimePoint provenAt, ListRole role) const;
+    Duration dueAge(ListRole role) const;
 
     std::string _kind;
     RefreshTiming _timing;
--- a/src/cluster/RefreshTiming.h
+++ b/src/cluster/RefreshTiming.h
@@ -5,6 +5,13 @@
 
 namespace coralhoist::cluster {
 
+/** How a node hears of a kind beside its own lists. */
+enum class ListRole {
+    Source,   /**< No other node tells it: it reads the store. */
+    Reader,   /**< Others tell it, and it tells others. */
+    Follower, /**< Others tell it. */
+};
+
 /**
  * Times of a refresh as parts of the bound. They fit into it, whatever the bound is: a node that is
  * told by others begins to ask at 0.6 of the bound, at 0.7 at the latest; a call without an answer
@@ -23,7 +30,11 @@
      * for 0.3 s each and must not take what they are told for late: 1 s + 0.6 s of a bound of 3 s.
      */
     Duration refreshAfter{0};
-    /** Age at which a node that is told by others asks itself, and leaves them. */
+    /** Age at which a reader that is told by others asks itself: before those that it tells find it
+     * late. Without it all nodes are late at one moment when the first reader is, and their lists
+     * keep the store too busy for the readers to catch up. */
+    Duration readerAfter{0};
+    /** Age at which any other node that is told by others asks itself, and leaves them. */
     Duration lateAfter{0};
     /** Nodes that are late together ask spread over this time. With none, 300 nodes asked the
      * store for 460 kB each at once. */
@@ -41,6 +52,7 @@
         RefreshTiming timing;
         timing.bound = bound;
         timing.refreshAfter = bound / 3;
+        timing.readerAfter = bound / 2;
         timing.lateAfter = bound * 6 / 10;
         timing.spread = bound / 10;
         timing.answerTimeout = bound / 8;
--- a/src/cluster/StoreFollower.cpp
+++ b/src/cluster/StoreFollower.cpp
@@ -18,8 +18,11 @@
 constexpr Duration kHold = milliseconds(300);
 /** A node that has not answered by then is passed over: 0.6 s more than it may hold. */
 constexpr Duration kPatience = milliseconds(900);
-/** Pause after a node was lost. */
+/** Pause after a node was lost where no other one can be asked. */
 constexpr Duration kLossPause = milliseconds(100);
+/** Time for another node to answer before this one turns to the store: a hundred times a calm
+ * answer. A reader that is late would send all whom it tells to the store at one moment. */
+constexpr Duration kSwitchPatience = milliseconds(250);
 
 }  // namespace
 
@@ -52,6 +55,13 @@
                        [](const auto& kind) { return kind->isOfPresentEra(); });
 }
 
+ListRole StoreFollower::role() const {
+    if (!isFed() && !isSwitching()) {
+        return ListRole::Source;
+    }
+    return _dependencies.readers.isAskedByOthers() ? ListRole::Reader : ListRole::Follower;
+}
+
 NodeName StoreFollower::origin() const {
     return _fedBy ? _fedOrigin : _dependencies.self;
 }
@@ -107,10 +117,18 @@
     });
 }
 
-void StoreFollower::askSource(TimePoint now) {
-    const std::optional<NodeName> source = _choice.choose(
+std::optional<NodeName> StoreFollower::chooseSource(TimePoint now) const {
+    return _choice.choose(
         _dependencies.readers.candidates(),
         [this](const NodeName& node) { return _dependencies.questions.canReach(node); }, now);
+}
+
+bool StoreFollower::isSwitching() const {
+    return _dependencies.clock.now() < _switchUntil;
+}
+
+void StoreFollower::askSource(TimePoint now) {
+    const std::optional<NodeName> source = chooseSource(now);
     if (!source) {
         if (_fedBy) {
             loseSource(now);
@@ -191,10 +209,12 @@
         _choice.passOver(_question->node, now);
     }
     _question.reset();
-    _nextQuestion = now + kLossPause;
+    const bool mayAskAnother = chooseSource(now).has_value();
+    _nextQuestion = mayAskAnother ? now : now + kLossPause;
     if (!_fedBy) {
         return;
     }
+    _switchUntil = mayAskAnother ? now + kSwitchPatience : now;
     LogEvent("cluster", LogLevel::Info, "feed.lost").field("node", *_fedBy);
     _fedBy.reset();
     _news = true;
@@ -212,13 +232,16 @@
         askSource(now);
     }
     for (const auto& kind : _kinds) {
-        kind->onTick(now, isFed());
+        kind->onTick(now, role());
     }
     answerAskers(now);
 }
 
 std::optional<TimePoint> StoreFollower::nextTick() const {
     TimePoint next = _question ? _question->askedAt + kPatience : TimePoint::max();
+    if (isSwitching()) {
+        next = std::min(next, _switchUntil);
+    }
     const bool asks = _fedBy || !_dependencies.readers.candidates().empty();
     if (!_question && isListed() && asks) {
         next = std::min(next, _nextQuestion);
@@ -227,7 +250,7 @@
         next = std::min(next, _news ? TimePoint::min() : _askers.front().askedAt + kHold);
     }
     for (const auto& kind : _kinds) {
-        next = std::min(next, kind->nextTick(isFed()));
+        next = std::min(next, kind->nextTick(role()));
     }
     return next;
 }
--- a/src/cluster/StoreFollower.h
+++ b/src/cluster/StoreFollower.h
@@ -83,6 +83,9 @@
         TimePoint askedAt{};
     };
 
+    ListRole role() const;
+    bool isSwitching() const;
+    std::optional<NodeName> chooseSource(TimePoint now) const;
     NodeName origin() const;
     bool isUseful(const store::FeedAnswer& answer, const Question& question) const;
     void take(const store::FeedAnswer& answer, TimePoint askedAt);
@@ -100,6 +103,8 @@
     bool _news = false;
     std::optional<Question> _question;
     std::uint64_t _lastQuestion = 0;
+    /** The source was lost, and until then another node may take its place. */
+    TimePoint _switchUntil{};
     TimePoint _nextQuestion{};
     /** The node that tells of changes, and where it has them from. */
     std::optional<NodeName> _fedBy;
--- a/tests/cluster/ListRefreshTest.cpp
+++ b/tests/cluster/ListRefreshTest.cpp
@@ -65,10 +65,10 @@
                                 }});
     }
 
-    void advance(Duration span, bool isFed) {
+    void advance(Duration span, ListRole role) {
         clock.advance(span);
         client->onTick(clock.now());
-        refresh->onTick(clock.now(), provenAt, isFed);
+        refresh->onTick(clock.now(), provenAt, role);
     }
 
     void waitForCalls(std::size_t expected) {
@@ -77,9 +77,9 @@
 };
 
 TEST(ListRefresh, ANodeThatReadsTheStoreAsksEverySecond) {
-    advance(milliseconds(999), false);
-    CHECK_TRUE(refresh->nextTick(provenAt, false) == clock.now() + milliseconds(1));
-    advance(milliseconds(1), false);
+    advance(milliseconds(999), ListRole::Source);
+    CHECK_TRUE(refresh->nextTick(provenAt, ListRole::Source) == clock.now() + milliseconds(1));
+    advance(milliseconds(1), ListRole::Source);
     const TimePoint askedAt = clock.now();
     waitForCalls(1);
     CHECK_TRUE(testing::waitUntil([this] { return lists == 1; }));
@@ -87,38 +87,47 @@
 }
 
 TEST(ListRefresh, ANodeThatIsToldByOthersAsksOnlyWhenTheyAreLate) {
-    advance(milliseconds(1799), true);
-    CHECK_TRUE(refresh->nextTick(provenAt, true) > clock.now());
-    advance(milliseconds(301), true);
+    advance(milliseconds(1799), ListRole::Follower);
+    CHECK_TRUE(refresh->nextTick(provenAt, ListRole::Follower) > clock.now());
+    advance(milliseconds(301), ListRole::Follower);
+    waitForCalls(1);
+}
+
+/** Else all that follow it would ask the store at once. */
+TEST(ListRefresh, AReaderAsksBeforeItsFollowersFindItLate) {
+    advance(milliseconds(1499), ListRole::Reader);
+    CHECK_TRUE(refresh->nextTick(provenAt, ListRole::Reader) > clock.now());
+    CHECK_TRUE(refresh->nextTick(provenAt, ListRole::Reader) <= provenAt + milliseconds(1650));
+    advance(milliseconds(151), ListRole::Reader);
     waitForCalls(1);
 }
 
 TEST(ListRefresh, AStoreThatDoesNotAnswerProvesNothingAndIsAskedAgainAfterAPause) {
     status = kUnavailable;
-    advance(milliseconds(1000), false);
+    advance(milliseconds(1000), ListRole::Source);
     waitForCalls(1);
     CHECK_TRUE(testing::waitUntil(
-        [this] { return refresh->nextTick(provenAt, false) != TimePoint::max(); }));
-    CHECK_TRUE(refresh->nextTick(provenAt, false) > clock.now());
-    CHECK_TRUE(refresh->nextTick(provenAt, false) <= clock.now() + milliseconds(125));
+        [this] { return refresh->nextTick(provenAt, ListRole::Source) != TimePoint::max(); }));
+    CHECK_TRUE(refresh->nextTick(provenAt, ListRole::Source) > clock.now());
+    CHECK_TRUE(refresh->nextTick(provenAt, ListRole::Source) <= clock.now() + milliseconds(125));
     UNSIGNED_LONGS_EQUAL(0, lists);
-    advance(milliseconds(125), false);
+    advance(milliseconds(125), ListRole::Source);
     waitForCalls(2);
 }
 
 TEST(ListRefresh, AFailedWatchIsReasonToAskAtOnceUnlessOthersTell) {
     refresh->askSoon();
-    CHECK_TRUE(refresh->nextTick(provenAt, true) > clock.now());
-    CHECK_TRUE(refresh->nextTick(provenAt, false) <= clock.now());
+    CHECK_TRUE(refresh->nextTick(provenAt, ListRole::Follower) > clock.now());
+    CHECK_TRUE(refresh->nextTick(provenAt, ListRole::Source) <= clock.now());
 }
 
 TEST(ListRefresh, PagesMakeOneListThatIsDatedFromTheFirst) {
     bodies = {R"({"items":[{"meta":{"name":"a","revision":3}}],"has_more":true,"at":10})",
               R"({"items":[{"meta":{"name":"b","revision":11}}],"has_more":false,"at":12})"};
-    advance(milliseconds(1000), false);
+    advance(milliseconds(1000), ListRole::Source);
     const TimePoint askedAt = clock.now();
     CHECK_TRUE(testing::waitUntil([this] {
-        advance(milliseconds(1), false);
+        advance(milliseconds(1), ListRole::Source);
         return lists == 1;
     }));
     UNSIGNED_LONGS_EQUAL(2, listed);
@@ -139,7 +148,7 @@
     const RefreshTiming timing = RefreshTiming::forBound(milliseconds(3000));
     ListRefresh recorded("config", timing,
                          RefreshDependencies{clock, random, caller, protocol, {}});
-    recorded.onTick(clock.now() + timing.refreshAfter, clock.now(), false);
+    recorded.onTick(clock.now() + timing.refreshAfter, clock.now(), ListRole::Source);
     CHECK_TRUE(caller.made.connection == socket::HttpCall::Connection::New);
     CHECK_TRUE(caller.made.timeout == timing.answerTimeout);
     CHECK_TRUE(caller.made.stallTimeout == timing.answerTimeout);
@@ -152,7 +161,8 @@
         const Duration secondCall =
             timing.lateAfter + timing.spread + timing.answerTimeout + timing.firstPause;
         CHECK_TRUE(secondCall + bound / 8 <= bound);
-        CHECK_TRUE(timing.refreshAfter < timing.lateAfter);
+        CHECK_TRUE(timing.refreshAfter < timing.readerAfter);
+        CHECK_TRUE(timing.readerAfter + timing.spread / 2 < timing.lateAfter);
         CHECK_TRUE(2 * (timing.longestPause + timing.answerTimeout) <= bound / 2);
     }
 }
