Pooler: rounds look at groups in use, and a proof is taken where it is needed

Cause: each settling after any event looked at all groups, each round (20 a second) at the floors, outliers, shares, primary and connections of all groups, and each proof of leadership confirmed all groups one by one, with a look at all groups after each: groups squared, up to 20 times a second. Ruled out: a slower round (a larger constant). Change: groups that are marked are kept in a set; groups in use (executed here, or with statements, connections, an ejected server, a crowd, a suspected primary) in another one. A proof is kept and taken by groups in use at once, by any other one with its next statement: its records' versions must be the newest known then. Figures: looks in 20 rounds of a calm node are 20 for each group that it executes, at 20 and at 400 groups (before: all of them); a proof costs no look at groups that nobody uses; a change of one group costs one look (ManyGroups). pooled_simulation_tests pass.

--- a/src/pooling/FreshnessFloors.h
+++ b/src/pooling/FreshnessFloors.h
@@ -31,6 +31,9 @@
     /** Drops samples that no read needs any more. */
     void dropBefore(TimePoint time);
 
+    /** @return whether samples are held that dropBefore drops one day. */
+    bool mayDrop() const { return _samples.size() > 1; }
+
     void clear() { _samples.clear(); }
 
 private:
--- a/src/pooling/OutlierDetector.cpp
+++ b/src/pooling/OutlierDetector.cpp
@@ -107,6 +107,12 @@
     return found == _records.end() ? ServerStanding::Admitted : found->second.standing;
 }
 
+bool OutlierDetector::admitsAll() const {
+    return std::all_of(_records.begin(), _records.end(), [](const auto& entry) {
+        return entry.second.standing == ServerStanding::Admitted;
+    });
+}
+
 OutlierDetector::Tally& OutlierDetector::tallyAt(Record& record, TimePoint now) {
     const std::int64_t part = partAt(now);
     Tally& tally = record.tallies[static_cast<std::size_t>(part) % kParts];
--- a/src/pooling/OutlierDetector.h
+++ b/src/pooling/OutlierDetector.h
@@ -58,6 +58,9 @@
 
     ServerStanding standingOf(const ServerName& server) const;
 
+    /** @return whether no server is ejected or on probation. */
+    bool admitsAll() const;
+
 private:
     /** What became of requests in a part of the window. */
     struct Tally {
--- a/src/pooling/PoolerConnections.cpp
+++ b/src/pooling/PoolerConnections.cpp
@@ -37,7 +37,7 @@
 
 /** Tells the policy where no connection to the server stands any more. */
 void StatementPooler::noteIfLost(const GroupName& group, const ServerName& name) {
-    const auto& servers = _groups[group].servers;
+    const auto& servers = groupNamed(group).servers;
     const auto server = servers.find(name);
     if (_policy != nullptr && server != servers.end() &&
         server->second.connections == server->second.opening) {
--- a/src/pooling/PoolerQueue.cpp
+++ b/src/pooling/PoolerQueue.cpp
@@ -20,7 +20,7 @@
     GroupState& group = groupOf(session);
     session.operation->phase = OperationPhase::Queued;
     group.waiting.add(waitingStatement(group, session));
-    group.dirty = true;
+    markDirty(group);
     wakeAt(session, session.operation->holdUntil);
 }
 
@@ -48,6 +48,8 @@
 }
 
 void StatementPooler::dispatch(GroupState& group) {
+    ++_statistics.groupsVisited;
+    takeNewestProof(group);
     for (const SessionId id : group.waiting.order(_clock.now())) {
         PooledSession* session = findSession(id);
         if (session == nullptr || !isQueued(*session)) {
--- a/src/pooling/PoolerResults.cpp
+++ b/src/pooling/PoolerResults.cpp
@@ -58,7 +58,7 @@
         connection->poisoned = connection->poisoned || !result.succeeded();
         return;
     }
-    _groups[connection->group].primaryWatch.noteAnswered(id);
+    groupNamed(connection->group).primaryWatch.noteAnswered(id);
     PooledSession* session = connection->user ? findSession(*connection->user) : nullptr;
     if (awaited == AwaitedResult::Rollback || session == nullptr) {
         const bool usable = !connection->poisoned && result.state == SessionState::Idle;
@@ -160,7 +160,7 @@
 /** Its answer was lost or will not come. */
 void StatementPooler::noteRequestLost(ServerState* server) {
     if (server != nullptr) {
-        _groups[server->address.group].outliers.onFailure(server->address.server, _clock.now());
+        groupNamed(server->address.group).outliers.onFailure(server->address.server, _clock.now());
     }
 }
 
@@ -333,7 +333,7 @@
             lowerLimit(server->second, _knobs.inflightDecrease);
             break;
         case StatementFault::ReadOnly:
-            group.leadership.onReadOnly(operation.server, now);
+            noteReadOnly(group, operation.server);
             break;
         case StatementFault::Lagging:
             noteLagging(server->second, operation.floor);
@@ -359,7 +359,8 @@
     if (position.term == 0) {
         return;
     }
-    GroupState& group = _groups[connection.group];
+    GroupState& group = groupNamed(connection.group);
+    const std::optional<Primary> primary = group.leadership.primary();
     const Term before = group.leadership.newestTerm();
     group.leadership.onPosition(connection.server, position, _clock.now());
     if (group.leadership.newestTerm() != before) {
@@ -367,14 +368,27 @@
             .field("group", connection.group)
             .field("server", connection.server)
             .field("term", position.term);
-        markDirty(connection.group);
+        markDirty(group);
     }
+    tellIfChanged(group, primary);
     if (ServerState* server = serverOf(connection)) {
         const TimePoint now = _clock.now();
         server->catchUp.observe(position, group.floors.lagOf(position, now), now);
     }
 }
 
+void StatementPooler::noteReadOnly(GroupState& group, const ServerName& server) {
+    const std::optional<Primary> before = group.leadership.primary();
+    group.leadership.onReadOnly(server, _clock.now());
+    tellIfChanged(group, before);
+}
+
+void StatementPooler::tellIfChanged(const GroupState& group, const std::optional<Primary>& before) {
+    if (group.leadership.primary() != before) {
+        _output.primaryChanged(group.name);
+    }
+}
+
 /** The statement did not run, or only read: it is tried again while there is time. */
 void StatementPooler::requeue(PooledSession& session, const char* obstacle) {
     Operation& operation = *session.operation;
--- a/src/pooling/PoolerShares.cpp
+++ b/src/pooling/PoolerShares.cpp
@@ -48,6 +48,7 @@
         return;
     }
     if (found->second.shares.take(report, _placement.preferenceOf(report.group), _clock.now())) {
+        _activeGroups.insert(&found->second);
         ++_statistics.loadReportsTaken;
     }
 }
--- a/src/pooling/PoolerStatistics.h
+++ b/src/pooling/PoolerStatistics.h
@@ -75,6 +75,9 @@
     /** Reports of load told to other executors, and taken from them. */
     std::uint64_t loadReportsTold = 0;
     std::uint64_t loadReportsTaken = 0;
+    /** Groups that were looked at, in rounds and for what waits; follows what this node does, not
+     * the number of groups. */
+    std::uint64_t groupsVisited = 0;
     /** Groups whose executors share their servers by need at present; not a counter. */
     std::uint64_t groupsSharing = 0;
     LatencyHistogram latency;
--- a/src/pooling/PoolerTimers.cpp
+++ b/src/pooling/PoolerTimers.cpp
@@ -129,23 +129,39 @@
     const bool report = now >= _nextReport;
     _nextReport = report ? now + kReportEvery : _nextReport;
     _statistics.groupsSharing = 0;
-    for (auto& [name, group] : _groups) {
+    for (auto next = _activeGroups.begin(); next != _activeGroups.end();) {
+        GroupState& group = **next;
         if (report) {
-            reportServers(name, group);
-        }
-        group.floors.dropBefore(now - kFloorRetention);
-        reviewOutliers(name, group);
-        updateShares(name, group, now);
-        watchPrimary(name, group, now);
-        if (keepsWarm(name)) {
-            keepWarm(group);
-        } else {
-            releaseUnused(group);
-        }
-        if (!group.waiting.empty()) {
-            group.dirty = true;
+            reportServers(group.name, group);
         }
+        next = reviewGroup(group, now) ? std::next(next) : _activeGroups.erase(next);
+    }
+}
+
+/** @return whether the next round has to look at the group again though nothing happens. */
+bool StatementPooler::reviewGroup(GroupState& group, TimePoint now) {
+    ++_statistics.groupsVisited;
+    group.floors.dropBefore(now - kFloorRetention);
+    reviewOutliers(group.name, group);
+    updateShares(group.name, group, now);
+    const bool isSuspect = watchPrimary(group, now);
+    const bool isWarm = keepsWarm(group.name);
+    if (isWarm) {
+        keepWarm(group);
+    } else {
+        releaseUnused(group);
+    }
+    if (!group.waiting.empty()) {
+        markDirty(group);
     }
+    return isWarm || isSuspect || !group.waiting.empty() || hasConnections(group) ||
+           group.floors.mayDrop() || !group.outliers.admitsAll() || group.shares.isCrowded(now) ||
+           group.shares.inForce();
+}
+
+bool StatementPooler::hasConnections(const GroupState& group) {
+    return std::any_of(group.servers.begin(), group.servers.end(),
+                       [](const auto& entry) { return entry.second.connections > 0; });
 }
 
 /** Tells for each server what this process sends there and what becomes of it. */
@@ -218,7 +234,7 @@
         endTransaction(_sessions.at(id), reason);
     }
     for (auto& [name, group] : _groups) {
-        group.dirty = true;
+        markDirty(group);
     }
     settle();
 }
@@ -232,7 +248,7 @@
         state != found->second.servers.end()) {
         state->second.inflightLimit = 1;
         state->second.slowness = 1;
-        found->second.dirty = true;
+        markDirty(found->second);
     }
 }
 
@@ -251,15 +267,18 @@
     }
 }
 
-void StatementPooler::watchPrimary(const GroupName& name, GroupState& group, TimePoint now) {
+/** @return whether the primary shows signs of failure. */
+bool StatementPooler::watchPrimary(GroupState& group, TimePoint now) {
     const std::optional<Primary> primary = group.leadership.primary();
     if (!primary) {
-        return;
+        return false;
     }
     const ServerState& server = group.servers[primary->server];
-    if (const auto reason = group.primaryWatch.review(server, _knobs.suspectAfter, now)) {
-        _output.suspectPrimary(name, primary->server, *reason);
+    const auto reason = group.primaryWatch.review(server, _knobs.suspectAfter, now);
+    if (reason) {
+        _output.suspectPrimary(group.name, primary->server, *reason);
     }
+    return reason.has_value();
 }
 
 void StatementPooler::closeLateConnections() {
--- a/src/pooling/StatementPooler.cpp
+++ b/src/pooling/StatementPooler.cpp
@@ -27,7 +27,7 @@
 /** Puts in force who takes turns in each group's queue. */
 void StatementPooler::setTurns() {
     for (const auto& [name, settings] : _catalog->groups) {
-        GroupState& group = _groups[name];
+        GroupState& group = groupNamed(name);
         group.waiting.setMinimumShare(settings.minimumShare);
         group.fairServices = settings.fairServices;
     }
@@ -41,20 +41,25 @@
         objective = std::min(objective, entry.settings.latencyObjective);
     }
     for (const auto& [group, objective] : least) {
-        _groups[group].latencyTarget =
+        groupNamed(group).latencyTarget =
             std::chrono::duration_cast<Duration>(objective * _knobs.latencyTargetShare);
     }
 }
 
+/** Only groups whose executors have changed are looked at, but for the first time. */
 void StatementPooler::applyNodes(const std::vector<ProxyNode>& nodes) {
-    _placement.applyNodes(nodes);
-    _nodesKnown = true;
-    for (auto& [name, group] : _groups) {
+    const std::vector<GroupName> changed = _placement.applyNodes(nodes);
+    if (!std::exchange(_nodesKnown, true)) {
+        activateAll();
+    }
+    for (const GroupName& name : changed) {
+        GroupState& group = groupNamed(name);
         for (auto& [serverName, server] : group.servers) {
             if (!server.hasAnswered()) {
                 server.inflightLimit = firstLimit(name, server);
             }
         }
+        _activeGroups.insert(&group);
     }
 }
 
@@ -79,7 +84,7 @@
 
 void StatementPooler::applyServers(const GroupName& name, const ServerDirectory::Servers& listed) {
     const TimePoint now = _clock.now();
-    GroupState& group = _groups[name];
+    GroupState& group = groupNamed(name);
     group.leadership.onDirectory(listed, now);
     for (const auto& [serverName, entry] : listed) {
         ServerState& server = group.servers[serverName];
@@ -104,31 +109,53 @@
             _connections.discardIdle(server);
         }
     }
-    group.dirty = true;
+    markDirty(group);
     settle();
 }
 
 void StatementPooler::applyNotice(const GroupName& group, const PromotionNotice& notice) {
-    GroupState& state = _groups[group];
+    GroupState& state = groupNamed(group);
     state.leadership.onNotice(notice, _clock.now());
-    state.dirty = true;
+    markDirty(state);
+    settle();
+}
+
+void StatementPooler::applyProof(const LeadershipProof& proof) {
+    _newestProof = proof;
+    ++_lastProof;
+    for (GroupState* group : _activeGroups) {
+        takeNewestProof(*group);
+        if (!group->waiting.empty()) {
+            markDirty(*group);
+        }
+    }
     settle();
 }
 
+/** A proof holds for each group whose record it shows as the newest one known, whenever it is
+ * taken. */
+void StatementPooler::takeNewestProof(GroupState& group) {
+    if (group.proofTaken != _lastProof) {
+        group.proofTaken = _lastProof;
+        group.leadership.confirmByRecord(_newestProof->versionOf(group.name),
+                                         _newestProof->provenAt);
+    }
+}
+
 void StatementPooler::confirmLeadership(const GroupName& group, TimePoint askedAt) {
-    GroupState& state = _groups[group];
+    GroupState& state = groupNamed(group);
     if (const std::optional<Primary>& primary = state.leadership.primary()) {
         state.leadership.confirm(*primary, askedAt);
-        state.dirty = true;
+        markDirty(state);
         settle();
     }
 }
 
 void StatementPooler::confirmByRecord(const GroupName& group, const StoreVersion& recordVersion,
                                       TimePoint askedAt) {
-    GroupState& state = _groups[group];
+    GroupState& state = groupNamed(group);
     state.leadership.confirmByRecord(recordVersion, askedAt);
-    state.dirty = true;
+    markDirty(state);
     settle();
 }
 
@@ -156,11 +183,15 @@
     _placement.setRegions(regions);
     _distances = &distances;
     _placement.setExecutorsPerZone(executorsPerZone());
+    activateAll();
 }
 
 void StatementPooler::setCallersHaveTenants(bool haveTenants) {
-    _callersHaveTenants = haveTenants;
-    _placement.setExecutorsPerZone(executorsPerZone());
+    if (_callersHaveTenants != haveTenants) {
+        _callersHaveTenants = haveTenants;
+        _placement.setExecutorsPerZone(executorsPerZone());
+        activateAll();
+    }
 }
 
 std::uint32_t StatementPooler::executorsPerZone() const {
@@ -192,7 +223,7 @@
         connection = session->operation->connection;
     }
     endUnit(session->operation ? session->operation->unit : session->transaction.unit);
-    _groups[session->group].waiting.remove(id);
+    groupOf(*session).waiting.remove(id);
     _openTransactions.erase(id);
     _sessions.erase(id);
     ServerConnection* used = connection ? _connections.find(*connection) : nullptr;
@@ -254,12 +285,7 @@
     bool again = true;
     while (again) {
         again = false;
-        for (auto& [name, group] : _groups) {
-            if (group.dirty) {
-                group.dirty = false;
-                dispatch(group);
-            }
-        }
+        dispatchDirty();
         if (!_replies.empty() || !_closing.empty()) {
             flushReplies();
             again = true;
@@ -268,6 +294,17 @@
     _settling = false;
 }
 
+/** A group that its own dispatch marks again is left for the next event: a server that refuses at
+ * once can't hold the loop. */
+void StatementPooler::dispatchDirty() {
+    for (auto next = _dirtyGroups.begin(); next != _dirtyGroups.end();) {
+        GroupState* group = *next;
+        _dirtyGroups.erase(next);
+        dispatch(*group);
+        next = _dirtyGroups.upper_bound(group);
+    }
+}
+
 /** Callers may submit their next statement from within a reply. */
 void StatementPooler::flushReplies() {
     std::vector<PendingReply> replies;
@@ -289,8 +326,23 @@
     }
 }
 
-void StatementPooler::markDirty(const GroupName& group) {
-    _groups[group].dirty = true;
+StatementPooler::GroupState& StatementPooler::groupNamed(const GroupName& name) {
+    const auto [entry, added] = _groups.try_emplace(name);
+    if (added) {
+        entry->second.name = name;
+    }
+    return entry->second;
+}
+
+void StatementPooler::markDirty(GroupState& group) {
+    _dirtyGroups.insert(&group);
+    _activeGroups.insert(&group);
+}
+
+void StatementPooler::activateAll() {
+    for (auto& [name, group] : _groups) {
+        _activeGroups.insert(&group);
+    }
 }
 
 ServerState* StatementPooler::serverOf(const ServerConnection& connection) {
@@ -309,11 +361,11 @@
 
 bool StatementPooler::isClosed(const ServerState& server) {
     return _policy != nullptr &&
-           _policy->isClosed(placedServer(_groups[server.address.group], server));
+           _policy->isClosed(placedServer(groupNamed(server.address.group), server));
 }
 
 void StatementPooler::onForgotten(const ServerConnection& connection) {
-    _groups[connection.group].primaryWatch.noteAnswered(connection.id);
+    groupNamed(connection.group).primaryWatch.noteAnswered(connection.id);
 }
 
 namespace {
@@ -350,7 +402,7 @@
     }
     const Operation& operation = *session.operation;
     const TimePoint now = _clock.now();
-    const GroupState& group = _groups[session.group];
+    const GroupState& group = groupOf(session);
     const std::optional<Primary>& primary = group.leadership.primary();
     LogEvent(
         session.transaction.phase == TransactionPhase::None ? "pooling" : "pooling.transaction",
--- a/src/pooling/StatementPooler.h
+++ b/src/pooling/StatementPooler.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <queue>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -22,6 +23,7 @@
 #include "pooling/CapacityShares.h"
 #include "pooling/ExecutorPlacement.h"
 #include "pooling/FreshnessFloors.h"
+#include "pooling/LeadershipProof.h"
 #include "pooling/LeadershipTracker.h"
 #include "pooling/LoadReport.h"
 #include "pooling/OutlierDetector.h"
@@ -62,6 +64,9 @@
     /** A primary shows signs of failure. Called often while it does. */
     virtual void suspectPrimary(const GroupName& group, const ServerName& server,
                                 SuspicionReason reason) = 0;
+
+    /** Servers' answers have changed which server is taken for the group's primary, or its term. */
+    virtual void primaryChanged(const GroupName& /*group*/) {}
 };
 
 /**
@@ -126,6 +131,10 @@
     /** Takes the store's record of a group's promotions. */
     void applyNotice(const GroupName& group, const PromotionNotice& notice);
 
+    /** Takes a proof for all groups; a group whose statements wait is confirmed at once, any other
+     * one when it is needed. */
+    void applyProof(const LeadershipProof& proof);
+
     /** The group's primary, as taken now, was proven to lead at a moment not before askedAt. */
     void confirmLeadership(const GroupName& group, TimePoint askedAt);
 
@@ -196,6 +205,9 @@
 
     std::size_t sessionCount() const { return _sessions.size(); }
 
+    /** @return groups that every round looks at: those in use here, and those executed here. */
+    std::size_t activeGroups() const { return _activeGroups.size(); }
+
     /** @return how many statements wait here for a server, by rank. */
     std::array<std::size_t, settings::kAdmissionRanks> waitingByRank() const;
 
@@ -227,7 +239,10 @@
 private:
     /** What is known of a group, and the statements that wait for one of its servers. */
     struct GroupState {
+        GroupName name;
         LeadershipTracker leadership;
+        /** Number of the newest proof that `leadership` has taken. */
+        std::uint64_t proofTaken = 0;
         FreshnessFloors floors;
         SlotTimeEstimates slotTimes;
         TenantActivity activity;
@@ -242,11 +257,17 @@
         /** Whether the beginning of the present shares was logged; if so, their end is too. */
         bool sharesLogged = false;
         admission::AdmissionPolicy admission;
-        bool dirty = false;
         /** Latency of a server above which less is sent to it. */
         Duration latencyTarget = std::chrono::milliseconds(100);
         PrimaryWatch primaryWatch;
     };
+    struct ByName {
+        bool operator()(const GroupState* left, const GroupState* right) const {
+            return left->name < right->name;
+        }
+    };
+    /** Groups in the order of their names. */
+    using GroupSet = std::set<GroupState*, ByName>;
     /** A moment at which a session's statement must be looked at. */
     struct Wake {
         TimePoint at;
@@ -405,6 +426,8 @@
     void setTurns();
     void noteFault(PooledSession& session, StatementFault fault);
     void notePosition(const ServerConnection& connection, OpTime position);
+    void noteReadOnly(GroupState& group, const ServerName& server);
+    void tellIfChanged(const GroupState& group, const std::optional<Primary>& before);
     void requeue(PooledSession& session, const char* obstacle);
     void noteLoss(const ServerConnection& connection);
     void failTransaction(PooledSession& session);
@@ -446,19 +469,26 @@
     bool isAnswerOverdue(const Operation& operation, const ServerState* server) const;
     void reviewSent(PooledSession& session, TimePoint now);
     void everyTick(TimePoint now);
+    bool reviewGroup(GroupState& group, TimePoint now);
+    static bool hasConnections(const GroupState& group);
     void reportServers(const GroupName& name, GroupState& group);
     void endRestingTransactions(TimePoint now);
     void endTransaction(PooledSession& session, const char* reason);
-    void watchPrimary(const GroupName& name, GroupState& group, TimePoint now);
+    bool watchPrimary(GroupState& group, TimePoint now);
     void closeLateConnections();
 
     void settle();
+    void dispatchDirty();
     void flushReplies();
-    void markDirty(const GroupName& group);
+    GroupState& groupNamed(const GroupName& name);
+    void markDirty(GroupState& group);
+    void markDirty(const GroupName& group) { markDirty(groupNamed(group)); }
+    void activateAll();
+    void takeNewestProof(GroupState& group);
     bool mayLogAnswers(const PooledSession& session) const;
     void logFailure(const PooledSession& session, StatementFault fault, const std::string& message);
     void logSlow(const PooledSession& session);
-    GroupState& groupOf(const PooledSession& session) { return _groups[session.group]; }
+    GroupState& groupOf(const PooledSession& session) { return groupNamed(session.group); }
     ServerState* serverOf(const ServerConnection& connection) override;
     bool isClosed(const ServerState& server) override;
     void onRoom(const GroupName& group) override { markDirty(group); }
@@ -471,6 +501,13 @@
     PoolerKnobs _knobs;
     std::shared_ptr<const ServiceCatalog> _catalog;
     std::map<GroupName, GroupState> _groups;
+    /** Groups whose waiting statements are to be looked at. */
+    GroupSet _dirtyGroups;
+    /** Groups with statements, connections or a decision that time may change; the others need no
+     * round, so that a round costs what this node does and not what the estate holds. */
+    GroupSet _activeGroups;
+    std::optional<LeadershipProof> _newestProof;
+    std::uint64_t _lastProof = 0;
     std::unordered_map<SessionId, PooledSession> _sessions;
     std::unordered_map<std::string, std::string> _shapeNames;
     std::priority_queue<Wake, std::vector<Wake>, std::greater<>> _wakes;
