Failovers at rest are not looked at; a server's announcement costs no look at the others

Cause: (1) each event of the loop looked at the failover of every group, and so did the choice of the next tick; two maps by name and a primary were asked for each. (2) Each announcement looked at all servers for other lives of its id, and a list did so for each of its entries: servers squared. (3) A list with one change published all groups. (4) Each node logged a line for each server and each promotion of the estate. (5) Probes of servers for proofs were kept for ever. Ruled out: a queue of due times (each callback of a promotion would have to tell its new time); looks at longer intervals. Change: GroupFailovers looks at failovers in rounds until they are at rest; whatever is told to one wakes it, and a return of the store or the first reason to move primaries wakes all. The control and the simulated nodes use the same class. ServerDirectory has an index by id and tells which groups have changed. Executors of a group log its servers and promotions, others a number a second. Looks at failovers of a calm node: none at 10 and at 300 groups; after a suspicion one group is looked at (ClusterControl tests). Servers looked at for an announcement: the same at 30 and at 900 (ServerDirectoryAtSize). pooled_simulation_tests and failover_tests pass. Where primaries may have to move (evacuations, cold servers, home regions) all failovers are looked at as before.

--- a/lab/pooled/PooledNode.cpp
+++ b/lab/pooled/PooledNode.cpp
@@ -88,7 +88,8 @@
       _readers(NodeName(_name), ZoneName()),
       _proofs({world.queue, world.random, *this, _proofLinks, _proofLinks,
                [this](const pooling::LeadershipProof& proof) { onProof(proof); }},
-              _readers) {
+              _readers),
+      _failovers([this](const GroupName& group) { return makeFailover(group); }, roundEvents()) {
     _endpoint->proofs = &_proofs;
     _endpoint->proofLinks = &_proofLinks;
     world.network.add(_endpoint);
@@ -96,26 +97,31 @@
     _pooler.applyCatalog(world.catalog);
     for (LogGroup* group : world.groups) {
         wantLeadershipProof(group->name());
-        _failovers[group->name()] = std::make_unique<failover::GroupFailover>(
-            group->name(), failover::FailoverDependencies{
-                               world.queue, world.random, _connector, _storeClient, _storeClient,
-                               _parser, _name + "/" + std::to_string(world.random.next()), _name,
-                               [this](const GroupName& named) { return _readers.turnOf(named); },
-                               _era, &_placement});
+        _failovers.wake(group->name());
     }
     openCallers(sessionsPerService);
 }
 
-PooledNode::~PooledNode() {
-    _activity->end();
+std::unique_ptr<failover::GroupFailover> PooledNode::makeFailover(const GroupName& group) {
+    return std::make_unique<failover::GroupFailover>(
+        group,
+        failover::FailoverDependencies{
+            _world.queue, _world.random, _connector, _storeClient, _storeClient, _parser,
+            _name + "/" + std::to_string(_world.random.next()), _name,
+            [this](const GroupName& named) { return _readers.turnOf(named); }, _era, &_placement});
 }
 
-std::uint64_t PooledNode::plannedMoves() const {
-    std::uint64_t total = 0;
-    for (const auto& [group, failover] : _failovers) {
-        total += failover->plannedMoves();
-    }
-    return total;
+failover::RoundEvents PooledNode::roundEvents() {
+    return {[this](const GroupName& group) { return _pooler.primaryOf(group); },
+            [this](const GroupName& group, const failover::GroupFailover& failover) {
+                _proofs.noteRecord(failover.record().version);
+                _pooler.applyNotice(group, failover.notice());
+            },
+            [this](const GroupName& group, TimePoint /*now*/) { _confirming.insert(group); }};
+}
+
+PooledNode::~PooledNode() {
+    _activity->end();
 }
 
 void PooledNode::setStoreCut(bool cut) {
@@ -154,18 +160,9 @@
     if (const auto next = _pooler.nextTick(); next && *next <= now) {
         _pooler.onTick();
     }
-    for (const auto& [group, failover] : _failovers) {
-        failover->onPrimary(_pooler.primaryOf(group));
-        if (failover->nextTick() <= now) {
-            failover->onTick(now);
-        }
-        StoreVersion& told = _toldVersions[group];
-        if (failover->record().version > told) {
-            told = failover->record().version;
-            _proofs.noteRecord(told);
-            _pooler.applyNotice(group, failover->notice());
-        }
-    }
+    _confirming.clear();
+    _failovers.noteState({_era.current(), _era.hasReturned(), _placement.mayMovePrimaries()});
+    _failovers.onTick(now, true);
     _proofs.noteRecord({_era.current(), 0});
     _proofs.onTick(now);
     proveByServers();
@@ -206,7 +203,7 @@
         const GroupName& group = _world.groups[index]->name();
         _era.noteWritten(view.records[index].writtenIn);
         changed |= applyAnnouncements(group, view.announcements.at(group), view.versions.at(group));
-        _failovers[group]->onRecord(view.records[index]);
+        _failovers.onRecord(group, view.records[index]);
     }
     _pooler.applyNodes(_world.network.nodes());
     _readers.applyNodes(_world.network.nodes());
@@ -214,7 +211,7 @@
         return;
     }
     for (const auto& [group, servers] : _directory.groups()) {
-        _failovers[group]->onDirectory(servers);
+        _failovers.wake(group).onDirectory(servers);
     }
     _pooler.applyDirectory(_directory);
 }
@@ -249,8 +246,8 @@
 
 /** @return whether the store has returned older, and its record of the group proves nothing yet. */
 bool PooledNode::needsProofOfServers(const GroupName& group) const {
-    const auto failover = _failovers.find(group);
-    return failover != _failovers.end() && !failover->second->notice().isConfirmed;
+    const failover::GroupFailover* failover = _failovers.find(group);
+    return failover != nullptr && !failover->notice().isConfirmed;
 }
 
 /** Reads the groups one after the other; the versions are those of a moment after the call. */
@@ -265,8 +262,8 @@
         _storeClient.load(group, [this, group, records, left, failed,
                                   callback](const failover::LoadedRecord& loaded) {
             if (loaded.outcome == StoreOutcome::Done) {
-                _failovers[group]->onRecord(loaded.record);
-                _pooler.applyNotice(group, _failovers[group]->notice());
+                _failovers.onRecord(group, loaded.record);
+                _pooler.applyNotice(group, _failovers.find(group)->notice());
                 records->versions[group] = loaded.record.version;
             }
             // Records of two eras are no list of one moment.
@@ -282,9 +279,7 @@
 void PooledNode::onProof(const pooling::LeadershipProof& proof) {
     std::erase_if(_unproven,
                   [this](const GroupName& group) { return !needsProofOfServers(group); });
-    for (const LogGroup* group : _world.groups) {
-        _pooler.confirmByRecord(group->name(), proof.versionOf(group->name()), proof.provenAt);
-    }
+    _pooler.applyProof(proof);
 }
 
 void PooledNode::proveByServers() {
@@ -296,7 +291,7 @@
         }
         const bool isWaitedFor = _unproven.contains(group->name()) &&
                                  (_proofs.hasFailed() || needsProofOfServers(group->name()));
-        if (isWaitedFor || _failovers[group->name()]->wantsConfirmation(now)) {
+        if (isWaitedFor || _confirming.contains(group->name())) {
             probe->ask(_directory.serversOf(group->name()), now);
         }
         if (const auto next = probe->nextTick(); next && *next <= now) {
@@ -305,7 +300,7 @@
         const std::optional<pooling::Primary> primary = _pooler.primaryOf(group->name());
         const std::optional<TimePoint> proven = primary ? probe->provenAt(*primary) : std::nullopt;
         if (const auto paused = primary ? probe->pausedAt(*primary) : std::nullopt) {
-            _failovers[group->name()]->onReceiversPaused(*paused);
+            _failovers.wake(group->name()).onReceiversPaused(*paused);
         }
         TimePoint& told = _toldProofs[group->name()];
         if (proven && *proven > told) {
@@ -313,14 +308,14 @@
             ++_provenByServers;
             _unproven.erase(group->name());
             _pooler.confirmLeadership(group->name(), *proven);
-            _failovers[group->name()]->onLeadershipProven(*primary, *proven);
+            _failovers.wake(group->name()).onLeadershipProven(*primary, *proven);
         }
     }
 }
 
 void PooledNode::suspectPrimary(const GroupName& group, const ServerName& server,
                                 pooling::SuspicionReason reason) {
-    _failovers[group]->onSuspicion(server, reason);
+    _failovers.wake(group).onSuspicion(server, reason);
 }
 
 void PooledNode::startOperation(Caller& caller) {
--- a/lab/pooled/PooledNode.h
+++ b/lab/pooled/PooledNode.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "failover/GroupFailover.h"
+#include "failover/GroupFailovers.h"
 #include "failover/LeadershipProbe.h"
 #include "lab/pooled/LogConnector.h"
 #include "lab/pooled/LogGroup.h"
@@ -67,7 +67,7 @@
     /** @return readings of the store for proofs of leadership. */
     std::uint64_t recordReadings() const { return _recordReadings; }
     /** @return planned moves of primaries that it carried out. */
-    std::uint64_t plannedMoves() const;
+    std::uint64_t plannedMoves() const { return _failovers.plannedMoves(); }
     /** @return statements that other nodes executed for this one. */
     std::uint64_t forwarded() const { return _pooler.statistics().forwarded; }
 
@@ -103,7 +103,10 @@
     void wantLeadershipProof(const GroupName& group) override;
     void suspectPrimary(const GroupName& group, const ServerName& server,
                         pooling::SuspicionReason reason) override;
+    void primaryChanged(const GroupName& group) override { _failovers.wake(group); }
 
+    failover::RoundEvents roundEvents();
+    std::unique_ptr<failover::GroupFailover> makeFailover(const GroupName& group);
     void openCallers(std::size_t sessionsPerService);
     void follow();
     void applyView(const StoreView& view);
@@ -135,8 +138,9 @@
     SimulatedProofLinks _proofLinks;
     pooling::ReaderTree _readers;
     pooling::ProofExchange _proofs;
-    std::map<GroupName, std::unique_ptr<failover::GroupFailover>> _failovers;
-    std::map<GroupName, StoreVersion> _toldVersions;
+    failover::GroupFailovers _failovers;
+    /** Groups whose servers are asked who leads, as of the last round. */
+    std::set<GroupName> _confirming;
     std::map<SessionId, Caller> _callers;
     std::set<GroupName> _unproven;
     std::map<GroupName, std::unique_ptr<failover::LeadershipProbe>> _probes;
--- a/lab/pooled/ScriptedPlacement.h
+++ b/lab/pooled/ScriptedPlacement.h
@@ -26,6 +26,8 @@
                       const pooling::ServerAnnouncement& server) const override {
         return suitabilityOf(group, server) != failover::LeadSuitability::Preferred;
     }
+
+    bool mayMovePrimaries() const override { return !lastResort.empty() || !acceptable.empty(); }
 };
 
 }  // namespace coralhoist::pooled
--- a/src/cluster/ClusterControl.cpp
+++ b/src/cluster/ClusterControl.cpp
@@ -71,6 +71,7 @@
       _registry(_dependencies.storeClient, _dependencies.protocol, _dependencies.codec,
                 _dependencies.clock, _dependencies.random, _dependencies.storeEra,
                 _dependencies.self),
+      _failovers([this](const GroupName& group) { return makeFailover(group); }, roundEvents()),
       _recordReader(_dependencies.storeClient, _dependencies.clock, _dependencies.protocol,
                     _dependencies.codec,
                     [this](const StoredObject& object) { onPromotion(object); }),
@@ -135,22 +136,6 @@
     return _settingsKnown && _registry.isSettled() && _follower->isListed();
 }
 
-std::uint64_t ClusterControl::promotions() const {
-    std::uint64_t total = 0;
-    for (const auto& [group, failover] : _failovers) {
-        total += failover->promotions();
-    }
-    return total;
-}
-
-std::uint64_t ClusterControl::plannedMoves() const {
-    std::uint64_t total = 0;
-    for (const auto& [group, failover] : _failovers) {
-        total += failover->plannedMoves();
-    }
-    return total;
-}
-
 void ClusterControl::onSettings(const StoredObject& object) {
     const std::optional<EstateImage> image = _dependencies.codec.readEstate(object);
     if (!image) {
@@ -195,7 +180,7 @@
         }
     }
     _directory.replaceAll(announcements, version, _dependencies.clock.now());
-    publishDirectory();
+    publishChangedGroups();
 }
 
 /** @return the server that the entry names; why it names none is logged once a version. */
@@ -226,16 +211,37 @@
     const GroupName group = announcement ? announcement->address.group : _directory.groupOf(id);
     const bool changed = announcement ? _directory.put(*announcement, now)
                                       : _directory.remove(id, event.object.version, now);
-    if (!changed) {
+    if (changed) {
+        logAnnouncement(announcement ? announcement->address.server : id, group,
+                        announcement ? &*announcement : nullptr, event.object.version);
+    }
+    publishChangedGroups();
+}
+
+/** One line a server on the nodes that send to it. On all others their number, once a second: a
+ * line of each node for each server would grow with the square of the estate. */
+void ClusterControl::logAnnouncement(const ServerName& server, const GroupName& group,
+                                     const pooling::ServerAnnouncement* announcement,
+                                     const StoreVersion& version) {
+    if (!_pooler.executesHere(group)) {
+        ++_announcedElsewhere;
         return;
     }
     LogEvent("directory", LogLevel::Info, "server.announced")
-        .field("server", announcement ? announcement->address.server : id)
-        .field("version", event.object.version)
-        .field("removed", !announcement.has_value())
-        .field("draining", announcement && announcement->draining)
-        .field("primary", announcement && announcement->role == pooling::ServerRole::Primary);
-    publishGroup(group);
+        .field("server", server)
+        .field("version", version)
+        .field("removed", announcement == nullptr)
+        .field("draining", announcement != nullptr && announcement->draining)
+        .field("primary",
+               announcement != nullptr && announcement->role == pooling::ServerRole::Primary);
+}
+
+void ClusterControl::logAnnouncementsElsewhere() {
+    if (_announcedElsewhere > 0) {
+        LogEvent("directory", LogLevel::Info, "servers.announced_elsewhere")
+            .field("changes", _announcedElsewhere);
+        _announcedElsewhere = 0;
+    }
 }
 
 void ClusterControl::publishNodes() {
@@ -254,8 +260,8 @@
     _dependencies.onNodes(_publishedNodes);
 }
 
-void ClusterControl::publishDirectory() {
-    for (const auto& [group, servers] : _directory.groups()) {
+void ClusterControl::publishChangedGroups() {
+    for (const GroupName& group : _directory.takeChanged()) {
         publishGroup(group);
     }
 }
@@ -286,23 +292,29 @@
     if (_dependencies.evacuations.onServers) {
         _dependencies.evacuations.onServers(group, servers);
     }
-    failoverOf(group).onDirectory(servers);
+    _failovers.wake(group).onDirectory(servers);
     _pooler.applyServers(group, servers);
 }
 
-failover::GroupFailover& ClusterControl::failoverOf(const GroupName& group) {
-    std::unique_ptr<failover::GroupFailover>& entry = _failovers[group];
-    if (!entry) {
-        entry = std::make_unique<failover::GroupFailover>(
-            group, failover::FailoverDependencies{
-                       _dependencies.clock, _dependencies.random, _dependencies.connector,
-                       _promotions, _promotions, _dependencies.reportParser, _dependencies.holder,
-                       _dependencies.self.name.value(),
-                       [this](const GroupName& name) { return _readers.turnOf(name); },
-                       _dependencies.storeEra, _dependencies.primaryPlacement, &_movePace});
-        entry->onRecord(missingRecord(_promotionsListed.era));
-    }
-    return *entry;
+failover::RoundEvents ClusterControl::roundEvents() {
+    return {[this](const GroupName& group) { return _pooler.primaryOf(group); },
+            [this](const GroupName& group, const failover::GroupFailover& failover) {
+                _proofs.noteRecord(failover.record().version);
+                _pooler.applyNotice(group, failover.notice());
+            },
+            [this](const GroupName& group, TimePoint now) { askServers(group, now); }};
+}
+
+std::unique_ptr<failover::GroupFailover> ClusterControl::makeFailover(const GroupName& group) {
+    auto made = std::make_unique<failover::GroupFailover>(
+        group, failover::FailoverDependencies{
+                   _dependencies.clock, _dependencies.random, _dependencies.connector, _promotions,
+                   _promotions, _dependencies.reportParser, _dependencies.holder,
+                   _dependencies.self.name.value(),
+                   [this](const GroupName& name) { return _readers.turnOf(name); },
+                   _dependencies.storeEra, _dependencies.primaryPlacement, &_movePace});
+    made->onRecord(missingRecord(_promotionsListed.era));
+    return made;
 }
 
 /** Groups that the list lacks have no record, also those that had one in an earlier era. */
@@ -312,8 +324,8 @@
     for (const StoredObject& object : objects) {
         onPromotion(object);
     }
-    for (const auto& [group, failover] : _failovers) {
-        failover->onRecord(missingRecord(version.era));
+    for (const auto& [group, failover] : _failovers.all()) {
+        _failovers.onRecord(group, missingRecord(version.era));
     }
 }
 
@@ -325,8 +337,10 @@
     }
     _dependencies.storeEra.noteWritten(record->writtenIn);
     const GroupName group(object.name);
-    failover::GroupFailover& failover = failoverOf(group);
-    if (record->version > failover.record().version) {
+    if (!_failovers.onRecord(group, *record)) {
+        return;
+    }
+    if (_pooler.executesHere(group)) {
         LogEvent("failover", LogLevel::Info, "promotion.seen")
             .field("group", group)
             .field("phase", static_cast<int>(record->phase))
@@ -335,14 +349,13 @@
             .field("holder", record->holder)
             .field("version", record->version);
     }
-    failover.onRecord(*record);
     _proofs.noteRecord(record->version);
-    _pooler.applyNotice(group, failover.notice());
+    _pooler.applyNotice(group, _failovers.find(group)->notice());
 }
 
 void ClusterControl::suspectPrimary(const GroupName& group, const ServerName& server,
                                     pooling::SuspicionReason reason) {
-    failoverOf(group).onSuspicion(server, reason);
+    _failovers.wake(group).onSuspicion(server, reason);
 }
 
 void ClusterControl::onTick(TimePoint now) {
@@ -353,38 +366,31 @@
     _registry.onTick(now);
     publishNodes();
     proveAtStart();
-    for (const auto& [group, failover] : _failovers) {
-        failover->onPrimary(_pooler.primaryOf(group));
-        if (failover->nextTick() <= now && isReady()) {
-            failover->onTick(now);
-        }
-        StoreVersion& told = _toldVersions[group];
-        if (failover->record().version > told) {
-            told = failover->record().version;
-            _proofs.noteRecord(told);
-            _pooler.applyNotice(group, failover->notice());
-        }
-        if (isReady() && failover->wantsConfirmation(now)) {
-            askServers(group, now);
-        }
-    }
+    _failovers.noteState(estateState());
+    _failovers.onTick(now, isReady());
     _proofs.noteRecord({_dependencies.storeEra.current(), 0});
     _proofs.onTick(now);
     askServersForProof(now);
     if (now >= _nextExpiry) {
         _nextExpiry = now + kExpiryRound;
-        for (const GroupName& group : _directory.removeUnconfirmed(now)) {
-            publishGroup(group);
-        }
+        _directory.removeUnconfirmed(now);
+        publishChangedGroups();
         _directory.expire(now, kRemovedRetention);
+        logAnnouncementsElsewhere();
     }
 }
 
+failover::EstateState ClusterControl::estateState() const {
+    const failover::PrimaryPlacement* placement = _dependencies.primaryPlacement;
+    return {_dependencies.storeEra.current(), _dependencies.storeEra.hasReturned(),
+            placement != nullptr && placement->mayMovePrimaries()};
+}
+
 std::optional<TimePoint> ClusterControl::nextTick() const {
     TimePoint next = std::min(_nextExpiry, _registry.nextTick());
     next = std::min(next, _follower->nextTick().value_or(next));
-    for (const auto& [group, failover] : _failovers) {
-        next = isReady() ? std::min(next, failover->nextTick()) : next;
+    if (isReady()) {
+        next = std::min(next, _failovers.nextTick());
     }
     next = std::min(next, _proofs.nextTick().value_or(next));
     for (const auto& [group, probe] : _probes) {
--- a/src/cluster/ClusterControl.h
+++ b/src/cluster/ClusterControl.h
@@ -20,7 +20,7 @@
 #include "cluster/PromotionRecordReader.h"
 #include "cluster/StoreFollower.h"
 #include "cluster/StoredPromotions.h"
-#include "failover/GroupFailover.h"
+#include "failover/GroupFailovers.h"
 #include "failover/LeadershipProbe.h"
 #include "link/store/ObjectWatch.h"
 #include "pooling/ProofExchange.h"
@@ -107,14 +107,17 @@
     void suspectPrimary(const GroupName& group, const ServerName& server,
                         pooling::SuspicionReason reason);
 
+    /** The pooler takes another server than before for the group's primary, or knows its term. */
+    void onPrimaryChanged(const GroupName& group) { _failovers.wake(group); }
+
     void onTick(TimePoint now);
     std::optional<TimePoint> nextTick() const;
 
     /** @return promotions carried out by this node. */
-    std::uint64_t promotions() const;
+    std::uint64_t promotions() const { return _failovers.promotions(); }
 
     /** @return those of them that moved a misplaced primary to a server that suits better. */
-    std::uint64_t plannedMoves() const;
+    std::uint64_t plannedMoves() const { return _failovers.plannedMoves(); }
 
     /** @return versions of entries that named no server, each counted once. */
     std::uint64_t unreadableEntries() const {
@@ -128,6 +131,12 @@
 
     std::size_t nodeCount() const { return _publishedNodes.size(); }
 
+    /** @return looks at failovers of groups, ever; groups at rest are not looked at. */
+    std::uint64_t failoversVisited() const { return _failovers.visits(); }
+
+    /** @return groups whose failover is not at rest. */
+    std::size_t activeFailovers() const { return _failovers.activeCount(); }
+
     /** @return whether another node tells of changes, or the newest call of each watch was
      * answered. */
     bool isStoreReachable() const { return _follower->isReachable(); }
@@ -163,7 +172,7 @@
                             const StoreVersion& version);
     void onPromotion(const store::StoredObject& object);
     void noteGroups(const EstateImage& image);
-    void publishDirectory();
+    void publishChangedGroups();
     void publishGroup(const GroupName& group);
     void publishNodes();
     void proveAtStart();
@@ -172,7 +181,13 @@
     void askServersForProof(TimePoint now);
     void takeProofsOfServers();
     void onProof(const pooling::LeadershipProof& proof);
-    failover::GroupFailover& failoverOf(const GroupName& group);
+    failover::RoundEvents roundEvents();
+    std::unique_ptr<failover::GroupFailover> makeFailover(const GroupName& group);
+    failover::EstateState estateState() const;
+    void logAnnouncement(const ServerName& server, const GroupName& group,
+                         const pooling::ServerAnnouncement* announcement,
+                         const StoreVersion& version);
+    void logAnnouncementsElsewhere();
 
     ClusterDependencies _dependencies;
     pooling::StatementPooler& _pooler;
@@ -191,7 +206,9 @@
     StoredPromotions _promotions;
     NodeRegistry _registry;
     failover::PromotionPace _movePace;
-    std::map<GroupName, std::unique_ptr<failover::GroupFailover>> _failovers;
+    failover::GroupFailovers _failovers;
+    /** Announcements of groups that other nodes execute, since they were last logged. */
+    std::uint64_t _announcedElsewhere = 0;
     /** Version of the newest list of promotion records. */
     StoreVersion _promotionsListed;
     std::map<GroupName, std::unique_ptr<failover::LeadershipProbe>> _probes;
@@ -205,8 +222,6 @@
     std::vector<pooling::ProxyNode> _publishedNodes;
     /** Number of the list from which the nodes were published last. */
     std::size_t _publishedList = 0;
-    /** Version of each group's record that the pooler knows. */
-    std::map<GroupName, StoreVersion> _toldVersions;
     std::set<GroupName> _unproven;
     /** The proof that a start needs has been asked for. */
     bool _provenAtStart = false;
--- a/src/cluster/LeadershipProofs.cpp
+++ b/src/cluster/LeadershipProofs.cpp
@@ -16,8 +16,8 @@
 
 /** @return whether the store has returned older, and its record of the group proves nothing yet. */
 bool ClusterControl::needsProofOfServers(const GroupName& group) const {
-    const auto failover = _failovers.find(group);
-    return failover != _failovers.end() && !failover->second->notice().isConfirmed;
+    const failover::GroupFailover* failover = _failovers.find(group);
+    return failover != nullptr && !failover->notice().isConfirmed;
 }
 
 /**
@@ -56,6 +56,7 @@
         }
     }
     takeProofsOfServers();
+    std::erase_if(_probes, [](const auto& entry) { return !entry.second->nextTick(); });
 }
 
 void ClusterControl::takeProofsOfServers() {
@@ -63,14 +64,14 @@
         const std::optional<pooling::Primary> primary = _pooler.primaryOf(group);
         const std::optional<TimePoint> proven = primary ? probe->provenAt(*primary) : std::nullopt;
         if (const auto paused = primary ? probe->pausedAt(*primary) : std::nullopt) {
-            failoverOf(group).onReceiversPaused(*paused);
+            _failovers.wake(group).onReceiversPaused(*paused);
         }
         TimePoint& told = _toldProofs[group];
         if (proven && *proven > told) {
             told = *proven;
             _unproven.erase(group);
             _pooler.confirmLeadership(group, *proven);
-            failoverOf(group).onLeadershipProven(*primary, *proven);
+            _failovers.wake(group).onLeadershipProven(*primary, *proven);
         }
     }
 }
@@ -79,9 +80,7 @@
 void ClusterControl::onProof(const pooling::LeadershipProof& proof) {
     std::erase_if(_unproven,
                   [this](const GroupName& group) { return !needsProofOfServers(group); });
-    for (const auto& [group, servers] : _directory.groups()) {
-        _pooler.confirmByRecord(group, proof.versionOf(group), proof.provenAt);
-    }
+    _pooler.applyProof(proof);
 }
 
 }  // namespace coralhoist::cluster
--- a/src/duty/pooling/PoolingDuty.cpp
+++ b/src/duty/pooling/PoolingDuty.cpp
@@ -275,6 +275,8 @@
                                                 _evacuation->policy.sentElsewhere(),
                                                 _evacuation->progress.gauges(_clock.now())};
     }
+    figures.groupWork = {_pooler.activeGroups(), _control->activeFailovers(),
+                         _control->failoversVisited()};
     figures.promotions = _control->promotions();
     figures.plannedMoves = _control->plannedMoves();
     figures.unreadableEntries = _control->unreadableEntries();
--- a/src/duty/pooling/PoolingDuty.h
+++ b/src/duty/pooling/PoolingDuty.h
@@ -121,6 +121,7 @@
     void wantLeadershipProof(const GroupName& group) override;
     void suspectPrimary(const GroupName& group, const ServerName& server,
                         pooling::SuspicionReason reason) override;
+    void primaryChanged(const GroupName& group) override { _control->onPrimaryChanged(group); }
     void stopListening() override { _callers.stopListening(); }
     void passOnWaiting() override { _gate.passOnWaiting(); }
     std::size_t openCount() const override;
--- a/src/duty/pooling/PoolingMetrics.cpp
+++ b/src/duty/pooling/PoolingMetrics.cpp
@@ -112,6 +112,17 @@
                  [](const EvacuationGauge& gauge) { return gauge.sent; });
 }
 
+void appendGroupWork(Page& page, const PoolingFigures& figures) {
+    page.metric("gauge", "active_groups", "Groups that every round of the pooler looks at.",
+                figures.groupWork.activeGroups);
+    page.metric("counter", "groups_visited_total", "Looks of the pooler at a group.",
+                figures.pooler.groupsVisited);
+    page.metric("gauge", "active_failovers", "Groups whose failover is not at rest.",
+                figures.groupWork.activeFailovers);
+    page.metric("counter", "failovers_visited_total", "Looks at the failover of a group.",
+                figures.groupWork.failoversVisited);
+}
+
 void appendShares(Page& page, const PoolerStatistics& statistics) {
     page.metric("gauge", "groups_sharing",
                 "Crowded groups whose executors keep to their shares of the servers.",
@@ -335,6 +346,7 @@
     }
     appendWaiting(page, figures);
     appendShares(page, pooler);
+    appendGroupWork(page, figures);
     appendGate(page, figures.gate);
     if (figures.warmup) {
         appendWarmup(page, *figures.warmup, figures.coldServers);
--- a/src/duty/pooling/PoolingMetrics.h
+++ b/src/duty/pooling/PoolingMetrics.h
@@ -35,6 +35,14 @@
     std::map<ZoneName, placement::EvacuationGauge> zones;
 };
 
+/** What this node does in the background for groups; it should follow what the node serves. */
+struct GroupWork {
+    /** Groups and failovers that the rounds look at now, and looks ever. */
+    std::size_t activeGroups = 0;
+    std::size_t activeFailovers = 0;
+    std::uint64_t failoversVisited = 0;
+};
+
 /** What the page shows. */
 struct PoolingFigures {
     pooling::PoolerStatistics pooler;
@@ -57,6 +65,7 @@
     /** Time since the newest moment up to which the settings are known to be complete. */
     Duration settingsAge{0};
     std::optional<EvacuationFigures> evacuations;
+    GroupWork groupWork;
     std::uint64_t promotions = 0;
     /** Those of them that moved a misplaced primary to a server that suits better. */
     std::uint64_t plannedMoves = 0;
--- a/src/failover/FailoverReasons.cpp
+++ b/src/failover/FailoverReasons.cpp
@@ -74,6 +74,19 @@
     return isMisplaced(now) ? FailoverReason::Misplaced : FailoverReason::None;
 }
 
+/** A misplaced primary may show by time, and by what is decided elsewhere: it is looked for. */
+bool GroupFailover::isAtRest(TimePoint now) const {
+    const bool isIdle =
+        _phase == Phase::Idle && !_busy && _links.empty() && _found == FailoverReason::None;
+    const bool isRecordSettled = _record.phase == PromotionPhase::None && !mustRestore() &&
+                                 !lacksRecord() && !mustLeaveToHolder(now);
+    const bool mayBeMisplaced =
+        _dependencies.placement != nullptr && _dependencies.placement->mayMovePrimaries();
+    const bool hasPrimary = _primary.has_value() || _servers.empty();
+    return isIdle && isRecordSettled && !mayBeMisplaced && hasPrimary &&
+           findReason(now) == FailoverReason::None;
+}
+
 /** @return whether this node, in this life or an earlier one, wrote the record. */
 bool GroupFailover::isOwn(const PromotionRecord& record) const {
     return record.holder.rfind(_dependencies.node + "/", 0) == 0;
--- a/src/failover/GroupFailover.h
+++ b/src/failover/GroupFailover.h
@@ -106,9 +106,16 @@
 
     void onTick(TimePoint now);
 
-    /** @return when onTick must be called next. */
+    /** @return when onTick must be called next, while the failover is not at rest. */
     TimePoint nextTick() const { return _nextTick; }
 
+    /**
+     * @return whether time alone changes nothing: no tick is needed before the failover is told of
+     * servers, a record, another primary or a suspicion, or the store has returned. Most groups of
+     * a large estate are at rest.
+     */
+    bool isAtRest(TimePoint now) const;
+
     bool isIdle() const { return _phase == Phase::Idle; }
 
     /** @return promotions carried out by this node. */
--- a/src/failover/PrimaryPlacement.h
+++ b/src/failover/PrimaryPlacement.h
@@ -29,6 +29,10 @@
      * server of a better suitability can lead. */
     virtual bool mustHandOver(const GroupName& group,
                               const pooling::ServerAnnouncement& server) const = 0;
+
+    /** @return whether mustHandOver may be true for any primary; false where nothing that could
+     * move one is configured or in force. */
+    virtual bool mayMovePrimaries() const { return true; }
 };
 
 }  // namespace coralhoist::failover
--- a/src/placement/EvacuationPolicy.h
+++ b/src/placement/EvacuationPolicy.h
@@ -50,6 +50,7 @@
         const GroupName& group, const pooling::ServerAnnouncement& server) const override;
     bool mustHandOver(const GroupName& group,
                       const pooling::ServerAnnouncement& server) const override;
+    bool mayMovePrimaries() const override { return !_zones.zones().empty(); }
 
     /** @return traffic of the zone since its evacuation began. */
     EvacuatedTraffic trafficOf(const ZoneName& zone) const;
--- a/src/placement/HomePolicy.h
+++ b/src/placement/HomePolicy.h
@@ -71,6 +71,7 @@
         const GroupName& group, const pooling::ServerAnnouncement& server) const override;
     bool mustHandOver(const GroupName& group,
                       const pooling::ServerAnnouncement& server) const override;
+    bool mayMovePrimaries() const override { return !_groups.empty(); }
 
 private:
     /** A primary that has been found to stand outside the homes of its group. */
--- a/src/placement/PolicyChain.cpp
+++ b/src/placement/PolicyChain.cpp
@@ -100,4 +100,10 @@
                        });
 }
 
+bool PolicyChain::mayMovePrimaries() const {
+    return std::any_of(
+        _placements.begin(), _placements.end(),
+        [](const failover::PrimaryPlacement* placement) { return placement->mayMovePrimaries(); });
+}
+
 }  // namespace coralhoist::placement
--- a/src/placement/PolicyChain.h
+++ b/src/placement/PolicyChain.h
@@ -44,6 +44,7 @@
         const GroupName& group, const pooling::ServerAnnouncement& server) const override;
     bool mustHandOver(const GroupName& group,
                       const pooling::ServerAnnouncement& server) const override;
+    bool mayMovePrimaries() const override;
 
 private:
     template <typename Ask>
--- a/src/placement/RegionalPrimary.h
+++ b/src/placement/RegionalPrimary.h
@@ -33,6 +33,7 @@
                       const pooling::ServerAnnouncement& /*server*/) const override {
         return false;
     }
+    bool mayMovePrimaries() const override { return false; }
 
 private:
     locality::RegionMap _regions;
--- a/src/placement/WarmupPolicy.h
+++ b/src/placement/WarmupPolicy.h
@@ -60,6 +60,7 @@
         const GroupName& group, const pooling::ServerAnnouncement& server) const override;
     bool mustHandOver(const GroupName& group,
                       const pooling::ServerAnnouncement& server) const override;
+    bool mayMovePrimaries() const override { return !_servers.groups().empty(); }
 
     /** @return when verdicts may have changed; `StatementPooler::reviewPlacement` is called then.
      */
--- a/src/pooling/ServerDirectory.cpp
+++ b/src/pooling/ServerDirectory.cpp
@@ -20,39 +20,53 @@
 
 }  // namespace
 
+/** @return all lives that are listed under the id, removed ones included, by group and name. */
+std::vector<ServerDirectory::Life> ServerDirectory::livesOf(const std::string& id) {
+    std::vector<Life> lives;
+    const auto groups = _groupsOfId.find(id);
+    if (groups == _groupsOfId.end()) {
+        return lives;
+    }
+    for (const GroupName& group : groups->second) {
+        for (auto& [name, listed] : _groups.at(group)) {
+            ++_serversExamined;
+            if (idOf(name) == id) {
+                lives.push_back({group, name, listed});
+            }
+        }
+    }
+    return lives;
+}
+
 /** Ends other lives of the server. @return whether the announcement is of its present life. */
 bool ServerDirectory::supersede(const ServerAnnouncement& announcement, TimePoint now) {
     const ServerName& server = announcement.address.server;
-    const std::string id = idOf(server);
-    for (auto& [group, servers] : _groups) {
-        for (auto& [name, listed] : servers) {
-            const bool isSame = name == server && group == announcement.address.group;
-            if (isSame || idOf(name) != id) {
-                continue;
-            }
-            if (listed.announcement.version > announcement.version) {
-                return false;
-            }
-            listed.removedAt = listed.removed ? listed.removedAt : now;
-            listed.removed = true;
-            listed.superseded = listed.superseded || name != server;
+    for (const Life& life : livesOf(idOf(server))) {
+        ListedServer& listed = life.listed;
+        const bool isSame = life.name == server && life.group == announcement.address.group;
+        if (isSame) {
+            continue;
+        }
+        if (listed.announcement.version > announcement.version) {
+            return false;
+        }
+        if (!listed.removed) {
+            markRemoved(life.group, listed, now);
         }
+        listed.superseded = listed.superseded || life.name != server;
     }
     return true;
 }
 
 /** @return whether somebody else wrote it: the server itself tells its start in each entry. */
-bool ServerDirectory::isForeign(const ServerAnnouncement& announcement) const {
+bool ServerDirectory::isForeign(const ServerAnnouncement& announcement) {
     const ServerName& server = announcement.address.server;
     if (tellsStart(server)) {
         return false;
     }
-    const std::string id = idOf(server);
-    return std::any_of(_groups.begin(), _groups.end(), [&id](const auto& group) {
-        return std::any_of(group.second.begin(), group.second.end(), [&id](const auto& entry) {
-            return tellsStart(entry.first) && idOf(entry.first) == id;
-        });
-    });
+    const std::vector<Life> lives = livesOf(idOf(server));
+    return std::any_of(lives.begin(), lives.end(),
+                       [](const Life& life) { return tellsStart(life.name); });
 }
 
 bool ServerDirectory::put(const ServerAnnouncement& announcement, TimePoint now) {
@@ -60,7 +74,9 @@
         // It names no server; until the server's own next entry there is none under its id.
         return remove(announcement.address.server, announcement.version, now);
     }
-    ListedServer& listed = _groups[announcement.address.group][announcement.address.server];
+    const ServerAddress& address = announcement.address;
+    _groupsOfId[idOf(address.server)].insert(address.group);
+    ListedServer& listed = _groups[address.group][address.server];
     if (listed.superseded || announcement.version < listed.announcement.version ||
         !supersede(announcement, now)) {
         // A name that was not listed before stays away.
@@ -72,6 +88,9 @@
         return false;
     }
     const bool changed = listed.removed || !(listed.announcement == announcement);
+    if (changed) {
+        _changed.insert(address.group);
+    }
     listed.announcement = announcement;
     listed.removed = false;
     return changed;
@@ -79,14 +98,11 @@
 
 bool ServerDirectory::remove(const ServerName& server, const StoreVersion& version, TimePoint now) {
     const bool anyLife = idOf(server) == server.value();
-    for (auto& [group, servers] : _groups) {
-        for (auto& [name, listed] : servers) {
-            const bool isMeant = name == server || (anyLife && idOf(name) == server.value());
-            if (isMeant && !listed.removed && listed.announcement.version <= version) {
-                listed.removed = true;
-                listed.removedAt = now;
-                return true;
-            }
+    for (const Life& life : livesOf(idOf(server))) {
+        const bool isMeant = anyLife || life.name == server;
+        if (isMeant && !life.listed.removed && life.listed.announcement.version <= version) {
+            markRemoved(life.group, life.listed, now);
+            return true;
         }
     }
     return false;
@@ -105,8 +121,7 @@
             const bool older = listed.announcement.version <= version;
             const bool isMissing = !present.contains(idOf(name)) && !mayBeWrittenAgain(listed, now);
             if (older && !listed.removed && isMissing) {
-                listed.removed = true;
-                listed.removedAt = now;
+                markRemoved(group, listed, now);
             }
         }
     }
@@ -124,39 +139,61 @@
     return listed.announcement.version.era < _era && now < _eraSince + kWrittenAgainWithin;
 }
 
-std::set<GroupName> ServerDirectory::removeUnconfirmed(TimePoint now) {
-    std::set<GroupName> changed;
+void ServerDirectory::removeUnconfirmed(TimePoint now) {
     for (auto& [group, servers] : _groups) {
         for (auto& [name, listed] : servers) {
             const bool isOfEarlierEra = listed.announcement.version.era < _era;
             if (isOfEarlierEra && !listed.removed && !mayBeWrittenAgain(listed, now)) {
-                listed.removed = true;
-                listed.removedAt = now;
-                changed.insert(group);
+                markRemoved(group, listed, now);
             }
         }
     }
-    return changed;
+}
+
+void ServerDirectory::markRemoved(const GroupName& group, ListedServer& listed, TimePoint now) {
+    listed.removed = true;
+    listed.removedAt = now;
+    _changed.insert(group);
 }
 
 void ServerDirectory::expire(TimePoint now, Duration retention) {
     for (auto& [group, servers] : _groups) {
-        std::erase_if(servers, [&](const auto& entry) {
-            return entry.second.removed && now - entry.second.removedAt > retention;
-        });
+        expireIn(group, servers, now - retention);
     }
 }
 
-GroupName ServerDirectory::groupOf(const ServerName& server) const {
-    for (const auto& [group, servers] : _groups) {
-        const bool isListed =
-            std::any_of(servers.begin(), servers.end(),
-                        [&server](const auto& entry) { return idOf(entry.first) == idOf(server); });
-        if (isListed) {
-            return group;
+/** Forgets the group's servers that were removed before. */
+void ServerDirectory::expireIn(const GroupName& group, Servers& servers, TimePoint before) {
+    std::vector<std::string> ids;
+    std::erase_if(servers, [&](const auto& entry) {
+        const bool isOver = entry.second.removed && entry.second.removedAt < before;
+        if (isOver) {
+            ids.push_back(idOf(entry.first));
         }
+        return isOver;
+    });
+    for (const std::string& id : ids) {
+        forgetIfUnlisted(id, group, servers);
     }
-    return {};
+}
+
+void ServerDirectory::forgetIfUnlisted(const std::string& id, const GroupName& group,
+                                       const Servers& servers) {
+    const bool isListed = std::any_of(servers.begin(), servers.end(),
+                                      [&id](const auto& entry) { return idOf(entry.first) == id; });
+    if (isListed) {
+        return;
+    }
+    const auto groups = _groupsOfId.find(id);
+    groups->second.erase(group);
+    if (groups->second.empty()) {
+        _groupsOfId.erase(groups);
+    }
+}
+
+GroupName ServerDirectory::groupOf(const ServerName& server) const {
+    const auto groups = _groupsOfId.find(idOf(server));
+    return groups == _groupsOfId.end() ? GroupName() : *groups->second.begin();
 }
 
 const ServerDirectory::Servers& ServerDirectory::serversOf(const GroupName& group) const {
--- a/src/pooling/ServerDirectory.h
+++ b/src/pooling/ServerDirectory.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/Identifier.h"
@@ -78,11 +79,11 @@
     void replaceAll(const std::vector<ServerAnnouncement>& announcements,
                     const StoreVersion& version, TimePoint now);
 
-    /**
-     * Removes servers that have not been shown again in time since the store returned older.
-     * @return the groups that have changed.
-     */
-    std::set<GroupName> removeUnconfirmed(TimePoint now);
+    /** Removes servers that have not been shown again in time since the store returned older. */
+    void removeUnconfirmed(TimePoint now);
+
+    /** @return the groups with servers that have changed since the last call. */
+    std::set<GroupName> takeChanged() { return std::exchange(_changed, {}); }
 
     /** Forgets servers removed for longer than the retention. */
     void expire(TimePoint now, Duration retention);
@@ -96,13 +97,33 @@
 
     const std::map<GroupName, Servers>& groups() const { return _groups; }
 
+    /** @return servers that were looked at to take announcements and removals, ever. */
+    std::uint64_t serversExamined() const { return _serversExamined; }
+
 private:
-    bool isForeign(const ServerAnnouncement& announcement) const;
+    /** One life of a server, where it is listed. */
+    struct Life {
+        const GroupName& group;
+        const ServerName& name;
+        ListedServer& listed;
+    };
+
+    bool isForeign(const ServerAnnouncement& announcement);
     bool supersede(const ServerAnnouncement& announcement, TimePoint now);
     void noteEra(std::uint64_t era, TimePoint now);
     bool mayBeWrittenAgain(const ListedServer& listed, TimePoint now) const;
+    void markRemoved(const GroupName& group, ListedServer& listed, TimePoint now);
+    std::vector<Life> livesOf(const std::string& id);
+    void expireIn(const GroupName& group, Servers& servers, TimePoint before);
+    void forgetIfUnlisted(const std::string& id, const GroupName& group, const Servers& servers);
 
     std::map<GroupName, Servers> _groups;
+    /** Groups in which lives of an id are listed, so that an announcement costs the same whatever
+     * the number of servers. */
+    std::map<std::string, std::set<GroupName>> _groupsOfId;
+    /** Groups that have changed since they were taken. */
+    std::set<GroupName> _changed;
+    std::uint64_t _serversExamined = 0;
     /** Newest era of a list, and when the first one of it was taken. */
     std::uint64_t _era = 0;
     TimePoint _eraSince{};
--- a/tests/cluster/ClusterControlTest.cpp
+++ b/tests/cluster/ClusterControlTest.cpp
@@ -64,6 +64,8 @@
     std::string evacuations;
     /** Nodes that could be asked for changes. */
     std::string otherNodes;
+    /** Groups beside g1 and g2, each of a primary and two replicas. */
+    int furtherGroups = 0;
 
     void setup() override {
         CHECK_TRUE(responder.listen(kHost, 0).isOk());
@@ -129,13 +131,14 @@
                     {"host":"a","service":"g1","kind":"primary","timeout_ms":800,"target_ms":150},
                     {"host":"b","service":"g2","kind":"primary","timeout_ms":800,"target_ms":150}],
                     "services":[{"name":"g1","max_conns":60,"sync_replicas":1},
-                    {"name":"g2","max_conns":60,"sync_replicas":1}],"limits":{}}}],
+                    {"name":"g2","max_conns":60,"sync_replicas":1})" +
+                        furtherServices() + R"(],"limits":{}}}],
                     "has_more":false,"at":10})"};
         }
         if (path.rfind("/objects/servers", 0) == 0) {
             return {200, R"({"items":[)" + server("s1", "g1", "primary") + "," +
                              server("s2", "g1", "replica") + "," + server("s3", "g2", "primary") +
-                             "," + server("s4", "g2", "replica") +
+                             "," + server("s4", "g2", "replica") + furtherServers() +
                              R"(],"has_more":false,"at":10})"};
         }
         if (path.rfind("/objects/promotions", 0) == 0 && ++recordLists > 1) {
@@ -153,6 +156,27 @@
         return {200, R"({"items":[],"has_more":false,"at":10})"};
     }
 
+    static std::string furtherName(int index) {
+        return "further" + std::to_string(index);
+    }
+    std::string furtherServices() const {
+        std::string text;
+        for (int index = 0; index < furtherGroups; ++index) {
+            text += R"(,{"name":")" + furtherName(index) + R"(","max_conns":60,"sync_replicas":1})";
+        }
+        return text;
+    }
+    std::string furtherServers() const {
+        std::string text;
+        for (int index = 0; index < furtherGroups; ++index) {
+            const std::string group = furtherName(index);
+            text += "," + server(group + "-a", group, "primary") + "," +
+                    server(group + "-b", group, "replica") + "," +
+                    server(group + "-c", group, "replica");
+        }
+        return text;
+    }
+
     static std::string server(const std::string& id, const std::string& group,
                               const std::string& role) {
         return R"({"meta":{"name":")" + id + R"(","revision":4},"spec":{"service":")" + group +
@@ -189,6 +213,39 @@
     }
     void answerFeed(std::uint64_t /*asker*/, const std::optional<store::FeedAnswer>& /*answer*/)
         override {}
+
+    /** Starts with so many groups, until all are known. */
+    void startWith(int groups) {
+        furtherGroups = groups;
+        CHECK_TRUE(testing::waitUntil([this] {
+            run(milliseconds(10));
+            return control->isReady();
+        }));
+        run(milliseconds(1000));
+    }
+    /** Few and many groups that nothing happens to are not looked at. */
+    void checkRest(int groups) {
+        startWith(groups);
+        UNSIGNED_LONGS_EQUAL(0, control->activeFailovers());
+        const std::uint64_t before = control->failoversVisited();
+        run(milliseconds(1000));
+        UNSIGNED_LONGS_EQUAL(before, control->failoversVisited());
+    }
+    /** @return looks at failovers from a suspicion until all are at rest again. */
+    std::uint64_t workOfASuspicion(int groups) {
+        startWith(groups);
+        const std::uint64_t before = control->failoversVisited();
+        control->suspectPrimary(GroupName("g1"), ServerName("s1"),
+                                pooling::SuspicionReason::Silent);
+        run(milliseconds(100));
+        UNSIGNED_LONGS_EQUAL(1, control->activeFailovers());
+        CHECK(connector.opened > 0);
+        CHECK_TRUE(testing::waitUntil([this] {
+            run(milliseconds(10));
+            return control->activeFailovers() == 0;
+        }));
+        return control->failoversVisited() - before;
+    }
 };
 
 /** Home regions must bind before a statement that waited is placed by the new settings. */
@@ -265,5 +322,39 @@
     CHECK_FALSE(zones.isEvacuated(ZoneName("z")));
 }
 
+TEST(ClusterControl, FewGroupsAtRestAreNotLookedAt) {
+    checkRest(10);
+}
+
+TEST(ClusterControl, ManyGroupsAtRestAreNotLookedAt) {
+    checkRest(300);
+}
+
+TEST(ClusterControl, ASuspicionIsFollowedAmongManyGroupsByLooksAtItsGroupAlone) {
+    // A suspicion holds for 250 ms; with a look each 10 ms, and less than one attempt of a
+    // failover.
+    CHECK(workOfASuspicion(300) < 200);
+}
+
+/** Records of before may be gone, and each group's is to be confirmed. */
+TEST(ClusterControl, AReturnOfTheStoreWakesAllGroups) {
+    era.note(1, "store");
+    startWith(10);
+    const std::size_t before = control->activeFailovers();
+    era.note(2, "store");
+    run(milliseconds(100));
+    UNSIGNED_LONGS_EQUAL(12, control->activeFailovers());
+    CHECK(before <= 12);
+}
+
+/** Until it has one, its failover may have to promote a server. */
+TEST(ClusterControl, AGroupWithoutAPrimaryIsNotAtRest) {
+    startWith(5);
+    pooler->applyServers(GroupName("g2"), {});
+    control->onPrimaryChanged(GroupName("g2"));
+    run(milliseconds(300));
+    UNSIGNED_LONGS_EQUAL(1, control->activeFailovers());
+}
+
 }  // namespace
 }  // namespace coralhoist::cluster
--- a/tests/pooling/ServerDirectoryTest.cpp
+++ b/tests/pooling/ServerDirectoryTest.cpp
@@ -152,9 +152,12 @@
     directory.replaceAll({}, {2, 40}, clock.now());
     CHECK_FALSE(listed().removed);
     clock.advance(std::chrono::milliseconds(1999));
-    CHECK_TRUE(directory.removeUnconfirmed(clock.now()).empty());
+    directory.takeChanged();
+    directory.removeUnconfirmed(clock.now());
+    CHECK_TRUE(directory.takeChanged().empty());
     clock.advance(std::chrono::milliseconds(1));
-    CHECK_TRUE(directory.removeUnconfirmed(clock.now()) == std::set<GroupName>{kGroup});
+    directory.removeUnconfirmed(clock.now());
+    CHECK_TRUE(directory.takeChanged() == std::set<GroupName>{kGroup});
     CHECK_TRUE(listed().removed);
 }
 
@@ -163,10 +166,96 @@
     directory.replaceAll({}, {2, 40}, clock.now());
     directory.put(announcement({2, 41}, 9, false), clock.now());
     clock.advance(std::chrono::seconds(3));
-    CHECK_TRUE(directory.removeUnconfirmed(clock.now()).empty());
+    directory.takeChanged();
+    directory.removeUnconfirmed(clock.now());
+    CHECK_TRUE(directory.takeChanged().empty());
     directory.remove(server, {2, 42}, clock.now());
     CHECK_TRUE(listed().removed);
 }
 
+/** Three servers in each of many groups. */
+TEST_GROUP(ServerDirectoryAtSize) {
+    testing::ManualClock clock;
+
+    static std::vector<ServerAnnouncement> estate(int groups) {
+        constexpr int kServersPerGroup = 3;
+        std::vector<ServerAnnouncement> announcements;
+        for (int index = 0; index < groups * kServersPerGroup; ++index) {
+            ServerAnnouncement announcement;
+            announcement.address.group = GroupName("g" + std::to_string(index / kServersPerGroup));
+            announcement.address.server = nameOfLife("i" + std::to_string(index), 100);
+            announcement.version.revision = static_cast<std::uint64_t>(index) + 1;
+            announcements.push_back(announcement);
+        }
+        return announcements;
+    }
+    /** @return servers that were looked at to take a list of all and one change of each. */
+    std::uint64_t workOf(int groups) const {
+        ServerDirectory directory;
+        std::vector<ServerAnnouncement> announcements = estate(groups);
+        const std::uint64_t listed = announcements.size();
+        directory.replaceAll(announcements, {0, listed}, clock.now());
+        for (ServerAnnouncement& announcement : announcements) {
+            announcement.version.revision += listed;
+            announcement.draining = true;
+            CHECK_TRUE(directory.put(announcement, clock.now()));
+            CHECK_TRUE(directory.groupOf(announcement.address.server) ==
+                       announcement.address.group);
+            CHECK_TRUE(
+                directory.remove(announcement.address.server, announcement.version, clock.now()));
+        }
+        return directory.serversExamined();
+    }
+};
+
+TEST(ServerDirectoryAtSize, TheWorkOfAnAnnouncementDoesNotGrowWithTheEstate) {
+    const std::uint64_t small = workOf(10);
+    CHECK(small > 0);
+    UNSIGNED_LONGS_EQUAL(small * 30, workOf(300));
+}
+
+/** What a list shows that was known before concerns nobody. */
+TEST(ServerDirectoryAtSize, AListTellsWhichGroupsItChanges) {
+    ServerDirectory directory;
+    std::vector<ServerAnnouncement> announcements = estate(50);
+    directory.replaceAll(announcements, {0, 150}, clock.now());
+    UNSIGNED_LONGS_EQUAL(50, directory.takeChanged().size());
+    announcements[6].draining = true;
+    announcements[6].version.revision = 151;
+    announcements.pop_back();
+    directory.replaceAll(announcements, {0, 152}, clock.now());
+    CHECK_TRUE(directory.takeChanged() == (std::set<GroupName>{GroupName("g2"), GroupName("g49")}));
+}
+
+/** A server may take another group's address and start again there. */
+TEST(ServerDirectoryAtSize, ALifeThatEndsInOneGroupByAStartInAnotherChangesBoth) {
+    ServerDirectory directory;
+    const std::vector<ServerAnnouncement> announcements = estate(2);
+    directory.replaceAll(announcements, {0, 6}, clock.now());
+    directory.takeChanged();
+    ServerAnnouncement moved = announcements.front();
+    moved.address.group = GroupName("g1");
+    moved.address.server = nameOfLife("i0", 200);
+    moved.version.revision = 7;
+    CHECK_TRUE(directory.put(moved, clock.now()));
+    CHECK_TRUE(directory.takeChanged() == (std::set<GroupName>{GroupName("g0"), GroupName("g1")}));
+}
+
+TEST(ServerDirectoryAtSize, AServerThatExpiredIsNoLongerFound) {
+    ServerDirectory directory;
+    const std::vector<ServerAnnouncement> announcements = estate(2);
+    directory.replaceAll(announcements, {0, 6}, clock.now());
+    const ServerName& server = announcements.front().address.server;
+    directory.remove(server, {0, 7}, clock.now());
+    clock.advance(std::chrono::seconds(16));
+    directory.expire(clock.now(), std::chrono::seconds(15));
+    CHECK_TRUE(directory.groupOf(server) == GroupName());
+    CHECK_FALSE(directory.remove(server, {0, 8}, clock.now()));
+    ServerAnnouncement again = announcements.front();
+    again.version.revision = 9;
+    CHECK_TRUE(directory.put(again, clock.now()));
+    CHECK_TRUE(directory.groupOf(server) == again.address.group);
+}
+
 }  // namespace
 }  // namespace coralhoist::pooling
