--- a/src/pooling/ReaderTree.h
+++ b/src/pooling/ReaderTree.h
@@ -16,11 +16,10 @@
  * A tree of readers: the nodes of a zone ask one of the zone's readers, the zones' readers ask the
  * one that ranks first among them, and that one reads the store. Nodes that can pass on several
  * times as much rank before others: a reader sends all that the store holds to each of its askers,
- * which at a thousand groups takes a link of 20 Mbit/s half a minute. Where there are several
- * regions, the zones' readers ask the first of their own region, and only that one asks the first
- * of another region: what the store holds crosses to a region once. Nodes with the same view form
- * the same tree; nodes with different views may ask each other in a circle, which their patience
- * ends.
+ * and in a large estate a small link can't carry that in time. Where there are several regions, the
+ * zones' readers ask the first of their own region, and only that one asks the first of another
+ * region: what the store holds crosses to a region once. Nodes with the same view form the same
+ * tree; nodes with different views may ask each other in a circle, which their patience ends.
  */
 class ReaderTree {
 public:
