Ranking: one order of ranked nodes

Cause: the order by rank and then by name stood three times in this change (RankedNode, NodeRanking::first, turns of the reader tree). Change: isChosenBefore serves all three. Conclusion: no behaviour changed.

--- a/src/pooling/NodeRanking.cpp
+++ b/src/pooling/NodeRanking.cpp
@@ -15,7 +15,7 @@
 };
 
 bool isBefore(const Entry& left, const Entry& right) {
-    return left.rank != right.rank ? left.rank > right.rank : *left.name < *right.name;
+    return isChosenBefore(left.rank, *left.name, right.rank, *right.name);
 }
 
 }  // namespace
--- a/src/pooling/NodeRanking.h
+++ b/src/pooling/NodeRanking.h
@@ -10,14 +10,19 @@
 
 namespace coralhoist::pooling {
 
+/** @return whether a node is chosen before another one; all nodes agree on that. */
+inline bool isChosenBefore(std::uint64_t rank, const NodeName& name, std::uint64_t otherRank,
+                           const NodeName& otherName) {
+    return rank != otherRank ? rank > otherRank : name < otherName;
+}
+
 /** A node and its rank for a key; the highest ranks are chosen. */
 struct RankedNode {
     std::uint64_t rank = 0;
     NodeName name;
 
-    /** @return whether this node is chosen before the other one; all nodes agree on that. */
     bool isBefore(const RankedNode& other) const {
-        return rank != other.rank ? rank > other.rank : name < other.name;
+        return isChosenBefore(rank, name, other.rank, other.name);
     }
 };
 
--- a/src/pooling/ReaderTree.cpp
+++ b/src/pooling/ReaderTree.cpp
@@ -121,10 +121,9 @@
 template <typename Nodes>
 std::size_t rankedBefore(const GroupName& group, const NodeName& self, const Nodes& nodes) {
     NodeRanking ranking(group.value());
-    const RankedNode own{ranking.rankOf(self), self};
+    const std::uint64_t own = ranking.rankOf(self);
     const auto before = std::count_if(nodes.begin(), nodes.end(), [&](const NodeName& name) {
-        const std::uint64_t rank = ranking.rankOf(name);
-        return rank != own.rank ? rank > own.rank : name < self;
+        return isChosenBefore(ranking.rankOf(name), name, own, self);
     });
     return static_cast<std::size_t>(before);
 }
