Pooler: a proof comes one way

Cause: since proofs are taken as a whole (applyProof), confirming one group by its record was called by two tests alone. Change: confirmByRecord of the pooler is gone; both tests give a proof that shows the same record, with their assertions as they were.

--- a/src/pooling/StatementPooler.cpp
+++ b/src/pooling/StatementPooler.cpp
@@ -151,14 +151,6 @@
     }
 }
 
-void StatementPooler::confirmByRecord(const GroupName& group, const StoreVersion& recordVersion,
-                                      TimePoint askedAt) {
-    GroupState& state = groupNamed(group);
-    state.leadership.confirmByRecord(recordVersion, askedAt);
-    markDirty(state);
-    settle();
-}
-
 bool StatementPooler::hasService(const ServiceName& service) const {
     return _catalog->find(service) != nullptr;
 }
--- a/src/pooling/StatementPooler.h
+++ b/src/pooling/StatementPooler.h
@@ -138,14 +138,6 @@
     /** The group's primary, as taken now, was proven to lead at a moment not before askedAt. */
     void confirmLeadership(const GroupName& group, TimePoint askedAt);
 
-    /**
-     * The store showed this version of the group's record at a moment not before askedAt; it proves
-     * the primary's leadership when it shows no promotion under way.
-     * @param recordVersion one that does not exist when there is no record.
-     */
-    void confirmByRecord(const GroupName& group, const StoreVersion& recordVersion,
-                         TimePoint askedAt);
-
     /** @return whether there is such a service. */
     bool hasService(const ServiceName& service) const;
 
--- a/tests/pooling/LateAnswerTest.cpp
+++ b/tests/pooling/LateAnswerTest.cpp
@@ -29,7 +29,7 @@
         record(PromotionPhase::Promoting, successor, term);
         fixture.clock.advance(kLeadershipLease);
         record(PromotionPhase::None, successor, term);
-        fixture.pooler.confirmByRecord(fixture.group, recordVersion, fixture.clock.now());
+        fixture.pooler.applyProof({fixture.clock.now(), {{fixture.group, recordVersion}}, 0});
     }
 
     bool isInDoubt(const RecordedReply& reply) const {
--- a/tests/pooling/PoolerTest.cpp
+++ b/tests/pooling/PoolerTest.cpp
@@ -456,7 +456,7 @@
     catalog->services[ServiceName("current")] = {fixture.group, settings::ServiceSettings{}};
     catalog->groups[fixture.group] = settings::GroupSettings{};
     pooler.applyCatalog(catalog);
-    pooler.confirmByRecord(fixture.group, {}, fixture.clock.now());
+    pooler.applyProof({fixture.clock.now(), {}, 0});
     for (int index = 0; index < 2; ++index) {
         Statement write;
         write.id = std::to_string(index);
