--- a/review/standins/Standins.h
+++ b/review/standins/Standins.h
@@ -492,6 +492,9 @@
     DatabaseGroup(std::string name, Store& store, Record& record)
         : _name(std::move(name)), _store(store), _record(record) {}
 
+    /** Called with the id of each server that is promoted, under the group's lock. */
+    std::function<void(const std::string& id, const std::set<std::string>& requests)> onPromoted;
+
     /** Adds a server and writes its entry; the first one leads. */
     void add(const std::string& id, const std::string& zone,
              std::optional<std::int64_t> born = std::nullopt) {
@@ -523,6 +526,7 @@
             Server& server = find(id);
             server.born = born;
             server.held = 0;
+            server.term = 0;
             server.log.clear();
             server.receivedAt.clear();
             closeConnections(server);
@@ -554,6 +558,14 @@
         _record.note("server " + id + " is back");
     }
 
+    /** A dark server keeps what it has and says nothing to anybody. */
+    void setDark(const std::string& id, bool dark) {
+        const std::lock_guard lock(_mutex);
+        find(id).dark = dark;
+        _changed.notify_all();
+        _record.note("server " + id + (dark ? " goes dark" : " is heard again"));
+    }
+
     /** While it is deaf, a replica receives nothing. */
     void setDeaf(const std::string& id, bool deaf) {
         const std::lock_guard lock(_mutex);
@@ -583,6 +595,13 @@
                 server->primary = false;
             }
         }
+        if (onPromoted) {
+            std::set<std::string> requests;
+            for (const LogEntry& entry : target->log) {
+                requests.insert(entry.request);
+            }
+            onPromoted(id, requests);
+        }
         target->primary = true;
         target->term = term;
         target->held = 0;
@@ -619,6 +638,9 @@
     bool hasCommit(const std::string& request) {
         const std::lock_guard lock(_mutex);
         const Server* leader = leading();
+        if (leader == nullptr) {
+            return false;
+        }
         for (const LogEntry& entry : leader->log) {
             if (entry.request == request) {
                 return true;
@@ -637,6 +659,7 @@
         bool running = true;
         bool primary = false;
         bool deaf = false;
+        bool dark = false;
         std::uint64_t term = 1;
         /** Term of the order to stop receiving; 0 without one. */
         std::uint64_t held = 0;
@@ -713,12 +736,12 @@
     /** Replicas that receive take the leader's log; what they have beyond it is rolled back. */
     void replicate() {
         const Server* leader = leading();
-        if (leader == nullptr || !leader->running) {
+        if (leader == nullptr || !leader->running || leader->dark) {
             return;
         }
         for (const auto& server : _servers) {
             if (server.get() == leader || !server->running || server->primary || server->deaf ||
-                server->held > leader->term) {
+                server->dark || server->held > leader->term) {
                 continue;
             }
             std::size_t common = 0;
@@ -750,6 +773,9 @@
 
     static std::string positionOf(const Server& server, std::size_t count) {
         const std::uint64_t term = count == 0 ? server.term : server.log[count - 1].term;
+        if (term == 0) {
+            return "-";
+        }
         return std::to_string(term) + "." + std::to_string(count);
     }
 
@@ -799,7 +825,8 @@
                 return false;
             }
             session.open = true;
-            const std::lock_guard lock(_mutex);
+            std::unique_lock lock(_mutex);
+            awaitLight(lock, server);
             return sendAll(descriptor, "READY I " + positionOf(server, appliedOf(server)) + "\r\n");
         }
         if (word != "QUERY" || !session.open) {
@@ -810,7 +837,9 @@
             pause(milliseconds(2));
         }
         std::unique_lock lock(_mutex);
+        awaitLight(lock, server);
         const Answer answer = run(lock, server, session, id, line);
+        awaitLight(lock, server);
         if (!server.running) {
             return false;
         }
@@ -830,6 +859,11 @@
         return sendAll(descriptor, out);
     }
 
+    /** What reaches a dark server waits. */
+    void awaitLight(std::unique_lock<std::mutex>& lock, const Server& server) {
+        _changed.wait(lock, [&server] { return !server.dark || !server.running; });
+    }
+
     Answer refuse(Session& session, const std::string& error) {
         session.failed = session.inTransaction;
         return {{}, "-", error};
@@ -942,6 +976,7 @@
         const std::size_t position = server.log.size();
         const TimePoint until = SteadyClock::now() + std::chrono::seconds(8);
         while (server.running && server.primary) {
+            awaitLight(lock, server);
             replicate();
             for (const auto& other : _servers) {
                 if (other.get() != &server && other->running && !other->primary && !other->deaf &&
