Promotion calls: look at the time as the bytes are sent

Cause: GroupFailover::call compared the age of the announcement before it asked for the call; HttpClient wrote the request when the connection opened, and looked at no time. After a freeze the event loop reports sockets before timers. The logs show one promote_called before the freeze and promote_answered took_ms=7583 after it; the receiver had no byte before the node went on. Ruled out: a second decision after the freeze, and bytes that the system had held.

Fix: HttpClient looks at the monotonic clock when it hands bytes to the system; a promotion call carries the time by which it must be sent (0.8 s after its announcement was requested); the system gives up what the receiver's host has not acknowledged after the call's time limit, also while the process stands still.

--- a/lab/pooled/PooledJudge.cpp
+++ b/lab/pooled/PooledJudge.cpp
@@ -38,8 +38,8 @@
     return longest;
 }
 
-void PooledJudge::onCommitted(const LogPlace& place) {
-    if (!_commits.emplace(place.commit, place).second) {
+void PooledJudge::onCommitted(const LogPlace& place, const GroupName& group) {
+    if (!_commits.emplace(place.commit, Commit{place, group}).second) {
         fail("TWICE: commit " + std::to_string(place.commit) + " took effect twice");
     }
 }
@@ -58,16 +58,20 @@
         const bool strict = read.promise == ReadPromise::Current ||
                             (own && read.promise == ReadPromise::OwnAndBounded);
         const TimePoint bound = strict ? read.since : read.since - read.staleness;
-        if (acknowledgement.at < bound && !isVisible(_commits.at(commit))) {
+        const Commit& known = _commits.at(commit);
+        if (acknowledgement.at < bound && known.group == read.group && !isVisible(known.place)) {
             fail("STALE: a read of session " + std::to_string(read.session) + " misses commit " +
                  std::to_string(commit));
         }
     }
 }
 
-void PooledJudge::onPromoted(const std::set<CommitId>& commits, TimePoint /*now*/) {
+void PooledJudge::onPromoted(const std::set<CommitId>& commits, TimePoint /*now*/,
+                             const GroupName& group) {
     for (auto it = _acknowledged.begin(); it != _acknowledged.end();) {
-        if (commits.contains(it->first)) {
+        const auto known = _commits.find(it->first);
+        const bool isElsewhere = known != _commits.end() && known->second.group != group;
+        if (isElsewhere || commits.contains(it->first)) {
             ++it;
             continue;
         }
@@ -76,17 +80,24 @@
     }
 }
 
+void PooledJudge::onFenceSent(const GroupName& group, const std::string& holder,
+                              std::uint64_t fence) {
+    Call& newest = _newestCalls[group];
+    if (newest.fence > fence) {
+        fail("ONE: fence " + std::to_string(fence) + " after " + std::to_string(newest.fence));
+        return;
+    }
+    if (newest.fence == fence && newest.holder != holder) {
+        fail("ONE: two holders used fence " + std::to_string(fence));
+    }
+    newest.fence = fence;
+    newest.holder = holder;
+}
+
 void PooledJudge::onPromoteCalled(const GroupName& group, const std::string& holder,
                                   std::uint64_t fence, TimePoint now) {
+    onFenceSent(group, holder, fence);
     std::vector<Call>& calls = _calls[group];
-    for (const Call& call : calls) {
-        if (call.fence > fence) {
-            fail("ONE: fence " + std::to_string(fence) + " after " + std::to_string(call.fence));
-        }
-        if (call.fence == fence && call.holder != holder) {
-            fail("ONE: two holders used fence " + std::to_string(fence));
-        }
-    }
     const auto other = std::find_if(calls.rbegin(), calls.rend(),
                                     [&holder](const Call& call) { return call.holder != holder; });
     const bool inTurn =
--- a/lab/pooled/PooledJudge.h
+++ b/lab/pooled/PooledJudge.h
@@ -31,6 +31,8 @@
     Duration staleness{0};
     /** First moment of the read or of its transaction. */
     TimePoint since{};
+    /** Group on whose log it ran. */
+    GroupName group = {};
 };
 
 /** Where a commit stands in the logs that have it. */
@@ -47,17 +49,19 @@
     void onAcknowledged(CommitId commit, std::uint64_t session, TimePoint now);
     /** The caller was promised that nothing of the commit is kept. */
     void onPromisedNothing(CommitId commit) { _promisedNothing.insert(commit); }
-    void onCommitted(const LogPlace& place);
+    void onCommitted(const LogPlace& place, const GroupName& group = {});
     /** @param isVisible whether the log on which the read ran has a commit. */
     void onReadRan(const ReadRun& read, const std::function<bool(const LogPlace&)>& isVisible);
-    /** A server becomes the primary with these commits in its log. */
-    void onPromoted(const std::set<CommitId>& commits, TimePoint now);
+    /** A server becomes the primary of its group with these commits in its log. */
+    void onPromoted(const std::set<CommitId>& commits, TimePoint now, const GroupName& group = {});
+    /** A token arrived with a call, whether the call changes anything or not. */
+    void onFenceSent(const GroupName& group, const std::string& holder, std::uint64_t fence);
     /** A promotion was called. */
     void onPromoteCalled(const GroupName& group, const std::string& holder, std::uint64_t fence,
                          TimePoint now);
     /** A commit of a replaced primary was answered with success. */
     void onAnsweredByReplaced(CommitId commit) { _byReplaced.insert(commit); }
-    /** Commits that are in the log of the primary at the end. */
+    /** Commits that are in the logs of the primaries at the end. */
     void onEnd(const std::set<CommitId>& commits);
     void fail(const std::string& what) { _violations.push_back(what); }
 
@@ -81,10 +85,18 @@
     std::map<CommitId, Acknowledgement> _acknowledged;
     std::set<CommitId> _promisedNothing;
     std::set<CommitId> _byReplaced;
-    std::map<CommitId, LogPlace> _commits;
+    /** Where a commit took effect. */
+    struct Commit {
+        LogPlace place;
+        GroupName group;
+    };
+
+    std::map<CommitId, Commit> _commits;
     /** Acknowledged commits in the order of their acknowledgements. */
     std::vector<CommitId> _order;
     std::map<GroupName, std::vector<Call>> _calls;
+    /** The call with the highest token that has arrived. */
+    std::map<GroupName, Call> _newestCalls;
     std::vector<std::string> _violations;
     std::size_t _reads = 0;
 };
--- a/lab/pooled/RecordStore.cpp
+++ b/lab/pooled/RecordStore.cpp
@@ -142,20 +142,35 @@
         });
 }
 
-void StoreClient::promote(const GroupName& group, const ServerName& server, std::uint64_t fence,
+/** A node that stands still while the connection opens sends the call when it goes on. */
+void StoreClient::promote(const failover::PromotionCall& call,
                           std::function<void(PromoteOutcome)> callback) {
-    _store._queue.after(
-        _store._faults.latency / 2,
-        [this, group, server, fence, callback = std::move(callback), activity = _activity] {
-            if (activity->hasEnded()) {
-                return;
-            }
-            _store._judge.onPromoteCalled(group, _holder, fence, _store._queue.now());
-            const PromoteOutcome outcome = _store.call(group, server, fence);
-            const bool answered = outcome != PromoteOutcome::Unknown;
-            after(answered ? _store._faults.latency / 2 : kTimeout,
-                  [callback, outcome] { callback(outcome); });
-        });
+    const Duration opening = _store._callFaults.opening;
+    if (opening == Duration(0)) {
+        transmit(call, std::move(callback));
+        return;
+    }
+    after(opening, [this, call, callback = std::move(callback)] { transmit(call, callback); });
+}
+
+void StoreClient::transmit(const failover::PromotionCall& call,
+                           std::function<void(PromoteOutcome)> callback) {
+    if (_store._queue.now() >= call.sendBy) {
+        after(_store._faults.latency / 2,
+              [callback = std::move(callback)] { callback(PromoteOutcome::Unavailable); });
+        return;
+    }
+    _store._queue.after(_store._faults.latency / 2, [this, call, callback = std::move(callback),
+                                                     activity = _activity] {
+        if (activity->hasEnded()) {
+            return;
+        }
+        _store._judge.onPromoteCalled(call.group, _holder, call.fence, _store._queue.now());
+        const PromoteOutcome outcome = _store.call(call.group, call.successor, call.fence);
+        const bool answered = outcome != PromoteOutcome::Unknown;
+        after(answered ? _store._faults.latency / 2 : kTimeout,
+              [callback, outcome] { callback(outcome); });
+    });
 }
 
 }  // namespace coralhoist::pooled
--- a/lab/pooled/RecordStore.h
+++ b/lab/pooled/RecordStore.h
@@ -32,6 +32,8 @@
     Duration longestDelay{0};
     /** Share of calls that find the server restarting. */
     double restarts = 0;
+    /** Time until the connection of a call is open. */
+    Duration opening{0};
 };
 
 /**
@@ -99,16 +101,19 @@
 
     /** The node is cut off from the store. */
     void setCut(bool cut) { _cut = cut; }
+    bool isCut() const { return _cut; }
 
     void load(const GroupName& group,
               std::function<void(const failover::LoadedRecord&)> callback) override;
     void save(const GroupName& group, const failover::PromotionRecord& record,
               std::function<void(const failover::SavedRecord&)> callback) override;
-    void promote(const GroupName& group, const ServerName& server, std::uint64_t fence,
+    void promote(const failover::PromotionCall& call,
                  std::function<void(failover::PromoteOutcome)> callback) override;
 
 private:
     bool isDown() const { return _cut || _store._faults.down; }
+    void transmit(const failover::PromotionCall& call,
+                  std::function<void(failover::PromoteOutcome)> callback);
     void answerAfter(Duration delay, std::function<void()> action);
     void after(Duration delay, std::function<void()> action);
 
--- a/lab/soak/FaultyRelay.cpp
+++ b/lab/soak/FaultyRelay.cpp
@@ -4,9 +4,17 @@
 #include <algorithm>
 
 namespace coralhoist::soak {
+namespace {
+
+/** Connections that wait to be accepted, and more than enough to fill that queue. */
+constexpr int kBacklog = 32;
+constexpr int kFillers = 2 * kBacklog;
+
+}  // namespace
 
 FaultyRelay::FaultyRelay(std::uint16_t targetPort) : _targetPort(targetPort) {
     connect(&_server, &QTcpServer::newConnection, this, [this] { accept(); });
+    _server.setListenBacklogSize(kBacklog);
     _server.listen(QHostAddress::LocalHost, 0);
 }
 
@@ -46,6 +54,22 @@
     std::erase_if(_directions, [](const auto& direction) { return !direction->from; });
 }
 
+void FaultyRelay::setQueueFull(bool full) {
+    if (full == !_fillers.empty()) {
+        return;
+    }
+    if (!full) {
+        _fillers.clear();
+        _server.resumeAccepting();
+        return;
+    }
+    _server.pauseAccepting();
+    for (int index = 0; index < kFillers; ++index) {
+        _fillers.push_back(std::make_unique<QTcpSocket>());
+        _fillers.back()->connectToHost(QHostAddress::LocalHost, _server.serverPort());
+    }
+}
+
 void FaultyRelay::silenceOpenConnections() {
     for (const auto& direction : _directions) {
         direction->silenced = true;
--- a/lab/soak/FaultyRelay.h
+++ b/lab/soak/FaultyRelay.h
@@ -34,6 +34,12 @@
     /** Takes new faults; bytes that waited and may pass are sent. */
     void setFaults(const RelayFaults& faults);
 
+    /**
+     * Fills the queue of new connections and takes none, or takes them again: meanwhile the system
+     * drops the packets that open a connection, which are sent again after 1, 3 and 7 s.
+     */
+    void setQueueFull(bool full);
+
     /** Resets all connections; bytes on the way are lost. */
     void resetAll();
 
@@ -59,6 +65,8 @@
     std::uint16_t _targetPort;
     RelayFaults _faults;
     std::vector<std::shared_ptr<Direction>> _directions;
+    /** Connections that fill the queue. */
+    std::vector<std::unique_ptr<QTcpSocket>> _fillers;
 };
 
 }  // namespace coralhoist::soak
--- a/lab/soak/SoakCommand.cpp
+++ b/lab/soak/SoakCommand.cpp
@@ -33,6 +33,7 @@
     int tenants = 0;
     int settings = 0;
     int stops = 0;
+    int freezes = 0;
     int returns = 0;
     int evacuations = 0;
     std::string program;
@@ -66,6 +67,8 @@
          "zones are evacuated and given back in series, in place of the other faults", nullptr},
         {"stops", 0, POPT_ARG_NONE, &flags.stops, 0,
          "proxies stop as planned while servers refuse or are slow: all is answered", nullptr},
+        {"freezes", 0, POPT_ARG_NONE, &flags.freezes, 0,
+         "proxies freeze in the steps of promotions, in place of the other faults", nullptr},
         {"program", 'P', POPT_ARG_STRING, &programFile.text, 0, "the proxy's program", "FILE"},
         {"logs", 'l', POPT_ARG_STRING, &logFolder.text, 0, "folder for the proxies' logs", "DIR"},
         {"cases", 0, POPT_ARG_STRING, &casesFile.text, 0,
@@ -120,6 +123,7 @@
     options.tenants = flags.tenants != 0;
     options.settings = flags.settings != 0;
     options.stops = flags.stops != 0;
+    options.freezes = flags.freezes != 0;
     options.returns = flags.returns != 0;
     options.evacuations = flags.evacuations != 0;
     options.program = flags.program;
--- a/lab/soak/SoakRun.cpp
+++ b/lab/soak/SoakRun.cpp
@@ -15,6 +15,7 @@
 #include "lab/soak/ServerEntries.h"
 #include "lab/soak/SoakEvacuations.h"
 #include "lab/soak/SoakFaults.h"
+#include "lab/soak/SoakFreezes.h"
 #include "lab/soak/SoakPlan.h"
 #include "lab/soak/SoakReturns.h"
 #include "lab/soak/SoakSettings.h"
@@ -50,6 +51,7 @@
 /** Kinds of objects in the store. */
 constexpr const char* kServers = "servers";
 constexpr const char* kNodes = "proxies";
+constexpr const char* kPromotions = "promotions";
 
 /** Builds the parts, lets the faults play, asks the judge. */
 class Soak {
@@ -76,6 +78,12 @@
         _callerWorld.allAnswered = _options.stops;
         startServers();
         writeConfiguration();
+        _store.setOnChanged([this](const std::string& kind, const QJsonObject& spec) {
+            if (kind == kPromotions) {
+                _freezes.onRecordWritten(spec["holder"].toString().toStdString(),
+                                         spec["phase"] == "promoting");
+            }
+        });
         startProxies();
         if (_options.settings) {
             _settings = std::make_unique<SoakSettings>(_queue, _options.seed, _store.faults(),
@@ -118,6 +126,8 @@
             _evacuations.play(_zones, length);
         } else if (_options.stops) {
             _stops.play(length);
+        } else if (_options.freezes) {
+            _freezes.play(length);
         } else {
             _faults.play(drawPlan(_options.seed, length));
         }
@@ -130,6 +140,7 @@
         if (_options.stops) {
             _stops.healAll();
         }
+        _freezes.healAll();
         if (_settings) {
             _settings->healAll();
         }
@@ -286,7 +297,9 @@
     }
 
     void onPromotionCalled(const PromotionCall& call) {
-        if (call.group == _group.name().value() && !isLeading(call)) {
+        if (call.group == _group.name().value() && isLeading(call)) {
+            _judge.onFenceSent(_group.name(), call.holder, call.fence);
+        } else if (call.group == _group.name().value()) {
             _newestFence = std::max(_newestFence, call.fence);
             _timeline.note("promotion of " + call.server + " called by " + call.holder +
                            ", fence " + std::to_string(call.fence));
@@ -302,7 +315,7 @@
         if (isLeading(call)) {
             return kOk;
         }
-        const bool outdated = call.fence < _newestFence;
+        const bool outdated = !_options.freezes && call.fence < _newestFence;
         _timeline.note("promotion of " + call.server +
                        (outdated ? " refused as outdated;" : " carried out;") + describeServers());
         return !outdated && _group.promote(ServerName(call.server)) ? kOk : kConflict;
@@ -367,6 +380,9 @@
         if (_options.stops) {
             return _stops.begun();
         }
+        if (_options.freezes) {
+            return _freezes.begun();
+        }
         if (_options.evacuations) {
             return _returns.begun() + _evacuations.begun();
         }
@@ -429,6 +445,8 @@
     std::vector<ZoneName> _zones;
     SoakEvacuations _evacuations{_queue, _options.seed, _store, _timeline};
     SoakStops _stops{_queue, _options.seed, _proxies, _servers, _timeline};
+    SoakFreezes _freezes{
+        _queue, _options.seed, {_group, _entries, _servers, _proxies, _storeRelays, _timeline}};
     SoakReturns _returns{
         _queue,
         _options.seed,
--- a/lab/soak/SoakRun.h
+++ b/lab/soak/SoakRun.h
@@ -30,6 +30,9 @@
     /** Proxies stop as planned, one after another, while servers refuse or are slow, in place of
      * the other faults; judged is that nothing that a proxy has read is left without an answer. */
     bool stops = false;
+    /** Proxies freeze in the steps of promotions, in place of the other faults, and the platform
+     * compares no fencing tokens. */
+    bool freezes = false;
     /** Zones are evacuated and given back in series, in place of the other faults. */
     bool evacuations = false;
     /** Path of the proxy's program. */
--- a/lab/soak/StandInStore.cpp
+++ b/lab/soak/StandInStore.cpp
@@ -111,6 +111,9 @@
     QTimer::singleShot(kLatency, this, [this, proxy, socket, request] {
         if (_buffers.contains(socket)) {
             handle(proxy, socket, request);
+        } else if (request.path == kPromotionPath && !_faults.refuses) {
+            // A call that has arrived is carried out, also when its connection was reset since.
+            handlePromotion(nullptr, request);
         }
     });
 }
@@ -142,13 +145,13 @@
                              request.body["id"].toString().toStdString(), header("x-lease-holder"),
                              numberOf(header("x-fencing-token"))};
     _promotions.arrived(call);
-    if (_faults.promotionAnswersLost) {
+    if (_faults.promotionAnswersLost && socket != nullptr) {
         _mute.insert(socket);
     }
     const QPointer<QTcpSocket> caller(socket);
     QTimer::singleShot(_faults.promotionDelay, this, [this, caller, call] {
         const int status = _promotions.carryOut(call);
-        answerWrite(caller, status, {});
+        answerWrite(caller, status, {}, AfterAnswer::Close);
     });
 }
 
@@ -236,6 +239,9 @@
     _events.push_back({kind, name, object, false});
     keepCopy();
     serveWatches();
+    if (_onChanged) {
+        _onChanged(kind, spec);
+    }
 }
 
 void StandInStore::keepCopy() {
@@ -321,23 +327,26 @@
     }
 }
 
-void StandInStore::answer(QTcpSocket* socket, int status, const QJsonObject& body) {
+void StandInStore::answer(QTcpSocket* socket, int status, const QJsonObject& body,
+                          AfterAnswer after) {
     if (socket == nullptr || _mute.contains(socket) ||
         socket->state() != QAbstractSocket::ConnectedState) {
         return;
     }
+    const QByteArray connection = after == AfterAnswer::Close ? "Connection: close\r\n" : "";
     const QByteArray text = QJsonDocument(body).toJson(QJsonDocument::Compact);
-    socket->write("HTTP/1.1 " + QByteArray::number(status) +
-                  " .\r\nContent-Type: application/json\r\nStore-Era: " +
+    socket->write("HTTP/1.1 " + QByteArray::number(status) + " .\r\n" + connection +
+                  "Content-Type: application/json\r\nStore-Era: " +
                   QByteArray::number(static_cast<qulonglong>(_era)) +
                   "\r\nContent-Length: " + QByteArray::number(text.size()) + "\r\n\r\n" + text);
 }
 
-void StandInStore::answerWrite(QTcpSocket* socket, int status, const QJsonObject& body) {
+void StandInStore::answerWrite(QTcpSocket* socket, int status, const QJsonObject& body,
+                               AfterAnswer after) {
     if (socket != nullptr && _random.fraction() < _faults.answersLost) {
         _mute.insert(socket);
     }
-    answer(socket, status, body);
+    answer(socket, status, body, after);
 }
 
 }  // namespace coralhoist::soak
--- a/lab/soak/StandInStore.h
+++ b/lab/soak/StandInStore.h
@@ -93,6 +93,12 @@
 
     StoreFaults& faults() { return _faults; }
 
+    /** From now on tells of each object that was changed. */
+    void setOnChanged(
+        std::function<void(const std::string& kind, const QJsonObject& spec)> changed) {
+        _onChanged = std::move(changed);
+    }
+
 private:
     struct Object {
         QJsonObject spec;
@@ -139,8 +145,13 @@
     void serveWatches();
     QJsonObject json(std::size_t proxy, const std::string& kind, const std::string& name,
                      const Object& object) const;
-    void answer(QTcpSocket* socket, int status, const QJsonObject& body);
-    void answerWrite(QTcpSocket* socket, int status, const QJsonObject& body);
+    /** Whether the caller may send further requests on the connection. */
+    enum class AfterAnswer { Keep, Close };
+
+    void answer(QTcpSocket* socket, int status, const QJsonObject& body,
+                AfterAnswer after = AfterAnswer::Keep);
+    void answerWrite(QTcpSocket* socket, int status, const QJsonObject& body,
+                     AfterAnswer after = AfterAnswer::Keep);
     void store(const std::string& kind, const std::string& name, const QJsonObject& spec);
     void keepCopy();
 
@@ -155,6 +166,7 @@
     View _view;
     PromotionHandlers _promotions;
     StoreFaults _faults;
+    std::function<void(const std::string& kind, const QJsonObject& spec)> _onChanged;
     std::vector<std::unique_ptr<QTcpServer>> _servers;
     std::map<QTcpSocket*, QByteArray> _buffers;
     /** Connections that have lost an answer. */
--- a/src/cluster/StoredPromotions.cpp
+++ b/src/cluster/StoredPromotions.cpp
@@ -34,12 +34,12 @@
     _records.save<SavedRecord>(_codec.writePromotion(group, record), std::move(callback));
 }
 
-void StoredPromotions::promote(const GroupName& group, const ServerName& server,
-                               std::uint64_t fence,
+void StoredPromotions::promote(const failover::PromotionCall& call,
                                std::function<void(failover::PromoteOutcome)> callback) {
-    socket::HttpCall call = _codec.promoteCall(group, server, _self, fence);
-    call.timeout = kPromoteTimeout;
-    _promotionClient.call(call,
+    socket::HttpCall request = _codec.promoteCall(call.group, call.successor, _self, call.fence);
+    request.timeout = kPromoteTimeout;
+    request.sendBy = call.sendBy;
+    _promotionClient.call(request,
                           [this, callback = std::move(callback)](const socket::HttpAnswer& answer) {
                               callback(_codec.readPromoteAnswer(answer));
                           });
--- a/src/cluster/StoredPromotions.h
+++ b/src/cluster/StoredPromotions.h
@@ -19,7 +19,7 @@
               std::function<void(const failover::LoadedRecord&)> callback) override;
     void save(const GroupName& group, const failover::PromotionRecord& record,
               std::function<void(const failover::SavedRecord&)> callback) override;
-    void promote(const GroupName& group, const ServerName& server, std::uint64_t fence,
+    void promote(const failover::PromotionCall& call,
                  std::function<void(failover::PromoteOutcome)> callback) override;
 
 private:
--- a/src/failover/FailoverTiming.h
+++ b/src/failover/FailoverTiming.h
@@ -38,7 +38,7 @@
  * up with it.
  */
 constexpr Duration kLeavingTimeout = std::chrono::milliseconds(1500);
-/** Longest time from the request that writes the announcement to the promotion call. */
+/** The promotion call leaves the node within this time after the announcement was requested. */
 constexpr Duration kCallMargin = std::chrono::milliseconds(800);
 /** Interval at which the holder renews the record to show that it still drives the promotion. */
 constexpr Duration kRefreshInterval = std::chrono::milliseconds(900);
--- a/src/failover/GroupFailover.h
+++ b/src/failover/GroupFailover.h
@@ -78,8 +78,8 @@
  * ensure that no commit is acknowledged any more: every leader is ordered to step down and, while a
  * member does not respond, every other member is ordered to stop receiving; (3) choose a server
  * that has every acknowledged commit; (4) announce the server in the record; the version of that
- * write is the fencing token; (5) call the promotion within kCallMargin of the announcement; (6)
- * observe that the successor leads, and close the record.
+ * write is the fencing token; (5) send the promotion call within kCallMargin of the announcement;
+ * (6) observe that the successor leads, and close the record.
  *
  * A server has every acknowledged commit when its log reaches the base of the current term, which
  * covers the commits of earlier terms, and CommitQuorum finds that the server has the commits of
@@ -87,10 +87,10 @@
  * responds.
  *
  * Invariants: the record is changed only under a version that this node wrote, except for a claim,
- * which names the version that was read. A promotion is called only for the announced successor and
- * within kCallMargin of the announcement, which is shorter than the time after which another node
- * takes a record over. Once a server was ordered to stop receiving, the promotion is carried on to
- * its end, so that no server resumes by mistake.
+ * which names the version that was read. A promotion is called only for the announced successor,
+ * and the call leaves the node within kCallMargin of the announcement, which is shorter than the
+ * time after which another node takes a record over. Once a server was ordered to stop receiving,
+ * the promotion is carried on to its end, so that no server resumes by mistake.
  *
  * When the store was restored from an older copy (`StoreReturn.cpp`), claims, announcements and
  * ends of promotions may be lost. Each node that knows later ones writes them again. No node claims
--- a/src/failover/PromotionRecord.h
+++ b/src/failover/PromotionRecord.h
@@ -14,6 +14,7 @@
 #include "base/OpTime.h"
 #include "base/StoreOutcome.h"
 #include "base/StoreVersion.h"
+#include "base/Time.h"
 #include "pooling/LeadershipTracker.h"
 
 namespace coralhoist::failover {
@@ -123,13 +124,27 @@
 /** @return the name for log lines. */
 const char* describe(PromoteOutcome outcome);
 
+/** A request to promote an announced successor. */
+struct PromotionCall {
+    GroupName group;
+    ServerName successor;
+    /** Token of the version of the record that announced this promotion. */
+    std::uint64_t fence = 0;
+    /**
+     * The call leaves this node before this time or never. The platform may compare no tokens, so a
+     * call that leaves after another node has taken the record over would undo that node's
+     * promotion.
+     */
+    TimePoint sendBy{};
+};
+
 /** Requests promotions from the platform. */
 class PromotionCaller {
 public:
     virtual ~PromotionCaller() = default;
 
-    /** @param fence the token of the version of the record that announced this promotion. */
-    virtual void promote(const GroupName& group, const ServerName& server, std::uint64_t fence,
+    /** A call that was not sent in time ends as Unavailable. */
+    virtual void promote(const PromotionCall& call,
                          std::function<void(PromoteOutcome)> callback) = 0;
 };
 
--- a/src/failover/PromotionSteps.cpp
+++ b/src/failover/PromotionSteps.cpp
@@ -97,14 +97,15 @@
         .field("group", _group)
         .field("successor", _successor)
         .field("fence", _record.version.token());
-    _dependencies.caller.promote(_group, _successor, _record.version.token(),
-                                 [this, alive = std::weak_ptr<bool>(_alive), now,
-                                  attempt = _attempt](PromoteOutcome outcome) {
-                                     if (!alive.expired() && attempt == _attempt) {
-                                         _busy = false;
-                                         onCalled(outcome, now);
-                                     }
-                                 });
+    _dependencies.caller.promote(
+        {_group, _successor, _record.version.token(), _announcedAt + kCallMargin},
+        [this, alive = std::weak_ptr<bool>(_alive), now,
+         attempt = _attempt](PromoteOutcome outcome) {
+            if (!alive.expired() && attempt == _attempt) {
+                _busy = false;
+                onCalled(outcome, now);
+            }
+        });
 }
 
 void GroupFailover::onCalled(PromoteOutcome outcome, TimePoint calledAt) {
--- a/src/link/socket/HttpCaller.h
+++ b/src/link/socket/HttpCaller.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -33,13 +34,17 @@
      * large answer takes seconds on a slow link: 400 kB at 2 Mbit/s are 1.6 s. */
     Duration stallTimeout = std::chrono::milliseconds(1000);
     Connection connection = Connection::KeptOrNew;
+    /** The call must not take effect late, as its receiver compares it with no version of its own:
+     * it is sent before this time or not at all, and what the receiver's host has not acknowledged
+     * after `timeout` is given up by the system, also while this process does not run. */
+    std::optional<TimePoint> sendBy = std::nullopt;
 };
 
 /** How a call ended. */
 struct HttpAnswer {
     enum class Outcome {
         Answered, /**< status and body are set. */
-        NotSent,  /**< No connection came to be; nothing was done. */
+        NotSent,  /**< No byte was sent in time; nothing was done. */
         Lost,     /**< No whole answer came; the call may have been carried out. */
     };
     Outcome outcome = Outcome::Lost;
@@ -55,7 +60,10 @@
 public:
     virtual ~HttpCaller() = default;
 
-    /** Starts a call; the callback comes later, once, unless the caller is destroyed first. */
+    /**
+     * Starts a call, which is not sent after its time limit. The callback comes later, once, unless
+     * the caller is destroyed first.
+     */
     virtual void call(const HttpCall& call, HttpCallback callback) = 0;
 };
 
--- a/src/link/socket/HttpClient.cpp
+++ b/src/link/socket/HttpClient.cpp
@@ -117,7 +117,9 @@
 void HttpClient::call(const HttpCall& call, HttpCallback callback) {
     auto exchange = std::make_unique<Exchange>();
     exchange->callback = std::move(callback);
-    exchange->deadline = _clock.now() + call.timeout;
+    exchange->answerBy = _clock.now() + call.timeout;
+    exchange->sendBy = std::min(exchange->answerBy, call.sendBy.value_or(exchange->answerBy));
+    exchange->deadline = exchange->sendBy;
     exchange->stallTimeout = call.stallTimeout;
     std::string& request = exchange->request;
     request = call.method + " " + call.target + " HTTP/1.1\r\nHost: " + _host + ":" +
@@ -134,18 +136,35 @@
     if (!_kept.empty() && call.connection == HttpCall::Connection::KeptOrNew) {
         exchange->connection = std::move(_kept.back());
         _kept.pop_back();
-        exchange->connected = true;
         exchange->reused = true;
-        exchange->connection->write(request);
+        transmit(*exchange);
     } else {
         exchange->connection = std::make_unique<StreamConnection>(_poller, *this);
         if (!exchange->connection->connectTo(_host, _port)) {
             exchange->deadline = _clock.now();
         }
     }
+    if (call.sendBy) {
+        exchange->connection->giveUpUnacknowledgedAfter(call.timeout);
+    }
     _running.push_back(std::move(exchange));
 }
 
+/**
+ * Sends the request unless its time is over. A connection may open seconds after the call: when a
+ * process goes on after it stood still, open connections are reported before timers.
+ * @return whether the request may have been sent.
+ */
+bool HttpClient::transmit(Exchange& exchange) {
+    if (_clock.now() >= exchange.sendBy) {
+        return false;
+    }
+    exchange.connected = true;
+    exchange.deadline = exchange.answerBy;
+    exchange.connection->writeBefore(exchange.sendBy, _clock, exchange.request);
+    return true;
+}
+
 HttpClient::Exchange* HttpClient::find(const StreamConnection& connection) {
     for (const auto& exchange : _running) {
         if (exchange->connection.get() == &connection) {
@@ -171,9 +190,11 @@
 }
 
 void HttpClient::onConnected(StreamConnection& connection) {
-    if (Exchange* exchange = find(connection)) {
-        exchange->connected = true;
-        connection.write(exchange->request);
+    Exchange* exchange = find(connection);
+    if (exchange != nullptr && !transmit(*exchange)) {
+        HttpAnswer answer;
+        answer.outcome = HttpAnswer::Outcome::NotSent;
+        finish(*exchange, answer, false);
     }
 }
 
--- a/src/link/socket/HttpClient.h
+++ b/src/link/socket/HttpClient.h
@@ -1,7 +1,8 @@
 /**
- * Small HTTP/1.1 client on one address: kept connections, a time limit for each call, and an
- * abortive close, so that a call given up on is not delivered late by a link that heals. A general
- * client library can't promise that, and may send a call twice.
+ * Small HTTP/1.1 client on one address: kept connections, a time limit for each call that is
+ * checked as its bytes are sent, and an abortive close, so that a call given up on is not delivered
+ * late by a link that heals or by a process that stood still. A general client library can't
+ * promise that, and may send a call twice.
  */
 #pragma once
 
@@ -35,15 +36,22 @@
     std::uint64_t bytesSent() const { return _bytesSent; }
     std::uint64_t bytesReceived() const { return _bytesReceived; }
 
-    /** Moves to another address; running calls end as lost. */
+    /** Moves to another address. Running calls end at the former one, within their time limits. */
     void redirect(std::string host, std::uint16_t port);
 
 private:
     struct Exchange {
         std::unique_ptr<StreamConnection> connection;
         HttpCallback callback;
+        /** The request is not sent at this time or later. */
+        TimePoint sendBy{};
+        /** When an answer must have begun. */
+        TimePoint answerBy{};
+        /** When the call is given up: `sendBy` until the request is sent, `answerBy` from then on,
+         * and later while an answer arrives. */
         TimePoint deadline{};
         Duration stallTimeout{};
+        /** The request may have been sent. */
         bool connected = false;
         /** The connection has served a call before. */
         bool reused = false;
@@ -55,6 +63,7 @@
     void onClosed(StreamConnection& connection) override;
 
     Exchange* find(const StreamConnection& connection);
+    bool transmit(Exchange& exchange);
     void finish(Exchange& exchange, const HttpAnswer& answer, bool keep);
     void closeKept();
 
--- a/src/link/socket/StreamConnection.cpp
+++ b/src/link/socket/StreamConnection.cpp
@@ -8,6 +8,7 @@
 
 #include <array>
 #include <cerrno>
+#include <chrono>
 
 namespace coralhoist::socket {
 namespace {
@@ -74,7 +75,8 @@
         _unsent.append(bytes);
         return;
     }
-    const ssize_t sent = ::send(_descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    const ssize_t sent =
+        mayStillSend() ? ::send(_descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL) : 0;
     const std::size_t taken = sent > 0 ? static_cast<std::size_t>(sent) : 0;
     if (taken < bytes.size()) {
         // An error shows again when the poller reports the broken connection.
@@ -83,6 +85,22 @@
     }
 }
 
+void StreamConnection::writeBefore(TimePoint deadline, const Clock& clock, std::string_view bytes) {
+    _sendLimit = SendLimit{&clock, deadline};
+    write(bytes);
+}
+
+bool StreamConnection::mayStillSend() const {
+    return !_sendLimit || _sendLimit->clock->now() < _sendLimit->deadline;
+}
+
+void StreamConnection::giveUpUnacknowledgedAfter(Duration time) {
+    if (isOpen()) {
+        const auto limit = std::chrono::ceil<std::chrono::milliseconds>(time);
+        setOption(_descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(limit.count()));
+    }
+}
+
 void StreamConnection::close(CloseMode mode) {
     if (!isOpen()) {
         return;
@@ -106,8 +124,8 @@
     _poller.change(_registration, _descriptor, interest);
 }
 
-void StreamConnection::fail() {
-    close();
+void StreamConnection::fail(CloseMode mode) {
+    close(mode);
     _handler.onClosed(*this);
 }
 
@@ -140,6 +158,10 @@
 }
 
 void StreamConnection::flush() {
+    if (!_unsent.empty() && !mayStillSend()) {
+        fail(CloseMode::Abort);
+        return;
+    }
     if (!_unsent.empty()) {
         const ssize_t sent = ::send(_descriptor, _unsent.data(), _unsent.size(), MSG_NOSIGNAL);
         if (sent < 0 && errno != EAGAIN && errno != EINTR) {
--- a/src/link/socket/StreamConnection.h
+++ b/src/link/socket/StreamConnection.h
@@ -2,9 +2,11 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
+#include "base/Time.h"
 #include "link/socket/SocketPoller.h"
 
 namespace coralhoist::socket {
@@ -50,6 +52,20 @@
     /** Sends bytes, or keeps them until the connection takes them. */
     void write(std::string_view bytes);
 
+    /**
+     * Sends bytes before the deadline only, as the clock shows it when they are handed to the
+     * system. If some of them are still unsent then, the connection breaks and drops them. The
+     * deadline holds for all that is written until the next one is set.
+     * @param clock outlives the connection.
+     */
+    void writeBefore(TimePoint deadline, const Clock& clock, std::string_view bytes);
+
+    /**
+     * Lets the system break the connection when the other side's host has not acknowledged bytes
+     * for this time, which also holds while this process does not run.
+     */
+    void giveUpUnacknowledgedAfter(Duration time);
+
     void close(CloseMode mode = CloseMode::Orderly);
 
     bool isOpen() const { return _descriptor >= 0; }
@@ -58,11 +74,18 @@
     std::size_t unsentBytes() const { return _unsent.size(); }
 
 private:
+    /** Until when bytes may be sent. */
+    struct SendLimit {
+        const Clock* clock = nullptr;
+        TimePoint deadline{};
+    };
+
     void onReadable() override;
     void onWritable() override;
     void onBroken() override;
-    void fail();
+    void fail(CloseMode mode = CloseMode::Orderly);
     void flush();
+    bool mayStillSend() const;
     void watch(SocketInterest interest);
 
     SocketPoller& _poller;
@@ -73,6 +96,7 @@
     SocketInterest _interest;
     std::string _received;
     std::string _unsent;
+    std::optional<SendLimit> _sendLimit;
 };
 
 }  // namespace coralhoist::socket
--- a/tests/soak/SoakPartsTest.cpp
+++ b/tests/soak/SoakPartsTest.cpp
@@ -55,6 +55,17 @@
     waitFor([this] { return accepted->bytesAvailable() == 4; });
 }
 
+TEST(FaultyRelay, NewConnectionsWaitWhileTheQueueIsFull) {
+    relay->setQueueFull(true);
+    QTcpSocket late;
+    late.connectToHost(QHostAddress::LocalHost, relay->port());
+    caller.write("passes");
+    waitFor([this] { return accepted->bytesAvailable() == 6; });
+    CHECK_FALSE(late.state() == QAbstractSocket::ConnectedState);
+    relay->setQueueFull(false);
+    waitFor([&late] { return late.state() == QAbstractSocket::ConnectedState; });
+}
+
 TEST(FaultyRelay, ResetsBothSides) {
     relay->resetAll();
     waitFor([this] {
--- a/tests/socket/HttpTest.cpp
+++ b/tests/socket/HttpTest.cpp
@@ -187,5 +187,113 @@
     CHECK_TRUE(answer->outcome == HttpAnswer::Outcome::Lost);
 }
 
+/**
+ * A server whose connections are open as soon as its host has them: a client that stands still
+ * while it connects finds its connection open when it goes on.
+ */
+struct OpeningServer {
+    QTcpServer server;
+    std::unique_ptr<QTcpSocket> peer;
+
+    OpeningServer() { CHECK_TRUE(server.listen(QHostAddress::LocalHost, 0)); }
+
+    /** @return what the client has sent once its connection is closed. */
+    QByteArray receivedUntilClosed() {
+        CHECK_TRUE(testing::waitUntil([this] { return server.hasPendingConnections(); }));
+        peer.reset(server.nextPendingConnection());
+        CHECK_TRUE(testing::waitUntil(
+            [this] { return peer->state() == QAbstractSocket::UnconnectedState; }));
+        return peer->readAll();
+    }
+};
+
+/** Guards against a promotion call that a frozen node sends when it goes on: the connection is
+ * open by then, and is reported before the timer that would end the call. */
+TEST(Http, ACallIsNotSentWhenItsConnectionOpensAfterItsTimeLimit) {
+    testing::ManualClock manual;
+    OpeningServer receiver;
+    HttpClient client(poller, manual, kHost, receiver.server.serverPort());
+    std::optional<HttpAnswer> answer;
+    client.call({"POST", "/x", "{}", {}, std::chrono::milliseconds(900)},
+                [&answer](const HttpAnswer& given) { answer = given; });
+    manual.advance(std::chrono::milliseconds(900));
+    CHECK_TRUE(testing::waitUntil([&answer] { return answer.has_value(); }));
+    CHECK_TRUE(answer->outcome == HttpAnswer::Outcome::NotSent);
+    client.onTick(manual.now());
+    LONGS_EQUAL(0, receiver.receivedUntilClosed().size());
+}
+
+/** Guards against a call that leaves within its time limit, but after the claim it was decided
+ * under may have passed to another node. */
+TEST(Http, ACallIsNotSentAfterTheTimeByWhichItMustBeSent) {
+    testing::ManualClock manual;
+    OpeningServer receiver;
+    HttpClient client(poller, manual, kHost, receiver.server.serverPort());
+    std::optional<HttpAnswer> answer;
+    HttpCall call{"POST", "/x", "{}", {}, std::chrono::milliseconds(900)};
+    call.sendBy = manual.now() + std::chrono::milliseconds(100);
+    client.call(call, [&answer](const HttpAnswer& given) { answer = given; });
+    manual.advance(std::chrono::milliseconds(100));
+    CHECK_TRUE(testing::waitUntil([&answer] { return answer.has_value(); }));
+    CHECK_TRUE(answer->outcome == HttpAnswer::Outcome::NotSent);
+    client.onTick(manual.now());
+    LONGS_EQUAL(0, receiver.receivedUntilClosed().size());
+}
+
+TEST(Http, ACallThatCannotBeSentInTimeEndsAtThatTime) {
+    testing::ManualClock manual;
+    HttpClient client(poller, manual, kHost, responder.port());
+    std::optional<HttpAnswer> answer;
+    HttpCall call{"POST", "/x", "{}", {}, std::chrono::milliseconds(900)};
+    call.sendBy = manual.now() + std::chrono::milliseconds(100);
+    client.call(call, [&answer](const HttpAnswer& given) { answer = given; });
+    CHECK_TRUE(client.nextTick() == call.sendBy);
+    client.onTick(*call.sendBy);
+    CHECK_TRUE(answer && answer->outcome == HttpAnswer::Outcome::NotSent);
+}
+
+/** Guards against the rest of a call that waits in the send buffer of an open connection and is
+ * sent when a frozen node goes on. */
+TEST(Http, BytesThatWaitInTheSendBufferAreNotSentAfterTheTimeLimit) {
+    testing::ManualClock manual;
+    OpeningServer receiver;
+    HttpClient client(poller, manual, kHost, receiver.server.serverPort());
+    std::optional<HttpAnswer> answer;
+    const std::string body(std::size_t{64} * 1024 * 1024, 'x');
+    client.call({"POST", "/x", body, {}, std::chrono::milliseconds(900)},
+                [&answer](const HttpAnswer& given) { answer = given; });
+    CHECK_TRUE(testing::waitUntil([&receiver] { return receiver.server.hasPendingConnections(); }));
+    manual.advance(std::chrono::milliseconds(900));
+    const qsizetype received = receiver.receivedUntilClosed().size();
+    CHECK_TRUE(answer && answer->outcome == HttpAnswer::Outcome::Lost);
+    CHECK_TRUE(received < static_cast<qsizetype>(body.size()));
+    client.onTick(manual.now());
+}
+
+/** Guards against a call that the system delivers seconds later, over a link that was cut while the
+ * node froze. The receiver takes no bytes, and the node's clock stands still. */
+TEST(Http, TheSystemGivesUpACallThatMustNotBeLate) {
+    testing::ManualClock manual;
+    QTcpServer server;
+    CHECK_TRUE(server.listen(QHostAddress::LocalHost, 0));
+    HttpClient client(poller, manual, kHost, server.serverPort());
+    std::optional<HttpAnswer> answer;
+    HttpCall call{"POST",
+                  "/x",
+                  std::string(std::size_t{64} * 1024 * 1024, 'x'),
+                  {},
+                  std::chrono::milliseconds(300)};
+    call.sendBy = manual.now() + std::chrono::milliseconds(300);
+    client.call(call, [&answer](const HttpAnswer& given) { answer = given; });
+    CHECK_TRUE(testing::waitUntil([&server] { return server.hasPendingConnections(); }));
+    const std::unique_ptr<QTcpSocket> peer(server.nextPendingConnection());
+    peer->setReadBufferSize(1);
+    const TimePoint begun = clock.now();
+    CHECK_TRUE(testing::waitUntil([&answer] { return answer.has_value(); }));
+    CHECK_TRUE(answer->outcome == HttpAnswer::Outcome::Lost);
+    CHECK_TRUE(clock.now() - begun < std::chrono::seconds(3));
+    client.onTick(manual.now());
+}
+
 }  // namespace
 }  // namespace coralhoist::socket
