Orders to servers end with the claim

What callers could see: nothing was seen. A node that stands still, or that can't renew its claim, pauses, resumes or steps down members of another node's promotion; a replica that receives although it was paused may let a replaced primary acknowledge commits.

MemberLink sent whatever waited when its connection opened, and again what had no response on a lost connection, without a look at the time; and a holder that was cut off from the store went on ordering.

Fix: each order has a time by which it must be sent, kClaimValidity (2.5 s) after the holder's last write of the record; it is looked at as the order is sent. A holder whose claim is older renews it before it orders, also while it closes the record.

The fixture's nodes that are cut off from the store no longer hear its watch, as the name says.

--- a/lab/pooled/LogConnector.cpp
+++ b/lab/pooled/LogConnector.cpp
@@ -289,6 +289,9 @@
         refuse(connection, StatementFault::Busy);
         return;
     }
+    if (_onOrder && isOrder(command) && command.kind != ServerCommand::Kind::Status) {
+        _onOrder(command);
+    }
     switch (command.kind) {
         case ServerCommand::Kind::Caller:
             executeCaller(connection, command);
--- a/lab/pooled/LogConnector.h
+++ b/lab/pooled/LogConnector.h
@@ -73,6 +73,11 @@
 
     PathFaults& faults() { return _faults; }
 
+    /** From now on tells of each order to pause, resume or step down that a server carries out. */
+    void setOnOrder(std::function<void(const pooling::ServerCommand&)> onOrder) {
+        _onOrder = std::move(onOrder);
+    }
+
     /** Breaks connections whose server has ended. */
     void step();
 
@@ -143,6 +148,7 @@
     std::map<GroupName, LogGroup*> _groups;
     std::shared_ptr<NodeActivity> _activity;
     PathFaults _faults;
+    std::function<void(const pooling::ServerCommand&)> _onOrder;
     std::unordered_map<ConnectionId, ConnectionPointer> _connections;
     std::uint64_t _last = 0;
     std::uint64_t _slowOrders = 0;
--- a/src/failover/FailoverTiming.h
+++ b/src/failover/FailoverTiming.h
@@ -40,6 +40,11 @@
 constexpr Duration kLeavingTimeout = std::chrono::milliseconds(1500);
 /** The promotion call leaves the node within this time after the announcement was requested. */
 constexpr Duration kCallMargin = std::chrono::milliseconds(800);
+/**
+ * The holder gives orders to servers within this time after it requested its last write of the
+ * record. The rest of kTakeOverAfter is for their delivery.
+ */
+constexpr Duration kClaimValidity = std::chrono::milliseconds(2500);
 /** Interval at which the holder renews the record to show that it still drives the promotion. */
 constexpr Duration kRefreshInterval = std::chrono::milliseconds(900);
 /** The successor must lead within this time after the promotion call. */
--- a/src/failover/GroupFailover.cpp
+++ b/src/failover/GroupFailover.cpp
@@ -10,7 +10,6 @@
 namespace {
 
 using pooling::ListedServer;
-using pooling::ServerCommand;
 using std::chrono::milliseconds;
 
 /** @return whether the primary keeps serving until a successor has nearly caught up. */
@@ -186,6 +185,7 @@
     _links.clear();
     _former.reset();
     _securedAt.reset();
+    _claimedUntil = TimePoint{};
     ++_attempt;
     _busy = false;
     _notBefore = _dependencies.clock.now() + pause;
@@ -259,7 +259,7 @@
         return;
     }
     if (needsCheck(reason) && _former) {
-        link(*_former).request(ServerCommand::Kind::Status);
+        link(*_former).queryStatus();
         enter(Phase::Checking);
         return;
     }
@@ -294,7 +294,7 @@
         .field("reason", describe(_reason))
         .field("former", _former ? _former->value() : std::string("none"))
         .field("record_version", _record.version);
-    _refreshedAt = now;
+    _nextRefreshAt = isClaimed(now) ? now + kRefreshInterval : now;
     _securedAt.reset();
     enter(Phase::Securing);
     secure(now);
--- a/src/failover/GroupFailover.h
+++ b/src/failover/GroupFailover.h
@@ -89,8 +89,9 @@
  * Invariants: the record is changed only under a version that this node wrote, except for a claim,
  * which names the version that was read. A promotion is called only for the announced successor,
  * and the call leaves the node within kCallMargin of the announcement, which is shorter than the
- * time after which another node takes a record over. Once a server was ordered to stop receiving,
- * the promotion is carried on to its end, so that no server resumes by mistake.
+ * time after which another node takes a record over. Orders to servers leave the node within
+ * kClaimValidity of its last write of the record. Once a server was ordered to stop receiving, the
+ * promotion is carried on to its end, so that no server resumes by mistake.
  *
  * When the store was restored from an older copy (`StoreReturn.cpp`), claims, announcements and
  * ends of promotions may be lost. Each node that knows later ones writes them again. No node claims
@@ -227,6 +228,7 @@
     bool awaitsBetterServer(const CommitQuorum& quorum, LeadSuitability suitability) const;
     bool isOwn(const PromotionRecord& record) const;
     bool isDriving() const;
+    bool isClaimed(TimePoint now) const { return now < _claimedUntil; }
     bool isHolderExclusive(TimePoint now) const;
     Term newestShownTerm() const;
     Term nextTerm() const;
@@ -308,7 +310,13 @@
     StoreVersion _announcedVersion;
     /** When this node first saw the newest announcement; never before it was written. */
     TimePoint _announcementSeenAt{};
-    TimePoint _refreshedAt{};
+    /** When the claim is renewed next. */
+    TimePoint _nextRefreshAt{};
+    /**
+     * No other node holds the claim before this time, so this node may give orders to servers. Past
+     * it the claim must be renewed first, because another node may have taken it over.
+     */
+    TimePoint _claimedUntil{};
     TimePoint _waitingLoggedAt{};
     /** Whether this attempt has reached the step that orders the former primary to step down. */
     bool _stopping = false;
--- a/src/failover/LeadershipProbe.cpp
+++ b/src/failover/LeadershipProbe.cpp
@@ -6,7 +6,6 @@
 namespace {
 
 using pooling::ListedServer;
-using pooling::ServerCommand;
 
 /** Shortest interval between two queries. */
 constexpr Duration kQueryInterval = std::chrono::milliseconds(120);
@@ -43,7 +42,7 @@
             link = std::make_unique<MemberLink>(listed.announcement.address, _clock, _connector,
                                                 _parser);
         }
-        link->request(ServerCommand::Kind::Status);
+        link->queryStatus();
     }
 }
 
--- a/src/failover/MemberLink.cpp
+++ b/src/failover/MemberLink.cpp
@@ -39,28 +39,50 @@
     }
 }
 
-void MemberLink::request(ServerCommand::Kind kind, Term term) {
-    const auto same = [kind](const PendingCommand& pending) { return pending.kind == kind; };
-    if (std::any_of(_unsent.begin(), _unsent.end(), same) ||
-        std::any_of(_sent.begin(), _sent.end(), same)) {
+void MemberLink::queryStatus() {
+    request({ServerCommand::Kind::Status, 0, _clock.now()});
+}
+
+void MemberLink::order(ServerCommand::Kind kind, Term term, TimePoint sendBy) {
+    request({kind, term, _clock.now(), sendBy});
+}
+
+void MemberLink::request(const PendingCommand& command) {
+    const auto same = [&command](const PendingCommand& other) {
+        return other.kind == command.kind;
+    };
+    if (std::any_of(_sent.begin(), _sent.end(), same)) {
+        return;
+    }
+    const auto waiting = std::find_if(_unsent.begin(), _unsent.end(), same);
+    if (waiting != _unsent.end()) {
+        waiting->term = command.term;
+        waiting->sendBy = command.sendBy;
         return;
     }
-    const PendingCommand pending{kind, term, _clock.now()};
     if (_opened) {
-        transmit(pending);
+        transmit(command);
         return;
     }
-    _unsent.push_back(pending);
+    _unsent.push_back(command);
     if (!_connection) {
         open(_clock.now());
     }
 }
 
+/**
+ * The time is looked at here: the connection may have opened, or the process gone on, long after
+ * the command was requested.
+ */
 void MemberLink::transmit(const PendingCommand& pending) {
+    const TimePoint now = _clock.now();
+    if (now >= pending.sendBy) {
+        return;
+    }
     ServerCommand command;
     command.kind = pending.kind;
     command.term = pending.term;
-    _sent.push_back({pending.kind, pending.term, _clock.now()});
+    _sent.push_back({pending.kind, pending.term, now, pending.sendBy});
     _connector.send(*_connection, {command});
 }
 
@@ -79,7 +101,7 @@
     }
     _connection.reset();
     _opened = false;
-    // Orders are idempotent, so unanswered commands are sent again on the next connection.
+    // Commands are idempotent, so those without a response are sent again on the next connection.
     for (const PendingCommand& pending : _sent) {
         _unsent.push_back(pending);
     }
@@ -96,11 +118,16 @@
     if (lateOpening || lateAnswer) {
         drop();
     }
+    dropExpired(now);
     if (!_connection && !_unsent.empty()) {
         open(now);
     }
 }
 
+void MemberLink::dropExpired(TimePoint now) {
+    std::erase_if(_unsent, [now](const PendingCommand& pending) { return now >= pending.sendBy; });
+}
+
 bool MemberLink::isSilentFor(Duration time, TimePoint now) const {
     return now - _lastResponseAt.value_or(_createdAt) >= time;
 }
--- a/src/failover/MemberLink.h
+++ b/src/failover/MemberLink.h
@@ -32,8 +32,15 @@
     MemberLink(const MemberLink&) = delete;
     MemberLink& operator=(const MemberLink&) = delete;
 
-    /** Sends the command unless an earlier command of the same kind is unanswered. */
-    void request(pooling::ServerCommand::Kind kind, Term term = 0);
+    /** Queries the server's status unless an earlier query is unanswered. */
+    void queryStatus();
+
+    /**
+     * Sends an order unless an earlier order of the same kind is unanswered; one that waits for the
+     * connection is replaced. Servers can't tell a late order from a present one in every case, so
+     * it is not sent, and not sent again, at `sendBy` or later.
+     */
+    void order(pooling::ServerCommand::Kind kind, Term term, TimePoint sendBy);
 
     /** Opens a missing connection and drops a connection whose opening or response times out. */
     void onTick(TimePoint now);
@@ -72,8 +79,12 @@
         pooling::ServerCommand::Kind kind = pooling::ServerCommand::Kind::Status;
         Term term = 0;
         TimePoint requestedAt{};
+        /** The command is not sent at this time or later. */
+        TimePoint sendBy = TimePoint::max();
     };
 
+    void request(const PendingCommand& command);
+    void dropExpired(TimePoint now);
     void drop();
     void open(TimePoint now);
     void transmit(const PendingCommand& pending);
--- a/src/failover/MemberSurvey.cpp
+++ b/src/failover/MemberSurvey.cpp
@@ -43,7 +43,7 @@
     for (const auto& [name, server] : _servers) {
         MemberLink& member = link(name);
         if (!member.report() || now - member.report()->requestedAt >= kStatusInterval) {
-            member.request(ServerCommand::Kind::Status);
+            member.queryStatus();
         }
     }
 }
@@ -69,7 +69,7 @@
             _former = name;
         }
         if (leads || suspected) {
-            member->request(ServerCommand::Kind::StepDown, term);
+            member->order(ServerCommand::Kind::StepDown, term, _claimedUntil);
         }
     }
 }
@@ -98,7 +98,7 @@
         const MemberView* view = quorum.find(name);
         const bool paused = view != nullptr && view->role == MemberRole::Paused;
         if (!paused) {
-            member->request(ServerCommand::Kind::Pause, term);
+            member->order(ServerCommand::Kind::Pause, term, _claimedUntil);
         }
     }
 }
--- a/src/failover/PromotionSteps.cpp
+++ b/src/failover/PromotionSteps.cpp
@@ -172,7 +172,7 @@
     }
     const bool due = !report || now - report->requestedAt > kActiveTickInterval * 3;
     if (due) {
-        successor.request(ServerCommand::Kind::Status);
+        successor.queryStatus();
     }
 }
 
@@ -194,7 +194,7 @@
         const bool outlasts = current && member->report()->report.heldTerm > ledTerm;
         const bool mayBePaused = member->paused() && (!current || !isTermKnown);
         if (outlasts) {
-            member->request(ServerCommand::Kind::Resume);
+            member->order(ServerCommand::Kind::Resume, 0, _claimedUntil);
         }
         anyPaused |= name != _successor && (outlasts || mayBePaused);
     }
@@ -207,6 +207,11 @@
  * (LeadershipTracker::confirmByRecord).
  */
 void GroupFailover::closeRecord(TimePoint now) {
+    if (!isClaimed(now)) {
+        // Receivers may have to be ordered to resume, and that takes a claim.
+        refreshRecord(now);
+        return;
+    }
     requestStatuses(now);
     const bool awaitsReceivers = resumeReceivers(now) && now - _phaseSince < kResumeTimeout;
     if (_busy || awaitsReceivers || now < _announcementSeenAt + pooling::kLeadershipLease) {
--- a/src/failover/RecordClaim.cpp
+++ b/src/failover/RecordClaim.cpp
@@ -86,6 +86,7 @@
                                  if (saved.outcome == StoreOutcome::Done) {
                                      PromotionRecord written = record;
                                      written.version = saved.version;
+                                     _claimedUntil = requestedAt + kClaimValidity;
                                      onRecord(written);
                                  }
                                  if (attempt == _attempt) {
@@ -118,15 +119,18 @@
 }
 
 void GroupFailover::refreshRecord(TimePoint now) {
-    if (!_busy && now - _refreshedAt > kRefreshInterval) {
-        _refreshedAt = now;
+    if (!_busy && now >= _nextRefreshAt) {
+        _nextRefreshAt = now + kRefreshInterval;
         save(_record, &GroupFailover::onRefreshed);
     }
 }
 
 void GroupFailover::onRefreshed(const SavedRecord& saved, TimePoint /*requestedAt*/) {
-    if (saved.outcome == StoreOutcome::Conflict && _phase == Phase::Securing) {
+    if (saved.outcome == StoreOutcome::Conflict &&
+        (_phase == Phase::Securing || _phase == Phase::Closing)) {
         giveUp("another node took the record over", kConflictPause);
+    } else if (saved.outcome == StoreOutcome::Done && _phase == Phase::Closing) {
+        enter(Phase::Closing);
     }
 }
 
--- a/tests/failover/FailoverFixture.cpp
+++ b/tests/failover/FailoverFixture.cpp
@@ -92,6 +92,22 @@
 }
 
 void FailoverFixture::follow(FailoverNode& node) {
+    if (!node.client->isCut()) {
+        followStore(node);
+    }
+    node.primary.reset();
+    for (const auto& server : group.servers()) {
+        if (unlisted.contains(server->name) || removed.contains(server->name)) {
+            continue;
+        }
+        if (server->primary && (!node.primary || server->term > node.primary->term)) {
+            node.primary = pooling::Primary{server->name, server->term};
+        }
+    }
+    node.failover->onPrimary(node.primary);
+}
+
+void FailoverFixture::followStore(FailoverNode& node) {
     pooling::ServerDirectory directory;
     node.era->note(store.era(), "store");
     for (pooling::ServerAnnouncement announcement : group.announcements()) {
@@ -107,16 +123,6 @@
     }
     node.failover->onDirectory(directory.serversOf(group.name()));
     node.failover->onRecord(store.record(group.name()));
-    node.primary.reset();
-    for (const auto& server : group.servers()) {
-        if (unlisted.contains(server->name) || removed.contains(server->name)) {
-            continue;
-        }
-        if (server->primary && (!node.primary || server->term > node.primary->term)) {
-            node.primary = pooling::Primary{server->name, server->term};
-        }
-    }
-    node.failover->onPrimary(node.primary);
 }
 
 void FailoverFixture::step() {
--- a/tests/failover/FailoverFixture.h
+++ b/tests/failover/FailoverFixture.h
@@ -68,6 +68,7 @@
 private:
     void step();
     void follow(FailoverNode& node);
+    void followStore(FailoverNode& node);
     void startFailover(std::size_t index);
 
     failover::ReportParser _parser;
