Statements and units: look at the deadline when a connection has opened

What callers could see: a write that runs although its time is over, after its proxy stood still while a connection opened for it; the caller is told afterwards that its outcome is not known.

Fix: a queued statement whose deadline has passed is refused as not run where it is placed; a link to another node that opened after its time limit is given up, and its units are known not to have been taken.

Evidence: StatementPooler.AWriteIsNotSentWhenItsConnectionOpensAfterItsDeadline and UnitLink.AUnitIsNotSentWhenItsLinkOpensTooLate fail without the two checks (the write was sent; the unit was taken).

--- a/src/link/forwarding/UnitLinks.cpp
+++ b/src/link/forwarding/UnitLinks.cpp
@@ -207,6 +207,11 @@
     if (link == nullptr) {
         return;
     }
+    if (_clock.now() - link->waitingSince >= kConnectTimeout) {
+        // The process stood still: what waits to be sent was meant for an earlier time.
+        drop(*link, "unreachable");
+        return;
+    }
     link->connected = true;
     noteRoundTrip(*link, link->waitingSince);
     _failed.erase(link->node.name);
--- a/src/pooling/PoolerQueue.cpp
+++ b/src/pooling/PoolerQueue.cpp
@@ -105,9 +105,15 @@
 /** @return whether the statement is no longer queued: it was sent, forwarded or refused. */
 bool StatementPooler::place(GroupState& group, PooledSession& session) {
     Operation& operation = *session.operation;
-    if (_clock.now() < operation.notBefore) {
+    const TimePoint now = _clock.now();
+    if (now < operation.notBefore) {
         return false;
     }
+    if (now >= operation.deadline) {
+        // The process stood still, and a connection opened before the timer of the deadline ran.
+        refuseAsBusy(session);
+        return true;
+    }
     const Requirement requirement = requirementOf(group, session);
     if (requirement.primary && moveToOther(group, session)) {
         return true;
--- a/tests/forwarding/UnitLinkTest.cpp
+++ b/tests/forwarding/UnitLinkTest.cpp
@@ -300,6 +300,18 @@
     CHECK_FALSE(links.canReach(executor));
 }
 
+/** Guards against units that a node sends when it goes on after it stood still, although the time
+ * to open the link has passed: connections that opened are reported before timers. */
+TEST(UnitLink, AUnitIsNotSentWhenItsLinkOpensTooLate) {
+    service.startServing();
+    open(1, StatementVerb::Write, "WRITE 1 a");
+    clock.advance(milliseconds(250));
+    waitFor([this] { return recorder.losses.contains(UnitId(1)) || service.unitCount() > 0; });
+    UNSIGNED_LONGS_EQUAL(0, service.unitCount());
+    CHECK_TRUE(recorder.losses[UnitId(1)].front() == UnitLoss::NotTaken);
+    CHECK_FALSE(links.canReach(executor));
+}
+
 /** Statements used to wait for connections to nodes that were known to be lost (2,400 on one day).
  */
 TEST(UnitLink, ALostNodeIsTriedWithoutAStatement) {
--- a/tests/pooling/PoolerTest.cpp
+++ b/tests/pooling/PoolerTest.cpp
@@ -80,6 +80,20 @@
                  fixture.replies[0].result.error->message.c_str());
 }
 
+/** Guards against a write that runs after its deadline: the process stood still while a connection
+ * opened for the write, and goes on with the connection before its timers. */
+TEST(StatementPooler, AWriteIsNotSentWhenItsConnectionOpensAfterItsDeadline) {
+    fixture.submit(fixture.session("current"), StatementVerb::Write, "WRITE 1 a");
+    fixture.submit(fixture.session("current"), StatementVerb::Write, "WRITE 2 a");
+    UNSIGNED_LONGS_EQUAL(1, fixture.pendingCount());
+    CHECK(!fixture.connector.opening.empty());
+    fixture.clock.advance(milliseconds(900));
+    fixture.openConnections();
+    UNSIGNED_LONGS_EQUAL(1, fixture.pendingCount());
+    UNSIGNED_LONGS_EQUAL(1, fixture.replies.size());
+    CHECK_TRUE(hasFault(fixture.replies[0], StatementFault::Busy));
+}
+
 TEST(StatementPooler, AWriteWhoseAnswerIsLostIsInDoubtAtOnce) {
     const SessionId session = fixture.session("current");
     fixture.submit(session, StatementVerb::Write, "WRITE 1 a");
