Sessions keep their commits in each group that their service moves between

Cause: a session kept one position, and emptied it when its group changed. The position belongs to one log; it was right to leave it behind, wrong to forget it. The record shows reads after the return that ask for 1.1, the position of another caller's commit.

Fix: OwnCommitFloors keeps a position for each group, eight at most; in a group whose position was dropped the session reads everything acknowledged before the read. Units that other nodes execute carry the floor of their group, and their answers raise it there.

Evidence: ServiceMoves.ASessionReadsItsCommitsAfterItsServiceHasReturned (asked for 100 in place of 500), AForwardedReadHasTheFloorOfItsOwnGroup and AfterTooManyGroupsASessionReadsWhatIsCurrent fail before.

--- a/lab/pooled/LogGroup.cpp
+++ b/lab/pooled/LogGroup.cpp
@@ -93,7 +93,7 @@
     server.log.push_back(record);
     server.receivedAt.push_back(_queue.now());
     server.applied = server.log.size();
-    _judge.onCommitted(record);
+    _judge.onCommitted(record, _name);
     _pending[server.name].push_back({record, server.life, std::move(done)});
 }
 
@@ -142,7 +142,7 @@
     if (server.primary && server.term == _newestTerm) {
         return;
     }
-    _judge.onPromoted(server.commits(server.log.size()), _queue.now());
+    _judge.onPromoted(server.commits(server.log.size()), _queue.now(), _name);
     server.term = ++_newestTerm;
     server.primary = true;
     server.applied = server.log.size();
--- a/lab/pooled/LogStatements.cpp
+++ b/lab/pooled/LogStatements.cpp
@@ -53,8 +53,9 @@
 void LogConnector::read(const ConnectionPointer& connection, const ServerCommand& command) {
     const LogServer& server = *connection->server;
     const RequestNote& note = _book.at(command.id);
-    _judge.onReadRan({note.session, note.promise, note.staleness, note.since},
-                     [&server](const LogPlace& place) { return server.hasApplied(place); });
+    _judge.onReadRan(
+        {note.session, note.promise, note.staleness, note.since, connection->group->name()},
+        [&server](const LogPlace& place) { return server.hasApplied(place); });
     answer(connection, signedResult(*connection));
 }
 
--- a/lab/pooled/PooledFault.cpp
+++ b/lab/pooled/PooledFault.cpp
@@ -52,6 +52,19 @@
     return plans;
 }
 
+std::vector<std::vector<PooledFault>> serviceMovePlans() {
+    constexpr PooledFault kMove = PooledFault::ServicesMove;
+    std::vector<std::vector<PooledFault>> plans{{kMove}, {kMove, kMove}};
+    for (std::size_t index = 0; index < kPooledFaultCount; ++index) {
+        plans.push_back({kMove, static_cast<PooledFault>(index)});
+    }
+    // A replica that lags while other faults stand shows most of what a session has lost.
+    for (std::size_t index = 0; index < kFirstServerFault; ++index) {
+        plans.push_back({kMove, PooledFault::ReplicaLags, static_cast<PooledFault>(index)});
+    }
+    return plans;
+}
+
 std::vector<std::vector<PooledFault>> crowdedPromotionPlans() {
     std::vector<std::vector<PooledFault>> plans;
     for (const PooledFault fault :
--- a/lab/pooled/PooledFault.h
+++ b/lab/pooled/PooledFault.h
@@ -36,6 +36,7 @@
     StoreReturnsOlder,     /**< The store is away and back from a copy of seconds before. */
     AllNodesDieAtReturn,   /**< The same, and all nodes lose power as it is back. */
     PrimaryMisplaced,      /**< Nodes learn one by one that it must not lead, then that it may. */
+    ServicesMove, /**< Services move to the other group and back, in a series; of runs with two. */
 };
 
 /** Number of the first fault that only servers with slots and heartbeats are played with. */
@@ -48,6 +49,9 @@
 /** @return misplaced primaries: one, two in series, and one with each other fault. */
 std::vector<std::vector<PooledFault>> misplacedPlans();
 
+/** @return services that move: alone, beside each other fault, and in several series at once. */
+std::vector<std::vector<PooledFault>> serviceMovePlans();
+
 /** @return the single faults before kFirstServerFault, and all pairs of them. */
 std::vector<std::vector<PooledFault>> allPooledFaultPlans();
 
--- a/lab/pooled/PooledFaults.cpp
+++ b/lab/pooled/PooledFaults.cpp
@@ -9,6 +9,9 @@
 using std::chrono::seconds;
 
 constexpr int kLinkBreaks = 12;
+constexpr int kServiceMoves = 8;
+/** Nodes apply new settings within this time of each other. */
+constexpr Duration kSettingsSpread = milliseconds(60);
 
 }  // namespace
 
@@ -209,6 +212,23 @@
     }
 }
 
+/** Nodes apply the newest settings one after another. */
+void PooledFaults::moveServices(int times) {
+    _targets.moveServices();
+    ++_counts.serviceMoves;
+    for (std::size_t index = 0; index < _targets.nodes.size(); ++index) {
+        after(between(milliseconds(0), kSettingsSpread), [this, index] {
+            if (_targets.nodes[index]) {
+                _targets.nodes[index]->followSettings();
+            }
+        });
+    }
+    if (times > 1) {
+        after(between(milliseconds(80), milliseconds(500)),
+              [this, times] { moveServices(times - 1); });
+    }
+}
+
 void PooledFaults::begin(PooledFault fault) {
     switch (fault) {
         case PooledFault::PrimaryCrashes:
@@ -249,6 +269,8 @@
             return silenceNode();
         case PooledFault::PrimaryMisplaced:
             return misplacePrimary();
+        case PooledFault::ServicesMove:
+            return moveServices(kServiceMoves);
         default:
             return beginServerFault(fault);
     }
--- a/lab/pooled/PooledFaults.h
+++ b/lab/pooled/PooledFaults.h
@@ -27,6 +27,7 @@
     std::uint64_t replacements = 0;
     /** Restarts of a replica that had been told to stop receiving. */
     std::uint64_t pausesForgotten = 0;
+    std::uint64_t serviceMoves = 0;
 };
 
 /** What faults act on. All outlive them. */
@@ -40,6 +41,8 @@
     std::vector<std::unique_ptr<PooledNode>>& nodes;
     std::function<void(std::size_t index)> killNode;
     std::function<void(std::size_t index)> startNode;
+    /** Moves services between the groups of the run, for all nodes that start from now on. */
+    std::function<void()> moveServices;
 };
 
 /** Begins faults and heals them. */
@@ -83,6 +86,7 @@
     void breakLinks(int times);
     void silenceNode();
     void misplacePrimary();
+    void moveServices(int times);
 
     void crowdServers(TimePoint end);
     void crowd(LogServer& server);
--- a/lab/pooled/PooledNode.cpp
+++ b/lab/pooled/PooledNode.cpp
@@ -1,5 +1,6 @@
 #include "lab/pooled/PooledNode.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace coralhoist::pooled {
@@ -71,6 +72,24 @@
     return catalog;
 }
 
+std::shared_ptr<const pooling::ServiceCatalog> moveServices(const pooling::ServiceCatalog& catalog,
+                                                            const std::vector<LogGroup*>& groups) {
+    auto moved = std::make_shared<pooling::ServiceCatalog>(catalog);
+    ++moved->version;
+    for (auto& [service, entry] : moved->services) {
+        if (!service.value().ends_with(".own")) {
+            continue;
+        }
+        const GroupName former = entry.group;
+        const auto present =
+            std::find_if(groups.begin(), groups.end(),
+                         [&former](const LogGroup* group) { return group->name() == former; });
+        const auto next = static_cast<std::size_t>(present - groups.begin() + 1) % groups.size();
+        entry.group = groups[next]->name();
+    }
+    return moved;
+}
+
 PooledNode::PooledNode(PooledWorld& world, std::string name, std::size_t sessionsPerService)
     : _world(world),
       _name(std::move(name)),
@@ -124,6 +143,10 @@
     _activity->end();
 }
 
+void PooledNode::followSettings() {
+    _activity->run([this] { _pooler.applyCatalog(_world.catalog); });
+}
+
 void PooledNode::setStoreCut(bool cut) {
     _storeCut = cut;
     _storeClient.setCut(cut);
--- a/lab/pooled/PooledNode.h
+++ b/lab/pooled/PooledNode.h
@@ -43,6 +43,10 @@
 std::shared_ptr<const pooling::ServiceCatalog> makeWorkloadCatalog(
     const std::vector<LogGroup*>& groups);
 
+/** @return the settings in which the services of own reads have the group after theirs. */
+std::shared_ptr<const pooling::ServiceCatalog> moveServices(const pooling::ServiceCatalog& catalog,
+                                                            const std::vector<LogGroup*>& groups);
+
 /** A node from its start to its end. */
 class PooledNode final : public pooling::PoolerOutput, public pooling::RecordReader {
 public:
@@ -56,6 +60,8 @@
     void end() { _activity->end(); }
     void freeze() { _activity->freeze(); }
     void thaw() { _activity->thaw(); }
+    /** Applies the newest settings; a node that is frozen does so when it goes on. */
+    void followSettings();
     /** Cuts the node off from the store. */
     void setStoreCut(bool cut);
     ScriptedPlacement& placement() { return _placement; }
--- a/lab/pooled/PooledRun.cpp
+++ b/lab/pooled/PooledRun.cpp
@@ -1,6 +1,7 @@
 #include "lab/pooled/PooledRun.h"
 
 #include <memory>
+#include <set>
 #include <utility>
 
 #include "lab/pooled/PooledNode.h"
@@ -27,14 +28,21 @@
         : _options(options),
           _random(options.seed),
           _group(GroupName("g"), options.group, _queue, _judge),
+          _secondGroup(GroupName("h"), options.group, _queue, _judge),
           _store(_queue, _random, _judge),
           _network(_queue, _random),
           _world{_queue,   _random,           _judge,    _book,   _store,
                  _network, options.executors, {&_group}, nullptr, options.readOnly},
           _faults({_queue, _random, _group, _store, _network, _nodes,
                    [this](std::size_t index) { killNode(index); },
-                   [this](std::size_t index) { startNode(index); }}) {
-        _store.addGroup(_group);
+                   [this](std::size_t index) { startNode(index); },
+                   [this] { _world.catalog = moveServices(*_world.catalog, _world.groups); }}) {
+        if (options.twoGroups) {
+            _world.groups.push_back(&_secondGroup);
+        }
+        for (LogGroup* group : _world.groups) {
+            _store.addGroup(*group);
+        }
         if (options.showsEras) {
             _store.showEras();
         }
@@ -53,7 +61,7 @@
         _queue.runFor(kHealedAt);
         const std::size_t before = _judge.acknowledged();
         _queue.runFor(kEnd - kHealedAt);
-        _judge.onEnd(_group.finalCommits());
+        _judge.onEnd(finalCommits());
         PooledReport report;
         report.violations = _judge.violations();
         report.acknowledged = _judge.acknowledged();
@@ -73,6 +81,14 @@
     }
 
 private:
+    std::set<CommitId> finalCommits() const {
+        std::set<CommitId> commits;
+        for (const LogGroup* group : _world.groups) {
+            commits.merge(group->finalCommits());
+        }
+        return commits;
+    }
+
     void startNode(std::size_t index) {
         if (_nodes.size() <= index) {
             _nodes.resize(index + 1);
@@ -82,7 +98,9 @@
     }
 
     void step() {
-        _group.step();
+        for (LogGroup* group : _world.groups) {
+            group->step();
+        }
         for (const auto& node : _nodes) {
             if (node) {
                 node->step();
@@ -113,6 +131,7 @@
     PooledJudge _judge;
     RequestBook _book;
     LogGroup _group;
+    LogGroup _secondGroup;
     RecordStore _store;
     UnitNetwork _network;
     PooledWorld _world;
--- a/lab/pooled/PooledRun.h
+++ b/lab/pooled/PooledRun.h
@@ -22,6 +22,8 @@
     /** The store shows its era in each answer, as one that may return older does. */
     bool showsEras = false;
     GroupModel group;
+    /** A second group of the same model, which no fault of servers strikes. */
+    bool twoGroups = false;
 };
 
 /** What came of it. */
--- a/src/pooling/PooledSession.h
+++ b/src/pooling/PooledSession.h
@@ -9,8 +9,8 @@
 
 #include "admission/FirstAttempt.h"
 #include "base/Identifier.h"
-#include "base/OpTime.h"
 #include "base/Time.h"
+#include "pooling/OwnCommitFloors.h"
 #include "pooling/ServiceCatalog.h"
 #include "pooling/Statement.h"
 
@@ -130,8 +130,8 @@
     settings::ServiceSettings settings;
     SessionValues values;
     std::map<std::string, PreparedShape> prepared;
-    /** Log position that covers all commits of this session. */
-    OpTime ownFloor;
+    /** Covers the session's commits, also those in groups to which its service may return. */
+    OwnCommitFloors ownFloors;
     SessionTransaction transaction;
     std::optional<Operation> operation;
     /** A statement has arrived and will be submitted later. */
--- a/src/pooling/PoolerCommits.cpp
+++ b/src/pooling/PoolerCommits.cpp
@@ -52,7 +52,7 @@
     const std::optional<Primary>& primary = group.leadership.primary();
     const bool committed = commitsChanges(session);
     if (committed) {
-        session.ownFloor = std::max(session.ownFloor, result.position);
+        session.ownFloors.raise(session.group, result.position);
     }
     if (!primary || primary->server != operation.server || result.position.term == 0 ||
         group.leadership.isPromotedSince(operation.sentAt)) {
--- a/src/pooling/PoolerForwarding.cpp
+++ b/src/pooling/PoolerForwarding.cpp
@@ -107,7 +107,10 @@
     opening.usefulFor = std::max(operation.usefulUntil - _clock.now() - _knobs.forwardingMargin,
                                  _knobs.forwardingMargin);
     opening.settings.statementTimeout = std::max(remaining, _knobs.forwardingMargin);
-    opening.ownFloor = session.ownFloor;
+    opening.ownFloor = session.ownFloors.floorOf(session.group);
+    if (session.ownFloors.mayLackCommits(session.group)) {
+        opening.settings.maxStaleness = Duration(0);
+    }
     if (session.transaction.phase == TransactionPhase::Unstarted) {
         opening.begin = session.transaction.begin;
     }
@@ -120,7 +123,7 @@
     if (session == nullptr || !session->operation || session->operation->unit != unit) {
         return;
     }
-    session->ownFloor = std::max(session->ownFloor, result.ownFloor);
+    session->ownFloors.raise(session->group, result.ownFloor);
     SessionTransaction& transaction = session->transaction;
     const bool ended = result.result.state != SessionState::InTransaction;
     if (ended) {
@@ -198,7 +201,7 @@
     session.group = opening.group;
     session.tenant = opening.tenant;
     session.settings = opening.settings;
-    session.ownFloor = opening.ownFloor;
+    session.ownFloors.raise(session.group, opening.ownFloor);
     session.waited = opening.waited;
     session.usefulFor = opening.usefulFor;
     session.activeAt = _clock.now();
@@ -225,7 +228,8 @@
 
 OpTime StatementPooler::ownFloorOf(SessionId id) const {
     const auto found = _sessions.find(id);
-    return found == _sessions.end() ? OpTime{} : found->second.ownFloor;
+    return found == _sessions.end() ? OpTime{}
+                                    : found->second.ownFloors.floorOf(found->second.group);
 }
 
 }  // namespace coralhoist::pooling
--- a/src/pooling/PoolerQueue.cpp
+++ b/src/pooling/PoolerQueue.cpp
@@ -171,14 +171,16 @@
 StatementPooler::Requirement StatementPooler::readRequirement(GroupState& group,
                                                               const PooledSession& session) const {
     Requirement requirement;
-    const Duration staleness = session.settings.maxStaleness.value_or(Duration(0));
+    const Duration staleness = session.ownFloors.mayLackCommits(session.group)
+                                   ? Duration(0)
+                                   : session.settings.maxStaleness.value_or(Duration(0));
     const std::optional<OpTime> floor =
         group.floors.covering(session.operation->consistentSince - staleness);
     if (!floor) {
         requirement.impossible = true;
         return requirement;
     }
-    requirement.floor = std::max(*floor, session.ownFloor);
+    requirement.floor = std::max(*floor, session.ownFloors.floorOf(session.group));
     requirement.reachedAt = group.floors.reachedAt(*requirement.floor).value_or(_clock.now());
     return requirement;
 }
@@ -225,8 +227,9 @@
         requirement.impossible = true;
         return requirement;
     }
-    if (session.ownFloor.term > 0 && !operation.writes) {
-        requirement.floor = session.ownFloor;
+    const OpTime ownFloor = session.ownFloors.floorOf(session.group);
+    if (ownFloor.term > 0 && !operation.writes) {
+        requirement.floor = ownFloor;
     }
     return requirement;
 }
--- a/src/pooling/PoolerStatements.cpp
+++ b/src/pooling/PoolerStatements.cpp
@@ -77,10 +77,7 @@
         _closing.push_back(session.id);
         return false;
     }
-    if (entry->group != session.group) {
-        session.group = entry->group;
-        session.ownFloor = OpTime{};
-    }
+    session.group = entry->group;
     session.settings = entry->settings;
     return true;
 }
--- a/src/pooling/StatementPooler.h
+++ b/src/pooling/StatementPooler.h
@@ -194,7 +194,7 @@
     /** Runs a statement of a forwarded unit that has no statement in progress. */
     void submitUnit(SessionId session, UnitStatement statement);
 
-    /** @return the log position that covers the session's own commits. */
+    /** @return the log position that covers the session's own commits in its present group. */
     OpTime ownFloorOf(SessionId session) const;
 
     /** Runs a statement of a session that has no statement in progress. */
