Server directory: incarnations that end together are forgotten together

Cause: expireIn looked up an id once for each forgotten incarnation and used the second look-up's result, which the first one had erased.

Fix: each id is handled once, and an unknown id is left alone.

--- a/src/failover/GroupFailover.cpp
+++ b/src/failover/GroupFailover.cpp
@@ -270,6 +270,10 @@
 
 /** A suspected primary that responds at all is not replaced, except by a planned move. */
 void GroupFailover::check(TimePoint now) {
+    if (listed(*_former) == nullptr) {
+        enter(Phase::Loading);
+        return;
+    }
     MemberLink& former = link(*_former);
     const std::optional<TimePoint> lastResponse = former.lastResponseAt();
     if (lastResponse && *lastResponse >= _phaseSince && (former.report() || !former.isRefused())) {
--- a/src/pooling/ServerDirectory.cpp
+++ b/src/pooling/ServerDirectory.cpp
@@ -175,11 +175,12 @@
 
 /** Forgets the group's servers that were removed before this time. */
 void ServerDirectory::expireIn(const GroupName& group, Servers& servers, TimePoint before) {
-    std::vector<std::string> ids;
+    // Several incarnations of one server may be forgotten at once.
+    std::set<std::string> ids;
     std::erase_if(servers, [&](const auto& entry) {
         const bool isOver = entry.second.removed && entry.second.removedAt < before;
         if (isOver) {
-            ids.push_back(idOf(entry.first));
+            ids.insert(idOf(entry.first));
         }
         return isOver;
     });
@@ -196,6 +197,9 @@
         return;
     }
     const auto groups = _groupsOfId.find(id);
+    if (groups == _groupsOfId.end()) {
+        return;
+    }
     groups->second.erase(group);
     if (groups->second.empty()) {
         _groupsOfId.erase(groups);
--- a/tests/pooling/ServerDirectoryTest.cpp
+++ b/tests/pooling/ServerDirectoryTest.cpp
@@ -98,6 +98,20 @@
     UNSIGNED_LONGS_EQUAL(1, directory.serversOf(kGroup).size());
 }
 
+/** Guards against a crash of every proxy after a server has started again and left at once: both
+ * incarnations are forgotten in one step. */
+TEST(ServerDirectory, IncarnationsThatEndTogetherAreForgottenTogether) {
+    put(incarnation(100, 5));
+    put(incarnation(200, 6));
+    directory.remove(ServerName("s1"), {0, 7}, clock.now());
+    clock.advance(seconds(16));
+    directory.expire(clock.now(), seconds(15));
+    UNSIGNED_LONGS_EQUAL(0, directory.serversOf(kGroup).size());
+    CHECK_TRUE(directory.groupOf(ServerName("s1")) == GroupName());
+    CHECK_TRUE(put(incarnation(300, 8)));
+    CHECK_TRUE(isListed(300));
+}
+
 /** An entry without a start time, under the id of a server that reports one, is by another writer.
  */
 TEST(ServerDirectory, AnEntryOfAnotherWriterNamesNoServerAndEndsNoLife) {
