--- /dev/null
+++ b/review/standins-2/cases.cpp
@@ -0,0 +1,322 @@
+/** The review's script cases: cases NAME RECORD. Environment: TROUBLE=0 leaves the disruption out. */
+#include "stage.h"
+
+namespace {
+
+using namespace stage;
+
+bool hasTrouble() {
+    const char* value = std::getenv("TROUBLE");
+    return value == nullptr || std::string(value) != "0";
+}
+
+/** One store, one service of three servers and its proxies. */
+struct Site {
+    Store store;
+    Group group{"spieltisch", store};
+    Cloud cloud;
+    std::vector<std::unique_ptr<Proxy>> proxies;
+    std::string folder = temporaryFolder();
+
+    explicit Site(int timeout, const std::string& kind = "bounded_staleness") {
+        store.start();
+        cloud.start(group);
+        group.addServer("i-0000000a", "sued-a", true);
+        group.addServer("i-0000000b", "sued-a", false);
+        group.addServer("i-0000000c", "sued-a", false);
+        group.beat();
+        store.put("config", "main", configuration(7, group.name(), timeout, kind));
+    }
+
+    /** Ends the proxies; what this process plays ends with it. */
+    void finish() {
+        for (const auto& proxy : proxies) {
+            proxy->end();
+        }
+        const std::string remove = "rm -rf '" + folder + "'";
+        if (std::getenv("KEEP") == nullptr && std::system(remove.c_str()) != 0) {
+            std::perror("rm");
+        }
+    }
+
+    Proxy& addProxy(const Bounds& bounds) {
+        proxies.push_back(std::make_unique<Proxy>());
+        Proxy& proxy = *proxies.back();
+        proxy.start(folder, "front-sued-a-" + std::to_string(proxies.size()), "sued-a", store.port,
+                    cloud.port, bounds);
+        return proxy;
+    }
+};
+
+/** Threads of the site use it until this process ends. */
+Site* opened = nullptr;
+
+Site& openSite(int timeout, const std::string& kind = "bounded_staleness") {
+    opened = new Site(timeout, kind);
+    return *opened;
+}
+
+/** A client takes a long answer at the rate of its link while the machine is stopped as planned. */
+int stopDuringAnswer() {
+    constexpr std::size_t kRow = 512 * 1024;
+    constexpr int kRows = 44;
+    constexpr double kBytesPerSecond = 8e6;
+    constexpr double kTimeout = 3.0;
+    Site& site = openSite(static_cast<int>(kTimeout * 1000));
+    site.group.rowsOf = [](int descriptor, const std::string& thing) {
+        const int rows = thing == "long" ? kRows : 1;
+        for (int row = 0; row < rows; ++row) {
+            sendAll(descriptor, "ROW " + std::string(kRow, static_cast<char>('a' + row % 26)) +
+                                    "\r\n");
+        }
+    };
+    Proxy& proxy = site.addProxy(Bounds());
+    if (!proxy.awaitReady(15)) {
+        record.line("the proxy did not become ready");
+        return 2;
+    }
+    sleepFor(5);
+    Client client(proxy.front, 256 * 1024);
+    if (!client.open("dbone") || !client.ask("w0", "READ short").whole) {
+        record.line("no session");
+        return 2;
+    }
+    const double stoppedAt = seconds();
+    if (hasTrouble()) {
+        record.line("SIGTERM to the proxy; grace_s is 6");
+        proxy.signal(SIGTERM);
+    }
+    sleepFor(0.6);
+    const double sentAt = seconds();
+    record.line("the client sends QUERY r1 READ long");
+    sendAll(client.descriptor, "QUERY r1 READ long\r\n");
+    std::size_t received = 0;
+    std::string tail;
+    std::vector<char> bytes(65536);
+    double lastReport = sentAt;
+    bool ended = false;
+    const auto isWhole = [&tail] {
+        return tail.find("\r\nREADY I ") != std::string::npos &&
+               tail.compare(tail.size() - 2, 2, "\r\n") == 0;
+    };
+    while (seconds() < sentAt + 20) {
+        const double due = sentAt + static_cast<double>(received) / kBytesPerSecond;
+        if (due > seconds()) {
+            sleepFor(due - seconds());
+        }
+        pollfd waiting{client.descriptor, POLLIN, 0};
+        if (::poll(&waiting, 1, 5000) <= 0) {
+            record.line("nothing came for 5 s");
+            break;
+        }
+        const ssize_t got = ::recv(client.descriptor, bytes.data(), bytes.size(), 0);
+        if (got <= 0) {
+            ended = true;
+            record.line(std::string("the connection ends: ") +
+                        (got == 0 ? "closed" : std::strerror(errno)));
+            break;
+        }
+        received += static_cast<std::size_t>(got);
+        tail.append(bytes.data(), static_cast<std::size_t>(got));
+        tail.erase(0, tail.size() > 4096 ? tail.size() - 4096 : 0);
+        if (seconds() - lastReport > 0.25) {
+            lastReport = seconds();
+            record.line("received " + std::to_string(received) + " bytes; the proxy " +
+                        (proxy.hasEnded() ? "has ended" : "runs"));
+        }
+        if (isWhole()) {
+            break;
+        }
+    }
+    const double took = seconds() - sentAt;
+    record.line("received " + std::to_string(received) + " bytes of " +
+                std::to_string(kRows * (kRow + 6)) + " and the end of the answer, " +
+                (isWhole() ? "whole" : "cut") + ", " + std::to_string(took) + " s after the request, " +
+                std::to_string(seconds() - stoppedAt) + " s after the stop");
+    if (isWhole()) {
+        return 0;
+    }
+    if (!ended) {
+        return 2;
+    }
+    // Not counted once the route's timeout or the client's deadline, 25 s, was reached.
+    return took < kTimeout ? 1 : 2;
+}
+
+/** One peer sends broken packets behind a question that is not answered yet. */
+int flood() {
+    constexpr std::size_t kBytes = 1048576;
+    constexpr double kDeadline = 5.0;
+    Site& site = openSite(3000);
+    site.group.rowsOf = [](int descriptor, const std::string& thing) {
+        if (thing == "slow") {
+            sleepFor(0.1);
+        }
+        sendAll(descriptor, "ROW value-of-" + thing + "\r\n");
+    };
+    Proxy& proxy = site.addProxy(Bounds());
+    if (!proxy.awaitReady(15)) {
+        record.line("the proxy did not become ready");
+        return 2;
+    }
+    sleepFor(2);
+    std::atomic<bool> over{false};
+    std::atomic<int> missed{0};
+    std::thread probing([&] {
+        int inRow = 0;
+        while (!over) {
+            const int status = proxy.askReady(1.0);
+            inRow = status == 200 ? 0 : inRow + 1;
+            missed = std::max(missed.load(), inRow);
+            if (status != 200) {
+                record.line("GET /ready was not answered within 1 s");
+            }
+            sleepFor(status == 200 ? 1.0 : 0.0);
+        }
+    });
+    std::thread peer([&] {
+        sleepFor(1);
+        if (!hasTrouble()) {
+            return;
+        }
+        Client rude(proxy.front);
+        rude.open("dbone");
+        std::string bytes = "QUERY r1 READ slow\r\n";
+        while (bytes.size() < kBytes) {
+            bytes += "\r\n";
+        }
+        record.line("a peer sends one question and empty lines behind it, " +
+                    std::to_string(bytes.size()) + " bytes in all");
+        sendAll(rude.descriptor, bytes);
+        char taken[65536];
+        while (!over) {
+            pollfd waiting{rude.descriptor, POLLIN, 0};
+            if (::poll(&waiting, 1, 100) > 0 &&
+                ::recv(rude.descriptor, taken, sizeof taken, 0) <= 0) {
+                break;
+            }
+        }
+    });
+    const double until = seconds() + 25;
+    double longest = 0;
+    int number = 0;
+    while (seconds() < until && !proxy.hasEnded()) {
+        const double began = seconds();
+        Client client(proxy.front);
+        const bool opened = client.open("dbone", 30);
+        const bool answered =
+            opened && client.ask("c" + std::to_string(++number), "READ x", 30).whole;
+        const double took = seconds() - began;
+        longest = std::max(longest, took);
+        if (took > 0.5) {
+            record.line("another client's question took " + std::to_string(took) + " s, " +
+                        (answered ? "answered" : "not answered"));
+        }
+        sleepFor(0.2);
+    }
+    over = true;
+    peer.join();
+    probing.join();
+    record.line(std::to_string(number) + " questions of other clients; the longest took " +
+                std::to_string(longest) + " s, the deadline is 5 s; /ready missed in a row: " +
+                std::to_string(missed.load()));
+    const bool hung = longest > kDeadline && missed >= 2;
+    return hung || proxy.hasEnded() ? 1 : 0;
+}
+
+long residentMegabytes(pid_t pid) {
+    std::FILE* file = std::fopen(("/proc/" + std::to_string(pid) + "/status").c_str(), "r");
+    if (file == nullptr) {
+        return 0;
+    }
+    char line[256];
+    long kilobytes = 0;
+    while (std::fgets(line, sizeof line, file) != nullptr) {
+        if (std::strncmp(line, "VmRSS:", 6) == 0) {
+            kilobytes = std::atol(line + 6);
+        }
+    }
+    std::fclose(file);
+    return kilobytes / 1024;
+}
+
+/** One peer sends a flood of questions and takes no answers. */
+int slowReader() {
+    constexpr int kQuestions = 900;
+    constexpr long kMemoryMb = 512;
+    Site& site = openSite(3000);
+    site.group.rowsOf = [](int descriptor, const std::string& thing) {
+        sendAll(descriptor, "ROW " + std::string(thing == "big" ? 1000000 : 10, 'x') + "\r\n");
+    };
+    Proxy& proxy = site.addProxy(Bounds());
+    if (!proxy.awaitReady(15)) {
+        record.line("the proxy did not become ready");
+        return 2;
+    }
+    sleepFor(2);
+    Client peer(proxy.front, 65536);
+    if (!peer.open("dbone")) {
+        return 2;
+    }
+    std::string questions;
+    for (int number = 0; number < kQuestions; ++number) {
+        questions += "QUERY q" + std::to_string(number) + " READ big\r\n";
+    }
+    record.line("a peer sends " + std::to_string(kQuestions) + " questions, " +
+                std::to_string(questions.size()) + " bytes, and " +
+                (hasTrouble() ? "takes no answer" : "takes each answer"));
+    sendAll(peer.descriptor, questions);
+    std::atomic<bool> over{false};
+    std::thread reading([&] {
+        char taken[65536];
+        while (!hasTrouble() && !over) {
+            pollfd waiting{peer.descriptor, POLLIN, 0};
+            if (::poll(&waiting, 1, 100) > 0 &&
+                ::recv(peer.descriptor, taken, sizeof taken, 0) <= 0) {
+                return;
+            }
+        }
+    });
+    long most = 0;
+    for (int step = 0; step < 300 && !proxy.hasEnded(); ++step) {
+        const long now = residentMegabytes(proxy.pid);
+        if (now / 50 > most / 50) {
+            record.line("the proxy holds " + std::to_string(now) + " MB");
+        }
+        most = std::max(most, now);
+        if (most > kMemoryMb) {
+            break;
+        }
+        sleepFor(0.1);
+    }
+    over = true;
+    reading.join();
+    record.line("most: " + std::to_string(most) + " MB of " + std::to_string(kMemoryMb) +
+                " that a process may have before it is killed");
+    return most > kMemoryMb || proxy.hasEnded() ? 1 : 0;
+}
+
+}  // namespace
+
+int main(int count, char** arguments) {
+    if (count < 3) {
+        return 2;
+    }
+    ::signal(SIGPIPE, SIG_IGN);
+    record.open(arguments[2]);
+    const std::string name = arguments[1];
+    int result = 2;
+    if (name == "stop-during-answer") {
+        result = stopDuringAnswer();
+    } else if (name == "flood") {
+        result = flood();
+    } else if (name == "slow-reader") {
+        result = slowReader();
+    }
+    if (opened != nullptr) {
+        opened->finish();
+    }
+    record.line("exit " + std::to_string(result));
+    std::fflush(nullptr);
+    std::_Exit(result);
+}
