Review case: commits lost after a replica has left as planned

Cause: a member that is gone counts as one that holds nothing, also while the other holder of its commits is unknown. Stand-in servers have logs of their own, wait for a receiver, may be deaf, dark or ended.

--- a/review/standins-2/cases.cpp
+++ b/review/standins-2/cases.cpp
@@ -1,4 +1,6 @@
 /** The review's script cases: cases NAME RECORD. Environment: TROUBLE=0 leaves the disruption out. */
+#include <fstream>
+
 #include "stage.h"
 
 namespace {
@@ -42,10 +44,29 @@
     Proxy& addProxy(const Bounds& bounds) {
         proxies.push_back(std::make_unique<Proxy>());
         Proxy& proxy = *proxies.back();
-        proxy.start(folder, "front-sued-a-" + std::to_string(proxies.size()), "sued-a", store.port,
-                    cloud.port, bounds);
+        const std::string name = "front-sued-a-" + std::to_string(proxies.size());
+        for (int attempt = 0; attempt < 3; ++attempt) {
+            proxy.start(folder, name, "sued-a", store.port, cloud.port, bounds);
+            sleepFor(0.3);
+            if (!proxy.hasEnded()) {
+                break;
+            }
+            record.line("a port was taken meanwhile; started again with others");
+        }
         return proxy;
     }
+
+    /** Copies what the proxies log of the choice of a successor. */
+    void recordChoices() const {
+        for (std::size_t number = 1; number <= proxies.size(); ++number) {
+            std::ifstream log(folder + "/front-sued-a-" + std::to_string(number) + ".log");
+            for (std::string line; std::getline(log, line);) {
+                if (line.find("failover.successor_chosen") != std::string::npos) {
+                    record.line("logged by proxy " + std::to_string(number) + ": " + line);
+                }
+            }
+        }
+    }
 };
 
 /** Threads of the site use it until this process ends. */
@@ -296,6 +317,100 @@
     return most > kMemoryMb || proxy.hasEnded() ? 1 : 0;
 }
 
+/**
+ * A replica leaves as planned, the other one receives nothing for a while, and the primary goes dark
+ * meanwhile.
+ */
+int leavingReplica() {
+    constexpr double kDeaf = 6.0;
+    constexpr double kDark = 7.0;
+    const std::string primary = "i-0000000a";
+    const std::string leaving = "i-0000000b";
+    const std::string staying = "i-0000000c";
+    Site& site = openSite(800, "primary");
+    for (int number = 0; number < 2; ++number) {
+        site.addProxy(Bounds());
+    }
+    for (const auto& proxy : site.proxies) {
+        if (!proxy->awaitReady(15)) {
+            record.line("a proxy did not become ready");
+            return 2;
+        }
+    }
+    std::atomic<bool> over{false};
+    std::atomic<bool> writing{true};
+    std::atomic<int> acknowledged{0};
+    std::atomic<int> served{0};
+    std::vector<std::thread> clients;
+    for (int client = 0; client < 6; ++client) {
+        clients.emplace_back([&, client] {
+            int number = 0;
+            while (!over) {
+                Client session(site.proxies[client % 2]->front);
+                if (!session.open("dbone")) {
+                    sleepFor(0.1);
+                    continue;
+                }
+                bool open = true;
+                while (open && !over) {
+                    const std::string id = std::to_string(client) + "-" + std::to_string(++number);
+                    const bool writes = writing && client < 3;
+                    const Answer answer = session.ask(id, writes ? "WRITE t1 x" : "READ t1");
+                    const bool succeeded = answer.end.rfind("COMPLETE s.", 0) == 0;
+                    open = answer.whole;
+                    if (succeeded && writes) {
+                        site.group.noteAcknowledged(id);
+                        ++acknowledged;
+                        record.line("client told: " + id + " is committed");
+                    }
+                    served += succeeded ? 1 : 0;
+                    sleepFor(0.05);
+                }
+            }
+        });
+    }
+    sleepFor(5);
+    site.group.setDraining(leaving);
+    sleepFor(7.2);
+    if (hasTrouble()) {
+        site.group.setDeaf(staying, true);
+    }
+    const double deafSince = seconds();
+    sleepFor(0.7);
+    writing = false;
+    sleepFor(0.3);
+    site.group.end(leaving);
+    record.line("commits: " + std::to_string(site.group.commitsAt(primary)) + " at the primary, " +
+                std::to_string(site.group.commitsAt(staying)) + " at the staying replica, " +
+                std::to_string(acknowledged) + " acknowledged; no client writes for a while");
+    sleepFor(deafSince + kDeaf - 0.4 - seconds());
+    if (hasTrouble()) {
+        site.group.setDark(primary, true);
+    }
+    const double darkSince = seconds();
+    sleepFor(0.4);
+    if (hasTrouble()) {
+        site.group.setDeaf(staying, false);
+    }
+    sleepFor(darkSince + kDark - seconds());
+    if (hasTrouble()) {
+        site.group.setDark(primary, false);
+    }
+    writing = true;
+    const int servedBefore = served;
+    sleepFor(6);
+    over = true;
+    for (std::thread& client : clients) {
+        client.join();
+    }
+    site.recordChoices();
+    record.line(std::to_string(site.group.promotions) + " promotions, " +
+                std::to_string(site.group.lost) + " acknowledged commits missing at the servers " +
+                "that were promoted; " + std::to_string(served - servedBefore) +
+                " statements served in the last 6 s");
+    return site.group.lost > 0 ? 1 : served - servedBefore > 50 ? 0 : 2;
+}
+
 }  // namespace
 
 int main(int count, char** arguments) {
@@ -312,6 +427,8 @@
         result = flood();
     } else if (name == "slow-reader") {
         result = slowReader();
+    } else if (name == "leaving-replica") {
+        result = leavingReplica();
     }
     if (opened != nullptr) {
         opened->finish();
--- a/review/standins-2/stage.h
+++ b/review/standins-2/stage.h
@@ -448,9 +448,18 @@
     std::vector<Entry> log;
     int connections = 0;
     bool draining = false;
+    std::set<int> open;
+    /** Receives nothing, though it answers. */
+    bool deaf = false;
+    /** Answers nothing and closes nothing, but keeps its log. */
+    bool dark = false;
+    bool ended = false;
 };
 
-/** One service: a primary and its replicas in memory; replicas receive at once. */
+/**
+ * One service: a primary and its replicas in memory. A replica receives within some milliseconds
+ * unless it is deaf, dark or paused; a commit is answered once one replica has received it.
+ */
 class Group {
 public:
     Group(std::string name, Store& store) : _name(std::move(name)), _store(store) {}
@@ -474,10 +483,19 @@
                 sleepFor(1.2);
                 const std::lock_guard<std::mutex> lock(_mutex);
                 for (auto& [id, server] : _servers) {
-                    announce(*server);
+                    if (!server->dark && !server->ended) {
+                        announce(*server);
+                    }
                 }
             }
         }).detach();
+        std::thread([this] {
+            while (true) {
+                sleepFor(0.003);
+                const std::lock_guard<std::mutex> lock(_mutex);
+                replicate();
+            }
+        }).detach();
     }
 
     /** POST /failover: the named server leads the next term some hundred ms later. */
@@ -486,24 +504,88 @@
             sleepFor(0.3);
             const std::lock_guard<std::mutex> lock(_mutex);
             const auto found = _servers.find(id);
-            if (found == _servers.end() || found->second->primary) {
+            if (found == _servers.end() || found->second->primary || found->second->dark ||
+                found->second->ended) {
                 return;
             }
-            std::uint64_t term = 0;
-            for (auto& [name, server] : _servers) {
-                term = std::max(term, server->term);
+            Server& leader = *found->second;
+            leader.term = ++_newestTerm;
+            leader.primary = true;
+            leader.heldTerm = 0;
+            std::set<std::string> held;
+            for (const Entry& entry : leader.log) {
+                held.insert(entry.id);
             }
+            int missing = 0;
+            for (const std::string& commit : _acknowledged) {
+                missing += held.count(commit) == 0 ? 1 : 0;
+            }
+            record.line("server " + id + " leads term " + std::to_string(leader.term) + " with " +
+                        std::to_string(leader.log.size()) + " commits; of " +
+                        std::to_string(_acknowledged.size()) + " acknowledged ones " +
+                        std::to_string(missing) + " are missing");
+            lost = lost + missing;
+            ++promotions;
             for (auto& [name, server] : _servers) {
-                server->primary = name == id;
-                server->term = term + 1;
-                server->heldTerm = 0;
-                server->log = found->second->log;
-                announce(*server);
+                if (name != id && !server->dark) {
+                    follow(*server, leader);
+                }
             }
-            record.line("server " + id + " leads term " + std::to_string(term + 1));
+            announce(leader);
         }).detach();
     }
 
+    /** A client was told that the write is committed. */
+    void noteAcknowledged(const std::string& id) {
+        const std::lock_guard<std::mutex> lock(_mutex);
+        _acknowledged.insert(id);
+    }
+
+    void setDeaf(const std::string& id, bool deaf) {
+        const std::lock_guard<std::mutex> lock(_mutex);
+        _servers[id]->deaf = deaf;
+        record.line("server " + id + (deaf ? " receives nothing from now on" : " receives again"));
+    }
+
+    /** A dark server says nothing; it comes back with its log. */
+    void setDark(const std::string& id, bool dark) {
+        const std::lock_guard<std::mutex> lock(_mutex);
+        Server& server = *_servers[id];
+        server.dark = dark;
+        record.line("server " + id + (dark ? " goes dark" : " is back"));
+        Server* leader = newestLeader();
+        if (!dark && leader != nullptr && leader != &server && leader->term > server.term) {
+            follow(server, *leader);
+        }
+    }
+
+    void setDraining(const std::string& id) {
+        const std::lock_guard<std::mutex> lock(_mutex);
+        _servers[id]->draining = true;
+        announce(*_servers[id]);
+        record.line("server " + id + " announces its end");
+    }
+
+    /** The planned end of a server: its log departs with it. */
+    void end(const std::string& id) {
+        const std::lock_guard<std::mutex> lock(_mutex);
+        Server& server = *_servers[id];
+        server.ended = true;
+        for (const int descriptor : server.open) {
+            ::shutdown(descriptor, SHUT_RDWR);
+        }
+        _store.remove("servers", id);
+        record.line("server " + id + " has ended, its entry is gone");
+    }
+
+    std::size_t commitsAt(const std::string& id) {
+        const std::lock_guard<std::mutex> lock(_mutex);
+        return _servers[id]->log.size();
+    }
+
+    std::atomic<int> lost{0};
+    std::atomic<int> promotions{0};
+
     /** Answer to READ of a thing; by default one short row. */
     std::function<void(int descriptor, const std::string& thing)> rowsOf;
     /** Time that a read or a write takes. */
@@ -513,6 +595,52 @@
     const std::string& name() const { return _name; }
 
 private:
+    Server* newestLeader() {
+        Server* leader = nullptr;
+        for (auto& [id, server] : _servers) {
+            if (server->primary && (leader == nullptr || server->term > leader->term)) {
+                leader = server.get();
+            }
+        }
+        return leader;
+    }
+
+    /** The server takes the leader's log; what it had beyond is rolled back. */
+    void follow(Server& server, const Server& leader) {
+        server.primary = false;
+        server.term = leader.term;
+        server.heldTerm = 0;
+        if (!server.ended) {
+            announce(server);
+        }
+    }
+
+    void replicate() {
+        const Server* leader = newestLeader();
+        if (leader == nullptr || leader->dark) {
+            return;
+        }
+        for (auto& [id, server] : _servers) {
+            const bool receives = server.get() != leader && !server->deaf && !server->dark &&
+                                  !server->ended && server->heldTerm == 0;
+            if (receives && (server->log.size() != leader->log.size() ||
+                             server->term != leader->term)) {
+                server->log = leader->log;
+                server->term = leader->term;
+            }
+        }
+    }
+
+    bool isReceived(const Server& leader, std::size_t number) {
+        for (auto& [id, server] : _servers) {
+            if (server.get() != &leader && server->term == leader.term &&
+                server->log.size() >= number) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     void announce(const Server& server) {
         _store.put("servers", server.id,
                    "{\"service\":\"" + _name + "\",\"addr\":\"127.0.0.1:" +
@@ -536,7 +664,38 @@
         std::map<std::string, std::pair<std::string, std::string>> prepared;
     };
 
+    bool isSilent(const Server& server) {
+        const std::lock_guard<std::mutex> lock(_mutex);
+        return server.dark;
+    }
+
+    /** A dark server keeps connections as they are; it knows none of them when it is back. */
+    bool outlastsDark(const Server& server) {
+        if (!isSilent(server)) {
+            return true;
+        }
+        while (isSilent(server)) {
+            sleepFor(0.02);
+        }
+        return false;
+    }
+
     void serve(Server& server, int descriptor) {
+        {
+            const std::lock_guard<std::mutex> lock(_mutex);
+            if (server.ended) {
+                return;
+            }
+            server.open.insert(descriptor);
+        }
+        if (outlastsDark(server)) {
+            serveOpen(server, descriptor);
+        }
+        const std::lock_guard<std::mutex> lock(_mutex);
+        server.open.erase(descriptor);
+    }
+
+    void serveOpen(Server& server, int descriptor) {
         Reader reader(descriptor);
         const auto first = reader.line(10);
         if (!first) {
@@ -561,7 +720,7 @@
             sendAll(descriptor, "READY I " + position(server) + "\r\n");
         }
         while (const auto line = reader.line()) {
-            if (line->rfind("QUERY ", 0) != 0) {
+            if (!outlastsDark(server) || line->rfind("QUERY ", 0) != 0) {
                 break;
             }
             const std::size_t blank = line->find(' ', 6);
@@ -665,8 +824,8 @@
             ++run;
             if (session.state == 'T') {
                 session.writes.emplace_back(id, text);
-            } else {
-                append(server, id, text);
+            } else if (!commit(server, lock, {{id, text}})) {
+                return false;
             }
             return finish(server, session, descriptor, "COMPLETE " + signature + "\r\n");
         }
@@ -674,8 +833,8 @@
             if (!session.writes.empty() && !server.primary) {
                 return error("READONLY " + server.id);
             }
-            for (const auto& [write, what] : session.writes) {
-                append(server, write, what);
+            if (!session.writes.empty() && !commit(server, lock, session.writes)) {
+                return false;
             }
             session.writes.clear();
             session.state = 'I';
@@ -696,17 +855,34 @@
         return error("MALFORMED " + verb);
     }
 
-    void append(Server& server, const std::string& id, const std::string& text) {
-        for (auto& [name, each] : _servers) {
-            each->log.push_back({server.term, server.log.size() + (each.get() == &server ? 1 : 0),
-                                 id, text});
+    /** @return whether a replica received it; false where the connection has to end. */
+    bool commit(Server& server, std::unique_lock<std::mutex>& lock,
+                const std::vector<std::pair<std::string, std::string>>& writes) {
+        for (const auto& [id, text] : writes) {
+            server.log.push_back({server.term, server.log.size() + 1, id, text});
+        }
+        const std::size_t number = server.log.size();
+        while (!isReceived(server, number)) {
+            lock.unlock();
+            sleepFor(0.002);
+            const bool kept = outlastsDark(server);
+            lock.lock();
+            if (!kept || !server.primary) {
+                return false;
+            }
         }
+        lock.unlock();
+        const bool kept = outlastsDark(server);
+        lock.lock();
+        return kept;
     }
 
     std::string _name;
     Store& _store;
     std::mutex _mutex;
     std::uint64_t _sequence = 0;
+    std::uint64_t _newestTerm = 1;
+    std::set<std::string> _acknowledged;
     std::map<std::string, std::unique_ptr<Server>> _servers;
     std::vector<std::unique_ptr<Listener>> _listeners;
 };
