Review case: a replica that restarts during a promotion

Cause: a pause that is forgotten after the announcement is not seen any more, and a node that hears of nothing goes on acknowledging writes. Stand-ins can cut one proxy off from the store, a server or another proxy.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,4 +3,4 @@
 # the disruption. Wants the build of the deploy file and review/build-2.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/bin/coralhoist-platform ] && [ -x target/review-2/cases ] || exit 2
-exec timeout -k 5 115 target/review-2/cases stop-during-answer review/5/record.txt
+exec timeout -k 5 115 target/review-2/cases restart-during-promotion review/5/record.txt
--- a/review/standins-2/cases.cpp
+++ b/review/standins-2/cases.cpp
@@ -411,6 +411,126 @@
     return site.group.lost > 0 ? 1 : served - servedBefore > 50 ? 0 : 2;
 }
 
+/**
+ * A replica restarts while a promotion is carried out, and a proxy that hears of nothing still
+ * reaches the former primary.
+ */
+int restartDuringPromotion() {
+    const std::string primary = "i-0000000a";
+    Site& site = openSite(1000, "primary");
+    site.group.promotionTime = 1.0;
+    std::mutex mutex;
+    std::map<std::string, std::unique_ptr<Relay>> relays;
+    std::map<std::string, std::uint16_t> ports;
+    site.store.rewrite = [&](const std::string& kind, const std::string& spec) {
+        const std::string address = textOf(spec, "addr");
+        if (kind != "proxies" || address.empty()) {
+            return spec;
+        }
+        const std::lock_guard<std::mutex> lock(mutex);
+        if (relays.count(address) == 0) {
+            relays[address] = std::make_unique<Relay>();
+            ports[address] = relays[address]->start(static_cast<std::uint16_t>(
+                std::atoi(address.substr(address.find(':') + 1).c_str())));
+        }
+        std::string changed = spec;
+        changed.replace(changed.find(address), address.size(),
+                        "127.0.0.1:" + std::to_string(ports[address]));
+        return changed;
+    };
+    for (int number = 0; number < 2; ++number) {
+        site.addProxy(Bounds());
+    }
+    for (const auto& proxy : site.proxies) {
+        if (!proxy->awaitReady(15)) {
+            record.line("a proxy did not become ready");
+            return 2;
+        }
+    }
+    const pid_t cutOff = site.proxies[0]->pid;
+    const pid_t promoting = site.proxies[1]->pid;
+    std::atomic<bool> isCut{false};
+    std::map<std::string, bool> known;
+    const auto isOf = [&](pid_t pid, int descriptor) {
+        const std::string inode = peerInode(descriptor);
+        if (inode.empty()) {
+            return false;
+        }
+        const std::string key = std::to_string(pid) + " " + inode;
+        const std::lock_guard<std::mutex> lock(mutex);
+        const auto found = known.find(key);
+        return found != known.end() ? found->second : (known[key] = holdsSocket(pid, inode));
+    };
+    site.store.isCut = [&](int descriptor) { return isCut && isOf(cutOff, descriptor); };
+    site.group.isCut = [&](const std::string& server, int descriptor) {
+        return isCut && server == primary && isOf(promoting, descriptor);
+    };
+    site.group.onPromotion = [&](const std::string& successor) {
+        if (hasTrouble()) {
+            site.group.restart(successor == "i-0000000b" ? "i-0000000c" : "i-0000000b", 0.2, 0.4);
+        }
+    };
+    std::atomic<bool> over{false};
+    std::atomic<int> served{0};
+    std::vector<std::thread> clients;
+    for (int client = 0; client < 8; ++client) {
+        clients.emplace_back([&, client] {
+            int number = 0;
+            while (!over) {
+                Client session(site.proxies[client % 2]->front);
+                if (!session.open("dbone")) {
+                    sleepFor(0.1);
+                    continue;
+                }
+                bool open = true;
+                while (open && !over) {
+                    const std::string id = std::to_string(client) + "-" + std::to_string(++number);
+                    const Answer answer = session.ask(id, "WRITE t1 x");
+                    const bool succeeded = answer.end.rfind("COMPLETE s.", 0) == 0;
+                    open = answer.whole;
+                    if (succeeded) {
+                        site.group.noteAcknowledged(id);
+                        record.line("client of proxy " + std::to_string(client % 2 + 1) +
+                                    " told: " + id + " is committed");
+                    }
+                    served += succeeded ? 1 : 0;
+                    sleepFor(0.02);
+                }
+            }
+        });
+    }
+    sleepFor(6);
+    if (hasTrouble()) {
+        record.line("proxy 1 is cut off from the store and proxy 2, the primary from proxy 2");
+        isCut = true;
+        const std::lock_guard<std::mutex> lock(mutex);
+        for (auto& [address, relay] : relays) {
+            relay->cut = true;
+        }
+    }
+    sleepFor(4.5);
+    isCut = false;
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        for (auto& [address, relay] : relays) {
+            relay->cut = false;
+        }
+    }
+    record.line("nothing is cut any more");
+    const int servedBefore = served;
+    sleepFor(8);
+    over = true;
+    for (std::thread& client : clients) {
+        client.join();
+    }
+    site.recordChoices();
+    const int lost = site.group.lostAtTheEnd();
+    record.line(std::to_string(site.group.promotions) + " promotions; " + std::to_string(lost) +
+                " acknowledged commits are in no log of a leader; " +
+                std::to_string(served - servedBefore) + " statements served in the last 8 s");
+    return lost > 0 ? 1 : served - servedBefore > 50 ? 0 : 2;
+}
+
 }  // namespace
 
 int main(int count, char** arguments) {
@@ -429,6 +549,8 @@
         result = slowReader();
     } else if (name == "leaving-replica") {
         result = leavingReplica();
+    } else if (name == "restart-during-promotion") {
+        result = restartDuringPromotion();
     }
     if (opened != nullptr) {
         opened->finish();
--- a/review/standins-2/stage.h
+++ b/review/standins-2/stage.h
@@ -22,6 +22,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <fstream>
 #include <functional>
 #include <map>
 #include <memory>
@@ -208,6 +209,87 @@
     bool _ended = false;
 };
 
+/** @return the inode of the socket at the other end of a loopback connection. */
+inline std::string peerInode(int descriptor) {
+    sockaddr_in peer{};
+    socklen_t size = sizeof peer;
+    if (getpeername(descriptor, reinterpret_cast<sockaddr*>(&peer), &size) != 0) {
+        return {};
+    }
+    char local[32];
+    std::snprintf(local, sizeof local, "0100007F:%04X", ntohs(peer.sin_port));
+    std::ifstream table("/proc/net/tcp");
+    for (std::string line; std::getline(table, line);) {
+        std::istringstream words(line);
+        std::string field, address, inode;
+        words >> field >> address;
+        for (int index = 0; index < 8; ++index) {
+            words >> inode;
+        }
+        if (address == local && inode != "0") {
+            return inode;
+        }
+    }
+    return {};
+}
+
+/** @return whether the process holds the socket. */
+inline bool holdsSocket(pid_t pid, const std::string& inode) {
+    const std::string folder = "/proc/" + std::to_string(pid) + "/fd";
+    const std::string wanted = "socket:[" + inode + "]";
+    for (int descriptor = 0; descriptor < 512; ++descriptor) {
+        char target[64];
+        const std::string path = folder + "/" + std::to_string(descriptor);
+        const ssize_t length = ::readlink(path.c_str(), target, sizeof target);
+        if (length > 0 && std::string(target, static_cast<std::size_t>(length)) == wanted) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/** Passes connections on; while it is cut, nothing passes on any of them. */
+class Relay {
+public:
+    std::uint16_t start(std::uint16_t target) {
+        return _listener.start([this, target](int near) {
+            while (cut) {
+                sleepFor(0.02);
+            }
+            const int far = connectTo(target);
+            if (far < 0) {
+                return;
+            }
+            std::thread back([this, near, far] { pump(far, near); });
+            pump(near, far);
+            back.join();
+            ::close(far);
+        });
+    }
+
+    std::atomic<bool> cut{false};
+
+private:
+    void pump(int from, int to) {
+        char bytes[65536];
+        while (true) {
+            pollfd waiting{from, POLLIN, 0};
+            if (cut || ::poll(&waiting, 1, 20) <= 0) {
+                sleepFor(cut ? 0.02 : 0);
+                continue;
+            }
+            const ssize_t got = ::recv(from, bytes, sizeof bytes, 0);
+            if (got <= 0 || !sendAll(to, std::string(bytes, static_cast<std::size_t>(got)))) {
+                ::shutdown(to, SHUT_RDWR);
+                ::shutdown(from, SHUT_RDWR);
+                return;
+            }
+        }
+    }
+
+    Listener _listener;
+};
+
 // ---------------------------------------------------------------- JSON, as far as it is needed
 
 /** @return the text of the value of the first such key at any depth; empty when there is none. */
@@ -289,8 +371,10 @@
     }
 
     std::uint16_t port = 0;
-    /** Called before a call is handled; true to drop the connection in its place. */
-    std::function<bool(const std::string& method, const std::string& target)> trouble;
+    /** @return whether the caller is cut off: it is told nothing more on this connection. */
+    std::function<bool(int descriptor)> isCut;
+    /** Changes what a proxy writes, so that others reach it through a relay. */
+    std::function<std::string(const std::string& kind, const std::string& spec)> rewrite;
 
 private:
     void write(const std::string& kind, const std::string& name, const std::string& spec) {
@@ -341,15 +425,27 @@
                 }
             }
             const auto body = reader.bytes(length);
-            if (!body || (trouble && trouble(method, target))) {
+            if (!body || holdsBack(descriptor)) {
                 return;
             }
-            if (!sendAll(descriptor, handle(method, target, *body))) {
+            const std::string result = handle(method, target, *body);
+            if (holdsBack(descriptor) || !sendAll(descriptor, result)) {
                 return;
             }
         }
     }
 
+    /** What comes over a cut is lost, and the connection stays as it is until the cut has healed. */
+    bool holdsBack(int descriptor) const {
+        if (!isCut || !isCut(descriptor)) {
+            return false;
+        }
+        while (isCut(descriptor)) {
+            sleepFor(0.05);
+        }
+        return true;
+    }
+
     std::string handle(const std::string& method, const std::string& target,
                        const std::string& body) {
         const std::size_t mark = target.find('?');
@@ -393,7 +489,8 @@
                 return answer(409, objectText(wanted, found->second.revision, found->second.spec));
             }
         }
-        write(kind, wanted, valueOf(body, "spec"));
+        const std::string spec = valueOf(body, "spec");
+        write(kind, wanted, rewrite ? rewrite(kind, spec) : spec);
         const Object& object = _objects[kind][wanted];
         return answer(method == "POST" ? 201 : 200,
                       objectText(wanted, object.revision, object.spec));
@@ -501,7 +598,7 @@
     /** POST /failover: the named server leads the next term some hundred ms later. */
     void promote(const std::string& id) {
         std::thread([this, id] {
-            sleepFor(0.3);
+            sleepFor(promotionTime);
             const std::lock_guard<std::mutex> lock(_mutex);
             const auto found = _servers.find(id);
             if (found == _servers.end() || found->second->primary || found->second->dark ||
@@ -578,16 +675,59 @@
         record.line("server " + id + " has ended, its entry is gone");
     }
 
+    /** The server crashes and is back a moment later: it keeps its log and forgets its pause. */
+    void restart(const std::string& id, double after, double downFor) {
+        std::thread([this, id, after, downFor] {
+            sleepFor(after);
+            Server& server = *_servers.at(id);
+            {
+                const std::lock_guard<std::mutex> lock(_mutex);
+                server.ended = true;
+                for (const int descriptor : server.open) {
+                    ::shutdown(descriptor, SHUT_RDWR);
+                }
+                record.line("server " + id + " crashes");
+            }
+            sleepFor(downFor);
+            const std::lock_guard<std::mutex> lock(_mutex);
+            server.ended = false;
+            server.heldTerm = 0;
+            record.line("server " + id + " is back with its log");
+        }).detach();
+    }
+
+    /** @return whether the caller at the other end is cut off from the server. */
+    std::function<bool(const std::string& server, int descriptor)> isCut;
+    /** Called when a promotion is called, with the successor. */
+    std::function<void(const std::string& successor)> onPromotion;
+
     std::size_t commitsAt(const std::string& id) {
         const std::lock_guard<std::mutex> lock(_mutex);
         return _servers[id]->log.size();
     }
 
+    /** @return how many commits that clients were told of the present leader lacks. */
+    int lostAtTheEnd() {
+        const std::lock_guard<std::mutex> lock(_mutex);
+        const Server* leader = newestLeader();
+        std::set<std::string> held;
+        for (const Entry& entry : leader != nullptr ? leader->log : std::vector<Entry>()) {
+            held.insert(entry.id);
+        }
+        int missing = 0;
+        for (const std::string& commit : _acknowledged) {
+            missing += held.count(commit) == 0 ? 1 : 0;
+        }
+        return missing;
+    }
+
     std::atomic<int> lost{0};
     std::atomic<int> promotions{0};
 
     /** Answer to READ of a thing; by default one short row. */
     std::function<void(int descriptor, const std::string& thing)> rowsOf;
+    /** Time that the platform takes for a promotion. */
+    double promotionTime = 0.3;
     /** Time that a read or a write takes. */
     double workTime = 0.005;
     std::atomic<int> run{0};
@@ -664,17 +804,20 @@
         std::map<std::string, std::pair<std::string, std::string>> prepared;
     };
 
-    bool isSilent(const Server& server) {
+    bool isSilent(const Server& server, int descriptor) {
+        if (isCut && isCut(server.id, descriptor)) {
+            return true;
+        }
         const std::lock_guard<std::mutex> lock(_mutex);
         return server.dark;
     }
 
     /** A dark server keeps connections as they are; it knows none of them when it is back. */
-    bool outlastsDark(const Server& server) {
-        if (!isSilent(server)) {
+    bool outlastsDark(const Server& server, int descriptor) {
+        if (!isSilent(server, descriptor)) {
             return true;
         }
-        while (isSilent(server)) {
+        while (isSilent(server, descriptor)) {
             sleepFor(0.02);
         }
         return false;
@@ -688,7 +831,7 @@
             }
             server.open.insert(descriptor);
         }
-        if (outlastsDark(server)) {
+        if (outlastsDark(server, descriptor)) {
             serveOpen(server, descriptor);
         }
         const std::lock_guard<std::mutex> lock(_mutex);
@@ -720,7 +863,7 @@
             sendAll(descriptor, "READY I " + position(server) + "\r\n");
         }
         while (const auto line = reader.line()) {
-            if (!outlastsDark(server) || line->rfind("QUERY ", 0) != 0) {
+            if (!outlastsDark(server, descriptor) || line->rfind("QUERY ", 0) != 0) {
                 break;
             }
             const std::size_t blank = line->find(' ', 6);
@@ -824,7 +967,7 @@
             ++run;
             if (session.state == 'T') {
                 session.writes.emplace_back(id, text);
-            } else if (!commit(server, lock, {{id, text}})) {
+            } else if (!commit(server, descriptor, lock, {{id, text}})) {
                 return false;
             }
             return finish(server, session, descriptor, "COMPLETE " + signature + "\r\n");
@@ -833,7 +976,7 @@
             if (!session.writes.empty() && !server.primary) {
                 return error("READONLY " + server.id);
             }
-            if (!session.writes.empty() && !commit(server, lock, session.writes)) {
+            if (!session.writes.empty() && !commit(server, descriptor, lock, session.writes)) {
                 return false;
             }
             session.writes.clear();
@@ -856,7 +999,7 @@
     }
 
     /** @return whether a replica received it; false where the connection has to end. */
-    bool commit(Server& server, std::unique_lock<std::mutex>& lock,
+    bool commit(Server& server, int descriptor, std::unique_lock<std::mutex>& lock,
                 const std::vector<std::pair<std::string, std::string>>& writes) {
         for (const auto& [id, text] : writes) {
             server.log.push_back({server.term, server.log.size() + 1, id, text});
@@ -865,14 +1008,14 @@
         while (!isReceived(server, number)) {
             lock.unlock();
             sleepFor(0.002);
-            const bool kept = outlastsDark(server);
+            const bool kept = outlastsDark(server, descriptor);
             lock.lock();
             if (!kept || !server.primary) {
                 return false;
             }
         }
         lock.unlock();
-        const bool kept = outlastsDark(server);
+        const bool kept = outlastsDark(server, descriptor);
         lock.lock();
         return kept;
     }
@@ -908,6 +1051,9 @@
                     return;
                 }
                 record.line("promotion called: " + *body);
+                if (group.onPromotion) {
+                    group.onPromotion(textOf(*body, "id"));
+                }
                 group.promote(textOf(*body, "id"));
                 sendAll(descriptor, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
             }
