Review case 5: stale reads beside the lost commits

Cause: a replica that has forgotten its pause passes for a proof that the former primary leads. Change: clients of the proxy that is cut off read, too; a former primary goes on for a second.

--- a/review/standins-2/cases.cpp
+++ b/review/standins-2/cases.cpp
@@ -450,6 +450,7 @@
     const pid_t cutOff = site.proxies[0]->pid;
     const pid_t promoting = site.proxies[1]->pid;
     std::atomic<bool> isCut{false};
+    std::atomic<bool> isOver{false};
     std::map<std::string, bool> known;
     const auto isOf = [&](pid_t pid, int descriptor) {
         const std::string inode = peerInode(descriptor);
@@ -472,7 +473,39 @@
     };
     std::atomic<bool> over{false};
     std::atomic<int> served{0};
+    std::atomic<int> stale{0};
+    std::atomic<double> firstCommitElsewhere{1e9};
     std::vector<std::thread> clients;
+    const auto write = [&](Client& session, const std::string& id, int proxy) {
+        const Answer answer = session.ask(id, "WRITE t1 x");
+        const bool succeeded = answer.end.rfind("COMPLETE s.", 0) == 0;
+        if (succeeded) {
+            site.group.noteAcknowledged(id);
+            record.line("client of proxy " + std::to_string(proxy) + " told: " + id +
+                        " is committed at " + answer.end.substr(11, primary.size()));
+            if (answer.end.find(primary) == std::string::npos) {
+                firstCommitElsewhere = std::min(firstCommitElsewhere.load(), seconds());
+            }
+            ++served;
+        }
+        return answer.whole;
+    };
+    const auto read = [&](Client& session, const std::string& id) {
+        const double sentAt = seconds();
+        const double first = firstCommitElsewhere;
+        const Answer answer = session.ask(id, "READ t1");
+        const bool succeeded = answer.end.rfind("COMPLETE s.", 0) == 0;
+        if (succeeded && sentAt > first && !isOver && answer.rows.size() == 1 &&
+            answer.rows.front().rfind(primary, 0) == 0) {
+            ++stale;
+            record.line("client of proxy 1 told: " + id + " read " + answer.rows.front() +
+                        " commits, sent " + std::to_string(sentAt - first) +
+                        " s after a commit elsewhere was acknowledged");
+        }
+        served += succeeded ? 1 : 0;
+        return answer.whole;
+    };
+    // Proxy 1 has three clients that read and one that writes, proxy 2 four that write.
     for (int client = 0; client < 8; ++client) {
         clients.emplace_back([&, client] {
             int number = 0;
@@ -485,15 +518,8 @@
                 bool open = true;
                 while (open && !over) {
                     const std::string id = std::to_string(client) + "-" + std::to_string(++number);
-                    const Answer answer = session.ask(id, "WRITE t1 x");
-                    const bool succeeded = answer.end.rfind("COMPLETE s.", 0) == 0;
-                    open = answer.whole;
-                    if (succeeded) {
-                        site.group.noteAcknowledged(id);
-                        record.line("client of proxy " + std::to_string(client % 2 + 1) +
-                                    " told: " + id + " is committed");
-                    }
-                    served += succeeded ? 1 : 0;
+                    const bool reads = client % 2 == 0 && client < 6;
+                    open = reads ? read(session, id) : write(session, id, client % 2 + 1);
                     sleepFor(0.02);
                 }
             }
@@ -509,6 +535,7 @@
         }
     }
     sleepFor(4.5);
+    isOver = true;
     isCut = false;
     {
         const std::lock_guard<std::mutex> lock(mutex);
@@ -526,9 +553,10 @@
     site.recordChoices();
     const int lost = site.group.lostAtTheEnd();
     record.line(std::to_string(site.group.promotions) + " promotions; " + std::to_string(lost) +
-                " acknowledged commits are in no log of a leader; " +
+                " acknowledged commits are not in the log of the server that leads (LOST); " +
+                std::to_string(stale) + " reads lacked an acknowledged commit (STALE); " +
                 std::to_string(served - servedBefore) + " statements served in the last 8 s");
-    return lost > 0 ? 1 : served - servedBefore > 50 ? 0 : 2;
+    return lost > 0 || stale > 0 ? 1 : served - servedBefore > 50 ? 0 : 2;
 }
 
 }  // namespace
--- a/review/standins-2/stage.h
+++ b/review/standins-2/stage.h
@@ -624,11 +624,26 @@
             lost = lost + missing;
             ++promotions;
             for (auto& [name, server] : _servers) {
-                if (name != id && !server->dark) {
+                if (name != id && !server->dark && !server->primary) {
                     follow(*server, leader);
                 }
             }
             announce(leader);
+            endFormerLeads(leader);
+        }).detach();
+    }
+
+    /** A former primary goes on until a second after it can reach the new one. */
+    void endFormerLeads(Server& leader) {
+        std::thread([this, &leader] {
+            sleepFor(1.0);
+            const std::lock_guard<std::mutex> lock(_mutex);
+            for (auto& [name, server] : _servers) {
+                if (server.get() != &leader && server->primary && !server->dark) {
+                    follow(*server, leader);
+                    record.line("server " + name + " leads no more");
+                }
+            }
         }).detach();
     }
 
@@ -761,8 +776,8 @@
             return;
         }
         for (auto& [id, server] : _servers) {
-            const bool receives = server.get() != leader && !server->deaf && !server->dark &&
-                                  !server->ended && server->heldTerm == 0;
+            const bool receives = server.get() != leader && !server->primary && !server->deaf &&
+                                  !server->dark && !server->ended && server->heldTerm == 0;
             if (receives && (server->log.size() != leader->log.size() ||
                              server->term != leader->term)) {
                 server->log = leader->log;
@@ -991,7 +1006,9 @@
                 rowsOf(descriptor, thing);
                 lock.lock();
             } else {
-                sendAll(descriptor, "ROW value-of-" + thing + "\r\n");
+                // Tells what the read saw.
+                sendAll(descriptor, "ROW " + server.id + " " + std::to_string(server.log.size()) +
+                                        "\r\n");
             }
             return finish(server, session, descriptor, "COMPLETE " + signature + "\r\n");
         }
