--- a/review/standins-2/cases.cpp
+++ b/review/standins-2/cases.cpp
@@ -1,4 +1,5 @@
-/** The review's script cases: cases NAME RECORD. Environment: TROUBLE=0 leaves the disruption out. */
+/** The review's script cases: cases NAME RECORD. Environment: TROUBLE=0 leaves the disruption out.
+ */
 #include <fstream>
 
 #include "stage.h"
@@ -87,8 +88,8 @@
     site.group.rowsOf = [](int descriptor, const std::string& thing) {
         const int rows = thing == "long" ? kRows : 1;
         for (int row = 0; row < rows; ++row) {
-            sendAll(descriptor, "ROW " + std::string(kRow, static_cast<char>('a' + row % 26)) +
-                                    "\r\n");
+            sendAll(descriptor,
+                    "ROW " + std::string(kRow, static_cast<char>('a' + row % 26)) + "\r\n");
         }
     };
     Proxy& proxy = site.addProxy(Bounds());
@@ -152,8 +153,9 @@
     const double took = seconds() - sentAt;
     record.line("received " + std::to_string(received) + " bytes of " +
                 std::to_string(kRows * (kRow + 6)) + " and the end of the answer, " +
-                (isWhole() ? "whole" : "cut") + ", " + std::to_string(took) + " s after the request, " +
-                std::to_string(seconds() - stoppedAt) + " s after the stop");
+                (isWhole() ? "whole" : "cut") + ", " + std::to_string(took) +
+                " s after the request, " + std::to_string(seconds() - stoppedAt) +
+                " s after the stop");
     if (isWhole()) {
         return 0;
     }
@@ -318,8 +320,8 @@
 }
 
 /**
- * A replica leaves as planned, the other one receives nothing for a while, and the primary goes dark
- * meanwhile.
+ * A replica leaves as planned, the other one receives nothing for a while, and the primary goes
+ * dark meanwhile.
  */
 int leavingReplica() {
     constexpr double kDeaf = 6.0;
--- a/review/standins-2/stage.h
+++ b/review/standins-2/stage.h
@@ -349,7 +349,9 @@
         bool expired = false;
     };
 
-    void start() { port = _listener.start([this](int descriptor) { serve(descriptor); }); }
+    void start() {
+        port = _listener.start([this](int descriptor) { serve(descriptor); });
+    }
 
     /** What the operator and the servers write. */
     void put(const std::string& kind, const std::string& name, const std::string& spec) {
@@ -435,7 +437,8 @@
         }
     }
 
-    /** What comes over a cut is lost, and the connection stays as it is until the cut has healed. */
+    /** What comes over a cut is lost, and the connection stays as it is until the cut has healed.
+     */
     bool holdsBack(int descriptor) const {
         if (!isCut || !isCut(descriptor)) {
             return false;
@@ -468,7 +471,8 @@
         if (method == "GET") {
             std::string items;
             for (const auto& [each, object] : _objects[kind]) {
-                items += (items.empty() ? "" : ",") + objectText(each, object.revision, object.spec);
+                items +=
+                    (items.empty() ? "" : ",") + objectText(each, object.revision, object.spec);
             }
             return answer(200, "{\"items\":[" + items + "],\"has_more\":false,\"at\":" +
                                    std::to_string(_revision) + "}");
@@ -778,8 +782,8 @@
         for (auto& [id, server] : _servers) {
             const bool receives = server.get() != leader && !server->primary && !server->deaf &&
                                   !server->dark && !server->ended && server->heldTerm == 0;
-            if (receives && (server->log.size() != leader->log.size() ||
-                             server->term != leader->term)) {
+            if (receives &&
+                (server->log.size() != leader->log.size() || server->term != leader->term)) {
                 server->log = leader->log;
                 server->term = leader->term;
             }
@@ -797,14 +801,13 @@
     }
 
     void announce(const Server& server) {
-        _store.put("servers", server.id,
-                   "{\"service\":\"" + _name + "\",\"addr\":\"127.0.0.1:" +
-                       std::to_string(server.port) + "\",\"zone\":\"" + server.zone +
-                       "\",\"version\":\"v1\",\"slots\":3,\"state\":\"" +
-                       (server.draining ? "draining" : "ready") +
-                       "\",\"cold_left_ms\":0,\"db_role\":\"" +
-                       (server.primary ? "primary" : "replica") +
-                       "\",\"seq\":" + std::to_string(++_sequence) + "}");
+        _store.put(
+            "servers", server.id,
+            "{\"service\":\"" + _name + "\",\"addr\":\"127.0.0.1:" + std::to_string(server.port) +
+                "\",\"zone\":\"" + server.zone + "\",\"version\":\"v1\",\"slots\":3,\"state\":\"" +
+                (server.draining ? "draining" : "ready") + "\",\"cold_left_ms\":0,\"db_role\":\"" +
+                (server.primary ? "primary" : "replica") +
+                "\",\"seq\":" + std::to_string(++_sequence) + "}");
     }
 
     static std::string position(const Server& server) {
@@ -1007,8 +1010,8 @@
                 lock.lock();
             } else {
                 // Tells what the read saw.
-                sendAll(descriptor, "ROW " + server.id + " " + std::to_string(server.log.size()) +
-                                        "\r\n");
+                sendAll(descriptor,
+                        "ROW " + server.id + " " + std::to_string(server.log.size()) + "\r\n");
             }
             return finish(server, session, descriptor, "COMPLETE " + signature + "\r\n");
         }
