Commits are passed on only under a proof that their primary leads

Cause: a replica that restarts during a promotion forgets the order not to receive and completes commits of the former primary. The node that hears of no promotion took them for good, in three places: a write needed no proof of leadership, a commit counted as one for reads, and LeadershipProbe was content with one replica that follows. After the call nothing can be taken back, and nothing on the wire outlasts a restart, so the guarantee has to rest on the node that passes the commit on.

Why the fix works: a proof holds for kLeadershipLease from a moment at which no promotion was recorded. A commit is passed on when a proof covers the arrival of its response, else it is held. A promoting node that can't reach a leader chooses by reports requested after every such proof has expired, so the choice sees each commit that any node passes on. That announcement says that no lease is left, so that nodes need not wait for one again.

Checks that changed. LeadershipProbe.APausedReplicaShowsAPromotionThatHasNotEnded expected a proof beside a paused replica: now none.

--- a/lab/pooled/PooledFault.h
+++ b/lab/pooled/PooledFault.h
@@ -36,6 +36,8 @@
     StoreReturnsOlder,     /**< The store is away and back from a copy of seconds before. */
     AllNodesDieAtReturn,   /**< The same, and all nodes lose power as it is back. */
     PrimaryMisplaced,      /**< Nodes learn one by one that it must not lead, then that it may. */
+    PromotionUnheard, /**< One node reaches the primary and neither the store nor other nodes; the
+                         others lose the primary, and replicas restart as they promote. */
     ServicesMove, /**< Services move to the other group and back, in a series; of runs with two. */
 };
 
--- a/lab/pooled/PooledFaults.h
+++ b/lab/pooled/PooledFaults.h
@@ -102,6 +102,7 @@
     void replaceReplica();
     void troublePromotionCalls();
     void restartReplicas(int times);
+    void promoteUnheard();
 
     FaultTargets _targets;
     FaultCounts _counts;
--- a/lab/pooled/PooledNode.cpp
+++ b/lab/pooled/PooledNode.cpp
@@ -180,6 +180,11 @@
     _connector.step();
     _forwarder.step();
     follow();
+    if (_world.trustsPrimaries) {
+        for (const LogGroup* group : _world.groups) {
+            _pooler.confirmLeadership(group->name(), now);
+        }
+    }
     if (const auto next = _pooler.nextTick(); next && *next <= now) {
         _pooler.onTick();
     }
--- a/lab/pooled/PooledNode.h
+++ b/lab/pooled/PooledNode.h
@@ -32,8 +32,9 @@
     std::uint32_t executors = 0;
     std::vector<LogGroup*> groups;
     std::shared_ptr<const pooling::ServiceCatalog> catalog;
-    /** Callers only read, so that no commit proves a leadership. */
     bool readOnly = false;
+    /** Nodes take every primary as proven at all times: the judge must find violations. */
+    bool trustsPrimaries = false;
     std::uint64_t lastCommit = 0;
     std::uint64_t lastRequest = 0;
     std::uint64_t lastSession = 0;
--- a/lab/pooled/PooledRun.h
+++ b/lab/pooled/PooledRun.h
@@ -19,6 +19,8 @@
     /** Nodes that execute the group's statements; the others forward to them. */
     std::uint32_t executors = 3;
     bool readOnly = false;
+    /** Nodes take every primary as proven at all times: the judge must find violations. */
+    bool trustsPrimaries = false;
     /** The store shows its era in each answer, as one that may return older does. */
     bool showsEras = false;
     GroupModel group;
--- a/lab/pooled/PooledServerFaults.cpp
+++ b/lab/pooled/PooledServerFaults.cpp
@@ -29,6 +29,10 @@
 constexpr Duration kLongestAnnounced = milliseconds(1500);
 constexpr Duration kLongestCallDelay = seconds(2);
 constexpr int kRestarts = 10;
+/** How long a node hears nothing of a promotion, and how soon the replicas restart meanwhile. */
+constexpr Duration kUnheardTime = milliseconds(4500);
+constexpr Duration kFirstRestart = milliseconds(300);
+constexpr Duration kLastFirstRestart = milliseconds(1500);
 
 }  // namespace
 
@@ -50,6 +54,8 @@
             return troublePromotionCalls();
         case PooledFault::ReplicasRestart:
             return restartReplicas(kRestarts);
+        case PooledFault::PromotionUnheard:
+            return promoteUnheard();
         default:
             return;
     }
@@ -259,4 +265,23 @@
     }
 }
 
+void PooledFaults::promoteUnheard() {
+    const std::size_t unheard = _targets.random.below(_targets.nodes.size());
+    const ServerName former = primary().name;
+    const NodeName name("n" + std::to_string(unheard + 1));
+    const auto setCut = [this, unheard, former, name](bool cut) {
+        _targets.network.setSilenced(name, cut);
+        for (std::size_t index = 0; index < _targets.nodes.size(); ++index) {
+            if (index != unheard) {
+                cutNode(index, former, cut);
+            } else if (_targets.nodes[index]) {
+                _targets.nodes[index]->setStoreCut(cut);
+            }
+        }
+    };
+    setCut(true);
+    after(kUnheardTime, [setCut] { setCut(false); });
+    after(between(kFirstRestart, kLastFirstRestart), [this] { restartReplicas(kRestarts); });
+}
+
 }  // namespace coralhoist::pooled
--- a/src/duty/pooling/PoolingMetrics.cpp
+++ b/src/duty/pooling/PoolingMetrics.cpp
@@ -336,6 +336,9 @@
                 pooler.serversAdmitted);
     page.metric("counter", "leadership_proofs_wanted_total",
                 "Times that a statement waited for a proof of leadership.", pooler.proofsWanted);
+    page.metric("counter", "commits_held_total",
+                "Acknowledged commits held until their primary's leadership was proven.",
+                pooler.commitsHeld);
     page.metric("counter", "forwarded_total", "Statements that other nodes executed.",
                 pooler.forwarded);
     page.metric("counter", "executed_for_others_total", "Statements executed for other nodes.",
--- a/src/failover/GroupFailover.cpp
+++ b/src/failover/GroupFailover.cpp
@@ -351,6 +351,9 @@
         return;
     }
     _securedAt = _securedAt.value_or(now);
+    if (mayStillAcknowledge(quorum, now)) {
+        return;
+    }
     const std::optional<ServerName> successor = chooseSuccessor(quorum, now);
     if (successor && !_busy && hasSettledList(now) && !mustAwaitCall(*successor, now)) {
         _successor = *successor;
--- a/src/failover/GroupFailover.h
+++ b/src/failover/GroupFailover.h
@@ -238,6 +238,8 @@
     bool isCurrent(const MemberLink& member, TimePoint now) const;
     bool holdsEarlierTerms(const OpTime& position) const;
     bool lacksLostTerms(const CommitQuorum& quorum, const ServerName& server) const;
+    bool hasLeasesExpired(TimePoint now) const;
+    bool mayStillAcknowledge(const CommitQuorum& quorum, TimePoint now) const;
     bool isSuccessorReady(TimePoint now) const;
     bool justifiesStepDown(const ServerName& server) const;
     bool awaitsBetterServer(const CommitQuorum& quorum, LeadSuitability suitability) const;
--- a/src/failover/LeadershipProbe.cpp
+++ b/src/failover/LeadershipProbe.cpp
@@ -13,6 +13,11 @@
 constexpr Duration kIdleAfter = std::chrono::seconds(2);
 constexpr Duration kStep = std::chrono::milliseconds(20);
 
+/** @return whether a server follows the leader of the term and may receive from it. */
+bool follows(const ServerReport& report, Term term) {
+    return !report.primary && report.term == term && report.heldTerm <= term;
+}
+
 }  // namespace
 
 LeadershipProbe::LeadershipProbe(const Clock& clock, pooling::ServerConnector& connector,
@@ -77,21 +82,19 @@
     if (claim == nullptr) {
         return std::nullopt;
     }
-    std::optional<TimePoint> proven;
+    TimePoint proven = claim->requestedAt;
+    bool hasFollower = false;
     for (const auto& [name, link] : _links) {
-        if (name == primary.server || !link->report()) {
+        if (name == primary.server || link->refusedSince()) {
             continue;
         }
-        const MemberResponse& follower = *link->report();
-        const bool follows = !follower.report.primary &&
-                             follower.report.term == claim->report.term &&
-                             follower.report.heldTerm <= claim->report.term;
-        if (follows) {
-            const TimePoint at = std::min(claim->requestedAt, follower.requestedAt);
-            proven = std::max(proven.value_or(at), at);
+        if (!link->report() || !follows(link->report()->report, claim->report.term)) {
+            return std::nullopt;
         }
+        hasFollower = true;
+        proven = std::min(proven, link->report()->requestedAt);
     }
-    return proven;
+    return hasFollower ? std::optional(proven) : std::nullopt;
 }
 
 std::optional<TimePoint> LeadershipProbe::pausedAt(const pooling::Primary& primary) const {
--- a/src/failover/LeadershipProbe.h
+++ b/src/failover/LeadershipProbe.h
@@ -17,10 +17,12 @@
 namespace coralhoist::failover {
 
 /**
- * The probe of one group. The proof: the primary responds that it leads, and a replica responds
- * that it receives in the same term and is under no order to stop; both requests were sent after
- * the same moment. Before a promoting node announces a successor, it makes the primary step down or
- * makes every replica stop, so it had not done so at that moment.
+ * The probe of one group. The proof: the primary responds that it leads, and every other listed
+ * server responds that it receives in the same term and is under no order to stop, or does not run;
+ * all requests were sent after the same moment. Before a promoting node announces a successor, it
+ * makes the primary step down or makes every replica stop, and the successor stays stopped until it
+ * leads, so no promotion was under way at that moment. One replica that receives would prove less:
+ * a replica that restarts has forgotten the order.
  */
 class LeadershipProbe {
 public:
--- a/src/failover/MemberSurvey.cpp
+++ b/src/failover/MemberSurvey.cpp
@@ -178,6 +178,36 @@
     return {std::move(members), newestLeader()};
 }
 
+/** @return whether every proof that an earlier primary led has expired since the pauses. */
+bool GroupFailover::hasLeasesExpired(TimePoint now) const {
+    return _securedAt && now - *_securedAt >= pooling::kLeadershipLease;
+}
+
+/**
+ * A leader that does not respond may run, and a paused replica that restarts receives from it
+ * again. Nodes that have not heard of the promotion pass on such commits while their proofs are
+ * valid. So the choice rests on reports that were requested after that time. Commits that are
+ * acknowledged to no caller need not be kept.
+ * @return whether commits may be passed on that the members' present reports do not show.
+ */
+bool GroupFailover::mayStillAcknowledge(const CommitQuorum& quorum, TimePoint now) const {
+    const auto mayLeadUnseen = [this](const MemberView& member) {
+        const auto link = _links.find(member.server);
+        const bool isDown = link != _links.end() && link->second->isRefused();
+        return member.role == MemberRole::Unknown && !isDown;
+    };
+    const std::vector<MemberView>& members = quorum.members();
+    if (quorum.formerLeader() != nullptr ||
+        std::none_of(members.begin(), members.end(), mayLeadUnseen)) {
+        return false;
+    }
+    return !hasLeasesExpired(now) ||
+           std::any_of(members.begin(), members.end(), [this](const MemberView& member) {
+               return isReplica(member) && _links.at(member.server)->report()->requestedAt <
+                                               *_securedAt + pooling::kLeadershipLease;
+           });
+}
+
 bool GroupFailover::isFresh(const MemberLink& member, TimePoint now) const {
     if (!member.report()) {
         return false;
--- a/src/failover/PromotionRecord.h
+++ b/src/failover/PromotionRecord.h
@@ -74,6 +74,11 @@
      * more.
      */
     std::uint64_t confirmedIn = 0;
+    /**
+     * The successor was announced when no proof that an earlier primary led was valid any more, so
+     * that nodes need not wait before they write to it.
+     */
+    bool leasesExpired = false;
     /** Version in the store; a version that does not exist if there is no record. */
     StoreVersion version;
 
@@ -87,7 +92,7 @@
 
     /** @return the part of the record that the pooler needs. */
     pooling::PromotionNotice notice() const {
-        return {phase, successor, term, version, base, isConfirmedIn(version.era)};
+        return {phase, successor, term, version, base, isConfirmedIn(version.era), leasesExpired};
     }
 };
 
--- a/src/failover/PromotionSteps.cpp
+++ b/src/failover/PromotionSteps.cpp
@@ -41,6 +41,7 @@
     _successorPosition = link(_successor).report()->report.received;
     PromotionRecord record = recordOfSuccessor(PromotionPhase::Promoting);
     record.confirmedIn = record.version.era;
+    record.leasesExpired = hasLeasesExpired(now);
     LogEvent("failover", LogLevel::Info, "failover.successor_chosen")
         .field("group", _group)
         .field("successor", _successor)
@@ -197,8 +198,8 @@
 }
 
 /**
- * Closes the record, but not before the announcement is older than the lease: a node that sees the
- * closed record may conclude that no proof of an earlier primary's leadership is valid any more
+ * Closes the record, but not before the leases of earlier primaries have expired: a node that sees
+ * the closed record may conclude that no proof of an earlier primary's leadership is valid any more
  * (LeadershipTracker::confirmByRecord).
  */
 void GroupFailover::closeRecord(TimePoint now) {
@@ -209,7 +210,9 @@
     }
     requestStatuses(now);
     const bool awaitsReceivers = resumeReceivers(now) && now - _phaseSince < kResumeTimeout;
-    if (_busy || awaitsReceivers || now < _announcementSeenAt + pooling::kLeadershipLease) {
+    const bool mayBeRead =
+        !_record.leasesExpired && now < _announcementSeenAt + pooling::kLeadershipLease;
+    if (_busy || awaitsReceivers || mayBeRead) {
         return;
     }
     const PromotionRecord record = recordOfSuccessor(PromotionPhase::None);
--- a/src/pooling/LeadershipTracker.cpp
+++ b/src/pooling/LeadershipTracker.cpp
@@ -66,7 +66,7 @@
         _confirmedAt.reset();
         // This also applies to the present primary: another server may have led since without this
         // node noticing.
-        _writableFrom = now + kLeadershipLease;
+        _writableFrom = now + leaseAfterAnnouncement();
     }
     if (notice.phase != PromotionPhase::Preparing) {
         _newestTerm = std::max(_newestTerm, notice.term);
@@ -103,7 +103,7 @@
     if (_notice.term == 0 || (server == _notice.successor && !isPromotedSince(sentAt))) {
         return false;
     }
-    return position.term != _notice.base.term || position > _notice.base;
+    return !isInSuccessorsLog(position);
 }
 
 bool LeadershipTracker::isUsable(const ServerName& server, const Claim& claim,
@@ -137,6 +137,11 @@
     });
 }
 
+/** @return the time after an announcement in which an earlier primary may still be read. */
+Duration LeadershipTracker::leaseAfterAnnouncement() const {
+    return _notice.leasesExpired ? Duration(0) : kLeadershipLease;
+}
+
 void LeadershipTracker::choose(TimePoint now) {
     std::optional<Primary> best;
     std::tuple<Term, StoreVersion> bestRank;
@@ -154,7 +159,8 @@
     if (!sameServer) {
         _confirmedAt.reset();
         const bool announced = best && _announcedAt && best->server == _notice.successor;
-        _writableFrom = (announced ? *_announcedAt : now) + kLeadershipLease;
+        _writableFrom =
+            announced ? *_announcedAt + leaseAfterAnnouncement() : now + kLeadershipLease;
     }
     _primary = best;
 }
--- a/src/pooling/LeadershipTracker.h
+++ b/src/pooling/LeadershipTracker.h
@@ -15,10 +15,13 @@
 
 /**
  * How long evidence of a primary's leadership is valid: a read that arrives within this time may
- * run at that primary. A promotion is recorded, and the former primary is kept from committing,
- * before the successor is promoted; and no node commits at a successor before this time has passed
- * since the node learned of the promotion. So no commit of the successor precedes a read that
- * relies on the evidence.
+ * run at that primary, and a commit whose response arrives within this time may be passed on. A
+ * promotion is recorded, and the former primary is kept from committing, before the successor is
+ * promoted; and no node commits at a successor before this time has passed since the node learned
+ * of the promotion, unless the announcement says that it had passed before. So no commit of the
+ * successor precedes a read that relies on the evidence. A former primary that could not be reached
+ * may commit until this time has passed; the successor is chosen after that, so that it has these
+ * commits.
  */
 constexpr Duration kLeadershipLease = std::chrono::milliseconds(500);
 
@@ -52,6 +55,8 @@
     /** Whether it is certain that no server but the successor was promoted last. After the store
      * has reverted to an older state this is uncertain until the servers have shown it. */
     bool isConfirmed = true;
+    /** The successor was announced when no proof that an earlier primary led was valid any more. */
+    bool leasesExpired = false;
 
     bool operator==(const PromotionNotice&) const = default;
 };
@@ -121,6 +126,14 @@
      */
     bool mayLackCommit(const ServerName& server, TimePoint sentAt, OpTime position) const;
 
+    /**
+     * @return whether the successor of the newest promotion had the commit at that position when it
+     * was chosen, so that every later leader has it.
+     */
+    bool isInSuccessorsLog(OpTime position) const {
+        return _notice.term > 0 && position.term == _notice.base.term && position <= _notice.base;
+    }
+
     /** @return the earliest time at which mayWrite() may become true. */
     TimePoint writableFrom() const { return _writableFrom; }
 
@@ -140,6 +153,7 @@
         TimePoint refutedUntil{};
     };
 
+    Duration leaseAfterAnnouncement() const;
     void choose(TimePoint now);
     bool isUsable(const ServerName& server, const Claim& claim, TimePoint now) const;
     bool mayLeadNewestTerm(const Claim& claim) const;
--- a/src/pooling/PooledSession.h
+++ b/src/pooling/PooledSession.h
@@ -62,6 +62,8 @@
     Queued,    /**< Not sent; waits for a server. */
     Beginning, /**< The transaction of the statement is being opened on a server. */
     Sent,      /**< Sent to a server. */
+    /** The server acknowledged the commit; its leadership at that time is not proven yet. */
+    Acknowledged,
 };
 
 /** The current statement of a session. */
@@ -96,6 +98,9 @@
     /** When the replica that the statement waits for is expected to have reached its position. */
     TimePoint replicaAt{};
     TimePoint sentAt{};
+    /** The response to a commit and when it arrived, while the commit awaits a proof. */
+    std::optional<StatementResult> acknowledgement;
+    TimePoint acknowledgedAt{};
     std::uint32_t attempts = 0;
     std::set<ServerName> avoided;
     ConnectionId connection;
--- a/src/pooling/PoolerCommits.cpp
+++ b/src/pooling/PoolerCommits.cpp
@@ -1,10 +1,16 @@
 /** What a successful statement proves about commits, the log and the leadership. */
-#include <algorithm>
+#include <utility>
 
 #include "base/Log.h"
 #include "pooling/StatementPooler.h"
 
 namespace coralhoist::pooling {
+namespace {
+
+/** A proof is renewed when less than this time of the lease remains. */
+constexpr Duration kProofRenewal = std::chrono::milliseconds(150);
+
+}  // namespace
 
 /** @return whether the statement commits changes when it succeeds. */
 bool StatementPooler::commitsChanges(const PooledSession& session) {
@@ -21,9 +27,6 @@
  */
 bool StatementPooler::isCommitInDoubt(const PooledSession& session,
                                       const StatementResult& result) const {
-    if (!commitsChanges(session)) {
-        return false;
-    }
     const Operation& operation = *session.operation;
     const LeadershipTracker& leadership = _groups.at(session.group).leadership;
     if (!leadership.mayLackCommit(operation.server, operation.sentAt, result.position)) {
@@ -40,17 +43,15 @@
     return true;
 }
 
-bool StatementPooler::replicatesSynchronously(const GroupName& group) const {
-    const auto found = _catalog->groups.find(group);
-    return found != _catalog->groups.end() && found->second.synchronousReplicas > 0;
-}
-
-/** Records what a success on the primary proves about its leadership and about the log. */
-void StatementPooler::noteFreshness(PooledSession& session, const StatementResult& result) {
+/**
+ * Records what a success on the primary shows of the log. It proves no leadership: a replica that
+ * restarts during a promotion receives from the former primary again.
+ */
+void StatementPooler::noteFreshness(PooledSession& session, const StatementResult& result,
+                                    bool committed) {
     GroupState& group = groupOf(session);
     const Operation& operation = *session.operation;
     const std::optional<Primary>& primary = group.leadership.primary();
-    const bool committed = commitsChanges(session);
     if (committed) {
         session.ownFloors.raise(session.group, result.position);
     }
@@ -58,14 +59,90 @@
         group.leadership.isPromotedSince(operation.sentAt)) {
         return;
     }
-    if (committed && replicatesSynchronously(session.group)) {
-        // A replica received the commit after it was sent, so the replica had missed no earlier
-        // commit.
-        group.leadership.confirm(*primary, operation.sentAt);
-    }
     if (group.leadership.isCertainFor(operation.sentAt)) {
         group.floors.add(operation.sentAt, result.position);
     }
 }
 
+/** @return whether every later leader has the commit whose response arrived at that time. */
+bool StatementPooler::isCommitCertain(const GroupState& group, const StatementResult& result,
+                                      TimePoint acknowledgedAt) {
+    return group.leadership.isCertainFor(acknowledgedAt) ||
+           group.leadership.isInSuccessorsLog(result.position);
+}
+
+void StatementPooler::wantProof(const PooledSession& session) {
+    ++_statistics.proofsWanted;
+    _output.wantLeadershipProof(session.group);
+}
+
+/** Requests the next proof before the present one expires, so that few commits await one. */
+void StatementPooler::renewProof(const GroupState& group, const PooledSession& session) {
+    if (!group.leadership.isCertainFor(_clock.now() + kProofRenewal)) {
+        wantProof(session);
+    }
+}
+
+/**
+ * Keeps an acknowledged commit from its caller until a proof shows that the primary led when the
+ * response arrived. A promotion that this node has not heard of may have fixed the successor's log
+ * before the commit. Each proof ends by the time at which a successor is chosen, so a commit that
+ * one covers is in the log of every later leader.
+ */
+void StatementPooler::holdCommit(GroupState& group, PooledSession& session,
+                                 StatementResult result) {
+    Operation& operation = *session.operation;
+    operation.phase = OperationPhase::Acknowledged;
+    operation.lastObstacle = "leadership_unproven";
+    operation.acknowledgement = std::move(result);
+    operation.acknowledgedAt = _clock.now();
+    group.unprovenCommits.insert(session.id);
+    ++_statistics.commitsHeld;
+    wakeAt(session, operation.deadline);
+    wantProof(session);
+}
+
+void StatementPooler::reviewUnprovenCommits(GroupState& group) {
+    for (const SessionId id : std::set<SessionId>(group.unprovenCommits)) {
+        PooledSession* session = findSession(id);
+        if (session == nullptr || !session->operation ||
+            session->operation->phase != OperationPhase::Acknowledged) {
+            group.unprovenCommits.erase(id);
+        } else {
+            reviewUnprovenCommit(group, *session);
+        }
+    }
+}
+
+void StatementPooler::reviewUnprovenCommit(GroupState& group, PooledSession& session) {
+    if (isCommitInDoubt(session, *session.operation->acknowledgement)) {
+        group.unprovenCommits.erase(session.id);
+        reportInDoubt(session, "a promotion was announced before the commit could be confirmed");
+    } else if (isCommitCertain(group, *session.operation->acknowledgement,
+                               session.operation->acknowledgedAt)) {
+        group.unprovenCommits.erase(session.id);
+        finishCommit(session);
+    } else {
+        wantProof(session);
+    }
+}
+
+/** The caller learns the outcome of a commit that could not be confirmed in time as unknown. */
+void StatementPooler::reviewAcknowledged(PooledSession& session, TimePoint now) {
+    if (now >= session.operation->deadline) {
+        groupOf(session).unprovenCommits.erase(session.id);
+        reportInDoubt(session, "no proof that the primary led when it committed");
+    }
+}
+
+void StatementPooler::finishCommit(PooledSession& session) {
+    StatementResult result = std::move(*session.operation->acknowledgement);
+    noteFreshness(session, result, true);
+    finishOperation(session, std::move(result));
+}
+
+void StatementPooler::reportInDoubt(PooledSession& session, const char* reason) {
+    replyError(session, StatementFault::InDoubt, reason);
+}
+
 }  // namespace coralhoist::pooling
--- a/src/pooling/PoolerConnections.cpp
+++ b/src/pooling/PoolerConnections.cpp
@@ -108,6 +108,8 @@
         case OperationPhase::Sent:
             onSentLost(session, reason);
             return;
+        case OperationPhase::Acknowledged:
+            return;
     }
 }
 
--- a/src/pooling/PoolerQueue.cpp
+++ b/src/pooling/PoolerQueue.cpp
@@ -50,6 +50,7 @@
 void StatementPooler::dispatch(GroupState& group) {
     ++_statistics.groupsVisited;
     takeNewestProof(group);
+    reviewUnprovenCommits(group);
     for (const SessionId id : group.waiting.order(_clock.now())) {
         PooledSession* session = findSession(id);
         if (session == nullptr || !isQueued(*session)) {
@@ -219,11 +220,9 @@
         requirement.impossible = true;
         return requirement;
     }
-    const bool reads = opensTransaction || !operation.writes;
-    if (reads && !leadership.isCertainFor(operation.consistentSince)) {
+    if (!leadership.isCertainFor(operation.consistentSince)) {
         operation.lastObstacle = "leadership_unproven";
-        ++_statistics.proofsWanted;
-        _output.wantLeadershipProof(session.group);
+        wantProof(session);
         requirement.impossible = true;
         return requirement;
     }
@@ -246,7 +245,7 @@
         return nullptr;
     }
     const TimePoint now = _clock.now();
-    if (!operation.writes && !group.leadership.isCertainFor(operation.consistentSince)) {
+    if (!group.leadership.isCertainFor(operation.consistentSince)) {
         const bool overdue = now - operation.arrivedAt > kProofWaitLimit;
         return overdue ? "leadership_unproven" : nullptr;
     }
--- a/src/pooling/PoolerResults.cpp
+++ b/src/pooling/PoolerResults.cpp
@@ -245,9 +245,12 @@
 
 void StatementPooler::onSucceeded(ServerConnection& connection, PooledSession& session,
                                   StatementResult result) {
-    const bool inDoubt = isCommitInDoubt(session, result);
-    if (!inDoubt) {
-        noteFreshness(session, result);
+    const bool commits = commitsChanges(session);
+    const bool inDoubt = commits && isCommitInDoubt(session, result);
+    GroupState& group = groupOf(session);
+    const bool isProven = !commits || isCommitCertain(group, result, _clock.now());
+    if (!inDoubt && isProven) {
+        noteFreshness(session, result, commits);
     }
     SessionTransaction& transaction = session.transaction;
     const bool ends = transaction.phase != TransactionPhase::Open ||
@@ -264,8 +267,12 @@
         markDirty(connection.group);
     }
     if (inDoubt) {
-        replyError(session, StatementFault::InDoubt,
-                   "a promotion was announced before the server acknowledged the commit");
+        reportInDoubt(session,
+                      "a promotion was announced before the server acknowledged the commit");
+        return;
+    }
+    if (!isProven) {
+        holdCommit(group, session, std::move(result));
         return;
     }
     finishOperation(session, std::move(result));
--- a/src/pooling/PoolerSending.cpp
+++ b/src/pooling/PoolerSending.cpp
@@ -84,6 +84,7 @@
         server->silentSince = now;
     }
     if (commitsChanges(session)) {
+        renewProof(groupOf(session), session);
         groupOf(session).primaryWatch.noteWrite(connection.id, connection.server, now);
     }
     session.transaction.wrote = session.transaction.wrote || operation.writes;
--- a/src/pooling/PoolerStatistics.h
+++ b/src/pooling/PoolerStatistics.h
@@ -81,6 +81,8 @@
     std::uint64_t connectionsReplaced = 0;
     std::uint64_t connectionsLost = 0;
     std::uint64_t proofsWanted = 0;
+    /** Acknowledged commits that were held until their primary's leadership was proven. */
+    std::uint64_t commitsHeld = 0;
     /** Statements forwarded to other nodes, and statements executed for other nodes. */
     std::uint64_t forwarded = 0;
     std::uint64_t executedForOthers = 0;
--- a/src/pooling/PoolerStop.cpp
+++ b/src/pooling/PoolerStop.cpp
@@ -65,6 +65,9 @@
         case OperationPhase::Sent:
             giveUpSent(session, reason);
             return;
+        case OperationPhase::Acknowledged:
+            reportInDoubt(session, reason);
+            return;
     }
 }
 
--- a/src/pooling/PoolerTimers.cpp
+++ b/src/pooling/PoolerTimers.cpp
@@ -60,6 +60,9 @@
                 reviewSent(session, now);
             }
             return;
+        case OperationPhase::Acknowledged:
+            reviewAcknowledged(session, now);
+            return;
     }
 }
 
@@ -151,12 +154,12 @@
     } else {
         releaseUnused(group);
     }
-    if (!group.waiting.empty()) {
+    const bool awaitsEvents = !group.waiting.empty() || !group.unprovenCommits.empty();
+    if (awaitsEvents) {
         markDirty(group);
     }
-    return isWarm || isSuspect || !group.waiting.empty() || hasConnections(group) ||
-           group.floors.mayDrop() || !group.outliers.admitsAll() ||
-           group.shares.isOverloaded(now) || group.shares.inForce();
+    return isWarm || isSuspect || awaitsEvents || hasConnections(group) || group.floors.mayDrop() ||
+           !group.outliers.admitsAll() || group.shares.isOverloaded(now) || group.shares.inForce();
 }
 
 bool StatementPooler::hasConnections(const GroupState& group) {
--- a/src/pooling/StatementPooler.cpp
+++ b/src/pooling/StatementPooler.cpp
@@ -126,7 +126,7 @@
     ++_lastProof;
     for (GroupState* group : _activeGroups) {
         takeNewestProof(*group);
-        if (!group->waiting.empty()) {
+        if (!group->waiting.empty() || !group->unprovenCommits.empty()) {
             markDirty(*group);
         }
     }
--- a/src/pooling/StatementPooler.h
+++ b/src/pooling/StatementPooler.h
@@ -274,6 +274,8 @@
         std::map<ServerName, ServerState> servers;
         OutlierDetector outliers;
         admission::WaitingQueue waiting;
+        /** Sessions whose acknowledged commits await a proof of the primary's leadership. */
+        std::set<SessionId> unprovenCommits;
         /** Services are scheduled fairly within a rank where callers have no tenants. */
         bool fairServices = false;
         CapacityShares shares;
@@ -466,8 +468,17 @@
     // PoolerCommits.cpp: what successful statements prove.
     static bool commitsChanges(const PooledSession& session);
     bool isCommitInDoubt(const PooledSession& session, const StatementResult& result) const;
-    bool replicatesSynchronously(const GroupName& group) const;
-    void noteFreshness(PooledSession& session, const StatementResult& result);
+    static bool isCommitCertain(const GroupState& group, const StatementResult& result,
+                                TimePoint acknowledgedAt);
+    void noteFreshness(PooledSession& session, const StatementResult& result, bool committed);
+    void wantProof(const PooledSession& session);
+    void renewProof(const GroupState& group, const PooledSession& session);
+    void holdCommit(GroupState& group, PooledSession& session, StatementResult result);
+    void reviewUnprovenCommits(GroupState& group);
+    void reviewUnprovenCommit(GroupState& group, PooledSession& session);
+    void reviewAcknowledged(PooledSession& session, TimePoint now);
+    void finishCommit(PooledSession& session);
+    void reportInDoubt(PooledSession& session, const char* reason);
 
     // PoolerForwarding.cpp: units that other nodes execute.
     bool forward(PooledSession& session);
--- a/tests/failover/LeadershipProbeTest.cpp
+++ b/tests/failover/LeadershipProbeTest.cpp
@@ -47,9 +47,13 @@
     CHECK_FALSE(ask().has_value());
 }
 
+/**
+ * Guards against a proof by a replica that has restarted during a promotion and forgotten its
+ * pause, while the successor is still paused.
+ */
 TEST(LeadershipProbe, APausedReplicaShowsAPromotionThatHasNotEnded) {
     fixture.server(1).heldTerm = 2;
-    CHECK_TRUE(ask().has_value());
+    CHECK_FALSE(ask().has_value());
     CHECK_TRUE(probe.pausedAt({fixture.server(0).name, 1}).has_value());
 }
 
@@ -59,6 +63,16 @@
     CHECK_FALSE(probe.pausedAt({fixture.server(0).name, 1}).has_value());
 }
 
+TEST(LeadershipProbe, NothingIsProvenWhileAServerIsSilent) {
+    fixture.nodes[0].connector->faults().cut.insert(fixture.server(1).name);
+    CHECK_FALSE(ask().has_value());
+}
+
+TEST(LeadershipProbe, AServerThatDoesNotRunLeavesTheProofToTheOthers) {
+    fixture.group.crash(fixture.server(1));
+    CHECK_TRUE(ask().has_value());
+}
+
 TEST(LeadershipProbe, NothingIsProvenOnceThePrimaryHasSteppedDown) {
     fixture.server(0).primary = false;
     CHECK_FALSE(ask().has_value());
--- a/tests/forwarding/UnitLinkTest.cpp
+++ b/tests/forwarding/UnitLinkTest.cpp
@@ -358,6 +358,7 @@
         links.onTick(clock.now());
         waitFor([this] { return links.nextTick() == clock.now() + milliseconds(150); });
     }
+    pooler.confirmLeadership(group, clock.now());
     succeed(pooling::SessionState::Idle);
     waitFor([this] { return recorder.results.contains(UnitId(1)); });
     CHECK_TRUE(recorder.losses.empty());
--- a/tests/platform_adapter/CodecTest.cpp
+++ b/tests/platform_adapter/CodecTest.cpp
@@ -148,6 +148,7 @@
     record.writtenIn = 3;
     record.confirmedIn = 2;
     record.members = {ServerName("i-1"), ServerName("i-2")};
+    record.leasesExpired = true;
     record.departed = {ServerName("i-3")};
     record.departedBound = OpTime{4, 91};
     const store::StoredObject written = codec.writePromotion(GroupName("g1"), record);
--- a/tests/pooled_simulation/PooledServerFaultTest.cpp
+++ b/tests/pooled_simulation/PooledServerFaultTest.cpp
@@ -15,6 +15,7 @@
 constexpr std::uint64_t kDefaultRounds = 2;
 /** Rounds of the few plans with three faults for each round of the others. */
 constexpr std::uint64_t kCrowdedPromotionShare = 4;
+constexpr std::uint64_t kUnheardShare = 10;
 constexpr std::uint64_t kSeeds = 10;
 /** A kind that strikes one call in several is looked for in more runs, and more often than once: in
  * ten of them it may strike none by chance. */
@@ -114,6 +115,22 @@
                numberFromEnvironment("CORALHOIST_SERVER_FAULT_ROUNDS", kDefaultRounds));
 }
 
+/**
+ * Guards against commits and reads at a former primary on a node that hears of no promotion, while
+ * replicas restart and so forget the order not to receive.
+ */
+TEST(PooledServerFault, KeepsThePromisesWhenReplicasRestartDuringAPromotionUnheard) {
+    PooledRunOptions options;
+    options.group.promoteDelay = std::chrono::milliseconds(1000);
+    checkPlans(
+        options,
+        {{PooledFault::PromotionUnheard},
+         {PooledFault::PromotionUnheard, PooledFault::NodeDies},
+         {PooledFault::PromotionUnheard, PooledFault::ReplicasRestart},
+         {PooledFault::PromotionUnheard, PooledFault::PromotionUnheard}},
+        numberFromEnvironment("CORALHOIST_SERVER_FAULT_ROUNDS", kDefaultRounds) * kUnheardShare);
+}
+
 TEST(PooledServerFault, KeepsThePromisesWhenLateCallsAreNotFenced) {
     PooledRunOptions options = crowdedOptions();
     options.group.checksFence = false;
--- a/tests/pooling/LateAnswerTest.cpp
+++ b/tests/pooling/LateAnswerTest.cpp
@@ -75,6 +75,7 @@
     record(PromotionPhase::Promoting, "s2", 2, {1, 100});
     fixture.clock.advance(kLeadershipLease);
     record(PromotionPhase::None, "s2", 2, {1, 100});
+    fixture.pooler.applyProof({fixture.clock.now(), {{fixture.group, recordVersion}}, 0});
     fixture.submit(fixture.session("current"), StatementVerb::Write, "WRITE 1 a");
     STRCMP_EQUAL("s2", fixture.pending().server.value().c_str());
     // The record may name a term that the platform has not assigned.
--- a/tests/pooling/TenantConnectionsTest.cpp
+++ b/tests/pooling/TenantConnectionsTest.cpp
@@ -37,6 +37,7 @@
         fixture.groupSettings.connectionsPerServer = connections + 1;
         fixture.applySettings();
         fixture.advance(milliseconds(600));
+        fixture.pooler.confirmLeadership(fixture.group, fixture.clock.now());
     }
 };
 
