Store: an entry with an odd name does not end the list behind it

What callers would see: a node whose list of servers has more than one page follows it no further, or takes servers for removed, once another writer's entry with an odd name ends a page.

Cause: the name of a page's last entry stood in the request for the next one as it was, so blanks, `&`, `#` or line ends made another request of it, which fails each time. A page none of whose items could be read passed for the end of the list.

Evidence: StoreBody.AnOddNameDoesNotEndTheList and StoreBody.APageWithoutAReadableItemEndsNoList fail before.

--- a/tests/platform_adapter/StoreBodyTest.cpp
+++ b/tests/platform_adapter/StoreBodyTest.cpp
@@ -85,6 +85,33 @@
     }
 }
 
+/**
+ * Guards against a list that ends or fails for ever behind an entry with an odd name: the name
+ * stands in the request for the next page.
+ */
+TEST(StoreBody, AnOddNameDoesNotEndTheList) {
+    for (const std::string& name :
+         {std::string("a b"), std::string("a&watch=1"), std::string("a\r\nConnection: close\r\n"),
+          std::string("a#%")}) {
+        for (const std::string& target : {protocol.listCall("servers", name).target,
+                                          protocol.recentListCall("servers", name).target,
+                                          protocol.readCall("servers", name).target}) {
+            CHECK_TRUE(target.find_first_of(" \r\n#") == std::string::npos);
+            CHECK_TRUE(target.find("&watch") == std::string::npos);
+        }
+    }
+    STRCMP_EQUAL("/objects/servers?after=i-7f_3.a~1",
+                 protocol.listCall("servers", "i-7f_3.a~1").target.c_str());
+}
+
+/** Guards against a page without a readable item that passes for the end of the list. */
+TEST(StoreBody, APageWithoutAReadableItemEndsNoList) {
+    const std::string odd = entry("x", R"({"slots":1e400})");
+    CHECK_FALSE(protocol.readPage(answerOf(R"({"items":[)" + odd + R"(],"has_more":true,"at":9})"))
+                    .has_value());
+    CHECK_TRUE(protocol.readPage(answerOf(page(odd))).has_value());
+}
+
 /** Bytes of one item are changed at random; the others are read all the same unless the change
  * touches what holds the list together. */
 TEST(StoreBody, MutatedItemsBreakNothing) {
