Departures: only servers that no list names are watched, one node first

What callers saw: nothing; found in the last read of the change. A server that announced its end was asked for its status four times a second by every node in turn, and each of these takes a slot and a connection of it. A server that was listed again while its group was promoted was noted only afterwards, and counted as bounded if it left again meanwhile.

Change: a server is watched from its removal on, by the next node three seconds after the one before. Servers that are listed again are noted as lists and records arrive.

The cost of the queries was read, not measured.

--- a/src/failover/GroupFailover.cpp
+++ b/src/failover/GroupFailover.cpp
@@ -92,6 +92,7 @@
         }
     }
     _servers = std::move(known);
+    noteReturned();
     std::erase_if(_links, [this](const auto& entry) { return listed(entry.first) == nullptr; });
     _nextTick = std::min(_nextTick, now);
 }
@@ -112,6 +113,7 @@
     if (announces) {
         _announcementSeenAt = now;
     }
+    noteReturned();
     if (!isLater(_newest, record)) {
         _newest = record;
     }
--- a/src/failover/MemberDepartures.cpp
+++ b/src/failover/MemberDepartures.cpp
@@ -1,6 +1,7 @@
 /** Keeps the record's members complete while no promotion is under way (a file of GroupFailover).
  */
 #include <algorithm>
+#include <iterator>
 #include <utility>
 #include <vector>
 
@@ -14,8 +15,8 @@
 using pooling::ListedServer;
 using pooling::PromotionPhase;
 
-/** Nodes write, and begin to watch, one after another; see `isOwnTurn`. */
-constexpr Duration kWatchTurnDelay = std::chrono::milliseconds(1500);
+/** Nodes begin to watch one after another, so that one node's queries are usually enough. */
+constexpr Duration kWatchTurnDelay = std::chrono::milliseconds(3000);
 /** Pause after a write of the members, so that a store that fails is not written to each tick. */
 constexpr Duration kMembersWritePause = std::chrono::milliseconds(1000);
 
@@ -23,6 +24,17 @@
     return std::find(names.begin(), names.end(), name) != names.end();
 }
 
+/** @return those of the servers that no list has named for that time. */
+std::vector<DepartingServer> unlistedFor(const std::vector<DepartingServer>& departing,
+                                         Duration time, TimePoint now) {
+    std::vector<DepartingServer> unlisted;
+    std::copy_if(departing.begin(), departing.end(), std::back_inserter(unlisted),
+                 [time, now](const DepartingServer& server) {
+                     return server.unlistedSince && now - *server.unlistedSince >= time;
+                 });
+    return unlisted;
+}
+
 void addDeparted(PromotionRecord& record, const ServerName& name) {
     std::erase(record.members, name);
     std::erase(record.departed, name);
@@ -95,7 +107,6 @@
  * which of them hold no commit beyond a known position.
  */
 void GroupFailover::followDepartures(TimePoint now) {
-    noteReturned();
     const std::vector<DepartingServer> departing = departingServers();
     const bool isSettled = departing.empty() && _returned.empty();
     if (isSettled || !mayWriteMembers(now)) {
@@ -106,8 +117,8 @@
     _departingSince = _departingSince.value_or(now);
     const std::size_t turn = std::min(_dependencies.turn(_group), kMaxTurn);
     const std::optional<GroupLeader> leader = certainLeader();
-    if (leader && now - *_departingSince >= kWatchTurnDelay * turn) {
-        _departures.watch(departing, *leader);
+    if (leader) {
+        _departures.watch(unlistedFor(departing, kWatchTurnDelay * turn, now), *leader);
         _departures.onTick(now);
     }
     const PromotionRecord record = recordOfMembers(departing);
