--- a/src/duty/pooling/PoolingMetrics.cpp
+++ b/src/duty/pooling/PoolingMetrics.cpp
@@ -270,6 +270,14 @@
                 << "\ncoralhoist_request_duration_seconds_count " << cumulative << '\n';
 }
 
+void appendProofs(Page& page, const PoolerStatistics& pooler) {
+    page.metric("counter", "leadership_proofs_wanted_total",
+                "Times that a statement waited for a proof of leadership.", pooler.proofsWanted);
+    page.metric("counter", "commits_held_total",
+                "Acknowledged commits held until their primary's leadership was proven.",
+                pooler.commitsHeld);
+}
+
 }  // namespace
 
 std::string renderMetrics(const PoolingFigures& figures) {
@@ -334,11 +342,7 @@
                 "Servers left alone for what became of requests there.", pooler.serversEjected);
     page.metric("counter", "servers_admitted_total", "Ejected servers that serve again.",
                 pooler.serversAdmitted);
-    page.metric("counter", "leadership_proofs_wanted_total",
-                "Times that a statement waited for a proof of leadership.", pooler.proofsWanted);
-    page.metric("counter", "commits_held_total",
-                "Acknowledged commits held until their primary's leadership was proven.",
-                pooler.commitsHeld);
+    appendProofs(page, pooler);
     page.metric("counter", "forwarded_total", "Statements that other nodes executed.",
                 pooler.forwarded);
     page.metric("counter", "executed_for_others_total", "Statements executed for other nodes.",
--- a/src/pooling/PoolerCommits.cpp
+++ b/src/pooling/PoolerCommits.cpp
@@ -79,7 +79,7 @@
 /** Requests the next proof before the present one expires, so that few commits await one. */
 void StatementPooler::renewProof(const GroupState& group, const PooledSession& session) {
     if (!group.leadership.isCertainFor(_clock.now() + kProofRenewal)) {
-        wantProof(session);
+        _output.wantLeadershipProof(session.group);
     }
 }
 
