A recorded primary that does not lead is promoted anew though no statement reaches it

Cause: a node that took an abandoned promotion over ordered the announced successor, which it suspected, to step down, and confirmed it by a status that had been sent before. The record then named a server that does not lead. Now they wait for a proof, and after a return only the servers can give one: the probe learned that the primary doesn't lead, and told nobody.

Why the fix works: the probe's answer that the primary doesn't lead is told like paused receivers: a promotion that has begun and not ended, which a node carries on once earlier calls can have no effect. Not changed: the order to step down itself; what it causes now heals.

--- a/src/failover/GroupFailover.h
+++ b/src/failover/GroupFailover.h
@@ -160,7 +160,7 @@
 
     /**
      * Called when the primary led, and a replica was under the order not to receive from it, at
-     * that moment.
+     * that moment, or when the primary did not lead.
      */
     void onReceiversPaused(TimePoint at);
 
--- a/src/failover/LeadershipProbe.cpp
+++ b/src/failover/LeadershipProbe.cpp
@@ -97,10 +97,18 @@
     return hasFollower ? std::optional(proven) : std::nullopt;
 }
 
+/** @return when the primary was asked, if it has responded that it does not lead. */
+std::optional<TimePoint> LeadershipProbe::deniedAt(const pooling::Primary& primary) const {
+    const auto leader = _links.find(primary.server);
+    const bool denies = leader != _links.end() && leader->second->report() &&
+                        !leader->second->report()->report.primary;
+    return denies ? std::optional(leader->second->report()->requestedAt) : std::nullopt;
+}
+
 std::optional<TimePoint> LeadershipProbe::pausedAt(const pooling::Primary& primary) const {
     const MemberResponse* claim = leaderResponse(primary);
     if (claim == nullptr) {
-        return std::nullopt;
+        return deniedAt(primary);
     }
     std::optional<TimePoint> paused;
     for (const auto& [name, link] : _links) {
--- a/src/failover/LeadershipProbe.h
+++ b/src/failover/LeadershipProbe.h
@@ -47,12 +47,13 @@
 
     /**
      * @return the latest moment at which some replica was under the order not to receive from the
-     * primary while the primary led: a promotion that has begun and not ended. Nothing if no such
-     * response is known.
+     * primary while the primary led, or at which the primary did not lead: a promotion that has
+     * begun and not ended. Nothing if no such response is known.
      */
     std::optional<TimePoint> pausedAt(const pooling::Primary& primary) const;
 
 private:
+    std::optional<TimePoint> deniedAt(const pooling::Primary& primary) const;
     const MemberResponse* leaderResponse(const pooling::Primary& primary) const;
 
     const Clock& _clock;
--- a/tests/failover/LeadershipProbeTest.cpp
+++ b/tests/failover/LeadershipProbeTest.cpp
@@ -57,6 +57,13 @@
     CHECK_TRUE(probe.pausedAt({fixture.server(0).name, 1}).has_value());
 }
 
+/** Guards against a group whose primary has stepped down and that no node promotes anew. */
+TEST(LeadershipProbe, APrimaryThatDoesNotLeadShowsAPromotionThatHasNotEnded) {
+    fixture.server(0).primary = false;
+    ask();
+    CHECK_TRUE(probe.pausedAt({fixture.server(0).name, 1}).has_value());
+}
+
 TEST(LeadershipProbe, AReplicaThatReceivesShowsNoPromotion) {
     fixture.server(1).heldTerm = 1;
     ask();
--- a/tests/pooled_simulation/PooledStoreReturnTest.cpp
+++ b/tests/pooled_simulation/PooledStoreReturnTest.cpp
@@ -39,5 +39,18 @@
     CHECK_TRUE(hasRecovered(report));
 }
 
+/**
+ * The seed's successor steps down as it is confirmed, in the era of a store that has returned
+ * older. No statement is sent to it without a proof, so only the servers tell that nobody leads.
+ */
+TEST(PooledStoreReturn, ServesOnWhenTheConfirmedSuccessorDoesNotLead) {
+    PooledRunOptions options = withEras(crowdedOptions());
+    options.seed = 150;
+    options.faults = {PooledFault::StoreReturnsOlder, PooledFault::PromotionCallTroubled};
+    const PooledReport report = runPooled(options);
+    UNSIGNED_LONGS_EQUAL(0, report.violations.size());
+    CHECK_TRUE(hasRecovered(report));
+}
+
 }  // namespace
 }  // namespace coralhoist::pooled
